Lay out the module, the shared contracts and the checks

Cause: an empty repository.

Ruled out: golangci-lint from a tools module, because its full module graph does not resolve; it is installed by version, and its formatter is gofumpt.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+GOBIN := $(CURDIR)/.bin
+export GOBIN
+include tools/versions.env
+PROGRAMS := rattan-proxy rattan-warden rattanctl rattan-load rattan-standin
+
+.PHONY: build test lint fmt demo bench slopes soak proto tools
+
+build:
+	mkdir -p bin
+	go build -o bin/ ./cmd/...
+
+tools: .bin/golangci-lint
+
+.bin/golangci-lint: tools/versions.env
+	go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+	touch $@
+
+fmt: tools
+	.bin/golangci-lint fmt ./...
+
+lint: tools
+	.bin/golangci-lint fmt --diff ./...
+	.bin/golangci-lint run ./...
+	go vet ./...
+
+test: lint build
+	go test -race -count=1 ./...
+
+proto:
+	go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+	go install storj.io/drpc/cmd/protoc-gen-go-drpc@$(PROTOC_GEN_GO_DRPC_VERSION)
+	PATH="$(GOBIN):$$PATH" protoc -I proto --go_out=. --go_opt=module=github.com/rattancove/rattancove \
+		--go-drpc_out=. --go-drpc_opt=module=github.com/rattancove/rattancove proto/peer.proto
+
+demo: build
+	bash scripts/demo
+
+bench: build
+	bash scripts/bench
+
+slopes: build
+	bash scripts/slopes
+
+SEEDS ?= 200
+soak:
+	RATTAN_SEEDS=$(SEEDS) go test -race -count=1 -timeout 60m -run Seeded ./internal/...
