Accept PostgreSQL callers and turn their messages into requests

Callers speak simple and extended queries, transactions and COPY; their messages become batches for a statement.Runner. SQL text is classified conservatively, and each session keeps the position that it may read at.

Ruled out: passing the Parse of a named statement through under its server-side name, because a pooled connection may know it already and would answer an error; the answer is inserted instead.

--- /dev/null
+++ b/internal/pgwire/front/auth.go
@@ -0,0 +1,149 @@
+package front
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"errors"
+	"strconv"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/xdg-go/scram"
+
+	"github.com/rattancove/rattancove/internal/errcode"
+)
+
+const (
+	mechanism      = "SCRAM-SHA-256"
+	mockIterations = 4096
+	mockSaltBytes  = 16
+)
+
+var errVerifier = errors.New("malformed SCRAM-SHA-256 verifier")
+
+// authenticate lets the caller prove that it knows the account's password. An
+// unknown account goes through the same exchange, so that its absence does not
+// show.
+func (s *Server) authenticate(c *caller, account Account, known bool) error {
+	if known && account.Verifier == "" {
+		return nil
+	}
+	credentials := s.mockCredentials(c.user)
+	if known {
+		parsed, err := parseVerifier(account.Verifier)
+		if err != nil {
+			return errcode.Wrap(err, errcode.Unauthorized, "authenticate", c.user)
+		}
+		credentials = parsed
+	}
+	valid, err := c.exchange(credentials)
+	if err != nil {
+		return err
+	}
+	if !valid || !known {
+		return &sqlError{
+			state:   "28P01",
+			message: "password authentication failed for user \"" + c.user + "\"",
+			hint:    errcode.Unauthorized.Hint,
+		}
+	}
+	return nil
+}
+
+// exchange runs the SASL exchange and reports whether the proof was valid.
+func (c *caller) exchange(credentials scram.StoredCredentials) (bool, error) {
+	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) {
+		return credentials, nil
+	})
+	if err != nil {
+		return false, errcode.Wrap(err, errcode.Internal, "authenticate", "")
+	}
+	conversation := server.NewConversation()
+	c.send(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{mechanism}})
+	body, err := c.readPassword()
+	if err != nil {
+		return false, err
+	}
+	var first pgproto3.SASLInitialResponse
+	if err := first.Decode(body); err != nil || first.AuthMechanism != mechanism {
+		return false, protocolError("authenticate")
+	}
+	challenge, err := conversation.Step(string(first.Data))
+	if err != nil {
+		return false, protocolError("authenticate")
+	}
+	c.send(&pgproto3.AuthenticationSASLContinue{Data: []byte(challenge)})
+	if body, err = c.readPassword(); err != nil {
+		return false, err
+	}
+	final, proofErr := conversation.Step(string(body))
+	valid := proofErr == nil && conversation.Valid()
+	if valid {
+		c.writer.message(&pgproto3.AuthenticationSASLFinal{Data: []byte(final)})
+	}
+	return valid, nil
+}
+
+func (c *caller) send(m pgproto3.BackendMessage) {
+	c.writer.message(m)
+	c.writer.flush()
+}
+
+// readPassword reads one message of the SASL exchange.
+func (c *caller) readPassword() ([]byte, error) {
+	kind, message, err := c.reader.next(DefaultStartupBytes)
+	switch {
+	case errors.Is(err, errOversize), errors.Is(err, errMalformed):
+		return nil, errcode.Wrap(err, errcode.Protocol, "authenticate", "")
+	case err != nil:
+		return nil, err
+	case kind != msgPassword:
+		return nil, protocolError("authenticate")
+	}
+	return message[headerBytes:], nil
+}
+
+// mockCredentials returns credentials that no password fits. The salt stays
+// the same for a user while the process runs.
+func (s *Server) mockCredentials(user string) scram.StoredCredentials {
+	mac := hmac.New(sha256.New, s.mockSecret[:])
+	mac.Write([]byte(user))
+	sum := mac.Sum(nil)
+	return scram.StoredCredentials{
+		KeyFactors: scram.KeyFactors{Salt: string(sum[:mockSaltBytes]), Iters: mockIterations},
+		StoredKey:  sum,
+		ServerKey:  sum,
+	}
+}
+
+// parseVerifier reads SCRAM-SHA-256$iterations:salt$stored:server.
+func parseVerifier(text string) (scram.StoredCredentials, error) {
+	var none scram.StoredCredentials
+	parts := strings.Split(text, "$")
+	if len(parts) != 3 || parts[0] != mechanism {
+		return none, errVerifier
+	}
+	iterations, salt, ok1 := strings.Cut(parts[1], ":")
+	stored, server, ok2 := strings.Cut(parts[2], ":")
+	if !ok1 || !ok2 {
+		return none, errVerifier
+	}
+	count, err := strconv.Atoi(iterations)
+	if err != nil || count < 1 {
+		return none, errVerifier
+	}
+	decoded := make([][]byte, 0, 3)
+	for _, part := range []string{salt, stored, server} {
+		raw, err := base64.StdEncoding.DecodeString(part)
+		if err != nil || len(raw) == 0 {
+			return none, errVerifier
+		}
+		decoded = append(decoded, raw)
+	}
+	return scram.StoredCredentials{
+		KeyFactors: scram.KeyFactors{Salt: string(decoded[0]), Iters: count},
+		StoredKey:  decoded[1],
+		ServerKey:  decoded[2],
+	}, nil
+}
--- /dev/null
+++ b/internal/pgwire/front/caller.go
@@ -0,0 +1,256 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/session"
+)
+
+// copyPieceBytes is the size at which a piece of a COPY goes to the home.
+const copyPieceBytes = 64 << 10
+
+// caller is one caller connection. Its goroutine owns everything but the
+// fields under mu. While a request runs, the Runner calls back through the
+// conversation on the caller's behalf.
+type caller struct {
+	server  *Server
+	conn    net.Conn
+	reader  frameReader
+	writer  answerWriter
+	key     CancelKey
+	user    string
+	group   cluster.GroupName
+	account Account
+
+	session  session.Session
+	settings settings
+	prepared prepared
+	unnamed  *definition
+	// startup holds the options of the start-up message.
+	startup options
+	options options
+	// orderID is the order id of the next request.
+	orderID string
+
+	// batch is under collection; nil between batches.
+	batch        *batch
+	messageBytes int
+	// discarding is set after an error until the next Sync.
+	discarding bool
+	// tx is the transaction state that the caller saw last.
+	tx byte
+	// lost is the error of a transaction that ended without the caller; nil
+	// once it was reported.
+	lost error
+
+	mu    sync.Mutex
+	state state
+	// cancel ends the running request; nil while none runs.
+	cancel context.CancelCauseFunc
+}
+
+// serve runs the caller's requests until the connection ends.
+func (c *caller) serve() {
+	err := c.serveRequests()
+	c.enter(stateClosed)
+	c.reader.release()
+	if err == nil || errors.Is(err, io.EOF) {
+		return
+	}
+	eventCallerFailed.Log(&c.server.logger).Str("user", c.user).
+		Str("group", string(c.group)).Err(err).Send()
+	var coded *errcode.Error
+	if errors.As(err, &coded) {
+		c.writer.message(errorResponse(coded, severityFatal, ""))
+		c.writer.flush()
+	}
+}
+
+// serveRequests returns why the connection ends: io.EOF when the caller left,
+// and an *errcode.Error when the caller is told.
+func (c *caller) serveRequests() error {
+	c.enter(stateIdle)
+	for {
+		b, err := c.nextBatch()
+		if err != nil {
+			return err
+		}
+		if err := c.handle(b); err != nil {
+			return err
+		}
+		if c.writer.err != nil {
+			return c.writer.err
+		}
+	}
+}
+
+// nextBatch waits for a batch outside any running request.
+func (c *caller) nextBatch() (*batch, error) {
+	c.messageBytes = limits(c.server.directory).MessageBytes
+	for {
+		if err := c.awaitQuiet(); err != nil {
+			return nil, err
+		}
+		kind, message, err := c.read()
+		if err != nil {
+			return nil, err
+		}
+		done, err := c.take(kind, message)
+		if err != nil {
+			return nil, err
+		}
+		if done {
+			return c.finished(), nil
+		}
+	}
+}
+
+// awaitQuiet waits for a byte of the next message. It ends with an error when
+// the server drains and no message is on its way.
+func (c *caller) awaitQuiet() error {
+	if c.reader.buffered() {
+		return nil
+	}
+	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
+	if c.server.draining.Load() {
+		c.interruptIfQuiet()
+	}
+	err := c.reader.wait()
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.server.draining.Load() {
+		return errcode.New(errcode.Draining, "idle", "")
+	}
+	return err
+}
+
+// read reads a message whose first byte has arrived.
+func (c *caller) read() (byte, []byte, error) {
+	if err := c.conn.SetReadDeadline(time.Now().Add(c.server.config.MessageTime)); err != nil {
+		return 0, nil, err
+	}
+	kind, message, err := c.reader.next(c.messageBytes)
+	switch {
+	case errors.Is(err, errOversize):
+		err = errcode.Wrap(err, errcode.LimitExceeded, "read", "")
+	case errors.Is(err, errMalformed), errors.Is(err, os.ErrDeadlineExceeded):
+		err = errcode.Wrap(err, errcode.Protocol, "read", "")
+	}
+	return kind, message, err
+}
+
+// finished takes the complete batch out of collection.
+func (c *caller) finished() *batch {
+	b := c.batch
+	c.batch = nil
+	b.classify()
+	b.script.simplify()
+	return b
+}
+
+// handle answers one batch outside any running request.
+func (c *caller) handle(b *batch) error {
+	switch {
+	case c.tx != txIdle:
+		c.answerLost(b)
+		return nil
+	case c.answerHere(b):
+		return nil
+	default:
+		return c.run(b)
+	}
+}
+
+// answerHere answers a batch that needs no server. It reports false when the
+// batch needs one.
+func (c *caller) answerHere(b *batch) bool {
+	switch {
+	case b.err != nil:
+		c.refuseBatch(b, b.err)
+		return true
+	case b.sent == 0 && len(b.Prepared) == 0:
+		c.answerAlone(b)
+		return true
+	default:
+		return false
+	}
+}
+
+// ready tells the caller that the next request may come.
+func (c *caller) ready(tx byte) {
+	c.tx = tx
+	c.writer.message(&pgproto3.ReadyForQuery{TxStatus: tx})
+	c.writer.flush()
+}
+
+// enter changes the state.
+func (c *caller) enter(next state) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.state.mayBecome(next) {
+		eventBadTransition.Log(&c.server.logger).Stringer("from", c.state).Stringer("to", next).Send()
+	}
+	c.state = next
+}
+
+// interruptIfQuiet ends the wait of a caller without a running request, after
+// the time that a request on its way may need.
+func (c *caller) interruptIfQuiet() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state.quiet() {
+		_ = c.conn.SetReadDeadline(time.Now().Add(drainLinger))
+	}
+}
+
+// interrupt cuts the caller off.
+func (c *caller) interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state.quiet() {
+		_ = c.conn.SetReadDeadline(time.Now())
+		return
+	}
+	_ = c.conn.SetDeadline(time.Now().Add(drainLinger))
+}
+
+func (c *caller) setCancel(cancel context.CancelCauseFunc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancel = cancel
+}
+
+// cancelRequest ends the running request. A caller inside a transaction that
+// has no statement running is left alone, as PostgreSQL does.
+func (c *caller) cancelRequest(cause error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cancel != nil && c.state == stateRunning {
+		c.cancel(cause)
+	}
+}
+
+// interruptOn ends a read when ctx ends. The returned function must be called
+// before the next deadline is set.
+func (c *caller) interruptOn(ctx context.Context) (stop func()) {
+	done := make(chan struct{})
+	cancel := context.AfterFunc(ctx, func() {
+		defer close(done)
+		_ = c.conn.SetReadDeadline(time.Now())
+	})
+	return func() {
+		if !cancel() {
+			<-done
+		}
+	}
+}
--- /dev/null
+++ b/internal/pgwire/front/cancel.go
@@ -0,0 +1,87 @@
+package front
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/subtle"
+	"errors"
+)
+
+// secretBytes is the length of a cancel secret in protocol 3.0.
+const secretBytes = 4
+
+// errCanceled is the cause of a request that its caller cancelled.
+var errCanceled = errors.New("canceling statement due to user request")
+
+// CancelKey names a caller connection in a cancel request.
+type CancelKey struct {
+	Process uint32
+	Secret  [secretBytes]byte
+}
+
+// Cancel stops the running request of the caller with the key. It reports
+// whether this proxy issued the key.
+func (s *Server) Cancel(key CancelKey) bool {
+	s.mu.Lock()
+	c := s.callers[key.Process]
+	s.mu.Unlock()
+	if c == nil || subtle.ConstantTimeCompare(c.key.Secret[:], key.Secret[:]) != 1 {
+		return false
+	}
+	eventCanceled.Log(&s.logger).Str("user", c.user).Send()
+	c.cancelRequest(errCanceled)
+	return true
+}
+
+func (s *Server) cancelOrForward(ctx context.Context, key CancelKey) {
+	cancelRequests.Inc()
+	if s.Cancel(key) || s.config.ForwardCancel == nil {
+		return
+	}
+	s.config.ForwardCancel(ctx, key)
+}
+
+// add registers a caller after authentication and gives it a cancel key. It
+// reports false when the proxy or the customer has too many callers.
+func (s *Server) add(c *caller) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	perProxy := s.directory.Limits().CallersPerProxy
+	if perProxy > 0 && len(s.callers) >= perProxy {
+		return false
+	}
+	if most := c.account.MaxCallers; most > 0 && s.customers[c.account.Customer] >= most {
+		return false
+	}
+	c.key = s.newKey()
+	s.callers[c.key.Process] = c
+	s.customers[c.account.Customer]++
+	callersOpen.Inc()
+	return true
+}
+
+// newKey returns an unused key. The caller holds s.mu.
+func (s *Server) newKey() CancelKey {
+	for {
+		s.lastKey++
+		if _, used := s.callers[s.lastKey]; !used && s.lastKey != 0 {
+			break
+		}
+	}
+	key := CancelKey{Process: s.lastKey}
+	_, _ = rand.Read(key.Secret[:])
+	return key
+}
+
+// remove closes the caller's connection and forgets the caller.
+func (s *Server) remove(c *caller) {
+	_ = c.conn.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.callers, c.key.Process)
+	callersOpen.Dec()
+	s.customers[c.account.Customer]--
+	if s.customers[c.account.Customer] == 0 {
+		delete(s.customers, c.account.Customer)
+	}
+}
--- /dev/null
+++ b/internal/pgwire/front/errors.go
@@ -0,0 +1,80 @@
+package front
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/sqlclass"
+)
+
+// Severities of an ErrorResponse.
+const (
+	severityError = "ERROR"
+	severityFatal = "FATAL"
+)
+
+// sqlError is an error of the caller's own making that PostgreSQL has a
+// SQLSTATE for.
+type sqlError struct {
+	state   string
+	message string
+	hint    string
+	outcome errcode.Outcome
+}
+
+// Error implements error.
+func (e *sqlError) Error() string { return e.message }
+
+func protocolError(step string) error {
+	return errcode.Wrap(errMalformed, errcode.Protocol, step, "")
+}
+
+func invalidOption(name, value string, cause error) error {
+	message := fmt.Sprintf("invalid value for %s%s: %q", sqlclass.HintPrefix, name, value)
+	if cause != nil {
+		message += ": " + cause.Error()
+	}
+	return &sqlError{state: "22023", message: message}
+}
+
+func unknownOption(name string) error {
+	return &sqlError{
+		state:   "42704",
+		message: fmt.Sprintf("unrecognized option %q", sqlclass.HintPrefix+name),
+		hint:    "The options are rank, freshness, session, order_id and token.",
+	}
+}
+
+// errorResponse returns the ErrorResponse for err. The request id is left out
+// when it is empty.
+func errorResponse(err error, severity, requestID string) *pgproto3.ErrorResponse {
+	r := &pgproto3.ErrorResponse{Severity: severity, SeverityUnlocalized: severity}
+	var own *sqlError
+	if errors.As(err, &own) {
+		r.Code = own.state
+		r.Message = own.message
+		r.Hint = own.hint
+		r.Detail = detail(own.outcome, requestID)
+		return r
+	}
+	e := errcode.From(err)
+	r.Code = e.Code.SQLState
+	r.Message = e.Error()
+	r.Hint = e.Code.Hint
+	r.Detail = detail(e.Code.Outcome, requestID)
+	if e.RetryAfter > 0 {
+		r.Detail += fmt.Sprintf("; retry after: %d ms", e.RetryAfter.Milliseconds())
+	}
+	return r
+}
+
+func detail(o errcode.Outcome, requestID string) string {
+	d := "outcome: " + o.String()
+	if requestID != "" {
+		d += "; request: " + requestID
+	}
+	return d
+}
--- /dev/null
+++ b/internal/pgwire/front/local.go
@@ -0,0 +1,198 @@
+package front
+
+import (
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jackc/pgx/v5/pgtype"
+
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/session"
+	"github.com/rattancove/rattancove/internal/sqlclass"
+)
+
+// localResult is the answer to a statement that the proxy runs itself.
+type localResult struct {
+	tag string
+	// column names the only column of a result; empty without a result.
+	column string
+	value  string
+}
+
+func (r localResult) row() pgproto3.BackendMessage {
+	return &pgproto3.DataRow{Values: [][]byte{[]byte(r.value)}}
+}
+
+func (r localResult) complete() pgproto3.BackendMessage {
+	return &pgproto3.CommandComplete{CommandTag: []byte(r.tag)}
+}
+
+// queryAnswer returns the answer in the simple protocol.
+func (r localResult) queryAnswer() []pgproto3.BackendMessage {
+	if r.column == "" {
+		return []pgproto3.BackendMessage{r.complete()}
+	}
+	return []pgproto3.BackendMessage{rowDescription(r.column), r.row(), r.complete()}
+}
+
+// executeAnswer returns the answer to Execute.
+func (r localResult) executeAnswer() []pgproto3.BackendMessage {
+	if r.column == "" {
+		return []pgproto3.BackendMessage{r.complete()}
+	}
+	return []pgproto3.BackendMessage{r.row(), r.complete()}
+}
+
+func rowDescription(column string) pgproto3.BackendMessage {
+	return &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{
+		Name:         []byte(column),
+		DataTypeOID:  pgtype.TextOID,
+		DataTypeSize: -1,
+		TypeModifier: -1,
+	}}}
+}
+
+// isLocal reports whether the proxy runs the statement itself.
+func isLocal(s sqlclass.Statement) bool {
+	switch s.Kind {
+	case sqlclass.KindSet, sqlclass.KindReset, sqlclass.KindShow:
+		return strings.HasPrefix(s.Name, sqlclass.HintPrefix)
+	case sqlclass.KindDeallocate, sqlclass.KindDiscardAll:
+		return true
+	default:
+		return false
+	}
+}
+
+// local reports whether the proxy runs the prepared statement itself.
+func (d *definition) local() bool {
+	s, ok := d.analysis.Single()
+	return ok && isLocal(s)
+}
+
+// describeLocal describes the result of a prepared statement that the proxy
+// runs itself.
+func (c *caller) describeLocal(d *definition) []pgproto3.BackendMessage {
+	s, _ := d.analysis.Single()
+	if s.Kind == sqlclass.KindShow {
+		return []pgproto3.BackendMessage{rowDescription(s.Name)}
+	}
+	return []pgproto3.BackendMessage{&pgproto3.NoData{}}
+}
+
+func (c *caller) executeLocal(b *batch, d *definition) {
+	if b.err != nil {
+		return
+	}
+	s, _ := d.analysis.Single()
+	r, err := c.runLocal(s)
+	if err != nil {
+		b.refuse(err)
+		return
+	}
+	b.answer(r.executeAnswer()...)
+}
+
+// runLocal runs a statement for which isLocal holds.
+func (c *caller) runLocal(s sqlclass.Statement) (localResult, error) {
+	switch s.Kind {
+	case sqlclass.KindDeallocate:
+		return c.deallocate(s.Name)
+	case sqlclass.KindDiscardAll:
+		return c.discardAll()
+	case sqlclass.KindShow:
+		return c.show(s.Name)
+	case sqlclass.KindReset:
+		return localResult{tag: "RESET"}, c.setOption(strings.TrimPrefix(s.Name, sqlclass.HintPrefix), "")
+	default:
+		value := s.Value
+		if s.Default {
+			value = ""
+		}
+		return localResult{tag: "SET"}, c.setOption(strings.TrimPrefix(s.Name, sqlclass.HintPrefix), value)
+	}
+}
+
+func (c *caller) deallocate(name string) (localResult, error) {
+	if name == sqlclass.AllNames {
+		c.prepared.clear()
+		c.unnamed = nil
+		return localResult{tag: "DEALLOCATE ALL"}, nil
+	}
+	if !c.prepared.remove(name) {
+		return localResult{}, &sqlError{
+			state:   "26000",
+			message: "prepared statement \"" + name + "\" does not exist",
+		}
+	}
+	return localResult{tag: "DEALLOCATE"}, nil
+}
+
+func (c *caller) discardAll() (localResult, error) {
+	if c.tx != txIdle {
+		return localResult{}, &sqlError{
+			state:   "25001",
+			message: "DISCARD ALL cannot run inside a transaction block",
+		}
+	}
+	c.prepared.clear()
+	c.unnamed = nil
+	c.settings.reset()
+	c.options = c.startup
+	return localResult{tag: "DISCARD ALL"}, nil
+}
+
+// show answers SHOW for the names that concern the proxy.
+func (c *caller) show(name string) (localResult, error) {
+	r := localResult{tag: "SHOW", column: name}
+	switch strings.TrimPrefix(name, sqlclass.HintPrefix) {
+	case optionToken:
+		r.value = session.FormatToken(c.group, c.session.Position())
+	case optionSession:
+		r.value = c.session.Name()
+	case optionRank:
+		r.value = c.options.rank.String()
+	case optionFreshness:
+		r.value = c.options.freshnessText
+	case optionOrderID:
+		r.value = c.orderID
+	default:
+		return localResult{}, unknownOption(strings.TrimPrefix(name, sqlclass.HintPrefix))
+	}
+	return r, nil
+}
+
+// answerAlone answers a batch that needs no server.
+func (c *caller) answerAlone(b *batch) {
+	b.script.local(&c.writer)
+	if b.boundary == boundaryFlush {
+		c.writer.flush()
+		return
+	}
+	c.ready(c.tx)
+}
+
+// refuseBatch answers a batch of which nothing runs.
+func (c *caller) refuseBatch(b *batch, err error) {
+	c.writer.message(errorResponse(err, severityError, ""))
+	c.endRefused(b)
+}
+
+func (c *caller) endRefused(b *batch) {
+	if b.boundary == boundaryFlush {
+		c.discarding = true
+		c.writer.flush()
+		return
+	}
+	c.ready(c.tx)
+}
+
+// unsupported is the error for a feature that needs a connection of its own.
+func unsupported(feature string) error {
+	return &sqlError{
+		state:   "0A000",
+		message: feature + " is not supported through the proxy",
+		hint:    "Connections are shared between transactions. Use a transaction-scoped form, or connect to the server directly.",
+		outcome: errcode.OutcomeNotRun,
+	}
+}
--- /dev/null
+++ b/internal/pgwire/front/lost.go
@@ -0,0 +1,76 @@
+package front
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/rattancove/rattancove/internal/errcode"
+)
+
+// lose puts the caller into a failed transaction block that exists only here.
+// The caller must end it before anything else runs, exactly as after an error
+// of the server, so that no statement meant for the transaction runs outside it.
+func (c *caller) lose(pending error) {
+	c.tx = txFailed
+	c.lost = pending
+	c.enter(stateLost)
+}
+
+// answerLost answers a batch after the transaction was lost.
+func (c *caller) answerLost(b *batch) {
+	commit, ends := b.endsTransaction()
+	pending := c.lost
+	c.lost = nil
+	switch {
+	case ends && commit && pending != nil:
+		c.restore()
+		c.refuseBatch(b, pending)
+	case ends:
+		c.restore()
+		c.answerRollback(b)
+	case pending != nil:
+		c.refuseBatch(b, pending)
+	case b.sent == 0 && b.err == nil:
+		c.answerAlone(b)
+	default:
+		c.refuseBatch(b, errAborted)
+	}
+}
+
+func (c *caller) restore() {
+	c.tx = txIdle
+	c.enter(stateIdle)
+}
+
+var errAborted = &sqlError{
+	state:   "25P02",
+	message: "current transaction is aborted, commands ignored until end of transaction block",
+	outcome: errcode.OutcomeNotRun,
+}
+
+// answerRollback answers a batch that only ends the lost transaction.
+func (c *caller) answerRollback(b *batch) {
+	complete := &pgproto3.CommandComplete{CommandTag: []byte("ROLLBACK")}
+	if b.boundary == boundaryQuery {
+		c.writer.message(complete)
+	}
+	for _, kind := range b.asked {
+		switch kind {
+		case msgParse:
+			c.writer.message(&pgproto3.ParseComplete{})
+		case msgBind:
+			c.writer.message(&pgproto3.BindComplete{})
+		case askedDescribeStatement:
+			c.writer.message(&pgproto3.ParameterDescription{})
+			c.writer.message(&pgproto3.NoData{})
+		case askedDescribePortal:
+			c.writer.message(&pgproto3.NoData{})
+		case msgExecute:
+			c.writer.message(complete)
+		case msgClose:
+			c.writer.message(&pgproto3.CloseComplete{})
+		}
+	}
+	if b.boundary != boundaryFlush {
+		c.ready(txIdle)
+	}
+}
--- /dev/null
+++ b/internal/pgwire/front/options.go
@@ -0,0 +1,185 @@
+package front
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/session"
+	"github.com/rattancove/rattancove/internal/sqlclass"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// Names of the options that a caller gives in start-up parameters, with SET
+// or in a comment, after sqlclass.HintPrefix.
+const (
+	optionRank      = "rank"
+	optionFreshness = "freshness"
+	optionSession   = "session"
+	optionOrderID   = "order_id"
+	optionToken     = "token"
+)
+
+// Words for the freshness modes besides an age and the document's kinds of read.
+const (
+	freshnessSession = "session"
+	freshnessLatest  = "latest"
+)
+
+// maxNameBytes bounds session names and order ids.
+const maxNameBytes = 128
+
+// options are what a caller asks for its statements unless one says otherwise.
+type options struct {
+	rank          cluster.Rank
+	freshness     statement.Freshness
+	freshnessText string
+}
+
+func defaultOptions() options {
+	return options{rank: cluster.RankNormal, freshnessText: freshnessSession}
+}
+
+// setOption sets a session option. An empty value returns it to its initial value.
+func (c *caller) setOption(name, value string) error {
+	switch name {
+	case optionRank:
+		return c.setRank(value)
+	case optionFreshness:
+		return c.setFreshness(value)
+	case optionSession:
+		if err := checkName(name, value); err != nil {
+			return err
+		}
+		c.session.SetName(value)
+		return nil
+	case optionOrderID:
+		if err := checkName(name, value); err != nil {
+			return err
+		}
+		c.orderID = value
+		return nil
+	case optionToken:
+		p, err := session.ParseToken(c.group, value)
+		if err != nil {
+			return invalidOption(name, value, err)
+		}
+		c.session.Present(p)
+		return nil
+	default:
+		return unknownOption(name)
+	}
+}
+
+func (c *caller) setRank(value string) error {
+	if value == "" {
+		c.options.rank = c.startup.rank
+		return nil
+	}
+	rank, err := cluster.ParseRank(value)
+	if err != nil {
+		return invalidOption(optionRank, value, err)
+	}
+	c.options.rank = rank
+	return nil
+}
+
+func (c *caller) setFreshness(value string) error {
+	if value == "" {
+		c.options.freshness = c.startup.freshness
+		c.options.freshnessText = c.startup.freshnessText
+		return nil
+	}
+	f, err := parseFreshness(c.server.directory, value)
+	if err != nil {
+		return err
+	}
+	c.options.freshness = f
+	c.options.freshnessText = value
+	return nil
+}
+
+// parseFreshness reads "session", "latest", an age such as "1s", or the name
+// of a kind of read in the document.
+func parseFreshness(d Directory, value string) (statement.Freshness, error) {
+	if f, ok := d.Freshness(value); ok {
+		return f, nil
+	}
+	switch value {
+	case freshnessSession:
+		return statement.Freshness{Mode: statement.FreshnessSession}, nil
+	case freshnessLatest:
+		return statement.Freshness{Mode: statement.FreshnessLatest}, nil
+	}
+	age, err := time.ParseDuration(value)
+	if err != nil || age < 0 {
+		return statement.Freshness{}, invalidOption(optionFreshness, value, err)
+	}
+	return statement.Freshness{Mode: statement.FreshnessBounded, MaxAge: age}, nil
+}
+
+func checkName(name, value string) error {
+	if len(value) > maxNameBytes {
+		return invalidOption(name, strconv.Itoa(len(value))+" bytes", nil)
+	}
+	return nil
+}
+
+// statementOptions are the options of one request.
+type statementOptions struct {
+	options
+	session     string
+	sessionSet  bool
+	orderID     string
+	token       cluster.Position
+	traceParent string
+}
+
+// requestOptions combines the session's options with the leading comments of
+// the texts that the batch runs. It consumes the session's order id.
+func (c *caller) requestOptions(b *batch) (statementOptions, error) {
+	o := statementOptions{options: c.options, orderID: c.orderID}
+	c.orderID = ""
+	for _, a := range b.executed {
+		if a.Hints.Malformed {
+			return o, invalidOption("comment", "", nil)
+		}
+		if a.Hints.TraceParent != "" {
+			o.traceParent = a.Hints.TraceParent
+		}
+		for _, h := range a.Hints.Keys {
+			if err := c.applyHint(&o, h); err != nil {
+				return o, err
+			}
+		}
+	}
+	return o, nil
+}
+
+func (c *caller) applyHint(o *statementOptions, h sqlclass.Hint) (err error) {
+	switch h.Key {
+	case optionRank:
+		o.rank, err = cluster.ParseRank(h.Value)
+		if err != nil {
+			return invalidOption(h.Key, h.Value, err)
+		}
+		return nil
+	case optionFreshness:
+		o.freshness, err = parseFreshness(c.server.directory, h.Value)
+		return err
+	case optionSession:
+		o.session, o.sessionSet = h.Value, true
+		return checkName(h.Key, h.Value)
+	case optionOrderID:
+		o.orderID = h.Value
+		return checkName(h.Key, h.Value)
+	case optionToken:
+		o.token, err = session.ParseToken(c.group, h.Value)
+		if err != nil {
+			return invalidOption(h.Key, h.Value, err)
+		}
+		return nil
+	default:
+		return unknownOption(h.Key)
+	}
+}
--- /dev/null
+++ b/internal/pgwire/front/writer.go
@@ -0,0 +1,84 @@
+package front
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// writeBufferBytes is the size at which answers are sent on.
+const writeBufferBytes = 16 << 10
+
+var writeBuffers = sync.Pool{New: func() any {
+	b := make([]byte, 0, writeBufferBytes)
+	return &b
+}}
+
+// answerWriter collects messages for the caller. It holds no buffer while
+// nothing is pending. The first error stays.
+type answerWriter struct {
+	conn    net.Conn
+	timeout time.Duration
+	pending *[]byte
+	err     error
+}
+
+// write appends complete messages and sends them when the buffer is full.
+func (w *answerWriter) write(data []byte) {
+	if w.err != nil || len(data) == 0 {
+		return
+	}
+	if w.pending != nil && len(*w.pending)+len(data) > writeBufferBytes {
+		w.flush()
+	}
+	if len(data) >= writeBufferBytes {
+		w.send(data)
+		return
+	}
+	if w.pending == nil {
+		w.pending = writeBuffers.Get().(*[]byte)
+	}
+	*w.pending = append(*w.pending, data...)
+}
+
+// message appends one message.
+func (w *answerWriter) message(m pgproto3.BackendMessage) {
+	data, err := m.Encode(nil)
+	if err != nil {
+		w.fail(err)
+		return
+	}
+	w.write(data)
+}
+
+// flush sends what is pending and returns the buffer.
+func (w *answerWriter) flush() {
+	if w.pending == nil {
+		return
+	}
+	b := w.pending
+	w.pending = nil
+	if w.err == nil {
+		w.send(*b)
+	}
+	*b = (*b)[:0]
+	writeBuffers.Put(b)
+}
+
+func (w *answerWriter) send(data []byte) {
+	if err := w.conn.SetWriteDeadline(time.Now().Add(w.timeout)); err != nil {
+		w.fail(err)
+		return
+	}
+	if _, err := w.conn.Write(data); err != nil {
+		w.fail(err)
+	}
+}
+
+func (w *answerWriter) fail(err error) {
+	if w.err == nil {
+		w.err = err
+	}
+}
--- /dev/null
+++ b/internal/session/session.go
@@ -0,0 +1,80 @@
+package session
+
+import (
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// Session is the knowledge of one caller connection about its session. It is
+// not safe for concurrent use. The zero value is a private session without
+// any reads or writes.
+type Session struct {
+	name  string
+	floor cluster.Position
+	// uncertain is set while a write of unknown outcome may lie beyond the floor.
+	uncertain bool
+}
+
+// Floor is the earliest position that a request may read at.
+type Floor struct {
+	Position cluster.Position
+	// Exact is false when writes of the session may exist beyond Position.
+	Exact bool
+}
+
+// Name returns the session's name; empty for a private session.
+func (s *Session) Name() string { return s.name }
+
+// SetName ends the session and starts the one with the given name, or a new
+// private session when the name is empty. The floor is dropped. The first read
+// of the new private session is proven by the home, so that it sees what the
+// caller wrote before.
+func (s *Session) SetName(name string) {
+	if name == s.name {
+		return
+	}
+	*s = Session{name: name, uncertain: name == ""}
+}
+
+// Present raises the floor to a token that the caller presented.
+func (s *Session) Present(p cluster.Position) {
+	s.floor = cluster.MaxPosition(s.floor, p)
+}
+
+// Floor returns the floor of a request. token is the position that the
+// statement itself carries; unknown when it carries none.
+func (s *Session) Floor(token cluster.Position) Floor {
+	f := Floor{Position: cluster.MaxPosition(s.floor, token)}
+	switch {
+	case s.uncertain:
+		f.Exact = false
+	case s.name == "":
+		f.Exact = true
+	default:
+		f.Exact = token.Known()
+	}
+	return f
+}
+
+// Observe takes up the result of a request that was sent with floor f.
+func (s *Session) Observe(f Floor, r statement.Result) {
+	s.floor = cluster.MaxPosition(s.floor, f.Position)
+	s.floor = cluster.MaxPosition(s.floor, r.Position)
+	s.floor = cluster.MaxPosition(s.floor, r.Observed)
+	proven := r.Position.Known() || r.Observed.Known()
+	if proven && !f.Exact {
+		s.uncertain = false
+	}
+}
+
+// Fail takes up the outcome of a request that failed.
+func (s *Session) Fail(o errcode.Outcome) {
+	if o != errcode.OutcomeNotRun {
+		s.uncertain = true
+	}
+}
+
+// Position returns the floor that a token carries; unknown before the first
+// read or write.
+func (s *Session) Position() cluster.Position { return s.floor }
--- /dev/null
+++ b/internal/sqlclass/classify.go
@@ -0,0 +1,252 @@
+package sqlclass
+
+import (
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// Kind tells what a single statement does to the session or transaction.
+type Kind uint8
+
+// Kinds of a statement.
+const (
+	// KindOther is everything without a special meaning to a session.
+	KindOther Kind = iota
+	// KindRead changes nothing.
+	KindRead
+	// KindBegin opens a transaction block.
+	KindBegin
+	// KindBeginReadOnly opens a read-only transaction block.
+	KindBeginReadOnly
+	// KindCommit ends a transaction block and keeps its changes.
+	KindCommit
+	// KindRollback ends a transaction block and discards its changes.
+	KindRollback
+	// KindSet changes a session setting.
+	KindSet
+	// KindSetLocal changes a setting for the current transaction.
+	KindSetLocal
+	// KindReset returns one setting, or all, to its initial value.
+	KindReset
+	// KindDiscardAll returns the session to its initial state.
+	KindDiscardAll
+	// KindShow asks for a setting.
+	KindShow
+	// KindDeallocate drops one prepared statement, or all.
+	KindDeallocate
+	// KindSessionBound needs a connection of its own beyond a transaction.
+	KindSessionBound
+)
+
+// AllNames is the name in a KindReset or KindDeallocate statement that means
+// every setting or prepared statement.
+const AllNames = "all"
+
+// Statement is one statement of a text.
+type Statement struct {
+	Kind Kind
+	// Name is the setting or prepared statement that the statement concerns,
+	// or the feature that a KindSessionBound statement uses.
+	Name string
+	// Value is the value of a KindSet statement.
+	Value string
+	// Default is set when a KindSet statement asks for the initial value.
+	Default bool
+	// Start and End delimit the statement in the text, without its semicolon.
+	Start, End int
+}
+
+// Analysis is what is known of a text.
+type Analysis struct {
+	Class      statement.Class
+	Statements []Statement
+	// Hints is the leading comment.
+	Hints Hints
+}
+
+// Single returns the only statement of the text. The second result is false
+// when there is none or more than one.
+func (a *Analysis) Single() (Statement, bool) {
+	if len(a.Statements) != 1 {
+		return Statement{}, false
+	}
+	return a.Statements[0], true
+}
+
+// Analyze classifies sql. It never fails: text that it does not understand is
+// a write.
+func Analyze(sql string) Analysis {
+	a := Analysis{Hints: leadingHints(sql)}
+	all, valid := tokens(sql)
+	for _, part := range split(sql, all) {
+		a.Statements = append(a.Statements, classifyOne(sql, part))
+	}
+	a.Class = classOf(a.Statements, valid)
+	return a
+}
+
+func classOf(statements []Statement, valid bool) statement.Class {
+	if !valid || len(statements) != 1 {
+		return statement.ClassWrite
+	}
+	switch statements[0].Kind {
+	case KindRead, KindShow, KindSet:
+		return statement.ClassRead
+	case KindBegin:
+		return statement.ClassBegin
+	case KindBeginReadOnly:
+		return statement.ClassBeginReadOnly
+	default:
+		return statement.ClassWrite
+	}
+}
+
+// split cuts tokens at semicolons and drops empty statements.
+func split(sql string, all []token) [][]token {
+	l := lexer{sql: sql}
+	var parts [][]token
+	start := 0
+	for i, t := range all {
+		if l.symbol(t) != ';' {
+			continue
+		}
+		if i > start {
+			parts = append(parts, all[start:i])
+		}
+		start = i + 1
+	}
+	if start < len(all) {
+		parts = append(parts, all[start:])
+	}
+	return parts
+}
+
+func classifyOne(sql string, part []token) Statement {
+	p := parser{sql: sql, tokens: part}
+	s := p.classify()
+	s.Start = part[0].start
+	s.End = part[len(part)-1].end
+	return s
+}
+
+// parser looks at the tokens of one statement.
+type parser struct {
+	sql    string
+	tokens []token
+}
+
+func (p *parser) classify() Statement {
+	if lock := p.sessionLock(); lock != "" {
+		return Statement{Kind: KindSessionBound, Name: lock}
+	}
+	first := p.at(0)
+	if first.kind != tokenWord {
+		return Statement{}
+	}
+	switch first.word {
+	case "select", "values", "table", "with":
+		if p.onlyReads() {
+			return Statement{Kind: KindRead}
+		}
+		return Statement{}
+	case "begin":
+		return Statement{Kind: p.beginKind()}
+	case "start":
+		if p.at(1).isWord("transaction") {
+			return Statement{Kind: p.beginKind()}
+		}
+		return Statement{}
+	case "commit", "end":
+		return p.endOfTransaction(KindCommit)
+	case "rollback", "abort":
+		return p.endOfTransaction(KindRollback)
+	default:
+		return p.classifySession(first.word)
+	}
+}
+
+// endOfTransaction recognises COMMIT and ROLLBACK without savepoints,
+// chaining and two-phase names.
+func (p *parser) endOfTransaction(kind Kind) Statement {
+	for i := 1; i < len(p.tokens); i++ {
+		if t := p.at(i); !t.isWord("work") && !t.isWord("transaction") {
+			return Statement{}
+		}
+	}
+	return Statement{Kind: kind}
+}
+
+func (p *parser) beginKind() Kind {
+	kind := KindBegin
+	for i := 1; i < len(p.tokens); i++ {
+		if p.at(i).isWord("write") {
+			return KindBegin
+		}
+		if p.at(i).isWord("only") && p.at(i-1).isWord("read") {
+			kind = KindBeginReadOnly
+		}
+	}
+	return kind
+}
+
+// onlyReads reports whether every token of a query is known to change nothing.
+func (p *parser) onlyReads() bool {
+	for i, t := range p.tokens {
+		if t.kind == tokenInvalid {
+			return false
+		}
+		if t.kind == tokenWord && has(changing, t.word) {
+			return false
+		}
+		if p.symbol(i) == '(' && !p.harmlessBefore(i) {
+			return false
+		}
+	}
+	return true
+}
+
+// harmlessBefore reports whether the token before the opening parenthesis at
+// i calls no function other than a known read-only one.
+func (p *parser) harmlessBefore(i int) bool {
+	if i == 0 {
+		return true
+	}
+	previous := p.at(i - 1)
+	switch previous.kind {
+	case tokenQuotedIdentifier, tokenString, tokenInvalid:
+		return false
+	case tokenWord:
+		if p.symbol(i-2) == '.' {
+			return p.at(i-3).isWord("pg_catalog") && has(readFunctions, previous.word)
+		}
+		return has(readFunctions, previous.word) || has(parenthesisWords, previous.word)
+	default:
+		return true
+	}
+}
+
+func (p *parser) sessionLock() string {
+	for i, t := range p.tokens {
+		if t.kind == tokenWord && has(sessionLocks, t.word) && p.symbol(i+1) == '(' {
+			return t.word
+		}
+	}
+	return ""
+}
+
+// at returns the token at i, or an end token outside the statement.
+func (p *parser) at(i int) token {
+	if i < 0 || i >= len(p.tokens) {
+		return token{}
+	}
+	return p.tokens[i]
+}
+
+func (p *parser) symbol(i int) byte {
+	t := p.at(i)
+	if t.kind != tokenSymbol {
+		return 0
+	}
+	return p.sql[t.start]
+}
+
+func (p *parser) text(t token) string { return p.sql[t.start:t.end] }
--- /dev/null
+++ b/internal/sqlclass/lexer.go
@@ -0,0 +1,265 @@
+package sqlclass
+
+import "strings"
+
+type tokenKind uint8
+
+const (
+	tokenEnd tokenKind = iota
+	tokenWord
+	tokenQuotedIdentifier
+	tokenString
+	tokenNumber
+	tokenParameter
+	tokenSymbol
+	// tokenInvalid marks text that the lexer cannot delimit, such as an
+	// unterminated string.
+	tokenInvalid
+)
+
+// token is one lexical element. Its text is the raw SQL between start and end.
+type token struct {
+	kind  tokenKind
+	start int
+	end   int
+	// word is the lower-case form of a tokenWord.
+	word string
+}
+
+func (t token) isWord(word string) bool { return t.kind == tokenWord && t.word == word }
+
+// lexer splits SQL text into tokens and skips white space and comments.
+type lexer struct {
+	sql string
+	pos int
+}
+
+func (l *lexer) next() token {
+	if !l.skipBlank() {
+		l.pos = len(l.sql)
+		return token{kind: tokenInvalid, start: l.pos, end: l.pos}
+	}
+	start := l.pos
+	if start >= len(l.sql) {
+		return token{kind: tokenEnd, start: start, end: start}
+	}
+	kind := l.scan()
+	t := token{kind: kind, start: start, end: l.pos}
+	if kind == tokenWord {
+		t.word = strings.ToLower(l.sql[start:l.pos])
+	}
+	return t
+}
+
+func (l *lexer) scan() tokenKind {
+	c := l.sql[l.pos]
+	switch {
+	case c == '\'':
+		return l.scanString(false)
+	case c == '"':
+		return l.scanQuotedIdentifier()
+	case c == '$':
+		return l.scanDollar()
+	case isDigit(c):
+		return l.scanNumber()
+	case isWordStart(c):
+		return l.scanWord()
+	default:
+		l.pos++
+		return tokenSymbol
+	}
+}
+
+// skipBlank skips white space and comments. It reports false for a comment
+// without an end.
+func (l *lexer) skipBlank() bool {
+	for l.pos < len(l.sql) {
+		rest := l.sql[l.pos:]
+		switch {
+		case isSpace(rest[0]):
+			l.pos++
+		case strings.HasPrefix(rest, "--"):
+			l.skipLine()
+		case strings.HasPrefix(rest, "/*"):
+			end := blockCommentEnd(rest)
+			if end < 0 {
+				return false
+			}
+			l.pos += end
+		default:
+			return true
+		}
+	}
+	return true
+}
+
+func (l *lexer) skipLine() {
+	end := strings.IndexAny(l.sql[l.pos:], "\r\n")
+	if end < 0 {
+		l.pos = len(l.sql)
+		return
+	}
+	l.pos += end
+}
+
+// blockCommentEnd returns the length of the nested block comment at the start
+// of s, or -1 when it has no end.
+func blockCommentEnd(s string) int {
+	depth := 0
+	for i := 0; i+1 < len(s); {
+		switch s[i : i+2] {
+		case "/*":
+			depth++
+			i += 2
+		case "*/":
+			depth--
+			i += 2
+			if depth == 0 {
+				return i
+			}
+		default:
+			i++
+		}
+	}
+	return -1
+}
+
+// scanString scans a quoted string at the current position. A backslash in a
+// string without the E prefix makes the token invalid, because its meaning
+// depends on standard_conforming_strings.
+func (l *lexer) scanString(escapes bool) tokenKind {
+	kind := tokenString
+	for i := l.pos + 1; i < len(l.sql); i++ {
+		switch l.sql[i] {
+		case '\\':
+			if !escapes {
+				kind = tokenInvalid
+				continue
+			}
+			i++
+		case '\'':
+			if i+1 < len(l.sql) && l.sql[i+1] == '\'' {
+				i++
+				continue
+			}
+			l.pos = i + 1
+			return kind
+		}
+	}
+	l.pos = len(l.sql)
+	return tokenInvalid
+}
+
+func (l *lexer) scanQuotedIdentifier() tokenKind {
+	for i := l.pos + 1; i < len(l.sql); i++ {
+		if l.sql[i] != '"' {
+			continue
+		}
+		if i+1 < len(l.sql) && l.sql[i+1] == '"' {
+			i++
+			continue
+		}
+		l.pos = i + 1
+		return tokenQuotedIdentifier
+	}
+	l.pos = len(l.sql)
+	return tokenInvalid
+}
+
+// scanDollar scans a parameter such as $1 or a dollar-quoted string.
+func (l *lexer) scanDollar() tokenKind {
+	rest := l.sql[l.pos:]
+	if len(rest) > 1 && isDigit(rest[1]) {
+		l.pos++
+		l.scanNumber()
+		return tokenParameter
+	}
+	tagEnd := strings.IndexByte(rest[1:], '$')
+	if tagEnd < 0 || !isDollarTag(rest[1:1+tagEnd]) {
+		l.pos++
+		return tokenInvalid
+	}
+	tag := rest[:tagEnd+2]
+	end := strings.Index(rest[len(tag):], tag)
+	if end < 0 {
+		l.pos = len(l.sql)
+		return tokenInvalid
+	}
+	l.pos += len(tag) + end + len(tag)
+	return tokenString
+}
+
+func (l *lexer) scanNumber() tokenKind {
+	for l.pos < len(l.sql) && (isWordPart(l.sql[l.pos]) || l.sql[l.pos] == '.') {
+		l.pos++
+	}
+	return tokenNumber
+}
+
+func (l *lexer) scanWord() tokenKind {
+	start := l.pos
+	for l.pos < len(l.sql) && (isWordPart(l.sql[l.pos]) || l.sql[l.pos] == '$') {
+		l.pos++
+	}
+	if l.pos >= len(l.sql) || l.sql[l.pos] != '\'' {
+		return tokenWord
+	}
+	switch strings.ToLower(l.sql[start:l.pos]) {
+	case "e":
+		return l.scanString(true)
+	case "b", "x", "n":
+		return l.scanString(false)
+	default:
+		return tokenWord
+	}
+}
+
+func isSpace(c byte) bool {
+	return c == ' ' || c == '\t' || c == '\n' || c == '\r' || c == '\f' || c == '\v'
+}
+
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
+
+func isWordStart(c byte) bool {
+	return c == '_' || c >= 0x80 || (c|0x20 >= 'a' && c|0x20 <= 'z')
+}
+
+func isWordPart(c byte) bool { return isWordStart(c) || isDigit(c) }
+
+func isDollarTag(s string) bool {
+	for i := range len(s) {
+		if !isWordPart(s[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+// symbol returns the text of a symbol token, or zero for other tokens.
+func (l *lexer) symbol(t token) byte {
+	if t.kind != tokenSymbol {
+		return 0
+	}
+	return l.sql[t.start]
+}
+
+// tokens returns all tokens of sql without the end. The second result is
+// false when some text cannot be delimited.
+func tokens(sql string) ([]token, bool) {
+	l := lexer{sql: sql}
+	var all []token
+	valid := true
+	for {
+		t := l.next()
+		switch t.kind {
+		case tokenEnd:
+			return all, valid
+		case tokenInvalid:
+			valid = false
+			if t.start >= len(sql) {
+				return all, valid
+			}
+		}
+		all = append(all, t)
+	}
+}
