Add an in-memory database group for failure tests

Cause: the decision packages need a group with terms, seals, claims, lag and faults in virtual time. Ruled out: a cluster simulator, and driving the SQL stand-in in these tests, which is slower by far.

Change: backendtest implements backend.Dialer over one lock; replication and replay are timers, so nothing runs while a bubble is idle.

--- /dev/null
+++ b/internal/backend/backendtest/conn.go
@@ -0,0 +1,302 @@
+package backendtest
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+var (
+	errRefused = errors.New("connection refused")
+	errBroken  = errors.New("connection reset")
+)
+
+type dialer struct {
+	group *Group
+	from  string
+}
+
+// Dial implements backend.Dialer.
+func (d *dialer) Dial(ctx context.Context, s cluster.Server, _ cluster.GroupName, c backend.Claim) (backend.Conn, error) {
+	conn, err := d.open(ctx, s, c, false)
+	if err != nil {
+		return nil, errcode.Wrap(err, errcode.ConnectionLost, "dial", string(s.ID))
+	}
+	return &dataConn{conn: conn}, nil
+}
+
+// DialControl implements backend.Dialer.
+func (d *dialer) DialControl(ctx context.Context, s cluster.Server, _ cluster.GroupName) (backend.Control, error) {
+	conn, err := d.open(ctx, s, backend.Claim{}, true)
+	if err != nil {
+		return nil, errcode.Wrap(err, errcode.ConnectionLost, "dial control", string(s.ID))
+	}
+	return &controlConn{conn: conn}, nil
+}
+
+func (d *dialer) open(ctx context.Context, spec cluster.Server, claim backend.Claim, control bool) (*conn, error) {
+	g := d.group
+	c := &conn{group: g, from: d.from, claim: claim, control: control, broken: make(chan struct{})}
+	g.mu.Lock()
+	c.server = g.servers[spec.ID]
+	g.mu.Unlock()
+	var err error
+	callErr := c.call(ctx, func() {
+		if !control {
+			time.Sleep(g.cfg.ConnectDelay)
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		err = c.admit()
+	})
+	return c, errors.Join(callErr, err)
+}
+
+// conn is one connection of a client to a server. The group's lock guards
+// every field but broken.
+type conn struct {
+	group   *Group
+	server  *server
+	from    string
+	claim   backend.Claim
+	control bool
+	silent  bool
+	tx      *transaction
+	sent    bool
+
+	breakOnce sync.Once
+	broken    chan struct{}
+}
+
+type transaction struct {
+	writes []write
+	term   cluster.Term
+	failed bool
+}
+
+func (c *conn) admit() error {
+	s := c.server
+	switch {
+	case s.down:
+		return errRefused
+	case !c.control && c.claim.Epoch < s.claim.Epoch:
+		return errors.New("home epoch superseded")
+	case !c.control && s.dataConns() >= s.spec.Connections:
+		return errors.New("too many connections")
+	}
+	s.conns[c] = true
+	if !c.control {
+		s.usage.Opens++
+		s.usage.MaxConns = max(s.usage.MaxConns, s.dataConns())
+	}
+	return nil
+}
+
+func (c *conn) breakNow() {
+	c.breakOnce.Do(func() { close(c.broken) })
+}
+
+func (c *conn) isBroken() bool {
+	select {
+	case <-c.broken:
+		return true
+	default:
+		return false
+	}
+}
+
+// call carries a request to the server, runs work there and carries the
+// answer back. Work runs even when the caller has left meanwhile.
+func (c *conn) call(ctx context.Context, work func()) error {
+	if c.isBroken() {
+		return errBroken
+	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	g := c.group
+	done := make(chan error, 1)
+	go func() {
+		time.Sleep(g.cfg.NetDelay)
+		if !c.arrives() {
+			return
+		}
+		work()
+		time.Sleep(g.cfg.NetDelay)
+		g.mu.Lock()
+		lost := c.silent || g.cut(string(c.server.spec.ID), c.from)
+		down := c.server.down
+		g.mu.Unlock()
+		switch {
+		case lost:
+		case down:
+			done <- errRefused
+		default:
+			done <- nil
+		}
+	}()
+	select {
+	case err := <-done:
+		return err
+	case <-c.broken:
+		return errBroken
+	case <-g.closed:
+		return errRefused
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// arrives waits out a freeze and reports whether the request reached the
+// server. A request to a server that is down arrives and fails there.
+func (c *conn) arrives() bool {
+	g := c.group
+	g.mu.Lock()
+	cut := c.silent || g.cut(c.from, string(c.server.spec.ID))
+	frozen := c.server.frozen
+	g.mu.Unlock()
+	if cut {
+		return false
+	}
+	if frozen != nil {
+		<-frozen
+	}
+	return true
+}
+
+func (c *conn) close() error {
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	c.breakNow()
+	if c.silent || c.group.cut(c.from, string(c.server.spec.ID)) {
+		return nil // the server does not learn of it
+	}
+	delete(c.server.conns, c)
+	return nil
+}
+
+type controlConn struct{ conn *conn }
+
+func (c *controlConn) do(ctx context.Context, step string, f func(s *server) bool) (cluster.ServerStatus, error) {
+	var status cluster.ServerStatus
+	ok := false
+	err := c.conn.call(ctx, func() {
+		c.conn.group.mu.Lock()
+		defer c.conn.group.mu.Unlock()
+		if c.conn.server.down {
+			return
+		}
+		ok = f(c.conn.server)
+		status = c.conn.server.status()
+	})
+	peer := string(c.conn.server.spec.ID)
+	if err != nil {
+		return cluster.ServerStatus{}, errcode.Wrap(err, errcode.ConnectionLost, step, peer)
+	}
+	if !ok {
+		return status, errcode.New(errcode.Superseded, step, peer)
+	}
+	return status, nil
+}
+
+func (c *controlConn) Status(ctx context.Context) (cluster.ServerStatus, error) {
+	return c.do(ctx, "status", func(*server) bool { return true })
+}
+
+func (c *controlConn) Claim(ctx context.Context, claim backend.Claim) (cluster.ServerStatus, error) {
+	return c.do(ctx, "claim", func(s *server) bool { return s.accept(claim) })
+}
+
+func (c *controlConn) Seal(ctx context.Context, term cluster.Term, holder string) (cluster.ServerStatus, error) {
+	return c.do(ctx, "seal", func(s *server) bool { return s.seal(term, holder) })
+}
+
+func (c *controlConn) Promote(ctx context.Context, term cluster.Term, holder string) (cluster.ServerStatus, error) {
+	return c.do(ctx, "promote", func(s *server) bool { return s.promote(term, holder) })
+}
+
+func (c *controlConn) Follow(ctx context.Context, term cluster.Term, leader cluster.Server) (cluster.ServerStatus, error) {
+	return c.do(ctx, "follow", func(s *server) bool { return s.follow(term, leader.ID) })
+}
+
+func (c *controlConn) Close() error { return c.conn.close() }
+
+type dataConn struct{ conn *conn }
+
+func (d *dataConn) Sent() bool {
+	d.conn.group.mu.Lock()
+	defer d.conn.group.mu.Unlock()
+	return d.conn.sent
+}
+
+func (d *dataConn) Close() error { return d.conn.close() }
+
+func (d *dataConn) Cancel(context.Context) error { return nil }
+
+func (d *dataConn) Reset(ctx context.Context) error {
+	return d.conn.call(ctx, func() {
+		d.conn.group.mu.Lock()
+		defer d.conn.group.mu.Unlock()
+		d.conn.tx = nil
+	})
+}
+
+// Exchange implements backend.Conn.
+func (d *dataConn) Exchange(ctx context.Context, x *backend.Exchange, conv statement.Conversation) (backend.Answer, error) {
+	c := d.conn
+	c.group.mu.Lock()
+	c.sent = false
+	c.group.mu.Unlock()
+	var text string
+	var answer backend.Answer
+	var execErr error
+	c.markSent()
+	err := c.call(ctx, func() { text, answer, execErr = c.execute(x) })
+	if err == nil {
+		err = execErr
+	}
+	if err != nil {
+		return answer, c.exchangeError(err, x.Batch.Class)
+	}
+	if answer.ReadOnlyRefused {
+		return answer, nil
+	}
+	if x.Gate != nil {
+		if err := x.Gate(ctx); err != nil {
+			return answer, err
+		}
+	}
+	if x.HoldAnswer && x.Release != nil {
+		if err := x.Release(ctx, answer); err != nil {
+			return answer, err
+		}
+	}
+	return answer, conv.Answer(ctx, []byte(text))
+}
+
+func (c *conn) markSent() {
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	c.sent = !c.isBroken()
+}
+
+func (c *conn) exchangeError(err error, class statement.Class) error {
+	c.group.mu.Lock()
+	sent := c.sent
+	c.group.mu.Unlock()
+	code := errcode.Unknown
+	if !sent || class.ReadOnly() {
+		code = errcode.ConnectionLost
+	}
+	if errors.Is(err, io.EOF) {
+		err = errBroken
+	}
+	return errcode.Wrap(err, code, "exchange", string(c.server.spec.ID))
+}
--- /dev/null
+++ b/internal/backend/backendtest/group.go
@@ -0,0 +1,226 @@
+package backendtest
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+// Config describes a group.
+type Config struct {
+	Name    cluster.GroupName
+	Servers []cluster.Server
+	// ShipDelay is the time from commit to durable receipt on a replica.
+	ShipDelay time.Duration
+	// ReplayLag is the time from receipt to visibility on a replica.
+	ReplayLag time.Duration
+	// ConnectDelay is the time to open a connection.
+	ConnectDelay time.Duration
+	// NetDelay is the one-way delay between a client and a server.
+	NetDelay time.Duration
+}
+
+// Group is a database group in memory. The first server starts as the
+// primary of term 1 and the others follow it.
+type Group struct {
+	cfg     Config
+	mu      sync.Mutex
+	servers map[cluster.ServerID]*server
+	order   []cluster.ServerID
+	// cuts holds the directed pairs between which nothing passes.
+	cuts   map[link]bool
+	closed chan struct{}
+}
+
+type link struct{ from, to string }
+
+// New returns a running group.
+func New(cfg Config) *Group {
+	g := &Group{cfg: cfg, servers: map[cluster.ServerID]*server{}, cuts: map[link]bool{}, closed: make(chan struct{})}
+	for i, s := range cfg.Servers {
+		srv := newServer(g, s)
+		if i == 0 {
+			srv.role = cluster.RolePrimary
+		}
+		srv.leader = cfg.Servers[0].ID
+		g.servers[s.ID] = srv
+		g.order = append(g.order, s.ID)
+	}
+	return g
+}
+
+// Close kills every server, so that no goroutine waits for one.
+func (g *Group) Close() {
+	for _, id := range g.order {
+		g.Kill(id)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-g.closed:
+	default:
+		close(g.closed)
+	}
+}
+
+// Dialer returns the group as seen from one client, named for Cut.
+func (g *Group) Dialer(from string) backend.Dialer { return &dialer{group: g, from: from} }
+
+// Kill stops a server: connections break and dials are refused. Its log stays.
+func (g *Group) Kill(id cluster.ServerID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.servers[id]
+	s.down = true
+	s.breakConns(func(*conn) bool { return true })
+	s.thaw()
+}
+
+// Restart starts a killed server with the role and term that it had.
+func (g *Group) Restart(id cluster.ServerID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.servers[id].down = false
+	g.shipLater()
+}
+
+// Freeze stops a server without breaking its connections. Requests that
+// arrive meanwhile run when it thaws, though their senders may have left.
+func (g *Group) Freeze(id cluster.ServerID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.servers[id]
+	if s.frozen == nil {
+		s.frozen = make(chan struct{})
+	}
+}
+
+// Thaw lets a frozen server go on.
+func (g *Group) Thaw(id cluster.ServerID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.servers[id].thaw()
+	g.shipLater()
+}
+
+// Cut stops everything that travels from one client or server to another, in
+// that direction only.
+func (g *Group) Cut(from, to string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cuts[link{from, to}] = true
+}
+
+// Heal undoes Cut.
+func (g *Group) Heal(from, to string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.cuts, link{from, to})
+	g.shipLater()
+}
+
+// Isolate cuts a server off in both directions from the other servers and
+// from all the named clients.
+func (g *Group) Isolate(id cluster.ServerID, clients ...string) { g.isolate(id, clients, g.Cut) }
+
+// Rejoin undoes Isolate.
+func (g *Group) Rejoin(id cluster.ServerID, clients ...string) { g.isolate(id, clients, g.Heal) }
+
+func (g *Group) isolate(id cluster.ServerID, clients []string, apply func(from, to string)) {
+	peers := append([]string{}, clients...)
+	for _, other := range g.order {
+		if other != id {
+			peers = append(peers, string(other))
+		}
+	}
+	for _, peer := range peers {
+		apply(peer, string(id))
+		apply(string(id), peer)
+	}
+}
+
+// Silence makes the open connections of a client to a server lose everything
+// from now on, while new connections work.
+func (g *Group) Silence(from string, id cluster.ServerID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.servers[id].conns {
+		if c.from == from {
+			c.silent = true
+		}
+	}
+}
+
+// LoseAnswers makes the next n exchanges of a server take effect and then
+// break their connection before the answer.
+func (g *Group) LoseAnswers(id cluster.ServerID, n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.servers[id].loseAnswers = n
+}
+
+// SetReplayLag changes the replay lag of one server.
+func (g *Group) SetReplayLag(id cluster.ServerID, lag time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.servers[id].replayLag = lag
+}
+
+// Status returns what a server would report, without the network.
+func (g *Group) Status(id cluster.ServerID) cluster.ServerStatus {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.servers[id].status()
+}
+
+// Usage counts what clients did to one server.
+type Usage struct {
+	// Opens counts data connections ever opened.
+	Opens int
+	// MaxConns is the most data connections open at once.
+	MaxConns int
+	// MaxBusy is the most statements executing at once.
+	MaxBusy int
+	// Reads and Writes count executed statements.
+	Reads  int
+	Writes int
+}
+
+// Usage returns the counters of one server.
+func (g *Group) Usage(id cluster.ServerID) Usage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.servers[id].usage
+}
+
+// Values returns every value that was ever committed for a key in the log of
+// a server, oldest first.
+func (g *Group) Values(id cluster.ServerID, key string) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var values []string
+	for _, r := range g.servers[id].log {
+		for _, w := range r.writes {
+			if w.key == key {
+				values = append(values, w.value)
+			}
+		}
+	}
+	return values
+}
+
+func (g *Group) cut(from, to string) bool { return g.cuts[link{from, to}] }
+
+// shipLater lets every replica pull after the shipping delay. The caller
+// holds the lock.
+func (g *Group) shipLater() {
+	time.AfterFunc(g.cfg.ShipDelay, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		for _, id := range g.order {
+			g.servers[id].pull()
+		}
+	})
+}
