--- a/internal/errcode/errcode.go
+++ b/internal/errcode/errcode.go
@@ -81,7 +81,8 @@
 	Code Code
 	// Step names the operation that failed, for example "dial" or "seal".
 	Step string
-	// Peer names the proxy, backend server or service on the other side.
+	// Peer names the proxy, backend server or service on the other side. For
+	// Superseded it is the proxy to ask instead, when it is known.
 	Peer string
 	// RetryAfter is the advised wait; zero when there is no advice.
 	RetryAfter time.Duration
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,189 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/peer/peerpb"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// cancelGrace bounds the wait for the home's last frame after a cancel.
+const cancelGrace = 2 * time.Second
+
+// Client calls one peer. It is safe for concurrent use.
+type Client struct {
+	address string
+	pool    *pool
+}
+
+// NewClient returns a client of the peer at address.
+func NewClient(address string, dial DialFunc) *Client {
+	return &Client{address: address, pool: newPool(address, dial)}
+}
+
+// Address returns the peer's address.
+func (c *Client) Address() string { return c.address }
+
+// Close closes the idle connections. Running calls end by their contexts.
+func (c *Client) Close() { c.pool.close() }
+
+// Ping exchanges what the two members know.
+func (c *Client) Ping(ctx context.Context, in *peerpb.PingRequest) (*peerpb.PingReply, error) {
+	return call(ctx, c, "ping", in, peerpb.DRPCPeerClient.Ping)
+}
+
+// Probe asks the peer to try a fresh connection to a backend server.
+func (c *Client) Probe(ctx context.Context, in *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
+	return call(ctx, c, "probe", in, peerpb.DRPCPeerClient.Probe)
+}
+
+// Document asks the peer for the newest document that it holds.
+func (c *Client) Document(ctx context.Context, in *peerpb.DocumentRequest) (*peerpb.DocumentReply, error) {
+	return call(ctx, c, "document", in, peerpb.DRPCPeerClient.Document)
+}
+
+func call[In, Out any](
+	ctx context.Context, c *Client, step string, in *In,
+	method func(peerpb.DRPCPeerClient, context.Context, *In) (*Out, error),
+) (*Out, error) {
+	conn, err := c.pool.get(ctx)
+	if err != nil {
+		return nil, err
+	}
+	out, err := method(peerpb.NewDRPCPeerClient(conn), ctx, in)
+	c.pool.put(conn, err == nil)
+	if err != nil {
+		return nil, errcode.Wrap(err, errcode.ConnectionLost, step, c.address)
+	}
+	return out, nil
+}
+
+// Run implements statement.Runner over the peer.
+func (c *Client) Run(ctx context.Context, req *statement.Request, conv statement.Conversation) (statement.Result, error) {
+	conn, err := c.pool.get(ctx)
+	if err != nil {
+		return statement.Result{}, err
+	}
+	r := &remoteRun{client: c, conn: conn, req: req, conv: conv}
+	result, err := r.run(ctx)
+	c.pool.put(conn, r.clean)
+	return result, err
+}
+
+// remoteRun is one request at the peer. It owns the connection's stream.
+type remoteRun struct {
+	client *Client
+	conn   *drpcconn.Conn
+	req    *statement.Request
+	conv   statement.Conversation
+	stream peerpb.DRPCPeer_RunClient
+	out    uint32
+	in     uint32
+	// mayWrite is set while a batch that may write is with the peer.
+	mayWrite bool
+	// clean is set when the stream ended in order.
+	clean bool
+}
+
+func (r *remoteRun) run(ctx context.Context) (statement.Result, error) {
+	streamCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	stream, err := peerpb.NewDRPCPeerClient(r.conn).Run(streamCtx)
+	if err != nil {
+		return statement.Result{}, errcode.Wrap(err, errcode.NoHome, "open stream", r.client.address)
+	}
+	r.stream = stream
+	r.mayWrite = !r.req.First.Class.ReadOnly()
+	first := &peerpb.ToHome{Open: openToProto(r.req), Batch: batchToProto(&r.req.First)}
+	if err := r.send(first); err != nil {
+		return statement.Result{}, r.broken(err)
+	}
+	release := context.AfterFunc(ctx, func() {
+		// A cancel is a frame of its own, so that the home can answer it.
+		_ = stream.Send(&peerpb.ToHome{RequestId: r.req.ID, Cancel: true})
+		time.AfterFunc(cancelGrace, stop)
+	})
+	defer release()
+	return r.receive(ctx)
+}
+
+func (r *remoteRun) receive(ctx context.Context) (statement.Result, error) {
+	for {
+		frame, err := r.stream.Recv()
+		if err != nil {
+			return statement.Result{}, r.broken(err)
+		}
+		if err := r.check(frame); err != nil {
+			return statement.Result{}, r.broken(err)
+		}
+		switch {
+		case len(frame.GetAnswer()) > 0:
+			if err := r.conv.Answer(ctx, frame.GetAnswer()); err != nil {
+				return statement.Result{}, err
+			}
+		case frame.GetWantNext():
+			if err := r.next(ctx); err != nil {
+				return statement.Result{}, err
+			}
+		case frame.GetFailure() != nil:
+			r.finish()
+			return statement.Result{}, failureFromProto(frame.GetFailure())
+		case frame.GetResult() != nil:
+			r.finish()
+			return resultFromProto(frame.GetResult()), nil
+		}
+	}
+}
+
+func (r *remoteRun) check(frame *peerpb.FromHome) error {
+	if frame.GetRequestId() != r.req.ID || frame.GetSequence() != r.in {
+		return errors.New("frame of another request or out of order")
+	}
+	r.in++
+	return nil
+}
+
+func (r *remoteRun) next(ctx context.Context) error {
+	r.mayWrite = false
+	batch, err := r.conv.Next(ctx)
+	if err != nil {
+		sendErr := r.send(&peerpb.ToHome{CallerLeft: true})
+		if errors.Is(err, io.EOF) && sendErr == nil {
+			return nil
+		}
+		return err
+	}
+	r.mayWrite = !batch.Class.ReadOnly()
+	if err := r.send(&peerpb.ToHome{Batch: batchToProto(batch)}); err != nil {
+		return r.broken(err)
+	}
+	return nil
+}
+
+func (r *remoteRun) send(frame *peerpb.ToHome) error {
+	frame.RequestId = r.req.ID
+	frame.Sequence = r.out
+	r.out++
+	return r.stream.Send(frame)
+}
+
+// finish ends the stream so that the connection can carry another call.
+func (r *remoteRun) finish() {
+	r.clean = r.stream.Close() == nil
+}
+
+// broken classifies the loss of the stream: unknown while a batch that may
+// write was with the peer, not run otherwise.
+func (r *remoteRun) broken(err error) error {
+	code := errcode.ConnectionLost
+	if r.mayWrite {
+		code = errcode.Unknown
+	}
+	return errcode.Wrap(err, code, "run at home", r.client.address)
+}
--- /dev/null
+++ b/internal/peer/convert.go
@@ -0,0 +1,137 @@
+package peer
+
+import (
+	"errors"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/peer/peerpb"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+func positionToProto(p cluster.Position) *peerpb.Position {
+	return &peerpb.Position{Term: uint64(p.Term), Offset: p.Offset}
+}
+
+func positionFromProto(p *peerpb.Position) cluster.Position {
+	return cluster.Position{Term: cluster.Term(p.GetTerm()), Offset: p.GetOffset()}
+}
+
+func batchToProto(b *statement.Batch) *peerpb.Batch {
+	out := &peerpb.Batch{Messages: b.Messages, Class: uint32(b.Class)}
+	for _, p := range b.Prepared {
+		out.Prepared = append(out.Prepared, &peerpb.Prepared{Name: p.Name, Parse: p.Parse})
+	}
+	return out
+}
+
+func batchFromProto(b *peerpb.Batch) statement.Batch {
+	out := statement.Batch{Messages: b.GetMessages(), Class: statement.Class(b.GetClass())}
+	for _, p := range b.GetPrepared() {
+		out.Prepared = append(out.Prepared, statement.Prepared{Name: p.GetName(), Parse: p.GetParse()})
+	}
+	return out
+}
+
+func openToProto(r *statement.Request) *peerpb.Open {
+	open := &peerpb.Open{
+		Group:         string(r.Group),
+		Customer:      r.Customer,
+		Session:       r.Session,
+		Rank:          uint32(r.Rank),
+		FreshnessMode: uint32(r.Freshness.Mode),
+		MaxAgeNanos:   int64(r.Freshness.MaxAge),
+		Floor:         positionToProto(r.Floor),
+		FloorExact:    r.FloorExact,
+		OrderId:       r.OrderID,
+		TimeoutNanos:  int64(r.Timeout),
+		TraceParent:   r.TraceParent,
+		Hops:          uint32(r.Hops),
+	}
+	for _, s := range r.Settings {
+		open.Settings = append(open.Settings, &peerpb.Setting{Name: s.Name, Value: s.Value})
+	}
+	return open
+}
+
+func requestFromProto(id string, open *peerpb.Open, batch *peerpb.Batch) *statement.Request {
+	r := &statement.Request{
+		ID:       id,
+		Group:    cluster.GroupName(open.GetGroup()),
+		Customer: open.GetCustomer(),
+		Session:  open.GetSession(),
+		Rank:     rankFromProto(open.GetRank()),
+		Freshness: statement.Freshness{
+			Mode:   statement.FreshnessMode(open.GetFreshnessMode()),
+			MaxAge: time.Duration(open.GetMaxAgeNanos()),
+		},
+		Floor:       positionFromProto(open.GetFloor()),
+		FloorExact:  open.GetFloorExact(),
+		OrderID:     open.GetOrderId(),
+		Timeout:     time.Duration(open.GetTimeoutNanos()),
+		TraceParent: open.GetTraceParent(),
+		Hops:        int(open.GetHops()),
+		First:       batchFromProto(batch),
+	}
+	for _, s := range open.GetSettings() {
+		r.Settings = append(r.Settings, statement.Setting{Name: s.GetName(), Value: s.GetValue()})
+	}
+	return r
+}
+
+// rankFromProto reads a rank. An unknown rank is served last.
+func rankFromProto(r uint32) cluster.Rank {
+	if r >= cluster.RankCount {
+		return cluster.RankBackground
+	}
+	return cluster.Rank(r)
+}
+
+func resultToProto(r statement.Result) *peerpb.Result {
+	return &peerpb.Result{
+		Position: positionToProto(r.Position),
+		Observed: positionToProto(r.Observed),
+		Server:   string(r.Server),
+		Home:     string(r.Home),
+		Primary:  r.Primary,
+		Repeat:   r.Repeat,
+		Reason:   r.Reason,
+	}
+}
+
+func resultFromProto(r *peerpb.Result) statement.Result {
+	return statement.Result{
+		Position: positionFromProto(r.GetPosition()),
+		Observed: positionFromProto(r.GetObserved()),
+		Server:   cluster.ServerID(r.GetServer()),
+		Home:     cluster.ProxyID(r.GetHome()),
+		Primary:  r.GetPrimary(),
+		Repeat:   r.GetRepeat(),
+		Reason:   r.GetReason(),
+	}
+}
+
+func failureToProto(err error) *peerpb.Failure {
+	e := errcode.From(err)
+	failure := &peerpb.Failure{
+		Code:            e.Code.Name,
+		Step:            e.Step,
+		Peer:            e.Peer,
+		RetryAfterNanos: int64(e.RetryAfter),
+	}
+	if e.Cause != nil {
+		failure.Message = e.Cause.Error()
+	}
+	return failure
+}
+
+func failureFromProto(f *peerpb.Failure) error {
+	code, _ := errcode.ByName(f.GetCode())
+	e := errcode.New(code, f.GetStep(), f.GetPeer())
+	e.RetryAfter = time.Duration(f.GetRetryAfterNanos())
+	if f.GetMessage() != "" {
+		e.Cause = errors.New(f.GetMessage())
+	}
+	return e
+}
--- /dev/null
+++ b/internal/peer/events.go
@@ -0,0 +1,10 @@
+package peer
+
+import (
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/event"
+)
+
+var eventPeerCallFailed = event.New(6100, zerolog.DebugLevel, "peer_call_failed",
+	"A call from another process ended with an error; the caller of the call handles it.")
--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,140 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/rattancove/rattancove/internal/errcode"
+)
+
+const (
+	// maxFrameBytes bounds one frame between processes.
+	maxFrameBytes = 20 << 20
+	// maxConnsPerPeer bounds the connections, and so the running calls, to one peer.
+	maxConnsPerPeer = 512
+	// maxIdlePerPeer bounds the idle connections kept to one peer.
+	maxIdlePerPeer = 32
+	// dialTimeout bounds the opening of a connection to a peer.
+	dialTimeout = time.Second
+	// softCancelGrace bounds the wait for a running send when a call is cancelled.
+	softCancelGrace = 5 * time.Millisecond
+	// idleConnLifetime bounds how long an idle connection is kept.
+	idleConnLifetime = 30 * time.Second
+)
+
+// DialFunc opens a transport connection to a peer's address.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// Dialer returns a DialFunc for TCP, with mutual TLS when config is not nil.
+// config is asked for each connection, so that renewed keys take effect.
+func Dialer(config func() *tls.Config) DialFunc {
+	plain := &net.Dialer{Timeout: dialTimeout, KeepAlive: idleConnLifetime}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		if config == nil {
+			return plain.DialContext(ctx, "tcp", address)
+		}
+		d := tls.Dialer{NetDialer: plain, Config: config()}
+		return d.DialContext(ctx, "tcp", address)
+	}
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader:          drpcwire.ReaderOptions{MaximumBufferSize: maxFrameBytes},
+		SoftCancel:      true,
+		SoftCancelGrace: softCancelGrace,
+	}
+}
+
+type idleConn struct {
+	conn  *drpcconn.Conn
+	since time.Time
+}
+
+// pool keeps idle connections to one peer.
+type pool struct {
+	address string
+	dial    DialFunc
+	tokens  chan struct{}
+
+	mu     sync.Mutex
+	idle   []idleConn
+	closed bool
+}
+
+func newPool(address string, dial DialFunc) *pool {
+	return &pool{address: address, dial: dial, tokens: make(chan struct{}, maxConnsPerPeer)}
+}
+
+// get returns a connection that the caller owns until put.
+func (p *pool) get(ctx context.Context) (*drpcconn.Conn, error) {
+	select {
+	case p.tokens <- struct{}{}:
+	default:
+		return nil, errcode.New(errcode.Overloaded, "peer connection", p.address)
+	}
+	if conn := p.takeIdle(); conn != nil {
+		return conn, nil
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	transport, err := p.dial(dialCtx, p.address)
+	if err != nil {
+		<-p.tokens
+		return nil, errcode.Wrap(err, errcode.NoHome, "dial peer", p.address)
+	}
+	peerDials.Inc()
+	return drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+func (p *pool) takeIdle() *drpcconn.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 {
+		last := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if isOpen(last.conn) && time.Since(last.since) < idleConnLifetime {
+			return last.conn
+		}
+		_ = last.conn.Close()
+	}
+	return nil
+}
+
+// put takes a connection back. It is closed unless it can carry another call.
+func (p *pool) put(conn *drpcconn.Conn, healthy bool) {
+	defer func() { <-p.tokens }()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !healthy || p.closed || !isOpen(conn) || len(p.idle) >= maxIdlePerPeer {
+		_ = conn.Close()
+		return
+	}
+	p.idle = append(p.idle, idleConn{conn: conn, since: time.Now()})
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		_ = c.conn.Close()
+	}
+	p.idle = nil
+}
+
+func isOpen(conn *drpcconn.Conn) bool {
+	select {
+	case <-conn.Closed():
+		return false
+	default:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,181 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+
+	"github.com/rs/zerolog"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/peer/peerpb"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// maxAnswerBytes bounds the answer bytes of one frame, which holds complete
+// protocol messages.
+const maxAnswerBytes = maxFrameBytes - 1<<10
+
+// Handlers are what a process offers to its peers. A nil handler refuses the call.
+type Handlers struct {
+	Runner   statement.Runner
+	Ping     func(context.Context, *peerpb.PingRequest) (*peerpb.PingReply, error)
+	Probe    func(context.Context, *peerpb.ProbeRequest) (*peerpb.ProbeReply, error)
+	Document func(context.Context, *peerpb.DocumentRequest) (*peerpb.DocumentReply, error)
+}
+
+// Server serves the calls of peers.
+type Server struct {
+	peerpb.DRPCPeerUnimplementedServer
+	handlers Handlers
+	server   *drpcserver.Server
+	log      *zerolog.Logger
+}
+
+// NewServer returns a server of the handlers.
+func NewServer(handlers Handlers, log *zerolog.Logger) (*Server, error) {
+	s := &Server{handlers: handlers, log: log}
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeer(mux, s); err != nil {
+		return nil, errcode.Wrap(err, errcode.Internal, "register", "peer")
+	}
+	s.server = drpcserver.NewWithOptions(mux, drpcserver.Options{
+		Manager: managerOptions(),
+		Log:     func(err error) { eventPeerCallFailed.Log(log).Err(err).Send() },
+	})
+	return s, nil
+}
+
+// Serve accepts connections until ctx ends or the listener fails.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error { return s.server.Serve(ctx, l) }
+
+// ServeConn serves one connection until it closes or ctx ends.
+func (s *Server) ServeConn(ctx context.Context, conn net.Conn) error {
+	return s.server.ServeOne(ctx, conn)
+}
+
+// Ping implements peerpb.DRPCPeerServer.
+func (s *Server) Ping(ctx context.Context, in *peerpb.PingRequest) (*peerpb.PingReply, error) {
+	if s.handlers.Ping == nil {
+		return s.DRPCPeerUnimplementedServer.Ping(ctx, in)
+	}
+	return s.handlers.Ping(ctx, in)
+}
+
+// Probe implements peerpb.DRPCPeerServer.
+func (s *Server) Probe(ctx context.Context, in *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
+	if s.handlers.Probe == nil {
+		return s.DRPCPeerUnimplementedServer.Probe(ctx, in)
+	}
+	return s.handlers.Probe(ctx, in)
+}
+
+// Document implements peerpb.DRPCPeerServer.
+func (s *Server) Document(ctx context.Context, in *peerpb.DocumentRequest) (*peerpb.DocumentReply, error) {
+	if s.handlers.Document == nil {
+		return s.DRPCPeerUnimplementedServer.Document(ctx, in)
+	}
+	return s.handlers.Document(ctx, in)
+}
+
+// Run implements peerpb.DRPCPeerServer.
+func (s *Server) Run(stream peerpb.DRPCPeer_RunStream) error {
+	if s.handlers.Runner == nil {
+		return s.DRPCPeerUnimplementedServer.Run(stream)
+	}
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	if first.GetOpen() == nil || first.GetBatch() == nil || first.GetSequence() != 0 {
+		return errcode.New(errcode.Protocol, "first frame", "")
+	}
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	conv := newServedConversation(stream, first.GetRequestId(), cancel)
+	go conv.receive(ctx)
+	req := requestFromProto(first.GetRequestId(), first.GetOpen(), first.GetBatch())
+	result, err := s.handlers.Runner.Run(ctx, req, conv)
+	if err != nil {
+		return conv.send(&peerpb.FromHome{Failure: failureToProto(err)})
+	}
+	return conv.send(&peerpb.FromHome{Result: resultToProto(result)})
+}
+
+// servedConversation is the home's end of a request from a peer. Its receive
+// loop ends with the stream.
+type servedConversation struct {
+	stream    peerpb.DRPCPeer_RunStream
+	requestID string
+	cancel    context.CancelFunc
+	out       uint32
+	batches   chan *peerpb.ToHome
+}
+
+func newServedConversation(stream peerpb.DRPCPeer_RunStream, id string, cancel context.CancelFunc) *servedConversation {
+	return &servedConversation{stream: stream, requestID: id, cancel: cancel, batches: make(chan *peerpb.ToHome)}
+}
+
+func (c *servedConversation) receive(ctx context.Context) {
+	defer close(c.batches)
+	next := uint32(1)
+	for {
+		frame, err := c.stream.Recv()
+		if err != nil {
+			c.cancel()
+			return
+		}
+		if frame.GetCancel() {
+			c.cancel()
+			continue
+		}
+		if frame.GetRequestId() != c.requestID || frame.GetSequence() != next {
+			c.cancel()
+			return
+		}
+		next++
+		select {
+		case c.batches <- frame:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Next implements statement.Conversation.
+func (c *servedConversation) Next(ctx context.Context) (*statement.Batch, error) {
+	if err := c.send(&peerpb.FromHome{WantNext: true}); err != nil {
+		return nil, err
+	}
+	select {
+	case frame, ok := <-c.batches:
+		if !ok || frame.GetCallerLeft() {
+			return nil, io.EOF
+		}
+		batch := batchFromProto(frame.GetBatch())
+		return &batch, nil
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	}
+}
+
+// Answer implements statement.Conversation.
+func (c *servedConversation) Answer(_ context.Context, data []byte) error {
+	if len(data) > maxAnswerBytes {
+		return errcode.New(errcode.LimitExceeded, "answer peer", "")
+	}
+	return c.send(&peerpb.FromHome{Answer: data})
+}
+
+func (c *servedConversation) send(frame *peerpb.FromHome) error {
+	frame.RequestId = c.requestID
+	frame.Sequence = c.out
+	c.out++
+	if err := c.stream.Send(frame); err != nil && !errors.Is(err, io.EOF) {
+		return errcode.Wrap(err, errcode.ConnectionLost, "answer peer", "")
+	}
+	return nil
+}
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -95,7 +95,9 @@
 	Timeout time.Duration
 	// TraceParent is the W3C trace context of the previous hop.
 	TraceParent string
-	First       Batch
+	// Hops counts the proxies that passed the request on.
+	Hops  int
+	First Batch
 }
 
 // Result tells how a request ended.
