--- /dev/null
+++ b/internal/telemetry/doc.go
@@ -0,0 +1,3 @@
+// Package telemetry sets up what a process tells about itself: its log, its
+// metrics endpoint and its traces.
+package telemetry
--- /dev/null
+++ b/internal/telemetry/http.go
@@ -0,0 +1,45 @@
+package telemetry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	shutdownTimeout   = 2 * time.Second
+)
+
+// MetricsHandler serves /metrics in the Prometheus text format and the
+// profiles of net/http/pprof.
+func MetricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WritePrometheus(w, true)
+	})
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	return mux
+}
+
+// ServeHTTP serves handler on a listener until ctx ends.
+func ServeHTTP(ctx context.Context, l net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() {
+		shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+		defer cancel()
+		_ = server.Shutdown(shutdownCtx)
+	})
+	defer stop()
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrapf(err, "serve http on %s", l.Addr())
+	}
+	return nil
+}
