Test the peer protocol and the gateway's repeats

Cause: a statement must neither wait for another one's answer nor be repeated once it may have run. Ruled out: tests over loopback, which are not in virtual time. Change: table tests of the gateway; peer tests over net.Pipe.

--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+type fakeRunner struct {
+	name  string
+	calls *[]string
+	// errs are answered in turn; nil and beyond mean success.
+	errs   []error
+	answer bool
+}
+
+func (f *fakeRunner) Run(ctx context.Context, _ *statement.Request, c statement.Conversation) (statement.Result, error) {
+	*f.calls = append(*f.calls, f.name)
+	if f.answer {
+		_ = c.Answer(ctx, []byte("x"))
+	}
+	if len(f.errs) == 0 {
+		return statement.Result{Home: cluster.ProxyID(f.name)}, nil
+	}
+	err := f.errs[0]
+	f.errs = f.errs[1:]
+	if err == nil {
+		return statement.Result{Home: cluster.ProxyID(f.name)}, nil
+	}
+	return statement.Result{}, err
+}
+
+type fakeMembers struct {
+	home    cluster.ProxyID
+	runners map[cluster.ProxyID]*fakeRunner
+}
+
+func (m *fakeMembers) HomeOf(cluster.GroupName) cluster.ProxyID { return m.home }
+func (m *fakeMembers) Relay(...cluster.ProxyID) cluster.ProxyID { return "p3" }
+func (m *fakeMembers) Runner(id cluster.ProxyID) statement.Runner {
+	return m.runners[id]
+}
+
+type noConversation struct{}
+
+func (noConversation) Next(context.Context) (*statement.Batch, error) { return nil, nil }
+func (noConversation) Answer(context.Context, []byte) error           { return nil }
+
+func TestRunChoosesTheWayAndRepeatsOnlyWhatDidNotRun(t *testing.T) {
+	superseded := errcode.New(errcode.Superseded, "run", "p3")
+	unreachable := errcode.New(errcode.NoHome, "dial peer", "p2")
+	unknown := errcode.New(errcode.Unknown, "run at home", "p2")
+	overloaded := errcode.New(errcode.Overloaded, "queue", "g")
+	tests := []struct {
+		name    string
+		home    cluster.ProxyID
+		hops    int
+		orderID string
+		errs    []error
+		answer  bool
+		want    []string
+		code    *errcode.Code
+	}{
+		{name: "local home", home: "p1", want: []string{"p1"}},
+		{name: "remote home", home: "p2", want: []string{"p2"}},
+		{name: "redirect", home: "p2", errs: []error{superseded}, want: []string{"p2", "p3"}},
+		{name: "relay around a cut, then direct again", home: "p2", errs: []error{unreachable}, want: []string{"p2", "p3"}},
+		{name: "overload is not repeated", home: "p2", errs: []error{overloaded}, want: []string{"p2"}, code: &errcode.Overloaded},
+		{name: "unknown without an order id is not repeated", home: "p2", errs: []error{unknown}, want: []string{"p2"}, code: &errcode.Unknown},
+		{name: "unknown with an order id is repeated", home: "p2", orderID: "o", errs: []error{unknown}, want: []string{"p2", "p2"}},
+		{name: "a refusal after an unknown attempt stays unknown", home: "p2", orderID: "o", errs: []error{unknown, overloaded}, want: []string{"p2", "p2"}, code: &errcode.Unknown},
+		{name: "nothing is repeated after an answer", home: "p2", errs: []error{unreachable}, answer: true, want: []string{"p2"}, code: &errcode.NoHome},
+		{name: "hops are bounded", home: "p2", hops: maxHops, want: nil, code: &errcode.Superseded},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var calls []string
+				runners := map[cluster.ProxyID]*fakeRunner{}
+				for _, id := range []cluster.ProxyID{"p1", "p2", "p3"} {
+					runners[id] = &fakeRunner{name: string(id), calls: &calls}
+				}
+				if target := runners[test.home]; target != nil {
+					target.errs, target.answer = test.errs, test.answer
+				}
+				g := New(Config{Self: "p1", Local: runners["p1"], Members: &fakeMembers{home: test.home, runners: runners}})
+				_, err := g.Run(t.Context(), &statement.Request{Group: "g", OrderID: test.orderID, Hops: test.hops, Timeout: 100 * time.Millisecond}, noConversation{})
+				if test.code == nil && err != nil || test.code != nil && !errcode.Is(err, *test.code) {
+					t.Fatalf("error %v", err)
+				}
+				if len(calls) < len(test.want) {
+					t.Fatalf("calls %v, want %v", calls, test.want)
+				}
+				for i, want := range test.want {
+					if calls[i] != want {
+						t.Fatalf("calls %v, want %v", calls, test.want)
+					}
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,228 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+type runnerFunc func(context.Context, *statement.Request, statement.Conversation) (statement.Result, error)
+
+func (f runnerFunc) Run(ctx context.Context, r *statement.Request, c statement.Conversation) (statement.Result, error) {
+	return f(ctx, r, c)
+}
+
+type callerEnd struct {
+	batches []statement.Batch
+	answers []string
+}
+
+func (c *callerEnd) Next(context.Context) (*statement.Batch, error) {
+	if len(c.batches) == 0 {
+		return nil, io.EOF
+	}
+	b := c.batches[0]
+	c.batches = c.batches[1:]
+	return &b, nil
+}
+
+func (c *callerEnd) Answer(_ context.Context, data []byte) error {
+	c.answers = append(c.answers, string(data))
+	return nil
+}
+
+// pair connects a client to a served runner over net.Pipe. dials counts connections.
+func pair(t *testing.T, runner statement.Runner, dials *atomic.Int32, last *net.Conn) (*Client, func()) {
+	t.Helper()
+	log := zerolog.Nop()
+	server, err := NewServer(Handlers{Runner: runner}, &log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	client := NewClient("peer", func(context.Context, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		dials.Add(1)
+		if last != nil {
+			*last = far
+		}
+		go func() { _ = server.ServeConn(ctx, far) }()
+		return near, nil
+	})
+	return client, func() {
+		client.Close()
+		cancel()
+	}
+}
+
+func fullRequest() *statement.Request {
+	return &statement.Request{
+		ID: "r1", Group: "orders_a", Customer: "cotopaxi", Session: "s", Rank: cluster.RankNormal,
+		Freshness: statement.Freshness{Mode: statement.FreshnessBounded, MaxAge: time.Second},
+		Floor:     cluster.Position{Term: 2, Offset: 9}, FloorExact: true, OrderID: "o1",
+		Settings: []statement.Setting{{Name: "TimeZone", Value: "UTC"}}, Timeout: time.Second, Hops: 1,
+		First: statement.Batch{Messages: []byte("Q"), Class: statement.ClassBegin, Prepared: []statement.Prepared{{Name: "n", Parse: []byte("P")}}},
+	}
+}
+
+func TestRunCarriesRequestBatchesAndResult(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		want := fullRequest()
+		result := statement.Result{Position: cluster.Position{Term: 2, Offset: 10}, Server: "s1", Home: "p1", Primary: true, Reason: "write"}
+		var got *statement.Request
+		var next *statement.Batch
+		var dials atomic.Int32
+		client, stop := pair(t, runnerFunc(func(ctx context.Context, r *statement.Request, c statement.Conversation) (statement.Result, error) {
+			got = r
+			var err error
+			if next, err = c.Next(ctx); err != nil {
+				return statement.Result{}, err
+			}
+			return result, c.Answer(ctx, []byte("done"))
+		}), &dials, nil)
+		defer stop()
+		for range 3 {
+			caller := &callerEnd{batches: []statement.Batch{{Messages: []byte("COMMIT")}}}
+			res, err := client.Run(t.Context(), want, caller)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(want, got) + cmp.Diff(result, res) + cmp.Diff("COMMIT", string(next.Messages)) + cmp.Diff([]string{"done"}, caller.answers); diff != "" {
+				t.Fatal(diff)
+			}
+		}
+		if dials.Load() != 1 {
+			t.Fatalf("%d connections for three requests in turn", dials.Load())
+		}
+	})
+}
+
+func TestRunCarriesFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var dials atomic.Int32
+		client, stop := pair(t, runnerFunc(func(context.Context, *statement.Request, statement.Conversation) (statement.Result, error) {
+			e := errcode.Wrap(errors.New("queue full"), errcode.Overloaded, "queue", "g")
+			e.RetryAfter = 7 * time.Millisecond
+			return statement.Result{}, e
+		}), &dials, nil)
+		defer stop()
+		_, err := client.Run(t.Context(), fullRequest(), &callerEnd{})
+		e := errcode.From(err)
+		if !errcode.Is(err, errcode.Overloaded) || e.RetryAfter != 7*time.Millisecond || e.Step != "queue" {
+			t.Fatalf("got %+v", e)
+		}
+	})
+}
+
+func TestConcurrentRunsDoNotWaitForEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var dials atomic.Int32
+		client, stop := pair(t, runnerFunc(func(context.Context, *statement.Request, statement.Conversation) (statement.Result, error) {
+			time.Sleep(5 * time.Second)
+			return statement.Result{}, nil
+		}), &dials, nil)
+		defer stop()
+		start := time.Now()
+		done := make(chan error)
+		for range 3 {
+			go func() {
+				_, err := client.Run(t.Context(), fullRequest(), &callerEnd{})
+				done <- err
+			}()
+		}
+		for range 3 {
+			if err := <-done; err != nil {
+				t.Fatal(err)
+			}
+		}
+		if took := time.Since(start); took != 5*time.Second {
+			t.Fatalf("three runs of 5 s took %v of virtual time", took)
+		}
+	})
+}
+
+func TestCancelReachesHomeAndSparesTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var dials atomic.Int32
+		client, stop := pair(t, runnerFunc(func(ctx context.Context, _ *statement.Request, _ statement.Conversation) (statement.Result, error) {
+			select {
+			case <-ctx.Done():
+				return statement.Result{}, errcode.New(errcode.DeadlinePassed, "cancelled", "")
+			case <-time.After(time.Minute):
+				return statement.Result{}, nil
+			}
+		}), &dials, nil)
+		defer stop()
+		for range 2 {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			_, err := client.Run(ctx, fullRequest(), &callerEnd{})
+			cancel()
+			if !errcode.Is(err, errcode.DeadlinePassed) {
+				t.Fatalf("got %v", err)
+			}
+		}
+		if dials.Load() != 1 {
+			t.Fatalf("%d connections: the cancel closed a connection", dials.Load())
+		}
+	})
+}
+
+func TestLostStreamIsUnknownOnlyWhileAWriteIsOut(t *testing.T) {
+	tests := []struct {
+		name  string
+		class statement.Class
+		want  errcode.Code
+	}{
+		{"write", statement.ClassWrite, errcode.Unknown},
+		{"read", statement.ClassRead, errcode.ConnectionLost},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var dials atomic.Int32
+				var far net.Conn
+				client, stop := pair(t, runnerFunc(func(ctx context.Context, _ *statement.Request, _ statement.Conversation) (statement.Result, error) {
+					_ = far.Close()
+					<-ctx.Done()
+					return statement.Result{}, ctx.Err()
+				}), &dials, &far)
+				defer stop()
+				req := fullRequest()
+				req.First.Class = test.class
+				if _, err := client.Run(t.Context(), req, &callerEnd{}); !errcode.Is(err, test.want) {
+					t.Fatalf("got %v, want %s", err, test.want.Name)
+				}
+			})
+		})
+	}
+}
+
+func TestCallerLeavingEndsTheTransaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var dials atomic.Int32
+		var nextErr error
+		client, stop := pair(t, runnerFunc(func(ctx context.Context, _ *statement.Request, c statement.Conversation) (statement.Result, error) {
+			_, nextErr = c.Next(ctx)
+			return statement.Result{}, nil
+		}), &dials, nil)
+		defer stop()
+		if _, err := client.Run(t.Context(), fullRequest(), &callerEnd{}); err != nil {
+			t.Fatal(err)
+		}
+		if !errors.Is(nextErr, io.EOF) {
+			t.Fatalf("home saw %v", nextErr)
+		}
+	})
+}
