--- /dev/null
+++ b/internal/program/program.go
@@ -0,0 +1,65 @@
+// Package program runs the command of a program with signals and exit codes.
+package program
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/rattancove/rattancove/internal/version"
+)
+
+// Exit codes of every program.
+const (
+	ExitOK      = 0
+	ExitFailure = 1
+	// ExitUsage reports wrong arguments or invalid settings.
+	ExitUsage = 2
+)
+
+// Error carries an exit code.
+type Error struct {
+	Code  int
+	Cause error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Usage marks err as a fault of arguments or settings.
+func Usage(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &Error{Code: ExitUsage, Cause: err}
+}
+
+// Run runs cmd until it returns and gives the process's exit code. SIGINT and
+// SIGTERM end the command's context; a second signal ends the process.
+func Run(cmd *cli.Command) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	context.AfterFunc(ctx, stop)
+	cmd.Version = version.Version
+	cmd.EnableShellCompletion = true
+	cmd.ExitErrHandler = func(context.Context, *cli.Command, error) {}
+	cmd.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error { return Usage(err) }
+	err := cmd.Run(ctx, os.Args)
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintf(os.Stderr, "%s: %v\n", cmd.Name, err)
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return ExitFailure
+}
