--- /dev/null
+++ b/internal/home/metrics.go
@@ -0,0 +1,31 @@
+package home
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+var (
+	readsReplicaTotal = metrics.NewCounter(`rattan_home_reads_total{server="replica"}`)
+	readsPrimaryTotal = metrics.NewCounter(`rattan_home_reads_total{server="primary"}`)
+	writesTotal       = metrics.NewCounter("rattan_home_writes_total")
+	transactionsTotal = metrics.NewCounter("rattan_home_transactions_total")
+	unknownTotal      = metrics.NewCounter("rattan_home_unknown_outcomes_total")
+	retriesTotal      = metrics.NewCounter("rattan_home_retries_total")
+	repeatsTotal      = metrics.NewCounter("rattan_home_repeated_orders_total")
+	proofsTotal       = metrics.NewCounter("rattan_home_proofs_total")
+	statusCallsTotal  = metrics.NewCounter("rattan_home_status_calls_total")
+	ejectionsTotal    = metrics.NewCounter("rattan_home_ejections_total")
+	rollbacksTotal    = metrics.NewCounter("rattan_home_rollbacks_total")
+	waitSeconds       = rankHistograms("rattan_home_wait_seconds")
+	requestSeconds    = rankHistograms("rattan_home_request_seconds")
+)
+
+func rankHistograms(name string) [cluster.RankCount]*metrics.Histogram {
+	var hs [cluster.RankCount]*metrics.Histogram
+	for r := range cluster.Rank(cluster.RankCount) {
+		hs[r] = metrics.NewHistogram(name + `{rank="` + r.String() + `"}`)
+	}
+	return hs
+}
--- /dev/null
+++ b/internal/home/view.go
@@ -0,0 +1,185 @@
+package home
+
+import (
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+// report is the last status of one server.
+type report struct {
+	known  bool
+	status cluster.ServerStatus
+	// ticket is the newest proof ticket that had been drawn when the status call began.
+	ticket   uint64
+	begun    time.Time
+	answered time.Time
+}
+
+// view is what the servers of a group last reported. It is a plain value
+// without locks.
+type view struct {
+	reports map[cluster.ServerID]report
+	// size is the number of servers of the group.
+	size    int
+	term    cluster.Term
+	primary cluster.ServerID
+	lineage lineage
+}
+
+func newView(size int) *view {
+	return &view{reports: make(map[cluster.ServerID]report), size: size, lineage: newLineage()}
+}
+
+// observe takes in a report and learns the primary. It reports whether the
+// term or the primary changed.
+func (v *view) observe(id cluster.ServerID, r report) bool {
+	v.reports[id] = r
+	v.lineage.observe(r.status)
+	return v.learnPrimary()
+}
+
+// learnPrimary takes the primary of the highest term that a majority holds.
+func (v *view) learnPrimary() bool {
+	for id, r := range v.reports {
+		s := r.status
+		if s.Role != cluster.RolePrimary || s.Term < v.term {
+			continue
+		}
+		if v.holders(s.Term) < cluster.Majority(v.size) {
+			continue
+		}
+		if s.Term == v.term && id == v.primary {
+			continue
+		}
+		v.term = s.Term
+		v.primary = id
+		return true
+	}
+	return false
+}
+
+func (v *view) holders(t cluster.Term) int {
+	n := 0
+	for _, r := range v.reports {
+		if r.status.Term == t {
+			n++
+		}
+	}
+	return n
+}
+
+// primaryKnown reports whether the learned primary is not known to be replaced:
+// no majority has accepted a higher term.
+func (v *view) primaryKnown() bool {
+	if v.primary == "" {
+		return false
+	}
+	higher := 0
+	for _, r := range v.reports {
+		if r.status.Term > v.term {
+			higher++
+		}
+	}
+	return higher < cluster.Majority(v.size) && v.reports[v.primary].status.Term == v.term
+}
+
+// maxEpoch returns the highest home claim that any server reported.
+func (v *view) maxEpoch() (cluster.Epoch, cluster.ProxyID) {
+	var epoch cluster.Epoch
+	var holder cluster.ProxyID
+	for _, r := range v.reports {
+		if r.status.Epoch > epoch {
+			epoch = r.status.Epoch
+			holder = r.status.Home
+		}
+	}
+	return epoch, holder
+}
+
+// answered counts the servers whose status began after ticket was drawn.
+func (v *view) answered(ticket uint64) int {
+	n := 0
+	for _, r := range v.reports {
+		if r.known && r.ticket >= ticket {
+			n++
+		}
+	}
+	return n
+}
+
+// requirement is what a majority has to report for a proof.
+type requirement struct {
+	ticket uint64
+	claim  claim
+	term   cluster.Term
+	// received is the log position to be stored; unknown if none.
+	received cluster.Position
+}
+
+// claim is an owner's place in the succession of homes.
+type claim struct {
+	epoch cluster.Epoch
+	home  cluster.ProxyID
+}
+
+// proven reports whether a majority meets a requirement.
+func (v *view) proven(q requirement) bool {
+	n := 0
+	for _, r := range v.reports {
+		if r.known && r.meets(q) {
+			n++
+		}
+	}
+	return n >= cluster.Majority(v.size)
+}
+
+func (r report) meets(q requirement) bool {
+	s := r.status
+	if r.ticket < q.ticket || s.Term != q.term {
+		return false
+	}
+	if s.Epoch != q.claim.epoch || s.Home != q.claim.home {
+		return false
+	}
+	return !s.Received.Less(q.received)
+}
+
+// sampleTime returns a time before which every acknowledged write is at or
+// before the primary's reported position: the beginning of the earliest of a
+// majority of status calls, the primary's among them, that agree on the term.
+func (v *view) sampleTime(c claim) (time.Time, bool) {
+	primary, ok := v.reports[v.primary]
+	if !ok || primary.status.Term != v.term || primary.status.Role != cluster.RolePrimary {
+		return time.Time{}, false
+	}
+	var others []time.Time
+	for id, r := range v.reports {
+		if id != v.primary && r.status.Term == v.term && r.status.Epoch == c.epoch {
+			others = append(others, r.begun)
+		}
+	}
+	need := cluster.Majority(v.size) - 1
+	if len(others) < need {
+		return time.Time{}, false
+	}
+	at := primary.begun
+	for _, t := range latest(others, need) {
+		if t.Before(at) {
+			at = t
+		}
+	}
+	return at, true
+}
+
+// latest returns the n latest times.
+func latest(times []time.Time, n int) []time.Time {
+	for i := range n {
+		for j := i + 1; j < len(times); j++ {
+			if times[j].After(times[i]) {
+				times[i], times[j] = times[j], times[i]
+			}
+		}
+	}
+	return times[:n]
+}
--- /dev/null
+++ b/internal/order/order.go
@@ -0,0 +1,142 @@
+package order
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/errcode"
+)
+
+// State is the state of one attempt.
+type State string
+
+// States of an attempt.
+const (
+	// StateWaiting means that nothing has left for the server.
+	StateWaiting State = "waiting"
+	// StateSent means that a byte may have reached the server.
+	StateSent State = "sent"
+	// StateHeld means that the complete answer is held back until it may be acknowledged.
+	StateHeld    State = "held"
+	StateDone    State = "done"
+	StateNotRun  State = "not_run"
+	StateUnknown State = "unknown"
+)
+
+// Event moves an attempt from one state to another.
+type Event string
+
+// Events of an attempt.
+const (
+	EventSend Event = "send"
+	// EventAnswer is a complete answer of the server.
+	EventAnswer Event = "answer"
+	// EventAcknowledge is the proof that the answer may be passed on.
+	EventAcknowledge Event = "acknowledge"
+	// EventRefuse is proof that nothing took effect.
+	EventRefuse Event = "refuse"
+	// EventFail is a lost connection, a timeout or a missing proof.
+	EventFail Event = "fail"
+	// EventRetry starts the next attempt.
+	EventRetry Event = "retry"
+)
+
+type edge struct {
+	from  State
+	event Event
+}
+
+var transitions = map[edge]State{
+	{StateWaiting, EventSend}:     StateSent,
+	{StateWaiting, EventRefuse}:   StateNotRun,
+	{StateWaiting, EventFail}:     StateNotRun,
+	{StateSent, EventAnswer}:      StateHeld,
+	{StateSent, EventRefuse}:      StateNotRun,
+	{StateSent, EventFail}:        StateUnknown,
+	{StateHeld, EventAcknowledge}: StateDone,
+	{StateHeld, EventRefuse}:      StateNotRun,
+	{StateHeld, EventFail}:        StateUnknown,
+	{StateNotRun, EventRetry}:     StateWaiting,
+	{StateUnknown, EventRetry}:    StateWaiting,
+}
+
+// Attempts tracks a request over its attempts.
+type Attempts struct {
+	// HasID is set when the request carries an order id.
+	HasID bool
+	// Deadline is when the request ends, whatever its outcome.
+	Deadline time.Time
+
+	state State
+	// everUnknown is set once an attempt had an unknown outcome.
+	everUnknown bool
+	count       int
+}
+
+// MaxAttempts bounds the attempts of one request.
+const MaxAttempts = 8
+
+// New returns the state before the first attempt.
+func New(hasID bool, deadline time.Time) *Attempts {
+	return &Attempts{HasID: hasID, Deadline: deadline, state: StateWaiting, count: 1}
+}
+
+// State returns the state of the present attempt.
+func (a *Attempts) State() State { return a.state }
+
+// Fire applies an event. It returns an error for an event that the state does not allow.
+func (a *Attempts) Fire(e Event) error {
+	next, ok := transitions[edge{a.state, e}]
+	if !ok {
+		return fmt.Errorf("order outcome: event %s in state %s", e, a.state)
+	}
+	a.state = next
+	if next == StateUnknown {
+		a.everUnknown = true
+	}
+	if e == EventRetry {
+		a.count++
+	}
+	return nil
+}
+
+// MayRetry reports whether another attempt is allowed. An attempt that did
+// not run may be repeated; one with an unknown outcome only with an id.
+func (a *Attempts) MayRetry(now time.Time) bool {
+	if a.count >= MaxAttempts || !now.Before(a.Deadline) {
+		return false
+	}
+	switch a.state {
+	case StateNotRun:
+		return true
+	case StateUnknown:
+		return a.HasID
+	default:
+		return false
+	}
+}
+
+// Outcome returns the outcome over all attempts. A last attempt that did not
+// run proves nothing about an earlier one whose outcome is unknown.
+func (a *Attempts) Outcome() errcode.Outcome {
+	switch {
+	case a.state == StateDone:
+		return errcode.OutcomeDone
+	case a.everUnknown || a.state == StateSent || a.state == StateHeld:
+		return errcode.OutcomeUnknown
+	default:
+		return errcode.OutcomeNotRun
+	}
+}
+
+// Error adapts the error of the last attempt to the outcome over all attempts.
+func (a *Attempts) Error(err error) error {
+	if a.Outcome() != errcode.OutcomeUnknown {
+		return err
+	}
+	e := errcode.From(err)
+	if e.Code.Outcome == errcode.OutcomeUnknown {
+		return err
+	}
+	return errcode.Wrap(err, errcode.Unknown, e.Step, e.Peer)
+}
--- /dev/null
+++ b/internal/pool/open.go
@@ -0,0 +1,159 @@
+package pool
+
+import (
+	"context"
+	"time"
+)
+
+// drainPoll is the interval at which Close looks for connections in use.
+const drainPoll = 10 * time.Millisecond
+
+// openMore starts the opener when requests wait and the limit allows. One
+// connection is opened at a time.
+func (p *Pool) openMore() {
+	if p.opening || p.closed || len(p.waiters) == 0 || p.size() >= p.config.Limit {
+		return
+	}
+	p.opening = true
+	p.workers.Go(p.open)
+}
+
+func (p *Pool) open() {
+	for p.openOne() {
+	}
+}
+
+// openOne opens one connection and reports whether another one is wanted.
+func (p *Pool) openOne() bool {
+	p.mu.Lock()
+	if p.closed || len(p.waiters) == 0 || p.size() >= p.config.Limit {
+		p.opening = false
+		p.mu.Unlock()
+		return false
+	}
+	p.pending++
+	p.mu.Unlock()
+
+	ctx, cancel := context.WithTimeout(p.ctx, p.config.DialTimeout)
+	conn, err := p.config.Dial(ctx)
+	cancel()
+
+	p.mu.Lock()
+	p.pending--
+	if err != nil {
+		p.stats.Failures++
+		openFailuresTotal.Inc()
+		p.lastErr = err
+		delay := p.backoff.NextBackOff()
+		p.mu.Unlock()
+		p.sleep(delay)
+		return true
+	}
+	p.stats.Opens++
+	opensTotal.Inc()
+	p.lastErr = nil
+	p.backoff.Reset()
+	p.release(&Conn{Conn: conn, pool: p, state: stateInUse})
+	p.mu.Unlock()
+	return true
+}
+
+func (p *Pool) sleep(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-p.ctx.Done():
+	}
+}
+
+func (p *Pool) reset(c *Conn) {
+	ctx, cancel := context.WithTimeout(p.ctx, p.config.ResetTimeout)
+	err := c.Reset(ctx)
+	cancel()
+	resetsTotal.Inc()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		p.drop(c)
+		p.openMore()
+		return
+	}
+	p.release(c)
+}
+
+// probeIdle resets connections that were idle for long, which shows whether
+// the path to the server still works.
+func (p *Pool) probeIdle() {
+	ticker := time.NewTicker(p.config.ProbeAfter / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			p.probeOldest()
+		case <-p.ctx.Done():
+			return
+		}
+	}
+}
+
+func (p *Pool) probeOldest() {
+	for _, c := range p.takeOld() {
+		ctx, cancel := context.WithTimeout(p.ctx, p.config.ResetTimeout)
+		err := c.Reset(ctx)
+		cancel()
+		p.mu.Lock()
+		if err != nil {
+			probeFailures.Inc()
+			p.drop(c)
+			p.openMore()
+		} else {
+			p.release(c)
+		}
+		p.mu.Unlock()
+	}
+}
+
+// takeOld takes the connections that are due for a probe out of the idle list.
+func (p *Pool) takeOld() []*Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var old, young []*Conn
+	for _, c := range p.idle {
+		if time.Since(c.idleSince) < p.config.ProbeAfter {
+			young = append(young, c)
+			continue
+		}
+		p.use(c)
+		c.state = stateProbing
+		old = append(old, c)
+	}
+	p.idle = young
+	return old
+}
+
+// waitReturned waits until no connection is in use, and closes those left when ctx ends.
+func (p *Pool) waitReturned(ctx context.Context) {
+	for {
+		p.mu.Lock()
+		left := len(p.inUse)
+		p.mu.Unlock()
+		if left == 0 {
+			return
+		}
+		select {
+		case <-time.After(drainPoll):
+		case <-ctx.Done():
+			p.closeInUse()
+			return
+		}
+	}
+}
+
+func (p *Pool) closeInUse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.inUse {
+		p.drop(c)
+	}
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,279 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/rotisserie/eris"
+
+	"github.com/rattancove/rattancove/internal/backend"
+)
+
+// ErrClosed reports that the pool no longer gives out connections.
+var ErrClosed = errors.New("connection pool closed")
+
+const (
+	defaultDialTimeout  = 2 * time.Second
+	defaultResetTimeout = 2 * time.Second
+	defaultProbeAfter   = 15 * time.Second
+	initialBackoff      = 20 * time.Millisecond
+	maxBackoff          = 2 * time.Second
+)
+
+// Config describes a Pool.
+type Config struct {
+	// Limit is the most connections, idle ones and those in use together.
+	Limit int
+	// Dial opens one connection.
+	Dial func(ctx context.Context) (backend.Conn, error)
+	// DialTimeout, ResetTimeout bound one opening and one reset.
+	DialTimeout  time.Duration
+	ResetTimeout time.Duration
+	// ProbeAfter is the idle time after which a connection is probed.
+	ProbeAfter time.Duration
+}
+
+// state is the condition of a pooled connection.
+type state uint8
+
+const (
+	stateIdle state = iota
+	stateInUse
+	stateResetting
+	stateProbing
+	stateClosed
+)
+
+// Conn is a pooled connection in the hands of one user.
+type Conn struct {
+	backend.Conn
+	pool      *Pool
+	state     state
+	idleSince time.Time
+}
+
+// Pool holds the connections to one backend server. It is safe for concurrent use.
+type Pool struct {
+	config  Config
+	ctx     context.Context
+	cancel  context.CancelFunc
+	workers sync.WaitGroup
+
+	mu      sync.Mutex
+	idle    []*Conn
+	inUse   map[*Conn]struct{}
+	pending int
+	waiters []*request
+	opening bool
+	backoff *backoff.ExponentialBackOff
+	closed  bool
+	lastErr error
+	stats   Stats
+}
+
+// request is one call of Get that waits for a connection.
+type request struct {
+	ready chan *Conn
+}
+
+// Stats describes a Pool.
+type Stats struct {
+	Idle, InUse, Waiting int
+	// Opens counts connections opened since the start.
+	Opens uint64
+	// Failures counts failed openings since the start.
+	Failures uint64
+}
+
+// New returns an empty Pool. Close ends its goroutines.
+func New(config Config) *Pool {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Pool{
+		config: withDefaults(config), ctx: ctx, cancel: cancel,
+		inUse: make(map[*Conn]struct{}), backoff: newBackoff(),
+	}
+	p.workers.Go(p.probeIdle)
+	return p
+}
+
+func withDefaults(c Config) Config {
+	if c.DialTimeout == 0 {
+		c.DialTimeout = defaultDialTimeout
+	}
+	if c.ResetTimeout == 0 {
+		c.ResetTimeout = defaultResetTimeout
+	}
+	if c.ProbeAfter == 0 {
+		c.ProbeAfter = defaultProbeAfter
+	}
+	c.Limit = max(c.Limit, 1)
+	return c
+}
+
+func newBackoff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = initialBackoff
+	b.MaxInterval = maxBackoff
+	return b
+}
+
+// Get returns a connection, waiting for one to be returned or opened until ctx
+// ends. The error wraps the last failure to open a connection.
+func (p *Pool) Get(ctx context.Context) (*Conn, error) {
+	r := &request{ready: make(chan *Conn, 1)}
+	c, err := p.take(r)
+	if c != nil || err != nil {
+		return c, err
+	}
+	select {
+	case c, ok := <-r.ready:
+		if !ok {
+			return nil, ErrClosed
+		}
+		return c, nil
+	case <-ctx.Done():
+		return nil, p.giveUp(r, ctx.Err())
+	}
+}
+
+// take returns the connection that was idle for the shortest time, or queues r.
+func (p *Pool) take(r *request) (*Conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, ErrClosed
+	}
+	if n := len(p.idle); n > 0 {
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		p.use(c)
+		return c, nil
+	}
+	p.waiters = append(p.waiters, r)
+	p.openMore()
+	return nil, nil
+}
+
+func (p *Pool) giveUp(r *request, cause error) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, w := range p.waiters {
+		if w == r {
+			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
+			break
+		}
+	}
+	select {
+	case c, ok := <-r.ready:
+		if ok {
+			p.release(c)
+		}
+	default:
+	}
+	if p.lastErr != nil {
+		return eris.Wrapf(p.lastErr, "no connection before %v", cause)
+	}
+	return eris.Wrap(cause, "no connection")
+}
+
+// Return gives back a connection whose last exchange is complete. A dirty
+// connection is reset in the background first.
+func (p *Pool) Return(c *Conn, dirty bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.state != stateInUse {
+		return
+	}
+	if p.closed {
+		p.drop(c)
+		return
+	}
+	if !dirty {
+		p.release(c)
+		return
+	}
+	c.state = stateResetting
+	p.workers.Go(func() { p.reset(c) })
+}
+
+// Discard closes a connection that must not be reused.
+func (p *Pool) Discard(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.state != stateInUse {
+		return
+	}
+	p.drop(c)
+	p.openMore()
+}
+
+// Close closes idle connections at once and those in use when they come back
+// or when ctx ends. It waits until all are closed.
+func (p *Pool) Close(ctx context.Context) {
+	p.mu.Lock()
+	p.closed = true
+	p.cancel()
+	for _, c := range p.idle {
+		c.state = stateInUse
+		p.drop(c)
+	}
+	p.idle = nil
+	for _, r := range p.waiters {
+		close(r.ready)
+	}
+	p.waiters = nil
+	p.mu.Unlock()
+	p.waitReturned(ctx)
+	p.workers.Wait()
+}
+
+// Stats returns the present state.
+func (p *Pool) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.stats
+	s.Idle = len(p.idle)
+	s.InUse = len(p.inUse)
+	s.Waiting = len(p.waiters)
+	return s
+}
+
+func (p *Pool) use(c *Conn) {
+	c.state = stateInUse
+	p.inUse[c] = struct{}{}
+}
+
+// release hands c to the first waiter or keeps it idle.
+func (p *Pool) release(c *Conn) {
+	if p.closed {
+		p.drop(c)
+		return
+	}
+	if len(p.waiters) > 0 {
+		r := p.waiters[0]
+		p.waiters = p.waiters[1:]
+		p.use(c)
+		r.ready <- c
+		return
+	}
+	delete(p.inUse, c)
+	c.state = stateIdle
+	c.idleSince = time.Now()
+	p.idle = append(p.idle, c)
+}
+
+// drop closes c without waiting for the network.
+func (p *Pool) drop(c *Conn) {
+	if c.state == stateClosed {
+		return
+	}
+	c.state = stateClosed
+	delete(p.inUse, c)
+	discardsTotal.Inc()
+	_ = c.Conn.Close()
+}
+
+func (p *Pool) size() int { return len(p.idle) + len(p.inUse) + p.pending }
--- /dev/null
+++ b/internal/rank/dispatcher.go
@@ -0,0 +1,273 @@
+package rank
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/errcode"
+)
+
+// Policy selects how free slots are given away.
+type Policy string
+
+// Scheduling policies.
+const (
+	// PolicyRanked serves by rank with floors.
+	PolicyRanked Policy = "ranked"
+	// PolicyStatic splits the connections evenly among the proxies and serves
+	// in order of arrival. It is the baseline for comparisons.
+	PolicyStatic Policy = "static"
+)
+
+// Lane separates requests that need the primary from those that any suitable
+// server may run.
+type Lane uint8
+
+// Lanes of a queue.
+const (
+	LanePrimary Lane = iota
+	LaneRead
+	laneCount
+)
+
+const (
+	// scanLimit is the most waiting requests of one lane that are examined for one free slot.
+	scanLimit = 64
+	// floorWindow is the time over which a floor share is kept.
+	floorWindow = 250 * time.Millisecond
+	// costWeight is the weight of the newest observation in cost and pace averages.
+	costWeight = 0.1
+	// defaultQueue and defaultMaxWait bound a rank whose document entry is zero.
+	defaultQueue   = 1000
+	defaultMaxWait = 10 * time.Second
+	// defaultQueueBytes bounds the bytes of all waiting requests.
+	defaultQueueBytes = 64 << 20
+)
+
+// Verdict tells whether a server may run a request now.
+type Verdict struct {
+	OK     bool
+	Reason string
+	// RetryAt is when the answer may change without any other event; zero if never.
+	RetryAt time.Time
+}
+
+// Request asks for a slot.
+type Request struct {
+	Rank cluster.Rank
+	Lane Lane
+	// Bytes is the memory that the request holds while it waits.
+	Bytes int
+	// Deadline is when the caller gives up; zero means no deadline.
+	Deadline time.Time
+	// Pinned names the server of the open transaction that the statement
+	// belongs to. It is empty for queued requests.
+	Pinned cluster.ServerID
+	// Eligible judges a server that has a free slot. It is called with the
+	// dispatcher locked; it must neither block nor call the dispatcher.
+	Eligible func(server cluster.ServerID, now time.Time) Verdict
+}
+
+// Config describes a Dispatcher.
+type Config struct {
+	Policy     Policy
+	Ranks      environment.Ranks
+	QueueBytes int64
+	// Proxies is the number of proxies among which PolicyStatic splits connections.
+	Proxies int
+}
+
+// Dispatcher gives away the slots of one group. It is safe for concurrent use.
+type Dispatcher struct {
+	mu      sync.Mutex
+	config  Config
+	servers []*server
+	queues  [cluster.RankCount][laneCount]queue
+	cost    [cluster.RankCount]average
+	bytes   int64
+	primary cluster.ServerID
+	nextSeq uint64
+	timer   *time.Timer
+	closed  bool
+	stats   Stats
+}
+
+// New returns a Dispatcher without servers.
+func New(config Config) *Dispatcher {
+	d := &Dispatcher{}
+	d.config = withDefaults(config)
+	return d
+}
+
+// Configure applies a new configuration to requests that arrive from now on.
+func (d *Dispatcher) Configure(config Config) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.accrue(time.Now())
+	d.config = withDefaults(config)
+	d.dispatch(time.Now())
+}
+
+func withDefaults(c Config) Config {
+	if c.Policy == "" {
+		c.Policy = PolicyRanked
+	}
+	if c.QueueBytes == 0 {
+		c.QueueBytes = defaultQueueBytes
+	}
+	if c.Proxies == 0 {
+		c.Proxies = 1
+	}
+	return c
+}
+
+// SetServers replaces the servers. Grants at a removed server stay valid.
+func (d *Dispatcher) SetServers(servers []cluster.Server) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	d.accrue(now)
+	kept := make([]*server, 0, len(servers))
+	for _, s := range servers {
+		entry := d.server(s.ID)
+		if entry == nil {
+			entry = &server{id: s.ID, accrued: now}
+		}
+		entry.slots = s.Slots
+		if d.config.Policy == PolicyStatic {
+			entry.slots = max(1, s.Connections/d.config.Proxies)
+		}
+		kept = append(kept, entry)
+	}
+	d.failPinned(kept)
+	d.servers = kept
+	d.dispatch(now)
+}
+
+// SetPrimary names the server that requests of LanePrimary wait for.
+func (d *Dispatcher) SetPrimary(id cluster.ServerID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	d.accrue(now)
+	d.primary = id
+	d.dispatch(now)
+}
+
+// Wake examines the queues again after something that Eligible depends on changed.
+func (d *Dispatcher) Wake() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	d.accrue(now)
+	d.dispatch(now)
+}
+
+// Acquire waits for a slot. The error is an *errcode.Error with the outcome
+// "not run". The caller releases the grant when the statement has ended.
+func (d *Dispatcher) Acquire(ctx context.Context, r Request) (*Grant, error) {
+	w, err := d.enqueue(r)
+	if err != nil {
+		return nil, err
+	}
+	wait := time.NewTimer(time.Until(w.deadline))
+	defer wait.Stop()
+	select {
+	case <-w.done:
+	case <-ctx.Done():
+		d.abandon(w, errcode.Wrap(ctx.Err(), errcode.DeadlinePassed, "wait for slot", ""))
+	case <-wait.C:
+		d.abandon(w, d.expired(w))
+	}
+	<-w.done
+	if w.err != nil {
+		return nil, w.err
+	}
+	return w.grant, nil
+}
+
+// Close refuses waiting requests. Grants stay valid.
+func (d *Dispatcher) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closed = true
+	if d.timer != nil {
+		d.timer.Stop()
+	}
+	for _, w := range d.waiting() {
+		d.remove(w)
+		w.fail(errcode.New(errcode.Draining, "wait for slot", ""))
+	}
+}
+
+func (d *Dispatcher) enqueue(r Request) (*waiter, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	d.accrue(now)
+	if d.closed {
+		return nil, errcode.New(errcode.Draining, "wait for slot", "")
+	}
+	w := d.newWaiter(r, now)
+	if err := d.admit(w, now); err != nil {
+		d.stats.Refused[r.Rank]++
+		return nil, err
+	}
+	d.insert(w)
+	d.dispatch(now)
+	return w, nil
+}
+
+func (d *Dispatcher) newWaiter(r Request, now time.Time) *waiter {
+	d.nextSeq++
+	w := &waiter{request: r, seq: d.nextSeq, arrived: now, done: make(chan struct{})}
+	w.deadline = now.Add(d.maxWait(r.Rank))
+	if !r.Deadline.IsZero() && r.Deadline.Before(w.deadline) {
+		w.deadline = r.Deadline
+	}
+	return w
+}
+
+func (d *Dispatcher) maxWait(r cluster.Rank) time.Duration {
+	if wait := d.config.Ranks.Policy(r).MaxWait; wait > 0 {
+		return wait
+	}
+	return defaultMaxWait
+}
+
+func (d *Dispatcher) abandon(w *waiter, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if w.grant != nil || w.err != nil {
+		return
+	}
+	now := time.Now()
+	d.accrue(now)
+	d.remove(w)
+	d.stats.Expired[w.request.Rank]++
+	w.fail(err)
+	d.dispatch(now)
+}
+
+func (d *Dispatcher) expired(w *waiter) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	err := errcode.New(errcode.DeadlinePassed, "wait for slot", "")
+	if w.request.Deadline.IsZero() || w.deadline.Before(w.request.Deadline) {
+		err = errcode.New(errcode.Overloaded, "wait for slot", "")
+	}
+	err.RetryAfter = d.expectedWait(w.request.Rank, w.request.Lane)
+	return err
+}
+
+func (d *Dispatcher) server(id cluster.ServerID) *server {
+	for _, s := range d.servers {
+		if s.id == id {
+			return s
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rank/queue.go
@@ -0,0 +1,200 @@
+package rank
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/errcode"
+)
+
+// waiter is one request in a queue. Its fields are guarded by the
+// dispatcher's lock until done is closed.
+type waiter struct {
+	request  Request
+	seq      uint64
+	arrived  time.Time
+	deadline time.Time
+	element  *list.Element
+	queue    *queue
+	done     chan struct{}
+	grant    *Grant
+	err      error
+}
+
+func (w *waiter) fail(err error) {
+	w.err = err
+	close(w.done)
+}
+
+func (w *waiter) succeed(g *Grant) {
+	w.grant = g
+	close(w.done)
+}
+
+// queue is a list of waiters in order of arrival with the pace at which it drains.
+type queue struct {
+	waiters list.List
+	// pace is the average time in seconds between two grants while requests wait.
+	pace average
+	// lastGrant is when the queue was last served while requests waited; zero after it was empty.
+	lastGrant time.Time
+}
+
+func (q *queue) len() int { return q.waiters.Len() }
+
+func (q *queue) push(w *waiter) {
+	w.queue = q
+	w.element = q.waiters.PushBack(w)
+}
+
+func (q *queue) granted(now time.Time) {
+	if !q.lastGrant.IsZero() {
+		q.pace.add(now.Sub(q.lastGrant).Seconds())
+	}
+	q.lastGrant = now
+	if q.len() == 0 {
+		q.lastGrant = time.Time{}
+	}
+}
+
+// average is an exponentially weighted moving average.
+type average struct {
+	value float64
+	known bool
+}
+
+func (a *average) add(x float64) {
+	if !a.known {
+		a.value = x
+		a.known = true
+		return
+	}
+	a.value += costWeight * (x - a.value)
+}
+
+func (a *average) duration() time.Duration {
+	return time.Duration(a.value * float64(time.Second))
+}
+
+// admit refuses a request that its queue cannot hold or cannot serve in time.
+func (d *Dispatcher) admit(w *waiter, now time.Time) error {
+	r := w.request
+	if r.Pinned != "" {
+		if d.server(r.Pinned) == nil {
+			return errcode.New(errcode.ConnectionLost, "wait for slot", string(r.Pinned))
+		}
+		return nil
+	}
+	expected := d.expectedWait(r.Rank, r.Lane)
+	if d.queued(r.Rank) >= d.queueLimit(r.Rank) || d.bytes+int64(r.Bytes) > d.config.QueueBytes {
+		return overloaded("queue full", expected)
+	}
+	if d.config.Policy == PolicyStatic {
+		return nil
+	}
+	if now.Add(expected).After(w.deadline) {
+		return overloaded("wait too long", expected-w.deadline.Sub(now))
+	}
+	if !r.Deadline.IsZero() && now.Add(d.cost[r.Rank].duration()).After(r.Deadline) {
+		return errcode.New(errcode.DeadlinePassed, "admit", "")
+	}
+	return nil
+}
+
+func overloaded(step string, retryAfter time.Duration) error {
+	err := errcode.New(errcode.Overloaded, step, "")
+	err.RetryAfter = max(retryAfter, time.Millisecond)
+	return err
+}
+
+func (d *Dispatcher) queueLimit(r cluster.Rank) int {
+	if limit := d.config.Ranks.Policy(r).Queue; limit > 0 {
+		return limit
+	}
+	return defaultQueue
+}
+
+func (d *Dispatcher) queued(r cluster.Rank) int {
+	n := 0
+	for lane := range d.queues[r] {
+		n += d.queues[r][lane].len()
+	}
+	return n
+}
+
+// expectedWait estimates the wait of a request that joins a queue now from
+// the pace at which the queue was served.
+func (d *Dispatcher) expectedWait(r cluster.Rank, lane Lane) time.Duration {
+	q := &d.queues[r][lane]
+	return time.Duration(q.len()) * q.pace.duration()
+}
+
+// ExpectedWait estimates the wait of a request that arrives now.
+func (d *Dispatcher) ExpectedWait(r cluster.Rank, lane Lane) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.expectedWait(r, lane)
+}
+
+func (d *Dispatcher) insert(w *waiter) {
+	if w.request.Pinned != "" {
+		d.server(w.request.Pinned).pinned.push(w)
+		return
+	}
+	d.queues[w.request.Rank][w.request.Lane].push(w)
+	d.bytes += int64(w.request.Bytes)
+}
+
+func (d *Dispatcher) remove(w *waiter) {
+	w.queue.waiters.Remove(w.element)
+	if w.queue.len() == 0 {
+		w.queue.lastGrant = time.Time{}
+	}
+	if w.request.Pinned == "" {
+		d.bytes -= int64(w.request.Bytes)
+	}
+}
+
+// waiting lists every waiter.
+func (d *Dispatcher) waiting() []*waiter {
+	var all []*waiter
+	for r := range d.queues {
+		for lane := range d.queues[r] {
+			all = appendWaiters(all, &d.queues[r][lane])
+		}
+	}
+	for _, s := range d.servers {
+		all = appendWaiters(all, &s.pinned)
+	}
+	return all
+}
+
+func appendWaiters(all []*waiter, q *queue) []*waiter {
+	for e := q.waiters.Front(); e != nil; e = e.Next() {
+		all = append(all, e.Value.(*waiter))
+	}
+	return all
+}
+
+// failPinned refuses statements that wait for a server that is not kept.
+func (d *Dispatcher) failPinned(kept []*server) {
+	for _, s := range d.servers {
+		if contains(kept, s) {
+			continue
+		}
+		for _, w := range appendWaiters(nil, &s.pinned) {
+			d.remove(w)
+			w.fail(errcode.New(errcode.ConnectionLost, "wait for slot", string(s.id)))
+		}
+	}
+}
+
+func contains(servers []*server, s *server) bool {
+	for _, have := range servers {
+		if have == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/rank/stats.go
@@ -0,0 +1,34 @@
+package rank
+
+import "github.com/rattancove/rattancove/internal/cluster"
+
+// Stats counts what a Dispatcher did, by rank.
+type Stats struct {
+	Granted [cluster.RankCount]uint64
+	// Refused counts requests that were not admitted to their queue.
+	Refused [cluster.RankCount]uint64
+	// Expired counts requests that left their queue without a slot.
+	Expired [cluster.RankCount]uint64
+	// SlotSeconds is the slot time that ended statements used.
+	SlotSeconds [cluster.RankCount]float64
+	// Queued and Running are the present numbers.
+	Queued  [cluster.RankCount]int
+	Running [cluster.RankCount]int
+	// QueuedBytes is the memory that waiting requests hold.
+	QueuedBytes int64
+}
+
+// Stats returns the counters and the present state.
+func (d *Dispatcher) Stats() Stats {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	stats := d.stats
+	stats.QueuedBytes = d.bytes
+	for r := range cluster.Rank(cluster.RankCount) {
+		stats.Queued[r] = d.queued(r)
+		for _, s := range d.servers {
+			stats.Running[r] += s.running[r]
+		}
+	}
+	return stats
+}
