--- /dev/null
+++ b/internal/home/home.go
@@ -0,0 +1,200 @@
+package home
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/rank"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// Config describes a Home.
+type Config struct {
+	ID cluster.ProxyID
+	// Policy selects how slots are given away; empty means rank.PolicyRanked.
+	Policy rank.Policy
+	// Proxies is the number of proxies that share each server under rank.PolicyStatic.
+	Proxies int
+	// Log receives events; the zero value discards them.
+	Log *zerolog.Logger
+}
+
+// Home runs the requests of the groups that this proxy owns. It is safe for
+// concurrent use.
+type Home struct {
+	config Config
+	dialer backend.Dialer
+	log    *zerolog.Logger
+
+	mu        sync.Mutex
+	groups    map[cluster.GroupName]environment.Group
+	ranks     environment.Ranks
+	limits    environment.Limits
+	owners    map[cluster.GroupName]*owner
+	leaving   map[cluster.ServerID]bool
+	releasing sync.WaitGroup
+	closed    bool
+}
+
+var _ statement.Runner = (*Home)(nil)
+
+// New returns a Home that owns no group. Close ends its goroutines.
+func New(config Config, dialer backend.Dialer) *Home {
+	log := config.Log
+	if log == nil {
+		nop := zerolog.Nop()
+		log = &nop
+	}
+	return &Home{
+		config: config, dialer: dialer, log: log,
+		groups:  make(map[cluster.GroupName]environment.Group),
+		owners:  make(map[cluster.GroupName]*owner),
+		leaving: make(map[cluster.ServerID]bool),
+	}
+}
+
+// SetDocument puts a document in force. Owners of groups that it no longer
+// has are given up; those whose servers changed go on with the new servers.
+func (h *Home) SetDocument(d *environment.Document) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ranks = d.Ranks
+	h.limits = d.Limits
+	h.groups = make(map[cluster.GroupName]environment.Group, len(d.Groups))
+	for _, g := range d.Groups {
+		h.groups[g.Name] = g
+	}
+	for name, o := range h.owners {
+		g, ok := h.groups[name]
+		if !ok {
+			h.release(name)
+			continue
+		}
+		o.configure(g, h.ranks, h.limits)
+	}
+}
+
+// Own makes this proxy the home of a group. It returns at once; the claim
+// goes on in the background until it succeeds, is superseded or the group is
+// disowned. Owning a group again has no effect unless it was superseded.
+func (h *Home) Own(group cluster.GroupName) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	g, ok := h.groups[group]
+	if !ok || h.closed {
+		return errcode.New(errcode.NoHome, "own", string(group))
+	}
+	if o, ok := h.owners[group]; ok {
+		if !o.superseded() {
+			return nil
+		}
+		h.release(group)
+	}
+	o := newOwner(h, g)
+	for id := range h.leaving {
+		o.setLeaving(id, true)
+	}
+	h.owners[group] = o
+	o.start()
+	return nil
+}
+
+// Disown gives a group up: it takes no more requests, lets running ones finish
+// within the drain time and closes the connections. It returns at once.
+func (h *Home) Disown(group cluster.GroupName) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.release(group)
+}
+
+// release removes an owner and drains it in the background. The caller holds the lock.
+func (h *Home) release(group cluster.GroupName) {
+	o, ok := h.owners[group]
+	if !ok {
+		return
+	}
+	delete(h.owners, group)
+	h.releasing.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), drainTime)
+		defer cancel()
+		o.close(ctx)
+	})
+}
+
+// SetLeaving records the backend servers that are about to be taken away.
+// Replicas among them get no new work from now on.
+func (h *Home) SetLeaving(server cluster.ServerID, leaving bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if leaving {
+		h.leaving[server] = true
+	} else {
+		delete(h.leaving, server)
+	}
+	for _, o := range h.owners {
+		o.setLeaving(server, leaving)
+	}
+}
+
+// Run implements statement.Runner for the owned groups.
+func (h *Home) Run(ctx context.Context, req *statement.Request, conv statement.Conversation) (statement.Result, error) {
+	o, err := h.owner(req.Group)
+	if err != nil {
+		return statement.Result{}, err
+	}
+	ctx = otel.GetTextMapPropagator().Extract(ctx, propagation.MapCarrier{"traceparent": req.TraceParent})
+	ctx, span := otel.Tracer("rattancove/home").Start(ctx, "home.run")
+	defer span.End()
+	span.SetAttributes(attribute.String("request", req.ID), attribute.String("rank", req.Rank.String()))
+	started := time.Now()
+	result, err := o.run(ctx, req, conv)
+	requestSeconds[rankOf(req)].UpdateDuration(started)
+	span.SetAttributes(attribute.String("server", string(result.Server)))
+	if err != nil {
+		span.RecordError(err)
+	}
+	return result, err
+}
+
+func rankOf(req *statement.Request) cluster.Rank {
+	return min(req.Rank, cluster.RankBackground)
+}
+
+func (h *Home) owner(group cluster.GroupName) (*owner, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return nil, errcode.New(errcode.Draining, "home", string(h.config.ID))
+	}
+	o, ok := h.owners[group]
+	if !ok {
+		return nil, errcode.New(errcode.NoHome, "home", string(group))
+	}
+	return o, nil
+}
+
+// Close gives all groups up and waits until their goroutines have ended. Work
+// that still runs when ctx ends is cut off.
+func (h *Home) Close(ctx context.Context) {
+	h.mu.Lock()
+	h.closed = true
+	owners := h.owners
+	h.owners = make(map[cluster.GroupName]*owner)
+	h.mu.Unlock()
+	var closing sync.WaitGroup
+	for _, o := range owners {
+		closing.Go(func() { o.close(ctx) })
+	}
+	closing.Wait()
+	h.releasing.Wait()
+}
--- /dev/null
+++ b/internal/home/node.go
@@ -0,0 +1,167 @@
+package home
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/pool"
+	"github.com/rattancove/rattancove/internal/rank"
+)
+
+const (
+	// reservedConnections are left to control connections of this home, to
+	// wardens and to a home that takes over.
+	reservedConnections = 4
+	// statusInterval is the time between two status calls when nothing waits for one.
+	statusInterval = 200 * time.Millisecond
+	// ackInterval is the time between two status calls while writes wait for replication.
+	ackInterval = 2 * time.Millisecond
+	// callTimeout bounds one call on a control connection and its opening.
+	callTimeout = 500 * time.Millisecond
+	// redialInitial and redialMax bound the wait before a control connection is opened anew.
+	redialInitial = 20 * time.Millisecond
+	redialMax     = 500 * time.Millisecond
+)
+
+// node is an owner's side of one backend server: the pool of data connections
+// and the goroutine of the control connection.
+type node struct {
+	owner  *owner
+	server cluster.Server
+	pool   *pool.Pool
+	ctx    context.Context
+	stop   context.CancelFunc
+	// kick asks for a status call at once.
+	kick chan struct{}
+	// pins are held by open transactions, so that some connections always
+	// serve single statements.
+	pins chan struct{}
+
+	// The owner's lock guards the fields below.
+
+	failing  bool
+	ejected  bool
+	leaving  bool
+	failures int
+	lag      lagEstimate
+}
+
+// startNode starts a node. The caller holds the owner's lock.
+func (o *owner) startNode(s cluster.Server) *node {
+	limit := connectionLimit(s, o.home.config)
+	n := &node{owner: o, server: s, kick: make(chan struct{}, 1)}
+	n.pins = make(chan struct{}, max(limit-s.Slots, 1))
+	n.ctx, n.stop = context.WithCancel(o.ctx)
+	n.pool = pool.New(pool.Config{Limit: limit, Dial: n.dial})
+	o.workers.Go(n.monitor)
+	return n
+}
+
+func connectionLimit(s cluster.Server, c Config) int {
+	if c.Policy == rank.PolicyStatic {
+		return max(s.Connections/max(c.Proxies, 1), 1)
+	}
+	return max(s.Connections-reservedConnections, s.Connections/2, 1)
+}
+
+func (n *node) dial(ctx context.Context) (backend.Conn, error) {
+	return n.owner.home.dialer.Dial(ctx, n.server, n.owner.name, n.owner.backendClaim())
+}
+
+// monitor keeps a control connection and reports the server's status until the node stops.
+func (n *node) monitor() {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval = redialInitial
+	retry.MaxInterval = redialMax
+	for n.ctx.Err() == nil {
+		control, err := n.dialControl()
+		if err == nil {
+			err = n.poll(control, retry)
+			_ = control.Close()
+		}
+		if n.ctx.Err() != nil {
+			return
+		}
+		n.owner.observeFailure(n, err)
+		sleep(n.ctx, retry.NextBackOff())
+	}
+}
+
+func (n *node) dialControl() (backend.Control, error) {
+	ctx, cancel := context.WithTimeout(n.ctx, callTimeout)
+	defer cancel()
+	return n.owner.home.dialer.DialControl(ctx, n.server, n.owner.name)
+}
+
+// poll calls for the status until a call fails.
+func (n *node) poll(control backend.Control, retry backoff.BackOff) error {
+	for {
+		r := report{known: true, ticket: n.owner.ticket.Load(), begun: time.Now()}
+		status, err := n.call(control)
+		if err != nil {
+			return err
+		}
+		retry.Reset()
+		r.status = status
+		r.answered = time.Now()
+		n.owner.observe(n, r)
+		if err := n.pause(r.ticket); err != nil {
+			return err
+		}
+	}
+}
+
+// call makes the owner's claim where the server does not have it yet, and
+// otherwise asks for the status.
+func (n *node) call(control backend.Control) (cluster.ServerStatus, error) {
+	ctx, cancel := context.WithTimeout(n.ctx, callTimeout)
+	defer cancel()
+	statusCallsTotal.Inc()
+	if c, ok := n.owner.claimFor(n.server.ID); ok {
+		status, err := control.Claim(ctx, c)
+		if err == nil {
+			return status, nil
+		}
+	}
+	return control.Status(ctx)
+}
+
+// pause waits until the next call is due: at once when a proof was asked for
+// since the last call began.
+func (n *node) pause(ticket uint64) error {
+	if n.owner.ticket.Load() > ticket {
+		return n.ctx.Err()
+	}
+	interval := statusInterval
+	if n.owner.acking.Load() > 0 {
+		interval = ackInterval
+	}
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	select {
+	case <-n.kick:
+	case <-timer.C:
+	case <-n.ctx.Done():
+	}
+	return n.ctx.Err()
+}
+
+func wake(kick chan<- struct{}) {
+	select {
+	case kick <- struct{}{}:
+	default:
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/home/observe.go
@@ -0,0 +1,251 @@
+package home
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/rank"
+	"github.com/rattancove/rattancove/internal/route"
+)
+
+// claimRetryMax is the longest wait before a claim that lost against another one is made again.
+const claimRetryMax = 50 * time.Millisecond
+
+// observe takes in the status of a server.
+func (o *owner) observe(n *node, r report) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.nodes[n.server.ID] != n {
+		return
+	}
+	n.failing = false
+	n.lag.observe(r.status.Replayed, r.answered, o.commits)
+	if o.view.observe(n.server.ID, r) {
+		o.primaryChanged()
+	}
+	o.checkClaim(r.status)
+	o.sample()
+	o.rebuild()
+	o.signal()
+}
+
+// observeFailure records that the control connection to a server failed.
+func (o *owner) observeFailure(n *node, err error) {
+	eventControl.Log(o.home.log).Str("server", string(n.server.ID)).Err(err).Send()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if n.failing || o.nodes[n.server.ID] != n {
+		return
+	}
+	n.failing = true
+	o.rebuild()
+	o.signal()
+}
+
+// primaryChanged ends what runs at the old primary. The caller holds the lock.
+func (o *owner) primaryChanged() {
+	o.termCancel()
+	o.termCtx, o.termCancel = context.WithCancel(o.ctx)
+	eventPrimary.Log(o.home.log).Str("group", string(o.name)).
+		Str("primary", string(o.view.primary)).Uint64("term", uint64(o.view.term)).Send()
+}
+
+// checkClaim finds out that another home has claimed the group.
+func (o *owner) checkClaim(s cluster.ServerStatus) {
+	if o.phase != phaseServing || o.shared() {
+		return
+	}
+	if s.Epoch > o.claim.epoch {
+		o.supersede(s.Home)
+	}
+}
+
+// sample records a proven position of the primary.
+func (o *owner) sample() {
+	if o.phase != phaseServing {
+		return
+	}
+	at, ok := o.view.sampleTime(o.claim)
+	if !ok {
+		return
+	}
+	o.history = o.history.With(route.Sample{At: at, Position: o.view.reports[o.view.primary].status.Received})
+}
+
+// rebuild replaces what the routing decisions see.
+func (o *owner) rebuild() {
+	g := &route.Group{Term: o.view.term, History: o.history, Commits: o.commits}
+	if o.view.primaryKnown() {
+		g.Primary = o.view.primary
+	}
+	for _, s := range o.spec.Servers {
+		g.Servers = append(g.Servers, o.routeServer(o.nodes[s.ID]))
+	}
+	o.group.Store(g)
+	o.dispatcher.SetPrimary(g.Primary, o.readLimit(g))
+}
+
+func (o *owner) routeServer(n *node) route.Server {
+	r := o.view.reports[n.server.ID]
+	lane := rank.LaneRead
+	if n.server.ID == o.view.primary {
+		lane = rank.LanePrimary
+	}
+	return route.Server{
+		ID: n.server.ID, Term: r.status.Term, Replayed: r.status.Replayed, Observed: r.begun,
+		Lag: n.lag.value, Wait: o.dispatcher.ExpectedWait(cluster.RankNormal, lane),
+		Ejected: n.ejected, Leaving: n.leaving, Reachable: r.known && !n.failing,
+		Diverged: o.view.lineage.retention(r.status.Replayed, o.view.term) == lost,
+	}
+}
+
+// readLimit is the number of slots that reads may take at the primary. One is
+// left to writes when no replica is there to take reads.
+func (o *owner) readLimit(g *route.Group) int {
+	n, ok := o.nodes[g.Primary]
+	if !ok {
+		return 0
+	}
+	if g.Replicas() > 0 || len(o.nodes) == 1 {
+		return n.server.Slots
+	}
+	return max(n.server.Slots-1, 1)
+}
+
+// setLeaving marks a server that is about to be taken away.
+func (o *owner) setLeaving(id cluster.ServerID, leaving bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n, ok := o.nodes[id]
+	if !ok || n.leaving == leaving {
+		return
+	}
+	n.leaving = leaving
+	o.rebuild()
+}
+
+// claimFor returns the claim to make at a server that does not have it yet.
+func (o *owner) claimFor(id cluster.ServerID) (backend.Claim, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.claim.epoch == 0 || o.phase == phaseSuperseded {
+		return backend.Claim{}, false
+	}
+	if o.view.reports[id].status.Epoch >= o.claim.epoch {
+		return backend.Claim{}, false
+	}
+	return backend.Claim{Epoch: o.claim.epoch, Home: o.claim.home}, true
+}
+
+// draw begins a proof: every status call that begins from now on counts for it.
+func (o *owner) draw() uint64 {
+	proofsTotal.Inc()
+	return o.refresh()
+}
+
+// refresh asks every server for its status and returns the ticket that the
+// answers will carry. It takes no lock.
+func (o *owner) refresh() uint64 {
+	ticket := o.ticket.Add(1)
+	for _, kick := range *o.kicks.Load() {
+		wake(kick)
+	}
+	return ticket
+}
+
+// await waits until check is satisfied by the view, or fails. check is called
+// with the lock held, again after every change.
+func (o *owner) await(ctx context.Context, check func() (bool, error)) error {
+	for {
+		o.mu.Lock()
+		ok, err := check()
+		if err == nil && !ok {
+			err = o.stopped()
+			if o.phase == phaseDraining && o.ctx.Err() == nil {
+				err = nil
+			}
+		}
+		changed := o.changed
+		o.mu.Unlock()
+		if ok || err != nil {
+			return err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-o.ctx.Done():
+			return errcode.New(errcode.Draining, "home", string(o.home.config.ID))
+		}
+	}
+}
+
+// establish claims the group and learns the position of its proven primary.
+func (o *owner) establish() {
+	if !o.shared() {
+		if err := o.claimMajority(); err != nil {
+			return
+		}
+	}
+	ticket := o.draw()
+	err := o.await(o.ctx, func() (bool, error) {
+		if !o.view.proven(requirement{ticket: ticket, claim: o.claim, term: o.view.term}) {
+			return false, nil
+		}
+		primary, ok := o.view.reports[o.view.primary]
+		if !ok || primary.ticket < ticket || primary.status.Role != cluster.RolePrimary {
+			return false, nil
+		}
+		o.commits = o.commits.With(route.Sample{At: time.Now(), Position: primary.status.Received})
+		o.highWater = primary.status.Received
+		o.fallback = primary.status.Received
+		o.phase = phaseServing
+		o.signal()
+		o.rebuild()
+		return true, nil
+	})
+	if err != nil {
+		return
+	}
+	eventClaimed.Log(o.home.log).Str("group", string(o.name)).Uint64("epoch", uint64(o.claim.epoch)).Send()
+}
+
+// claimMajority raises the epoch above every reported one until a majority
+// has accepted it for this home.
+func (o *owner) claimMajority() error {
+	for {
+		ticket := o.draw()
+		err := o.await(o.ctx, func() (bool, error) {
+			return o.view.answered(ticket) >= cluster.Majority(o.view.size), nil
+		})
+		if err != nil {
+			return err
+		}
+		won, err := o.tryClaim()
+		if won || err != nil {
+			return err
+		}
+		sleep(o.ctx, time.Duration(rand.Int64N(int64(claimRetryMax))))
+	}
+}
+
+// tryClaim makes one claim. It reports false when a majority cannot accept it
+// because other homes have claimed at the same time.
+func (o *owner) tryClaim() (bool, error) {
+	o.mu.Lock()
+	epoch, _ := o.view.maxEpoch()
+	o.claim = claim{epoch: epoch + 1, home: o.home.config.ID}
+	o.mu.Unlock()
+	o.draw()
+	won := false
+	err := o.await(o.ctx, func() (bool, error) {
+		mine, taken := o.view.claims(o.claim)
+		won = mine >= cluster.Majority(o.view.size)
+		return won || taken > o.view.size-cluster.Majority(o.view.size), nil
+	})
+	return won, err
+}
--- /dev/null
+++ b/internal/home/owner.go
@@ -0,0 +1,276 @@
+package home
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/rank"
+	"github.com/rattancove/rattancove/internal/route"
+)
+
+const (
+	// drainTime bounds the wait for running requests when a group is given up.
+	drainTime = 10 * time.Second
+	// defaultTimeout bounds a request that states no timeout.
+	defaultTimeout = 30 * time.Second
+	// defaultTransactionTime and defaultIdleTime bound transactions when the
+	// document does not.
+	defaultTransactionTime = 5 * time.Minute
+	defaultIdleTime        = time.Minute
+	// historyLimit, historySpacing, commitLimit and commitSpacing bound the
+	// remembered positions of the primary.
+	historyLimit   = 1024
+	historySpacing = 20 * time.Millisecond
+	commitLimit    = 512
+	commitSpacing  = time.Millisecond
+)
+
+// phase is the state of an owner.
+type phase uint8
+
+const (
+	// phaseClaiming lasts until a majority accepted the claim and the log
+	// position of the proven primary is known.
+	phaseClaiming phase = iota
+	phaseServing
+	phaseSuperseded
+	phaseDraining
+)
+
+func (p phase) String() string {
+	return [...]string{"claiming", "serving", "superseded", "draining"}[p]
+}
+
+// owner is this proxy's hold on one group. It owns the connections to the
+// group's servers.
+type owner struct {
+	home       *Home
+	name       cluster.GroupName
+	dispatcher *rank.Dispatcher
+	budget     *rank.Budget
+	ctx        context.Context
+	cancel     context.CancelFunc
+	workers    sync.WaitGroup
+	running    sync.WaitGroup
+
+	// ticket numbers proofs; see await.
+	ticket atomic.Uint64
+	// acking counts writes that wait for replication.
+	acking atomic.Int32
+	// kicks wake the control connections; the slice is replaced as a whole.
+	kicks atomic.Pointer[[]chan struct{}]
+	// group is what the routing decisions see; it is replaced as a whole.
+	group atomic.Pointer[route.Group]
+
+	mu     sync.Mutex
+	spec   environment.Group
+	ranks  environment.Ranks
+	limits environment.Limits
+	nodes  map[cluster.ServerID]*node
+	view   *view
+	// changed is closed and replaced whenever the view or the phase changes.
+	changed chan struct{}
+	phase   phase
+	claim   claim
+	holder  cluster.ProxyID
+	// history holds proven positions of the primary, commits those of answered commits.
+	history  *route.History
+	commits  *route.History
+	sessions *sessions
+	// highWater is the last position that was acknowledged to anyone.
+	highWater cluster.Position
+	// fallback is a floor for sessions that are not remembered.
+	fallback cluster.Position
+	// termCtx ends when the learned term or primary changes.
+	termCtx    context.Context
+	termCancel context.CancelFunc
+}
+
+func newOwner(h *Home, g environment.Group) *owner {
+	ctx, cancel := context.WithCancel(context.Background())
+	o := &owner{
+		home: h, name: g.Name, budget: rank.NewBudget(), ctx: ctx, cancel: cancel,
+		spec: g, ranks: h.ranks, limits: h.limits,
+		nodes: make(map[cluster.ServerID]*node), view: newView(len(g.Servers)),
+		changed: make(chan struct{}), sessions: newSessions(sessionLimit),
+		history: route.NewHistory(historyLimit, historySpacing),
+		commits: route.NewHistory(commitLimit, commitSpacing),
+	}
+	o.termCtx, o.termCancel = context.WithCancel(ctx)
+	o.dispatcher = rank.New(o.rankConfig())
+	o.group.Store(&route.Group{})
+	return o
+}
+
+func (o *owner) rankConfig() rank.Config {
+	return rank.Config{
+		Policy: o.home.config.Policy, Ranks: o.ranks,
+		QueueBytes: o.limits.QueueBytes, Proxies: o.home.config.Proxies,
+	}
+}
+
+// shared reports whether other proxies use the group's connections as well,
+// as under the static policy. Nothing is claimed then.
+func (o *owner) shared() bool { return o.home.config.Policy == rank.PolicyStatic }
+
+func (o *owner) start() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.setServers()
+	o.workers.Go(o.establish)
+}
+
+// configure applies a new document to a running owner.
+func (o *owner) configure(g environment.Group, ranks environment.Ranks, limits environment.Limits) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.spec = g
+	o.ranks = ranks
+	o.limits = limits
+	o.dispatcher.Configure(o.rankConfig())
+	o.setServers()
+	o.rebuild()
+}
+
+// setServers starts and stops nodes so that they match the document.
+func (o *owner) setServers() {
+	wanted := make(map[cluster.ServerID]bool, len(o.spec.Servers))
+	servers := make([]cluster.Server, 0, len(o.spec.Servers))
+	for _, s := range o.spec.Servers {
+		server := s.Cluster()
+		wanted[server.ID] = true
+		servers = append(servers, server)
+		old, ok := o.nodes[server.ID]
+		if ok && old.server == server {
+			continue
+		}
+		if ok {
+			o.retire(old)
+		}
+		o.nodes[server.ID] = o.startNode(server)
+	}
+	for id, n := range o.nodes {
+		if !wanted[id] {
+			o.retire(n)
+			delete(o.nodes, id)
+			delete(o.view.reports, id)
+		}
+	}
+	o.view.size = len(servers)
+	kicks := make([]chan struct{}, 0, len(o.nodes))
+	for _, n := range o.nodes {
+		kicks = append(kicks, n.kick)
+	}
+	o.kicks.Store(&kicks)
+	o.dispatcher.SetServers(servers)
+}
+
+func (o *owner) retire(n *node) {
+	n.stop()
+	o.workers.Go(func() {
+		ctx, cancel := context.WithTimeout(o.ctx, drainTime)
+		defer cancel()
+		n.pool.Close(ctx)
+	})
+}
+
+// backendClaim is the claim that data connections are opened with.
+func (o *owner) backendClaim() backend.Claim {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return backend.Claim{Epoch: o.claim.epoch, Home: o.claim.home}
+}
+
+func (o *owner) superseded() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.phase == phaseSuperseded
+}
+
+// supersede stops an owner whose group another home has claimed. The caller holds the lock.
+func (o *owner) supersede(holder cluster.ProxyID) {
+	if o.phase == phaseSuperseded || o.phase == phaseDraining {
+		return
+	}
+	o.phase = phaseSuperseded
+	o.holder = holder
+	o.signal()
+	o.termCancel()
+	eventSuperseded.Log(o.home.log).Str("group", string(o.name)).Str("holder", string(holder)).Send()
+}
+
+// stopped returns the error for requests of an owner that serves no longer.
+func (o *owner) stopped() error {
+	switch o.phase {
+	case phaseSuperseded:
+		return errcode.New(errcode.Superseded, "home", string(o.holder))
+	case phaseDraining:
+		return errcode.New(errcode.Draining, "home", string(o.home.config.ID))
+	default:
+		return nil
+	}
+}
+
+// signal wakes everything that waits for a change. The caller holds the lock.
+func (o *owner) signal() {
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+// enter counts a running request, unless the owner serves no longer.
+func (o *owner) enter() error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err := o.stopped(); err != nil {
+		return err
+	}
+	o.running.Add(1)
+	return nil
+}
+
+// close drains the owner: no new requests, running ones may finish until ctx
+// ends, then every connection is closed and every goroutine ends.
+func (o *owner) close(ctx context.Context) {
+	o.mu.Lock()
+	if o.phase != phaseSuperseded {
+		o.phase = phaseDraining
+	}
+	o.mu.Unlock()
+	o.drain(ctx)
+	o.mu.Lock()
+	o.signal()
+	o.cancel()
+	nodes := o.nodes
+	o.mu.Unlock()
+	o.dispatcher.Close()
+	var closing sync.WaitGroup
+	for _, n := range nodes {
+		n.stop()
+		closing.Go(func() { n.pool.Close(ctx) })
+	}
+	closing.Wait()
+	o.running.Wait()
+	o.workers.Wait()
+	eventReleased.Log(o.home.log).Str("group", string(o.name)).Send()
+}
+
+func (o *owner) drain(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		o.running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		o.cancel()
+		o.dispatcher.Close()
+		<-done
+	}
+}
--- /dev/null
+++ b/internal/home/primary.go
@@ -0,0 +1,139 @@
+package home
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/order"
+	"github.com/rattancove/rattancove/internal/rank"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// retryPause is the step by which the pause before each further attempt grows.
+const retryPause = 25 * time.Millisecond
+
+// runPrimary runs a write, a primary read or a transaction on the primary. It
+// repeats attempts that did not run, and those with an unknown outcome when
+// the request carries an order id.
+func (o *owner) runPrimary(ctx context.Context, r *request) (statement.Result, error) {
+	attempts := order.New(r.OrderID != "", r.deadline)
+	for attempt := 1; ; attempt++ {
+		result, err := o.tryPrimary(ctx, r, attempts)
+		if err == nil {
+			return result, nil
+		}
+		if !o.mayRepeatWrite(ctx, r, attempts, err) {
+			if attempts.Outcome() == errcode.OutcomeUnknown {
+				unknownTotal.Inc()
+			}
+			return result, attempts.Error(err)
+		}
+		retriesTotal.Inc()
+		_ = attempts.Fire(order.EventRetry)
+		sleep(ctx, jittered(time.Duration(attempt)*retryPause))
+	}
+}
+
+func jittered(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)))
+}
+
+func (o *owner) mayRepeatWrite(ctx context.Context, r *request, attempts *order.Attempts, err error) bool {
+	if r.conv.passed.Load() || ctx.Err() != nil || !attempts.MayRetry(time.Now()) {
+		return false
+	}
+	if !transient(err) {
+		return false
+	}
+	o.mu.Lock()
+	stopped := o.stopped()
+	o.mu.Unlock()
+	return stopped == nil && o.budget.Spend()
+}
+
+func (o *owner) tryPrimary(ctx context.Context, r *request, attempts *order.Attempts) (statement.Result, error) {
+	if r.First.Class == statement.ClassBegin {
+		return o.tryTransaction(ctx, r, attempts)
+	}
+	w, err := o.begin(ctx, r, rank.LanePrimary)
+	if err != nil {
+		_ = attempts.Fire(order.EventRefuse)
+		return statement.Result{}, err
+	}
+	w.attempts = attempts
+	return o.runFirst(ctx, w)
+}
+
+// runFirst runs the first batch on the primary and the rest of the
+// transaction if it opened one.
+func (o *owner) runFirst(ctx context.Context, w *work) (statement.Result, error) {
+	r := w.request
+	x := &backend.Exchange{Batch: &r.First, Gate: o.gate(r, w.group.Term)}
+	if holds(r.First.Class) || r.refused {
+		x.HoldAnswer = true
+		x.Release = w.acknowledge
+	}
+	limited, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	_ = w.attempts.Fire(order.EventSend)
+	answer, err := w.exchange(limited, x)
+	if err != nil {
+		err = w.settle(err)
+		w.end(false)
+		if ctx.Err() == nil {
+			o.noteFailure(w.node)
+		}
+		return w.result, err
+	}
+	w.count(answer)
+	if answer.Tx != backend.TxIdle {
+		return o.continueTransaction(ctx, w)
+	}
+	w.end(false)
+	return w.result, nil
+}
+
+// holds reports whether the answer to a batch of the class is held back until
+// the write that it may tell of is acknowledged.
+func holds(c statement.Class) bool {
+	return c == statement.ClassWrite || c == statement.ClassCopyData
+}
+
+func (w *work) count(a backend.Answer) {
+	if a.Repeat {
+		w.result.Repeat = true
+		repeatsTotal.Inc()
+	}
+	if w.request.First.Class == statement.ClassPrimaryRead {
+		w.result.Observed = a.Position
+		readsPrimaryTotal.Inc()
+		return
+	}
+	writesTotal.Inc()
+}
+
+// settle turns the error of a failed exchange into the outcome of the attempt.
+func (w *work) settle(err error) error {
+	e := errcode.From(err)
+	peer := string(w.node.server.ID)
+	notRun := !w.conn.Sent() || w.request.First.Class.ReadOnly()
+	switch {
+	case w.attempts.State() == order.StateDone:
+		return err
+	case notRun:
+		_ = w.attempts.Fire(order.EventRefuse)
+		if e.Code.Outcome == errcode.OutcomeNotRun {
+			return e
+		}
+		return errcode.Wrap(err, errcode.ConnectionLost, e.Step, peer)
+	case w.attempts.State() != order.StateUnknown:
+		_ = w.attempts.Fire(order.EventFail)
+	}
+	if e.Code.Outcome == errcode.OutcomeUnknown {
+		return e
+	}
+	return errcode.Wrap(err, errcode.Unknown, e.Step, peer)
+}
--- /dev/null
+++ b/internal/home/read.go
@@ -0,0 +1,116 @@
+package home
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/order"
+	"github.com/rattancove/rattancove/internal/rank"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// runRead runs a read, or a read-only transaction, where it is fresh enough.
+// A read that failed before anything was passed on is repeated elsewhere.
+func (o *owner) runRead(ctx context.Context, r *request) (statement.Result, error) {
+	for attempt := 1; ; attempt++ {
+		result, err := o.tryRead(ctx, r)
+		if err == nil {
+			return result, nil
+		}
+		if r.refused {
+			return o.runPrimary(ctx, r)
+		}
+		if attempt == maxReadAttempts || !o.mayRepeatRead(r, err) {
+			return result, err
+		}
+		retriesTotal.Inc()
+		sleep(ctx, time.Duration(attempt-1)*retryPause)
+	}
+}
+
+func (o *owner) mayRepeatRead(r *request, err error) bool {
+	if r.conv.passed.Load() || !time.Now().Before(r.deadline) {
+		return false
+	}
+	if !transient(err) {
+		return false
+	}
+	return o.budget.Spend()
+}
+
+// transient reports whether another attempt may end differently.
+func transient(err error) bool {
+	return errcode.Is(err, errcode.ConnectionLost) || errcode.Is(err, errcode.Unknown) ||
+		errcode.Is(err, errcode.Internal) || errors.Is(err, errTermChanged)
+}
+
+func (o *owner) tryRead(ctx context.Context, r *request) (statement.Result, error) {
+	w, err := o.begin(ctx, r, rank.LaneRead)
+	if err != nil {
+		return statement.Result{}, err
+	}
+	w.attempts = order.New(false, r.deadline)
+	x := &backend.Exchange{Batch: &r.First}
+	if w.onPrimary() || r.ticket != 0 {
+		x.Gate = o.gate(r, w.group.Term)
+	}
+	limited, cancel := context.WithDeadline(ctx, r.deadline)
+	answer, err := w.exchange(limited, x)
+	cancel()
+	if err != nil {
+		w.end(false)
+		o.readFailed(ctx, r, w, err)
+		return w.result, readError(err, w)
+	}
+	if answer.ReadOnlyRefused {
+		w.end(false)
+		r.refused = true
+		return w.result, errcode.New(errcode.NotFresh, "read-only server", string(w.node.server.ID))
+	}
+	o.readDone(w)
+	if answer.Tx != backend.TxIdle {
+		return o.continueTransaction(ctx, w)
+	}
+	w.end(false)
+	return w.result, nil
+}
+
+func (o *owner) readDone(w *work) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	w.node.failures = 0
+	w.result.Observed = o.view.reports[w.node.server.ID].status.Replayed
+	if w.onPrimary() {
+		readsPrimaryTotal.Inc()
+		return
+	}
+	for _, s := range w.group.Servers {
+		if s.ID == w.node.server.ID {
+			w.result.Observed = s.Replayed
+		}
+	}
+	readsReplicaTotal.Inc()
+}
+
+// readFailed notes a failure so that the next attempt goes elsewhere.
+func (o *owner) readFailed(ctx context.Context, r *request, w *work, err error) {
+	if ctx.Err() != nil || errcode.Is(err, errcode.NotFresh) {
+		return
+	}
+	if !w.onPrimary() {
+		r.failed = append(r.failed, w.node.server.ID)
+	}
+	o.noteFailure(w.node)
+}
+
+// readError states that a failed read did not run, whatever the adapter could tell.
+func readError(err error, w *work) error {
+	e := errcode.From(err)
+	if e.Code.Outcome == errcode.OutcomeNotRun {
+		return e
+	}
+	return errcode.Wrap(err, errcode.ConnectionLost, e.Step, string(w.node.server.ID))
+}
--- /dev/null
+++ b/internal/home/request.go
@@ -0,0 +1,194 @@
+package home
+
+import (
+	"context"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/rank"
+	"github.com/rattancove/rattancove/internal/route"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// maxReadAttempts bounds the attempts of one read.
+const maxReadAttempts = 4
+
+// request is a request on its way through the owner.
+type request struct {
+	*statement.Request
+	rank     cluster.Rank
+	conv     *conversation
+	arrived  time.Time
+	deadline time.Time
+	// ticket was drawn after the request arrived. A proof for it shows what
+	// held at some time after the arrival.
+	ticket uint64
+	// failed names servers on which the request has failed.
+	failed []cluster.ServerID
+	// refused is set when a replica refused the request as a write.
+	refused bool
+}
+
+func (o *owner) newRequest(req *statement.Request, conv statement.Conversation) *request {
+	r := &request{
+		Request: req, rank: rankOf(req), conv: &conversation{Conversation: conv},
+		arrived: time.Now(),
+	}
+	timeout := req.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	r.deadline = r.arrived.Add(timeout)
+	return r
+}
+
+// run serves one request.
+func (o *owner) run(ctx context.Context, req *statement.Request, conv statement.Conversation) (statement.Result, error) {
+	if err := o.enter(); err != nil {
+		return statement.Result{}, err
+	}
+	defer o.running.Done()
+	o.budget.Earn()
+	r := o.newRequest(req, conv)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(o.ctx, cancel)()
+	if err := o.awaitServing(ctx, r); err != nil {
+		return statement.Result{}, err
+	}
+	if o.needsProof(r) {
+		r.ticket = o.draw()
+	}
+	if req.First.Class == statement.ClassRead || req.First.Class == statement.ClassBeginReadOnly {
+		return o.runRead(ctx, r)
+	}
+	return o.runPrimary(ctx, r)
+}
+
+// awaitServing waits until the claim is complete.
+func (o *owner) awaitServing(ctx context.Context, r *request) error {
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	err := o.await(ctx, func() (bool, error) { return o.phase != phaseClaiming, nil })
+	if err != nil && ctx.Err() != nil {
+		return errcode.Wrap(err, errcode.NoHome, "claim", string(o.name))
+	}
+	return err
+}
+
+// needsProof reports whether the request needs a majority's word that this
+// owner and its primary are the present ones.
+func (o *owner) needsProof(r *request) bool {
+	read := r.First.Class == statement.ClassRead || r.First.Class == statement.ClassBeginReadOnly
+	return !read || !r.FloorExact || r.Freshness.Mode == statement.FreshnessLatest
+}
+
+// gate waits for the proof that the owner and the term stood after the
+// request arrived. The ticket is drawn late when only the choice of the
+// primary made the proof necessary.
+func (o *owner) gate(r *request, term cluster.Term) func(context.Context) error {
+	if r.ticket == 0 {
+		r.ticket = o.draw()
+	}
+	return func(ctx context.Context) error {
+		err := o.await(ctx, func() (bool, error) {
+			if o.view.term != term {
+				return false, errTermChanged
+			}
+			return o.view.proven(requirement{ticket: r.ticket, claim: o.claim, term: term}), nil
+		})
+		if err != nil {
+			return errcode.Wrap(err, errcode.NotFresh, "proof of term", string(o.name))
+		}
+		return nil
+	}
+}
+
+// floor returns the position that a read of the request must see.
+func (o *owner) floor(r *request) (cluster.Position, bool, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	floor := r.Floor
+	known := true
+	if !r.FloorExact {
+		remembered, ok := o.sessions.floor(r.Session)
+		if !ok || r.Session == "" {
+			remembered = o.fallback
+		}
+		floor = cluster.MaxPosition(floor, remembered)
+		known = !o.shared()
+	}
+	if r.Freshness.Mode == statement.FreshnessLatest {
+		floor = cluster.MaxPosition(floor, o.highWater)
+		known = !o.shared()
+	}
+	return floor, known, o.checkRetained(floor)
+}
+
+// checkRetained refuses a position that the present term does not have. Where
+// the beginning of a term is unknown, a position counts as retained only if
+// every acknowledged write is kept by the promotion policy.
+func (o *owner) checkRetained(p cluster.Position) error {
+	switch o.view.lineage.retention(p, o.view.term) {
+	case retained:
+		return nil
+	case undecided:
+		if o.acknowledgedAreKept() {
+			return nil
+		}
+	}
+	return errcode.New(errcode.PositionLost, "floor "+p.String(), string(o.name))
+}
+
+// query describes the request to the routing decision.
+func (o *owner) query(r *request) (route.Query, error) {
+	floor, known, err := o.floor(r)
+	return route.Query{
+		Class: r.First.Class, Floor: floor, FloorKnown: known, Freshness: r.Freshness,
+		Arrived: r.arrived, PrimaryOnly: r.refused, Failed: r.failed,
+	}, err
+}
+
+// acquire waits for a slot at a server that suits the request.
+func (o *owner) acquire(ctx context.Context, r *request, lane rank.Lane, q route.Query) (*rank.Grant, error) {
+	grant, err := o.dispatcher.Acquire(ctx, rank.Request{
+		Rank: r.rank, Lane: lane, Bytes: len(r.First.Messages), Deadline: r.deadline,
+		Eligible: func(id cluster.ServerID, now time.Time) rank.Verdict { return o.judge(q, id, now) },
+	})
+	if err == nil {
+		waitSeconds[r.rank].Update(grant.Waited.Seconds())
+		return grant, nil
+	}
+	if o.group.Load().Primary == "" && lane == rank.LanePrimary && !errcode.Is(err, errcode.Draining) {
+		return nil, errcode.Wrap(err, errcode.NoPrimary, "wait for primary", string(o.name))
+	}
+	return nil, err
+}
+
+// judge applies the routing decision to one server with a free slot.
+func (o *owner) judge(q route.Query, id cluster.ServerID, now time.Time) rank.Verdict {
+	d := route.Decide(q, o.group.Load(), now)
+	var next time.Time
+	for _, option := range d.Options {
+		if option.Overdue {
+			o.refresh()
+		}
+		if option.NotBefore.After(now) {
+			if next.IsZero() || option.NotBefore.Before(next) {
+				next = option.NotBefore
+			}
+			continue
+		}
+		if option.Server == id {
+			return rank.Verdict{OK: true, Reason: string(option.Reason)}
+		}
+	}
+	return rank.Verdict{RetryAt: next}
+}
+
+func (o *owner) node(id cluster.ServerID) *node {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.nodes[id]
+}
--- a/internal/home/sessions.go
+++ b/internal/home/sessions.go
@@ -15,6 +15,8 @@
 	limit   int
 	entries map[string]*list.Element
 	recent  list.List
+	// forgotten is the latest write of any session that was dropped.
+	forgotten cluster.Position
 }
 
 type sessionFloor struct {
@@ -40,9 +42,9 @@
 	}
 	s.entries[session] = s.recent.PushFront(&sessionFloor{session: session, floor: p})
 	if s.recent.Len() > s.limit {
-		oldest := s.recent.Back()
-		s.recent.Remove(oldest)
-		delete(s.entries, oldest.Value.(*sessionFloor).session)
+		oldest := s.recent.Remove(s.recent.Back()).(*sessionFloor)
+		delete(s.entries, oldest.session)
+		s.forgotten = cluster.MaxPosition(s.forgotten, oldest.floor)
 	}
 }
 
--- /dev/null
+++ b/internal/home/transaction.go
@@ -0,0 +1,165 @@
+package home
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/order"
+	"github.com/rattancove/rattancove/internal/rank"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// tryTransaction opens a transaction on the primary. It takes a pin first, so
+// that open transactions leave connections for single statements.
+func (o *owner) tryTransaction(ctx context.Context, r *request, attempts *order.Attempts) (statement.Result, error) {
+	w, err := o.begin(ctx, r, rank.LanePrimary)
+	if err != nil {
+		_ = attempts.Fire(order.EventRefuse)
+		return statement.Result{}, err
+	}
+	w.attempts = attempts
+	if !w.pin() {
+		w.end(false)
+		_ = attempts.Fire(order.EventRefuse)
+		err := errcode.New(errcode.Overloaded, "open transactions", string(w.node.server.ID))
+		err.RetryAfter = retryPause
+		return w.result, err
+	}
+	return o.runFirst(ctx, w)
+}
+
+func (w *work) pin() bool {
+	select {
+	case w.node.pins <- struct{}{}:
+		w.pinned = true
+		return true
+	default:
+		return false
+	}
+}
+
+// continueTransaction runs the caller's batches until the transaction ends.
+func (o *owner) continueTransaction(ctx context.Context, w *work) (statement.Result, error) {
+	transactionsTotal.Inc()
+	ctx, cancel := context.WithDeadline(ctx, w.request.arrived.Add(o.transactionTime()))
+	defer cancel()
+	defer context.AfterFunc(w.termCtx, cancel)()
+	w.grant.Release()
+	for {
+		batch, err := w.next(ctx)
+		if errors.Is(err, io.EOF) {
+			w.end(true)
+			return w.result, nil
+		}
+		if err != nil {
+			w.end(true)
+			return w.result, err
+		}
+		answer, err := w.statement(ctx, batch)
+		if err != nil {
+			w.end(true)
+			return w.result, err
+		}
+		if answer.Tx == backend.TxIdle {
+			w.end(false)
+			return w.result, nil
+		}
+	}
+}
+
+// next waits for the caller's next batch within the limits of the document.
+func (w *work) next(ctx context.Context) (*statement.Batch, error) {
+	idle, cancel := context.WithTimeout(ctx, w.owner.idleTime())
+	defer cancel()
+	batch, err := w.request.conv.Next(idle)
+	peer := string(w.node.server.ID)
+	switch {
+	case err == nil:
+		return batch, nil
+	case errors.Is(err, io.EOF):
+		return nil, err
+	case w.termCtx.Err() != nil:
+		return nil, errcode.Wrap(err, errcode.ConnectionLost, "transaction", peer)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return nil, errcode.Wrap(err, errcode.LimitExceeded, "transaction time", peer)
+	case idle.Err() != nil && ctx.Err() == nil:
+		return nil, errcode.Wrap(err, errcode.IdleTransaction, "wait for caller", peer)
+	default:
+		return nil, errcode.Wrap(err, errcode.ConnectionLost, "wait for caller", peer)
+	}
+}
+
+// statement runs one batch of an open transaction in a slot of its own.
+func (w *work) statement(ctx context.Context, batch *statement.Batch) (backend.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, w.owner.statementTime())
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	grant, err := w.owner.dispatcher.Acquire(ctx, rank.Request{
+		Rank: w.request.rank, Pinned: w.node.server.ID, Deadline: deadline,
+	})
+	if err != nil && w.termCtx.Err() != nil {
+		return backend.Answer{}, errcode.Wrap(err, errcode.ConnectionLost, "transaction", string(w.node.server.ID))
+	}
+	if err != nil {
+		return backend.Answer{}, err
+	}
+	defer grant.Release()
+	w.grant = grant
+	w.attempts = order.New(false, w.request.deadline)
+	_ = w.attempts.Fire(order.EventSend)
+	x := &backend.Exchange{Batch: batch}
+	if w.onPrimary() && holds(batch.Class) {
+		x.HoldAnswer = true
+		x.Release = w.acknowledge
+		w.request.deadline = deadline
+	}
+	answer, err := w.exchange(ctx, x)
+	if err != nil {
+		return answer, w.settleStatement(batch, err)
+	}
+	return answer, nil
+}
+
+// settleStatement tells whether a failed batch may have ended the transaction
+// with a commit. If not, the server rolls the transaction back.
+func (w *work) settleStatement(batch *statement.Batch, err error) error {
+	e := errcode.From(err)
+	peer := string(w.node.server.ID)
+	if w.attempts.State() == order.StateDone {
+		return err
+	}
+	if !w.conn.Sent() || !holds(batch.Class) || !w.onPrimary() {
+		return errcode.Wrap(err, errcode.ConnectionLost, e.Step, peer)
+	}
+	unknownTotal.Inc()
+	return errcode.Wrap(err, errcode.Unknown, e.Step, peer)
+}
+
+func (o *owner) transactionTime() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return orDefault(o.limits.TransactionTime, defaultTransactionTime)
+}
+
+func (o *owner) idleTime() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return orDefault(o.limits.IdleInTransaction, defaultIdleTime)
+}
+
+func (o *owner) statementTime() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return orDefault(o.limits.StatementTime, defaultTimeout)
+}
+
+func orDefault(d, fallback time.Duration) time.Duration {
+	if d > 0 {
+		return d
+	}
+	return fallback
+}
--- a/internal/home/view.go
+++ b/internal/home/view.go
@@ -183,3 +183,17 @@
 	}
 	return times[:n]
 }
+
+// claims counts the servers that have accepted c, and those that never will
+// because they accepted another claim.
+func (v *view) claims(c claim) (mine, taken int) {
+	for _, r := range v.reports {
+		switch {
+		case r.status.Epoch == c.epoch && r.status.Home == c.home:
+			mine++
+		case r.status.Epoch >= c.epoch:
+			taken++
+		}
+	}
+	return mine, taken
+}
--- /dev/null
+++ b/internal/home/work.go
@@ -0,0 +1,209 @@
+package home
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/order"
+	"github.com/rattancove/rattancove/internal/pool"
+	"github.com/rattancove/rattancove/internal/rank"
+	"github.com/rattancove/rattancove/internal/route"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// cancelGrace is the time that a cancelled statement has to answer.
+const cancelGrace = time.Second
+
+// errTermChanged reports that the primary was replaced while a request ran.
+var errTermChanged = errors.New("the primary was replaced")
+
+// work is one attempt of a request on one connection. It owns the grant and
+// the connection until end.
+type work struct {
+	owner    *owner
+	request  *request
+	node     *node
+	conn     *pool.Conn
+	grant    *rank.Grant
+	group    *route.Group
+	attempts *order.Attempts
+	result   statement.Result
+	// termCtx ends when the primary is replaced; it is the owner's context on replicas.
+	termCtx context.Context
+	pinned  bool
+	// broken is set when the connection must not be reused.
+	broken bool
+}
+
+// begin takes a slot and a connection.
+func (o *owner) begin(ctx context.Context, r *request, lane rank.Lane) (*work, error) {
+	q, err := o.query(r)
+	if err != nil {
+		return nil, err
+	}
+	grant, err := o.acquire(ctx, r, lane, q)
+	if err != nil {
+		return nil, err
+	}
+	w := &work{owner: o, request: r, grant: grant, node: o.node(grant.Server)}
+	w.termCtx, w.group = o.present()
+	if w.node == nil {
+		grant.Release()
+		return nil, errcode.New(errcode.ConnectionLost, "server removed", string(grant.Server))
+	}
+	if w.node.server.ID != w.group.Primary {
+		w.termCtx = o.ctx
+	}
+	if err := w.connect(ctx); err != nil {
+		grant.Release()
+		return nil, err
+	}
+	w.result = statement.Result{
+		Server: w.node.server.ID, Home: o.home.config.ID,
+		Primary: w.onPrimary(), Reason: grant.Reason,
+	}
+	return w, nil
+}
+
+// present returns the routing state and a context that ends with its term.
+func (o *owner) present() (context.Context, *route.Group) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.termCtx, o.group.Load()
+}
+
+func (w *work) connect(ctx context.Context) error {
+	ctx, cancel := context.WithDeadline(ctx, w.request.deadline)
+	defer cancel()
+	defer context.AfterFunc(w.termCtx, cancel)()
+	conn, err := w.node.pool.Get(ctx)
+	if err != nil {
+		return errcode.Wrap(err, errcode.ConnectionLost, "connect", string(w.node.server.ID))
+	}
+	w.conn = conn
+	return nil
+}
+
+func (w *work) onPrimary() bool { return w.node.server.ID == w.group.Primary }
+
+// end gives the slot and the connection back. An open transaction is rolled
+// back by the reset of the connection.
+func (w *work) end(openTransaction bool) {
+	w.grant.Release()
+	if w.pinned {
+		<-w.node.pins
+	}
+	if w.broken {
+		w.node.pool.Discard(w.conn)
+		return
+	}
+	if openTransaction {
+		rollbacksTotal.Inc()
+	}
+	w.node.pool.Return(w.conn, openTransaction)
+}
+
+// exchange runs one batch. The connection is broken afterwards if the exchange
+// did not complete.
+func (w *work) exchange(ctx context.Context, x *backend.Exchange) (backend.Answer, error) {
+	x.Settings = w.request.Settings
+	x.OrderID = w.request.OrderID
+	x.WantPosition = true
+	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	defer context.AfterFunc(w.termCtx, stop)()
+	defer context.AfterFunc(ctx, func() { w.cancel(runCtx, stop) })()
+	answer, err := w.conn.Exchange(runCtx, x, w.request.conv)
+	if err != nil {
+		w.broken = true
+	}
+	return answer, err
+}
+
+// cancel asks the server to stop the statement and gives up on it after the grace time.
+func (w *work) cancel(runCtx context.Context, stop context.CancelFunc) {
+	defer stop()
+	ctx, cancel := context.WithTimeout(runCtx, cancelGrace)
+	defer cancel()
+	_ = w.conn.Cancel(ctx)
+	<-ctx.Done()
+}
+
+// acknowledge is called with a complete answer that is held back. It returns
+// nil once the answer may be passed on.
+func (w *work) acknowledge(ctx context.Context, a backend.Answer) error {
+	_ = w.attempts.Fire(order.EventAnswer)
+	if !a.Committed {
+		_ = w.attempts.Fire(order.EventAcknowledge)
+		return nil
+	}
+	w.grant.Release()
+	position, err := w.owner.awaitAck(ctx, w.request, w.group.Term, a.Position)
+	if err != nil {
+		_ = w.attempts.Fire(order.EventFail)
+		return errcode.Wrap(err, errcode.Unknown, "acknowledge", string(w.node.server.ID))
+	}
+	_ = w.attempts.Fire(order.EventAcknowledge)
+	w.result.Position = position
+	return nil
+}
+
+// awaitAck waits until a committed write may be acknowledged and records it.
+func (o *owner) awaitAck(ctx context.Context, r *request, term cluster.Term, p cluster.Position) (cluster.Position, error) {
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	o.acking.Add(1)
+	defer o.acking.Add(-1)
+	term = max(term, p.Term)
+	ticket := o.draw()
+	err := o.await(ctx, func() (bool, error) {
+		if o.view.term > term {
+			return false, errTermChanged
+		}
+		if !p.Known() {
+			primary := o.view.reports[o.view.primary]
+			if primary.ticket < ticket || primary.status.Term != term {
+				return false, nil
+			}
+			p = primary.status.Received
+		}
+		q := requirement{ticket: ticket, claim: o.claim, term: term}
+		if o.ranks.Policy(r.rank).Ack != environment.AckPrimary {
+			q.received = p
+		}
+		if !o.view.proven(q) {
+			return false, nil
+		}
+		o.acknowledged(r.Session, p)
+		return true, nil
+	})
+	return p, err
+}
+
+// acknowledged records an acknowledged write. The caller holds the lock.
+func (o *owner) acknowledged(session string, p cluster.Position) {
+	o.highWater = cluster.MaxPosition(o.highWater, p)
+	o.sessions.raise(session, p)
+	o.fallback = cluster.MaxPosition(o.fallback, o.sessions.forgotten)
+	o.commits = o.commits.With(route.Sample{At: time.Now(), Position: p})
+	o.rebuild()
+}
+
+// acknowledgedAreKept reports whether every acknowledged write outlives a
+// promotion: all ranks wait for a majority and no promotion does without one.
+func (o *owner) acknowledgedAreKept() bool {
+	if o.spec.Promotion.NoMajority == environment.NoMajorityPromote {
+		return false
+	}
+	for r := range cluster.Rank(cluster.RankCount) {
+		if o.ranks.Policy(r).Ack == environment.AckPrimary {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/rank/dispatcher.go
+++ b/internal/rank/dispatcher.go
@@ -89,10 +89,12 @@
 	cost    [cluster.RankCount]average
 	bytes   int64
 	primary cluster.ServerID
-	nextSeq uint64
-	timer   *time.Timer
-	closed  bool
-	stats   Stats
+	// readSlots is the number of the primary's slots that reads may take.
+	readSlots int
+	nextSeq   uint64
+	timer     *time.Timer
+	closed    bool
+	stats     Stats
 }
 
 // New returns a Dispatcher without servers.
@@ -147,13 +149,16 @@
 	d.dispatch(now)
 }
 
-// SetPrimary names the server that requests of LanePrimary wait for.
-func (d *Dispatcher) SetPrimary(id cluster.ServerID) {
+// SetPrimary names the server that requests of LanePrimary wait for, and the
+// number of its slots that requests of LaneRead may take. It examines the
+// queues again.
+func (d *Dispatcher) SetPrimary(id cluster.ServerID, readSlots int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	d.accrue(now)
 	d.primary = id
+	d.readSlots = readSlots
 	d.dispatch(now)
 }
 
--- a/internal/rank/schedule.go
+++ b/internal/rank/schedule.go
@@ -14,7 +14,9 @@
 	id      cluster.ServerID
 	slots   int
 	running [cluster.RankCount]int
-	pinned  queue
+	// reads counts the running requests of LaneRead.
+	reads  int
+	pinned queue
 	// credit is the slot time in seconds that each rank is owed by its floor.
 	credit [cluster.RankCount]float64
 	// accrued is when credit was last brought up to date.
@@ -41,6 +43,7 @@
 	dispatcher *Dispatcher
 	server     *server
 	rank       cluster.Rank
+	lane       Lane
 	started    time.Time
 	estimate   float64
 	// owed is set when the grant was made to keep the rank's floor.
@@ -63,6 +66,9 @@
 	d.cost[g.rank].add(used)
 	d.charge(g.server, g.rank, used-g.estimate, g.owed)
 	g.server.running[g.rank]--
+	if g.lane == LaneRead {
+		g.server.reads--
+	}
 	d.stats.SlotSeconds[g.rank] += used
 	d.dispatch(now)
 }
@@ -239,6 +245,9 @@
 // Requests that can run nowhere else come first.
 func (d *Dispatcher) first(s *server, r cluster.Rank, now time.Time, retryAt *time.Time) (*waiter, string) {
 	for lane := range Lane(laneCount) {
+		if lane == LaneRead && s.id == d.primary && s.reads >= d.readSlots {
+			continue
+		}
 		scanned := 0
 		for e := d.queues[r][lane].waiters.Front(); e != nil && scanned < scanLimit; scanned++ {
 			w := e.Value.(*waiter)
@@ -286,11 +295,14 @@
 	w.queue.granted(now)
 	g := &Grant{
 		Server: s.id, Reason: reason, Waited: now.Sub(w.arrived),
-		dispatcher: d, server: s, rank: r, started: now,
+		dispatcher: d, server: s, rank: r, lane: w.request.Lane, started: now,
 		estimate: d.cost[r].value, owed: owed,
 	}
 	d.charge(s, r, g.estimate, owed)
 	s.running[r]++
+	if g.lane == LaneRead {
+		s.reads++
+	}
 	d.stats.Granted[r]++
 	w.succeed(g)
 }
--- a/internal/route/history.go
+++ b/internal/route/history.go
@@ -7,40 +7,38 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 )
 
-const (
-	// historyLimit is the most samples that a History keeps.
-	historyLimit = 1024
-	// historySpacing is the least time between two kept samples.
-	historySpacing = 20 * time.Millisecond
-)
-
 // Sample states that every write acknowledged before At lies at or before Position.
 type Sample struct {
 	At       time.Time
 	Position cluster.Position
 }
 
-// History keeps proven positions of the primary by time. A replica that has
-// replayed the position of a sample shows all data older than the sample. A
-// History is immutable, so that it can be shared with decisions under way.
+// History keeps positions of the primary by time. A replica that has replayed
+// the position of a sample shows all data older than the sample.
+//
+// A History is immutable and may be shared with decisions under way. With must
+// only be called on the newest History, because it reuses its memory.
 type History struct {
 	samples []Sample
+	limit   int
+	spacing time.Duration
+}
+
+// NewHistory returns an empty History that keeps at most limit samples, each
+// at least spacing after the one before.
+func NewHistory(limit int, spacing time.Duration) *History {
+	return &History{limit: limit, spacing: spacing}
 }
 
-// With returns a History that has one more sample. Samples that are older than
-// the last one, or too close to it, replace nothing and are left out.
+// With returns a History that has one more sample. A sample that is older than
+// the last one, or too close to it, is left out.
 func (h *History) With(s Sample) *History {
-	if h == nil {
-		return &History{samples: []Sample{s}}
-	}
-	last := h.samples[len(h.samples)-1]
-	if s.At.Sub(last.At) < historySpacing {
+	n := len(h.samples)
+	if n > 0 && s.At.Sub(h.samples[n-1].At) < h.spacing {
 		return h
 	}
-	from := max(0, len(h.samples)+1-historyLimit)
-	samples := make([]Sample, 0, len(h.samples)+1-from)
-	samples = append(samples, h.samples[from:]...)
-	return &History{samples: append(samples, s)}
+	from := max(0, n+1-h.limit)
+	return &History{samples: append(h.samples[from:], s), limit: h.limit, spacing: h.spacing}
 }
 
 // AtOrAfter returns the position of the first sample taken at t or later. The
@@ -55,3 +53,16 @@
 	}
 	return h.samples[i].Position, true
 }
+
+// Reached returns the time by which the primary had reached p: that of the
+// first sample at or after p. The second result is false when no sample shows it.
+func (h *History) Reached(p cluster.Position) (time.Time, bool) {
+	if h == nil {
+		return time.Time{}, false
+	}
+	i := sort.Search(len(h.samples), func(i int) bool { return !h.samples[i].Position.Less(p) })
+	if i == len(h.samples) {
+		return time.Time{}, false
+	}
+	return h.samples[i].At, true
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 
@@ -14,11 +13,9 @@
 	// PrimaryPenalty is the wait that a read accepts for a replica before it
 	// takes a slot of the primary.
 	PrimaryPenalty = 25 * time.Millisecond
-	// recheckInterval is the time between two judgements of a replica whose
-	// catch-up cannot be predicted.
-	recheckInterval = 10 * time.Millisecond
-	// maxCatchUp is the longest catch-up that is ever waited for.
-	maxCatchUp = 200 * time.Millisecond
+	// recheckInterval is the time between two judgements of a replica that is
+	// later than expected.
+	recheckInterval = 2 * time.Millisecond
 )
 
 // Query is what a request asks of a server.
@@ -46,8 +43,8 @@
 	// Replayed was reported by a status that began at Observed.
 	Replayed cluster.Position
 	Observed time.Time
-	// Rate is the observed replay rate in records per second.
-	Rate float64
+	// Lag is the estimated time from a commit to its replay here; zero when unknown.
+	Lag time.Duration
 	// Wait is the expected wait for a slot.
 	Wait time.Duration
 	// Ejected is set after failures until a fresh connection works.
@@ -56,6 +53,8 @@
 	Leaving bool
 	// Reachable is false when the server has not answered lately.
 	Reachable bool
+	// Diverged is set when the server holds records that the present term lacks.
+	Diverged bool
 }
 
 // Group is what is known about a group. It is not changed after Decide has seen it.
@@ -63,23 +62,48 @@
 	Term    cluster.Term
 	Primary cluster.ServerID
 	Servers []Server
+	// History holds proven positions; it decides the age of data.
 	History *History
+	// Commits holds the positions of commits as they were answered; it serves
+	// estimates only.
+	Commits *History
 }
 
+// Reason tells why a server was or was not chosen.
+type Reason string
+
+// Reasons of a decision.
+const (
+	ReasonWrite        Reason = "needs the primary"
+	ReasonRefused      Reason = "a replica refused it"
+	ReasonUnknownFloor Reason = "the session's floor is unknown"
+	ReasonFresh        Reason = "replica is fresh enough"
+	ReasonCatchUp      Reason = "replica is expected to catch up soon"
+	ReasonBusy         Reason = "replicas are busy"
+	ReasonStale        Reason = "no replica is fresh enough"
+	ReasonNoPrimary    Reason = "no primary is known"
+	ReasonNoServer     Reason = "no replica is fresh enough and no primary is known"
+)
+
 // Option is a server that may run the request at NotBefore or later.
 type Option struct {
 	Server    cluster.ServerID
 	NotBefore time.Time
 	// Wait is the expected time until the request starts.
 	Wait   time.Duration
-	Reason string
+	Reason Reason
+	// Need is the position that a replica has to have replayed.
+	Need cluster.Position
+	// Overdue is set when the replica is expected to have replayed Need
+	// already, so that its next status will probably allow the read.
+	Overdue bool
 }
 
 // Decision lists the servers that may run a request, the best first.
 type Decision struct {
 	Options []Option
 	// Reason tells why there are no options.
-	Reason string
+	Reason Reason
 }
 
 // Option finds the option for a server.
@@ -105,11 +129,11 @@
 	}
 	slices.SortStableFunc(options, func(a, b Option) int { return cmp.Compare(a.Wait, b.Wait) })
 	primary, ok := g.server(g.Primary)
-	if ok && !primary.Leaving {
+	if ok && (!primary.Leaving || len(options) == 0) {
 		options = append(options, overflow(q, primary, options, now))
 	}
 	if len(options) == 0 {
-		return Decision{Reason: "no replica is fresh enough and no primary is known"}
+		return Decision{Reason: ReasonNoServer}
 	}
 	return Decision{Options: options}
 }
@@ -121,14 +145,14 @@
 func primaryOnly(q Query, g *Group, now time.Time) Decision {
 	primary, ok := g.server(g.Primary)
 	if !ok {
-		return Decision{Reason: "no primary is known"}
+		return Decision{Reason: ReasonNoPrimary}
 	}
-	reason := "needs the primary"
+	reason := ReasonWrite
 	switch {
 	case q.PrimaryOnly:
-		reason = "a replica refused it"
+		reason = ReasonRefused
 	case replicaAllowed(q.Class) && !q.FloorKnown:
-		reason = "the session's floor is unknown"
+		reason = ReasonUnknownFloor
 	}
 	return Decision{Options: []Option{{Server: g.Primary, NotBefore: now, Wait: primary.Wait, Reason: reason}}}
 }
@@ -136,22 +160,19 @@
 // overflow offers the primary to a read, at once when no replica suits and
 // otherwise after the read has waited longer than the penalty.
 func overflow(q Query, primary Server, replicas []Option, now time.Time) Option {
-	o := Option{Server: primary.ID, NotBefore: now, Wait: primary.Wait, Reason: "no replica is fresh enough"}
+	o := Option{Server: primary.ID, NotBefore: now, Wait: primary.Wait, Reason: ReasonStale}
 	if len(replicas) == 0 {
 		return o
 	}
 	o.NotBefore = q.Arrived.Add(PrimaryPenalty)
 	o.Wait = max(primary.Wait, o.NotBefore.Sub(now))
-	o.Reason = "replicas are busy"
+	o.Reason = ReasonBusy
 	return o
 }
 
 // judgeReplica reports whether and when a replica may run a read.
 func judgeReplica(q Query, g *Group, s Server, now time.Time) (Option, bool) {
-	if s.ID == g.Primary || s.Ejected || s.Leaving || !s.Reachable || s.Term != g.Term {
-		return Option{}, false
-	}
-	if slices.Contains(q.Failed, s.ID) {
+	if !usable(g, s) || slices.Contains(q.Failed, s.ID) {
 		return Option{}, false
 	}
 	need, ok := required(q, g, now)
@@ -159,12 +180,27 @@
 		return Option{}, false
 	}
 	if !s.Replayed.Less(need) {
-		return Option{
-			Server: s.ID, NotBefore: now, Wait: s.Wait,
-			Reason: fmt.Sprintf("replica at %s meets %s", s.Replayed, need),
-		}, true
+		return Option{Server: s.ID, NotBefore: now, Wait: s.Wait, Reason: ReasonFresh, Need: need}, true
+	}
+	return catchUp(q, g, s, need, now)
+}
+
+func usable(g *Group, s Server) bool {
+	if s.ID == g.Primary || s.Ejected || s.Leaving {
+		return false
+	}
+	return s.Reachable && !s.Diverged && s.Term == g.Term
+}
+
+// Replicas counts the replicas that may get reads at present.
+func (g *Group) Replicas() int {
+	n := 0
+	for _, s := range g.Servers {
+		if usable(g, s) {
+			n++
+		}
 	}
-	return catchUp(q, s, need, now)
+	return n
 }
 
 // required returns the position that a replica must have replayed. The second
@@ -181,39 +217,24 @@
 }
 
 // catchUp offers a lagging replica for the time at which it is expected to
-// have replayed what the read needs, if that is cheaper than the primary. The
-// option does not allow the read to run: Decide is asked again then.
-func catchUp(q Query, s Server, need cluster.Position, now time.Time) (Option, bool) {
-	at, ok := expectedReplay(s, need, now)
+// have replayed what the read needs, if the read will not have waited longer
+// than the penalty by then. The estimate only decides to wait: Decide is
+// asked again before the read runs.
+func catchUp(q Query, g *Group, s Server, need cluster.Position, now time.Time) (Option, bool) {
+	committed, ok := g.Commits.Reached(need)
 	if !ok {
 		return Option{}, false
 	}
-	wait := at.Sub(now) + s.Wait
-	patience := q.Arrived.Add(PrimaryPenalty)
-	if wait > maxCatchUp || now.Add(wait).After(patience) {
-		return Option{}, false
-	}
-	if !at.After(now) {
-		at = now.Add(recheckInterval)
+	o := Option{Server: s.ID, NotBefore: committed.Add(s.Lag), Reason: ReasonCatchUp, Need: need}
+	if !o.NotBefore.After(now) {
+		o.Overdue = true
+		o.NotBefore = now.Add(recheckInterval)
 	}
-	return Option{
-		Server: s.ID, NotBefore: at, Wait: wait,
-		Reason: fmt.Sprintf("replica at %s is expected to reach %s", s.Replayed, need),
-	}, true
-}
-
-// expectedReplay estimates when a replica will have replayed need from its
-// observed rate. It is an estimate for waiting, never proof for reading.
-func expectedReplay(s Server, need cluster.Position, now time.Time) (time.Time, bool) {
-	if need.Term != s.Replayed.Term || s.Rate <= 0 {
-		return time.Time{}, false
-	}
-	missing := float64(need.Offset - s.Replayed.Offset)
-	at := s.Observed.Add(time.Duration(missing / s.Rate * float64(time.Second)))
-	if at.Before(now) {
-		at = now
+	o.Wait = o.NotBefore.Sub(now) + s.Wait
+	if now.Add(o.Wait).After(q.Arrived.Add(PrimaryPenalty)) {
+		return Option{}, false
 	}
-	return at, true
+	return o, true
 }
 
 func (g *Group) server(id cluster.ServerID) (Server, bool) {
