Add the strict YAML decoder and the in-memory platform

Settings and documents both must name every fault by line at once; the library's own strict mode stops at the first, so a walk over its syntax tree decodes and collects. The in-memory platform can be down, slow, lose answers after effect and let another writer win a race.

--- /dev/null
+++ b/internal/platform/platformtest/table.go
@@ -0,0 +1,101 @@
+package platformtest
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/rattancove/rattancove/internal/platform"
+)
+
+// Table is a platform.Table in memory.
+type Table struct {
+	Faults
+	mu   sync.Mutex
+	rows map[string]platform.Row
+}
+
+var _ platform.Table = (*Table)(nil)
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{rows: map[string]platform.Row{}} }
+
+// Get implements platform.Table.
+func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := t.enter(ctx, "get"); err != nil {
+		return platform.Row{}, err
+	}
+	t.mu.Lock()
+	row, ok := t.rows[key]
+	t.mu.Unlock()
+	if err := t.leave(ctx, false); err != nil {
+		return platform.Row{}, err
+	}
+	if !ok {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return clone(row), nil
+}
+
+// List implements platform.Table.
+func (t *Table) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+	if err := t.enter(ctx, "list"); err != nil {
+		return nil, err
+	}
+	rows := t.snapshot(prefix)
+	if err := t.leave(ctx, false); err != nil {
+		return nil, err
+	}
+	return rows, nil
+}
+
+func (t *Table) snapshot(prefix string) []platform.Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var rows []platform.Row
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, clone(row))
+		}
+	}
+	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows
+}
+
+// Commit implements platform.Table.
+func (t *Table) Commit(ctx context.Context, writes ...platform.Write) error {
+	if err := t.enter(ctx, "commit"); err != nil {
+		return err
+	}
+	t.runBefore()
+	result := t.apply(writes)
+	if err := t.leave(ctx, true); err != nil {
+		return err
+	}
+	return result
+}
+
+func (t *Table) apply(writes []platform.Write) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, w := range writes {
+		if t.rows[w.Key].Version != w.IfVersion {
+			return platform.ErrConflict
+		}
+	}
+	for _, w := range writes {
+		if w.Delete {
+			delete(t.rows, w.Key)
+			continue
+		}
+		t.rows[w.Key] = platform.Row{Key: w.Key, Version: w.IfVersion + 1, Value: bytes.Clone(w.Value)}
+	}
+	return nil
+}
+
+func clone(row platform.Row) platform.Row {
+	row.Value = bytes.Clone(row.Value)
+	return row
+}
--- /dev/null
+++ b/internal/strictyaml/fields.go
@@ -0,0 +1,104 @@
+package strictyaml
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+)
+
+// Field describes one field that a text may set.
+type Field struct {
+	// Path names the field; list items are written as "[]".
+	Path string
+	Type string
+	// Default is the value in force when the field is absent; empty when there is none.
+	Default string
+}
+
+// Fields lists every scalar field of target, a pointer to a struct, in the
+// order of declaration.
+func Fields(target any) []Field {
+	value := reflect.ValueOf(target).Elem()
+	setDefaults(value)
+	return appendFields(nil, "", value)
+}
+
+func appendFields(fields []Field, path string, value reflect.Value) []Field {
+	switch {
+	case isScalar(value):
+		return append(fields, Field{Path: path, Type: typeName(value), Default: defaultText(value)})
+	case value.Kind() == reflect.Slice:
+		item := reflect.New(value.Type().Elem()).Elem()
+		setDefaults(item)
+		return appendFields(fields, path+"[]", item)
+	}
+	for i := range value.NumField() {
+		name, inline, ok := yamlName(value.Type().Field(i))
+		switch {
+		case inline:
+			fields = appendFields(fields, path, value.Field(i))
+		case ok:
+			fields = appendFields(fields, join(path, name), value.Field(i))
+		}
+	}
+	return fields
+}
+
+func typeName(value reflect.Value) string {
+	if value.Type() == durationType {
+		return "duration"
+	}
+	switch value.Kind() {
+	case reflect.Bool:
+		return "boolean"
+	case reflect.Int, reflect.Int32, reflect.Int64:
+		return "integer"
+	case reflect.Float64:
+		return "number"
+	default:
+		return "string"
+	}
+}
+
+func defaultText(value reflect.Value) string {
+	if value.IsZero() {
+		return ""
+	}
+	return fmt.Sprint(value.Interface())
+}
+
+// structFields returns the settable fields of a struct by their YAML names.
+func structFields(value reflect.Value) map[string]reflect.Value {
+	fields := map[string]reflect.Value{}
+	for i := range value.NumField() {
+		name, inline, ok := yamlName(value.Type().Field(i))
+		switch {
+		case inline:
+			for k, v := range structFields(value.Field(i)) {
+				fields[k] = v
+			}
+		case ok:
+			fields[name] = value.Field(i)
+		}
+	}
+	return fields
+}
+
+func yamlName(f reflect.StructField) (name string, inline, ok bool) {
+	name, options, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+	if options == "inline" {
+		return "", true, false
+	}
+	return name, false, name != "" && name != "-"
+}
+
+// suggestion names a known field that differs from key by case or separators only.
+func suggestion(key string, fields map[string]reflect.Value) string {
+	normalize := strings.NewReplacer("-", "", "_", "")
+	for name := range fields {
+		if strings.EqualFold(normalize.Replace(name), normalize.Replace(key)) {
+			return "; did you mean " + name + "?"
+		}
+	}
+	return ""
+}
