Read the settings of proxy and warden strictly

Every fault of a file is reported at once with file, line, column and field. Environment variables override the file; a password in the file is refused, also inside a DSN, and secrets never print.

--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,143 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/caarlos0/env/v11"
+	"github.com/rotisserie/eris"
+
+	"github.com/rattancove/rattancove/internal/strictyaml"
+)
+
+// EnvPrefix starts the names of the environment variables that override settings.
+const EnvPrefix = "RATTAN_"
+
+// FileError is every fault of one settings file.
+type FileError struct {
+	File   string
+	Faults strictyaml.Faults
+}
+
+// Error lists the faults as "file:line:column: field: message", one a line.
+func (e *FileError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, fault := range e.Faults {
+		lines[i] = e.File + ":" + fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the faults.
+func (e *FileError) Unwrap() error { return e.Faults }
+
+// LoadProxy reads the settings of rattan-proxy. The error is a *FileError when
+// the file can be read but is not valid.
+func LoadProxy(path string) (*Proxy, error) {
+	var p Proxy
+	if err := load(path, &p, &p.Common); err != nil {
+		return nil, err
+	}
+	return &p, nil
+}
+
+// LoadWarden reads the settings of rattan-warden. The error is a *FileError
+// when the file can be read but is not valid.
+func LoadWarden(path string) (*Warden, error) {
+	var w Warden
+	if err := load(path, &w, &w.Common); err != nil {
+		return nil, err
+	}
+	return &w, nil
+}
+
+// load fills target, whose common part is common.
+func load(path string, target any, common *Common) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return eris.Wrap(err, "read settings")
+	}
+	source, faults := strictyaml.Decode(data, target)
+	faults = append(faults, passwordFaults(source, common)...)
+	faults = append(faults, override(target)...)
+	faults = append(faults, source.Validate(strictyaml.NewValidator(), target)...)
+	faults = append(faults, readSecrets(source, common)...)
+	if faults.Err() != nil {
+		return &FileError{File: path, Faults: faults}
+	}
+	return nil
+}
+
+// passwordFaults refuses a password in the DSN of the file. It runs before the
+// environment overrides the DSN.
+func passwordFaults(source *strictyaml.Source, common *Common) strictyaml.Faults {
+	dsn := common.Platform.Table.DSN.Reveal()
+	if !dsnHasPassword(dsn) {
+		return nil
+	}
+	const path = "platform.table.dsn"
+	return strictyaml.Faults{source.Fault(path, "must not hold a password; use password_file or %sPLATFORM_TABLE_PASSWORD", EnvPrefix)}
+}
+
+func dsnHasPassword(dsn string) bool {
+	if strings.Contains(strings.ToLower(dsn), "password") {
+		return true
+	}
+	_, rest, isURL := strings.Cut(dsn, "://")
+	user, _, hasUser := strings.Cut(rest, "@")
+	return isURL && hasUser && strings.Contains(user, ":")
+}
+
+func override(target any) strictyaml.Faults {
+	err := env.ParseWithOptions(target, env.Options{Prefix: EnvPrefix})
+	var all env.AggregateError
+	if !errors.As(err, &all) {
+		if err != nil {
+			return strictyaml.Faults{{Message: err.Error()}}
+		}
+		return nil
+	}
+	var faults strictyaml.Faults
+	for _, one := range all.Errors {
+		faults = append(faults, strictyaml.Fault{Message: fmt.Sprintf("environment variable: %s", one)})
+	}
+	return faults
+}
+
+func readSecrets(source *strictyaml.Source, common *Common) strictyaml.Faults {
+	table, objects, backend := &common.Platform.Table, &common.Platform.Objects, &common.Backend
+	var faults strictyaml.Faults
+	read := func(path, file string, secrets ...*Secret) {
+		if file == "" {
+			return
+		}
+		if err := readSecret(file, secrets); err != nil {
+			faults = append(faults, source.Fault(path, "%s", err))
+		}
+	}
+	read("platform.table.password_file", table.PasswordFile, &table.Password)
+	read("platform.objects.key_file", objects.KeyFile, &objects.AccessKey, &objects.SecretKey)
+	read("backend.password_file", backend.PasswordFile, &backend.Password)
+	return faults
+}
+
+// readSecret fills each secret that the environment has not set from one line
+// of the file.
+func readSecret(file string, secrets []*Secret) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	lines := strings.Split(strings.TrimRight(string(data), "\r\n"), "\n")
+	if len(lines) != len(secrets) || lines[0] == "" {
+		return fmt.Errorf("%s must hold %d lines", file, len(secrets))
+	}
+	for i, secret := range secrets {
+		if *secret == "" {
+			*secret = Secret(strings.TrimRight(lines[i], "\r"))
+		}
+	}
+	return nil
+}
