Parse and check environment documents

A change of servers whose old and new majorities could be disjoint is refused, also when a server is replaced in one step.

--- /dev/null
+++ b/internal/environment/change.go
@@ -0,0 +1,59 @@
+package environment
+
+import (
+	"fmt"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+// CheckChange returns the faults of replacing the document in force by next,
+// or nil. Each document alone is valid.
+func CheckChange(current, next *Document) error {
+	var faults Faults
+	add := func(path, format string, args ...any) {
+		faults = append(faults, Fault{Path: path, Message: fmt.Sprintf(format, args...)})
+	}
+	if current.Name != next.Name {
+		add("name", "the environment holds %q; %q is another document", current.Name, next.Name)
+	}
+	for rank := range cluster.Rank(cluster.RankCount) {
+		checkRankKept(rank, current, next, add)
+	}
+	for _, old := range current.Groups {
+		if g, ok := next.Group(old.Name); ok {
+			checkMajorities(old, g, add)
+		}
+	}
+	return faults.Err()
+}
+
+type addFault func(path, format string, args ...any)
+
+// checkRankKept refuses to take away the queue of a rank that takes work.
+func checkRankKept(rank cluster.Rank, current, next *Document, add addFault) {
+	old, now := current.Ranks.Policy(rank), next.Ranks.Policy(rank)
+	if old.Queue > 0 && now.Queue == 0 {
+		add("ranks."+rank.String()+".queue", "the rank is in use and cannot be dropped")
+	}
+	if old.MaxWait > 0 && now.MaxWait == 0 {
+		add("ranks."+rank.String()+".max_wait", "the rank is in use and cannot be dropped")
+	}
+}
+
+// checkMajorities refuses a change of servers after which a majority of the
+// old servers and a majority of the new ones could share none: then two
+// primaries could be chosen, or none that holds every acknowledged write.
+func checkMajorities(old, next Group, add addFault) {
+	union := map[cluster.ServerID]bool{}
+	for _, s := range old.Servers {
+		union[s.ID] = true
+	}
+	for _, s := range next.Servers {
+		union[s.ID] = true
+	}
+	if cluster.Majority(len(old.Servers))+cluster.Majority(len(next.Servers)) > len(union) {
+		return
+	}
+	add(fmt.Sprintf("groups[%s].servers", old.Name),
+		"too many servers change at once: add one in this revision and remove another in the next")
+}
--- /dev/null
+++ b/internal/environment/diff.go
@@ -0,0 +1,123 @@
+package environment
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+)
+
+// ChangeKind tells what happens to a field or a list item.
+type ChangeKind string
+
+// Kinds of change.
+const (
+	ChangeAdded   ChangeKind = "added"
+	ChangeRemoved ChangeKind = "removed"
+	ChangeChanged ChangeKind = "changed"
+)
+
+// Change is one difference between two documents.
+type Change struct {
+	// Path names the field; list items stand by name, as in groups[orders].
+	Path string     `json:"path"`
+	Kind ChangeKind `json:"kind"`
+	// Old and New are empty for whole list items.
+	Old string `json:"old,omitempty"`
+	New string `json:"new,omitempty"`
+	// Danger tells what callers may notice; empty for a harmless change.
+	Danger string `json:"danger,omitempty"`
+}
+
+// Plan is what changes when one document replaces another, in document order.
+type Plan []Change
+
+// Dangerous reports whether any change may be noticed by callers.
+func (p Plan) Dangerous() bool {
+	for _, c := range p {
+		if c.Danger != "" {
+			return true
+		}
+	}
+	return false
+}
+
+// Diff returns the plan of replacing current by next. Current may be nil.
+func Diff(current, next *Document) Plan {
+	if current == nil {
+		current = &Document{}
+	}
+	var p Plan
+	p.compare("", reflect.ValueOf(*current), reflect.ValueOf(*next))
+	return p
+}
+
+func (p *Plan) add(path string, kind ChangeKind, current, next reflect.Value) {
+	c := Change{Path: path, Kind: kind}
+	if kind == ChangeChanged {
+		c.Old, c.New = show(path, current), show(path, next)
+	}
+	c.Danger = danger(c, current, next)
+	*p = append(*p, c)
+}
+
+// show prints a value; verifiers are never shown.
+func show(path string, v reflect.Value) string {
+	if strings.HasSuffix(path, ".verifier") && v.String() != "" {
+		return "[redacted]"
+	}
+	return fmt.Sprint(v.Interface())
+}
+
+func (p *Plan) compare(path string, current, next reflect.Value) {
+	switch {
+	case current.Kind() == reflect.Struct:
+		p.compareFields(path, current, next)
+	case current.Kind() == reflect.Slice && current.Type().Elem().Kind() == reflect.Struct:
+		p.compareItems(path, current, next)
+	case current.Kind() == reflect.Slice && current.Len() == 0 && next.Len() == 0:
+	case !reflect.DeepEqual(current.Interface(), next.Interface()):
+		p.add(path, ChangeChanged, current, next)
+	}
+}
+
+func (p *Plan) compareFields(path string, current, next reflect.Value) {
+	for i := range current.NumField() {
+		name := current.Type().Field(i).Tag.Get("yaml")
+		if path != "" {
+			name = path + "." + name
+		}
+		p.compare(name, current.Field(i), next.Field(i))
+	}
+}
+
+func (p *Plan) compareItems(path string, current, next reflect.Value) {
+	old := itemsByName(current)
+	for i := range next.Len() {
+		item := next.Index(i)
+		name := itemName(item)
+		itemPath := path + "[" + name + "]"
+		if before, ok := old[name]; ok {
+			p.compare(itemPath, before, item)
+			delete(old, name)
+			continue
+		}
+		p.add(itemPath, ChangeAdded, reflect.Zero(item.Type()), item)
+	}
+	for i := range current.Len() {
+		name := itemName(current.Index(i))
+		if before, ok := old[name]; ok {
+			p.add(path+"["+name+"]", ChangeRemoved, before, reflect.Zero(before.Type()))
+		}
+	}
+}
+
+func itemsByName(items reflect.Value) map[string]reflect.Value {
+	byName := map[string]reflect.Value{}
+	for i := range items.Len() {
+		byName[itemName(items.Index(i))] = items.Index(i)
+	}
+	return byName
+}
+
+// itemName returns the first field, which is the name or the id of every list item.
+func itemName(item reflect.Value) string { return item.Field(0).String() }
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/rattancove/rattancove/internal/strictyaml"
 )
 
 const minimal = `id: entry-1
@@ -121,3 +123,17 @@
 		}
 	}
 }
+
+func TestExamplesAreValid(t *testing.T) {
+	for file, target := range map[string]any{"proxy.yaml": &Proxy{}, "warden.yaml": &Warden{}} {
+		data, err := os.ReadFile("../../examples/settings/" + file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		source, faults := strictyaml.Decode(data, target)
+		faults = append(faults, source.Validate(strictyaml.NewValidator(), target)...)
+		if err := faults.Err(); err != nil {
+			t.Errorf("%s: %v", file, err)
+		}
+	}
+}
--- a/internal/settings/proxy.go
+++ b/internal/settings/proxy.go
@@ -56,7 +56,7 @@
 
 // SetDefaults implements strictyaml.Defaulter.
 func (p *Proxy) SetDefaults() {
-	p.Common.setDefaults()
+	p.setDefaults()
 	p.Callers.Max = DefaultMaxCallers
 	p.Callers.StartupTimeout = DefaultStartupTimeout
 	p.Drain = Drain{ReadyDelay: DefaultReadyDelay, Timeout: DefaultDrainTimeout}
@@ -69,4 +69,4 @@
 }
 
 // SetDefaults implements strictyaml.Defaulter.
-func (w *Warden) SetDefaults() { w.Common.setDefaults() }
+func (w *Warden) SetDefaults() { w.setDefaults() }
