Reach the platform through pgx, minio-go and HTTP

Each call has a deadline and is counted by service and kind. Clients do not connect at start-up, so that a process starts while the platform is down; the table is created when a call finds it missing. TLS keys are read again when their files change.

--- /dev/null
+++ b/internal/platform/pgtable/address.go
@@ -0,0 +1,20 @@
+package pgtable
+
+import (
+	"net"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+)
+
+func splitAddress(address string) (string, uint16, error) {
+	host, text, err := net.SplitHostPort(address)
+	if err != nil {
+		return "", 0, eris.Wrap(err, "address of the table service")
+	}
+	port, err := strconv.ParseUint(text, 10, 16)
+	if err != nil {
+		return "", 0, eris.Wrap(err, "port of the table service")
+	}
+	return host, uint16(port), nil
+}
--- /dev/null
+++ b/internal/platform/pgtable/table.go
@@ -0,0 +1,205 @@
+package pgtable
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"strings"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgxpool"
+	"github.com/rotisserie/eris"
+
+	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/settings"
+	"github.com/rattancove/rattancove/internal/tlskeys"
+)
+
+// The statements need little of the server: extended query protocol with text
+// parameters, no prepared statements.
+const (
+	createSQL = `CREATE TABLE IF NOT EXISTS rattan_rows (key TEXT PRIMARY KEY, version BIGINT NOT NULL, value BYTEA NOT NULL)`
+	getSQL    = `SELECT version, value FROM rattan_rows WHERE key = $1`
+	listSQL   = `SELECT key, version, value FROM rattan_rows WHERE substr(key, 1, $2) = $1`
+	insertSQL = `INSERT INTO rattan_rows (key, version, value) VALUES ($1, 1, $2) ON CONFLICT (key) DO NOTHING`
+	updateSQL = `UPDATE rattan_rows SET version = version + 1, value = $3 WHERE key = $1 AND version = $2`
+	deleteSQL = `DELETE FROM rattan_rows WHERE key = $1 AND version = $2`
+)
+
+const (
+	undefinedTable       = "42P01"
+	serializationFailure = "40001"
+	deadlockDetected     = "40P01"
+	// maxConnections of one process to the table service.
+	maxConnections = 2
+)
+
+// Table is a platform.Table. It owns a small pool of connections.
+type Table struct {
+	pool *pgxpool.Pool
+}
+
+var _ platform.Table = (*Table)(nil)
+
+// Open prepares the pool and does not connect, so that a process starts while
+// the service is down. Keys may be nil for a connection without TLS.
+func Open(s settings.Table, keys *tlskeys.Keys) (*Table, error) {
+	config, err := pgxpool.ParseConfig(s.DSN.Reveal())
+	if err != nil {
+		return nil, eris.New("the DSN of the table service cannot be read")
+	}
+	if err := apply(s, config); err != nil {
+		return nil, err
+	}
+	config.MaxConns = maxConnections
+	config.ConnConfig.DefaultQueryExecMode = pgx.QueryExecModeExec
+	if keys != nil {
+		config.BeforeConnect = func(_ context.Context, c *pgx.ConnConfig) error {
+			c.TLSConfig = keys.Client(c.Host)
+			return nil
+		}
+	}
+	pool, err := pgxpool.NewWithConfig(context.Background(), config)
+	if err != nil {
+		return nil, eris.Wrap(err, "open table service")
+	}
+	return &Table{pool: pool}, nil
+}
+
+// apply sets what the settings name besides the DSN.
+func apply(s settings.Table, config *pgxpool.Config) error {
+	c := config.ConnConfig
+	if s.Address != "" {
+		host, port, err := splitAddress(s.Address)
+		if err != nil {
+			return err
+		}
+		c.Host, c.Port = host, port
+		c.User, c.Database = s.User, s.Database
+		c.TLSConfig, c.Fallbacks = nil, nil
+	}
+	if s.Password != "" {
+		c.Password = s.Password.Reveal()
+	}
+	return nil
+}
+
+// Close ends all connections.
+func (t *Table) Close() { t.pool.Close() }
+
+// Get implements platform.Table.
+func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+	row := platform.Row{Key: key}
+	err := t.withTable(ctx, func() error {
+		return t.pool.QueryRow(ctx, getSQL, key).Scan(&row.Version, &row.Value)
+	})
+	if errors.Is(err, pgx.ErrNoRows) {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	if err != nil {
+		return platform.Row{}, eris.Wrap(err, "get row")
+	}
+	return row, nil
+}
+
+// List implements platform.Table.
+func (t *Table) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+	var rows []platform.Row
+	err := t.withTable(ctx, func() error {
+		found, err := t.pool.Query(ctx, listSQL, prefix, int32(len([]rune(prefix))))
+		if err != nil {
+			return err
+		}
+		rows, err = pgx.CollectRows(found, scanRow)
+		return err
+	})
+	if err != nil {
+		return nil, eris.Wrap(err, "list rows")
+	}
+	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows, nil
+}
+
+func scanRow(from pgx.CollectableRow) (platform.Row, error) {
+	var row platform.Row
+	err := from.Scan(&row.Key, &row.Version, &row.Value)
+	return row, err
+}
+
+// Commit implements platform.Table.
+func (t *Table) Commit(ctx context.Context, writes ...platform.Write) error {
+	ordered := slices.Clone(writes)
+	// One order for all writers rules out deadlocks.
+	slices.SortFunc(ordered, func(a, b platform.Write) int { return cmp.Compare(a.Key, b.Key) })
+	err := t.withTable(ctx, func() error {
+		return pgx.BeginFunc(ctx, t.pool, func(tx pgx.Tx) error { return applyWrites(ctx, tx, ordered) })
+	})
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, platform.ErrConflict), hasCode(err, serializationFailure), hasCode(err, deadlockDetected):
+		return platform.ErrConflict
+	default:
+		return eris.Wrap(err, "commit rows")
+	}
+}
+
+func applyWrites(ctx context.Context, tx pgx.Tx, writes []platform.Write) error {
+	for _, w := range writes {
+		if err := applyWrite(ctx, tx, w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func applyWrite(ctx context.Context, tx pgx.Tx, w platform.Write) error {
+	value := w.Value
+	if value == nil {
+		value = []byte{}
+	}
+	switch {
+	case w.Delete && w.IfVersion == 0:
+		if err := execOne(ctx, tx, insertSQL, w.Key, []byte{}); err != nil {
+			return err
+		}
+		return execOne(ctx, tx, deleteSQL, w.Key, int64(1))
+	case w.Delete:
+		return execOne(ctx, tx, deleteSQL, w.Key, int64(w.IfVersion))
+	case w.IfVersion == 0:
+		return execOne(ctx, tx, insertSQL, w.Key, value)
+	default:
+		return execOne(ctx, tx, updateSQL, w.Key, int64(w.IfVersion), value)
+	}
+}
+
+// execOne runs a statement that changes exactly one row, or reports a conflict.
+func execOne(ctx context.Context, tx pgx.Tx, sql string, args ...any) error {
+	tag, err := tx.Exec(ctx, sql, args...)
+	if err != nil {
+		return err
+	}
+	if tag.RowsAffected() != 1 {
+		return platform.ErrConflict
+	}
+	return nil
+}
+
+// withTable runs do, and once more after creating the table if it is missing.
+func (t *Table) withTable(ctx context.Context, do func() error) error {
+	err := do()
+	if !hasCode(err, undefinedTable) {
+		return err
+	}
+	if _, err := t.pool.Exec(ctx, createSQL); err != nil {
+		return eris.Wrap(err, "create table")
+	}
+	return do()
+}
+
+func hasCode(err error, code string) bool {
+	var answered *pgconn.PgError
+	return errors.As(err, &answered) && answered.Code == code
+}
--- /dev/null
+++ b/internal/platform/platformclient/counted.go
@@ -0,0 +1,90 @@
+package platformclient
+
+import (
+	"context"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/platform"
+)
+
+type countedTable struct {
+	inner             platform.Table
+	timeout           time.Duration
+	get, list, commit *call
+}
+
+// Table bounds each call to inner by timeout and counts it.
+func Table(inner platform.Table, timeout time.Duration) platform.Table {
+	const service = "table"
+	return &countedTable{
+		inner: inner, timeout: timeout,
+		get: newCall(service, "get"), list: newCall(service, "list"), commit: newCall(service, "commit"),
+	}
+}
+
+func (t *countedTable) Get(ctx context.Context, key string) (row platform.Row, err error) {
+	err = t.get.run(ctx, t.timeout, func(ctx context.Context) error {
+		row, err = t.inner.Get(ctx, key)
+		return err
+	})
+	return row, err
+}
+
+func (t *countedTable) List(ctx context.Context, prefix string) (rows []platform.Row, err error) {
+	err = t.list.run(ctx, t.timeout, func(ctx context.Context) error {
+		rows, err = t.inner.List(ctx, prefix)
+		return err
+	})
+	return rows, err
+}
+
+func (t *countedTable) Commit(ctx context.Context, writes ...platform.Write) error {
+	return t.commit.run(ctx, t.timeout, func(ctx context.Context) error {
+		return t.inner.Commit(ctx, writes...)
+	})
+}
+
+type countedObjects struct {
+	inner    platform.Objects
+	timeout  time.Duration
+	get, put *call
+}
+
+// Objects bounds each call to inner by timeout and counts it.
+func Objects(inner platform.Objects, timeout time.Duration) platform.Objects {
+	const service = "objects"
+	return &countedObjects{inner: inner, timeout: timeout, get: newCall(service, "get"), put: newCall(service, "put")}
+}
+
+func (o *countedObjects) Get(ctx context.Context, key string) (data []byte, err error) {
+	err = o.get.run(ctx, o.timeout, func(ctx context.Context) error {
+		data, err = o.inner.Get(ctx, key)
+		return err
+	})
+	return data, err
+}
+
+func (o *countedObjects) Put(ctx context.Context, key string, data []byte) error {
+	return o.put.run(ctx, o.timeout, func(ctx context.Context) error {
+		return o.inner.Put(ctx, key, data)
+	})
+}
+
+type countedVMs struct {
+	inner   platform.VMList
+	timeout time.Duration
+	vms     *call
+}
+
+// VMList bounds each call to inner by timeout and counts it.
+func VMList(inner platform.VMList, timeout time.Duration) platform.VMList {
+	return &countedVMs{inner: inner, timeout: timeout, vms: newCall("vms", "vms")}
+}
+
+func (l *countedVMs) VMs(ctx context.Context) (vms []platform.VM, err error) {
+	err = l.vms.run(ctx, l.timeout, func(ctx context.Context) error {
+		vms, err = l.inner.VMs(ctx)
+		return err
+	})
+	return vms, err
+}
--- /dev/null
+++ b/internal/platform/platformclient/metrics.go
@@ -0,0 +1,43 @@
+package platformclient
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/rattancove/rattancove/internal/platform"
+)
+
+// call counts one kind of call to one service.
+type call struct {
+	calls    *metrics.Counter
+	failures *metrics.Counter
+	duration *metrics.Histogram
+}
+
+func newCall(service, kind string) *call {
+	labels := fmt.Sprintf(`{service=%q,call=%q}`, service, kind)
+	return &call{
+		calls:    metrics.GetOrCreateCounter("rattan_platform_calls_total" + labels),
+		failures: metrics.GetOrCreateCounter("rattan_platform_failures_total" + labels),
+		duration: metrics.GetOrCreateHistogram("rattan_platform_call_seconds" + labels),
+	}
+}
+
+// run counts do and bounds it by timeout. A conflict and a missing row are
+// answers of the service, not failures.
+func (c *call) run(ctx context.Context, timeout time.Duration, do func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	start := time.Now()
+	err := do(ctx)
+	c.calls.Inc()
+	c.duration.UpdateDuration(start)
+	if err != nil && !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrNotFound) {
+		c.failures.Inc()
+	}
+	return err
+}
--- /dev/null
+++ b/internal/platform/platformclient/open.go
@@ -0,0 +1,110 @@
+package platformclient
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/platform/httpvms"
+	"github.com/rattancove/rattancove/internal/platform/pgtable"
+	"github.com/rattancove/rattancove/internal/platform/s3objects"
+	"github.com/rattancove/rattancove/internal/settings"
+	"github.com/rattancove/rattancove/internal/tlskeys"
+)
+
+// Services are the platform's services. VMs is nil when the settings name no list.
+type Services struct {
+	Table   platform.Table
+	Objects platform.Objects
+	VMs     platform.VMList
+
+	table      *pgtable.Table
+	transports []*http.Transport
+}
+
+// Open prepares clients of all services. It does not connect, so that a
+// process starts while the platform is down.
+func Open(s settings.Platform, log zerolog.Logger) (*Services, error) {
+	services := &Services{}
+	if err := services.open(s, log); err != nil {
+		services.Close()
+		return nil, err
+	}
+	return services, nil
+}
+
+func (s *Services) open(p settings.Platform, log zerolog.Logger) error {
+	keys, err := loadKeys(p.Table.TLS, log)
+	if err != nil {
+		return eris.Wrap(err, "platform.table.tls")
+	}
+	if s.table, err = pgtable.Open(p.Table, keys); err != nil {
+		return err
+	}
+	s.Table = Table(s.table, p.Timeout)
+	transport, err := s.transport(p.Objects.TLS, log)
+	if err != nil {
+		return eris.Wrap(err, "platform.objects.tls")
+	}
+	objects, err := s3objects.Open(p.Objects, transport)
+	if err != nil {
+		return err
+	}
+	s.Objects = Objects(objects, p.Timeout)
+	return s.openVMs(p, log)
+}
+
+func (s *Services) openVMs(p settings.Platform, log zerolog.Logger) error {
+	if p.VMs.URL == "" {
+		return nil
+	}
+	transport, err := s.transport(p.VMs.TLS, log)
+	if err != nil {
+		return eris.Wrap(err, "platform.vms.tls")
+	}
+	s.VMs = VMList(httpvms.Open(p.VMs.URL, transport), p.Timeout)
+	return nil
+}
+
+// Close ends all connections.
+func (s *Services) Close() {
+	if s.table != nil {
+		s.table.Close()
+	}
+	for _, t := range s.transports {
+		t.CloseIdleConnections()
+	}
+}
+
+func loadKeys(files settings.TLS, log zerolog.Logger) (*tlskeys.Keys, error) {
+	if !files.Enabled() {
+		return nil, nil
+	}
+	return tlskeys.Load(files, log)
+}
+
+// transport returns an HTTP transport without proxies that takes up changed keys.
+func (s *Services) transport(files settings.TLS, log zerolog.Logger) (*http.Transport, error) {
+	keys, err := loadKeys(files, log)
+	if err != nil {
+		return nil, err
+	}
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.Proxy = nil
+	if keys != nil {
+		t.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			host, _, err := net.SplitHostPort(address)
+			if err != nil {
+				return nil, err
+			}
+			return (&tls.Dialer{Config: keys.Client(host)}).DialContext(ctx, network, address)
+		}
+	}
+	s.transports = append(s.transports, t)
+	return t, nil
+}
--- a/internal/strictyaml/limits.go
+++ b/internal/strictyaml/limits.go
@@ -10,6 +10,7 @@
 		return Fault{Line: 1, Column: 1, Message: fmt.Sprintf("the text has %d bytes, more than %d", len(data), MaxBytes)}, false
 	}
 	line, column, open, marks, blank := 1, 0, 0, 0, true
+	previous := byte('\n')
 	for _, c := range data {
 		column++
 		switch c {
@@ -19,9 +20,12 @@
 			open++
 		case ']', '}':
 			open = max(open-1, 0)
-		case '-', '?', ':':
-			marks++
+		case ' ', '\t':
+			if previous == '-' || previous == '?' || previous == ':' {
+				marks++
+			}
 		}
+		previous = c
 		if blank && c != ' ' && c != '\n' {
 			blank = false
 		}
--- /dev/null
+++ b/internal/tlskeys/keys.go
@@ -0,0 +1,165 @@
+package tlskeys
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/settings"
+)
+
+// ErrExpired reports a certificate outside of its time of validity.
+var ErrExpired = errors.New("certificate is expired or not yet valid")
+
+// lookInterval is the least time between two looks at the files.
+const lookInterval = time.Second
+
+// Keys holds the keys of one way in or out. It is safe for concurrent use.
+type Keys struct {
+	files settings.TLS
+	log   zerolog.Logger
+
+	mu      sync.Mutex
+	current material
+	stamps  [3]stamp
+	looked  time.Time
+}
+
+// material is what the files held when they were last read.
+type material struct {
+	certificate *tls.Certificate
+	authorities *x509.CertPool
+}
+
+// stamp tells whether a file has changed.
+type stamp struct {
+	modified time.Time
+	size     int64
+}
+
+// Load reads the files. It fails when they cannot be used or have expired.
+func Load(files settings.TLS, log zerolog.Logger) (*Keys, error) {
+	stamps := stampsOf(files)
+	current, err := read(files)
+	if err != nil {
+		return nil, err
+	}
+	return &Keys{files: files, log: log, current: current, stamps: stamps, looked: time.Now()}, nil
+}
+
+// Server returns a configuration for a listener. With mutual set, clients need
+// a certificate from the authorities.
+func (k *Keys) Server(mutual bool) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			return k.serverConfig(mutual)
+		},
+	}
+}
+
+func (k *Keys) serverConfig(mutual bool) (*tls.Config, error) {
+	m := k.material()
+	if m.certificate == nil {
+		return nil, errors.New("no certificate for the listener")
+	}
+	if err := checkValidity(m.certificate); err != nil {
+		return nil, err
+	}
+	config := &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{*m.certificate}}
+	if mutual {
+		config.ClientAuth = tls.RequireAndVerifyClientCert
+		config.ClientCAs = m.authorities
+		if m.authorities == nil {
+			return nil, errors.New("no authorities for client certificates")
+		}
+	}
+	return config, nil
+}
+
+// Client returns a configuration for one connection to serverName, a host name
+// or an IP address. It is made anew for each connection so that changed files
+// are taken up.
+func (k *Keys) Client(serverName string) *tls.Config {
+	m := k.material()
+	config := &tls.Config{MinVersion: tls.VersionTLS12, ServerName: serverName, RootCAs: m.authorities}
+	if m.certificate != nil {
+		config.Certificates = []tls.Certificate{*m.certificate}
+	}
+	return config
+}
+
+// material returns the keys in use after a look at the files.
+func (k *Keys) material() material {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	if now.Sub(k.looked) < lookInterval {
+		return k.current
+	}
+	k.looked = now
+	stamps := stampsOf(k.files)
+	if stamps == k.stamps {
+		return k.current
+	}
+	k.stamps = stamps
+	next, err := read(k.files)
+	if err != nil {
+		eventReloadFailed.Log(&k.log).Err(err).Str("file", k.files.CertFile).Send()
+		return k.current
+	}
+	k.current = next
+	eventReloaded.Log(&k.log).Str("file", k.files.CertFile).Send()
+	return k.current
+}
+
+func read(files settings.TLS) (material, error) {
+	var m material
+	if files.CertFile != "" {
+		pair, err := tls.LoadX509KeyPair(files.CertFile, files.KeyFile)
+		if err != nil {
+			return material{}, eris.Wrap(err, "load key pair")
+		}
+		if err := checkValidity(&pair); err != nil {
+			return material{}, err
+		}
+		m.certificate = &pair
+	}
+	if files.CAFile != "" {
+		pem, err := os.ReadFile(files.CAFile)
+		if err != nil {
+			return material{}, eris.Wrap(err, "read authorities")
+		}
+		m.authorities = x509.NewCertPool()
+		if !m.authorities.AppendCertsFromPEM(pem) {
+			return material{}, fmt.Errorf("%s holds no certificate", files.CAFile)
+		}
+	}
+	return m, nil
+}
+
+func checkValidity(pair *tls.Certificate) error {
+	now := time.Now()
+	if now.Before(pair.Leaf.NotBefore) || now.After(pair.Leaf.NotAfter) {
+		return fmt.Errorf("%w: valid from %s to %s", ErrExpired,
+			pair.Leaf.NotBefore.Format(time.RFC3339), pair.Leaf.NotAfter.Format(time.RFC3339))
+	}
+	return nil
+}
+
+func stampsOf(files settings.TLS) [3]stamp {
+	var stamps [3]stamp
+	for i, name := range []string{files.CertFile, files.KeyFile, files.CAFile} {
+		if info, err := os.Stat(name); err == nil {
+			stamps[i] = stamp{modified: info.ModTime(), size: info.Size()}
+		}
+	}
+	return stamps
+}
