Add the load tool: seeded open-loop work, outcomes and broken promises

Cause: each decision is to be measured against its baseline on the product. Ruled out: closed-loop clients, whose latencies hide waiting time. Latency counts from the intended arrival instead.

--- /dev/null
+++ b/internal/load/profile.go
@@ -0,0 +1,101 @@
+package load
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+// Action is what a kind of work does.
+type Action string
+
+// Actions.
+const (
+	// ActionOrder inserts an order under an order id.
+	ActionOrder Action = "order"
+	// ActionUpdate writes one row of the session.
+	ActionUpdate Action = "update"
+	// ActionRead reads data that may be as old as the named kind of read allows.
+	ActionRead Action = "read"
+	// ActionReadOwn writes a row and reads it through another proxy under the
+	// same session name. Only the read is timed.
+	ActionReadOwn Action = "read_own"
+)
+
+// Kind is one kind of work of a deployment.
+type Kind struct {
+	Name   string
+	Rank   cluster.Rank
+	Action Action
+	// Reads names the kind of read in the environment document.
+	Reads string
+	// Share is the part of the base rate, from 0 to 1.
+	Share float64
+}
+
+// Profile is the mix of work of one deployment.
+type Profile struct {
+	Name   string
+	Groups []string
+	Kinds  []Kind
+}
+
+var profiles = []Profile{
+	{
+		Name:   "cotopaxi",
+		Groups: []string{"orders_a", "orders_b", "orders_c"},
+		Kinds: []Kind{
+			{Name: "press_order", Rank: cluster.RankUrgent, Action: ActionOrder, Share: 0.10},
+			{Name: "dispatch_entry", Rank: cluster.RankUrgent, Action: ActionUpdate, Share: 0.05},
+			{Name: "job_card", Rank: cluster.RankNormal, Action: ActionReadOwn, Reads: "session", Share: 0.10},
+			{Name: "stock_check", Rank: cluster.RankNormal, Action: ActionRead, Reads: "recent", Share: 0.25},
+			{Name: "catalogue", Rank: cluster.RankBackground, Action: ActionRead, Reads: "recent", Share: 0.50},
+		},
+	},
+	{
+		Name:   "consorzio",
+		Groups: []string{"canteens_a", "canteens_b", "canteens_c"},
+		Kinds: []Kind{
+			{Name: "confirmation", Rank: cluster.RankUrgent, Action: ActionOrder, Share: 0.15},
+			{Name: "canteen_order", Rank: cluster.RankNormal, Action: ActionOrder, Share: 0.10},
+			{Name: "load_list", Rank: cluster.RankNormal, Action: ActionReadOwn, Reads: "session", Share: 0.15},
+			{Name: "menu", Rank: cluster.RankBackground, Action: ActionRead, Reads: "recent", Share: 0.60},
+		},
+	},
+}
+
+// FindProfile returns the profile of a deployment.
+func FindProfile(name string) (Profile, error) {
+	i := slices.IndexFunc(profiles, func(p Profile) bool { return p.Name == name })
+	if i < 0 {
+		return Profile{}, fmt.Errorf("unknown profile %q", name)
+	}
+	return profiles[i], nil
+}
+
+// Phase is a stretch of a run at a steady rate.
+type Phase struct {
+	Name     string        `json:"name"`
+	Duration time.Duration `json:"duration"`
+	// Rate is the base rate in requests per second over all groups.
+	Rate float64 `json:"rate"`
+	// Only restricts the base rate to one rank; empty means the whole mix.
+	Only string `json:"only,omitempty"`
+	// FloodRank and FloodRate add requests of one rank beside the base rate.
+	FloodRank string  `json:"flood_rank,omitempty"`
+	FloodRate float64 `json:"flood_rate,omitempty"`
+	// FloodWork replaces the service time of the flood's statements.
+	FloodWork time.Duration `json:"flood_work,omitempty"`
+}
+
+// floodKind is the kind of the flood's requests: reads for the least urgent
+// work and updates for the others.
+func floodKind(rank cluster.Rank) Kind {
+	k := Kind{Name: "flood_" + rank.String(), Rank: rank, Action: ActionUpdate}
+	if rank == cluster.RankBackground {
+		k.Action, k.Reads = ActionRead, "recent"
+	}
+	return k
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,55 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+)
+
+// Table prints one line for each phase and kind of work.
+func (r *Report) Table(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "phase\tkind\trank\tdone/s\tdone\tnot run\tunknown\tfailed\tp50\tp95\tp99\tmax\n")
+	for _, p := range r.Phases {
+		for _, name := range slices.Sorted(maps.Keys(p.Kinds)) {
+			s := p.Kinds[name]
+			fmt.Fprintf(w, "%s\t%s\t%s\t%.1f\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\n", p.Phase.Name, name, s.Rank,
+				float64(s.Outcomes[OutcomeDone])/p.Phase.Duration.Seconds(),
+				s.Outcomes[OutcomeDone], s.Outcomes[OutcomeNotRun], s.Outcomes[OutcomeUnknown], s.Outcomes[OutcomeFailed],
+				micros(s.P50), micros(s.P95), micros(s.P99), micros(s.Max))
+		}
+	}
+	v := r.Verdict
+	fmt.Fprintf(w, "\norders %d: lost %d, doubled %d, ghosts %d, unresolved %d; reads of own writes %d: stale %d\n",
+		v.Orders, v.Lost, v.Doubled, v.Ghosts, v.Unresolved, v.Reads, v.Stale)
+	return w.Flush()
+}
+
+// Compare prints the latencies and rates of two reports side by side.
+func Compare(out io.Writer, a, b *Report) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "phase\tkind\tdone A\tdone B\tp50 A\tp50 B\tp99 A\tp99 B\tp99 B/A\n")
+	for i, pa := range a.Phases {
+		if i >= len(b.Phases) {
+			break
+		}
+		pb := b.Phases[i]
+		for _, name := range slices.Sorted(maps.Keys(pa.Kinds)) {
+			sa, sb := pa.Kinds[name], pb.Kinds[name]
+			if sb == nil {
+				continue
+			}
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%s\t%s\t%s\t%.2f\n", pa.Phase.Name, name,
+				sa.Outcomes[OutcomeDone], sb.Outcomes[OutcomeDone], micros(sa.P50), micros(sb.P50),
+				micros(sa.P99), micros(sb.P99), float64(sb.P99)/float64(max(sa.P99, 1)))
+		}
+	}
+	return w.Flush()
+}
+
+func micros(us int64) string {
+	return (time.Duration(us) * time.Microsecond).Round(10 * time.Microsecond).String()
+}
--- /dev/null
+++ b/internal/load/runner.go
@@ -0,0 +1,209 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// maxInFlight bounds the requests of a run that wait for an answer.
+	maxInFlight = 4000
+	// requestTimeout bounds one request.
+	requestTimeout = 10 * time.Second
+	// setupTimeout bounds the creation of the tables.
+	setupTimeout = 30 * time.Second
+)
+
+// Config describes a run.
+type Config struct {
+	Profile Profile
+	Phases  []Phase
+	// Proxies are the addresses of the proxies' caller listeners.
+	Proxies  []string
+	User     string
+	Password string
+	// Metrics are the URLs of the processes' metrics; deltas are kept by phase.
+	Metrics []string
+	// Work is the service time of a statement.
+	Work time.Duration
+	Seed uint64
+}
+
+// Run carries out the phases in turn and judges the data at the end.
+func Run(ctx context.Context, config Config) (*Report, error) {
+	r := &run{
+		config: config, ledger: newLedger(),
+		callers: newCallers(config.Proxies, config.User, config.Password),
+		slots:   make(chan struct{}, maxInFlight),
+	}
+	defer r.callers.close()
+	if err := r.setUp(ctx); err != nil {
+		return nil, err
+	}
+	report := newReport(config)
+	for i, phase := range config.Phases {
+		result, err := r.phase(ctx, i, phase)
+		if err != nil {
+			return nil, err
+		}
+		report.Phases = append(report.Phases, result)
+	}
+	found, err := r.findOrders(ctx)
+	if err != nil {
+		return nil, err
+	}
+	report.Verdict = r.ledger.judge(found)
+	return report, nil
+}
+
+type run struct {
+	config  Config
+	ledger  *ledger
+	callers *callers
+	slots   chan struct{}
+	// row numbers the rows that sessions write.
+	row atomic.Int64
+}
+
+func (r *run) setUp(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, setupTimeout)
+	defer cancel()
+	for _, group := range r.config.Profile.Groups {
+		for _, sql := range []string{
+			"CREATE TABLE IF NOT EXISTS load_orders (id TEXT, detail TEXT)",
+			"CREATE TABLE IF NOT EXISTS load_rows (k TEXT PRIMARY KEY, v INTEGER)",
+			"INSERT INTO load_rows (k, v) VALUES ('shared', 1) ON CONFLICT (k) DO NOTHING",
+		} {
+			if _, err := r.callers.exec(ctx, callerKey{0, group}, sql); err != nil {
+				return eris.Wrapf(err, "set up group %s", group)
+			}
+		}
+	}
+	return nil
+}
+
+func (r *run) phase(ctx context.Context, index int, phase Phase) (*PhaseResult, error) {
+	arrivals, err := Arrivals(r.config.Profile, phase, len(r.config.Proxies), r.config.Work, r.config.Seed+uint64(index))
+	if err != nil {
+		return nil, err
+	}
+	before := scrape(ctx, r.config.Metrics)
+	result := newPhaseResult(phase)
+	var wait sync.WaitGroup
+	start := time.Now()
+	for _, a := range arrivals {
+		if err := sleepUntil(ctx, start.Add(a.At)); err != nil {
+			return nil, err
+		}
+		select {
+		case r.slots <- struct{}{}:
+		default:
+			result.record(a.Kind, OutcomeFailed, 0)
+			continue
+		}
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			defer func() { <-r.slots }()
+			r.request(ctx, result, start.Add(a.At), a, index)
+		}()
+	}
+	wait.Wait()
+	result.finish(time.Since(start), metricsDelta(before, scrape(ctx, r.config.Metrics)))
+	return result, nil
+}
+
+func sleepUntil(ctx context.Context, t time.Time) error {
+	d := time.Until(t)
+	if d <= 0 {
+		return ctx.Err()
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+func (r *run) request(ctx context.Context, result *PhaseResult, intended time.Time, a Arrival, phase int) {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	var err error
+	switch a.Kind.Action {
+	case ActionOrder:
+		err = r.placeOrder(ctx, a, phase)
+	case ActionUpdate:
+		err = r.update(ctx, a)
+	case ActionRead:
+		_, err = r.callers.exec(ctx, callerKey{a.Proxy, a.Group}, r.readSQL(a, "shared", ""))
+	case ActionReadOwn:
+		intended, err = r.readOwn(ctx, a, intended)
+	}
+	result.record(a.Kind, classify(err), time.Since(intended))
+}
+
+func (r *run) placeOrder(ctx context.Context, a Arrival, phase int) error {
+	id := fmt.Sprintf("%d-%d-%d", r.config.Seed, phase, a.Number)
+	sql := fmt.Sprintf("%s INSERT INTO load_orders (id, detail) VALUES ('%s', '%s')",
+		comment(a, "order_id", id), id, workNote(a.Work))
+	_, err := r.callers.exec(ctx, callerKey{a.Proxy, a.Group}, sql)
+	r.ledger.order(a.Group+"/"+id, classify(err))
+	return err
+}
+
+func (r *run) update(ctx context.Context, a Arrival) error {
+	row := r.row.Add(1)
+	_, err := r.callers.exec(ctx, callerKey{a.Proxy, a.Group}, writeSQL(a, row, ""))
+	return err
+}
+
+// readOwn writes a row and reads it through the next proxy. It returns the
+// start of the read.
+func (r *run) readOwn(ctx context.Context, a Arrival, intended time.Time) (time.Time, error) {
+	row := r.row.Add(1)
+	session := "s" + strconv.FormatInt(row, 10)
+	if _, err := r.callers.exec(ctx, callerKey{a.Proxy, a.Group}, writeSQL(a, row, session)); err != nil {
+		return intended, err
+	}
+	start := time.Now()
+	other := (a.Proxy + 1) % len(r.config.Proxies)
+	rows, err := r.callers.exec(ctx, callerKey{other, a.Group}, r.readSQL(a, rowKey(row), session))
+	if err == nil {
+		r.ledger.read(len(rows) == 0)
+	}
+	return start, err
+}
+
+func (r *run) readSQL(a Arrival, key, session string) string {
+	return fmt.Sprintf("%s SELECT v FROM load_rows WHERE k = '%s' %s",
+		comment(a, "freshness", a.Kind.Reads, "session", session), key, workNote(a.Work))
+}
+
+func writeSQL(a Arrival, row int64, session string) string {
+	return fmt.Sprintf("%s INSERT INTO load_rows (k, v) VALUES ('%s', %d) %s",
+		comment(a, "session", session), rowKey(row), row, workNote(a.Work))
+}
+
+func rowKey(row int64) string { return "r" + strconv.FormatInt(row, 10) }
+
+func (r *run) findOrders(ctx context.Context) (map[string]int, error) {
+	found := map[string]int{}
+	for _, group := range r.config.Profile.Groups {
+		rows, err := r.callers.exec(ctx, callerKey{0, group},
+			"/*rattancove.freshness='latest'*/ SELECT id FROM load_orders")
+		if err != nil {
+			return nil, eris.Wrapf(err, "read orders of group %s", group)
+		}
+		for _, row := range rows {
+			found[group+"/"+string(row[0])]++
+		}
+	}
+	return found, nil
+}
--- /dev/null
+++ b/internal/load/scrape.go
@@ -0,0 +1,59 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"runtime"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const scrapeTimeout = 2 * time.Second
+
+// scrape sums the metrics of several processes by name. A process that does
+// not answer is left out.
+func scrape(ctx context.Context, urls []string) map[string]float64 {
+	sums := map[string]float64{}
+	for _, url := range urls {
+		scrapeOne(ctx, url, sums)
+	}
+	return sums
+}
+
+func scrapeOne(ctx context.Context, url string, sums map[string]float64) {
+	ctx, cancel := context.WithTimeout(ctx, scrapeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		name, value, ok := strings.Cut(lines.Text(), " ")
+		wanted := strings.HasPrefix(name, "rattan_") || name == "process_cpu_seconds_total"
+		if f, err := strconv.ParseFloat(value, 64); ok && err == nil && wanted {
+			sums[name] += f
+		}
+	}
+}
+
+// metricsDelta returns what rose between two scrapes.
+func metricsDelta(before, after map[string]float64) map[string]float64 {
+	delta := map[string]float64{}
+	for name, value := range after {
+		if d := value - before[name]; d != 0 {
+			delta[name] = d
+		}
+	}
+	return delta
+}
+
+func cores() string { return fmt.Sprintf("%d cores", runtime.NumCPU()) }
--- /dev/null
+++ b/internal/load/sql.go
@@ -0,0 +1,25 @@
+package load
+
+import (
+	"fmt"
+	"net/url"
+	"strings"
+	"time"
+)
+
+// comment returns the leading comment that names a request's rank and the
+// given pairs of key and value. Pairs with an empty value are left out.
+func comment(a Arrival, pairs ...string) string {
+	parts := []string{fmt.Sprintf("rattancove.rank='%s'", a.Kind.Rank)}
+	for i := 0; i+1 < len(pairs); i += 2 {
+		if pairs[i+1] != "" {
+			parts = append(parts, fmt.Sprintf("rattancove.%s='%s'", pairs[i], url.PathEscape(pairs[i+1])))
+		}
+	}
+	return "/*" + strings.Join(parts, ",") + "*/"
+}
+
+// workNote asks the stand-in backend server for a service time.
+func workNote(work time.Duration) string {
+	return fmt.Sprintf("/*work=%g*/", float64(work)/float64(time.Millisecond))
+}
