Test the callers' side and read its states from a chart

Cause: the thin callers' side was only tried with a few statements. The backend adapter asks for COPY data while it passes answers on, so the conversation must allow both at once.

Ruled out: sending the new value of a SET among the request's settings, because a bad value would then fail as a lost connection and not with the server's own error.

--- /dev/null
+++ b/internal/pgwire/front/bench_test.go
@@ -0,0 +1,170 @@
+package front_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"runtime"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/pgwire/front"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// instantRunner answers every request at once.
+type instantRunner struct{ answer []byte }
+
+func (r instantRunner) Run(ctx context.Context, _ *statement.Request, conv statement.Conversation) (statement.Result, error) {
+	err := conv.Answer(ctx, r.answer)
+	return statement.Result{Observed: cluster.Position{Term: 1, Offset: 1}}, err
+}
+
+// pipeListener hands out connections that are made in the process.
+type pipeListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	select {
+	case <-l.done:
+	default:
+		close(l.done)
+	}
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
+
+func startInstant(b *testing.B) *pipeListener {
+	b.Helper()
+	var answer []byte
+	for _, m := range []pgproto3.BackendMessage{
+		&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("v")}}},
+		&pgproto3.DataRow{Values: [][]byte{[]byte("1")}},
+		&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")},
+		&pgproto3.ReadyForQuery{TxStatus: 'I'},
+	} {
+		answer, _ = m.Encode(answer)
+	}
+	l := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+	s := front.New(front.Config{Logger: zerolog.Nop()}, instantRunner{answer}, fakeDirectory{})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = s.Serve(ctx, l) }()
+	b.Cleanup(func() {
+		_ = l.Close()
+		cancel()
+		_ = s.Drain(ctx)
+	})
+	return l
+}
+
+func (l *pipeListener) open(b *testing.B) *pgproto3.Frontend {
+	b.Helper()
+	near, far := net.Pipe()
+	l.conns <- far
+	f := pgproto3.NewFrontend(near, near)
+	if _, err := near.Write(startupBytes(0, plainStartup)); err != nil {
+		b.Fatal(err)
+	}
+	receiveReady(b, f)
+	return f
+}
+
+func receiveReady(b *testing.B, f *pgproto3.Frontend) {
+	b.Helper()
+	for {
+		m, err := f.Receive()
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, ok := m.(*pgproto3.ReadyForQuery); ok {
+			return
+		}
+	}
+}
+
+func query(b *testing.B, f *pgproto3.Frontend) {
+	b.Helper()
+	f.Send(&pgproto3.Query{String: "select id, name from patterns where id = 7"})
+	if err := f.Flush(); err != nil {
+		b.Fatal(err)
+	}
+	receiveReady(b, f)
+}
+
+// BenchmarkIdleCaller measures the memory of a caller that has run a statement
+// and does nothing, with its goroutine's stack and without the pipe.
+func BenchmarkIdleCaller(b *testing.B) {
+	const callers = 2000
+	for range b.N {
+		before := inUse()
+		pipes := make([][2]net.Conn, callers)
+		for i := range pipes {
+			pipes[i][0], pipes[i][1] = net.Pipe()
+		}
+		bare := inUse() - before
+
+		l := startInstant(b)
+		before = inUse()
+		var answer [4096]byte
+		request, _ := (&pgproto3.Query{String: "select 1"}).Encode(nil)
+		for _, p := range pipes {
+			l.conns <- p[1]
+			talk(b, p[0], startupBytes(0, plainStartup), answer[:])
+			talk(b, p[0], request, answer[:])
+		}
+		b.ReportMetric(float64(inUse()-before)/callers, "B/caller")
+		b.ReportMetric(float64(bare)/callers, "B/pipe")
+		runtime.KeepAlive(pipes)
+	}
+}
+
+// talk sends a request and reads up to ReadyForQuery.
+func talk(b *testing.B, conn net.Conn, request, answer []byte) {
+	b.Helper()
+	if _, err := conn.Write(request); err != nil {
+		b.Fatal(err)
+	}
+	ready := []byte{'Z', 0, 0, 0, 5, 'I'}
+	for read := 0; !bytes.HasSuffix(answer[:read], ready); {
+		n, err := conn.Read(answer[read:])
+		if err != nil {
+			b.Fatal(err)
+		}
+		read += n
+	}
+}
+
+func inUse() int64 {
+	for range 4 {
+		runtime.GC()
+	}
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+// BenchmarkQuery measures one simple query over a pipe with a Runner that
+// answers at once.
+func BenchmarkQuery(b *testing.B) {
+	f := startInstant(b).open(b)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		query(b, f)
+	}
+}
--- a/internal/pgwire/front/caller.go
+++ b/internal/pgwire/front/caller.go
@@ -14,6 +14,7 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/session"
+	"github.com/rattancove/rattancove/internal/statechart"
 )
 
 // copyPieceBytes is the size at which a piece of a COPY goes to the home.
@@ -53,8 +54,9 @@
 	// once it was reported.
 	lost error
 
+	// mu keeps a drain from interrupting a caller that has just become busy.
 	mu    sync.Mutex
-	state state
+	state statechart.Machine
 	// cancel ends the running request; nil while none runs.
 	cancel context.CancelCauseFunc
 }
@@ -62,7 +64,7 @@
 // serve runs the caller's requests until the connection ends.
 func (c *caller) serve() {
 	err := c.serveRequests()
-	c.enter(stateClosed)
+	c.fire(signalClosed)
 	c.reader.release()
 	if err == nil || errors.Is(err, io.EOF) {
 		return
@@ -79,7 +81,7 @@
 // serveRequests returns why the connection ends: io.EOF when the caller left,
 // and an *errcode.Error when the caller is told.
 func (c *caller) serveRequests() error {
-	c.enter(stateIdle)
+	c.fire(signalAuthenticated)
 	for {
 		b, err := c.nextBatch()
 		if err != nil {
@@ -153,8 +155,10 @@
 func (c *caller) finished() *batch {
 	b := c.batch
 	c.batch = nil
-	b.classify()
-	b.script.simplify()
+	if b.boundary != boundaryCopy {
+		b.classify()
+		b.script.simplify()
+	}
 	return b
 }
 
@@ -193,14 +197,13 @@
 	c.writer.flush()
 }
 
-// enter changes the state.
-func (c *caller) enter(next state) {
+// fire changes the state.
+func (c *caller) fire(signal string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.state.mayBecome(next) {
-		eventBadTransition.Log(&c.server.logger).Stringer("from", c.state).Stringer("to", next).Send()
+	if _, _, err := c.state.Fire(signal); err != nil {
+		eventBadTransition.Log(&c.server.logger).Err(err).Send()
 	}
-	c.state = next
 }
 
 // interruptIfQuiet ends the wait of a caller without a running request, after
@@ -208,7 +211,7 @@
 func (c *caller) interruptIfQuiet() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state.quiet() {
+	if quiet(c.state.Current()) {
 		_ = c.conn.SetReadDeadline(time.Now().Add(drainLinger))
 	}
 }
@@ -217,7 +220,7 @@
 func (c *caller) interrupt() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state.quiet() {
+	if quiet(c.state.Current()) {
 		_ = c.conn.SetReadDeadline(time.Now())
 		return
 	}
@@ -235,7 +238,7 @@
 func (c *caller) cancelRequest(cause error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.cancel != nil && c.state == stateRunning {
+	if c.cancel != nil && c.state.In(stateRunning) {
 		c.cancel(cause)
 	}
 }
--- a/internal/pgwire/front/cancel.go
+++ b/internal/pgwire/front/cancel.go
@@ -5,6 +5,8 @@
 	"crypto/rand"
 	"crypto/subtle"
 	"errors"
+
+	"github.com/rattancove/rattancove/internal/errcode"
 )
 
 // secretBytes is the length of a cancel secret in protocol 3.0.
@@ -42,22 +44,25 @@
 }
 
 // add registers a caller after authentication and gives it a cancel key. It
-// reports false when the proxy or the customer has too many callers.
-func (s *Server) add(c *caller) bool {
+// fails when the proxy or the customer has too many callers, or drains.
+func (s *Server) add(c *caller) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.draining.Load() {
+		return errcode.New(errcode.Draining, "startup", "")
+	}
 	perProxy := s.directory.Limits().CallersPerProxy
 	if perProxy > 0 && len(s.callers) >= perProxy {
-		return false
+		return errcode.New(errcode.TooManyCallers, "startup", string(s.config.Proxy))
 	}
 	if most := c.account.MaxCallers; most > 0 && s.customers[c.account.Customer] >= most {
-		return false
+		return errcode.New(errcode.TooManyCallers, "startup", c.account.Customer)
 	}
 	c.key = s.newKey()
 	s.callers[c.key.Process] = c
 	s.customers[c.account.Customer]++
 	callersOpen.Inc()
-	return true
+	return nil
 }
 
 // newKey returns an unused key. The caller holds s.mu.
--- a/internal/pgwire/front/config.go
+++ b/internal/pgwire/front/config.go
@@ -70,6 +70,9 @@
 	WriteTime time.Duration
 	// PreparedPerCaller bounds the named prepared statements of one caller.
 	PreparedPerCaller int
+	// Admit is asked before each new caller; its error, an *errcode.Error,
+	// refuses the caller. It may be nil.
+	Admit func() error
 	// ForwardCancel passes on a cancel request whose key this proxy did not
 	// issue. It may be nil.
 	ForwardCancel func(ctx context.Context, key CancelKey)
--- a/internal/pgwire/front/conversation.go
+++ b/internal/pgwire/front/conversation.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/rattancove/rattancove/internal/errcode"
@@ -17,17 +18,23 @@
 	rollbackTag     = []byte("ROLLBACK\x00")
 )
 
-// conversation is the caller's side of one running request. The Runner calls
-// it from one goroutine at a time.
+// conversation is the caller's side of one running request. Answer may be
+// called while Next waits for the data of a COPY; otherwise the Runner calls it
+// from one goroutine at a time.
 type conversation struct {
 	caller *caller
-	// batch is the last batch that is not a piece of a COPY.
-	batch  *batch
-	cancel context.CancelCauseFunc
-	// timer cancels a request that the home did not end in time.
-	timer *time.Timer
 	// transactionEnd bounds the whole request.
 	transactionEnd time.Time
+	cancel         context.CancelCauseFunc
+	// timer cancels a request that the home did not end in time.
+	timer *time.Timer
+
+	// mu guards the caller's writer and what follows.
+	mu sync.Mutex
+	// batch is the last batch that is not a piece of a COPY.
+	batch *batch
+	// batches counts the batches of the request.
+	batches int
 	// tx is the transaction state after the last completed batch.
 	tx byte
 	// held is set when the final ReadyForQuery was kept back.
@@ -40,7 +47,8 @@
 	failed bool
 	// batchFailed is set when the server answered an error to the running batch.
 	batchFailed bool
-	rolledBack  bool
+	// rolledBack is set when the last command was a ROLLBACK.
+	rolledBack bool
 	// settings are in force once the transaction commits.
 	settings []statement.Setting
 	// err is why the connection of the caller ends.
@@ -52,6 +60,7 @@
 	v := &conversation{
 		caller:         c,
 		batch:          b,
+		batches:        1,
 		cancel:         cancel,
 		transactionEnd: time.Now().Add(l.TransactionTime),
 		tx:             txIdle,
@@ -73,6 +82,8 @@
 // Answer implements statement.Conversation. The final ReadyForQuery is kept
 // back until the Runner returns.
 func (v *conversation) Answer(_ context.Context, data []byte) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	w := &v.caller.writer
 	start := 0
 	for rest := data; len(rest) > 0; {
@@ -127,6 +138,9 @@
 	case msgCommandComplete:
 		v.copying = false
 		v.rolledBack = bytes.Equal(message[headerBytes:], rollbackTag)
+		if v.rolledBack {
+			v.settings = v.caller.settings.current
+		}
 	}
 	return v.batch.script.admit(kind, &v.caller.writer)
 }
@@ -136,12 +150,9 @@
 	v.waiting = true
 	v.copying = false
 	switch {
-	case v.tx == txIdle && (v.rolledBack || v.batchFailed):
+	case v.tx == txIdle && v.batchFailed:
 		v.settings = v.caller.settings.current
-		if v.rolledBack && !v.batchFailed {
-			break
-		}
-	case !v.batchFailed:
+	case !v.batchFailed && !v.rolledBack:
 		v.settings = v.caller.settings.changed(v.settings, v.batch)
 	}
 	if v.tx == txIdle {
@@ -168,50 +179,58 @@
 // Next implements statement.Conversation. It answers batches that need no
 // server itself.
 func (v *conversation) Next(ctx context.Context) (*statement.Batch, error) {
-	if v.left() {
-		return nil, v.err
+	copying, err := v.beginWait()
+	if err != nil {
+		return nil, err
 	}
-	c := v.caller
-	v.timer.Stop()
-	v.enterWait()
-	stop := c.interruptOn(ctx)
+	stop := v.caller.interruptOn(ctx)
 	defer stop()
 	for {
-		b, err := v.nextBatch(ctx)
+		b, err := v.nextBatch(ctx, copying)
 		if err != nil {
 			return nil, v.leave(ctx, err)
 		}
-		if b.boundary != boundaryCopy && c.answerHere(b) {
-			continue
+		if copying || !v.caller.answerHere(b) {
+			v.start(b)
+			return &b.Batch, nil
 		}
-		v.start(b)
-		return &b.Batch, nil
 	}
 }
 
-func (v *conversation) enterWait() {
+// beginWait reports whether the caller owes the data of a COPY.
+func (v *conversation) beginWait() (copying bool, err error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.err != nil {
+		return false, v.err
+	}
+	v.timer.Stop()
 	if v.copying {
-		v.caller.enter(stateCopyIn)
-		return
+		v.caller.fire(signalCopyIn)
+	} else {
+		v.caller.fire(signalTransactionOpen)
 	}
-	v.caller.enter(stateInTransaction)
+	return v.copying, nil
 }
 
 // start notes that b is at the home now.
 func (v *conversation) start(b *batch) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	if b.boundary != boundaryCopy {
 		v.batch = b
+		v.batches++
 		v.batchFailed = false
 		v.rolledBack = false
 	}
 	v.waiting = false
 	remaining := time.Until(v.transactionEnd)
 	v.timer.Reset(min(limits(v.caller.server.directory).StatementTime, remaining) + statementMargin)
-	v.caller.enter(stateRunning)
+	v.caller.fire(signalBatch)
 }
 
-// nextBatch collects a batch inside a running request.
-func (v *conversation) nextBatch(ctx context.Context) (*batch, error) {
+// nextBatch collects a batch, or a piece of a COPY, inside a running request.
+func (v *conversation) nextBatch(ctx context.Context, copying bool) (*batch, error) {
 	c := v.caller
 	for {
 		if err := v.awaitMessage(ctx); err != nil {
@@ -222,7 +241,7 @@
 			return nil, err
 		}
 		var done bool
-		if v.copying {
+		if copying {
 			done, err = c.takeCopy(kind, message, v.extendedCopy())
 		} else {
 			done, err = c.take(kind, message)
@@ -230,16 +249,9 @@
 		if err != nil {
 			return nil, err
 		}
-		if !done {
-			continue
+		if done {
+			return c.finished(), nil
 		}
-		b := c.batch
-		c.batch = nil
-		if b.boundary != boundaryCopy {
-			b.classify()
-			b.script.simplify()
-		}
-		return b, nil
 	}
 }
 
@@ -267,6 +279,11 @@
 // leave decides what a failed wait means: the request was cancelled, the
 // caller took too long, or the caller left.
 func (v *conversation) leave(ctx context.Context, err error) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if b := v.caller.batch; b != nil && b.boundary == boundaryCopy {
+		v.caller.batch = nil
+	}
 	if ctx.Err() != nil {
 		return context.Cause(ctx)
 	}
@@ -274,8 +291,10 @@
 	switch {
 	case errors.As(err, &coded):
 		v.err = coded
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(v.transactionEnd):
 		v.err = errcode.Wrap(err, errcode.IdleTransaction, "next", v.caller.user)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		v.err = errcode.Wrap(err, errcode.LimitExceeded, "transaction time", v.caller.user)
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		v.err = io.EOF
 	default:
--- a/internal/pgwire/front/drain.go
+++ b/internal/pgwire/front/drain.go
@@ -41,6 +41,9 @@
 	for l := range s.listeners {
 		_ = l.Close()
 	}
+	for conn := range s.starting {
+		_ = conn.SetReadDeadline(time.Now().Add(drainLinger))
+	}
 	for _, c := range s.callers {
 		c.interruptIfQuiet()
 	}
--- /dev/null
+++ b/internal/pgwire/front/drain_test.go
@@ -0,0 +1,120 @@
+package front_test
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/pgwire/front"
+)
+
+func TestDrainCutsOffNothing(t *testing.T) {
+	b := startServer(t, fakeDirectory{}, front.Config{})
+	running, release := make(chan struct{}), make(chan struct{})
+	b.runner.before = func(_ context.Context, _ int, sql string) error {
+		if strings.Contains(sql, "slow") {
+			close(running)
+			<-release
+		}
+		return nil
+	}
+	idle, busy, open := b.connect(t, ""), b.connect(t, ""), b.connect(t, "")
+	starting := dial(t, b)
+	tx, err := open.Begin(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	answered := make(chan error, 1)
+	go func() {
+		_, err := busy.Exec(context.Background(), "insert slow")
+		answered <- err
+	}()
+	<-running
+	drained := make(chan error, 1)
+	go func() { drained <- b.Drain(context.Background()) }()
+	waitFor(t, func() bool { return b.Callers() == 2 })
+	if b.Ready() {
+		t.Error("ready while draining")
+	}
+	if _, err := pgx.Connect(t.Context(), b.url("")); err == nil {
+		t.Error("a new caller was let in")
+	}
+	if _, err := idle.Exec(t.Context(), "select 1"); sqlState(err) != "57P01" {
+		t.Errorf("idle caller: %v", err)
+	}
+	if n, err := starting.Read(make([]byte, 1)); n != 1 {
+		t.Errorf("caller before authentication got no error message: %v", err)
+	}
+	close(release)
+	if err := <-answered; err != nil {
+		t.Errorf("running statement: %v", err)
+	}
+	if _, err := tx.Exec(t.Context(), "insert 1"); err != nil {
+		t.Errorf("statement in an open transaction: %v", err)
+	}
+	if err := tx.Commit(t.Context()); err != nil {
+		t.Errorf("commit: %v", err)
+	}
+	if err := <-drained; err != nil {
+		t.Errorf("drain: %v", err)
+	}
+}
+
+func TestDrainDeadline(t *testing.T) {
+	b := startServer(t, fakeDirectory{}, front.Config{})
+	b.runner.before = func(ctx context.Context, _ int, sql string) error {
+		if sql == "insert stuck" {
+			<-ctx.Done()
+			return context.Cause(ctx)
+		}
+		return nil
+	}
+	open, busy := b.connect(t, ""), b.connect(t, "")
+	if _, err := open.Begin(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	answered := make(chan error, 1)
+	go func() {
+		_, err := busy.Exec(context.Background(), "insert stuck")
+		answered <- err
+	}()
+	waitFor(t, func() bool { return b.runner.count() == 2 })
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	if err := b.Drain(ctx); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("drain: %v", err)
+	}
+	if err := <-answered; sqlState(err) != "57P01" {
+		t.Errorf("statement that was cut off: %v", err)
+	}
+	if n := b.Callers(); n != 0 {
+		t.Errorf("%d callers left", n)
+	}
+}
+
+func TestIdleInTransaction(t *testing.T) {
+	for name, c := range map[string]struct {
+		limits environment.Limits
+		want   string
+	}{
+		"idle":        {environment.Limits{IdleInTransaction: 30 * time.Millisecond}, "25P03"},
+		"transaction": {environment.Limits{TransactionTime: 30 * time.Millisecond}, "54000"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := startServer(t, fakeDirectory{limits: c.limits}, front.Config{})
+			conn := b.connect(t, "")
+			if _, err := conn.Exec(t.Context(), "begin"); err != nil {
+				t.Fatal(err)
+			}
+			waitFor(t, func() bool { return b.Callers() == 0 })
+			if _, err := conn.Exec(t.Context(), "insert 1"); sqlState(err) != c.want {
+				t.Errorf("error %v, want %s", err, c.want)
+			}
+		})
+	}
+}
--- a/internal/pgwire/front/events.go
+++ b/internal/pgwire/front/events.go
@@ -25,7 +25,7 @@
 	eventCallerPanicked = event.New(1112, zerolog.ErrorLevel, "front_caller_panicked",
 		"A programming error ended one caller connection; report it with the stack.")
 	eventBadTransition = event.New(1113, zerolog.ErrorLevel, "front_bad_transition",
-		"A caller connection took an unexpected turn; report it.")
+		"A caller connection took a turn that its state chart does not allow; report it.")
 	eventRequestFailed = event.New(1120, zerolog.InfoLevel, "front_request_failed",
 		"A request was refused or failed in the system; the error tells its outcome, step and peer.")
 	eventTransactionLost = event.New(1121, zerolog.WarnLevel, "front_transaction_lost",
--- a/internal/pgwire/front/fake_test.go
+++ b/internal/pgwire/front/fake_test.go
@@ -30,12 +30,32 @@
 	offset   uint64
 	// before may refuse a batch. It runs without the lock.
 	before func(ctx context.Context, batch int, sql string) error
+	// wait may end the wait for the next batch, and gives the error then.
+	wait func(context.Context) (context.Context, error)
+	done int
+}
+
+func (f *fakeRunner) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.requests)
+}
+
+func (f *fakeRunner) ended() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.done
 }
 
 func (f *fakeRunner) Run(ctx context.Context, req *statement.Request, conv statement.Conversation) (statement.Result, error) {
 	f.mu.Lock()
 	f.requests = append(f.requests, req)
 	f.mu.Unlock()
+	defer func() {
+		f.mu.Lock()
+		f.done++
+		f.mu.Unlock()
+	}()
 	s := &fakeSession{runner: f, conv: conv, tx: 'I', sql: map[string]string{}}
 	batch := &req.First
 	for n := 0; ; n++ {
@@ -48,8 +68,15 @@
 		if s.tx == 'I' {
 			return s.result, nil
 		}
+		waiting, lost := ctx, error(nil)
+		if f.wait != nil {
+			waiting, lost = f.wait(ctx)
+		}
 		var err error
-		if batch, err = conv.Next(ctx); err != nil {
+		if batch, err = conv.Next(waiting); err != nil && lost != nil {
+			return statement.Result{}, lost
+		}
+		if err != nil {
 			return statement.Result{}, err
 		}
 	}
@@ -92,19 +119,18 @@
 	return s.conv.Answer(ctx, out)
 }
 
+func typeName(m pgproto3.BackendMessage) string { return fmt.Sprintf("%T", m) }
+
 func (s *fakeSession) send(m pgproto3.BackendMessage) { s.out, _ = m.Encode(s.out) }
 
 func (s *fakeSession) each(ctx context.Context, n int, data []byte, quiet bool) error {
 	backend := pgproto3.NewBackend(bytes.NewReader(data), io.Discard)
-	for {
-		m, received := backend.Receive()
-		if received != nil {
-			return nil
-		}
+	for m, err := backend.Receive(); err == nil; m, err = backend.Receive() {
 		if err := s.message(ctx, n, m, quiet); err != nil {
 			return err
 		}
 	}
+	return nil
 }
 
 func (s *fakeSession) message(ctx context.Context, n int, m pgproto3.FrontendMessage, quiet bool) error {
--- /dev/null
+++ b/internal/pgwire/front/frame_test.go
@@ -0,0 +1,87 @@
+package front
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"os"
+	"testing"
+)
+
+// stutter gives one piece of the data on each read and a timeout between pieces.
+type stutter struct {
+	data  []byte
+	piece int
+	late  bool
+}
+
+func (s *stutter) Read(p []byte) (int, error) {
+	s.late = !s.late
+	if s.late {
+		return 0, os.ErrDeadlineExceeded
+	}
+	if len(s.data) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, s.data[:min(s.piece, len(s.data))])
+	s.data = s.data[n:]
+	return n, nil
+}
+
+// FuzzFrameReader splits any bytes into messages, in pieces and with timeouts
+// between them, and expects the same messages as from the whole.
+func FuzzFrameReader(f *testing.F) {
+	f.Add([]byte("Q\x00\x00\x00\x06x\x00S\x00\x00\x00\x04"), uint8(1))
+	f.Add([]byte("Q\xff\xff\xff\xffx"), uint8(3))
+	f.Add(append([]byte("d\x00\x00\x20\x04"), make([]byte, 0x2000)...), uint8(200))
+	f.Fuzz(func(t *testing.T, data []byte, piece uint8) {
+		const limit = 16 << 10
+		source := &stutter{data: bytes.Clone(data), piece: int(piece) + 1}
+		r := frameReader{source: source}
+		rest := data
+		for {
+			_, message, err := patient(&r, limit)
+			if err != nil {
+				checkEnd(t, rest, err, limit)
+				break
+			}
+			want, after, ok := nextMessage(rest)
+			if !ok || !bytes.Equal(message, want) {
+				t.Fatalf("message %q, want %q", message, want)
+			}
+			rest = after
+		}
+		r.release()
+	})
+}
+
+// patient repeats a read that timed out.
+func patient(r *frameReader, limit int) (byte, []byte, error) {
+	for {
+		err := r.wait()
+		if err == nil {
+			var kind byte
+			var message []byte
+			if kind, message, err = r.next(limit); err == nil {
+				return kind, message, nil
+			}
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return 0, nil, err
+		}
+	}
+}
+
+// checkEnd checks that the reader stopped for a reason.
+func checkEnd(t *testing.T, rest []byte, err error, limit int) {
+	t.Helper()
+	message, _, ok := nextMessage(rest)
+	switch {
+	case errors.Is(err, io.EOF) && len(rest) == 0:
+	case errors.Is(err, io.ErrUnexpectedEOF) && !ok:
+	case errors.Is(err, errMalformed) && !ok:
+	case errors.Is(err, errOversize) && (!ok || len(message) > limit):
+	default:
+		t.Fatalf("ended with %v before %q", err, rest)
+	}
+}
--- a/internal/pgwire/front/lost.go
+++ b/internal/pgwire/front/lost.go
@@ -12,7 +12,7 @@
 func (c *caller) lose(pending error) {
 	c.tx = txFailed
 	c.lost = pending
-	c.enter(stateLost)
+	c.fire(signalTransactionLost)
 }
 
 // answerLost answers a batch after the transaction was lost.
@@ -38,7 +38,7 @@
 
 func (c *caller) restore() {
 	c.tx = txIdle
-	c.enter(stateIdle)
+	c.fire(signalRolledBack)
 }
 
 var errAborted = &sqlError{
--- a/internal/pgwire/front/request.go
+++ b/internal/pgwire/front/request.go
@@ -53,7 +53,7 @@
 	req.TraceParent = traceParent(ctx, span)
 	v := newConversation(c, b, cancel)
 	defer v.timer.Stop()
-	c.enter(stateRunning)
+	c.fire(signalRequest)
 	started := time.Now()
 	result, err := c.server.runner.Run(ctx, req, v)
 	if err == nil && !v.held && !v.left() {
@@ -137,7 +137,7 @@
 		Floor:      floor.Position,
 		FloorExact: floor.Exact,
 		OrderID:    o.orderID,
-		Settings:   c.settings.changed(c.settings.current, b),
+		Settings:   c.settings.current,
 		Timeout:    limits(c.server.directory).StatementTime,
 		First:      b.Batch,
 	}
@@ -151,7 +151,7 @@
 		return v.err
 	}
 	c.settings.current = v.settings
-	c.enter(stateIdle)
+	c.fire(signalCompleted)
 	if r.Position.Known() {
 		c.writer.message(&pgproto3.ParameterStatus{
 			Name:  parameterToken,
@@ -181,6 +181,9 @@
 	eventRequestFailed.Log(&c.server.logger).Str("request", req.ID).Str("group", string(req.Group)).
 		Stringer("rank", req.Rank).Err(err).Send()
 	if v.waiting && v.tx != txIdle {
+		if errcode.Is(err, errcode.IdleTransaction) || errcode.Is(err, errcode.LimitExceeded) {
+			return err
+		}
 		eventTransactionLost.Log(&c.server.logger).Str("request", req.ID).Err(err).Send()
 		c.lose(err)
 		return nil
@@ -189,7 +192,8 @@
 	if _, ends := v.batch.endsTransaction(); v.tx != txIdle && !ends {
 		c.lose(nil)
 	} else {
-		c.restore()
+		c.tx = txIdle
+		c.fire(signalFailed)
 	}
 	if v.awaitsSync() {
 		c.discarding = true
@@ -232,6 +236,8 @@
 	return errcode.From(err).Code.Outcome
 }
 
+// count counts a request. The time of a transaction block is left out of the
+// histogram, because most of it is the caller's own.
 func count(rank cluster.Rank, v *conversation, err error, took time.Duration) {
 	outcome := errcode.OutcomeDone.String()
 	switch {
@@ -241,5 +247,7 @@
 		outcome = outcomeServerError
 	}
 	requestCounts[rank][outcome].Inc()
-	requestSeconds[rank].Update(took.Seconds())
+	if v.batches == 1 {
+		requestSeconds[rank].Update(took.Seconds())
+	}
 }
--- /dev/null
+++ b/internal/pgwire/front/script_test.go
@@ -0,0 +1,59 @@
+package front
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+func TestAnswerScript(t *testing.T) {
+	local := step{kind: stepLocal, answer: encode(&pgproto3.CloseComplete{})}
+	forward, swallow := step{kind: stepForward}, step{kind: stepSwallow}
+	cases := map[string]struct {
+		steps  []step
+		server string
+		want   string
+	}{
+		"no script":                   {nil, "12TDC", "12TDC"},
+		"local first":                 {[]step{local, forward}, "tT", "3tT"},
+		"local last":                  {[]step{forward, local}, "1", "13"},
+		"local between":               {[]step{forward, local, forward}, "DDC2", "DDC32"},
+		"swallowed":                   {[]step{swallow, forward, forward}, "12n", "2n"},
+		"notice inside swallowed":     {[]step{swallow, forward}, "N1S2", "NS2"},
+		"error drops the rest":        {[]step{forward, local, forward, local}, "1E", "1E"},
+		"error in a swallowed answer": {[]step{local, swallow, forward}, "E", "E"},
+		"rest passes":                 {[]step{local, {kind: stepRest}}, "TDCTDC", "3TDCTDC"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			near, far := net.Pipe()
+			got := make(chan []byte)
+			go func() {
+				data, _ := io.ReadAll(far)
+				got <- data
+			}()
+			w := &answerWriter{conn: near, timeout: time.Minute}
+			s := answerScript{steps: c.steps}
+			for _, kind := range []byte(c.server) {
+				if s.admit(kind, w) {
+					w.write([]byte{kind, 0, 0, 0, 4})
+				}
+			}
+			s.finish(w)
+			w.flush()
+			_ = near.Close()
+			var kinds string
+			for data := <-got; len(data) > 0; {
+				message, rest, _ := nextMessage(data)
+				kinds += string(message[:1])
+				data = rest
+			}
+			if kinds != c.want {
+				t.Errorf("caller gets %q, want %q", kinds, c.want)
+			}
+		})
+	}
+}
--- a/internal/pgwire/front/server.go
+++ b/internal/pgwire/front/server.go
@@ -50,6 +50,8 @@
 
 	mu        sync.Mutex
 	listeners map[net.Listener]struct{}
+	// starting holds the connections before authentication.
+	starting map[net.Conn]struct{}
 	// connections counts accepted connections, also before authentication.
 	connections sync.WaitGroup
 	callers     map[uint32]*caller
@@ -70,6 +72,7 @@
 		base:          base,
 		cutOff:        cutOff,
 		listeners:     make(map[net.Listener]struct{}),
+		starting:      make(map[net.Conn]struct{}),
 		callers:       make(map[uint32]*caller),
 		customers:     make(map[string]int),
 	}
--- a/internal/pgwire/front/startup.go
+++ b/internal/pgwire/front/startup.go
@@ -8,6 +8,7 @@
 	"io"
 	"maps"
 	"net"
+	"os"
 	"slices"
 	"strings"
 	"time"
@@ -59,18 +60,25 @@
 // start takes a connection from its first byte to the end of authentication.
 // It closes the connection when it returns an error.
 func (s *Server) start(conn net.Conn) (*caller, error) {
+	if s.config.Admit != nil {
+		if err := s.config.Admit(); err != nil {
+			return nil, s.refuse(conn, err)
+		}
+	}
 	if s.unverified.Add(1) > int64(s.config.MaxUnauthorized) {
 		s.unverified.Add(-1)
 		return nil, s.refuse(conn, errcode.New(errcode.TooManyCallers, "accept", "connections before authentication"))
 	}
 	defer s.unverified.Add(-1)
 	deadline := time.Now().Add(s.config.StartupTime)
-	if err := conn.SetDeadline(deadline); err != nil {
-		return nil, err
+	if !s.beginStartup(conn, deadline) {
+		return nil, s.refuse(conn, errcode.New(errcode.Draining, "startup", ""))
 	}
+	defer s.endStartup(conn)
 	ctx, cancel := context.WithDeadline(s.base, deadline)
 	defer cancel()
-	stop := context.AfterFunc(s.base, func() { _ = conn.Close() })
+	raw := conn
+	stop := context.AfterFunc(s.base, func() { _ = raw.Close() })
 	defer stop()
 	conn, message, err := s.negotiate(ctx, conn)
 	if errors.Is(err, errServed) {
@@ -83,12 +91,33 @@
 	if err != nil {
 		return nil, s.refuse(conn, err)
 	}
-	return c, conn.SetDeadline(time.Time{})
+	return c, nil
+}
+
+// beginStartup notes a connection, so that a drain can interrupt it. It
+// reports false when the server drains.
+func (s *Server) beginStartup(conn net.Conn, deadline time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining.Load() {
+		return false
+	}
+	s.starting[conn] = struct{}{}
+	return conn.SetDeadline(deadline) == nil
+}
+
+func (s *Server) endStartup(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.starting, conn)
 }
 
 // refuse answers a FATAL error where the connection still allows it.
 func (s *Server) refuse(conn net.Conn, err error) error {
 	callersRefused.Inc()
+	if errors.Is(err, os.ErrDeadlineExceeded) && s.draining.Load() {
+		err = errcode.Wrap(err, errcode.Draining, "startup", "")
+	}
 	eventCallerRefused.Log(&s.logger).Stringer("caller", conn.RemoteAddr()).Err(err).Send()
 	var own *sqlError
 	var coded *errcode.Error
@@ -216,8 +245,8 @@
 		return nil, err
 	}
 	c.settings = newSettings(initial)
-	if !s.add(c) {
-		return nil, errcode.New(errcode.TooManyCallers, "startup", c.account.Customer)
+	if err := s.add(c); err != nil {
+		return nil, err
 	}
 	c.greet()
 	if c.writer.err != nil {
@@ -229,6 +258,7 @@
 
 func (s *Server) newCaller(conn net.Conn, parameters map[string]string) *caller {
 	c := &caller{server: s, conn: conn, tx: txIdle, options: defaultOptions()}
+	c.state.Init(sessionChart)
 	c.reader.source = conn
 	c.writer = answerWriter{conn: conn, timeout: s.config.WriteTime}
 	c.user = parameters["user"]
--- a/internal/sqlclass/classify.go
+++ b/internal/sqlclass/classify.go
@@ -72,10 +72,18 @@
 	return a.Statements[0], true
 }
 
+// maxTextBytes bounds the text that is split into tokens. Longer text is one
+// statement of KindOther, which bounds the memory that a text can take.
+const maxTextBytes = 128 << 10
+
 // Analyze classifies sql. It never fails: text that it does not understand is
 // a write.
 func Analyze(sql string) Analysis {
 	a := Analysis{Hints: leadingHints(sql)}
+	if len(sql) > maxTextBytes {
+		a.Statements = []Statement{{End: len(sql)}}
+		return a
+	}
 	all, valid := tokens(sql)
 	for _, part := range split(sql, all) {
 		a.Statements = append(a.Statements, classifyOne(sql, part))
@@ -85,11 +93,14 @@
 }
 
 func classOf(statements []Statement, valid bool) statement.Class {
+	if valid && len(statements) == 0 {
+		return statement.ClassRead
+	}
 	if !valid || len(statements) != 1 {
 		return statement.ClassWrite
 	}
 	switch statements[0].Kind {
-	case KindRead, KindShow, KindSet:
+	case KindRead, KindShow, KindSet, KindReset:
 		return statement.ClassRead
 	case KindBegin:
 		return statement.ClassBegin
@@ -164,6 +175,16 @@
 	}
 }
 
+// changes reports whether a word after the first may change data.
+func (p *parser) changes() bool {
+	for i, t := range p.tokens {
+		if i > 0 && t.kind == tokenWord && has(changing, t.word) {
+			return true
+		}
+	}
+	return false
+}
+
 // endOfTransaction recognises COMMIT and ROLLBACK without savepoints,
 // chaining and two-phase names.
 func (p *parser) endOfTransaction(kind Kind) Statement {
--- a/internal/sqlclass/lexer.go
+++ b/internal/sqlclass/lexer.go
@@ -171,7 +171,9 @@
 	rest := l.sql[l.pos:]
 	if len(rest) > 1 && isDigit(rest[1]) {
 		l.pos++
-		l.scanNumber()
+		if l.scanNumber() == tokenInvalid {
+			return tokenInvalid
+		}
 		return tokenParameter
 	}
 	tagEnd := strings.IndexByte(rest[1:], '$')
@@ -189,11 +191,40 @@
 	return tokenString
 }
 
+// scanNumber scans a number. A number that runs into a word is invalid,
+// because servers disagree on whether the word stands for itself.
 func (l *lexer) scanNumber() tokenKind {
-	for l.pos < len(l.sql) && (isWordPart(l.sql[l.pos]) || l.sql[l.pos] == '.') {
+	l.skipDigits()
+	if l.exponent() {
+		l.pos += 2
+		l.skipDigits()
+	}
+	if l.pos >= len(l.sql) || !isWordStart(l.sql[l.pos]) {
+		return tokenNumber
+	}
+	for l.pos < len(l.sql) && isWordPart(l.sql[l.pos]) {
 		l.pos++
 	}
-	return tokenNumber
+	return tokenInvalid
+}
+
+func (l *lexer) skipDigits() {
+	for l.pos < len(l.sql) && (isDigit(l.sql[l.pos]) || l.sql[l.pos] == '.') {
+		l.pos++
+	}
+}
+
+// exponent reports whether an exponent with at least one digit or a sign and
+// a digit stands at the current position.
+func (l *lexer) exponent() bool {
+	rest := l.sql[l.pos:]
+	if len(rest) < 2 || rest[0]|0x20 != 'e' {
+		return false
+	}
+	if isDigit(rest[1]) {
+		return true
+	}
+	return len(rest) > 2 && (rest[1] == '+' || rest[1] == '-') && isDigit(rest[2])
 }
 
 func (l *lexer) scanWord() tokenKind {
--- a/internal/sqlclass/setting.go
+++ b/internal/sqlclass/setting.go
@@ -6,7 +6,10 @@
 func (p *parser) classifySession(word string) Statement {
 	switch word {
 	case "set":
-		return p.classifySet()
+		if s := p.classifySet(); s.Kind != KindOther && !p.changes() {
+			return s
+		}
+		return Statement{Kind: KindSessionBound, Name: "this form of SET"}
 	case "reset":
 		return p.classifyReset()
 	case "show":
@@ -80,6 +83,9 @@
 }
 
 func (p *parser) classifyReset() Statement {
+	if p.changes() {
+		return Statement{}
+	}
 	if p.at(1).isWord("time") && p.at(2).isWord("zone") {
 		return Statement{Kind: KindReset, Name: "timezone"}
 	}
@@ -94,6 +100,9 @@
 }
 
 func (p *parser) classifyShow() Statement {
+	if p.changes() {
+		return Statement{}
+	}
 	if p.at(1).isWord("time") && p.at(2).isWord("zone") {
 		return Statement{Kind: KindShow, Name: "timezone"}
 	}
@@ -107,7 +116,6 @@
 // classifySet recognises the forms of SET. Forms it does not know are writes.
 func (p *parser) classifySet() Statement {
 	i := 1
-	kind := KindSet
 	switch {
 	case p.at(1).isWord("local"):
 		return Statement{Kind: KindSetLocal}
@@ -134,11 +142,7 @@
 	if name == "" || (p.symbol(next) != '=' && !p.at(next).isWord("to")) {
 		return Statement{}
 	}
-	s := p.setValue(name, next+1)
-	if s.Kind == KindSet {
-		s.Kind = kind
-	}
-	return s
+	return p.setValue(name, next+1)
 }
 
 // classifyCharacteristics maps SET SESSION CHARACTERISTICS AS TRANSACTION to
--- a/internal/sqlclass/words.go
+++ b/internal/sqlclass/words.go
@@ -50,7 +50,7 @@
 	"cast", "char", "character", "cube", "dec", "decimal", "distinct", "else",
 	"except", "exists", "filter", "float", "from", "group", "grouping", "having",
 	"in", "intersect", "interval", "is", "join", "lateral", "like", "limit",
-	"materialized", "not", "numeric", "offset", "on", "or", "over", "partition",
+	"materialized", "not", "numeric", "offset", "on", "operator", "or", "over", "partition",
 	"precision", "rollup", "row", "select", "sets", "some", "then", "time",
 	"timestamp", "timestamptz", "timetz", "union", "using", "values", "varbit",
 	"varchar", "varying", "when", "where", "with", "within",
