--- /dev/null
+++ b/cmd/rattan-standin/backend.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/standin/dbserver"
+)
+
+// serverFlags are the flags that describe one server or each server of a group.
+func serverFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.IntFlag{Name: "slots", Value: dbserver.DefaultSlots, Usage: "statements that execute at once"},
+		&cli.IntFlag{Name: "connections", Value: dbserver.DefaultConnections, Usage: "limit of data connections"},
+		&cli.IntFlag{Name: "control-connections", Value: dbserver.DefaultControlConnections, Usage: "connections kept for control beyond the limit"},
+		&cli.DurationFlag{Name: "connect-delay", Value: dbserver.DefaultConnectDelay, Usage: "time that opening a connection takes"},
+		&cli.DurationFlag{Name: "lag", Usage: "time between receiving and replaying a log record"},
+		&cli.StringFlag{Name: "schema", Usage: "file with SQL that the primary runs at the start"},
+		&cli.StringFlag{Name: "auth", Value: string(dbserver.AuthTrust), Usage: "trust, cleartext or scram"},
+		&cli.StringFlag{Name: "user", Usage: "user that may connect unless auth is trust"},
+		&cli.StringFlag{Name: "password", Usage: "password of the user"},
+		&cli.StringFlag{Name: "log-level", Value: "info", Usage: "debug, info, warn or error"},
+	}
+}
+
+func backendCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "backend",
+		Usage: "run one backend server",
+		Flags: append(serverFlags(),
+			&cli.StringFlag{Name: "id", Required: true, Usage: "id of the server"},
+			&cli.StringFlag{Name: "listen", Required: true, Usage: "address to listen on"},
+			&cli.StringFlag{Name: "group-leader", Usage: "the primary at the start as id@address; empty makes this server the primary"},
+			&cli.StringFlag{Name: "dir", Usage: "directory that keeps the state over a restart; empty keeps nothing"},
+		),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			cfg, err := serverConfig(c)
+			if err != nil {
+				return err
+			}
+			cfg.ID = cluster.ServerID(c.String("id"))
+			cfg.Dir = c.String("dir")
+			cfg.Leader, err = parseLeader(c.String("group-leader"))
+			if err != nil {
+				return err
+			}
+			cfg.Primary = cfg.Leader.Address == ""
+			return runServer(ctx, cfg, c.String("listen"))
+		},
+	}
+}
+
+func groupCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "group",
+		Usage: "run the servers of one database group in one process; the first is the primary",
+		Flags: append(serverFlags(), &cli.StringSliceFlag{
+			Name: "server", Required: true, Usage: "id@address of one server; repeat for each",
+		}),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			cfg, err := serverConfig(c)
+			if err != nil {
+				return err
+			}
+			return runGroup(ctx, cfg, c.StringSlice("server"))
+		},
+	}
+}
+
+func runGroup(ctx context.Context, cfg dbserver.Config, names []string) error {
+	g, ctx := errgroup.WithContext(ctx)
+	leader, err := parseLeader(names[0])
+	if err != nil {
+		return err
+	}
+	for i, name := range names {
+		self, err := parseLeader(name)
+		if err != nil {
+			return err
+		}
+		one := cfg
+		one.ID, one.Primary, one.Leader = self.ID, i == 0, leader
+		g.Go(func() error { return runServer(ctx, one, self.Address) })
+	}
+	return g.Wait()
+}
+
+func serverConfig(c *cli.Command) (dbserver.Config, error) {
+	level, err := zerolog.ParseLevel(c.String("log-level"))
+	if err != nil {
+		return dbserver.Config{}, eris.Wrap(err, "log-level")
+	}
+	cfg := dbserver.Config{
+		Slots:              c.Int("slots"),
+		Connections:        c.Int("connections"),
+		ControlConnections: c.Int("control-connections"),
+		ConnectDelay:       c.Duration("connect-delay"),
+		Lag:                c.Duration("lag"),
+		Auth:               dbserver.Auth(c.String("auth")),
+		User:               c.String("user"),
+		Password:           c.String("password"),
+		Log:                zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger(),
+	}
+	if path := c.String("schema"); path != "" {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return cfg, eris.Wrap(err, "schema")
+		}
+		cfg.Schema = string(text)
+	}
+	return cfg, nil
+}
+
+// parseLeader reads id@address.
+func parseLeader(text string) (cluster.Server, error) {
+	if text == "" {
+		return cluster.Server{}, nil
+	}
+	id, address, ok := strings.Cut(text, "@")
+	if !ok || id == "" || address == "" {
+		return cluster.Server{}, eris.Errorf("%q: want id@address", text)
+	}
+	return cluster.Server{ID: cluster.ServerID(id), Address: address}, nil
+}
+
+// drainTime is how long a stopping stand-in lets running statements go on.
+const drainTime = 2 * time.Second
+
+// runServer serves until ctx ends. It prints a line once the server is ready.
+func runServer(ctx context.Context, cfg dbserver.Config, address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrap(err, "listen")
+	}
+	s, err := dbserver.New(cfg)
+	if err != nil {
+		_ = l.Close()
+		return err
+	}
+	defer s.Close()
+	fmt.Printf("ready backend %s %s\n", cfg.ID, l.Addr())
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	select {
+	case err := <-served:
+		return err
+	case <-ctx.Done():
+		s.Drain(drainTime)
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/pgwire/back/conn.go
@@ -0,0 +1,193 @@
+package back
+
+import (
+	"context"
+	"errors"
+	"hash"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+var tracer = otel.Tracer("rattancove/back")
+
+// Conn is a data connection. Only Cancel, Sent and Close may be called while
+// another call runs.
+type Conn struct {
+	link     *link
+	prepared *preparedSet
+	settings []statement.Setting
+	// settingsUnknown is set when a batch changed settings by itself.
+	settingsUnknown bool
+	sent            bool
+	// wrote is set when the open transaction may have written.
+	wrote bool
+	// digest runs over the batches of the open transaction.
+	digest hash.Hash
+}
+
+var _ backend.Conn = (*Conn)(nil)
+
+// Exchange runs one batch. Errors that the server answered are passed to conv
+// and are not errors here. After an error the connection is closed, except
+// that an order mismatch leaves it usable.
+func (c *Conn) Exchange(ctx context.Context, x *backend.Exchange, conv statement.Conversation) (backend.Answer, error) {
+	c.sent = false
+	if x.Batch.Class == statement.ClassCopyData {
+		return backend.Answer{Tx: c.txStatus()}, nil
+	}
+	exchangesTotal.Inc()
+	start := time.Now()
+	ctx, span := tracer.Start(ctx, "backend exchange", trace.WithAttributes(
+		attribute.String("server", string(c.link.server.ID)), attribute.Int("class", int(x.Batch.Class)),
+	))
+	defer span.End()
+	answer, err := c.exchange(ctx, x, conv)
+	exchangeSeconds.UpdateDuration(start)
+	if err != nil {
+		exchangeErrors.Inc()
+		span.SetStatus(codes.Error, err.Error())
+	}
+	return answer, err
+}
+
+func (c *Conn) exchange(ctx context.Context, x *backend.Exchange, conv statement.Conversation) (backend.Answer, error) {
+	if err := c.link.alive(); err != nil {
+		return backend.Answer{}, c.fail(err, errcode.ConnectionLost, "check connection")
+	}
+	open := c.link.status != 'I'
+	if !open {
+		c.wrote = false
+		c.digest = newDigest()
+		if err := c.applySettings(ctx, x.Settings); err != nil {
+			return backend.Answer{}, err
+		}
+	}
+	addToDigest(c.digest, x.Batch)
+	r := newRelay(ctx, c, x, conv)
+	switch {
+	case x.OrderID != "" && !open:
+		return c.runOrder(ctx, x, r)
+	case x.OrderID != "" && c.link.status == 'T':
+		return c.commitOrder(ctx, x, r)
+	default:
+		return c.runBatch(ctx, x, r)
+	}
+}
+
+// runBatch runs a batch as it is.
+func (c *Conn) runBatch(ctx context.Context, x *backend.Exchange, r *relay) (backend.Answer, error) {
+	var position reply
+	segments := []segment{r.segment()}
+	pipelined := x.WantPosition && !mayCopy(x.Batch)
+	if pipelined {
+		segments = append(segments, position.segment(positionQuery))
+	}
+	if err := c.run(ctx, r, segments...); err != nil {
+		return backend.Answer{}, err
+	}
+	if x.WantPosition && !pipelined && c.link.status == 'I' {
+		if err := c.run(ctx, r, position.segment(positionQuery)); err != nil {
+			return backend.Answer{}, err
+		}
+	}
+	return r.finish(&position)
+}
+
+// run sends segments. Its error has the outcome of the exchange.
+func (c *Conn) run(ctx context.Context, r *relay, segments ...segment) error {
+	c.sent = true
+	err := c.link.pipeline(ctx, segments...)
+	r.stopFeeder()
+	if err == nil {
+		err = ctx.Err()
+	}
+	if err == nil {
+		return nil
+	}
+	_ = c.link.close()
+	return c.lost(ctx, err, r)
+}
+
+// lost classifies an error by what may have happened on the server.
+func (c *Conn) lost(ctx context.Context, err error, r *relay) error {
+	if r.aborted != nil {
+		return r.aborted
+	}
+	eventConnectionBroken.Log(&c.link.cfg.Log).Str("server", string(c.link.server.ID)).Err(err).Send()
+	var answer *ServerError
+	superseded := errors.As(err, &answer) && answer.Code == StateSuperseded && r.tag == ""
+	switch {
+	case superseded:
+		return c.fail(err, errcode.Superseded, "exchange")
+	case r.mayHaveCommitted():
+		return c.fail(err, errcode.Unknown, "exchange")
+	case ctx.Err() != nil:
+		return c.fail(err, errcode.DeadlinePassed, "exchange")
+	default:
+		return c.fail(err, errcode.ConnectionLost, "exchange")
+	}
+}
+
+// fail closes the connection and returns err with its code.
+func (c *Conn) fail(err error, code errcode.Code, step string) error {
+	_ = c.link.close()
+	return errcode.Wrap(err, code, step, string(c.link.server.ID))
+}
+
+func (c *Conn) txStatus() backend.TxStatus {
+	switch c.link.status {
+	case 'T':
+		return backend.TxOpen
+	case 'E':
+		return backend.TxFailed
+	default:
+		return backend.TxIdle
+	}
+}
+
+// Cancel asks the server to stop the running exchange, whose answer then
+// arrives as usual. It uses a network connection of its own.
+func (c *Conn) Cancel(ctx context.Context) error {
+	if err := c.link.cancelRequest(ctx); err != nil {
+		return errcode.Wrap(err, errcode.Unknown, "cancel", string(c.link.server.ID))
+	}
+	return nil
+}
+
+// Reset rolls back what is open and returns the session to its initial state.
+func (c *Conn) Reset(ctx context.Context) error {
+	var rolledBack, discarded reply
+	segments := []segment{discarded.segment(query("DISCARD ALL"))}
+	if c.link.status != 'I' {
+		segments = append([]segment{rolledBack.segment(query("ROLLBACK"))}, segments...)
+	}
+	err := c.link.pipeline(ctx, segments...)
+	if err == nil {
+		err = discarded.failed()
+	}
+	if err != nil {
+		return c.fail(err, errcode.ConnectionLost, "reset")
+	}
+	c.forget()
+	return nil
+}
+
+// forget drops what is known about the session after the server discarded it.
+func (c *Conn) forget() {
+	c.prepared.clear()
+	c.settings, c.settingsUnknown = nil, false
+}
+
+// Sent reports whether any byte of the last exchange's batch may have reached the server.
+func (c *Conn) Sent() bool { return c.sent }
+
+// Close closes the connection. The server rolls back an open transaction.
+func (c *Conn) Close() error { return c.link.close() }
--- /dev/null
+++ b/internal/pgwire/back/control_test.go
@@ -0,0 +1,166 @@
+package back_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/standin/dbserver"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+func insert(id string) *backend.Exchange {
+	return &backend.Exchange{Batch: simple(statement.ClassWrite, "INSERT INTO rolls VALUES ('"+id+"', 1)"), WantPosition: true}
+}
+
+func ids(t *testing.T, c backend.Conn) []string {
+	t.Helper()
+	got, _ := run(t, c, &backend.Exchange{Batch: simple(statement.ClassRead, "SELECT id FROM rolls ORDER BY id")})
+	return got[:len(got)-2]
+}
+
+func TestReplicationAndReplicaRefusal(t *testing.T) {
+	g := newGroup(t, 2, func(cfg *dbserver.Config) { cfg.Lag = 30 * time.Millisecond })
+	_, a := run(t, g.conn(0, backend.Claim{}), insert("fern"))
+	await(t, "received", func() bool { return g.servers[1].Status().Received == a.Position })
+	await(t, "replayed", func() bool { return g.servers[1].Status().Replayed == a.Position })
+	replica := g.conn(1, backend.Claim{})
+	if diff := cmp.Diff([]string{"fern"}, ids(t, replica)); diff != "" {
+		t.Error(diff)
+	}
+	x := insert("moss")
+	x.Batch.Class = statement.ClassRead
+	got, a := run(t, replica, x)
+	if !a.ReadOnlyRefused || len(got) != 0 {
+		t.Errorf("got %v %+v", got, a)
+	}
+	got, a = run(t, replica, insert("moss"))
+	if a.SQLState != "25006" || a.Committed || len(got) != 2 {
+		t.Errorf("got %v %+v", got, a)
+	}
+}
+
+func TestPromotionKeepsWhatWasReceived(t *testing.T) {
+	g := newGroup(t, 3, func(cfg *dbserver.Config) { cfg.Lag = time.Hour })
+	old := g.conn(0, backend.Claim{})
+	_, a := run(t, old, insert("fern"))
+	await(t, "received", func() bool { return g.servers[1].Status().Received == a.Position })
+	// An open transaction on the old primary must not commit after the seal.
+	run(t, old, &backend.Exchange{Batch: simple(statement.ClassBegin, "BEGIN")})
+	run(t, old, insert("lost"))
+
+	ctx := t.Context()
+	for i := range 3 {
+		if st, err := g.control(i).Seal(ctx, 2, "w1"); err != nil || st.Role != cluster.RoleSealed || st.Term != 2 {
+			t.Fatalf("seal %d: %+v %v", i, st, err)
+		}
+	}
+	_, a = run(t, old, &backend.Exchange{Batch: simple(statement.ClassWrite, "COMMIT")})
+	if a.Committed || a.SQLState == "" {
+		t.Errorf("the old term committed after the seal: %+v", a)
+	}
+	second := g.control(1)
+	if _, err := second.Seal(ctx, 2, "w2"); !errcode.Is(err, errcode.Superseded) {
+		t.Errorf("second holder: %v", err)
+	}
+	if _, err := second.Promote(ctx, 2, "w2"); !errcode.Is(err, errcode.Superseded) {
+		t.Errorf("promotion without the seal: %v", err)
+	}
+	for range 2 {
+		if st, err := second.Promote(ctx, 2, "w1"); err != nil || st.Role != cluster.RolePrimary || st.Received.Term != 2 {
+			t.Fatalf("promote: %+v %v", st, err)
+		}
+	}
+	for _, i := range []int{0, 2} {
+		if _, err := g.control(i).Follow(ctx, 2, g.server(1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_, a = run(t, g.conn(1, backend.Claim{}), insert("moss"))
+	await(t, "old primary catches up", func() bool { return g.servers[0].Status().Received == a.Position })
+	if diff := cmp.Diff([]string{"fern", "moss"}, ids(t, g.conn(1, backend.Claim{}))); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestFollowDiscardsWhatTheLeaderLacks(t *testing.T) {
+	g := newGroup(t, 2, nil)
+	_, a := run(t, g.conn(0, backend.Claim{}), insert("fern"))
+	await(t, "replayed", func() bool { return g.servers[1].Status().Replayed == a.Position })
+	ctx := t.Context()
+	if _, err := g.control(1).Seal(ctx, 2, "w"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := g.control(1).Promote(ctx, 2, "w"); err != nil {
+		t.Fatal(err)
+	}
+	// The old primary has not heard of term 2 and goes on alone.
+	run(t, g.conn(0, backend.Claim{}), insert("alone"))
+	_, a = run(t, g.conn(1, backend.Claim{}), insert("moss"))
+	if _, err := g.control(0).Follow(ctx, 2, g.server(1)); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "replayed", func() bool { return g.servers[0].Status().Replayed == a.Position })
+	if diff := cmp.Diff([]string{"fern", "moss"}, ids(t, g.conn(0, backend.Claim{}))); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestClaimEndsLowerEpochs(t *testing.T) {
+	g := newGroup(t, 1, nil)
+	ctx := t.Context()
+	old := g.conn(0, backend.Claim{Epoch: 1, Home: "p1"})
+	run(t, old, &backend.Exchange{Batch: simple(statement.ClassBegin, "BEGIN")})
+	run(t, old, insert("fern"))
+	control := g.control(0)
+	for range 2 {
+		if st, err := control.Claim(ctx, backend.Claim{Epoch: 2, Home: "p2"}); err != nil || st.Epoch != 2 {
+			t.Fatalf("claim: %+v %v", st, err)
+		}
+	}
+	if _, err := control.Claim(ctx, backend.Claim{Epoch: 2, Home: "p3"}); !errcode.Is(err, errcode.Superseded) {
+		t.Errorf("claim of a taken epoch: %v", err)
+	}
+	if _, err := g.dialer.Dial(ctx, g.server(0), "rolls", backend.Claim{Epoch: 1, Home: "p1"}); !errcode.Is(err, errcode.Superseded) {
+		t.Errorf("dial with an old epoch: %v", err)
+	}
+	_, err := old.Exchange(ctx, &backend.Exchange{Batch: simple(statement.ClassWrite, "COMMIT")}, &caller{})
+	if !errcode.Is(err, errcode.Superseded) {
+		t.Errorf("commit of an old epoch: %v", err)
+	}
+	// The key that the old transaction wrote is free at once.
+	_, a := run(t, g.conn(0, backend.Claim{Epoch: 2, Home: "p2"}), insert("fern"))
+	if !a.Committed {
+		t.Errorf("got %+v", a)
+	}
+}
+
+func TestControlWorksWhileFull(t *testing.T) {
+	g := newGroup(t, 1, func(cfg *dbserver.Config) { cfg.Connections = 1; cfg.Slots = 1 })
+	busy := g.conn(0, backend.Claim{})
+	go func() {
+		_, _ = busy.Exchange(t.Context(), &backend.Exchange{Batch: simple(statement.ClassRead, "SELECT pg_sleep(60)")}, &caller{})
+	}()
+	if _, err := g.dialer.Dial(t.Context(), g.server(0), "rolls", backend.Claim{}); !errcode.Is(err, errcode.Overloaded) {
+		t.Errorf("beyond the limit: %v", err)
+	}
+	if _, err := g.control(0).Status(t.Context()); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestAuthentication(t *testing.T) {
+	for _, auth := range []dbserver.Auth{dbserver.AuthCleartext, dbserver.AuthSCRAM} {
+		for password, ok := range map[string]bool{"secret": true, "wrong": false} {
+			g := newGroup(t, 1, func(cfg *dbserver.Config) { cfg.Auth, cfg.User, cfg.Password = auth, "clerk", password })
+			_, err := g.dialer.Dial(t.Context(), g.server(0), "rolls", backend.Claim{})
+			if (err == nil) != ok {
+				t.Errorf("%s with %q: %v", auth, password, err)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/pgwire/back/dialer.go
@@ -0,0 +1,185 @@
+package back
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/rotisserie/eris"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/errcode"
+)
+
+// Dialer opens connections to backend servers. It may be used concurrently.
+type Dialer struct {
+	cfg Config
+}
+
+var _ backend.Dialer = (*Dialer)(nil)
+
+// New returns a Dialer.
+func New(cfg Config) *Dialer { return &Dialer{cfg: cfg.withDefaults()} }
+
+// Dial opens a data connection on behalf of claim. The error is an
+// *errcode.Error: superseded when the server has accepted a higher claim,
+// overloaded when it has reached its connection limit, connection lost
+// otherwise. The caller owns the connection.
+func (d *Dialer) Dial(ctx context.Context, s cluster.Server, group cluster.GroupName, claim backend.Claim) (backend.Conn, error) {
+	params := map[string]string{}
+	if claim.Epoch > 0 {
+		params[ParamEpoch] = strconv.FormatUint(uint64(claim.Epoch), 10)
+		params[ParamHome] = string(claim.Home)
+	}
+	l, err := d.open(ctx, s, group, params)
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{link: l, prepared: newPreparedSet(d.cfg.MaxPrepared)}, nil
+}
+
+// DialControl opens a control connection. The caller owns it.
+func (d *Dialer) DialControl(ctx context.Context, s cluster.Server, group cluster.GroupName) (backend.Control, error) {
+	l, err := d.open(ctx, s, group, map[string]string{ParamControl: "1"})
+	if err != nil {
+		return nil, err
+	}
+	return &Control{link: l}, nil
+}
+
+// open connects, authenticates and waits for the ready state.
+func (d *Dialer) open(ctx context.Context, s cluster.Server, group cluster.GroupName, params map[string]string) (*link, error) {
+	opensTotal.Inc()
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.ConnectTimeout)
+	defer cancel()
+	l, err := d.connect(ctx, s, group, params)
+	if err != nil {
+		openErrors.Inc()
+		eventOpenFailed.Log(&d.cfg.Log).Str("server", string(s.ID)).Str("address", s.Address).Err(err).Send()
+		return nil, dialError(err, s)
+	}
+	return l, nil
+}
+
+func dialError(err error, s cluster.Server) error {
+	code := errcode.ConnectionLost
+	var answer *ServerError
+	if errors.As(err, &answer) {
+		switch answer.Code {
+		case StateSuperseded:
+			code = errcode.Superseded
+		case stateTooManyConnections:
+			code = errcode.Overloaded
+		}
+	}
+	return errcode.Wrap(err, code, "dial", string(s.ID))
+}
+
+func (d *Dialer) connect(ctx context.Context, s cluster.Server, group cluster.GroupName, params map[string]string) (*link, error) {
+	conn, err := d.cfg.Dial(ctx, s.Address)
+	if err != nil {
+		return nil, eris.Wrap(err, "connect")
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	l, err := d.startup(conn, s, group, params)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	if !stop() {
+		_ = conn.Close()
+		return nil, ctx.Err()
+	}
+	return l, nil
+}
+
+func (d *Dialer) startup(raw net.Conn, s cluster.Server, group cluster.GroupName, params map[string]string) (*link, error) {
+	conn, err := d.secure(raw, s)
+	if err != nil {
+		return nil, err
+	}
+	credentials := d.cfg.Credentials
+	params["user"] = credentials.User
+	params["database"] = credentials.Database
+	if credentials.Database == "" {
+		params["database"] = string(group)
+	}
+	params["application_name"] = "rattancove"
+	f := pgproto3.NewFrontend(conn, conn)
+	f.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: params})
+	if err := f.Flush(); err != nil {
+		return nil, eris.Wrap(err, "send startup")
+	}
+	l := newLink(d.cfg, conn, s)
+	if err := l.awaitReady(f, credentials); err != nil {
+		return nil, err
+	}
+	if f.ReadBufferLen() > 0 {
+		return nil, eris.New("unexpected data after startup")
+	}
+	return l, nil
+}
+
+// secure starts TLS when the settings ask for it.
+func (d *Dialer) secure(conn net.Conn, s cluster.Server) (net.Conn, error) {
+	if d.cfg.TLS == nil {
+		return conn, nil
+	}
+	request, err := (&pgproto3.SSLRequest{}).Encode(nil)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := conn.Write(request); err != nil {
+		return nil, eris.Wrap(err, "request TLS")
+	}
+	answer := make([]byte, 1)
+	if _, err := io.ReadFull(conn, answer); err != nil {
+		return nil, eris.Wrap(err, "request TLS")
+	}
+	if answer[0] != 'S' {
+		return nil, eris.New("the server does not offer TLS")
+	}
+	cfg := d.cfg.TLS.Clone()
+	if cfg.ServerName == "" {
+		cfg.ServerName, _, _ = net.SplitHostPort(s.Address)
+	}
+	return tls.Client(conn, cfg), nil
+}
+
+// awaitReady serves the server's startup messages.
+func (l *link) awaitReady(f *pgproto3.Frontend, credentials Credentials) error {
+	for {
+		m, err := f.Receive()
+		if err != nil {
+			return eris.Wrap(err, "startup")
+		}
+		switch m := m.(type) {
+		case *pgproto3.AuthenticationOk, *pgproto3.NoticeResponse, *pgproto3.ParameterStatus:
+		case *pgproto3.AuthenticationCleartextPassword:
+			f.Send(&pgproto3.PasswordMessage{Password: credentials.Password})
+			if err := f.Flush(); err != nil {
+				return eris.Wrap(err, "send password")
+			}
+		case *pgproto3.AuthenticationSASL:
+			if err := authenticateSCRAM(f, m.AuthMechanisms, credentials); err != nil {
+				return err
+			}
+		case *pgproto3.BackendKeyData:
+			l.pid = m.ProcessID
+			l.secret = append([]byte{}, m.SecretKey...)
+		case *pgproto3.ErrorResponse:
+			return newServerError(m)
+		case *pgproto3.ReadyForQuery:
+			return nil
+		default:
+			return eris.Errorf("unexpected %T at startup", m)
+		}
+	}
+}
--- /dev/null
+++ b/internal/pgwire/back/digest.go
@@ -0,0 +1,33 @@
+package back
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"hash"
+	"regexp"
+
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// commentPattern matches comments, which may carry trace contexts and differ
+// between a request and its repeat.
+var commentPattern = regexp.MustCompile(`(?s)/\*.*?\*/`)
+
+func newDigest() hash.Hash { return sha256.New() }
+
+// addToDigest adds what the batch asks for, without comments.
+func addToDigest(h hash.Hash, b *statement.Batch) {
+	for _, p := range b.Prepared {
+		addFrames(h, p.Parse)
+	}
+	addFrames(h, b.Messages)
+}
+
+func addFrames(h hash.Hash, messages []byte) {
+	for kind, body := range frames(messages) {
+		_, _ = h.Write([]byte{kind})
+		_, _ = h.Write(commentPattern.ReplaceAll(body, nil))
+	}
+}
+
+func digestText(h hash.Hash) string { return hex.EncodeToString(h.Sum(nil)) }
--- /dev/null
+++ b/internal/pgwire/back/exchange_test.go
@@ -0,0 +1,217 @@
+package back_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+func TestSimpleQueries(t *testing.T) {
+	c := newGroup(t, 1, nil).conn(0, backend.Claim{})
+	cases := []struct {
+		text  string
+		class statement.Class
+		want  []string
+		state string
+	}{
+		{"INSERT INTO rolls VALUES ('fern', 3)", statement.ClassWrite, []string{"INSERT 0 1", "I"}, ""},
+		{"SELECT id, qty FROM rolls", statement.ClassRead, []string{"fern", "3", "SELECT 1", "I"}, ""},
+		{"INSERT INTO rolls VALUES ('fern', 3)", statement.ClassWrite, []string{"23505", "I"}, "23505"},
+		{"SELEC 1", statement.ClassRead, []string{"42601", "I"}, "42601"},
+		{"SELECT * FROM absent", statement.ClassRead, []string{"42P01", "I"}, "42P01"},
+		{"UPDATE rolls SET qty = qty + 1 RETURNING qty", statement.ClassWrite, []string{"4", "UPDATE 1", "I"}, ""},
+		{"SELECT 1; SELECT 2", statement.ClassRead, []string{"1", "SELECT 1", "2", "SELECT 1", "I"}, ""},
+	}
+	for _, tc := range cases {
+		got, a := run(t, c, &backend.Exchange{Batch: simple(tc.class, tc.text)})
+		if diff := cmp.Diff(tc.want, got); diff != "" {
+			t.Errorf("%s: %s", tc.text, diff)
+		}
+		if a.SQLState != tc.state || a.Tx != backend.TxIdle {
+			t.Errorf("%s: answer %+v", tc.text, a)
+		}
+	}
+}
+
+func TestTransactionStates(t *testing.T) {
+	c := newGroup(t, 1, nil).conn(0, backend.Claim{})
+	steps := []struct {
+		text      string
+		class     statement.Class
+		tx        backend.TxStatus
+		committed bool
+	}{
+		{"BEGIN", statement.ClassBegin, backend.TxOpen, false},
+		{"INSERT INTO rolls VALUES ('ivy', 1)", statement.ClassWrite, backend.TxOpen, false},
+		{"COMMIT", statement.ClassWrite, backend.TxIdle, true},
+		{"BEGIN", statement.ClassBegin, backend.TxOpen, false},
+		{"SELECT broken", statement.ClassWrite, backend.TxFailed, false},
+		{"SELECT 1", statement.ClassWrite, backend.TxFailed, false},
+		{"COMMIT", statement.ClassWrite, backend.TxIdle, false},
+		{"INSERT INTO rolls VALUES ('oak', 1)", statement.ClassWrite, backend.TxIdle, true},
+		{"SELECT 1", statement.ClassRead, backend.TxIdle, false},
+	}
+	for _, s := range steps {
+		_, a := run(t, c, &backend.Exchange{Batch: simple(s.class, s.text)})
+		if a.Tx != s.tx || a.Committed != s.committed {
+			t.Errorf("%s: got %+v", s.text, a)
+		}
+	}
+}
+
+// prepared returns a batch that runs a named statement.
+func prepared(name, text string, args ...string) *statement.Batch {
+	bind := &pgproto3.Bind{PreparedStatement: name}
+	for _, a := range args {
+		bind.Parameters = append(bind.Parameters, []byte(a))
+	}
+	return &statement.Batch{
+		Messages: messages(bind, &pgproto3.Execute{}, &pgproto3.Sync{}),
+		Prepared: []statement.Prepared{{Name: name, Parse: messages(&pgproto3.Parse{Name: name, Query: text})}},
+	}
+}
+
+func TestPreparedStatementsAreDefinedOnce(t *testing.T) {
+	c := newGroup(t, 1, nil).conn(0, backend.Claim{})
+	for _, id := range []string{"a", "b", "c"} {
+		got, _ := run(t, c, &backend.Exchange{Batch: prepared("s1", "INSERT INTO rolls VALUES ($1, $2)", id, "5")})
+		if diff := cmp.Diff([]string{"INSERT 0 1", "I"}, got); diff != "" {
+			t.Error(diff)
+		}
+	}
+	if err := c.Reset(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	got, _ := run(t, c, &backend.Exchange{Batch: prepared("s1", "INSERT INTO rolls VALUES ($1, $2)", "d", "5")})
+	if diff := cmp.Diff([]string{"INSERT 0 1", "I"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestSettingsDoNotLeak(t *testing.T) {
+	c := newGroup(t, 1, nil).conn(0, backend.Claim{})
+	show := func(settings ...statement.Setting) string {
+		got, _ := run(t, c, &backend.Exchange{Batch: simple(statement.ClassRead, "SHOW search_path"), Settings: settings})
+		return got[0]
+	}
+	path := statement.Setting{Name: "search_path", Value: "it's"}
+	if got := show(path); got != "it's" {
+		t.Errorf("setting not in force: %q", got)
+	}
+	if got := show(); got != "" {
+		t.Errorf("setting leaked: %q", got)
+	}
+	run(t, c, &backend.Exchange{Batch: simple(statement.ClassWrite, "SET search_path TO sneaky")})
+	if got := show(); got != "" {
+		t.Errorf("setting of a batch leaked: %q", got)
+	}
+}
+
+func TestPosition(t *testing.T) {
+	c := newGroup(t, 1, nil).conn(0, backend.Claim{})
+	_, a := run(t, c, &backend.Exchange{Batch: simple(statement.ClassWrite, "INSERT INTO rolls VALUES ('x', 1)"), WantPosition: true})
+	if want := (cluster.Position{Term: 1, Offset: 3}); a.Position != want {
+		t.Errorf("position %v, want %v", a.Position, want)
+	}
+	_, a = run(t, c, &backend.Exchange{Batch: simple(statement.ClassWrite, "BEGIN"), WantPosition: true})
+	if a.Position.Known() || a.Tx != backend.TxOpen {
+		t.Errorf("position inside a transaction: %+v", a)
+	}
+}
+
+func TestCopy(t *testing.T) {
+	c := newGroup(t, 1, nil).conn(0, backend.Claim{})
+	conv := &caller{next: []*statement.Batch{
+		{Class: statement.ClassCopyData, Messages: messages(&pgproto3.CopyData{Data: []byte("moss\t1\nlily\t")})},
+		{Class: statement.ClassCopyData, Messages: messages(&pgproto3.CopyData{Data: []byte("\\N\n")}, &pgproto3.CopyDone{})},
+	}}
+	a, err := c.Exchange(t.Context(), &backend.Exchange{
+		Batch: simple(statement.ClassWrite, "COPY rolls FROM STDIN"), WantPosition: true, HoldAnswer: true,
+	}, conv)
+	if err != nil || !a.Committed || !a.Position.Known() {
+		t.Fatalf("copy in: %+v, %v", a, err)
+	}
+	if diff := cmp.Diff([]string{"COPY 2", "I"}, conv.values(t)); diff != "" {
+		t.Error(diff)
+	}
+	got, _ := run(t, c, &backend.Exchange{Batch: simple(statement.ClassRead, "COPY rolls TO STDOUT")})
+	if diff := cmp.Diff([]string{"moss\t1\n", "lily\t\\N\n", "COPY 2", "I"}, got); diff != "" {
+		t.Error(diff)
+	}
+	// A caller that leaves in the middle changes nothing.
+	left := &caller{}
+	if a, err = c.Exchange(t.Context(), &backend.Exchange{Batch: simple(statement.ClassWrite, "COPY rolls FROM STDIN")}, left); err != nil || a.Committed {
+		t.Errorf("abandoned copy: %+v, %v", a, err)
+	}
+}
+
+func TestLargeAnswerIsStreamed(t *testing.T) {
+	c := newGroup(t, 1, nil).conn(0, backend.Claim{})
+	text := "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i+1 FROM n WHERE i < 20000) SELECT i, 'padding padding padding' FROM n"
+	gates := 0
+	var conv caller
+	_, err := c.Exchange(t.Context(), &backend.Exchange{
+		Batch: simple(statement.ClassRead, text),
+		Gate:  func(context.Context) error { gates++; return nil },
+	}, &conv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := conv.values(t); len(got) != 40002 || gates != 1 {
+		t.Errorf("%d values, %d gate calls", len(got), gates)
+	}
+}
+
+func TestCancel(t *testing.T) {
+	c := newGroup(t, 1, nil).conn(0, backend.Claim{})
+	go func() {
+		for t.Context().Err() == nil {
+			time.Sleep(10 * time.Millisecond)
+			_ = c.Cancel(t.Context())
+		}
+	}()
+	got, a := run(t, c, &backend.Exchange{Batch: simple(statement.ClassWrite, "SELECT pg_sleep(60)")})
+	if a.SQLState != "57014" || a.Tx != backend.TxIdle {
+		t.Errorf("got %v %+v", got, a)
+	}
+}
+
+func TestDeadline(t *testing.T) {
+	cases := map[string]*statement.Batch{
+		"read":           simple(statement.ClassRead, "SELECT pg_sleep(60)"),
+		"answered write": simple(statement.ClassWrite, "INSERT INTO rolls SELECT 'x', pg_sleep(60)"),
+	}
+	for name, batch := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newGroup(t, 1, nil).conn(0, backend.Claim{})
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			defer cancel()
+			if _, err := c.Exchange(ctx, &backend.Exchange{Batch: batch}, &caller{}); !errcode.Is(err, errcode.DeadlinePassed) {
+				t.Errorf("got %v", err)
+			}
+			if _, err := c.Exchange(t.Context(), &backend.Exchange{Batch: batch}, &caller{}); !errcode.Is(err, errcode.ConnectionLost) {
+				t.Errorf("the connection was reused: %v", err)
+			}
+		})
+	}
+}
+
+func TestUnansweredWriteIsUnknown(t *testing.T) {
+	g := newGroup(t, 1, nil)
+	c := g.conn(0, backend.Claim{})
+	g.servers[0].SetHang(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := c.Exchange(ctx, &backend.Exchange{Batch: simple(statement.ClassWrite, "INSERT INTO rolls VALUES ('x', 1)")}, &caller{})
+	if !errcode.Is(err, errcode.Unknown) || !c.Sent() {
+		t.Errorf("got %v, sent %v", err, c.Sent())
+	}
+}
--- /dev/null
+++ b/internal/pgwire/back/order_test.go
@@ -0,0 +1,130 @@
+package back_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+func order(id, text string) *backend.Exchange {
+	return &backend.Exchange{Batch: simple(statement.ClassWrite, text), OrderID: id, WantPosition: true, HoldAnswer: true}
+}
+
+const orderText = "INSERT INTO rolls VALUES ('fern', 7) RETURNING qty"
+
+func TestOrderRepeatReturnsFirstAnswer(t *testing.T) {
+	g := newGroup(t, 1, nil)
+	for i := range 3 {
+		got, a := run(t, g.conn(0, backend.Claim{}), order("o1", orderText))
+		if diff := cmp.Diff([]string{"7", "INSERT 0 1", "I"}, got); diff != "" {
+			t.Error(diff)
+		}
+		if a.Repeat != (i > 0) || a.Committed != (i == 0) || !a.Position.Known() || a.Tx != backend.TxIdle {
+			t.Errorf("attempt %d: %+v", i, a)
+		}
+	}
+	c := g.conn(0, backend.Claim{})
+	got, a := run(t, c, order("o1", "/* traceparent='x' */"+orderText))
+	if !a.Repeat {
+		t.Errorf("a comment made a difference: %v", got)
+	}
+	_, err := c.Exchange(t.Context(), order("o1", "DELETE FROM rolls"), &caller{})
+	if !errcode.Is(err, errcode.OrderMismatch) {
+		t.Errorf("got %v", err)
+	}
+	run(t, c, order("o2", "DELETE FROM rolls"))
+}
+
+func TestFailedOrderIsNotRecorded(t *testing.T) {
+	c := newGroup(t, 1, nil).conn(0, backend.Claim{})
+	for _, text := range []string{"INSERT INTO absent VALUES (1)", "SELECT 1 AS end; INSERT INTO absent VALUES (1)"} {
+		got, a := run(t, c, order("o1", text))
+		if a.SQLState != "42P01" || a.Committed || a.Tx != backend.TxIdle || got[len(got)-1] != "I" {
+			t.Errorf("got %v %+v", got, a)
+		}
+	}
+	if _, a := run(t, c, order("o1", orderText)); !a.Committed || a.Repeat {
+		t.Errorf("got %+v", a)
+	}
+}
+
+func TestOrderInExplicitTransaction(t *testing.T) {
+	g := newGroup(t, 1, nil)
+	for i := range 2 {
+		c := g.conn(0, backend.Claim{})
+		run(t, c, &backend.Exchange{Batch: simple(statement.ClassBegin, "BEGIN")})
+		run(t, c, &backend.Exchange{Batch: simple(statement.ClassWrite, "UPDATE rolls SET qty = 1")})
+		got, a := run(t, c, order("o1", "COMMIT"))
+		if diff := cmp.Diff([]string{"COMMIT", "I"}, got); diff != "" || a.Repeat != (i > 0) || a.Committed != (i == 0) {
+			t.Errorf("attempt %d: %s %+v", i, diff, a)
+		}
+	}
+}
+
+func TestOrderThatEndsItsTransactionIsUnknown(t *testing.T) {
+	c := newGroup(t, 1, nil).conn(0, backend.Claim{})
+	_, err := c.Exchange(t.Context(), order("o1", "ROLLBACK; "+orderText), &caller{})
+	if !errcode.Is(err, errcode.Unknown) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestLostAnswerIsUnknownAndRepeatable(t *testing.T) {
+	g := newGroup(t, 1, nil)
+	c := g.conn(0, backend.Claim{})
+	g.servers[0].LoseAnswers(1)
+	if _, err := c.Exchange(t.Context(), order("o1", orderText), &caller{}); !errcode.Is(err, errcode.Unknown) {
+		t.Fatalf("got %v", err)
+	}
+	got, a := run(t, g.conn(0, backend.Claim{}), order("o1", orderText))
+	if !a.Repeat || got[0] != "7" {
+		t.Errorf("got %v %+v", got, a)
+	}
+}
+
+func TestReleaseMayWithholdTheAnswer(t *testing.T) {
+	c := newGroup(t, 1, nil).conn(0, backend.Claim{})
+	refusal := errors.New("term changed")
+	x := order("o1", orderText)
+	x.Release = func(_ context.Context, a backend.Answer) error {
+		if !a.Committed || !a.Position.Known() {
+			t.Errorf("incomplete answer %+v", a)
+		}
+		return refusal
+	}
+	var conv caller
+	if _, err := c.Exchange(t.Context(), x, &conv); !errors.Is(err, refusal) || len(conv.answer) != 0 {
+		t.Errorf("got %v, %d bytes", err, len(conv.answer))
+	}
+}
+
+func TestConcurrentRepeatsRunOnce(t *testing.T) {
+	g := newGroup(t, 1, nil)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	first := 0
+	for range 6 {
+		c := g.conn(0, backend.Claim{})
+		wg.Go(func() {
+			a, err := c.Exchange(t.Context(), order("o1", orderText), &caller{})
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				t.Error(err)
+			} else if !a.Repeat {
+				first++
+			}
+		})
+	}
+	wg.Wait()
+	if first != 1 {
+		t.Errorf("the order ran %d times", first)
+	}
+}
--- /dev/null
+++ b/internal/pgwire/back/relay.go
@@ -0,0 +1,223 @@
+package back
+
+import (
+	"context"
+	"strings"
+	"sync"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// relay passes the answer of one batch to the conversation and notes what
+// happened.
+type relay struct {
+	ctx  context.Context
+	conn *Conn
+	x    *backend.Exchange
+	conv statement.Conversation
+
+	buf  []byte
+	hold bool
+	// prefix is what the adapter sent before the batch; its answers are swallowed.
+	prefix prefix
+	// leadIn is set while nothing has arrived that shows that the batch runs.
+	leadIn  bool
+	gated   bool
+	refused bool
+	wasOpen bool
+	// state is the SQLSTATE of the first error, tag the last command tag.
+	state     string
+	tag       string
+	committed bool
+	// complete is set once the server's ready state has arrived.
+	complete bool
+	// aborted is the error of the caller's side.
+	aborted error
+
+	feeding  sync.WaitGroup
+	stopFeed context.CancelFunc
+}
+
+func newRelay(ctx context.Context, c *Conn, x *backend.Exchange, conv statement.Conversation) *relay {
+	return &relay{
+		ctx: ctx, conn: c, x: x, conv: conv, hold: x.HoldAnswer, leadIn: true,
+		wasOpen: c.link.status != 'I', stopFeed: func() {},
+	}
+}
+
+// segment returns the batch, with the definitions before it that the
+// connection lacks.
+func (r *relay) segment() segment {
+	r.prefix = r.conn.prepared.missing(r.x.Batch.Prepared)
+	if !r.x.Batch.Class.ReadOnly() {
+		r.conn.wrote = true
+	}
+	data := append(r.prefix.data, r.x.Batch.Messages...)
+	return segment{data: data, handle: r.handle}
+}
+
+func (r *relay) handle(kind byte, frame []byte) error {
+	if r.prefix.swallow(kind) {
+		return nil
+	}
+	switch kind {
+	case typeError:
+		if err := r.handleError(frame); err != nil {
+			return err
+		}
+	case typeCommandComplete:
+		r.handleTag(decodeTag(frame))
+	case typeReady:
+		r.complete = true
+		r.stopFeeder()
+	}
+	r.leadIn = r.leadIn && isLeadIn(kind)
+	if r.refused {
+		return nil
+	}
+	r.buf = append(r.buf, frame...)
+	if len(r.buf) > maxHeld {
+		return errTooLarge
+	}
+	if kind == typeCopyIn {
+		return r.startFeeder()
+	}
+	ready := len(r.buf) >= chunkBytes || r.conn.link.idle() || kind == typeReady
+	if r.hold || r.leadIn || !ready {
+		return nil
+	}
+	return r.pass()
+}
+
+func isLeadIn(kind byte) bool {
+	switch kind {
+	case typeParseComplete, typeBindComplete, typeCloseComplete, typeNoData, typeParamDesc,
+		typeRowDescription, typeNotice, typeParameterStatus:
+		return true
+	default:
+		return false
+	}
+}
+
+func (r *relay) handleError(frame []byte) error {
+	e := decodeError(frame)
+	if e.fatal() {
+		return e
+	}
+	if r.state != "" {
+		return nil
+	}
+	r.state = e.Code
+	if r.leadIn && e.Code == StateReadOnly && r.x.Batch.Class == statement.ClassRead {
+		r.refused = true
+		r.buf = nil
+	}
+	return nil
+}
+
+// handleTag keeps track of commands that change the session.
+func (r *relay) handleTag(tag string) {
+	r.tag = tag
+	switch {
+	case tag == "COMMIT":
+		r.committed = true
+	case tag == "DISCARD ALL":
+		r.conn.forget()
+	case strings.HasPrefix(tag, "DEALLOCATE"):
+		r.conn.prepared.clear()
+	case tag == "SET" || tag == "RESET":
+		r.conn.settingsUnknown = true
+	}
+}
+
+// pass hands what is buffered to the conversation.
+func (r *relay) pass() error {
+	if len(r.buf) == 0 {
+		return nil
+	}
+	if !r.gated {
+		r.gated = true
+		if r.x.Gate != nil {
+			if err := r.x.Gate(r.ctx); err != nil {
+				return r.abort(err)
+			}
+		}
+	}
+	if err := r.conv.Answer(r.ctx, r.buf); err != nil {
+		return r.abort(err)
+	}
+	r.buf = r.buf[:0]
+	return nil
+}
+
+// abort notes an error of the caller's side as the result of the exchange.
+func (r *relay) abort(err error) error {
+	r.aborted = err
+	return err
+}
+
+// finish completes the exchange and passes on what was held back.
+func (r *relay) finish(position *reply) (backend.Answer, error) {
+	a := backend.Answer{Tx: r.conn.txStatus(), SQLState: r.state, ReadOnlyRefused: r.refused, Committed: r.hasCommitted()}
+	if a.Tx == backend.TxIdle && position.err == nil && len(position.rows) == 1 {
+		a.Position = parsePosition(position.rows[0])
+	}
+	return a, r.deliver(a)
+}
+
+// deliver passes the held answer on unless the caller's side forbids it.
+func (r *relay) deliver(a backend.Answer) error {
+	if r.refused {
+		return nil
+	}
+	err := r.release(a)
+	if err == nil {
+		err = r.pass()
+	}
+	if err == nil {
+		return nil
+	}
+	_ = r.conn.link.close()
+	return err
+}
+
+func (r *relay) release(a backend.Answer) error {
+	if !r.x.HoldAnswer || r.x.Release == nil {
+		return nil
+	}
+	return r.x.Release(r.ctx, a)
+}
+
+// hasCommitted reports whether the exchange ended a transaction that may have written.
+func (r *relay) hasCommitted() bool {
+	switch {
+	case r.conn.link.status != 'I' || !r.conn.wrote || r.refused:
+		return false
+	case r.state != "":
+		return r.committed
+	default:
+		return r.tag != "ROLLBACK"
+	}
+}
+
+// mayHaveCommitted reports whether a batch whose answer is missing may have
+// taken effect.
+func (r *relay) mayHaveCommitted() bool {
+	b := r.x.Batch
+	if r.complete && r.state != "" && !r.committed && r.x.OrderID == "" {
+		return false
+	}
+	if b.Class.ReadOnly() && !r.conn.wrote {
+		return false
+	}
+	inBlock := r.wasOpen || b.Class == statement.ClassBegin
+	return !inBlock || r.x.OrderID != "" || mayEndTransaction(b)
+}
+
+// failure is the error for an answer that cannot be delivered although the
+// connection is in order.
+func (r *relay) failure(code errcode.Code, step string) error {
+	return errcode.New(code, step, string(r.conn.link.server.ID))
+}
--- /dev/null
+++ b/internal/pgwire/back/reply.go
@@ -0,0 +1,103 @@
+package back
+
+import (
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// reply collects the answer to a request of the adapter itself.
+type reply struct {
+	err  *ServerError
+	rows [][][]byte
+	tag  string
+}
+
+// segment returns a segment that sends data and collects the answer in r.
+func (r *reply) segment(data []byte) segment { return segment{data: data, handle: r.handle} }
+
+func (r *reply) handle(kind byte, frame []byte) error {
+	switch kind {
+	case typeError:
+		if r.err == nil {
+			r.err = decodeError(frame)
+		}
+		if r.err.fatal() {
+			return r.err
+		}
+	case typeDataRow:
+		var row pgproto3.DataRow
+		if err := row.Decode(frame[frameHeader:]); err != nil {
+			return err
+		}
+		values := make([][]byte, len(row.Values))
+		for i, v := range row.Values {
+			if v != nil {
+				values[i] = append([]byte{}, v...)
+			}
+		}
+		r.rows = append(r.rows, values)
+	case typeCommandComplete:
+		r.tag = decodeTag(frame)
+	case typeCopyIn:
+		return errUnexpected
+	}
+	return nil
+}
+
+// failed returns the server's error as an error.
+func (r *reply) failed() error {
+	if r.err == nil {
+		return nil
+	}
+	return r.err
+}
+
+func decodeError(frame []byte) *ServerError {
+	var m pgproto3.ErrorResponse
+	if err := m.Decode(frame[frameHeader:]); err != nil {
+		return &ServerError{Severity: "FATAL", Code: "08P01", Message: err.Error()}
+	}
+	return newServerError(&m)
+}
+
+func decodeTag(frame []byte) string {
+	return strings.TrimRight(string(frame[frameHeader:]), "\x00")
+}
+
+// query encodes a simple query.
+func query(text string) []byte { return encode(&pgproto3.Query{String: text}) }
+
+// statementMessages encodes a statement with arguments up to its Sync. The arguments
+// of type []byte are sent in binary form, and so are the results.
+func statementMessages(text string, args ...any) []byte {
+	parse := &pgproto3.Parse{Query: text}
+	bind := &pgproto3.Bind{ResultFormatCodes: []int16{pgproto3.BinaryFormat}}
+	for _, a := range args {
+		switch a := a.(type) {
+		case []byte:
+			parse.ParameterOIDs = append(parse.ParameterOIDs, oidBytea)
+			bind.ParameterFormatCodes = append(bind.ParameterFormatCodes, pgproto3.BinaryFormat)
+			bind.Parameters = append(bind.Parameters, a)
+		case string:
+			parse.ParameterOIDs = append(parse.ParameterOIDs, oidText)
+			bind.ParameterFormatCodes = append(bind.ParameterFormatCodes, pgproto3.TextFormat)
+			bind.Parameters = append(bind.Parameters, []byte(a))
+		}
+	}
+	return encode(parse, bind, &pgproto3.Execute{}, &pgproto3.Sync{})
+}
+
+const (
+	oidBytea = 17
+	oidText  = 25
+)
+
+// encode joins messages. Encoding only fails for messages beyond 1 GB.
+func encode(messages ...pgproto3.FrontendMessage) []byte {
+	var data []byte
+	for _, m := range messages {
+		data, _ = m.Encode(data)
+	}
+	return data
+}
--- /dev/null
+++ b/internal/pgwire/back/settings.go
@@ -0,0 +1,59 @@
+package back
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// applySettings puts exactly the wanted settings in force. It sends nothing
+// when they are in force already.
+func (c *Conn) applySettings(ctx context.Context, wanted []statement.Setting) error {
+	if !c.settingsUnknown && slices.Equal(c.settings, wanted) {
+		return nil
+	}
+	commands := settingCommands(c.settings, wanted, c.settingsUnknown)
+	var r reply
+	if err := c.link.pipeline(ctx, r.segment(query(strings.Join(commands, "; ")))); err != nil {
+		return c.fail(err, errcode.ConnectionLost, "apply settings")
+	}
+	if err := r.failed(); err != nil {
+		return c.fail(err, errcode.ConnectionLost, "apply settings")
+	}
+	c.settings, c.settingsUnknown = slices.Clone(wanted), false
+	return nil
+}
+
+// settingCommands returns the statements that lead from one set of settings
+// to another.
+func settingCommands(now, wanted []statement.Setting, unknown bool) []string {
+	var commands []string
+	if unknown {
+		commands = append(commands, "RESET ALL")
+		now = nil
+	}
+	for _, s := range now {
+		kept := slices.ContainsFunc(wanted, func(w statement.Setting) bool { return w.Name == s.Name })
+		if !kept {
+			commands = append(commands, "RESET "+quoteSetting(s.Name))
+		}
+	}
+	for _, s := range wanted {
+		if !slices.Contains(now, s) {
+			commands = append(commands, "SET "+quoteSetting(s.Name)+" TO "+quote(s.Value))
+		}
+	}
+	return commands
+}
+
+// quoteSetting quotes each part of a dotted name.
+func quoteSetting(name string) string {
+	parts := strings.Split(name, ".")
+	for i, p := range parts {
+		parts[i] = quoteName(p)
+	}
+	return strings.Join(parts, ".")
+}
--- /dev/null
+++ b/internal/standin/dbserver/control.go
@@ -0,0 +1,160 @@
+package dbserver
+
+import (
+	"context"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/pgwire/back"
+)
+
+func refused(format string, args ...any) error { return newError(back.StateRefused, format, args...) }
+
+// claim accepts a home and ends the data connections of lower epochs.
+func (s *Server) claim(epoch cluster.Epoch, home cluster.ProxyID) (cluster.ServerStatus, error) {
+	s.mu.Lock()
+	st := s.status
+	if epoch < st.Epoch || epoch == st.Epoch && home != st.Home {
+		defer s.mu.Unlock()
+		return s.statusLocked(), refused("epoch %d of %s is claimed", st.Epoch, st.Home)
+	}
+	s.status.Epoch, s.status.Home = epoch, home
+	var ended []*session
+	for _, c := range s.sessions {
+		if !c.control && c.epoch < epoch {
+			ended = append(ended, c)
+		}
+	}
+	s.mu.Unlock()
+	for _, c := range ended {
+		c.end(superseded(epoch))
+	}
+	return s.Status(), nil
+}
+
+func superseded(epoch cluster.Epoch) *serverError {
+	return &serverError{code: back.StateSuperseded, message: "another home claimed a higher epoch: " + formatUint(uint64(epoch)), fatal: true}
+}
+
+// seal accepts term for holder and stops writes and log shipping of lower terms.
+func (s *Server) seal(term cluster.Term, holder string) (cluster.ServerStatus, error) {
+	s.mu.Lock()
+	st := s.status
+	if term < st.Term || term == st.Term && (st.SealHolder != holder || holder == "") {
+		defer s.mu.Unlock()
+		return s.statusLocked(), refused("term %d is accepted from %q", st.Term, st.SealHolder)
+	}
+	if term > st.Term {
+		s.status.Term, s.status.SealHolder = term, holder
+		s.status.Role, s.status.Leader = cluster.RoleSealed, ""
+		s.stopFollowing()
+		s.notify()
+	}
+	s.mu.Unlock()
+	s.abortWrites()
+	return s.Status(), nil
+}
+
+// promote makes a sealed server the primary of term, after it has replayed
+// everything that it received.
+func (s *Server) promote(ctx context.Context, term cluster.Term, holder string) (cluster.ServerStatus, error) {
+	if err := s.mayPromote(term, holder); err != nil {
+		return s.Status(), err
+	}
+	for {
+		s.mu.Lock()
+		if s.status.Term == term && s.status.Role == cluster.RolePrimary {
+			defer s.mu.Unlock()
+			return s.statusLocked(), nil
+		}
+		if s.status.Term != term || s.status.Role != cluster.RoleSealed {
+			defer s.mu.Unlock()
+			return s.statusLocked(), refused("no longer sealed at term %d", term)
+		}
+		if s.replayed == len(s.log) {
+			s.beginTerm()
+			defer s.mu.Unlock()
+			return s.statusLocked(), nil
+		}
+		s.faults.catchUp = true
+		changed := s.changed
+		s.notify()
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return s.Status(), ctx.Err()
+		}
+	}
+}
+
+func (s *Server) mayPromote(term cluster.Term, holder string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.status.Term != term || s.status.SealHolder != holder || holder == "" {
+		return refused("not sealed at term %d by %q", term, holder)
+	}
+	return nil
+}
+
+// beginTerm makes the server primary and opens the term with an empty log
+// record. The caller holds mu.
+func (s *Server) beginTerm() {
+	s.status.Role = cluster.RolePrimary
+	s.status.Leader = s.cfg.ID
+	s.log = append(s.log, record{Term: s.status.Term, received: time.Now()})
+	s.replayed = len(s.log)
+	s.faults.catchUp = false
+	s.notify()
+}
+
+// follow makes the server a replica of leader at term.
+func (s *Server) follow(term cluster.Term, leader cluster.Server) (cluster.ServerStatus, error) {
+	s.mu.Lock()
+	st := s.status
+	own := leader.ID == s.cfg.ID
+	leads := st.Role == cluster.RolePrimary && st.Term == term
+	switch {
+	case own && leads:
+		defer s.mu.Unlock()
+		return s.statusLocked(), nil
+	case own || leads || term < st.Term:
+		defer s.mu.Unlock()
+		return s.statusLocked(), refused("cannot follow %s at term %d", leader.ID, term)
+	case term > st.Term:
+		s.status.Term, s.status.SealHolder = term, ""
+	}
+	s.status.Role, s.status.Leader = cluster.RoleReplica, leader.ID
+	if s.stopFollow == nil || s.leader.Address != leader.Address || term > st.Term {
+		s.startFollowing(term, leader)
+	}
+	s.notify()
+	s.mu.Unlock()
+	s.abortWrites()
+	return s.Status(), nil
+}
+
+// mayWrite reports whether a transaction begun at term and epoch may go on.
+// The caller holds mu.
+func (s *Server) mayWrite(c *session) error {
+	if s.status.Role != cluster.RolePrimary {
+		return newError(back.StateReadOnly, "cannot execute writes on a %s server", s.status.Role)
+	}
+	if !c.control && c.epoch < s.status.Epoch {
+		return superseded(s.status.Epoch)
+	}
+	return nil
+}
+
+// abortWrites ends the open write transactions of a server that is not primary.
+func (s *Server) abortWrites() {
+	s.mu.Lock()
+	var open []*session
+	for _, c := range s.sessions {
+		open = append(open, c)
+	}
+	s.mu.Unlock()
+	for _, c := range open {
+		c.abortWrite(newError(back.StateReadOnly, "the server is not primary any more; the transaction was rolled back"))
+	}
+}
--- /dev/null
+++ b/internal/standin/dbserver/copy.go
@@ -0,0 +1,181 @@
+package dbserver
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"regexp"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+var (
+	copyPattern = regexp.MustCompile(`(?is)^COPY\s+(\(.*\)|"?[\w.]+"?)\s*(\([^)]*\))?\s+(FROM|TO)\s+(STDIN|STDOUT)`)
+	copyEscapes = strings.NewReplacer(`\`, `\\`, "\t", `\t`, "\n", `\n`, "\r", `\r`)
+	copyDecoder = strings.NewReplacer(`\\`, `\`, `\t`, "\t", `\n`, "\n", `\r`, "\r")
+)
+
+const copyNull = `\N`
+
+// copy runs COPY in the text format.
+func (c *session) copy(p *parsed) error {
+	m := copyPattern.FindStringSubmatch(p.text)
+	if m == nil || strings.Contains(strings.ToUpper(p.text), "BINARY") || strings.Contains(strings.ToUpper(p.text), "CSV") {
+		return newError("0A000", "only COPY FROM STDIN and TO STDOUT in text format are supported")
+	}
+	c.mu.Lock()
+	failed := c.tx.failed
+	c.mu.Unlock()
+	if failed {
+		return errFailedTransaction
+	}
+	if strings.EqualFold(m[3], "TO") {
+		return c.copyOut(m[1], m[2])
+	}
+	return c.copyIn(m[1], m[2])
+}
+
+func (c *session) copyOut(source, columns string) error {
+	query := "SELECT " + strings.Trim(columns, "()") + " FROM " + source
+	if columns == "" {
+		query = "SELECT * FROM " + source
+	}
+	if strings.HasPrefix(source, "(") {
+		query = strings.Trim(source, "()")
+	}
+	r, err := c.execute(&parsed{text: query, kind: kindRead}, nil)
+	if err != nil {
+		return err
+	}
+	c.backend.Send(&pgproto3.CopyOutResponse{ColumnFormatCodes: make([]uint16, len(r.columns))})
+	oids := r.oids()
+	for _, row := range r.rows {
+		fields := make([]string, len(row))
+		for i, v := range row {
+			fields[i] = copyNull
+			if v != nil {
+				fields[i] = copyEscapes.Replace(string(encodeValue(v, oids[i], 0)))
+			}
+		}
+		c.backend.Send(&pgproto3.CopyData{Data: []byte(strings.Join(fields, "\t") + "\n")})
+	}
+	c.backend.Send(&pgproto3.CopyDone{})
+	c.backend.Send(&pgproto3.CommandComplete{CommandTag: fmt.Appendf(nil, "COPY %d", len(r.rows))})
+	return nil
+}
+
+func (c *session) copyIn(table, columns string) error {
+	if err := c.checkWrite(); err != nil {
+		return err
+	}
+	info, err := c.probe(command{SQL: "SELECT " + copyList(columns) + " FROM " + table + " LIMIT 0"})
+	if err != nil {
+		return err
+	}
+	c.backend.Send(&pgproto3.CopyInResponse{ColumnFormatCodes: make([]uint16, len(info.columns))})
+	if err := c.backend.Flush(); err != nil {
+		return err
+	}
+	data, err := c.receiveCopy()
+	if err != nil {
+		return err
+	}
+	n, err := c.storeCopy(table, columns, info, data)
+	if err != nil {
+		return err
+	}
+	c.backend.Send(&pgproto3.CommandComplete{CommandTag: fmt.Appendf(nil, "COPY %d", n)})
+	return nil
+}
+
+func copyList(columns string) string {
+	if columns == "" {
+		return "*"
+	}
+	return strings.Trim(columns, "()")
+}
+
+// receiveCopy reads up to the end of the COPY.
+func (c *session) receiveCopy() ([]byte, error) {
+	var data bytes.Buffer
+	for {
+		m, err := c.backend.Receive()
+		if err != nil {
+			return nil, errTerminate
+		}
+		switch m := m.(type) {
+		case *pgproto3.CopyData:
+			data.Write(m.Data)
+		case *pgproto3.CopyDone:
+			return data.Bytes(), nil
+		case *pgproto3.CopyFail:
+			return nil, newError("57014", "COPY from stdin failed: %s", m.Message)
+		case *pgproto3.Flush, *pgproto3.Sync:
+		default:
+			return nil, &serverError{code: "08P01", message: "unexpected message in COPY", fatal: true}
+		}
+	}
+}
+
+// storeCopy inserts the received lines in the open transaction or in one of its own.
+func (c *session) storeCopy(table, columns string, info *result, data []byte) (int, error) {
+	c.mu.Lock()
+	own := !c.tx.open
+	c.mu.Unlock()
+	if own {
+		c.begin(&parsed{})
+	}
+	n, err := c.insertLines(table, columns, info, data)
+	if !own {
+		return n, err
+	}
+	if err != nil {
+		c.rollback()
+		return 0, err
+	}
+	return n, c.commit(context.WithoutCancel(c.ctx), &parsed{})
+}
+
+func (c *session) insertLines(table, columns string, info *result, data []byte) (int, error) {
+	marks := make([]string, len(info.columns))
+	for i := range marks {
+		marks[i] = fmt.Sprintf("?%d", i+1)
+	}
+	insert := &parsed{text: fmt.Sprintf("INSERT INTO %s%s VALUES (%s)", table, columns, strings.Join(marks, ",")), kind: kindWrite}
+	n := 0
+	for line := range strings.Lines(string(data)) {
+		line = strings.TrimRight(line, "\r\n")
+		if line == `\.` {
+			break
+		}
+		args, err := copyArgs(line, info)
+		if err != nil {
+			return n, err
+		}
+		if _, err := c.execute(insert, args); err != nil {
+			return n, err
+		}
+		n++
+	}
+	return n, nil
+}
+
+func copyArgs(line string, info *result) ([]value, error) {
+	fields := strings.Split(line, "\t")
+	if len(fields) != len(info.columns) {
+		return nil, newError("22P04", "%d columns in COPY line, want %d", len(fields), len(info.columns))
+	}
+	args := make([]value, len(fields))
+	for i, f := range fields {
+		if f == copyNull {
+			continue
+		}
+		v, err := decodeArg([]byte(copyDecoder.Replace(f)), oidOf(info.columns[i].decl, nil), 0)
+		if err != nil {
+			return nil, err
+		}
+		args[i] = v
+	}
+	return args, nil
+}
--- /dev/null
+++ b/internal/standin/dbserver/drain.go
@@ -0,0 +1,28 @@
+package dbserver
+
+import "time"
+
+const drainPoll = 5 * time.Millisecond
+
+// Drain stops accepting connections and waits until no statement runs, at
+// most for the given time.
+func (s *Server) Drain(limit time.Duration) {
+	s.mu.Lock()
+	for _, l := range s.listeners {
+		_ = l.Close()
+	}
+	s.mu.Unlock()
+	deadline := time.Now().Add(limit)
+	for time.Now().Before(deadline) && s.busy() {
+		time.Sleep(drainPoll)
+	}
+}
+
+// busy reports whether a statement runs.
+func (s *Server) busy() bool {
+	if !s.slots.TryAcquire(int64(s.cfg.Slots)) {
+		return true
+	}
+	s.slots.Release(int64(s.cfg.Slots))
+	return false
+}
--- /dev/null
+++ b/internal/standin/dbserver/extended.go
@@ -0,0 +1,207 @@
+package dbserver
+
+import (
+	"context"
+	"regexp"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// preparedStatement is a parsed statement of the extended protocol.
+type preparedStatement struct {
+	parsed parsed
+	params []uint32
+	// columns and oids are set once the statement was described.
+	described bool
+	columns   []column
+	oids      []uint32
+}
+
+// portal is a bound statement.
+type portal struct {
+	statement *preparedStatement
+	args      []value
+	formats   []int16
+	// result holds what an Execute with a row limit left over.
+	result *result
+	sent   int
+}
+
+func (c *session) extended(m pgproto3.FrontendMessage) error {
+	switch m := m.(type) {
+	case *pgproto3.Parse:
+		return c.parse(m)
+	case *pgproto3.Bind:
+		return c.bind(m)
+	case *pgproto3.Describe:
+		return c.describe(m)
+	case *pgproto3.Execute:
+		return c.executePortal(m)
+	case *pgproto3.Close:
+		if m.ObjectType == 'S' {
+			delete(c.prepared, m.Name)
+		} else {
+			delete(c.portals, m.Name)
+		}
+		c.backend.Send(&pgproto3.CloseComplete{})
+		return nil
+	case *pgproto3.Flush:
+		return c.backend.Flush()
+	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
+		return nil
+	default:
+		return &serverError{code: "08P01", message: "unexpected message", fatal: true}
+	}
+}
+
+func (c *session) parse(m *pgproto3.Parse) error {
+	statements := parse(m.Query)
+	p := parsed{kind: kindEmpty}
+	if len(statements) > 1 {
+		return newError("42601", "cannot insert multiple commands into a prepared statement")
+	}
+	if len(statements) == 1 {
+		p = statements[0]
+	}
+	if _, taken := c.prepared[m.Name]; taken && m.Name != "" {
+		return newError("42P05", "prepared statement %q already exists", m.Name)
+	}
+	st := &preparedStatement{parsed: p, params: make([]uint32, p.params)}
+	copy(st.params, m.ParameterOIDs)
+	c.inferBytea(st)
+	c.prepared[m.Name] = st
+	c.backend.Send(&pgproto3.ParseComplete{})
+	return nil
+}
+
+func (c *session) bind(m *pgproto3.Bind) error {
+	st := c.prepared[m.PreparedStatement]
+	if st == nil {
+		return newError("26000", "prepared statement %q does not exist", m.PreparedStatement)
+	}
+	if len(m.Parameters) != len(st.params) {
+		return newError("08P01", "bind supplies %d parameters, statement requires %d", len(m.Parameters), len(st.params))
+	}
+	args := make([]value, len(m.Parameters))
+	for i, data := range m.Parameters {
+		v, err := decodeArg(data, st.params[i], formatAt(m.ParameterFormatCodes, i))
+		if err != nil {
+			return err
+		}
+		args[i] = v
+	}
+	c.portals[m.DestinationPortal] = &portal{statement: st, args: args, formats: append([]int16{}, m.ResultFormatCodes...)}
+	c.backend.Send(&pgproto3.BindComplete{})
+	return nil
+}
+
+func (c *session) describe(m *pgproto3.Describe) error {
+	var st *preparedStatement
+	var formats []int16
+	if m.ObjectType == 'S' {
+		st = c.prepared[m.Name]
+	} else if p := c.portals[m.Name]; p != nil {
+		st, formats = p.statement, p.formats
+	}
+	if st == nil {
+		return newError("26000", "nothing named %q to describe", m.Name)
+	}
+	if err := c.resolve(st); err != nil {
+		return err
+	}
+	if m.ObjectType == 'S' {
+		c.backend.Send(&pgproto3.ParameterDescription{ParameterOIDs: st.params})
+	}
+	if st.columns == nil {
+		c.backend.Send(&pgproto3.NoData{})
+		return nil
+	}
+	c.backend.Send(rowDescription(st.columns, st.oids, formats))
+	return nil
+}
+
+var returningPattern = regexp.MustCompile(`(?is)^\s*(?:INSERT\s+INTO|UPDATE|DELETE\s+FROM)\s+("?\w+"?).*\bRETURNING\b(.*)$`)
+
+// resolve finds the result columns of a statement by running a harmless form
+// of it without arguments.
+func (c *session) resolve(st *preparedStatement) error {
+	if st.described {
+		return nil
+	}
+	probe := st.parsed.text
+	switch {
+	case st.parsed.kind == kindFunction || st.parsed.kind == kindShow:
+		st.described = true
+		st.columns, st.oids = []column{{name: strings.ToLower(st.parsed.words[1])}}, []uint32{oidText}
+		return nil
+	case st.parsed.kind == kindWrite && returnsRows(probe):
+		if m := returningPattern.FindStringSubmatch(probe); m != nil {
+			probe = "SELECT " + m[2] + " FROM " + m[1] + " LIMIT 1"
+		}
+	case st.parsed.kind != kindRead:
+		st.described = true
+		return nil
+	}
+	r, err := c.probe(command{SQL: probe, Args: make([]value, len(st.params))})
+	if err != nil {
+		return err
+	}
+	st.described, st.columns, st.oids = true, r.columns, r.oids()
+	return nil
+}
+
+// probe runs a read where the session's own writes are visible.
+func (c *session) probe(cmd command) (*result, error) {
+	ctx := context.WithoutCancel(c.ctx)
+	c.mu.Lock()
+	t := c.tx.write
+	c.mu.Unlock()
+	if t != nil {
+		return c.server.engine.run(ctx, t, cmd, false)
+	}
+	return c.server.engine.read(ctx, cmd)
+}
+
+func (c *session) executePortal(m *pgproto3.Execute) error {
+	p := c.portals[m.Portal]
+	if p == nil {
+		return newError("34000", "portal %q does not exist", m.Portal)
+	}
+	st := p.statement
+	if st.parsed.kind == kindEmpty {
+		c.backend.Send(&pgproto3.EmptyQueryResponse{})
+		return nil
+	}
+	if st.parsed.kind == kindCopy {
+		return c.copy(&st.parsed)
+	}
+	parsed := st.parsed
+	if p.result == nil {
+		r, err := c.execute(&parsed, p.args)
+		if err != nil {
+			return err
+		}
+		p.result = r
+	}
+	c.sendPortal(p, &parsed, int(m.MaxRows))
+	return nil
+}
+
+// sendPortal sends the next rows, at most limit when it is not zero.
+func (c *session) sendPortal(p *portal, parsed *parsed, limit int) {
+	oids := p.statement.oids
+	if len(oids) != len(p.result.columns) {
+		oids = p.result.oids()
+	}
+	rows := p.result.rows[p.sent:]
+	if limit > 0 && len(rows) > limit {
+		c.sendRows(rows[:limit], oids, p.formats)
+		p.sent += limit
+		c.backend.Send(&pgproto3.PortalSuspended{})
+		return
+	}
+	c.sendRows(rows, oids, p.formats)
+	p.sent = len(p.result.rows)
+	c.complete(parsed, p.result)
+}
--- /dev/null
+++ b/internal/standin/dbserver/faults.go
@@ -0,0 +1,106 @@
+package dbserver
+
+import (
+	"strconv"
+	"time"
+)
+
+// funcFault is the function that switches faults: SELECT rattan_fault('kind', 'value').
+const funcFault = "rattan_fault"
+
+// faults are the failures that a test has switched on. The server's mu guards them.
+type faults struct {
+	lag time.Duration
+	// catchUp makes replay ignore the lag, for a promotion.
+	catchUp bool
+	// hang makes every connection accept but never answer.
+	hang bool
+	// loseAnswers is the number of commits whose answers are still to be lost.
+	loseAnswers int
+	// slow is added to the time of every statement.
+	slow time.Duration
+}
+
+// SetLag sets the time between receiving and replaying a log record.
+func (s *Server) SetLag(d time.Duration) { s.setFault(func(f *faults) { f.lag = d }) }
+
+// SetSlow adds d to the time of every statement.
+func (s *Server) SetSlow(d time.Duration) { s.setFault(func(f *faults) { f.slow = d }) }
+
+// SetHang makes connections accept but never answer until it is switched off.
+func (s *Server) SetHang(on bool) { s.setFault(func(f *faults) { f.hang = on }) }
+
+// LoseAnswers closes the connection instead of answering after each of the
+// next n commits.
+func (s *Server) LoseAnswers(n int) { s.setFault(func(f *faults) { f.loseAnswers = n }) }
+
+// Silence makes the data connections that are open now go silent for good.
+func (s *Server) Silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.sessions {
+		if !c.replication && c.silent.CompareAndSwap(false, true) {
+			c.cancel(errSilenced)
+		}
+	}
+}
+
+func (s *Server) setFault(change func(*faults)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.faults)
+	s.notify()
+}
+
+func (s *Server) faultsNow() faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// takeLostAnswer reports whether the answer to a commit is to be lost.
+func (s *Server) takeLostAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.loseAnswers == 0 {
+		return false
+	}
+	s.faults.loseAnswers--
+	return true
+}
+
+// applyFault runs a call of funcFault.
+func (s *Server) applyFault(name, text string) error {
+	switch name {
+	case "silence":
+		s.Silence()
+	case "hang":
+		s.SetHang(text == "on")
+	case "crash":
+		go s.Close()
+	case "lose_answers":
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			return newError("22P02", "count: %v", err)
+		}
+		s.LoseAnswers(n)
+	case "lag", "slow":
+		return s.applyDelay(name, text)
+	default:
+		return newError("22023", "unknown fault %q", name)
+	}
+	return nil
+}
+
+func (s *Server) applyDelay(name, text string) error {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		return newError("22P02", "duration: %v", err)
+	}
+	if name == "lag" {
+		s.SetLag(d)
+	} else {
+		s.SetSlow(d)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/dbserver/functions.go
@@ -0,0 +1,122 @@
+package dbserver
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/pgwire/back"
+)
+
+// callFunction runs a function of the control protocol. It takes no slot.
+func (c *session) callFunction(ctx context.Context, p *parsed) (*result, error) {
+	text, err := c.server.call(ctx, p.function, p.args)
+	if err != nil {
+		return nil, err
+	}
+	r := &result{columns: []column{{name: p.function, decl: "TEXT"}}, rows: [][]any{{text}}, affected: 1}
+	return r, nil
+}
+
+func (s *Server) call(ctx context.Context, name string, args []string) (string, error) {
+	switch name {
+	case funcLog:
+		return s.serveLog(ctx, args)
+	case back.FuncPosition:
+		return s.Status().Replayed.String(), nil
+	case back.FuncStatus:
+		return encodeStatus(s.Status(), nil)
+	}
+	if len(args) < 2 {
+		return "", newError("42883", "function %s does not exist or lacks arguments", name)
+	}
+	if name == funcFault {
+		return "", s.applyFault(args[0], args[1])
+	}
+	return s.change(ctx, name, args)
+}
+
+// change runs the functions that change claims, terms and roles.
+func (s *Server) change(ctx context.Context, name string, args []string) (string, error) {
+	number, err := strconv.ParseUint(args[0], 10, 64)
+	if err != nil {
+		return "", newError("22P02", "%s: %v", name, err)
+	}
+	term := cluster.Term(number)
+	switch name {
+	case back.FuncClaim:
+		return encodeStatus(s.claim(cluster.Epoch(number), cluster.ProxyID(args[1])))
+	case back.FuncSeal:
+		return encodeStatus(s.seal(term, args[1]))
+	case back.FuncPromote:
+		return encodeStatus(s.promote(ctx, term, args[1]))
+	case back.FuncFollow:
+		leader := cluster.Server{ID: cluster.ServerID(args[1])}
+		if len(args) > 2 {
+			leader.Address = args[2]
+		}
+		return encodeStatus(s.follow(term, leader))
+	default:
+		return "", newError("42883", "function %s does not exist", name)
+	}
+}
+
+func encodeStatus(st cluster.ServerStatus, err error) (string, error) {
+	if err != nil {
+		return "", err
+	}
+	text, err := json.Marshal(st)
+	return string(text), err
+}
+
+// setting runs SET, RESET, SHOW and DISCARD, which only concern the session.
+func (c *session) setting(p *parsed) (*result, error) {
+	switch p.kind {
+	case kindDiscard:
+		clear(c.settings)
+		clear(c.prepared)
+		p.tag = "DISCARD ALL"
+	case kindReset:
+		if len(p.words) > 1 && p.words[1] != "ALL" {
+			delete(c.settings, settingName(p.words[1]))
+		} else {
+			clear(c.settings)
+		}
+	case kindSet:
+		name, v := parseSet(p.text)
+		c.settings[name] = v
+	default:
+		name := settingName(strings.Join(p.words[1:], "_"))
+		r := &result{columns: []column{{name: name, decl: "TEXT"}}, affected: 1}
+		r.rows = [][]any{{c.settings[name]}}
+		return r, nil
+	}
+	return &result{}, nil
+}
+
+// parseSet reads SET [SESSION|LOCAL] name {TO|=} value.
+func parseSet(text string) (name, v string) {
+	text = strings.TrimSpace(text[len("SET"):])
+	for _, scope := range []string{"SESSION ", "LOCAL "} {
+		if len(text) > len(scope) && strings.EqualFold(text[:len(scope)], scope) {
+			text = strings.TrimSpace(text[len(scope):])
+		}
+	}
+	end := strings.IndexAny(text, " =")
+	if end < 0 {
+		return settingName(text), ""
+	}
+	name, v = settingName(text[:end]), strings.TrimSpace(text[end:])
+	v = strings.TrimSpace(strings.TrimPrefix(v, "="))
+	if len(v) > 3 && strings.EqualFold(v[:3], "TO ") {
+		v = strings.TrimSpace(v[3:])
+	}
+	if len(v) > 1 && v[0] == '\'' {
+		return name, strings.ReplaceAll(v[1:len(v)-1], "''", "'")
+	}
+	return name, strings.Trim(v, `"`)
+}
+
+func settingName(text string) string { return strings.ToLower(strings.ReplaceAll(text, `"`, "")) }
--- /dev/null
+++ b/internal/standin/dbserver/log.go
@@ -0,0 +1,114 @@
+package dbserver
+
+import (
+	"context"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+// record is one committed transaction. A record without commands opens a term.
+type record struct {
+	Term     cluster.Term `json:"term"`
+	Commands []command    `json:"commands,omitempty"`
+	received time.Time
+}
+
+// appendCommitted adds a transaction that the engine has just committed.
+func (s *Server) appendCommitted(commands []command) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.appendCommittedLocked(commands)
+}
+
+func (s *Server) appendCommittedLocked(commands []command) {
+	s.log = append(s.log, record{Term: s.status.Term, Commands: commands, received: time.Now()})
+	s.replayed = len(s.log)
+	s.notify()
+}
+
+// commit makes t of session c permanent unless the server may not write any more.
+func (s *Server) commit(ctx context.Context, c *session, t *transaction) error {
+	if len(t.commands) == 0 {
+		return t.err
+	}
+	locked := false
+	defer func() {
+		if locked {
+			s.mu.Unlock()
+		}
+	}()
+	allow := func() error {
+		s.mu.Lock()
+		locked = true
+		return s.mayWrite(c)
+	}
+	return s.engine.commit(ctx, t, allow, s.appendCommittedLocked)
+}
+
+// replay applies received records once their lag has passed.
+func (s *Server) replay() {
+	for s.ctx.Err() == nil {
+		wait, changed := s.replayNext()
+		if wait == 0 {
+			continue
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+		case <-changed:
+		case <-s.ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+// replayIdle is the wait for a change when nothing is to be replayed.
+const replayIdle = time.Minute
+
+// replayNext applies the next record when it is due and returns the time to
+// wait otherwise.
+func (s *Server) replayNext() (time.Duration, <-chan struct{}) {
+	if s.engine.acquire(s.ctx) != nil {
+		return replayIdle, nil
+	}
+	defer s.engine.release()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.replayed == len(s.log) {
+		return replayIdle, s.changed
+	}
+	next := s.log[s.replayed]
+	due := next.received.Add(s.faults.lag)
+	if wait := time.Until(due); wait > 0 && !s.faults.catchUp {
+		return wait, s.changed
+	}
+	if err := s.engine.apply(next.Commands); err != nil {
+		s.cfg.Log.Error().Err(err).Msg("replay failed")
+		return replayIdle, s.changed
+	}
+	s.replayed++
+	s.notify()
+	return 0, nil
+}
+
+// truncate drops the records from offset on and rebuilds the rows. The caller
+// holds the engine's lock and mu.
+func (s *Server) truncate(offset int) error {
+	rebuild := s.replayed > offset
+	s.log = s.log[:offset]
+	if !rebuild {
+		return nil
+	}
+	if err := s.engine.reset(); err != nil {
+		return err
+	}
+	s.replayed = 0
+	for _, r := range s.log {
+		if err := s.engine.apply(r.Commands); err != nil {
+			return err
+		}
+		s.replayed++
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/dbserver/registry.go
@@ -0,0 +1,72 @@
+package dbserver
+
+import (
+	"bytes"
+	"math/rand/v2"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+// register admits a session under the connection limits and the home claim.
+func (s *Server) register(c *session, home cluster.ProxyID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.status
+	if !c.control && (c.epoch < st.Epoch || c.epoch == st.Epoch && st.Epoch > 0 && home != st.Home) {
+		return superseded(st.Epoch)
+	}
+	if !c.replication && s.countLocked(c.control) >= s.limit(c.control) {
+		return newError("53300", "too many connections")
+	}
+	s.lastPID++
+	c.pid, c.secret = s.lastPID, rand.Uint32()
+	s.sessions[c.pid] = c
+	return nil
+}
+
+func (s *Server) limit(control bool) int {
+	if control {
+		return s.cfg.ControlConnections
+	}
+	return s.cfg.Connections
+}
+
+func (s *Server) countLocked(control bool) int {
+	n := 0
+	for _, c := range s.sessions {
+		if c.control == control && !c.replication {
+			n++
+		}
+	}
+	return n
+}
+
+// Connections returns the number of open data connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.countLocked(false)
+}
+
+func (s *Server) unregister(c *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, c.pid)
+}
+
+// cancelRequest stops the running statement of the named session.
+func (s *Server) cancelRequest(m *pgproto3.CancelRequest) {
+	s.mu.Lock()
+	c := s.sessions[m.ProcessID]
+	s.mu.Unlock()
+	if c == nil || !bytes.Equal(secretKey(c.secret), m.SecretKey) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopStatement != nil {
+		c.stopStatement(errCancelled)
+	}
+}
--- /dev/null
+++ b/internal/standin/dbserver/server.go
@@ -0,0 +1,172 @@
+package dbserver
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/semaphore"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+// Server is one backend server. Close ends it.
+type Server struct {
+	cfg    Config
+	engine *engine
+	locks  lockTable
+	slots  *semaphore.Weighted
+	faults faults
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	ownDir string
+
+	mu       sync.Mutex
+	closed   bool
+	status   cluster.ServerStatus
+	leader   cluster.Server
+	log      []record
+	replayed int
+	// changed is closed and replaced whenever the log or the status changes.
+	changed    chan struct{}
+	stopFollow context.CancelFunc
+	sessions   map[uint32]*session
+	lastPID    uint32
+	listeners  []net.Listener
+}
+
+// New starts a server. It serves connections once Serve is called.
+func New(cfg Config) (*Server, error) {
+	s := &Server{cfg: cfg.withDefaults(), changed: make(chan struct{}), sessions: map[uint32]*session{}}
+	s.slots = semaphore.NewWeighted(int64(s.cfg.Slots))
+	s.faults.lag = s.cfg.Lag
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	if s.cfg.Dir == "" {
+		dir, err := os.MkdirTemp("", "rattan-standin-")
+		if err != nil {
+			return nil, eris.Wrap(err, "create directory")
+		}
+		s.cfg.Dir, s.ownDir = dir, dir
+	}
+	engine, err := newEngine(s.cfg.Dir)
+	if err != nil {
+		return nil, err
+	}
+	s.engine = engine
+	return s, s.start()
+}
+
+// start takes the role that the settings give.
+func (s *Server) start() error {
+	s.status = cluster.ServerStatus{Server: s.cfg.ID, Role: cluster.RoleSealed, Term: 1}
+	s.wg.Go(s.replay)
+	if !s.cfg.Primary {
+		if s.cfg.Leader.Address != "" {
+			_, err := s.follow(1, s.cfg.Leader)
+			return err
+		}
+		return nil
+	}
+	s.mu.Lock()
+	s.beginTerm()
+	s.mu.Unlock()
+	return s.runSchema()
+}
+
+func (s *Server) runSchema() error {
+	commands := []command{}
+	for _, p := range parse(s.cfg.Schema) {
+		commands = append(commands, command{SQL: p.text})
+	}
+	if len(commands) == 0 {
+		return nil
+	}
+	t := &transaction{}
+	for _, c := range commands {
+		if _, err := s.engine.run(s.ctx, t, c, true); err != nil {
+			return eris.Wrapf(err, "schema %q", c.SQL)
+		}
+	}
+	return s.engine.commit(s.ctx, t, func() error { return nil }, s.appendCommitted)
+}
+
+// Serve accepts connections until the listener or the server is closed.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listeners = append(s.listeners, l)
+	s.mu.Unlock()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if s.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return eris.Wrap(err, "accept")
+		}
+		s.ServeConn(conn)
+	}
+}
+
+// ServeConn serves one connection in its own goroutine and closes it at the end.
+func (s *Server) ServeConn(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = conn.Close()
+		return
+	}
+	s.wg.Go(func() { s.serveConn(conn) })
+}
+
+// Close ends all connections and removes the rows.
+func (s *Server) Close() {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return
+	}
+	s.closed = true
+	s.cancel()
+	for _, l := range s.listeners {
+		_ = l.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+	s.engine.close()
+	if s.ownDir != "" {
+		_ = os.RemoveAll(s.ownDir)
+	}
+}
+
+// Status returns what the server reports about itself.
+func (s *Server) Status() cluster.ServerStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.statusLocked()
+}
+
+func (s *Server) statusLocked() cluster.ServerStatus {
+	st := s.status
+	st.Received = s.positionAt(len(s.log))
+	st.Replayed = s.positionAt(s.replayed)
+	return st
+}
+
+// positionAt returns the position of the record at offset; unknown for zero.
+func (s *Server) positionAt(offset int) cluster.Position {
+	if offset == 0 {
+		return cluster.Position{}
+	}
+	return cluster.Position{Term: s.log[offset-1].Term, Offset: uint64(offset)}
+}
+
+// notify wakes everyone who waits for a change. The caller holds mu.
+func (s *Server) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/standin/dbserver/session.go
@@ -0,0 +1,359 @@
+package dbserver
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/pgwire/back"
+)
+
+var (
+	errSilenced   = errors.New("connection silenced")
+	errAnswerLost = errors.New("answer lost")
+	errTerminate  = errors.New("client left")
+	errCancelled  = newError("57014", "canceling statement due to user request")
+)
+
+// session is one connection. Its own goroutine runs it; other goroutines only
+// cancel it, end it or abort its transaction.
+type session struct {
+	server      *Server
+	conn        net.Conn
+	backend     *pgproto3.Backend
+	pid         uint32
+	secret      uint32
+	control     bool
+	replication bool
+	epoch       cluster.Epoch
+	silent      atomic.Bool
+
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+
+	settings map[string]string
+	prepared map[string]*preparedStatement
+	portals  map[string]*portal
+	// skip is set after an error in the extended protocol until Sync.
+	skip bool
+
+	mu sync.Mutex
+	// stopStatement cancels the running statement.
+	stopStatement context.CancelCauseFunc
+	tx            txState
+}
+
+// txState is the state of the session's transaction.
+type txState struct {
+	open     bool
+	failed   bool
+	readOnly bool
+	// write is the open write transaction; nil before the first write.
+	write *transaction
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	ctx, cancel := context.WithCancelCause(s.ctx)
+	defer cancel(nil)
+	c := &session{
+		server: s, conn: conn, backend: pgproto3.NewBackend(conn, conn), ctx: ctx, cancel: cancel,
+		settings: map[string]string{}, prepared: map[string]*preparedStatement{}, portals: map[string]*portal{},
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if !c.startup() {
+		return
+	}
+	defer s.unregister(c)
+	err := c.loop()
+	c.rollback()
+	c.sayGoodbye(err)
+}
+
+// sayGoodbye tells the client why its connection ends, when the server ended it.
+func (c *session) sayGoodbye(err error) {
+	var fatal *serverError
+	if !errors.As(context.Cause(c.ctx), &fatal) {
+		if !errors.As(err, &fatal) || !fatal.fatal {
+			return
+		}
+	}
+	_ = c.conn.SetWriteDeadline(time.Now().Add(time.Second))
+	c.backend.Send(fatal.response())
+	_ = c.backend.Flush()
+}
+
+// startup runs the start of a connection and reports whether to go on.
+func (c *session) startup() bool {
+	for {
+		m, err := c.backend.ReceiveStartupMessage()
+		if err != nil {
+			return false
+		}
+		switch m := m.(type) {
+		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
+			if _, err := c.conn.Write([]byte("N")); err != nil {
+				return false
+			}
+		case *pgproto3.CancelRequest:
+			c.server.cancelRequest(m)
+			return false
+		case *pgproto3.StartupMessage:
+			return c.accept(m.Parameters)
+		}
+	}
+}
+
+func (c *session) accept(params map[string]string) bool {
+	s := c.server
+	if c.hung() {
+		return false
+	}
+	if !sleep(c.ctx, s.cfg.ConnectDelay) {
+		return false
+	}
+	c.control = params[back.ParamControl] == "1"
+	c.replication = params[paramReplication] == "1"
+	epoch, _ := strconv.ParseUint(params[back.ParamEpoch], 10, 64)
+	c.epoch = cluster.Epoch(epoch)
+	err := c.authenticate(params["user"])
+	if err == nil {
+		err = s.register(c, cluster.ProxyID(params[back.ParamHome]))
+	}
+	if err != nil {
+		e := *asServerError(err)
+		e.fatal = true
+		c.backend.Send(e.response())
+		_ = c.backend.Flush()
+		return false
+	}
+	c.backend.Send(&pgproto3.AuthenticationOk{})
+	for _, p := range [][2]string{
+		{"server_version", "16.0 (rattan-standin)"}, {"client_encoding", "UTF8"}, {"server_encoding", "UTF8"},
+		{"DateStyle", "ISO, MDY"}, {"integer_datetimes", "on"}, {"standard_conforming_strings", "on"}, {"TimeZone", "UTC"},
+	} {
+		c.backend.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+	}
+	c.backend.Send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: secretKey(c.secret)})
+	c.ready()
+	if c.backend.Flush() != nil {
+		s.unregister(c)
+		return false
+	}
+	return true
+}
+
+// loop serves messages until the connection ends.
+func (c *session) loop() error {
+	for {
+		m, err := c.backend.Receive()
+		if c.ctx.Err() != nil {
+			err = context.Cause(c.ctx)
+		}
+		if err != nil {
+			c.rest(err)
+			return err
+		}
+		if c.hung() {
+			return c.ctx.Err()
+		}
+		if err := c.handle(m); err != nil {
+			c.rest(err)
+			return err
+		}
+	}
+}
+
+// rest keeps a silenced connection open until the server closes.
+func (c *session) rest(err error) {
+	if errors.Is(err, errSilenced) {
+		<-c.server.ctx.Done()
+	}
+}
+
+// hung waits while the server hangs and reports whether the connection ended meanwhile.
+func (c *session) hung() bool {
+	for {
+		c.server.mu.Lock()
+		hang, changed := c.server.faults.hang && !c.control, c.server.changed
+		c.server.mu.Unlock()
+		if !hang {
+			return c.ctx.Err() != nil
+		}
+		select {
+		case <-changed:
+		case <-c.ctx.Done():
+			return true
+		}
+	}
+}
+
+// handle serves one message. Errors answered to the client are not returned.
+func (c *session) handle(m pgproto3.FrontendMessage) error {
+	if _, ok := m.(*pgproto3.Terminate); ok {
+		return errTerminate
+	}
+	if _, ok := m.(*pgproto3.Sync); ok {
+		return c.sync()
+	}
+	if q, ok := m.(*pgproto3.Query); ok {
+		return c.simpleQuery(q.String)
+	}
+	if c.skip {
+		return nil
+	}
+	err := c.extended(m)
+	if err == nil {
+		return nil
+	}
+	return c.fail(err, true)
+}
+
+// fail answers an error. Errors that end the connection are returned.
+func (c *session) fail(err error, extended bool) error {
+	if errors.Is(err, errAnswerLost) || errors.Is(err, errTerminate) {
+		return err
+	}
+	if cause := context.Cause(c.ctx); cause != nil {
+		return cause
+	}
+	answer := asServerError(err)
+	if answer.fatal {
+		return answer
+	}
+	c.mu.Lock()
+	c.tx.failed = c.tx.open
+	c.mu.Unlock()
+	c.skip = extended
+	c.backend.Send(answer.response())
+	return nil
+}
+
+func (c *session) sync() error {
+	c.skip = false
+	c.ready()
+	return c.backend.Flush()
+}
+
+func (c *session) ready() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	status := byte('I')
+	if c.tx.open {
+		status = 'T'
+	}
+	if c.tx.failed {
+		status = 'E'
+	}
+	c.backend.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+}
+
+func (c *session) simpleQuery(text string) error {
+	statements := parse(text)
+	if len(statements) == 0 {
+		c.backend.Send(&pgproto3.EmptyQueryResponse{})
+	}
+	if err := c.runAll(statements); err != nil {
+		if err := c.fail(err, false); err != nil {
+			return err
+		}
+	}
+	c.ready()
+	return c.backend.Flush()
+}
+
+// runAll runs the statements of one query string, several of them in an
+// implicit transaction.
+func (c *session) runAll(statements []parsed) error {
+	implicit := len(statements) > 1 && c.mayWrap(statements)
+	if implicit {
+		c.begin(&parsed{})
+	}
+	for i := range statements {
+		if err := c.runSimple(&statements[i]); err != nil {
+			if implicit {
+				c.rollback()
+			}
+			return err
+		}
+	}
+	if implicit {
+		return c.commit(c.ctx, &parsed{})
+	}
+	return nil
+}
+
+// mayWrap reports whether no transaction is open or controlled by the statements.
+func (c *session) mayWrap(statements []parsed) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range statements {
+		if p.kind == kindBegin || p.kind == kindCommit || p.kind == kindRollback || p.kind == kindSavepoint {
+			return false
+		}
+	}
+	return !c.tx.open
+}
+
+func (c *session) runSimple(p *parsed) error {
+	if p.kind == kindCopy {
+		return c.copy(p)
+	}
+	r, err := c.execute(p, nil)
+	if err != nil {
+		return err
+	}
+	if r.columns != nil {
+		oids := r.oids()
+		c.backend.Send(rowDescription(r.columns, oids, nil))
+		c.sendRows(r.rows, oids, nil)
+	}
+	c.complete(p, r)
+	return nil
+}
+
+// end ends the session from outside and rolls back its transaction.
+func (c *session) end(cause *serverError) {
+	c.cancel(cause)
+	c.abortWrite(cause)
+}
+
+// abortWrite makes an open write transaction of the session fail.
+func (c *session) abortWrite(cause error) {
+	c.mu.Lock()
+	t := c.tx.write
+	c.mu.Unlock()
+	if t != nil {
+		c.server.engine.abort(t, cause)
+		c.server.locks.release(t)
+	}
+}
+
+func secretKey(secret uint32) []byte {
+	return []byte{byte(secret >> 24), byte(secret >> 16), byte(secret >> 8), byte(secret)}
+}
+
+func formatUint(n uint64) string { return strconv.FormatUint(n, 10) }
+
+// sleep waits for d and reports whether ctx still holds.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/dbserver/sqlfunc.go
@@ -0,0 +1,19 @@
+package dbserver
+
+import (
+	"database/sql/driver"
+
+	"modernc.org/sqlite"
+)
+
+// The time that these functions take is spent before the statement runs.
+func init() {
+	for _, name := range []string{"pg_sleep", "rattan_work"} {
+		sqlite.MustRegisterScalarFunction(name, 1, func(*sqlite.FunctionContext, []driver.Value) (driver.Value, error) {
+			return "", nil
+		})
+	}
+	sqlite.MustRegisterScalarFunction("version", 0, func(*sqlite.FunctionContext, []driver.Value) (driver.Value, error) {
+		return "PostgreSQL 16.0 (rattan-standin)", nil
+	})
+}
