--- a/internal/standin/dbserver/session.go
+++ b/internal/standin/dbserver/session.go
@@ -137,8 +137,13 @@
 	}
 	c.backend.Send(&pgproto3.AuthenticationOk{})
 	for _, p := range [][2]string{
-		{"server_version", "16.0 (rattan-standin)"}, {"client_encoding", "UTF8"}, {"server_encoding", "UTF8"},
-		{"DateStyle", "ISO, MDY"}, {"integer_datetimes", "on"}, {"standard_conforming_strings", "on"}, {"TimeZone", "UTC"},
+		{"server_version", "16.0 (rattan-standin)"},
+		{"client_encoding", "UTF8"},
+		{"server_encoding", "UTF8"},
+		{"DateStyle", "ISO, MDY"},
+		{"integer_datetimes", "on"},
+		{"standard_conforming_strings", "on"},
+		{"TimeZone", "UTC"},
 	} {
 		c.backend.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
 	}
--- a/internal/standin/dbserver/value.go
+++ b/internal/standin/dbserver/value.go
@@ -141,9 +141,19 @@
 	part string
 	oid  uint32
 }{
-	{"BOOL", oidBool}, {"INT", oidInt8}, {"SERIAL", oidInt8}, {"CHAR", oidText}, {"TEXT", oidText},
-	{"REAL", oidFloat}, {"FLOA", oidFloat}, {"DOUB", oidFloat}, {"NUMERIC", oidFloat},
-	{"BLOB", oidBytea}, {"BYTEA", oidBytea}, {"TIME", oidText}, {"DATE", oidText},
+	{"BOOL", oidBool},
+	{"INT", oidInt8},
+	{"SERIAL", oidInt8},
+	{"CHAR", oidText},
+	{"TEXT", oidText},
+	{"REAL", oidFloat},
+	{"FLOA", oidFloat},
+	{"DOUB", oidFloat},
+	{"NUMERIC", oidFloat},
+	{"BLOB", oidBytea},
+	{"BYTEA", oidBytea},
+	{"TIME", oidText},
+	{"DATE", oidText},
 }
 
 // encodeValue writes a result value as type oid.
