--- a/internal/pgwire/back/relay.go
+++ b/internal/pgwire/back/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 
@@ -54,8 +55,7 @@
 	if !r.x.Batch.Class.ReadOnly() {
 		r.conn.wrote = true
 	}
-	data := append(r.prefix.data, r.x.Batch.Messages...)
-	return segment{data: data, handle: r.handle}
+	return segment{data: slices.Concat(r.prefix.data, r.x.Batch.Messages), handle: r.handle}
 }
 
 func (r *relay) handle(kind byte, frame []byte) error {
--- a/internal/standin/dbserver/server.go
+++ b/internal/standin/dbserver/server.go
@@ -102,10 +102,10 @@
 	s.mu.Unlock()
 	for {
 		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
 		if err != nil {
-			if s.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
 			return eris.Wrap(err, "accept")
 		}
 		s.ServeConn(conn)
