--- /dev/null
+++ b/internal/member/lease.go
@@ -0,0 +1,143 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/platform"
+)
+
+const (
+	// keyPrefix precedes the keys of all lease rows.
+	keyPrefix = "member/"
+	// leaseExpiry is the age at which an unrenewed lease no longer counts.
+	leaseExpiry = 30 * time.Second
+	// tableTimeout bounds one call of the table service.
+	tableTimeout = 2 * time.Second
+)
+
+// leaseValue is the value of a lease row.
+type leaseValue struct {
+	Member Member
+	State  State
+	// Renewal counts the writes of this incarnation. A row that holds the
+	// renewal just written shows that an answer was lost.
+	Renewal uint64
+	// Renewed is the writer's wall clock.
+	Renewed time.Time
+}
+
+// lease renews the row of one process. It is used by one goroutine.
+type lease struct {
+	table   platform.Table
+	self    Member
+	renewal uint64
+	version uint64
+}
+
+func (l *lease) key() string { return keyPrefix + l.self.Key().String() }
+
+// renew writes the row once. It returns an error with code Superseded when a
+// later incarnation holds the row.
+func (l *lease) renew(ctx context.Context, state State) error {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	l.renewal++
+	err := l.write(ctx, state)
+	if !errors.Is(err, platform.ErrConflict) {
+		return err
+	}
+	if err := l.adopt(ctx); err != nil {
+		return err
+	}
+	return l.write(ctx, state)
+}
+
+func (l *lease) write(ctx context.Context, state State) error {
+	value := leaseValue{Member: l.self, State: state, Renewal: l.renewal, Renewed: time.Now()}
+	data, err := json.Marshal(value)
+	if err != nil {
+		return errcode.Wrap(err, errcode.Internal, "encode lease", l.key())
+	}
+	leaseWrites.Inc()
+	err = l.table.Commit(ctx, platform.Write{Key: l.key(), IfVersion: l.version, Value: data})
+	if err != nil {
+		return errcode.Wrap(err, errcode.Unknown, "renew lease", l.key())
+	}
+	l.version++
+	return nil
+}
+
+// adopt takes up the version of the row after a conflict: the answer to an
+// earlier write was lost, or an earlier incarnation left the row.
+func (l *lease) adopt(ctx context.Context) error {
+	tableReads.Inc()
+	row, err := l.table.Get(ctx, l.key())
+	if errors.Is(err, platform.ErrNotFound) {
+		l.version = 0
+		return nil
+	}
+	if err != nil {
+		return errcode.Wrap(err, errcode.Unknown, "read lease", l.key())
+	}
+	var value leaseValue
+	if err := json.Unmarshal(row.Value, &value); err == nil && value.Member.Incarnation > l.self.Incarnation {
+		return errcode.New(errcode.Superseded, "renew lease", l.key())
+	}
+	l.version = row.Version
+	return nil
+}
+
+// release deletes the row at a graceful stop.
+func (l *lease) release(ctx context.Context) error {
+	if l.version == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	return l.table.Commit(ctx, platform.Write{Key: l.key(), IfVersion: l.version, Delete: true})
+}
+
+// leases follows the rows of the other processes. Whether a row is renewed is
+// judged by its version and this process's clock, not by the writer's clock.
+type leases struct {
+	table platform.Table
+	seen  map[string]seenLease
+}
+
+type seenLease struct {
+	version uint64
+	at      time.Time
+}
+
+// list returns the members whose leases were renewed within leaseExpiry, as
+// far as this process can tell.
+func (l *leases) list(ctx context.Context) ([]leaseValue, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	tableReads.Inc()
+	rows, err := l.table.List(ctx, keyPrefix)
+	if err != nil {
+		return nil, errcode.Wrap(err, errcode.Unknown, "list leases", strings.TrimSuffix(keyPrefix, "/"))
+	}
+	now := time.Now()
+	seen := make(map[string]seenLease, len(rows))
+	var current []leaseValue
+	for _, row := range rows {
+		last, known := l.seen[row.Key]
+		if !known || last.version != row.Version {
+			last = seenLease{version: row.Version, at: now}
+		}
+		seen[row.Key] = last
+		var value leaseValue
+		if json.Unmarshal(row.Value, &value) == nil && now.Sub(last.at) < leaseExpiry {
+			current = append(current, value)
+		}
+	}
+	l.seen = seen
+	return current, nil
+}
--- /dev/null
+++ b/internal/member/ping.go
@@ -0,0 +1,145 @@
+package member
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// pingInterval is the time between two rounds of pings.
+	pingInterval = time.Second
+	// pingTimeout bounds one ping.
+	pingTimeout = 500 * time.Millisecond
+	// retryInterval is the time after which a member that did not answer is
+	// asked again.
+	retryInterval = 250 * time.Millisecond
+	// missesToSuspect is the number of pings without an answer that make a
+	// member suspect.
+	missesToSuspect = 2
+	// fullMeshMembers is the largest view in which every member pings all others.
+	fullMeshMembers = 10
+	// pingFanout is the number of members pinged in a round in larger views.
+	pingFanout = 5
+	// pingReports is the most reports that one ping or reply carries.
+	pingReports = 6
+	// welcomeReports is the most reports in the reply to a newcomer.
+	welcomeReports = 200
+)
+
+// target is a process to ping. The key is empty for a seed address.
+type target struct {
+	key     Key
+	address string
+}
+
+func (l *Loop) runPings(ctx context.Context) error {
+	var round sync.WaitGroup
+	defer round.Wait()
+	for {
+		for _, t := range l.targets() {
+			round.Go(func() { l.ping(ctx, t) })
+		}
+		if !l.pause(ctx, pingInterval) {
+			return nil
+		}
+		l.mu.Lock()
+		l.publish(l.table.tick(time.Now()))
+		l.mu.Unlock()
+	}
+}
+
+// targets returns the processes to ping in this round: all others in a small
+// view, else the next few of a shuffled queue, so that each is reached in turn.
+func (l *Loop) targets() []target {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	others := len(l.table.entries) - 1
+	if others == 0 {
+		return l.seedTargets()
+	}
+	count := others
+	if others >= fullMeshMembers {
+		count = pingFanout
+	}
+	var targets []target
+	for len(targets) < count {
+		if len(l.queue) == 0 && !l.refill() {
+			break
+		}
+		key := l.queue[0]
+		l.queue = l.queue[1:]
+		if e, ok := l.table.entries[key]; ok {
+			targets = append(targets, target{key: key, address: e.Member.Address})
+		}
+	}
+	return targets
+}
+
+// refill starts a new pass over the other members and reports whether there are any.
+func (l *Loop) refill() bool {
+	for _, e := range l.table.sorted() {
+		if key := e.Member.Key(); key != l.table.self {
+			l.queue = append(l.queue, key)
+		}
+	}
+	l.cfg.Rand.Shuffle(len(l.queue), func(i, j int) { l.queue[i], l.queue[j] = l.queue[j], l.queue[i] })
+	return len(l.queue) > 0
+}
+
+func (l *Loop) seedTargets() []target {
+	var targets []target
+	for _, address := range l.cfg.Seeds {
+		if address != l.cfg.Self.Address {
+			targets = append(targets, target{address: address})
+		}
+	}
+	return targets
+}
+
+// ping asks one process until it answers or has missed missesToSuspect pings.
+func (l *Loop) ping(ctx context.Context, t target) {
+	for {
+		if l.pingOnce(ctx, t) {
+			return
+		}
+		if ctx.Err() != nil || t.key == (Key{}) || l.countMiss(t.key) {
+			return
+		}
+		if !l.pause(ctx, retryInterval) {
+			return
+		}
+	}
+}
+
+func (l *Loop) pingOnce(ctx context.Context, t target) bool {
+	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	l.mu.Lock()
+	news := News{From: l.own(), Members: l.table.changes(pingReports, time.Now())}
+	l.mu.Unlock()
+	pingsSent.Inc()
+	reply, err := l.cfg.Pinger.Ping(callCtx, t.address, news)
+	if err != nil {
+		pingsFailed.Inc()
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.take(reply, time.Now())
+	return t.key == (Key{}) || reply.From.Member.Key() == t.key
+}
+
+// countMiss counts a ping without an answer and reports whether there were
+// enough to end the round for the member.
+func (l *Loop) countMiss(key Key) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failures[key]++
+	if l.failures[key] < missesToSuspect {
+		return false
+	}
+	delete(l.failures, key)
+	l.publish(l.table.missed(key, time.Now()))
+	return true
+}
--- /dev/null
+++ b/internal/member/snapshot.go
@@ -0,0 +1,122 @@
+package member
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+// Snapshot is the view at one moment. It is immutable and safe for concurrent use.
+type Snapshot struct {
+	entries []Entry
+	// homes caches HomeOf by group.
+	homes sync.Map
+}
+
+// NewSnapshot returns a view of the given entries.
+func NewSnapshot(entries []Entry) *Snapshot { return &Snapshot{entries: entries} }
+
+// Entries returns all members, dead ones included, ordered by role and id.
+func (s *Snapshot) Entries() []Entry { return slices.Clone(s.entries) }
+
+// Alive returns the members of a role that may be given work.
+func (s *Snapshot) Alive(role Role) []Member {
+	var members []Member
+	for _, e := range s.entries {
+		if e.Member.Role == role && e.usable() {
+			members = append(members, e.Member)
+		}
+	}
+	return members
+}
+
+// Find returns a member by key. The second result is false for an unknown key.
+func (s *Snapshot) Find(key Key) (Entry, bool) {
+	i, ok := slices.BinarySearchFunc(s.entries, key, func(e Entry, k Key) int {
+		return compareKeys(e.Member.Key(), k)
+	})
+	if !ok {
+		return Entry{}, false
+	}
+	return s.entries[i], true
+}
+
+// HomeOf returns the proxy that should be the home of group. Proxies that are
+// not yet stable are chosen only when no other is usable. The second result is
+// false when no proxy is usable.
+func (s *Snapshot) HomeOf(group cluster.GroupName) (Member, bool) {
+	if m, ok := s.homes.Load(group); ok {
+		return m.(Member), true
+	}
+	candidates := s.homeCandidates()
+	if len(candidates) == 0 {
+		return Member{}, false
+	}
+	home := slices.MaxFunc(candidates, func(a, b Member) int {
+		return compareWeights(group, a, b)
+	})
+	s.homes.Store(group, home)
+	return home, true
+}
+
+func (s *Snapshot) homeCandidates() []Member {
+	var stable []Member
+	for _, e := range s.entries {
+		if e.Member.Role == RoleProxy && e.usable() && e.Stable {
+			stable = append(stable, e.Member)
+		}
+	}
+	if len(stable) > 0 {
+		return stable
+	}
+	return s.Alive(RoleProxy)
+}
+
+// WardensOf returns up to n wardens responsible for group in the order in
+// which they act. Wardens in failure domains that are not yet represented come
+// first.
+func (s *Snapshot) WardensOf(group cluster.GroupName, n int) []Member {
+	wardens := s.Alive(RoleWarden)
+	slices.SortFunc(wardens, func(a, b Member) int { return compareWeights(group, b, a) })
+	return SpreadDomains(wardens, n)
+}
+
+// SpreadDomains picks up to n members in the given order, first one of each
+// failure domain and then a second of each, and so on.
+func SpreadDomains(members []Member, n int) []Member {
+	used := map[string]int{}
+	type placed struct {
+		member Member
+		round  int
+	}
+	rounds := make([]placed, 0, len(members))
+	for _, m := range members {
+		rounds = append(rounds, placed{m, used[m.FailureDomain]})
+		used[m.FailureDomain]++
+	}
+	slices.SortStableFunc(rounds, func(a, b placed) int { return cmp.Compare(a.round, b.round) })
+	var picked []Member
+	for _, p := range rounds[:min(n, len(rounds))] {
+		picked = append(picked, p.member)
+	}
+	return picked
+}
+
+// compareWeights orders members by their rendezvous weight for a group.
+func compareWeights(group cluster.GroupName, a, b Member) int {
+	return cmp.Or(cmp.Compare(weight(group, a), weight(group, b)), compareKeys(a.Key(), b.Key()))
+}
+
+// weight is the rendezvous hash of a group and a member. The member's hash is
+// mixed in as a number so that similar names do not correlate.
+func weight(group cluster.GroupName, m Member) uint64 {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], xxhash.Sum64String(string(group)))
+	binary.LittleEndian.PutUint64(buf[8:], xxhash.Sum64String(m.Key().String()))
+	return xxhash.Sum64(buf[:])
+}
--- /dev/null
+++ b/internal/member/sources.go
@@ -0,0 +1,141 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/errcode"
+)
+
+const (
+	// leaseInterval is the time between two renewals of the lease.
+	leaseInterval = 10 * time.Second
+	// leaseRetry is the time after which a failed renewal is tried again.
+	leaseRetry = 3 * time.Second
+	// listInterval is the shortest time between two lists of the lease rows.
+	listInterval = 10 * time.Second
+	// listSpacing is the time that the fleet leaves between two lists by
+	// different members: it bounds the lists at six a second at any size.
+	listSpacing = 160 * time.Millisecond
+	// vmInterval is the shortest time between two reads of the list of VMs.
+	vmInterval = 2 * time.Second
+	// vmSpacing is the time that the fleet leaves between two reads of the
+	// list of VMs by different members.
+	vmSpacing = 10 * time.Millisecond
+	// vmTimeout bounds one read of the list of VMs.
+	vmTimeout = 2 * time.Second
+)
+
+// interval returns the time between two calls of one member such that calls
+// of all members keep spacing, and never less than least.
+func (l *Loop) interval(least, spacing time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(least, time.Duration(len(l.table.entries))*spacing)
+}
+
+func (l *Loop) runLease(ctx context.Context) error {
+	row := &lease{table: l.cfg.Table, self: l.cfg.Self}
+	defer func() {
+		// The context of Run has ended; release has its own deadline.
+		_ = row.release(context.WithoutCancel(ctx))
+	}()
+	for {
+		l.mu.Lock()
+		state := l.state
+		l.mu.Unlock()
+		wait := leaseInterval
+		if err := row.renew(ctx, state); err != nil && ctx.Err() == nil {
+			l.leaseError(err)
+			wait = leaseRetry
+		}
+		if !l.pause(ctx, wait) {
+			return nil
+		}
+	}
+}
+
+func (l *Loop) leaseError(err error) {
+	leaseErrors.Inc()
+	kind := eventLeaseFailed
+	if errcode.Is(err, errcode.Superseded) {
+		kind = eventLeaseSuperseded
+	}
+	kind.Log(&l.cfg.Log).Err(err).Send()
+}
+
+func (l *Loop) runLists(ctx context.Context) error {
+	rows := &leases{table: l.cfg.Table, seen: map[string]seenLease{}}
+	for {
+		values, err := rows.list(ctx)
+		if err != nil && ctx.Err() == nil {
+			eventListFailed.Log(&l.cfg.Log).Err(err).Send()
+		}
+		l.discover(values)
+		wait := l.interval(listInterval, listSpacing)
+		if err != nil {
+			wait = leaseRetry
+		}
+		if !l.pause(ctx, wait) {
+			return nil
+		}
+	}
+}
+
+// discover adds members that have a lease and are not in the view. Whether
+// they live is left to pings.
+func (l *Loop) discover(values []leaseValue) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	changed := false
+	for _, v := range values {
+		if l.knows(v.Member) {
+			continue
+		}
+		changed = l.table.observe(Report{Member: v.Member, State: v.State}, now) || changed
+	}
+	l.publish(changed)
+}
+
+func (l *Loop) runVMs(ctx context.Context) error {
+	for {
+		if err := l.readVMs(ctx); err != nil && ctx.Err() == nil {
+			eventVMListFailed.Log(&l.cfg.Log).Err(err).Send()
+		}
+		if !l.pause(ctx, l.interval(vmInterval, vmSpacing)) {
+			return nil
+		}
+	}
+}
+
+func (l *Loop) readVMs(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, vmTimeout)
+	defer cancel()
+	vms, err := l.cfg.VMs.VMs(ctx)
+	if err != nil {
+		return errcode.Wrap(err, errcode.Internal, "list VMs", "platform")
+	}
+	leaving := map[string]bool{}
+	for _, vm := range vms {
+		if vm.Leaving {
+			leaving[host(vm.Address)] = true
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leaving = leaving
+	l.publish(l.markLeaving(time.Now()))
+	return nil
+}
+
+// markLeaving applies the list of VMs to the view. The caller holds the lock.
+func (l *Loop) markLeaving(now time.Time) bool {
+	changed := false
+	for key, e := range l.table.entries {
+		if l.leaving[host(e.Member.Address)] {
+			changed = l.table.left(key, now) || changed
+		}
+	}
+	return changed
+}
--- /dev/null
+++ b/internal/member/table.go
@@ -0,0 +1,225 @@
+package member
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+	"time"
+)
+
+const (
+	// deadAfter is the time after which a suspect is dead.
+	deadAfter = 2 * time.Second
+	// stableAfter is the time for which a member must be alive before it
+	// becomes the home of a group.
+	stableAfter = 5 * time.Second
+	// forgetAfter is the time after which a dead member leaves the view.
+	forgetAfter = 10 * time.Minute
+	// spreadFactor times the binary logarithm of the number of members is the
+	// number of pings that carry a change.
+	spreadFactor = 3
+)
+
+// table is the mutable view. Its owner serialises the calls.
+type table struct {
+	self    Key
+	entries map[Key]*Entry
+	started time.Time
+}
+
+// newTable returns a view that holds only the process itself.
+func newTable(self Member, now time.Time) *table {
+	t := &table{self: self.Key(), entries: map[Key]*Entry{}, started: now}
+	t.entries[t.self] = &Entry{Member: self, State: StateAlive, Since: now, EvidenceAt: now}
+	return t
+}
+
+// observe merges evidence and reports whether the view changed.
+func (t *table) observe(r Report, now time.Time) bool {
+	key := r.Member.Key()
+	if key == t.self {
+		return false
+	}
+	at := now.Add(-r.Age)
+	e, ok := t.entries[key]
+	switch {
+	case !ok && r.State == StateDead:
+		return false
+	case !ok:
+		t.add(r, at, now)
+		return true
+	case r.Member.Incarnation < e.Member.Incarnation:
+		return false
+	case r.Member.Incarnation > e.Member.Incarnation:
+		return t.restart(e, r, at, now)
+	case !at.After(e.EvidenceAt):
+		return false
+	}
+	return t.accept(e, r.State, at, now)
+}
+
+// accept applies evidence that is newer than what is known. Repeated suspicion
+// does not put off the end of a suspect.
+func (t *table) accept(e *Entry, s State, at, now time.Time) bool {
+	if s == StateSuspect && e.State == StateSuspect {
+		return false
+	}
+	e.EvidenceAt = at
+	if s != StateDead {
+		return t.fire(e, eventOf(s), now)
+	}
+	missed := t.fire(e, eventMissed, now)
+	return t.fire(e, eventExpired, now) || missed
+}
+
+func (t *table) add(r Report, at, now time.Time) {
+	t.entries[r.Member.Key()] = &Entry{
+		Member: r.Member, State: r.State, Since: now, EvidenceAt: at, spread: t.spreads(),
+	}
+}
+
+func (t *table) restart(e *Entry, r Report, at, now time.Time) bool {
+	e.Member = r.Member
+	e.EvidenceAt = at
+	e.Since = now
+	t.fire(e, eventRestarted, now)
+	if r.State != StateAlive {
+		t.fire(e, eventOf(r.State), now)
+	}
+	e.spread = t.spreads()
+	return true
+}
+
+// eventOf returns the event that evidence of a state stands for.
+func eventOf(s State) string {
+	switch s {
+	case StateAlive:
+		return eventHeard
+	case StateLeaving:
+		return eventLeft
+	default:
+		return eventMissed
+	}
+}
+
+// fire applies an event and reports whether the state changed. An event that
+// the chart does not allow changes nothing.
+func (t *table) fire(e *Entry, event string, now time.Time) bool {
+	next, err := chart.Next(string(e.State), event)
+	if err != nil || next == string(e.State) {
+		return false
+	}
+	if State(next) == StateAlive && e.State == StateDead {
+		e.Since = now
+	}
+	e.State = State(next)
+	e.spread = t.spreads()
+	return true
+}
+
+// spreads returns how often a change is passed on so that it reaches all
+// members with high probability.
+func (t *table) spreads() int { return spreadFactor * (bits.Len(uint(len(t.entries))) + 1) }
+
+// heard records direct contact.
+func (t *table) heard(r Report, now time.Time) bool {
+	r.Age = 0
+	return t.observe(r, now)
+}
+
+// missed records that a member did not answer.
+func (t *table) missed(key Key, now time.Time) bool {
+	e, ok := t.entries[key]
+	if !ok || key == t.self {
+		return false
+	}
+	if e.State == StateSuspect || e.State == StateDead {
+		return false
+	}
+	e.EvidenceAt = now
+	return t.fire(e, eventMissed, now)
+}
+
+// left marks a member as leaving.
+func (t *table) left(key Key, now time.Time) bool {
+	e, ok := t.entries[key]
+	return ok && t.fire(e, eventLeft, now)
+}
+
+// tick applies the passing of time and reports whether the view changed.
+func (t *table) tick(now time.Time) bool {
+	changed := false
+	for key, e := range t.entries {
+		silent := now.Sub(e.EvidenceAt)
+		if e.State == StateSuspect && silent >= deadAfter {
+			e.EvidenceAt = now
+			changed = t.fire(e, eventExpired, now) || changed
+		}
+		if e.State == StateDead && silent >= forgetAfter {
+			delete(t.entries, key)
+			changed = true
+		}
+		stable := e.usable() && t.stable(e, now)
+		changed = changed || stable != e.Stable
+		e.Stable = stable
+	}
+	return changed
+}
+
+// stable reports whether a member has been alive long enough to be a home.
+// Members that were found while this process started count at once, so that a
+// process that joins an old fleet agrees with it.
+func (t *table) stable(e *Entry, now time.Time) bool {
+	if e.Since.Sub(t.started) < stableAfter {
+		return now.Sub(t.started) >= stableAfter
+	}
+	return now.Sub(e.Since) >= stableAfter
+}
+
+// changes returns up to limit reports of recent changes and counts them as
+// passed on. Those passed on least come first.
+func (t *table) changes(limit int, now time.Time) []Report {
+	var fresh []*Entry
+	for _, e := range t.entries {
+		if e.spread > 0 {
+			fresh = append(fresh, e)
+		}
+	}
+	slices.SortFunc(fresh, func(a, b *Entry) int {
+		return cmp.Or(cmp.Compare(b.spread, a.spread), compareKeys(a.Member.Key(), b.Member.Key()))
+	})
+	var reports []Report
+	for _, e := range fresh[:min(limit, len(fresh))] {
+		e.spread--
+		reports = append(reports, e.report(now))
+	}
+	return reports
+}
+
+// all returns up to limit reports of the members that are not dead.
+func (t *table) all(limit int, now time.Time) []Report {
+	var reports []Report
+	for _, e := range t.sorted() {
+		if e.State != StateDead && e.Member.Key() != t.self && len(reports) < limit {
+			reports = append(reports, e.report(now))
+		}
+	}
+	return reports
+}
+
+func (e *Entry) report(now time.Time) Report {
+	return Report{Member: e.Member, State: e.State, Age: now.Sub(e.EvidenceAt)}
+}
+
+func (t *table) sorted() []Entry {
+	entries := make([]Entry, 0, len(t.entries))
+	for _, e := range t.entries {
+		entries = append(entries, *e)
+	}
+	slices.SortFunc(entries, func(a, b Entry) int { return compareKeys(a.Member.Key(), b.Member.Key()) })
+	return entries
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Role, b.Role), cmp.Compare(a.ID, b.ID))
+}
