--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,247 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+const (
+	// PrimaryPenalty is the wait that a read accepts for a replica before it
+	// takes a slot of the primary.
+	PrimaryPenalty = 25 * time.Millisecond
+	// recheckInterval is the time between two judgements of a replica that is
+	// later than expected.
+	recheckInterval = 2 * time.Millisecond
+)
+
+// Query is what a request asks of a server.
+type Query struct {
+	Class statement.Class
+	// Floor is the position that the server must have replayed.
+	Floor cluster.Position
+	// FloorKnown is false when no bound on the session's own writes is known;
+	// the request then runs on the primary.
+	FloorKnown bool
+	Freshness  statement.Freshness
+	// Arrived is when the request reached the home.
+	Arrived time.Time
+	// PrimaryOnly is set when a replica refused the request.
+	PrimaryOnly bool
+	// Failed names servers on which the request has failed.
+	Failed []cluster.ServerID
+}
+
+// Server is what is known about one server.
+type Server struct {
+	ID cluster.ServerID
+	// Term is the term that the server reported last.
+	Term cluster.Term
+	// Replayed was reported by a status that began at Observed.
+	Replayed cluster.Position
+	Observed time.Time
+	// Lag is the estimated time from a commit to its replay here; zero when unknown.
+	Lag time.Duration
+	// Wait is the expected wait for a slot.
+	Wait time.Duration
+	// Ejected is set after failures until a fresh connection works.
+	Ejected bool
+	// Leaving is set when the server is about to be taken away.
+	Leaving bool
+	// Reachable is false when the server has not answered lately.
+	Reachable bool
+	// Diverged is set when the server holds records that the present term lacks.
+	Diverged bool
+}
+
+// Group is what is known about a group. It is not changed after Decide has seen it.
+type Group struct {
+	Term    cluster.Term
+	Primary cluster.ServerID
+	Servers []Server
+	// History holds proven positions; it decides the age of data.
+	History *History
+	// Commits holds the positions of commits as they were answered; it serves
+	// estimates only.
+	Commits *History
+}
+
+// Reason tells why a server was or was not chosen.
+type Reason string
+
+// Reasons of a decision.
+const (
+	ReasonWrite        Reason = "needs the primary"
+	ReasonRefused      Reason = "a replica refused it"
+	ReasonUnknownFloor Reason = "the session's floor is unknown"
+	ReasonFresh        Reason = "replica is fresh enough"
+	ReasonCatchUp      Reason = "replica is expected to catch up soon"
+	ReasonBusy         Reason = "replicas are busy"
+	ReasonStale        Reason = "no replica is fresh enough"
+	ReasonNoPrimary    Reason = "no primary is known"
+	ReasonNoServer     Reason = "no replica is fresh enough and no primary is known"
+)
+
+// Option is a server that may run the request at NotBefore or later.
+type Option struct {
+	Server    cluster.ServerID
+	NotBefore time.Time
+	// Wait is the expected time until the request starts.
+	Wait   time.Duration
+	Reason Reason
+	// Need is the position that a replica has to have replayed.
+	Need cluster.Position
+	// Overdue is set when the replica is expected to have replayed Need
+	// already, so that its next status will probably allow the read.
+	Overdue bool
+}
+
+// Decision lists the servers that may run a request, the best first.
+type Decision struct {
+	Options []Option
+	// Reason tells why there are no options.
+	Reason Reason
+}
+
+// Option finds the option for a server.
+func (d Decision) Option(id cluster.ServerID) (Option, bool) {
+	for _, o := range d.Options {
+		if o.Server == id {
+			return o, true
+		}
+	}
+	return Option{}, false
+}
+
+// Decide lists the servers that may run q at now or soon after.
+func Decide(q Query, g *Group, now time.Time) Decision {
+	if !replicaAllowed(q.Class) || q.PrimaryOnly || !q.FloorKnown {
+		return primaryOnly(q, g, now)
+	}
+	var options []Option
+	for _, s := range g.Servers {
+		if o, ok := judgeReplica(q, g, s, now); ok {
+			options = append(options, o)
+		}
+	}
+	slices.SortStableFunc(options, func(a, b Option) int { return cmp.Compare(a.Wait, b.Wait) })
+	primary, ok := g.server(g.Primary)
+	if ok && (!primary.Leaving || len(options) == 0) {
+		options = append(options, overflow(q, primary, options, now))
+	}
+	if len(options) == 0 {
+		return Decision{Reason: ReasonNoServer}
+	}
+	return Decision{Options: options}
+}
+
+func replicaAllowed(c statement.Class) bool {
+	return c == statement.ClassRead || c == statement.ClassBeginReadOnly
+}
+
+func primaryOnly(q Query, g *Group, now time.Time) Decision {
+	primary, ok := g.server(g.Primary)
+	if !ok {
+		return Decision{Reason: ReasonNoPrimary}
+	}
+	reason := ReasonWrite
+	switch {
+	case q.PrimaryOnly:
+		reason = ReasonRefused
+	case replicaAllowed(q.Class) && !q.FloorKnown:
+		reason = ReasonUnknownFloor
+	}
+	return Decision{Options: []Option{{Server: g.Primary, NotBefore: now, Wait: primary.Wait, Reason: reason}}}
+}
+
+// overflow offers the primary to a read, at once when no replica suits and
+// otherwise after the read has waited longer than the penalty.
+func overflow(q Query, primary Server, replicas []Option, now time.Time) Option {
+	o := Option{Server: primary.ID, NotBefore: now, Wait: primary.Wait, Reason: ReasonStale}
+	if len(replicas) == 0 {
+		return o
+	}
+	o.NotBefore = q.Arrived.Add(PrimaryPenalty)
+	o.Wait = max(primary.Wait, o.NotBefore.Sub(now))
+	o.Reason = ReasonBusy
+	return o
+}
+
+// judgeReplica reports whether and when a replica may run a read.
+func judgeReplica(q Query, g *Group, s Server, now time.Time) (Option, bool) {
+	if !usable(g, s) || slices.Contains(q.Failed, s.ID) {
+		return Option{}, false
+	}
+	need, ok := required(q, g, now)
+	if !ok {
+		return Option{}, false
+	}
+	if !s.Replayed.Less(need) {
+		return Option{Server: s.ID, NotBefore: now, Wait: s.Wait, Reason: ReasonFresh, Need: need}, true
+	}
+	return catchUp(q, g, s, need, now)
+}
+
+func usable(g *Group, s Server) bool {
+	if s.ID == g.Primary || s.Ejected || s.Leaving {
+		return false
+	}
+	return s.Reachable && !s.Diverged && s.Term == g.Term
+}
+
+// Replicas counts the replicas that may get reads at present.
+func (g *Group) Replicas() int {
+	n := 0
+	for _, s := range g.Servers {
+		if usable(g, s) {
+			n++
+		}
+	}
+	return n
+}
+
+// required returns the position that a replica must have replayed. The second
+// result is false when no position is proof of the accepted age.
+func required(q Query, g *Group, now time.Time) (cluster.Position, bool) {
+	if q.Freshness.Mode != statement.FreshnessBounded {
+		return q.Floor, true
+	}
+	sampled, ok := g.History.AtOrAfter(now.Add(-q.Freshness.MaxAge))
+	if !ok {
+		return cluster.Position{}, false
+	}
+	return cluster.MaxPosition(q.Floor, sampled), true
+}
+
+// catchUp offers a lagging replica for the time at which it is expected to
+// have replayed what the read needs, if the read will not have waited longer
+// than the penalty by then. The estimate only decides to wait: Decide is
+// asked again before the read runs.
+func catchUp(q Query, g *Group, s Server, need cluster.Position, now time.Time) (Option, bool) {
+	committed, ok := g.Commits.Reached(need)
+	if !ok {
+		return Option{}, false
+	}
+	o := Option{Server: s.ID, NotBefore: committed.Add(s.Lag), Reason: ReasonCatchUp, Need: need}
+	if !o.NotBefore.After(now) {
+		o.Overdue = true
+		o.NotBefore = now.Add(recheckInterval)
+	}
+	o.Wait = o.NotBefore.Sub(now) + s.Wait
+	if now.Add(o.Wait).After(q.Arrived.Add(PrimaryPenalty)) {
+		return Option{}, false
+	}
+	return o, true
+}
+
+func (g *Group) server(id cluster.ServerID) (Server, bool) {
+	for _, s := range g.Servers {
+		if s.ID == id && id != "" {
+			return s, true
+		}
+	}
+	return Server{}, false
+}
