Prove the home's safety rules with each rule switched off

Scenarios run twice, with a rule in force and without it: session floors, the proof of term and owner, the wait for a majority. The in-memory group read results of work that was still running; it returns none then. Successful batches that are not held count as acknowledged, so that a transaction lost before its commit is reported as not run.

--- a/internal/backend/backendtest/conn.go
+++ b/internal/backend/backendtest/conn.go
@@ -56,7 +56,10 @@
 		defer g.mu.Unlock()
 		err = c.admit()
 	})
-	return c, errors.Join(callErr, err)
+	if callErr != nil { // the server may still admit the connection
+		return nil, callErr
+	}
+	return c, err
 }
 
 // conn is one connection of a client to a server. The group's lock guards
@@ -259,11 +262,11 @@
 	var execErr error
 	c.markSent()
 	err := c.call(ctx, func() { text, answer, execErr = c.execute(x) })
-	if err == nil {
-		err = execErr
+	if err != nil { // the work may still run: its results must not be read
+		return backend.Answer{}, c.exchangeError(err, x.Batch.Class)
 	}
-	if err != nil {
-		return answer, c.exchangeError(err, x.Batch.Class)
+	if execErr != nil {
+		return backend.Answer{}, c.exchangeError(execErr, x.Batch.Class)
 	}
 	if answer.ReadOnlyRefused {
 		return answer, nil
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -44,6 +44,17 @@
 	leaving   map[cluster.ServerID]bool
 	releasing sync.WaitGroup
 	closed    bool
+	without   rules
+}
+
+// rules names safety rules that tests switch off to show what they prevent.
+type rules struct {
+	// proof is the majority's word before an answer is passed on.
+	proof bool
+	// floors are the home's own floors of sessions.
+	floors bool
+	// replication is the wait for a majority to store a write.
+	replication bool
 }
 
 var _ statement.Runner = (*Home)(nil)
--- a/internal/home/metrics.go
+++ b/internal/home/metrics.go
@@ -17,6 +17,7 @@
 	proofsTotal       = metrics.NewCounter("rattan_home_proofs_total")
 	statusCallsTotal  = metrics.NewCounter("rattan_home_status_calls_total")
 	ejectionsTotal    = metrics.NewCounter("rattan_home_ejections_total")
+	silencesTotal     = metrics.NewCounter("rattan_home_silent_connections_total")
 	rollbacksTotal    = metrics.NewCounter("rattan_home_rollbacks_total")
 	waitSeconds       = rankHistograms("rattan_home_wait_seconds")
 	requestSeconds    = rankHistograms("rattan_home_request_seconds")
--- a/internal/home/node.go
+++ b/internal/home/node.go
@@ -39,7 +39,7 @@
 	kick chan struct{}
 	// pins are held by open transactions, so that some connections always
 	// serve single statements.
-	pins chan struct{}
+	pins *pins
 
 	// The owner's lock guards the fields below.
 
@@ -54,7 +54,7 @@
 func (o *owner) startNode(s cluster.Server) *node {
 	limit := connectionLimit(s, o.home.config)
 	n := &node{owner: o, server: s, kick: make(chan struct{}, 1)}
-	n.pins = make(chan struct{}, max(limit-s.Slots, 1))
+	n.pins = newPins(limit - s.Slots)
 	n.ctx, n.stop = context.WithCancel(o.ctx)
 	n.pool = pool.New(pool.Config{Limit: limit, Dial: n.dial})
 	o.workers.Go(n.monitor)
--- /dev/null
+++ b/internal/home/pins.go
@@ -0,0 +1,76 @@
+package home
+
+import (
+	"context"
+	"sync"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+// pins bounds the open transactions at one server, so that some connections
+// always serve single statements. Less urgent ranks may not take the last pins.
+type pins struct {
+	mu      sync.Mutex
+	limits  [cluster.RankCount]int
+	taken   int
+	waiters [cluster.RankCount][]chan struct{}
+}
+
+// newPins returns pins of which normal work may take three quarters and
+// background work half.
+func newPins(n int) *pins {
+	n = max(n, 1)
+	return &pins{limits: [cluster.RankCount]int{n, max(n*3/4, 1), max(n/2, 1)}}
+}
+
+// acquire waits for a pin, the most urgent rank first. It returns the error of
+// ctx if that ends before.
+func (p *pins) acquire(ctx context.Context, r cluster.Rank) error {
+	p.mu.Lock()
+	if p.taken < p.limits[r] && len(p.waiters[r]) == 0 {
+		p.taken++
+		p.mu.Unlock()
+		return nil
+	}
+	ready := make(chan struct{})
+	p.waiters[r] = append(p.waiters[r], ready)
+	p.mu.Unlock()
+	select {
+	case <-ready:
+		return nil
+	case <-ctx.Done():
+		p.abandon(r, ready)
+		return ctx.Err()
+	}
+}
+
+func (p *pins) abandon(r cluster.Rank, ready chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, w := range p.waiters[r] {
+		if w == ready {
+			p.waiters[r] = append(p.waiters[r][:i], p.waiters[r][i+1:]...)
+			return
+		}
+	}
+	p.taken--
+	p.hand()
+}
+
+func (p *pins) release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.taken--
+	p.hand()
+}
+
+// hand gives free pins to waiters by rank.
+func (p *pins) hand() {
+	for r := range p.waiters {
+		for len(p.waiters[r]) > 0 && p.taken < p.limits[r] {
+			p.taken++
+			close(p.waiters[r][0])
+			p.waiters[r] = p.waiters[r][1:]
+		}
+	}
+}
--- a/internal/home/primary.go
+++ b/internal/home/primary.go
@@ -20,7 +20,8 @@
 // the request carries an order id.
 func (o *owner) runPrimary(ctx context.Context, r *request) (statement.Result, error) {
 	attempts := order.New(r.OrderID != "", r.deadline)
-	for attempt := 1; ; attempt++ {
+	for {
+		r.attempt++
 		result, err := o.tryPrimary(ctx, r, attempts)
 		if err == nil {
 			return result, nil
@@ -33,7 +34,7 @@
 		}
 		retriesTotal.Inc()
 		_ = attempts.Fire(order.EventRetry)
-		sleep(ctx, jittered(time.Duration(attempt)*retryPause))
+		sleep(ctx, jittered(time.Duration(r.attempt)*retryPause))
 	}
 }
 
@@ -76,10 +77,14 @@
 		x.HoldAnswer = true
 		x.Release = w.acknowledge
 	}
-	limited, cancel := context.WithDeadline(ctx, r.deadline)
+	limited, cancel := o.limitStatement(ctx, r)
 	defer cancel()
 	_ = w.attempts.Fire(order.EventSend)
-	answer, err := w.exchange(limited, x)
+	var patience time.Duration
+	if w.attempts.HasID || r.First.Class.ReadOnly() {
+		patience = o.patience(r)
+	}
+	answer, err := w.exchange(limited, x, patience)
 	if err != nil {
 		err = w.settle(err)
 		w.end(false)
@@ -89,6 +94,10 @@
 		return w.result, err
 	}
 	w.count(answer)
+	if !x.HoldAnswer {
+		_ = w.attempts.Fire(order.EventAnswer)
+		_ = w.attempts.Fire(order.EventAcknowledge)
+	}
 	if answer.Tx != backend.TxIdle {
 		return o.continueTransaction(ctx, w)
 	}
@@ -96,6 +105,15 @@
 	return w.result, nil
 }
 
+// limitStatement bounds the execution of a single statement.
+func (o *owner) limitStatement(ctx context.Context, r *request) (context.Context, context.CancelFunc) {
+	deadline := time.Now().Add(o.statementTime())
+	if r.deadline.Before(deadline) {
+		deadline = r.deadline
+	}
+	return context.WithDeadline(ctx, deadline)
+}
+
 // holds reports whether the answer to a batch of the class is held back until
 // the write that it may tell of is acknowledged.
 func holds(c statement.Class) bool {
--- a/internal/home/read.go
+++ b/internal/home/read.go
@@ -15,7 +15,8 @@
 // runRead runs a read, or a read-only transaction, where it is fresh enough.
 // A read that failed before anything was passed on is repeated elsewhere.
 func (o *owner) runRead(ctx context.Context, r *request) (statement.Result, error) {
-	for attempt := 1; ; attempt++ {
+	for {
+		r.attempt++
 		result, err := o.tryRead(ctx, r)
 		if err == nil {
 			return result, nil
@@ -23,11 +24,11 @@
 		if r.refused {
 			return o.runPrimary(ctx, r)
 		}
-		if attempt == maxReadAttempts || !o.mayRepeatRead(r, err) {
+		if r.attempt == maxReadAttempts || !o.mayRepeatRead(r, err) {
 			return result, err
 		}
 		retriesTotal.Inc()
-		sleep(ctx, time.Duration(attempt-1)*retryPause)
+		sleep(ctx, time.Duration(r.attempt-1)*retryPause)
 	}
 }
 
@@ -57,8 +58,8 @@
 	if w.onPrimary() || r.ticket != 0 {
 		x.Gate = o.gate(r, w.group.Term)
 	}
-	limited, cancel := context.WithDeadline(ctx, r.deadline)
-	answer, err := w.exchange(limited, x)
+	limited, cancel := o.limitStatement(ctx, r)
+	answer, err := w.exchange(limited, x, o.patience(r))
 	cancel()
 	if err != nil {
 		w.end(false)
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -14,6 +14,13 @@
 // maxReadAttempts bounds the attempts of one read.
 const maxReadAttempts = 4
 
+const (
+	// minPatience is the least time that a first attempt gets to answer.
+	minPatience = 300 * time.Millisecond
+	// patienceFactor is how many times the usual cost a first attempt may take.
+	patienceFactor = 20
+)
+
 // request is a request on its way through the owner.
 type request struct {
 	*statement.Request
@@ -26,6 +33,8 @@
 	ticket uint64
 	// failed names servers on which the request has failed.
 	failed []cluster.ServerID
+	// attempt counts attempts from 1.
+	attempt int
 	// refused is set when a replica refused the request as a write.
 	refused bool
 }
@@ -35,11 +44,7 @@
 		Request: req, rank: rankOf(req), conv: &conversation{Conversation: conv},
 		arrived: time.Now(),
 	}
-	timeout := req.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	r.deadline = r.arrived.Add(timeout)
+	r.deadline = r.arrived.Add(orDefault(req.Timeout, defaultTimeout))
 	return r
 }
 
@@ -96,7 +101,8 @@
 			if o.view.term != term {
 				return false, errTermChanged
 			}
-			return o.view.proven(requirement{ticket: r.ticket, claim: o.claim, term: term}), nil
+			proven := o.view.proven(requirement{ticket: r.ticket, claim: o.claim, term: term})
+			return proven || o.home.without.proof, nil
 		})
 		if err != nil {
 			return errcode.Wrap(err, errcode.NotFresh, "proof of term", string(o.name))
@@ -111,7 +117,7 @@
 	defer o.mu.Unlock()
 	floor := r.Floor
 	known := true
-	if !r.FloorExact {
+	if !r.FloorExact && !o.home.without.floors {
 		remembered, ok := o.sessions.floor(r.Session)
 		if !ok || r.Session == "" {
 			remembered = o.fallback
@@ -160,7 +166,7 @@
 		waitSeconds[r.rank].Update(grant.Waited.Seconds())
 		return grant, nil
 	}
-	if o.group.Load().Primary == "" && lane == rank.LanePrimary && !errcode.Is(err, errcode.Draining) {
+	if !o.group.Load().PrimaryUp() && lane == rank.LanePrimary && !errcode.Is(err, errcode.Draining) {
 		return nil, errcode.Wrap(err, errcode.NoPrimary, "wait for primary", string(o.name))
 	}
 	return nil, err
@@ -187,6 +193,24 @@
 	return rank.Verdict{RetryAt: next}
 }
 
+// patience is the time after which an attempt that can be repeated is given
+// up if nothing has come back: far beyond the usual cost, longer for the
+// second attempt and unlimited (zero) for later ones.
+func (o *owner) patience(r *request) time.Duration {
+	limit := max(minPatience, patienceFactor*o.dispatcher.Cost(r.rank))
+	switch r.attempt {
+	case 1:
+	case 2:
+		limit *= 4
+	default:
+		return 0
+	}
+	if limit >= time.Until(r.deadline)/2 {
+		return 0
+	}
+	return limit
+}
+
 func (o *owner) node(id cluster.ServerID) *node {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- /dev/null
+++ b/internal/home/safety_test.go
@@ -0,0 +1,298 @@
+package home
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/backend/backendtest"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// both runs a scenario with a rule in force, which must hold, and without it,
+// which must fail.
+func both(t *testing.T, off rules, scenario func(t *testing.T, b *bench, off rules) error) {
+	t.Helper()
+	for _, without := range []rules{{}, off} {
+		inBubble(t, nil, func(t *testing.T, b *bench) {
+			err := scenario(t, b, without)
+			switch {
+			case without == rules{} && err != nil:
+				t.Errorf("with the rule: %v", err)
+			case without != rules{} && err == nil:
+				t.Error("without the rule nothing failed")
+			}
+		})
+	}
+}
+
+func (b *bench) weakHome(id cluster.ProxyID, without rules) *Home {
+	h := New(Config{ID: id}, b.group.Dialer(string(id)))
+	h.without = without
+	h.SetDocument(b.document)
+	if err := h.Own("orders"); err != nil {
+		b.t.Fatal(err)
+	}
+	b.homes = append(b.homes, h)
+	return h
+}
+
+func TestReadYourWritesAfterTheGroupMoved(t *testing.T) {
+	both(t, rules{floors: true}, func(t *testing.T, b *bench, off rules) error {
+		b.mustWrite(b.weakHome("p1", off), "clerk", "put k v1")
+		h := b.weakHome("p2", off)
+		text, r, err := b.read(h, "clerk", "k")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if text != "v1" {
+			return fmt.Errorf("stale read %q: %+v", text, r)
+		}
+		return nil
+	})
+}
+
+func TestReadYourWritesAtTheHome(t *testing.T) {
+	both(t, rules{floors: true}, func(t *testing.T, b *bench, off rules) error {
+		h := b.weakHome("p1", off)
+		b.mustWrite(h, "clerk", "put k v0")
+		time.Sleep(time.Second)
+		b.mustWrite(h, "clerk", "put k v1")
+		if text, r, err := b.read(h, "clerk", "k"); err != nil || text != "v1" {
+			return fmt.Errorf("read %q: %+v %w", text, r, err)
+		}
+		return nil
+	})
+}
+
+// A home that is cut off together with the old primary must not show old data
+// to a session that wrote at the new home.
+func TestIsolatedHomeServesNoStaleRead(t *testing.T) {
+	both(t, rules{proof: true}, func(t *testing.T, b *bench, off rules) error {
+		old := b.weakHome("p1", off)
+		b.mustWrite(old, "clerk", "put k v1")
+		b.group.Isolate("s1", "warden", "p2")
+		for _, id := range []string{"s2", "s3"} {
+			b.group.Cut("p1", id)
+			b.group.Cut(id, "p1")
+		}
+		b.promote(2, "s2", "s3")
+		b.mustWrite(b.weakHome("p2", off), "clerk", "put k v2")
+		text, r, err := b.read(old, "clerk", "k")
+		if err == nil && text != "v2" {
+			return fmt.Errorf("stale read %q: %+v", text, r)
+		}
+		if off == (rules{}) && !errcode.Is(err, errcode.NotFresh) && !errcode.Is(err, errcode.ConnectionLost) {
+			return fmt.Errorf("unexpected error %w", err)
+		}
+		return nil
+	})
+}
+
+func TestIsolatedPrimaryAcknowledgesNothing(t *testing.T) {
+	both(t, rules{proof: true}, func(t *testing.T, b *bench, off rules) error {
+		old := b.weakHome("p1", off)
+		b.mustWrite(old, "cook", "put k v1")
+		b.group.Isolate("s1", "warden", "p2")
+		for _, id := range []string{"s2", "s3"} {
+			b.group.Cut("p1", id)
+			b.group.Cut(id, "p1")
+		}
+		b.promote(2, "s2", "s3")
+		_, err := b.write(old, "cook", "put k lost")
+		if err == nil {
+			return errors.New("a replaced primary acknowledged a write")
+		}
+		if !errcode.Is(err, errcode.Unknown) {
+			return fmt.Errorf("outcome: %w", err)
+		}
+		return nil
+	})
+}
+
+func TestAcknowledgedWriteOutlivesItsPrimary(t *testing.T) {
+	both(t, rules{replication: true}, func(t *testing.T, b *bench, off rules) error {
+		h := b.weakHome("p1", off)
+		b.mustWrite(h, "cook", "put k v0")
+		b.group.Cut("s1", "s2") // the log no longer reaches any replica
+		b.group.Cut("s1", "s3")
+		r := b.request(statement.ClassWrite, "put k v1")
+		r.Timeout = 500 * time.Millisecond
+		_, _, err := run(h, r)
+		b.group.Kill("s1")
+		b.promote(2, "s2", "s3")
+		kept := len(b.group.Values("s2", "k")) == 2
+		if err == nil && !kept {
+			return errors.New("an acknowledged write was lost")
+		}
+		if off == (rules{}) && !errcode.Is(err, errcode.Unknown) {
+			return fmt.Errorf("outcome: %w", err)
+		}
+		return nil
+	})
+}
+
+func TestPausedHomeFindsOutThatItWasReplaced(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, b *bench) {
+		old := b.home("p1")
+		b.mustWrite(old, "clerk", "put k v1")
+		for _, id := range []string{"s1", "s2", "s3"} {
+			b.group.Cut("p1", id)
+		}
+		b.mustWrite(b.home("p2"), "clerk", "put k v2")
+		for _, id := range []string{"s1", "s2", "s3"} {
+			b.group.Heal("p1", id)
+		}
+		if _, err := b.write(old, "clerk", "put k v3"); err == nil {
+			t.Fatal("the older home acknowledged a write")
+		}
+		time.Sleep(time.Second)
+		_, err := b.write(old, "clerk", "put k v4")
+		if !errcode.Is(err, errcode.Superseded) || errcode.From(err).Peer != "p2" {
+			t.Fatalf("want superseded by p2, got %v", err)
+		}
+		if got := b.group.Values("s1", "k"); len(got) != 2 {
+			t.Fatalf("the older home wrote: %v", got)
+		}
+	})
+}
+
+func TestOrderWithLostAnswer(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, b *bench) {
+		h := b.home("p1")
+		b.mustWrite(h, "", "put k v0")
+		b.group.LoseAnswers("s1", 1)
+		_, err := b.write(h, "", "put k v1")
+		if !errcode.Is(err, errcode.Unknown) {
+			t.Fatalf("without an id: %v", err)
+		}
+		b.group.LoseAnswers("s1", 2)
+		r := b.request(statement.ClassWrite, "put k v2")
+		r.OrderID = "order-2"
+		text, result, err := run(h, r)
+		if err != nil || !result.Repeat || text != "put k v2" {
+			t.Fatalf("with an id: %q %+v %v", text, result, err)
+		}
+		if got := b.group.Values("s1", "k"); len(got) != 3 {
+			t.Fatalf("writes that ran: %v", got)
+		}
+	})
+}
+
+func TestOrderAcrossFailover(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, b *bench) {
+		h := b.home("p1")
+		b.mustWrite(h, "", "put k v0")
+		b.group.LoseAnswers("s1", 1)
+		r := b.request(statement.ClassWrite, "put k v1")
+		r.OrderID = "order-1"
+		var text string
+		var err error
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			text, _, err = run(h, r)
+		}()
+		time.Sleep(4 * time.Millisecond)
+		b.group.Kill("s1")
+		time.Sleep(200 * time.Millisecond)
+		b.promote(2, "s2", "s3")
+		<-done
+		if err != nil || text != "put k v1" {
+			t.Fatalf("%q %v", text, err)
+		}
+		if got := b.group.Values("s2", "k"); len(got) != 2 {
+			t.Fatalf("writes that ran: %v", got)
+		}
+	})
+}
+
+func TestTransactionsNeverMix(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, b *bench) {
+		h := b.home("p1")
+		const callers = 60
+		var wg sync.WaitGroup
+		for i := range callers {
+			wg.Go(func() {
+				key := fmt.Sprintf("k%d", i)
+				c := &caller{pause: time.Millisecond, batches: []statement.Batch{
+					{Messages: []byte("put " + key + " a")},
+					{Messages: []byte("get " + key), Class: statement.ClassRead},
+				}}
+				if i%3 > 0 { // every third caller leaves
+					c.batches = append(c.batches, statement.Batch{Messages: []byte("commit")})
+				}
+				r := &statement.Request{ID: key, Group: "orders", Rank: cluster.RankNormal, First: statement.Batch{Messages: []byte("begin"), Class: statement.ClassBegin}}
+				if _, err := h.Run(context.Background(), r, c); err != nil {
+					t.Errorf("%s: %v", key, err)
+				}
+				if got := len(b.group.Values("s1", key)); got != min(i%3, 1) {
+					t.Errorf("%s: %d commits", key, got)
+				}
+			})
+		}
+		wg.Wait()
+		for _, id := range []cluster.ServerID{"s1", "s2", "s3"} {
+			if u := b.group.Usage(id); u.MaxBusy > 2 || u.MaxConns > 12 {
+				t.Errorf("%s: %+v", id, u)
+			}
+		}
+	})
+}
+
+func TestTransactionWhosePrimaryDies(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		fault func(g *backendtest.Group)
+		at    time.Duration
+		want  errcode.Code
+	}{
+		{"between statements", func(g *backendtest.Group) { g.Kill("s1") }, 30 * time.Millisecond, errcode.ConnectionLost},
+		{"after commit was sent", func(g *backendtest.Group) { g.LoseAnswers("s1", 1) }, 30 * time.Millisecond, errcode.Unknown},
+	} {
+		inBubble(t, nil, func(t *testing.T, b *bench) {
+			h := b.home("p1")
+			time.AfterFunc(tt.at, func() { tt.fault(b.group) })
+			c := &caller{pause: 40 * time.Millisecond, batches: []statement.Batch{
+				{Messages: []byte("get k"), Class: statement.ClassRead}, {Messages: []byte("commit")},
+			}}
+			if tt.want.Name == errcode.Unknown.Name {
+				c.batches = c.batches[1:]
+			}
+			_, err := h.Run(t.Context(), b.request(statement.ClassBegin, "begin"), c)
+			if !errcode.Is(err, tt.want) {
+				t.Errorf("%s: %v", tt.name, err)
+			}
+		})
+	}
+}
+
+func TestFloorThatTheNewPrimaryLacks(t *testing.T) {
+	change := func(d *environment.Document) { d.Ranks.Normal.Ack = environment.AckPrimary }
+	inBubble(t, change, func(t *testing.T, b *bench) {
+		h := b.home("p1")
+		kept := b.mustWrite(h, "a", "put k v0")
+		time.Sleep(time.Second)
+		b.group.Cut("s1", "s2")
+		b.group.Cut("s1", "s3")
+		lostWrite := b.mustWrite(h, "b", "put k v1")
+		b.group.Kill("s1")
+		b.promote(2, "s2", "s3")
+		b.mustWrite(h, "c", "put k v2")
+		b.mustWrite(h, "c", "put k v3")
+		for floor, want := range map[cluster.Position]bool{kept.Position: true, lostWrite.Position: false} {
+			r := b.request(statement.ClassRead, "get k")
+			r.Floor, r.FloorExact = floor, true
+			_, _, err := run(h, r)
+			if want != (err == nil) || (err != nil && !errcode.Is(err, errcode.PositionLost)) {
+				t.Errorf("floor %s: %v", floor, err)
+			}
+		}
+	})
+}
--- a/internal/home/transaction.go
+++ b/internal/home/transaction.go
@@ -16,30 +16,46 @@
 // tryTransaction opens a transaction on the primary. It takes a pin first, so
 // that open transactions leave connections for single statements.
 func (o *owner) tryTransaction(ctx context.Context, r *request, attempts *order.Attempts) (statement.Result, error) {
+	n, err := o.pinPrimary(ctx, r)
+	if err != nil {
+		_ = attempts.Fire(order.EventRefuse)
+		return statement.Result{}, err
+	}
 	w, err := o.begin(ctx, r, rank.LanePrimary)
 	if err != nil {
+		n.pins.release()
 		_ = attempts.Fire(order.EventRefuse)
 		return statement.Result{}, err
 	}
 	w.attempts = attempts
-	if !w.pin() {
+	w.pin = n.pins
+	if w.node != n {
 		w.end(false)
 		_ = attempts.Fire(order.EventRefuse)
-		err := errcode.New(errcode.Overloaded, "open transactions", string(w.node.server.ID))
-		err.RetryAfter = retryPause
-		return w.result, err
+		return w.result, errcode.Wrap(errTermChanged, errcode.NoPrimary, "open transaction", string(n.server.ID))
 	}
 	return o.runFirst(ctx, w)
 }
 
-func (w *work) pin() bool {
-	select {
-	case w.node.pins <- struct{}{}:
-		w.pinned = true
-		return true
-	default:
-		return false
+// pinPrimary waits for a pin at the present primary.
+func (o *owner) pinPrimary(ctx context.Context, r *request) (*node, error) {
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	termCtx, group := o.present()
+	n := o.node(group.Primary)
+	if n == nil {
+		return nil, errcode.Wrap(errTermChanged, errcode.NoPrimary, "open transaction", string(o.name))
+	}
+	defer context.AfterFunc(termCtx, cancel)()
+	if err := n.pins.acquire(ctx, r.rank); err != nil {
+		if termCtx.Err() != nil {
+			err = errTermChanged
+		}
+		refused := errcode.Wrap(err, errcode.Overloaded, "open transactions", string(n.server.ID))
+		refused.RetryAfter = retryPause
+		return nil, refused
 	}
+	return n, nil
 }
 
 // continueTransaction runs the caller's batches until the transaction ends.
@@ -117,7 +133,7 @@
 		x.Release = w.acknowledge
 		w.request.deadline = deadline
 	}
-	answer, err := w.exchange(ctx, x)
+	answer, err := w.exchange(ctx, x, 0)
 	if err != nil {
 		return answer, w.settleStatement(batch, err)
 	}
--- a/internal/home/work.go
+++ b/internal/home/work.go
@@ -35,7 +35,8 @@
 	result   statement.Result
 	// termCtx ends when the primary is replaced; it is the owner's context on replicas.
 	termCtx context.Context
-	pinned  bool
+	// pin is held while the attempt is a transaction on the primary; nil if not.
+	pin *pins
 	// broken is set when the connection must not be reused.
 	broken bool
 }
@@ -95,8 +96,8 @@
 // back by the reset of the connection.
 func (w *work) end(openTransaction bool) {
 	w.grant.Release()
-	if w.pinned {
-		<-w.node.pins
+	if w.pin != nil {
+		w.pin.release()
 	}
 	if w.broken {
 		w.node.pool.Discard(w.conn)
@@ -110,7 +111,11 @@
 
 // exchange runs one batch. The connection is broken afterwards if the exchange
 // did not complete.
-func (w *work) exchange(ctx context.Context, x *backend.Exchange) (backend.Answer, error) {
+//
+// A positive patience limits the time in which the caller must have been
+// passed something: the path may have gone silent, and the attempt is one that
+// can be repeated. The other idle connections are probed then.
+func (w *work) exchange(ctx context.Context, x *backend.Exchange, patience time.Duration) (backend.Answer, error) {
 	x.Settings = w.request.Settings
 	x.OrderID = w.request.OrderID
 	x.WantPosition = true
@@ -118,6 +123,10 @@
 	defer stop()
 	defer context.AfterFunc(w.termCtx, stop)()
 	defer context.AfterFunc(ctx, func() { w.cancel(runCtx, stop) })()
+	if patience > 0 {
+		silence := time.AfterFunc(patience, func() { w.suspect(stop) })
+		defer silence.Stop()
+	}
 	answer, err := w.conn.Exchange(runCtx, x, w.request.conv)
 	if err != nil {
 		w.broken = true
@@ -134,6 +143,16 @@
 	<-ctx.Done()
 }
 
+// suspect gives up on an exchange that has passed nothing on.
+func (w *work) suspect(stop context.CancelFunc) {
+	if w.request.conv.passed.Load() {
+		return
+	}
+	silencesTotal.Inc()
+	stop()
+	w.node.pool.Suspect()
+}
+
 // acknowledge is called with a complete answer that is held back. It returns
 // nil once the answer may be passed on.
 func (w *work) acknowledge(ctx context.Context, a backend.Answer) error {
@@ -162,7 +181,7 @@
 	term = max(term, p.Term)
 	ticket := o.draw()
 	err := o.await(ctx, func() (bool, error) {
-		if o.view.term > term {
+		if o.view.term > term && !o.home.without.proof {
 			return false, errTermChanged
 		}
 		if !p.Known() {
@@ -173,10 +192,10 @@
 			p = primary.status.Received
 		}
 		q := requirement{ticket: ticket, claim: o.claim, term: term}
-		if o.ranks.Policy(r.rank).Ack != environment.AckPrimary {
+		if o.ranks.Policy(r.rank).Ack != environment.AckPrimary && !o.home.without.replication {
 			q.received = p
 		}
-		if !o.view.proven(q) {
+		if !o.view.proven(q) && !o.home.without.proof {
 			return false, nil
 		}
 		o.acknowledged(r.Session, p)
--- a/internal/pool/open.go
+++ b/internal/pool/open.go
@@ -98,29 +98,46 @@
 }
 
 func (p *Pool) probeOldest() {
-	for _, c := range p.takeOld() {
-		ctx, cancel := context.WithTimeout(p.ctx, p.config.ResetTimeout)
-		err := c.Reset(ctx)
-		cancel()
-		p.mu.Lock()
-		if err != nil {
-			probeFailures.Inc()
-			p.drop(c)
-			p.openMore()
-		} else {
-			p.release(c)
-		}
-		p.mu.Unlock()
+	for _, c := range p.takeIdle(p.config.ProbeAfter) {
+		p.probe(c)
+	}
+}
+
+// Suspect probes every idle connection before it is given out again. It is
+// called when a connection of the same age went silent.
+func (p *Pool) Suspect() {
+	for _, c := range p.takeIdle(0) {
+		p.workers.Go(func() { p.probe(c) })
 	}
 }
 
-// takeOld takes the connections that are due for a probe out of the idle list.
-func (p *Pool) takeOld() []*Conn {
+// probe makes a round trip on c, which is in the probing state.
+func (p *Pool) probe(c *Conn) {
+	ctx, cancel := context.WithTimeout(p.ctx, p.config.ProbeTimeout)
+	err := c.Reset(ctx)
+	cancel()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if err != nil {
+		probeFailures.Inc()
+		p.drop(c)
+		p.openMore()
+		return
+	}
+	p.release(c)
+}
+
+// takeIdle takes the connections that were idle for at least age out of the
+// idle list, into the probing state.
+func (p *Pool) takeIdle(age time.Duration) []*Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil
+	}
 	var old, young []*Conn
 	for _, c := range p.idle {
-		if time.Since(c.idleSince) < p.config.ProbeAfter {
+		if time.Since(c.idleSince) < age {
 			young = append(young, c)
 			continue
 		}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -18,6 +18,7 @@
 const (
 	defaultDialTimeout  = 2 * time.Second
 	defaultResetTimeout = 2 * time.Second
+	defaultProbeTimeout = 500 * time.Millisecond
 	defaultProbeAfter   = 15 * time.Second
 	initialBackoff      = 20 * time.Millisecond
 	maxBackoff          = 2 * time.Second
@@ -32,6 +33,8 @@
 	// DialTimeout, ResetTimeout bound one opening and one reset.
 	DialTimeout  time.Duration
 	ResetTimeout time.Duration
+	// ProbeTimeout bounds the probe of an idle connection.
+	ProbeTimeout time.Duration
 	// ProbeAfter is the idle time after which a connection is probed.
 	ProbeAfter time.Duration
 }
@@ -106,6 +109,9 @@
 	if c.ResetTimeout == 0 {
 		c.ResetTimeout = defaultResetTimeout
 	}
+	if c.ProbeTimeout == 0 {
+		c.ProbeTimeout = defaultProbeTimeout
+	}
 	if c.ProbeAfter == 0 {
 		c.ProbeAfter = defaultProbeAfter
 	}
@@ -273,7 +279,7 @@
 	c.state = stateClosed
 	delete(p.inUse, c)
 	discardsTotal.Inc()
-	_ = c.Conn.Close()
+	_ = c.Close()
 }
 
 func (p *Pool) size() int { return len(p.idle) + len(p.inUse) + p.pending }
--- a/internal/rank/queue.go
+++ b/internal/rank/queue.go
@@ -137,6 +137,13 @@
 	return d.expectedWait(r, lane)
 }
 
+// Cost returns the average slot time of a rank's statements.
+func (d *Dispatcher) Cost(r cluster.Rank) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cost[r].duration()
+}
+
 func (d *Dispatcher) insert(w *waiter) {
 	if w.request.Pinned != "" {
 		d.server(w.request.Pinned).pinned.push(w)
--- a/internal/rank/schedule.go
+++ b/internal/rank/schedule.go
@@ -244,7 +244,7 @@
 // first finds the first waiting request of a rank that the server may run now.
 // Requests that can run nowhere else come first.
 func (d *Dispatcher) first(s *server, r cluster.Rank, now time.Time, retryAt *time.Time) (*waiter, string) {
-	for lane := range Lane(laneCount) {
+	for lane := range laneCount {
 		if lane == LaneRead && s.id == d.primary && s.reads >= d.readSlots {
 			continue
 		}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -129,7 +129,7 @@
 	}
 	slices.SortStableFunc(options, func(a, b Option) int { return cmp.Compare(a.Wait, b.Wait) })
 	primary, ok := g.server(g.Primary)
-	if ok && (!primary.Leaving || len(options) == 0) {
+	if ok && primary.Reachable && (!primary.Leaving || len(options) == 0) {
 		options = append(options, overflow(q, primary, options, now))
 	}
 	if len(options) == 0 {
@@ -143,10 +143,10 @@
 }
 
 func primaryOnly(q Query, g *Group, now time.Time) Decision {
-	primary, ok := g.server(g.Primary)
-	if !ok {
+	if !g.PrimaryUp() {
 		return Decision{Reason: ReasonNoPrimary}
 	}
+	primary, _ := g.server(g.Primary)
 	reason := ReasonWrite
 	switch {
 	case q.PrimaryOnly:
@@ -192,6 +192,12 @@
 	return s.Reachable && !s.Diverged && s.Term == g.Term
 }
 
+// PrimaryUp reports whether the primary is known and reachable.
+func (g *Group) PrimaryUp() bool {
+	primary, ok := g.server(g.Primary)
+	return ok && primary.Reachable
+}
+
 // Replicas counts the replicas that may get reads at present.
 func (g *Group) Replicas() int {
 	n := 0
