Assemble the proxy and the common part of a process

Cause: the packages need one place that wires them, in the order of start and of a planned stop. Ruled out: wiring in cmd, which tests could not reach. Change: process holds what proxy and warden share; document versions travel with pings and are announced at once to ten peers.

--- /dev/null
+++ b/internal/process/ping.go
@@ -0,0 +1,166 @@
+package process
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/member"
+	"github.com/rattancove/rattancove/internal/peer/peerpb"
+	"github.com/rattancove/rattancove/internal/rollout"
+)
+
+const (
+	// announceFanout is the number of peers that are told of a new document at once.
+	announceFanout = 10
+	// announceTimeout bounds one announcement.
+	announceTimeout = time.Second
+)
+
+// pinger implements member.Pinger over peers. Each ping also tells the
+// document version in force and takes in the peer's.
+type pinger struct{ p *Process }
+
+// Ping implements member.Pinger.
+func (pg pinger) Ping(ctx context.Context, address string, news member.News) (member.News, error) {
+	reply, err := pg.p.Peers.Client(address).Ping(ctx, &peerpb.PingRequest{
+		From: reportToProto(news.From), Members: reportsToProto(news.Members), Documents: pg.p.versions(),
+	})
+	if err != nil {
+		return member.News{}, err
+	}
+	pg.p.offer(reply.GetFrom(), reply.GetDocuments())
+	return member.News{From: reportFromProto(reply.GetFrom()), Members: reportsFromProto(reply.GetMembers())}, nil
+}
+
+func (p *Process) handlePing(_ context.Context, in *peerpb.PingRequest) (*peerpb.PingReply, error) {
+	p.offer(in.GetFrom(), in.GetDocuments())
+	reply := p.Members.HandlePing(member.News{
+		From: reportFromProto(in.GetFrom()), Members: reportsFromProto(in.GetMembers()),
+	})
+	return &peerpb.PingReply{
+		From: reportToProto(reply.From), Members: reportsToProto(reply.Members), Documents: p.versions(),
+	}, nil
+}
+
+func (p *Process) versions() []*peerpb.DocumentVersion {
+	current := p.Documents.Current()
+	if current == nil {
+		return nil
+	}
+	return []*peerpb.DocumentVersion{p.version(current)}
+}
+
+func (p *Process) version(d *rollout.InForce) *peerpb.DocumentVersion {
+	return &peerpb.DocumentVersion{
+		Environment: p.Settings.Environment, Revision: d.Version.Revision, Digest: d.Version.Digest,
+	}
+}
+
+// offer passes on the document versions that a peer told of.
+func (p *Process) offer(from *peerpb.Member, versions []*peerpb.DocumentVersion) {
+	for _, v := range versions {
+		if v.GetEnvironment() != p.Settings.Environment {
+			continue
+		}
+		address := from.GetAddress()
+		p.Documents.Offer(cluster.ProxyID(from.GetRole()+"/"+from.GetId()),
+			rollout.Version{Revision: v.GetRevision(), Digest: v.GetDigest()},
+			func(ctx context.Context) ([]byte, error) { return p.fetchDocument(ctx, address, v.GetRevision()) })
+	}
+}
+
+func (p *Process) fetchDocument(ctx context.Context, address string, revision uint64) ([]byte, error) {
+	reply, err := p.Peers.Client(address).Document(ctx, &peerpb.DocumentRequest{
+		Environment: p.Settings.Environment, AtLeastRevision: revision,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return reply.GetDocument(), nil
+}
+
+func (p *Process) handleDocument(_ context.Context, in *peerpb.DocumentRequest) (*peerpb.DocumentReply, error) {
+	current := p.Documents.Current()
+	if current == nil || in.GetEnvironment() != p.Settings.Environment || current.Version.Revision < in.GetAtLeastRevision() {
+		return nil, errcode.New(errcode.OldDocument, "document", string(p.Settings.ID))
+	}
+	return &peerpb.DocumentReply{Version: p.version(current), Document: current.Data}, nil
+}
+
+// announceDocuments tells some peers of each new document at once. They tell
+// others in turn, so that news reaches every member in few steps.
+func (p *Process) announceDocuments(ctx context.Context) error {
+	changes, stop := p.Documents.Subscribe()
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changes:
+			p.announce(ctx)
+		}
+	}
+}
+
+func (p *Process) announce(ctx context.Context) {
+	members := p.alive()
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	told := 0
+	for _, m := range members {
+		if told == announceFanout {
+			return
+		}
+		if m.Address == p.Settings.Peer.Address() {
+			continue
+		}
+		told++
+		go p.announceTo(ctx, m.Address)
+	}
+}
+
+func (p *Process) announceTo(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	self, ok := p.Members.Snapshot().Find(member.Key{Role: p.role, ID: string(p.Settings.ID)})
+	if !ok {
+		return
+	}
+	_, _ = pinger{p}.Ping(ctx, address, member.News{From: member.Report{Member: self.Member, State: self.State}})
+}
+
+func reportToProto(r member.Report) *peerpb.Member {
+	return &peerpb.Member{
+		Id: r.Member.ID, Address: r.Member.Address, FailureDomain: r.Member.FailureDomain, Role: string(r.Member.Role),
+		Incarnation: r.Member.Incarnation, State: string(r.State), AgeMillis: r.Age.Milliseconds(),
+	}
+}
+
+func reportFromProto(m *peerpb.Member) member.Report {
+	return member.Report{
+		Member: member.Member{
+			ID: m.GetId(), Role: member.Role(m.GetRole()), Address: m.GetAddress(),
+			FailureDomain: m.GetFailureDomain(), Incarnation: m.GetIncarnation(),
+		},
+		State: member.State(m.GetState()),
+		Age:   time.Duration(m.GetAgeMillis()) * time.Millisecond,
+	}
+}
+
+func reportsToProto(reports []member.Report) []*peerpb.Member {
+	out := make([]*peerpb.Member, 0, len(reports))
+	for _, r := range reports {
+		out = append(out, reportToProto(r))
+	}
+	return out
+}
+
+func reportsFromProto(members []*peerpb.Member) []member.Report {
+	out := make([]member.Report, 0, len(members))
+	for _, m := range members {
+		out = append(out, reportFromProto(m))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,179 @@
+package process
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"net"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rattancove/rattancove/internal/document"
+	"github.com/rattancove/rattancove/internal/member"
+	"github.com/rattancove/rattancove/internal/peer"
+	"github.com/rattancove/rattancove/internal/platform/platformclient"
+	"github.com/rattancove/rattancove/internal/rollout"
+	"github.com/rattancove/rattancove/internal/settings"
+	"github.com/rattancove/rattancove/internal/telemetry"
+	"github.com/rattancove/rattancove/internal/tlskeys"
+)
+
+// Process is the common part of a proxy or warden. Close ends it.
+type Process struct {
+	Settings  settings.Common
+	Log       zerolog.Logger
+	Platform  *platformclient.Services
+	Store     *document.Store
+	Members   *member.Loop
+	Documents *rollout.Watcher
+	Peers     *peer.Registry
+
+	role        member.Role
+	peerKeys    *tlskeys.Keys
+	stopTracing func(context.Context) error
+}
+
+// New builds a process. It connects to nothing, so that a process starts
+// while the platform is down.
+func New(ctx context.Context, s settings.Common, role member.Role) (*Process, error) {
+	name := "rattan-" + string(role)
+	log, err := telemetry.NewLogger(telemetry.LogConfig{
+		Level: s.Log.Level, Format: s.Log.Format, Process: name, ID: string(s.ID),
+	}, os.Stderr)
+	if err != nil {
+		return nil, err
+	}
+	p := &Process{Settings: s, Log: log, role: role}
+	if p.stopTracing, err = telemetry.StartTracing(ctx, telemetry.TraceConfig{
+		Exporter: s.Trace.Exporter, Endpoint: s.Trace.Endpoint, Path: s.Trace.Path, Ratio: s.Trace.Ratio,
+		Process: name, ID: string(s.ID),
+	}); err != nil {
+		return nil, err
+	}
+	if err := p.openPeers(); err != nil {
+		return nil, err
+	}
+	if p.Platform, err = platformclient.Open(s.Platform, log); err != nil {
+		return nil, err
+	}
+	p.Store = document.NewStore(p.Platform.Table, p.Platform.Objects)
+	p.Members = member.New(p.memberConfig())
+	p.Documents = rollout.NewWatcher(rollout.Config{
+		Environment: s.Environment, Poll: s.Document.Poll, MaxUnknownAge: s.Document.MaxUnknownAge,
+		Members: func() int { return len(p.alive()) },
+	}, p.Store, log)
+	return p, p.bootstrap()
+}
+
+func (p *Process) openPeers() error {
+	if !p.Settings.Peer.TLS.Enabled() {
+		p.Peers = peer.NewRegistry(peer.Dialer(nil))
+		return nil
+	}
+	keys, err := tlskeys.Load(p.Settings.Peer.TLS, p.Log)
+	if err != nil {
+		return eris.Wrap(err, "peer.tls")
+	}
+	p.peerKeys = keys
+	p.Peers = peer.NewRegistry(peer.Dialer(func() *tls.Config { return keys.Client("") }))
+	return nil
+}
+
+func (p *Process) memberConfig() member.Config {
+	return member.Config{
+		Self: member.Member{
+			ID: string(p.Settings.ID), Role: p.role, Address: p.Settings.Peer.Address(),
+			FailureDomain: p.Settings.FailureDomain, Incarnation: uint64(time.Now().UnixNano()),
+		},
+		Seeds: p.Settings.Peer.Seeds, Pinger: pinger{p}, Table: p.Platform.Table, VMs: p.Platform.VMs,
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: p.Log,
+	}
+}
+
+func (p *Process) bootstrap() error {
+	path := p.Settings.Document.BootstrapFile
+	if path == "" {
+		return nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return eris.Wrap(err, "document.bootstrap_file")
+	}
+	return eris.Wrapf(p.Documents.Bootstrap(data), "bootstrap document %s", path)
+}
+
+// Run serves peers with handlers and keeps members, documents and metrics
+// going until ctx ends. Ping and Document of handlers are filled in.
+func (p *Process) Run(ctx context.Context, handlers peer.Handlers) error {
+	handlers.Ping = p.handlePing
+	handlers.Document = p.handleDocument
+	server, err := peer.NewServer(handlers, &p.Log)
+	if err != nil {
+		return err
+	}
+	listener, err := p.listenPeers()
+	if err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return server.Serve(ctx, listener) })
+	group.Go(func() error { return p.Members.Run(ctx) })
+	group.Go(func() error { return p.Documents.Run(ctx) })
+	group.Go(func() error { return p.announceDocuments(ctx) })
+	group.Go(func() error { return p.retainPeers(ctx) })
+	if address := p.Settings.Metrics.Listen; address != "" {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return eris.Wrapf(err, "listen for metrics on %s", address)
+		}
+		group.Go(func() error { return telemetry.ServeHTTP(ctx, l, telemetry.MetricsHandler()) })
+	}
+	return group.Wait()
+}
+
+func (p *Process) listenPeers() (net.Listener, error) {
+	l, err := net.Listen("tcp", p.Settings.Peer.Listen)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen for peers on %s", p.Settings.Peer.Listen)
+	}
+	if p.peerKeys != nil {
+		l = tls.NewListener(l, p.peerKeys.Server(true))
+	}
+	return l, nil
+}
+
+// Close flushes traces and closes clients.
+func (p *Process) Close(ctx context.Context) {
+	p.Peers.Close()
+	p.Platform.Close()
+	_ = p.stopTracing(ctx)
+}
+
+// retainPeers drops clients of addresses that no member has any more.
+func (p *Process) retainPeers(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-p.Members.Changed():
+		}
+		keep := map[string]bool{}
+		for _, seed := range p.Settings.Peer.Seeds {
+			keep[seed] = true
+		}
+		for _, e := range p.Members.Snapshot().Entries() {
+			keep[e.Member.Address] = true
+		}
+		p.Peers.Retain(keep)
+	}
+}
+
+// alive returns the living members of every role.
+func (p *Process) alive() []member.Member {
+	s := p.Members.Snapshot()
+	return append(s.Alive(member.RoleProxy), s.Alive(member.RoleWarden)...)
+}
--- /dev/null
+++ b/internal/proxy/homes.go
@@ -0,0 +1,61 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/environment"
+)
+
+// homeInterval is the longest time between two looks at which groups this
+// proxy should own.
+const homeInterval = time.Second
+
+// keepHomes owns the groups whose home this proxy is in its view, gives up the
+// others, and passes documents and leaving backend servers on to the homes.
+func (p *Proxy) keepHomes(ctx context.Context) error {
+	documents, stop := p.process.Documents.Subscribe()
+	defer stop()
+	for {
+		changed := p.process.Members.Changed()
+		p.assignHomes()
+		select {
+		case <-ctx.Done():
+			return nil
+		case d := <-documents:
+			p.home.SetDocument(d.Document)
+		case <-changed:
+		case <-time.After(homeInterval):
+		}
+	}
+}
+
+func (p *Proxy) assignHomes() {
+	view := homes{self: p.settings.ID, sharing: p.settings.Policy.Sharing, members: p.process.Members, peers: p.process.Peers}
+	for _, group := range p.groups() {
+		if view.HomeOf(group) == p.settings.ID {
+			// The only failure is a group that the home does not know yet; the
+			// next look owns it.
+			_ = p.home.Own(group)
+			continue
+		}
+		p.home.Disown(group)
+	}
+	p.markLeaving()
+}
+
+func (p *Proxy) markLeaving() {
+	current := p.process.Documents.Current()
+	if current == nil {
+		return
+	}
+	for _, g := range current.Document.Groups {
+		p.markLeavingServers(g.Servers)
+	}
+}
+
+func (p *Proxy) markLeavingServers(servers []environment.Server) {
+	for _, s := range servers {
+		p.home.SetLeaving(s.ID, p.process.Members.Leaving(s.Address))
+	}
+}
--- /dev/null
+++ b/internal/proxy/members.go
@@ -0,0 +1,56 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/member"
+	"github.com/rattancove/rattancove/internal/peer"
+	"github.com/rattancove/rattancove/internal/settings"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// homes implements gateway.Members over the view of the members.
+type homes struct {
+	self    cluster.ProxyID
+	sharing settings.Sharing
+	members *member.Loop
+	peers   *peer.Registry
+}
+
+// HomeOf implements gateway.Members. Under the static policy every proxy is
+// its own home.
+func (h homes) HomeOf(group cluster.GroupName) cluster.ProxyID {
+	if h.sharing == settings.SharingStatic {
+		return h.self
+	}
+	m, ok := h.members.Snapshot().HomeOf(group)
+	if !ok {
+		return ""
+	}
+	return cluster.ProxyID(m.ID)
+}
+
+// Relay implements gateway.Members.
+func (h homes) Relay(exclude ...cluster.ProxyID) cluster.ProxyID {
+	var ids []cluster.ProxyID
+	for _, m := range h.members.Snapshot().Alive(member.RoleProxy) {
+		if id := cluster.ProxyID(m.ID); !slices.Contains(exclude, id) {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		return ""
+	}
+	return ids[rand.IntN(len(ids))]
+}
+
+// Runner implements gateway.Members.
+func (h homes) Runner(id cluster.ProxyID) statement.Runner {
+	e, ok := h.members.Snapshot().Find(member.Key{Role: member.RoleProxy, ID: string(id)})
+	if !ok {
+		return nil
+	}
+	return h.peers.Client(e.Member.Address)
+}
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,200 @@
+package proxy
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/gateway"
+	"github.com/rattancove/rattancove/internal/home"
+	"github.com/rattancove/rattancove/internal/member"
+	"github.com/rattancove/rattancove/internal/peer"
+	"github.com/rattancove/rattancove/internal/peer/peerpb"
+	"github.com/rattancove/rattancove/internal/pgwire/back"
+	"github.com/rattancove/rattancove/internal/pgwire/front"
+	"github.com/rattancove/rattancove/internal/process"
+	"github.com/rattancove/rattancove/internal/rank"
+	"github.com/rattancove/rattancove/internal/settings"
+	"github.com/rattancove/rattancove/internal/tlskeys"
+)
+
+// staticProxies is the number of proxies that share the servers under the
+// static policy.
+const staticProxies = 8
+
+// cancelTimeout bounds passing a cancel request on to one peer.
+const cancelTimeout = time.Second
+
+// Proxy is one running rattan-proxy.
+type Proxy struct {
+	settings *settings.Proxy
+	process  *process.Process
+	home     *home.Home
+	gateway  *gateway.Gateway
+	front    *front.Server
+	ready    chan struct{}
+}
+
+// Run runs a proxy until ctx ends and then stops it in order: readiness goes
+// first, then other proxies take over the homes, callers are drained, and the
+// connections to backend servers and peers are closed last.
+func Run(ctx context.Context, s *settings.Proxy) error {
+	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	p, err := assemble(runCtx, s)
+	if err != nil {
+		return err
+	}
+	defer p.process.Close(runCtx)
+	listener, err := net.Listen("tcp", s.Callers.Listen)
+	if err != nil {
+		return eris.Wrapf(err, "listen for callers on %s", s.Callers.Listen)
+	}
+	group, groupCtx := errgroup.WithContext(runCtx)
+	group.Go(func() error { return p.process.Run(groupCtx, p.handlers()) })
+	group.Go(func() error { return p.front.Serve(groupCtx, listener) })
+	group.Go(func() error { return p.keepHomes(groupCtx) })
+	eventStarted.Log(&p.process.Log).Str("callers", s.Callers.Listen).Str("peers", s.Peer.Listen).Send()
+	select {
+	case <-ctx.Done():
+		p.drain(runCtx)
+	case <-groupCtx.Done():
+	}
+	stop()
+	err = group.Wait()
+	eventStopped.Log(&p.process.Log).Send()
+	if eris.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func assemble(ctx context.Context, s *settings.Proxy) (*Proxy, error) {
+	common, err := process.New(ctx, s.Common, member.RoleProxy)
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{settings: s, process: common}
+	dialer, err := newDialer(s, common)
+	if err != nil {
+		return nil, err
+	}
+	p.home = home.New(p.homeConfig(), dialer)
+	p.gateway = gateway.New(gateway.Config{
+		Self: s.ID, Local: p.home,
+		Members: homes{self: s.ID, sharing: s.Policy.Sharing, members: common.Members, peers: common.Peers},
+	})
+	config, err := p.frontConfig()
+	if err != nil {
+		return nil, err
+	}
+	p.front = front.New(config, p.gateway, directory{common.Documents})
+	return p, nil
+}
+
+func newDialer(s *settings.Proxy, p *process.Process) (backend.Dialer, error) {
+	config := back.Config{
+		ConnectTimeout: s.Backend.ConnectTimeout, Log: p.Log,
+		Credentials: back.Credentials{User: s.Backend.User, Password: s.Backend.Password.Reveal()},
+	}
+	if s.Backend.TLS.Enabled() {
+		keys, err := tlskeys.Load(s.Backend.TLS, p.Log)
+		if err != nil {
+			return nil, eris.Wrap(err, "backend.tls")
+		}
+		config.TLS = keys.Client("")
+	}
+	return back.New(config), nil
+}
+
+func (p *Proxy) homeConfig() home.Config {
+	config := home.Config{ID: p.settings.ID, Log: &p.process.Log}
+	if p.settings.Policy.Sharing == settings.SharingStatic {
+		config.Policy = rank.PolicyStatic
+		config.Proxies = staticProxies
+	}
+	return config
+}
+
+func (p *Proxy) frontConfig() (front.Config, error) {
+	config := front.Config{
+		Proxy: p.settings.ID, RequireTLS: p.settings.Callers.RequireTLS,
+		StartupTime: p.settings.Callers.StartupTimeout, Logger: p.process.Log, ForwardCancel: p.forwardCancel,
+	}
+	if !p.settings.Callers.TLS.Enabled() {
+		return config, nil
+	}
+	keys, err := tlskeys.Load(p.settings.Callers.TLS, p.process.Log)
+	if err != nil {
+		return config, eris.Wrap(err, "callers.tls")
+	}
+	config.TLS = func() *tls.Config { return keys.Server(false) }
+	return config, nil
+}
+
+func (p *Proxy) handlers() peer.Handlers {
+	return peer.Handlers{Runner: p.gateway, Cancel: p.handleCancel}
+}
+
+func (p *Proxy) handleCancel(_ context.Context, in *peerpb.CancelRequest) (*peerpb.CancelReply, error) {
+	key := front.CancelKey{Process: in.GetProcess()}
+	copy(key.Secret[:], in.GetSecret())
+	p.front.Cancel(key)
+	return &peerpb.CancelReply{}, nil
+}
+
+// forwardCancel passes a cancel request on to every other proxy, as any of
+// them may have issued the key.
+func (p *Proxy) forwardCancel(ctx context.Context, key front.CancelKey) {
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	var group errgroup.Group
+	for _, m := range p.process.Members.Snapshot().Alive(member.RoleProxy) {
+		if m.ID == string(p.settings.ID) {
+			continue
+		}
+		group.Go(func() error {
+			return p.process.Peers.Client(m.Address).Cancel(ctx, &peerpb.CancelRequest{Process: key.Process, Secret: key.Secret[:]})
+		})
+	}
+	_ = group.Wait()
+}
+
+// drain carries out the order of a planned stop.
+func (p *Proxy) drain(ctx context.Context) {
+	eventDraining.Log(&p.process.Log).Send()
+	p.process.Members.Leave()
+	sleep(ctx, p.settings.Drain.ReadyDelay)
+	limited, cancel := context.WithTimeout(ctx, p.settings.Drain.Timeout)
+	defer cancel()
+	if err := p.front.Drain(limited); err != nil {
+		eventDrainCut.Log(&p.process.Log).Err(err).Send()
+	}
+	p.home.Close(limited)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// Group names the groups of the document in force.
+func (p *Proxy) groups() []cluster.GroupName {
+	current := p.process.Documents.Current()
+	if current == nil {
+		return nil
+	}
+	var names []cluster.GroupName
+	for _, g := range current.Document.Groups {
+		names = append(names, g.Name)
+	}
+	return names
+}
