Keep documents on the platform and roll them out

The pointer row moves together with a row of the history and a row of the change id in one conditional commit; all attempts carry the same conditions, so that a lost answer is found again by its change id and a lost race names the winner.

A watcher holds the document in force: peers' offers at once, the pointer row slowly, never a lower revision. Past the bound without a proof it asks to refuse callers; the word of a majority of the members counts as proof, since otherwise an outage of the platform alone would end in refusing every caller.

--- /dev/null
+++ b/internal/document/change.go
@@ -0,0 +1,126 @@
+package document
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/platform"
+)
+
+const (
+	// commitTimeout bounds all attempts to learn the outcome of a change.
+	commitTimeout = 20 * time.Second
+	firstRetry    = 50 * time.Millisecond
+	maxRetry      = 2 * time.Second
+)
+
+func (s *Store) change(ctx context.Context, c Change, t target) (Revision, error) {
+	if earlier, done, err := s.earlier(ctx, c); done || err != nil {
+		return earlier, err
+	}
+	doc, err := environment.Parse(t.data)
+	if err != nil {
+		return Revision{}, err
+	}
+	current, version, err := s.pointer(ctx, c.Environment)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return Revision{}, err
+	}
+	if c.IfRevision != nil && *c.IfRevision != current.Revision {
+		return Revision{}, &ConflictError{Winner: current}
+	}
+	if err := s.checkAllowed(ctx, c, current, doc); err != nil {
+		return Revision{}, err
+	}
+	r := next(c, t, current)
+	if err := s.objects.Put(ctx, objectKey(c.Environment, r.Digest), t.data); err != nil {
+		return Revision{}, err
+	}
+	return s.commit(ctx, r, version)
+}
+
+// checkAllowed refuses a change inside a change window of the document in
+// force, and a document that may not follow it.
+func (s *Store) checkAllowed(ctx context.Context, c Change, current Revision, next *environment.Document) error {
+	if current.Revision == 0 {
+		return nil
+	}
+	inForce, err := s.load(ctx, c.Environment, current.Digest)
+	if err != nil {
+		return err
+	}
+	if window, closed := inForce.ClosedAt(time.Now()); closed && c.Override == "" {
+		return &WindowError{Window: window}
+	}
+	return environment.CheckChange(inForce, next)
+}
+
+// commit moves the pointer row from version. All attempts carry the same
+// conditions, so that at most one of them takes effect.
+func (s *Store) commit(ctx context.Context, r Revision, version uint64) (Revision, error) {
+	value, err := encode(r)
+	if err != nil {
+		return Revision{}, err
+	}
+	writes := []platform.Write{
+		{Key: pointerKey(r.Environment), IfVersion: version, Value: value},
+		{Key: historyKey(r.Environment, r.Revision), Value: value},
+		{Key: changeKey(r.Environment, r.ChangeID), Value: value},
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	attempt := func() (Revision, error) {
+		err := s.table.Commit(ctx, writes...)
+		switch {
+		case err == nil:
+			return r, nil
+		case errors.Is(err, platform.ErrConflict):
+			return s.resolve(ctx, r)
+		default:
+			return Revision{}, &UnknownError{ChangeID: r.ChangeID, Cause: err}
+		}
+	}
+	return retry(ctx, r.ChangeID, attempt)
+}
+
+// resolve tells after a conflict whether an earlier attempt of the same change
+// took effect, or who was first.
+func (s *Store) resolve(ctx context.Context, r Revision) (Revision, error) {
+	row, err := s.table.Get(ctx, changeKey(r.Environment, r.ChangeID))
+	if err == nil {
+		return decode(row.Value)
+	}
+	if !errors.Is(err, platform.ErrNotFound) {
+		return Revision{}, &UnknownError{ChangeID: r.ChangeID, Cause: err}
+	}
+	winner, _, err := s.pointer(ctx, r.Environment)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return Revision{}, &UnknownError{ChangeID: r.ChangeID, Cause: err}
+	}
+	return Revision{}, &ConflictError{Winner: winner}
+}
+
+// retry repeats attempt while its outcome is unknown and time is left.
+func retry(ctx context.Context, changeID string, attempt func() (Revision, error)) (Revision, error) {
+	policy := backoff.NewExponentialBackOff()
+	policy.InitialInterval, policy.MaxInterval = firstRetry, maxRetry
+	var unknown *UnknownError
+	r, err := backoff.Retry(ctx, func() (Revision, error) {
+		r, err := attempt()
+		if err != nil && !errors.As(err, &unknown) {
+			return r, backoff.Permanent(err)
+		}
+		return r, err
+	}, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(commitTimeout))
+	if err == nil {
+		return r, nil
+	}
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		return Revision{}, &UnknownError{ChangeID: changeID, Cause: err}
+	}
+	return Revision{}, err
+}
--- /dev/null
+++ b/internal/document/store.go
@@ -0,0 +1,204 @@
+package document
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/platform"
+)
+
+// Store reads and changes the documents of all environments. It is safe for
+// concurrent use and keeps nothing between calls.
+type Store struct {
+	table   platform.Table
+	objects platform.Objects
+}
+
+// NewStore returns a store on the platform's services.
+func NewStore(table platform.Table, objects platform.Objects) *Store {
+	return &Store{table: table, objects: objects}
+}
+
+// Current returns the revision in force, or platform.ErrNotFound.
+func (s *Store) Current(ctx context.Context, env string) (Revision, error) {
+	r, _, err := s.pointer(ctx, env)
+	return r, err
+}
+
+// History returns all revisions of an environment, oldest first.
+func (s *Store) History(ctx context.Context, env string) ([]Revision, error) {
+	rows, err := s.table.List(ctx, historyPrefix(env))
+	if err != nil {
+		return nil, err
+	}
+	revisions := make([]Revision, 0, len(rows))
+	for _, row := range rows {
+		r, err := decode(row.Value)
+		if err != nil {
+			return nil, err
+		}
+		revisions = append(revisions, r)
+	}
+	return revisions, nil
+}
+
+// Revision returns one revision of an environment, or platform.ErrNotFound.
+func (s *Store) Revision(ctx context.Context, env string, revision uint64) (Revision, error) {
+	row, err := s.table.Get(ctx, historyKey(env, revision))
+	if err != nil {
+		return Revision{}, err
+	}
+	return decode(row.Value)
+}
+
+// Bytes returns the document of a digest. The bytes are checked against it.
+func (s *Store) Bytes(ctx context.Context, env, digest string) ([]byte, error) {
+	data, err := s.objects.Get(ctx, objectKey(env, digest))
+	if err != nil {
+		return nil, err
+	}
+	if environment.Digest(data) != digest {
+		return nil, eris.Wrapf(ErrDigest, "document %s of %s", digest, env)
+	}
+	return data, nil
+}
+
+// Document returns the revision in force with its document, or
+// platform.ErrNotFound.
+func (s *Store) Document(ctx context.Context, env string) (Revision, *environment.Document, error) {
+	r, err := s.Current(ctx, env)
+	if err != nil {
+		return Revision{}, nil, err
+	}
+	d, err := s.load(ctx, env, r.Digest)
+	return r, d, err
+}
+
+func (s *Store) load(ctx context.Context, env, digest string) (*environment.Document, error) {
+	data, err := s.Bytes(ctx, env, digest)
+	if err != nil {
+		return nil, err
+	}
+	return environment.Parse(data)
+}
+
+// Plan returns the revision in force and what changes when data replaces it.
+// The error is environment.Faults when data may not replace it.
+func (s *Store) Plan(ctx context.Context, env string, data []byte) (Revision, environment.Plan, error) {
+	next, err := environment.Parse(data)
+	if err != nil {
+		return Revision{}, nil, err
+	}
+	r, current, err := s.Document(ctx, env)
+	if errors.Is(err, platform.ErrNotFound) {
+		return Revision{}, environment.Diff(nil, next), nil
+	}
+	if err != nil {
+		return Revision{}, nil, err
+	}
+	return r, environment.Diff(current, next), environment.CheckChange(current, next)
+}
+
+// Publish makes data the document of the change's environment.
+//
+// The error is environment.Faults, *RequestError, *WindowError or
+// *ConflictError when nothing was changed, and *UnknownError when the change
+// may have taken effect.
+func (s *Store) Publish(ctx context.Context, c Change, data []byte) (Revision, error) {
+	return s.change(ctx, c, target{kind: KindPublish, data: data})
+}
+
+// Promote gives the change's environment the document in force in another.
+// Errors are those of Publish.
+func (s *Store) Promote(ctx context.Context, c Change, from string) (Revision, error) {
+	if earlier, done, err := s.earlier(ctx, c); done || err != nil {
+		return earlier, err
+	}
+	source, err := s.Current(ctx, from)
+	if err != nil {
+		return Revision{}, eris.Wrapf(err, "environment %s", from)
+	}
+	data, err := s.Bytes(ctx, from, source.Digest)
+	if err != nil {
+		return Revision{}, err
+	}
+	return s.change(ctx, c, target{kind: KindPromote, source: from, data: data})
+}
+
+// Rollback gives the change's environment the document of an earlier revision.
+// Errors are those of Publish.
+func (s *Store) Rollback(ctx context.Context, c Change, to uint64) (Revision, error) {
+	if earlier, done, err := s.earlier(ctx, c); done || err != nil {
+		return earlier, err
+	}
+	old, err := s.Revision(ctx, c.Environment, to)
+	if err != nil {
+		return Revision{}, eris.Wrapf(err, "revision %d of %s", to, c.Environment)
+	}
+	data, err := s.Bytes(ctx, c.Environment, old.Digest)
+	if err != nil {
+		return Revision{}, err
+	}
+	return s.change(ctx, c, target{kind: KindRollback, source: strconv.FormatUint(to, 10), data: data})
+}
+
+// target is the document that a change leads to.
+type target struct {
+	kind   Kind
+	source string
+	data   []byte
+}
+
+// pointer returns the revision in force and the version of its row.
+func (s *Store) pointer(ctx context.Context, env string) (Revision, uint64, error) {
+	row, err := s.table.Get(ctx, pointerKey(env))
+	if err != nil {
+		return Revision{}, 0, err
+	}
+	r, err := decode(row.Value)
+	return r, row.Version, err
+}
+
+// earlier returns the revision that the change id made before, if any.
+func (s *Store) earlier(ctx context.Context, c Change) (Revision, bool, error) {
+	if err := c.validate(); err != nil {
+		return Revision{}, false, err
+	}
+	row, err := s.table.Get(ctx, changeKey(c.Environment, c.ID))
+	if errors.Is(err, platform.ErrNotFound) {
+		return Revision{}, false, nil
+	}
+	if err != nil {
+		return Revision{}, false, err
+	}
+	r, err := decode(row.Value)
+	return r, err == nil, err
+}
+
+// next builds the revision that follows current.
+func next(c Change, t target, current Revision) Revision {
+	return Revision{
+		Environment: c.Environment,
+		Revision:    current.Revision + 1,
+		Digest:      environment.Digest(t.data),
+		Previous:    current.Revision,
+		Kind:        t.kind,
+		Source:      t.source,
+		ChangeID:    c.ID,
+		Who:         c.Who,
+		Why:         c.Why,
+		Time:        time.Now().UTC(),
+		Override:    c.Override,
+	}
+}
+
+// String names the revision for messages.
+func (r Revision) String() string {
+	return fmt.Sprintf("revision %d of %s", r.Revision, r.Environment)
+}
--- /dev/null
+++ b/internal/rollout/decide_test.go
@@ -0,0 +1,120 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+var (
+	epoch = time.Date(2026, 12, 3, 8, 0, 0, 0, time.UTC)
+	v1    = Version{Revision: 1, Digest: "a"}
+	v2    = Version{Revision: 2, Digest: "b"}
+	v3    = Version{Revision: 3, Digest: "c"}
+)
+
+func at(seconds int) time.Time { return epoch.Add(time.Duration(seconds) * time.Second) }
+
+func tickAt(seconds int) Tick {
+	return Tick{Now: at(seconds), Bounds: Bounds{Unproven: 6 * time.Second, Expired: time.Minute}}
+}
+
+func heard(peer string, v Version, seconds, members int) PeerHeard {
+	return PeerHeard{Peer: cluster.ProxyID(peer), Version: v, At: at(seconds), Members: members}
+}
+
+func TestDecide(t *testing.T) {
+	tests := []struct {
+		name         string
+		observations []Observation
+		want         State
+	}{
+		{
+			"a look finds the first document",
+			[]Observation{PointerRead{v1, at(1)}},
+			State{Status: StatusEmpty, Wanted: v1, WantedAt: at(1)},
+		},
+		{
+			"a fetched document is current from the look that found it",
+			[]Observation{PointerRead{v1, at(1)}, Installed{v1}, tickAt(2)},
+			State{Status: StatusCurrent, Held: v1, Wanted: v1, WantedAt: at(1), Proof: at(1)},
+		},
+		{
+			"a peer tells of a newer one",
+			[]Observation{PointerRead{v1, at(1)}, Installed{v1}, heard("p", v2, 2, 8), tickAt(3)},
+			State{Status: StatusBehind, Held: v1, Wanted: v2, WantedAt: at(2), Proof: at(1)},
+		},
+		{
+			"a revision overtaken while it was fetched leaves the process behind",
+			[]Observation{heard("p", v1, 1, 8), heard("q", v2, 2, 8), Installed{v1}},
+			State{Status: StatusBehind, Held: v1, Wanted: v2, WantedAt: at(2)},
+		},
+		{
+			"an older revision is never taken up",
+			[]Observation{PointerRead{v2, at(1)}, Installed{v2}, heard("p", v1, 2, 8), PointerRead{v1, at(3)}, Installed{v1}},
+			State{Status: StatusCurrent, Held: v2, Wanted: v2, WantedAt: at(1), Proof: at(1)},
+		},
+		{
+			"a later look refutes a peer",
+			[]Observation{PointerRead{v1, at(1)}, Installed{v1}, heard("p", v3, 2, 8), PointerRead{v1, at(3)}},
+			State{Status: StatusCurrent, Held: v1, Wanted: v1, WantedAt: at(3), Proof: at(3)},
+		},
+		{
+			"an earlier look does not refute a peer",
+			[]Observation{PointerRead{v1, at(1)}, Installed{v1}, heard("p", v2, 4, 8), PointerRead{v1, at(3)}},
+			State{Status: StatusBehind, Held: v1, Wanted: v2, WantedAt: at(4), Proof: at(1)},
+		},
+		{
+			"without a proof the document becomes unproven",
+			[]Observation{PointerRead{v1, at(1)}, Installed{v1}, tickAt(8)},
+			State{Status: StatusUnproven, Held: v1, Wanted: v1, WantedAt: at(1), Proof: at(1)},
+		},
+		{
+			"and then old",
+			[]Observation{PointerRead{v1, at(1)}, Installed{v1}, tickAt(8), tickAt(62)},
+			State{Status: StatusOld, Held: v1, Wanted: v1, WantedAt: at(1), Proof: at(1)},
+		},
+		{
+			"a minority of the members is no proof",
+			[]Observation{PointerRead{v1, at(1)}, Installed{v1}, heard("p", v1, 50, 5), tickAt(62)},
+			State{Status: StatusOld, Held: v1, Wanted: v1, WantedAt: at(1), Proof: at(1)},
+		},
+		{
+			"a majority of the members is a proof as of its oldest word",
+			[]Observation{PointerRead{v1, at(1)}, Installed{v1}, heard("p", v1, 50, 5), heard("q", v1, 55, 5), tickAt(56)},
+			State{Status: StatusCurrent, Held: v1, Wanted: v1, WantedAt: at(1), Proof: at(50)},
+		},
+		{
+			"a bootstrap document is old until a look finds no pointer",
+			[]Observation{Installed{Version{Digest: "x"}}, tickAt(1)},
+			State{Status: StatusOld, Held: Version{Digest: "x"}, Wanted: Version{Digest: "x"}},
+		},
+		{
+			"and current after it",
+			[]Observation{Installed{Version{Digest: "x"}}, tickAt(1), PointerRead{Version{}, at(2)}},
+			State{Status: StatusCurrent, Held: Version{Digest: "x"}, Wanted: Version{Digest: "x"}, Proof: at(2)},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := State{Status: StatusEmpty}
+			for _, o := range test.observations {
+				s = Decide(s, o)
+			}
+			if diff := cmp.Diff(test.want, s, cmpopts.IgnoreFields(State{}, "Heard")); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestStatusesAreThoseOfTheChart(t *testing.T) {
+	want := []string{string(StatusEmpty), string(StatusCurrent), string(StatusUnproven), string(StatusBehind), string(StatusOld)}
+	if diff := cmp.Diff(want, Chart().States()); diff != "" {
+		t.Error(diff)
+	}
+}
--- /dev/null
+++ b/internal/rollout/fetch.go
@@ -0,0 +1,138 @@
+package rollout
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/rotisserie/eris"
+
+	"github.com/rattancove/rattancove/internal/document"
+	"github.com/rattancove/rattancove/internal/environment"
+)
+
+const (
+	// maxOffers bounds the peers remembered for one version.
+	maxOffers = 3
+	// peerFetchTimeout bounds one fetch from a peer.
+	peerFetchTimeout = 2 * time.Second
+	firstFetchRetry  = 100 * time.Millisecond
+	maxFetchRetry    = 5 * time.Second
+)
+
+// fetch gets missing versions until ctx ends.
+func (w *Watcher) fetch(ctx context.Context) error {
+	policy := backoff.NewExponentialBackOff()
+	policy.InitialInterval, policy.MaxInterval = firstFetchRetry, maxFetchRetry
+	for {
+		v, missing := w.State().Missing()
+		if !missing {
+			policy.Reset()
+			if err := w.await(ctx, nil); err != nil {
+				return err
+			}
+			continue
+		}
+		err := w.fetchOnce(ctx, v)
+		if err == nil {
+			policy.Reset()
+			continue
+		}
+		fetchFailures.Inc()
+		eventFetchFailed.Log(&w.log).Err(err).Uint64("revision", v.Revision).Send()
+		if err := w.await(ctx, time.After(policy.NextBackOff())); err != nil {
+			return err
+		}
+	}
+}
+
+// await returns when a version is missing, when the timer fires, or with the
+// error of ctx.
+func (w *Watcher) await(ctx context.Context, timer <-chan time.Time) error {
+	select {
+	case <-w.wake:
+		return nil
+	case <-timer:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// fetchOnce tries the peers that offered v and then the object store.
+func (w *Watcher) fetchOnce(ctx context.Context, v Version) error {
+	w.mu.Lock()
+	offers := w.offers[v]
+	delete(w.offers, v)
+	w.mu.Unlock()
+	for _, offer := range offers {
+		data, err := fetchFromPeer(ctx, offer, v)
+		if err != nil {
+			continue
+		}
+		peerFetches.Inc()
+		if err := w.install(v, data); err == nil {
+			return nil
+		}
+	}
+	data, err := w.source.Bytes(ctx, w.config.Environment, v.Digest)
+	if err != nil {
+		return err
+	}
+	storeFetches.Inc()
+	return w.install(v, data)
+}
+
+func fetchFromPeer(ctx context.Context, offer Fetch, v Version) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerFetchTimeout)
+	defer cancel()
+	data, err := offer(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if environment.Digest(data) != v.Digest {
+		return nil, eris.Wrap(document.ErrDigest, "document of a peer")
+	}
+	return data, nil
+}
+
+// install checks the document and puts it in force unless a newer one is.
+func (w *Watcher) install(v Version, data []byte) error {
+	if environment.Digest(data) != v.Digest {
+		return eris.Wrapf(document.ErrDigest, "revision %d", v.Revision)
+	}
+	parsed, err := environment.Parse(data)
+	if err != nil {
+		return eris.Wrapf(err, "revision %d", v.Revision)
+	}
+	if w.putInForce(&InForce{Version: v, Document: parsed, Data: data}) {
+		installs.Inc()
+		eventInForce.Log(&w.log).Uint64("revision", v.Revision).Str("digest", v.Digest).Send()
+	}
+	return nil
+}
+
+// putInForce replaces the document and tells the subscribers in one step, so
+// that they see revisions in order.
+func (w *Watcher) putInForce(next *InForce) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.inForce != nil && next.Version.Revision <= w.inForce.Version.Revision {
+		return false
+	}
+	w.inForce = next
+	w.state = Decide(w.state, Installed{Version: next.Version})
+	for v := range w.offers {
+		if v.Revision <= next.Version.Revision {
+			delete(w.offers, v)
+		}
+	}
+	for c := range w.subscribers {
+		select {
+		case <-c:
+		default:
+		}
+		c <- next
+	}
+	return true
+}
--- /dev/null
+++ b/internal/rollout/watcher.go
@@ -0,0 +1,257 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/document"
+	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/platform"
+)
+
+const (
+	// unprovenLooks is the number of looks without a proof after which the
+	// document is reported as unproven.
+	unprovenLooks = 3
+	tickInterval  = time.Second
+)
+
+// Source is where documents are kept; document.Store is one.
+type Source interface {
+	// Current returns the revision in force, or platform.ErrNotFound.
+	Current(ctx context.Context, env string) (document.Revision, error)
+	// Bytes returns the document of a digest.
+	Bytes(ctx context.Context, env, digest string) ([]byte, error)
+}
+
+// Fetch gets the bytes of an offered version from a peer.
+type Fetch func(ctx context.Context) ([]byte, error)
+
+// Config of a watcher.
+type Config struct {
+	Environment string
+	// Poll is the mean time between looks at the pointer row.
+	Poll time.Duration
+	// MaxUnknownAge is the age of the last proof past which the document is old.
+	MaxUnknownAge time.Duration
+	// Members returns the number of members known, this process included. It
+	// may be nil, and then the word of peers is no proof.
+	Members func() int
+}
+
+// InForce is a document in force with its version and bytes. It is immutable.
+type InForce struct {
+	Version  Version
+	Document *environment.Document
+	Data     []byte
+}
+
+// Watcher holds the document in force. It is safe for concurrent use.
+type Watcher struct {
+	config Config
+	source Source
+	log    zerolog.Logger
+	// wake tells the fetch loop that a version is missing.
+	wake chan struct{}
+
+	mu      sync.Mutex
+	state   State
+	inForce *InForce
+	// offers holds the ways to fetch a version from peers.
+	offers      map[Version][]Fetch
+	subscribers map[chan *InForce]bool
+}
+
+// NewWatcher returns a watcher without a document.
+func NewWatcher(config Config, source Source, log zerolog.Logger) *Watcher {
+	return &Watcher{
+		config:      config,
+		source:      source,
+		log:         log,
+		wake:        make(chan struct{}, 1),
+		state:       State{Status: StatusEmpty},
+		offers:      map[Version][]Fetch{},
+		subscribers: map[chan *InForce]bool{},
+	}
+}
+
+// Bootstrap puts data in force as revision zero. It is called before Run. The
+// document counts as old until a look or a peer proves that it is the newest.
+func (w *Watcher) Bootstrap(data []byte) error {
+	return w.install(Version{Digest: environment.Digest(data)}, data)
+}
+
+// Run looks for newer documents until ctx ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return w.look(ctx) })
+	group.Go(func() error { return w.fetch(ctx) })
+	group.Go(func() error { return w.tick(ctx) })
+	err := group.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// Offer tells that a peer holds a version and how to fetch it. Fetch may be nil.
+func (w *Watcher) Offer(peer cluster.ProxyID, v Version, fetch Fetch) {
+	members := 0
+	if w.config.Members != nil {
+		members = w.config.Members()
+	}
+	w.observe(PeerHeard{Peer: peer, Version: v, At: time.Now(), Members: members})
+	if fetch != nil {
+		w.addOffer(v, fetch)
+	}
+}
+
+func (w *Watcher) addOffer(v Version, fetch Fetch) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if v.Revision <= w.state.Held.Revision || len(w.offers[v]) >= maxOffers {
+		return
+	}
+	w.offers[v] = append(w.offers[v], fetch)
+	w.wakeFetch()
+}
+
+// wakeFetch makes the fetch loop look at once.
+func (w *Watcher) wakeFetch() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Current returns the document in force, or nil.
+func (w *Watcher) Current() *InForce {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.inForce
+}
+
+// State returns what the process knows of its document.
+func (w *Watcher) State() State {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.state
+}
+
+// ProofAge returns the time since the last proof that no newer document exists.
+// The second result is false when there was none.
+func (w *Watcher) ProofAge() (time.Duration, bool) {
+	proof := w.State().Proof
+	return time.Since(proof), !proof.IsZero()
+}
+
+// OldDocument reports that new callers should be refused: there is no
+// document, or a newer one cannot be ruled out for too long.
+func (w *Watcher) OldDocument() bool {
+	status := w.State().Status
+	return status == StatusOld || status == StatusEmpty
+}
+
+// Subscribe returns a channel that holds the newest document in force each
+// time that it changes, beginning with the present one, and a function that
+// ends the subscription.
+func (w *Watcher) Subscribe() (<-chan *InForce, func()) {
+	c := make(chan *InForce, 1)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.subscribers[c] = true
+	if w.inForce != nil {
+		c <- w.inForce
+	}
+	return c, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.subscribers, c)
+	}
+}
+
+// observe applies an observation and reports what changed.
+func (w *Watcher) observe(o Observation) {
+	w.mu.Lock()
+	before := w.state
+	w.state = Decide(before, o)
+	after := w.state
+	w.mu.Unlock()
+	w.report(before, after)
+	if before.Wanted != after.Wanted {
+		w.wakeFetch()
+	}
+}
+
+func (w *Watcher) report(before, after State) {
+	if before.Status == after.Status {
+		return
+	}
+	switch {
+	case after.Status == StatusOld:
+		eventOld.Log(&w.log).Uint64("revision", after.Held.Revision).Time("proof", after.Proof).Send()
+	case before.Status == StatusOld && after.Status == StatusCurrent:
+		eventProvenAgain.Log(&w.log).Uint64("revision", after.Held.Revision).Send()
+	}
+}
+
+// look reads the pointer row at once and then at random times around the poll
+// interval, so that processes started together spread out.
+func (w *Watcher) look(ctx context.Context) error {
+	for {
+		w.lookOnce(ctx)
+		if err := sleep(ctx, jitter(w.config.Poll)); err != nil {
+			return err
+		}
+	}
+}
+
+func (w *Watcher) lookOnce(ctx context.Context) {
+	begun := time.Now()
+	r, err := w.source.Current(ctx, w.config.Environment)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		lookFailures.Inc()
+		eventLookFailed.Log(&w.log).Err(err).Send()
+		return
+	}
+	v := Version{Revision: r.Revision, Digest: r.Digest}
+	if held := w.State().Held; v.Revision < held.Revision && err == nil {
+		eventPointerFell.Log(&w.log).Uint64("row", v.Revision).Uint64("in_force", held.Revision).Send()
+	}
+	w.observe(PointerRead{Version: v, Begun: begun})
+}
+
+func (w *Watcher) tick(ctx context.Context) error {
+	bounds := Bounds{Unproven: unprovenLooks * w.config.Poll, Expired: w.config.MaxUnknownAge}
+	for {
+		now := time.Now()
+		w.mu.Lock()
+		w.state = w.state.Forget(now.Add(-w.config.MaxUnknownAge))
+		w.mu.Unlock()
+		w.observe(Tick{Now: now, Bounds: bounds})
+		if err := sleep(ctx, tickInterval); err != nil {
+			return err
+		}
+	}
+}
+
+// jitter returns a random duration from half of d to one and a half of d.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d+1) }
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/rollout/watcher_test.go
@@ -0,0 +1,238 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/document"
+	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/platform/platformtest"
+)
+
+const env = "cotopaxi-production"
+
+type fleet struct {
+	table   *platformtest.Table
+	objects *platformtest.Objects
+	store   *document.Store
+}
+
+func newFleet() *fleet {
+	f := &fleet{table: platformtest.NewTable(), objects: platformtest.NewObjects()}
+	f.store = document.NewStore(f.table, f.objects)
+	return f
+}
+
+func (f *fleet) setDown(down bool) {
+	f.table.SetDown(down)
+	f.objects.SetDown(down)
+}
+
+func text(t *testing.T, n int) []byte {
+	t.Helper()
+	data, err := os.ReadFile("../../examples/cotopaxi.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	edit := strings.NewReplacer("queue: 2000", fmt.Sprintf("queue: %d", 2000+n), "day: friday", "day: wednesday")
+	return []byte(edit.Replace(string(data)))
+}
+
+func (f *fleet) publish(t *testing.T, n int) Version {
+	t.Helper()
+	c := document.Change{Environment: env, ID: fmt.Sprintf("c%d", n), Who: "rosa", Why: "test"}
+	r, err := f.store.Publish(t.Context(), c, text(t, n))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Version{Revision: r.Revision, Digest: r.Digest}
+}
+
+// start runs a watcher until the test ends.
+func (f *fleet) start(t *testing.T, members int) *Watcher {
+	config := Config{Environment: env, Poll: 30 * time.Second, MaxUnknownAge: 5 * time.Minute, Members: func() int { return members }}
+	w := NewWatcher(config, f.store, zerolog.Nop())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- w.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return w
+}
+
+func serve(data []byte) Fetch {
+	return func(context.Context) ([]byte, error) { return data, nil }
+}
+
+func revision(w *Watcher) uint64 {
+	if inForce := w.Current(); inForce != nil {
+		return inForce.Version.Revision
+	}
+	return 0
+}
+
+func TestWatcherFindsDocumentsByItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		f.publish(t, 1)
+		w := f.start(t, 1)
+		time.Sleep(time.Second)
+		if revision(w) != 1 || w.OldDocument() {
+			t.Fatalf("state %+v", w.State())
+		}
+		f.publish(t, 2)
+		time.Sleep(46 * time.Second)
+		if revision(w) != 2 {
+			t.Errorf("state %+v", w.State())
+		}
+	})
+}
+
+func TestOfferIsInForceAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		f.publish(t, 1)
+		w := f.start(t, 3)
+		changes, unsubscribe := w.Subscribe()
+		defer unsubscribe()
+		if first := <-changes; first.Version.Revision != 1 {
+			t.Errorf("first is %+v", first.Version)
+		}
+		v := f.publish(t, 2)
+		begun := time.Now()
+		w.Offer("entry-2", v, serve(text(t, 2)))
+		if second := <-changes; second.Version != v || time.Since(begun) > 0 {
+			t.Errorf("second is %+v after %s", second.Version, time.Since(begun))
+		}
+	})
+}
+
+func TestWrongBytesOfAPeerFallBackToTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		v := f.publish(t, 1)
+		w := f.start(t, 3)
+		w.Offer("entry-2", v, serve([]byte("forged")))
+		w.Offer("entry-3", v, func(context.Context) ([]byte, error) { return nil, errors.New("gone") })
+		time.Sleep(time.Second)
+		if revision(w) != 1 {
+			t.Errorf("state %+v", w.State())
+		}
+	})
+}
+
+func TestStartDuringOutageLearnsFromPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		v := f.publish(t, 1)
+		f.setDown(true)
+		w := f.start(t, 3)
+		time.Sleep(10 * time.Second)
+		if !w.OldDocument() {
+			t.Error("a process without a document takes callers")
+		}
+		w.Offer("entry-2", v, serve(text(t, 1)))
+		time.Sleep(time.Second)
+		if revision(w) != 1 || w.OldDocument() {
+			t.Errorf("state %+v", w.State())
+		}
+	})
+}
+
+func TestOldDocumentPastTheBoundAndBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		f.publish(t, 1)
+		w := f.start(t, 8)
+		time.Sleep(time.Second)
+		f.setDown(true)
+		time.Sleep(4 * time.Minute)
+		if w.OldDocument() || w.State().Status != StatusUnproven {
+			t.Errorf("state %+v before the bound", w.State())
+		}
+		time.Sleep(2 * time.Minute)
+		if age, ok := w.ProofAge(); !w.OldDocument() || !ok || age < 5*time.Minute {
+			t.Errorf("state %+v past the bound", w.State())
+		}
+		f.setDown(false)
+		time.Sleep(46 * time.Second)
+		if w.OldDocument() || revision(w) != 1 {
+			t.Errorf("state %+v after the outage", w.State())
+		}
+	})
+}
+
+func TestAgreeingPeersCarryAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		v := f.publish(t, 1)
+		w := f.start(t, 3)
+		time.Sleep(time.Second)
+		f.setDown(true)
+		for range 60 {
+			w.Offer("entry-2", v, nil)
+			time.Sleep(time.Minute)
+		}
+		if w.OldDocument() {
+			t.Errorf("state %+v", w.State())
+		}
+	})
+}
+
+// restorePointer sets the pointer row back, as a restored backup would.
+func (f *fleet) restorePointer(t *testing.T, revision uint64) {
+	t.Helper()
+	old, err := f.table.Get(t.Context(), fmt.Sprintf("hist/%s/%020d", env, revision))
+	if err != nil {
+		t.Fatal(err)
+	}
+	row, err := f.table.Get(t.Context(), "env/"+env)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write := platform.Write{Key: row.Key, IfVersion: row.Version, Value: old.Value}
+	if err := f.table.Commit(t.Context(), write); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestPointerThatFellIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		f.publish(t, 1)
+		v := f.publish(t, 2)
+		w := f.start(t, 1)
+		time.Sleep(time.Second)
+		f.restorePointer(t, 1)
+		time.Sleep(2 * time.Minute)
+		if w.Current().Version != v {
+			t.Errorf("state %+v", w.State())
+		}
+	})
+}
+
+func TestBootstrap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		w := NewWatcher(Config{Environment: env, Poll: time.Second, MaxUnknownAge: time.Minute}, f.store, zerolog.Nop())
+		if err := w.Bootstrap([]byte("name: x")); !errors.As(err, &environment.Faults{}) {
+			t.Errorf("error is %v", err)
+		}
+		if err := w.Bootstrap(text(t, 0)); err != nil || w.Current() == nil {
+			t.Errorf("error is %v", err)
+		}
+	})
+}
