--- a/cmd/rattan-load/main.go
+++ b/cmd/rattan-load/main.go
@@ -4,35 +4,23 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
 	"github.com/rattancove/rattancove/internal/load"
-	"github.com/rattancove/rattancove/internal/version"
+	"github.com/rattancove/rattancove/internal/program"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	if err := command().Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "rattan-load:", err)
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(program.Run(command())) }
 
 func command() *cli.Command {
 	return &cli.Command{
-		Name:                  "rattan-load",
-		Usage:                 "drive a deployment with work and report what callers saw",
-		Version:               version.Version,
-		EnableShellCompletion: true,
-		Commands:              []*cli.Command{runCommand(), reportCommand(), compareCommand()},
+		Name:     "rattan-load",
+		Usage:    "drive a deployment with work and report what callers saw",
+		Commands: []*cli.Command{runCommand(), reportCommand(), compareCommand()},
 	}
 }
 
--- /dev/null
+++ b/internal/home/transaction.go
@@ -0,0 +1,181 @@
+package home
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/order"
+	"github.com/rattancove/rattancove/internal/rank"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// tryTransaction opens a transaction on the primary. It takes a pin first, so
+// that open transactions leave connections for single statements.
+func (o *owner) tryTransaction(ctx context.Context, r *request, attempts *order.Attempts) (statement.Result, error) {
+	n, err := o.pinPrimary(ctx, r)
+	if err != nil {
+		_ = attempts.Fire(order.EventRefuse)
+		return statement.Result{}, err
+	}
+	w, err := o.begin(ctx, r, rank.LanePrimary)
+	if err != nil {
+		n.pins.release()
+		_ = attempts.Fire(order.EventRefuse)
+		return statement.Result{}, err
+	}
+	w.attempts = attempts
+	w.pin = n.pins
+	if w.node != n {
+		w.end(false)
+		_ = attempts.Fire(order.EventRefuse)
+		return w.result, errcode.Wrap(errTermChanged, errcode.NoPrimary, "open transaction", string(n.server.ID))
+	}
+	return o.runFirst(ctx, w)
+}
+
+// pinPrimary waits for a pin at the present primary.
+func (o *owner) pinPrimary(ctx context.Context, r *request) (*node, error) {
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	termCtx, group := o.present()
+	n := o.node(group.Primary)
+	if n == nil {
+		return nil, errcode.Wrap(errTermChanged, errcode.NoPrimary, "open transaction", string(o.name))
+	}
+	defer context.AfterFunc(termCtx, cancel)()
+	if err := n.pins.acquire(ctx, r.rank); err != nil {
+		if termCtx.Err() != nil {
+			err = errTermChanged
+		}
+		refused := errcode.Wrap(err, errcode.Overloaded, "open transactions", string(n.server.ID))
+		refused.RetryAfter = retryPause
+		return nil, refused
+	}
+	return n, nil
+}
+
+// continueTransaction runs the caller's batches until the transaction ends.
+func (o *owner) continueTransaction(ctx context.Context, w *work) (statement.Result, error) {
+	transactionsTotal.Inc()
+	ctx, cancel := context.WithDeadline(ctx, w.request.arrived.Add(o.transactionTime()))
+	defer cancel()
+	defer context.AfterFunc(w.termCtx, cancel)()
+	w.grant.Release()
+	for {
+		batch, err := w.next(ctx)
+		if errors.Is(err, io.EOF) {
+			w.end(true)
+			return w.result, nil
+		}
+		if err != nil {
+			w.end(true)
+			return w.result, err
+		}
+		answer, err := w.statement(ctx, batch)
+		if err != nil {
+			w.end(true)
+			return w.result, err
+		}
+		if answer.Tx == backend.TxIdle {
+			w.end(false)
+			return w.result, nil
+		}
+	}
+}
+
+// next waits for the caller's next batch within the limits of the document.
+func (w *work) next(ctx context.Context) (*statement.Batch, error) {
+	idle, cancel := context.WithTimeout(ctx, w.owner.idleTime())
+	defer cancel()
+	batch, err := w.request.conv.Next(idle)
+	peer := string(w.node.server.ID)
+	switch {
+	case err == nil:
+		return batch, nil
+	case errors.Is(err, io.EOF):
+		return nil, err
+	case w.termCtx.Err() != nil:
+		return nil, errcode.Wrap(err, errcode.ConnectionLost, "transaction", peer)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return nil, errcode.Wrap(err, errcode.LimitExceeded, "transaction time", peer)
+	case idle.Err() != nil && ctx.Err() == nil:
+		return nil, errcode.Wrap(err, errcode.IdleTransaction, "wait for caller", peer)
+	default:
+		return nil, errcode.Wrap(err, errcode.ConnectionLost, "wait for caller", peer)
+	}
+}
+
+// statement runs one batch of an open transaction in a slot of its own.
+func (w *work) statement(ctx context.Context, batch *statement.Batch) (backend.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, w.owner.statementTime())
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	grant, err := w.owner.dispatcher.Acquire(ctx, rank.Request{
+		Rank: w.request.rank, Pinned: w.node.server.ID, Deadline: deadline,
+	})
+	if err != nil && w.termCtx.Err() != nil {
+		return backend.Answer{}, errcode.Wrap(err, errcode.ConnectionLost, "transaction", string(w.node.server.ID))
+	}
+	if err != nil {
+		return backend.Answer{}, err
+	}
+	defer grant.Release()
+	w.grant = grant
+	w.attempts = order.New(false, w.request.deadline)
+	_ = w.attempts.Fire(order.EventSend)
+	x := &backend.Exchange{Batch: batch}
+	if w.onPrimary() && holds(batch.Class) {
+		x.HoldAnswer = true
+		x.Release = w.acknowledge
+		w.request.deadline = deadline
+	}
+	answer, err := w.exchange(ctx, x, 0)
+	if err != nil {
+		return answer, w.settleStatement(batch, err)
+	}
+	return answer, nil
+}
+
+// settleStatement tells whether a failed batch may have ended the transaction
+// with a commit. If not, the server rolls the transaction back.
+func (w *work) settleStatement(batch *statement.Batch, err error) error {
+	e := errcode.From(err)
+	peer := string(w.node.server.ID)
+	if w.attempts.State() == order.StateDone {
+		return err
+	}
+	if !w.conn.Sent() || !holds(batch.Class) || !w.onPrimary() {
+		return errcode.Wrap(err, errcode.ConnectionLost, e.Step, peer)
+	}
+	unknownTotal.Inc()
+	return errcode.Wrap(err, errcode.Unknown, e.Step, peer)
+}
+
+func (o *owner) transactionTime() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return orDefault(o.limits.TransactionTime, defaultTransactionTime)
+}
+
+func (o *owner) idleTime() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return orDefault(o.limits.IdleInTransaction, defaultIdleTime)
+}
+
+func (o *owner) statementTime() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return orDefault(o.limits.StatementTime, defaultTimeout)
+}
+
+func orDefault(d, fallback time.Duration) time.Duration {
+	if d > 0 {
+		return d
+	}
+	return fallback
+}
