--- /dev/null
+++ b/internal/failover/executor.go
@@ -0,0 +1,244 @@
+package failover
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+const (
+	// CallTimeout bounds one fresh connection and the call on it.
+	CallTimeout = 400 * time.Millisecond
+	// sealGrace is the extra time for the other servers once a majority is sealed.
+	sealGrace = 50 * time.Millisecond
+)
+
+var tracer = otel.Tracer("rattancove/failover")
+
+// Observers asks other processes for evidence.
+type Observers interface {
+	// Ask returns at once; each report is passed to deliver when it arrives.
+	Ask(ctx context.Context, spec GroupSpec, deliver func(ObserverReport))
+}
+
+// Executor carries out actions for one group. Every call uses a connection of
+// its own, which is closed after the call. Run is called by one goroutine.
+type Executor struct {
+	dialer    backend.Dialer
+	board     *Board
+	store     *Store
+	observers Observers
+	log       zerolog.Logger
+	calls     sync.WaitGroup
+}
+
+// NewExecutor returns an Executor that writes what it learns to board.
+func NewExecutor(dialer backend.Dialer, board *Board, store *Store, observers Observers, log zerolog.Logger) *Executor {
+	return &Executor{dialer: dialer, board: board, store: store, observers: observers, log: log}
+}
+
+// Wait waits for calls that Run left behind. They end within CallTimeout.
+func (e *Executor) Wait() { e.calls.Wait() }
+
+// Run carries out actions. Failures show in the Board only.
+func (e *Executor) Run(ctx context.Context, spec GroupSpec, actions []Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case AskObservers:
+			e.observers.Ask(ctx, spec, e.board.Report)
+		case Confirm:
+			e.confirm(ctx, spec, a)
+		case Seal:
+			e.seal(ctx, spec, a)
+		case Promote:
+			e.promote(ctx, spec, a)
+		case Follow:
+			e.follow(ctx, spec, a)
+		case Report:
+			e.report(a)
+		}
+	}
+	e.awaitFollows(actions)
+}
+
+// confirm tries fresh connections to all servers and announces the intent
+// meanwhile.
+func (e *Executor) confirm(ctx context.Context, spec GroupSpec, c Confirm) {
+	ctx, span := e.span(ctx, "confirm", spec, c.Attempt.Term)
+	defer span.End()
+	attemptsTotal.Inc()
+	eventAttemptBegan.Log(&e.log).
+		Str("group", string(spec.Name)).
+		Uint64("term", uint64(c.Attempt.Term)).
+		Str("cause", string(c.Attempt.Cause)).
+		Str("primary", string(c.Attempt.Replaced)).
+		Send()
+	var wg sync.WaitGroup
+	for _, server := range spec.Servers {
+		wg.Go(func() { e.Probe(ctx, spec.Name, server) })
+	}
+	intent := Intent{Term: c.Attempt.Term, Holder: c.Attempt.Holder, At: time.Now()}
+	e.board.SetIntent(e.store.Announce(ctx, spec.Name, intent))
+	wg.Wait()
+}
+
+// Probe asks a server for its status on a fresh connection.
+func (e *Executor) Probe(ctx context.Context, group cluster.GroupName, server cluster.Server) {
+	e.call(ctx, group, server, func(ctx context.Context, c backend.Control) (cluster.ServerStatus, error) {
+		return c.Status(ctx)
+	})
+}
+
+// seal seals the servers and returns when a majority holds the seal and the
+// others had a little more time, or when all calls have ended.
+func (e *Executor) seal(ctx context.Context, spec GroupSpec, s Seal) {
+	if !time.Now().Before(s.NotAfter) {
+		return
+	}
+	ctx, span := e.span(ctx, "seal", spec, s.Attempt.Term)
+	defer span.End()
+	ended := make(chan struct{}, len(s.Servers))
+	for _, id := range s.Servers {
+		server, _ := spec.server(id)
+		e.calls.Go(func() {
+			e.sealOne(ctx, spec, server, s)
+			ended <- struct{}{}
+		})
+	}
+	var grace <-chan time.Time
+	for range s.Servers {
+		select {
+		case <-ended:
+		case <-grace:
+			return
+		}
+		sealed := len(e.board.Status().sealedBy(spec, s.Attempt))
+		if grace == nil && sealed >= spec.majority() {
+			grace = time.After(sealGrace)
+		}
+	}
+}
+
+func (e *Executor) sealOne(ctx context.Context, spec GroupSpec, server cluster.Server, s Seal) {
+	ctx, cancel := context.WithDeadline(ctx, s.NotAfter)
+	defer cancel()
+	e.call(ctx, spec.Name, server, func(ctx context.Context, c backend.Control) (cluster.ServerStatus, error) {
+		return c.Seal(ctx, s.Attempt.Term, s.Attempt.Holder)
+	})
+}
+
+func (e *Executor) promote(ctx context.Context, spec GroupSpec, p Promote) {
+	ctx, span := e.span(ctx, "promote", spec, p.Attempt.Term)
+	defer span.End()
+	server, _ := spec.server(p.Attempt.Chosen)
+	e.call(ctx, spec.Name, server, func(ctx context.Context, c backend.Control) (cluster.ServerStatus, error) {
+		return c.Promote(ctx, p.Attempt.Term, p.Attempt.Holder)
+	})
+}
+
+func (e *Executor) follow(ctx context.Context, spec GroupSpec, f Follow) {
+	server, _ := spec.server(f.Server)
+	leader, _ := spec.server(f.Leader)
+	e.calls.Go(func() {
+		ctx, span := e.span(ctx, "follow", spec, f.Term)
+		defer span.End()
+		e.call(ctx, spec.Name, server, func(ctx context.Context, c backend.Control) (cluster.ServerStatus, error) {
+			return c.Follow(ctx, f.Term, leader)
+		})
+	})
+}
+
+// awaitFollows waits for the follow calls, which run side by side.
+func (e *Executor) awaitFollows(actions []Action) {
+	for _, action := range actions {
+		if _, ok := action.(Follow); ok {
+			e.calls.Wait()
+			return
+		}
+	}
+}
+
+func (e *Executor) report(r Report) {
+	record := r.Record
+	e.store.Keep(record)
+	kind := eventCompleted
+	if record.MayBeLost != "" {
+		kind = eventMayBeLost
+	}
+	if record.Holder != "" {
+		completedTotal.Inc()
+		gapSeconds.Update(record.CompletedAt.Sub(record.TroubleAt).Seconds())
+	}
+	kind.Log(&e.log).
+		Str("group", string(record.Group)).
+		Uint64("term", uint64(record.Term)).
+		Str("cause", string(record.Cause)).
+		Str("old_primary", string(record.OldPrimary)).
+		Str("new_primary", string(record.NewPrimary)).
+		Dur("since_trouble", record.CompletedAt.Sub(record.TroubleAt)).
+		Str("may_be_lost", record.MayBeLost).
+		Send()
+}
+
+// call runs f on a fresh connection and records the outcome. When f fails, the
+// step may have taken effect, so that the server is asked for its status.
+func (e *Executor) call(
+	ctx context.Context, group cluster.GroupName, server cluster.Server,
+	f func(context.Context, backend.Control) (cluster.ServerStatus, error),
+) {
+	if e.tryCall(ctx, group, server, f) || ctx.Err() != nil {
+		return
+	}
+	e.tryCall(ctx, group, server, func(ctx context.Context, c backend.Control) (cluster.ServerStatus, error) {
+		return c.Status(ctx)
+	})
+}
+
+func (e *Executor) tryCall(
+	ctx context.Context, group cluster.GroupName, server cluster.Server,
+	f func(context.Context, backend.Control) (cluster.ServerStatus, error),
+) bool {
+	probesTotal.Inc()
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	began := time.Now()
+	control, err := e.dialer.DialControl(ctx, server, group)
+	if err != nil {
+		e.failed(ctx, server.ID, began)
+		return true // there is nothing to ask
+	}
+	defer func() { _ = control.Close() }()
+	status, err := f(ctx, control)
+	if err != nil {
+		if ctx.Err() != nil {
+			e.failed(ctx, server.ID, began)
+			return true
+		}
+		return false
+	}
+	e.board.Answered(server.ID, status, began)
+	return true
+}
+
+// failed records a failure unless the caller itself gave up early.
+func (e *Executor) failed(ctx context.Context, id cluster.ServerID, began time.Time) {
+	if context.Cause(ctx) == context.Canceled { //nolint:errorlint // the cause is set by this package
+		return
+	}
+	e.board.Failed(id, began, CallTimeout)
+}
+
+func (e *Executor) span(ctx context.Context, step string, spec GroupSpec, term cluster.Term) (context.Context, trace.Span) {
+	return tracer.Start(ctx, "failover "+step, trace.WithAttributes(
+		attribute.String("group", string(spec.Name)),
+		attribute.Int64("term", int64(term)),
+	))
+}
--- /dev/null
+++ b/internal/failover/store.go
@@ -0,0 +1,248 @@
+package failover
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/platform"
+)
+
+const (
+	// storePrefix precedes the keys of the failover rows.
+	storePrefix = "failover/"
+	// intentTimeout bounds the write of an intent; after it the failover goes
+	// on without the table service.
+	intentTimeout = 300 * time.Millisecond
+	// intentFor is the time for which another warden's intent is respected.
+	intentFor = 3 * time.Second
+	// recordsKept is the number of records that a row keeps.
+	recordsKept = 20
+	// recordTimeout bounds one write of a record.
+	recordTimeout = 2 * time.Second
+	// recordRetry is the time between two tries to write waiting records.
+	recordRetry = 10 * time.Second
+	// recordsWaiting bounds the records that wait for the table service; the
+	// oldest are dropped.
+	recordsWaiting = 1000
+)
+
+// IntentOutcome is the answer of the table service to an intent.
+type IntentOutcome string
+
+// Outcomes of an intent.
+const (
+	IntentNone    IntentOutcome = ""
+	IntentGranted IntentOutcome = "granted"
+	// IntentConflict means that another warden has a recent intent.
+	IntentConflict IntentOutcome = "conflict"
+	// IntentUnreachable means that the table service did not answer in time.
+	IntentUnreachable IntentOutcome = "unreachable"
+)
+
+// IntentResult is the last intent that was asked for.
+type IntentResult struct {
+	Outcome IntentOutcome
+	// Holder is the holder that asked.
+	Holder string
+	// Term is the highest term that the row has named.
+	Term cluster.Term
+}
+
+// Intent announces an attempt to the other wardens.
+type Intent struct {
+	Term   cluster.Term `json:"term"`
+	Holder string       `json:"holder"`
+	// At is the holder's wall clock, for operators.
+	At time.Time `json:"at"`
+	// Done is set when the attempt is over.
+	Done bool `json:"done"`
+}
+
+// row is the value of a group's failover row.
+type row struct {
+	Intent  Intent   `json:"intent"`
+	Records []Record `json:"records"`
+}
+
+// Store keeps intents and records in the table service. Its methods are safe
+// for concurrent use.
+type Store struct {
+	table platform.Table
+
+	mu      sync.Mutex
+	seen    map[cluster.GroupName]seenIntent
+	waiting []Record
+}
+
+// seenIntent is another holder's intent and the time at which this process
+// first saw it, since clocks of different VMs do not compare.
+type seenIntent struct {
+	holder string
+	at     time.Time
+}
+
+// NewStore returns a Store on table.
+func NewStore(table platform.Table) *Store {
+	return &Store{table: table, seen: map[cluster.GroupName]seenIntent{}}
+}
+
+// Key returns the key of a group's failover row.
+func Key(group cluster.GroupName) string { return storePrefix + string(group) }
+
+// Announce writes an intent unless another warden has a recent one.
+func (s *Store) Announce(ctx context.Context, group cluster.GroupName, intent Intent) IntentResult {
+	ctx, cancel := context.WithTimeout(ctx, intentTimeout)
+	defer cancel()
+	result := IntentResult{Holder: intent.Holder}
+	value, version, err := s.read(ctx, group)
+	if err != nil {
+		result.Outcome = IntentUnreachable
+		return result
+	}
+	result.Term = value.Intent.Term
+	if s.respects(group, value.Intent, intent.Holder) {
+		result.Outcome = IntentConflict
+		return result
+	}
+	value.Intent = intent
+	err = s.write(ctx, group, version, value)
+	switch {
+	case err == nil:
+		result.Outcome = IntentGranted
+	case errors.Is(err, platform.ErrConflict):
+		result.Outcome = IntentConflict
+	default:
+		result.Outcome = IntentUnreachable
+	}
+	return result
+}
+
+// respects reports whether the intent in the row keeps holder from acting.
+func (s *Store) respects(group cluster.GroupName, current Intent, holder string) bool {
+	if current.Holder == "" || current.Done || current.Holder == holder {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen := s.seen[group]
+	if seen.holder != current.Holder {
+		seen = seenIntent{holder: current.Holder, at: time.Now()}
+		s.seen[group] = seen
+	}
+	return time.Since(seen.at) < intentFor
+}
+
+// Keep queues a record. Run writes it.
+func (s *Store) Keep(r Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting = append(s.waiting, r)
+	if extra := len(s.waiting) - recordsWaiting; extra > 0 {
+		s.waiting = s.waiting[extra:]
+		recordsDropped.Add(extra)
+	}
+}
+
+// Flush writes the waiting records and returns the first error. Records that
+// were not written stay queued.
+func (s *Store) Flush(ctx context.Context) error {
+	for {
+		s.mu.Lock()
+		if len(s.waiting) == 0 {
+			s.mu.Unlock()
+			return nil
+		}
+		r := s.waiting[0]
+		s.mu.Unlock()
+		if err := s.append(ctx, r); err != nil {
+			return err
+		}
+		s.mu.Lock()
+		if len(s.waiting) > 0 && s.waiting[0] == r {
+			s.waiting = s.waiting[1:]
+		}
+		s.mu.Unlock()
+	}
+}
+
+// append adds a record to its group's row and ends the record's intent. It is
+// idempotent, because the answer to an earlier try may have been lost.
+func (s *Store) append(ctx context.Context, r Record) error {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	value, version, err := s.read(ctx, r.Group)
+	if err != nil {
+		return err
+	}
+	for _, kept := range value.Records {
+		if kept.same(r) {
+			return nil
+		}
+	}
+	value.Records = append(value.Records, r)
+	if extra := len(value.Records) - recordsKept; extra > 0 {
+		value.Records = value.Records[extra:]
+	}
+	if value.Intent.Holder == r.Holder {
+		value.Intent.Done = true
+	}
+	return s.write(ctx, r.Group, version, value)
+}
+
+// same reports whether two records tell of the same event.
+func (r Record) same(o Record) bool {
+	return r.Term == o.Term && r.Holder == o.Holder && r.OldPrimary == o.OldPrimary && r.Position == o.Position
+}
+
+// Records returns the records of a group, oldest first.
+func (s *Store) Records(ctx context.Context, group cluster.GroupName) ([]Record, error) {
+	value, _, err := s.read(ctx, group)
+	return value.Records, err
+}
+
+func (s *Store) read(ctx context.Context, group cluster.GroupName) (row, uint64, error) {
+	var value row
+	r, err := s.table.Get(ctx, Key(group))
+	if errors.Is(err, platform.ErrNotFound) {
+		return value, 0, nil
+	}
+	if err != nil {
+		return value, 0, errcode.Wrap(err, errcode.Unknown, "read failover row", Key(group))
+	}
+	if err := json.Unmarshal(r.Value, &value); err != nil {
+		return row{}, r.Version, nil // an unreadable row is replaced
+	}
+	return value, r.Version, nil
+}
+
+func (s *Store) write(ctx context.Context, group cluster.GroupName, version uint64, value row) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return errcode.Wrap(err, errcode.Internal, "encode failover row", Key(group))
+	}
+	storeWrites.Inc()
+	err = s.table.Commit(ctx, platform.Write{Key: Key(group), IfVersion: version, Value: data})
+	if err != nil {
+		return errcode.Wrap(err, errcode.Unknown, "write failover row", Key(group))
+	}
+	return nil
+}
+
+// Run writes waiting records until ctx ends.
+func (s *Store) Run(ctx context.Context) error {
+	ticker := time.NewTicker(recordRetry)
+	defer ticker.Stop()
+	for {
+		_ = s.Flush(ctx) // what was not written stays queued
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/failover/switchover.go
@@ -0,0 +1,52 @@
+package failover
+
+import (
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+// heir returns the replica that should take over from a leaving primary: the
+// most advanced one that follows it and is not leaving. It is empty when there
+// is none.
+func heir(spec GroupSpec, status GroupStatus, primary cluster.ServerID) cluster.ServerID {
+	var best cluster.ServerStatus
+	for _, id := range status.reachable(spec) {
+		if id == primary || spec.Leaving[id] || !status.following(id, primary) {
+			continue
+		}
+		candidate := status.Servers[id].Status
+		if best.Server == "" || compareCandidates(spec, candidate, best) < 0 {
+			best = candidate
+		}
+	}
+	return best.Server
+}
+
+// decideSwitchover waits for the heir to catch up and then starts an attempt.
+func decideSwitchover(spec GroupSpec, status GroupStatus, s State, now time.Time) (State, []Action) {
+	cause, since := diagnose(spec, status, s, now)
+	if cause != CauseNone {
+		s = s.fire(eventTrouble, now)
+		s.Cause, s.Trouble = cause, since
+		return s, nil
+	}
+	primary, _, _ := status.primary(spec)
+	next := heir(spec, status, primary)
+	if !spec.Leaving[primary] || next == "" {
+		return s.fire(eventRecovered, now), nil
+	}
+	if now.Sub(s.Since) < spec.patience() {
+		return s, nil
+	}
+	if !caughtUp(status, primary, next) && now.Sub(s.Since) < spec.patience()+catchUpFor {
+		return s, nil
+	}
+	return s.begin(spec, status, now, false).fire(eventCaughtUp, now), nil
+}
+
+func caughtUp(status GroupStatus, primary, next cluster.ServerID) bool {
+	p := status.Servers[primary].Status.Received
+	r := status.Servers[next].Status.Received
+	return r.Term == p.Term && r.Offset+catchUpRecords >= p.Offset
+}
--- /dev/null
+++ b/internal/warden/observers.go
@@ -0,0 +1,84 @@
+package warden
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/failover"
+	"github.com/rattancove/rattancove/internal/member"
+)
+
+const (
+	// observersAsked is the number of proxies that are asked for evidence.
+	observersAsked = 4
+	// askTimeout bounds one question; the observer's own connection is bounded
+	// by failover.CallTimeout.
+	askTimeout = failover.CallTimeout + 200*time.Millisecond
+)
+
+// observers asks proxies on other VMs, since proxies are who must reach the
+// primary. It prefers proxies in different failure domains.
+type observers struct {
+	self    member.Member
+	members Members
+	prober  Prober
+}
+
+// Ask implements failover.Observers.
+func (o *observers) Ask(ctx context.Context, spec failover.GroupSpec, deliver func(failover.ObserverReport)) {
+	var others []member.Member
+	for _, m := range o.members.Snapshot().Alive(member.RoleProxy) {
+		if m.ID != o.self.ID {
+			others = append(others, m)
+		}
+	}
+	for _, m := range member.SpreadDomains(others, observersAsked) {
+		go o.askOne(ctx, m, spec, deliver)
+	}
+}
+
+// askOne lets one proxy try all servers. A proxy that does not answer for any
+// of them delivers nothing.
+func (o *observers) askOne(ctx context.Context, m member.Member, spec failover.GroupSpec, deliver func(failover.ObserverReport)) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	report := failover.ObserverReport{Observer: m.Key().String(), At: time.Now()}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, server := range spec.Servers {
+		wg.Go(func() {
+			result, err := o.prober.Probe(ctx, m, spec.Name, server)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			report.Probes = append(report.Probes, result)
+		})
+	}
+	wg.Wait()
+	if len(report.Probes) == len(spec.Servers) {
+		deliver(report)
+	}
+}
+
+// ProbeServer tries a fresh connection to a server on behalf of a warden.
+func ProbeServer(ctx context.Context, d backend.Dialer, group cluster.GroupName, server cluster.Server) failover.ProbeResult {
+	ctx, cancel := context.WithTimeout(ctx, failover.CallTimeout)
+	defer cancel()
+	result := failover.ProbeResult{Server: server.ID}
+	control, err := d.DialControl(ctx, server, group)
+	if err != nil {
+		return result
+	}
+	defer func() { _ = control.Close() }()
+	status, err := control.Status(ctx)
+	if err != nil {
+		return result
+	}
+	result.Reachable, result.Role, result.Term = true, status.Role, status.Term
+	return result
+}
--- /dev/null
+++ b/internal/warden/warden.go
@@ -0,0 +1,127 @@
+package warden
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/failover"
+	"github.com/rattancove/rattancove/internal/member"
+)
+
+const (
+	// wardensPerGroup is the number of wardens that watch a group.
+	wardensPerGroup = 3
+	// assignInterval is the time between two looks at the document, the
+	// members and the leaving VMs.
+	assignInterval = 500 * time.Millisecond
+)
+
+// Members is the view of the other processes.
+type Members interface {
+	Snapshot() *member.Snapshot
+	Leaving(address string) bool
+}
+
+// Prober asks another process to try a fresh connection to a server.
+type Prober interface {
+	Probe(ctx context.Context, m member.Member, group cluster.GroupName, server cluster.Server) (failover.ProbeResult, error)
+}
+
+// Config holds what a Warden needs.
+type Config struct {
+	// Self is this warden as it stands in the view of members.
+	Self    member.Member
+	Dialer  backend.Dialer
+	Store   *failover.Store
+	Members Members
+	Prober  Prober
+	// Document returns the document in force, or nil while there is none.
+	Document func() *environment.Document
+	// Seed makes this warden's choices differ from those of others.
+	Seed uint64
+	Log  zerolog.Logger
+}
+
+// Warden watches groups. Run may be called once.
+type Warden struct {
+	cfg    Config
+	groups map[cluster.GroupName]*groupRun
+}
+
+// groupRun is a running loop.
+type groupRun struct {
+	loop *groupLoop
+	stop context.CancelFunc
+}
+
+// New returns a Warden.
+func New(cfg Config) *Warden {
+	return &Warden{cfg: cfg, groups: map[cluster.GroupName]*groupRun{}}
+}
+
+// Run watches groups until ctx ends. It returns nil.
+func (w *Warden) Run(ctx context.Context) error {
+	var loops sync.WaitGroup
+	defer loops.Wait()
+	loops.Go(func() { _ = w.cfg.Store.Run(ctx) })
+	ticker := time.NewTicker(assignInterval)
+	defer ticker.Stop()
+	for {
+		w.assign(ctx, &loops)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// assign starts, updates and stops loops so that they match the document and
+// the view of members.
+func (w *Warden) assign(ctx context.Context, loops *sync.WaitGroup) {
+	wanted := w.specs()
+	for name, run := range w.groups {
+		if _, ok := wanted[name]; !ok {
+			run.stop()
+			delete(w.groups, name)
+		}
+	}
+	for name, spec := range wanted {
+		if run, ok := w.groups[name]; ok && run.loop.update(spec) {
+			continue
+		} else if ok {
+			run.stop()
+		}
+		loopCtx, stop := context.WithCancel(ctx)
+		loop := newGroupLoop(w.cfg, spec)
+		w.groups[name] = &groupRun{loop: loop, stop: stop}
+		loops.Go(func() { loop.run(loopCtx) })
+	}
+	groupsWatched.Set(uint64(len(wanted)))
+}
+
+// specs returns the groups that this warden watches.
+func (w *Warden) specs() map[cluster.GroupName]failover.GroupSpec {
+	specs := map[cluster.GroupName]failover.GroupSpec{}
+	doc := w.cfg.Document()
+	if doc == nil {
+		return specs
+	}
+	snapshot := w.cfg.Members.Snapshot()
+	for _, g := range doc.Groups {
+		wardens := snapshot.WardensOf(g.Name, wardensPerGroup)
+		order := slices.IndexFunc(wardens, func(m member.Member) bool { return m.ID == w.cfg.Self.ID })
+		if order < 0 {
+			continue
+		}
+		specs[g.Name] = failover.SpecOf(g, w.cfg.Self.ID, order, w.cfg.Members.Leaving)
+	}
+	return specs
+}
--- /dev/null
+++ b/internal/warden/watch.go
@@ -0,0 +1,124 @@
+package warden
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/failover"
+)
+
+const (
+	// statusInterval is the time between two status calls.
+	statusInterval = 500 * time.Millisecond
+	// failingInterval is the time between two fresh connections to a server
+	// that does not answer.
+	failingInterval = 250 * time.Millisecond
+	// freshInterval is the time between two fresh connections to a primary
+	// that answers.
+	freshInterval = time.Second
+)
+
+// watch asks one server for its status. It owns the control connection.
+type watch struct {
+	dialer  backend.Dialer
+	board   *failover.Board
+	group   cluster.GroupName
+	server  cluster.Server
+	control backend.Control
+	primary bool
+	// freshAt is the time of the last fresh connection.
+	freshAt time.Time
+	rand    *rand.Rand
+}
+
+func newWatch(l *groupLoop, server cluster.Server) *watch {
+	spec := l.spec.Load()
+	return &watch{
+		dialer: l.cfg.Dialer, board: l.board, group: spec.Name, server: server,
+		rand: rand.New(rand.NewPCG(l.cfg.Seed, seedOf(*spec)+uint64(len(server.ID)))),
+	}
+}
+
+// run watches until ctx ends.
+func (w *watch) run(ctx context.Context) {
+	defer func() { w.replace(nil) }()
+	for ctx.Err() == nil {
+		interval := statusInterval
+		if !w.look(ctx) {
+			interval = failingInterval
+		}
+		w.pause(ctx, interval)
+	}
+}
+
+// look asks once and reports whether the server answered. A connection that
+// fails is given up in favour of a fresh one, whose failure counts.
+func (w *watch) look(ctx context.Context) bool {
+	if w.control != nil && !w.freshDue() {
+		began := time.Now()
+		if status, err := w.status(ctx, w.control); err == nil {
+			w.answered(status, began)
+			return true
+		}
+		pathsReplaced.Inc()
+		w.replace(nil)
+	}
+	return w.fresh(ctx)
+}
+
+// freshDue reports whether a primary must prove that it takes new connections.
+func (w *watch) freshDue() bool { return w.primary && time.Since(w.freshAt) >= freshInterval }
+
+// fresh replaces the connection by a new one and asks on it.
+func (w *watch) fresh(ctx context.Context) bool {
+	began := time.Now()
+	w.freshAt = began
+	callCtx, cancel := context.WithTimeout(ctx, failover.CallTimeout)
+	defer cancel()
+	control, err := w.dialer.DialControl(callCtx, w.server, w.group)
+	if err == nil {
+		var status cluster.ServerStatus
+		if status, err = control.Status(callCtx); err == nil {
+			w.replace(control)
+			w.answered(status, began)
+			return true
+		}
+		_ = control.Close()
+	}
+	if ctx.Err() == nil {
+		w.board.Failed(w.server.ID, began, failover.CallTimeout)
+	}
+	return false
+}
+
+func (w *watch) status(ctx context.Context, c backend.Control) (cluster.ServerStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, failover.CallTimeout)
+	defer cancel()
+	return c.Status(ctx)
+}
+
+func (w *watch) answered(status cluster.ServerStatus, began time.Time) {
+	w.primary = status.Role == cluster.RolePrimary
+	w.board.Answered(w.server.ID, status, began)
+}
+
+// replace closes the connection and keeps another, which may be nil.
+func (w *watch) replace(control backend.Control) {
+	if w.control != nil {
+		_ = w.control.Close()
+	}
+	w.control = control
+}
+
+// pause waits for d plus or minus a fifth.
+func (w *watch) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d + time.Duration((w.rand.Float64()-0.5)*0.4*float64(d)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
