--- /dev/null
+++ b/internal/warden/fleet_test.go
@@ -0,0 +1,331 @@
+package warden
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/backend/backendtest"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/failover"
+	"github.com/rattancove/rattancove/internal/member"
+	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+const testGroup = cluster.GroupName("g")
+
+// fleet is one group with servers s1 to s3 and entry VMs e1 to e8, each with a
+// warden and a proxy that answers probes.
+type fleet struct {
+	t       *testing.T
+	group   *backendtest.Group
+	servers []cluster.Server
+	doc     *environment.Document
+	table   *memoryTable
+	view    *staticMembers
+	ctx     context.Context
+	stop    context.CancelFunc
+	wardens sync.WaitGroup
+	cancels map[string]context.CancelFunc
+	// wrap, when set, changes the dialer of a warden.
+	wrap func(id string, d backend.Dialer) backend.Dialer
+	seed uint64
+}
+
+func entryVMs() []string {
+	var ids []string
+	for i := range 8 {
+		ids = append(ids, fmt.Sprintf("e%d", i+1))
+	}
+	return ids
+}
+
+func newFleet(t *testing.T, seed uint64) *fleet {
+	f := &fleet{t: t, seed: seed, table: &memoryTable{rows: map[string]platform.Row{}}, cancels: map[string]context.CancelFunc{}}
+	g := environment.Group{Name: testGroup}
+	for i := range 3 {
+		s := environment.Server{
+			ID: cluster.ServerID(fmt.Sprintf("s%d", i+1)), Address: fmt.Sprintf("10.0.0.%d:5432", i+1),
+			FailureDomain: fmt.Sprintf("d%d", i+1), Slots: 2, Connections: 16,
+		}
+		g.Servers = append(g.Servers, s)
+		f.servers = append(f.servers, s.Cluster())
+	}
+	f.doc = &environment.Document{Groups: []environment.Group{g}}
+	f.view = &staticMembers{leaving: map[string]bool{}}
+	for i, id := range entryVMs() {
+		for _, role := range []member.Role{member.RoleProxy, member.RoleWarden} {
+			m := member.Member{ID: id, Role: role, FailureDomain: fmt.Sprintf("d%d", i%3+1)}
+			f.view.entries = append(f.view.entries, member.Entry{Member: m, State: member.StateAlive, Stable: true})
+		}
+	}
+	f.group = backendtest.New(backendtest.Config{
+		Name: testGroup, Servers: f.servers, ShipDelay: time.Millisecond, ReplayLag: 20 * time.Millisecond,
+		ConnectDelay: 12 * time.Millisecond, NetDelay: 500 * time.Microsecond,
+	})
+	f.ctx, f.stop = context.WithCancel(t.Context())
+	return f
+}
+
+// start runs the wardens of all entry VMs.
+func (f *fleet) start() {
+	for i, id := range entryVMs() {
+		ctx, cancel := context.WithCancel(f.ctx)
+		f.cancels[id] = cancel
+		w := New(f.config(id, f.seed*100+uint64(i)))
+		f.wardens.Go(func() { _ = w.Run(ctx) })
+	}
+}
+
+func (f *fleet) config(id string, seed uint64) Config {
+	var dialer backend.Dialer = f.group.Dialer(id)
+	if f.wrap != nil {
+		dialer = f.wrap(id, dialer)
+	}
+	return Config{
+		Self: member.Member{ID: id, Role: member.RoleWarden}, Dialer: dialer, Store: failover.NewStore(f.table),
+		Members: f.view, Prober: f, Document: func() *environment.Document { return f.doc },
+		Seed: seed, Log: testLog(),
+	}
+}
+
+func testLog() zerolog.Logger {
+	if os.Getenv("RATTAN_TEST_LOG") == "" {
+		return zerolog.Nop()
+	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	return zerolog.New(os.Stderr).With().Timestamp().Logger()
+}
+
+// Probe implements Prober: the asked proxy tries its own connection.
+func (f *fleet) Probe(ctx context.Context, m member.Member, group cluster.GroupName, server cluster.Server) (failover.ProbeResult, error) {
+	return ProbeServer(ctx, f.group.Dialer(m.ID), group, server), nil
+}
+
+// close stops everything, so that the bubble can end.
+func (f *fleet) close() {
+	f.stop()
+	f.group.Close()
+	f.wardens.Wait()
+	time.Sleep(time.Second) // requests on their way end
+}
+
+// orderedWardens returns the wardens of the group in the order in which they act.
+func (f *fleet) orderedWardens() []string {
+	var ids []string
+	for _, m := range f.view.Snapshot().WardensOf(testGroup, wardensPerGroup) {
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
+
+// writable returns the primary that a majority follows, other than the
+// excluded servers.
+func (f *fleet) writable(excluded ...cluster.ServerID) (cluster.ServerID, bool) {
+	for _, s := range f.servers {
+		p := f.group.Status(s.ID)
+		if p.Role != cluster.RolePrimary || contains(excluded, s.ID) {
+			continue
+		}
+		count := 0
+		for _, other := range f.servers {
+			o := f.group.Status(other.ID)
+			if !contains(excluded, other.ID) && o.Term == p.Term && (o.Leader == s.ID) {
+				count++
+			}
+		}
+		if count >= cluster.Majority(len(f.servers)) {
+			return s.ID, true
+		}
+	}
+	return "", false
+}
+
+// gap waits for a writable primary and returns the time it took.
+func (f *fleet) gap(limit time.Duration, excluded ...cluster.ServerID) time.Duration {
+	f.t.Helper()
+	began := time.Now()
+	for time.Since(began) < limit {
+		if _, ok := f.writable(excluded...); ok {
+			return time.Since(began)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.t.Fatalf("seed %d: no writable primary within %v: %s", f.seed, limit, f.describe())
+	return limit
+}
+
+// converged fails the test unless all servers follow one primary.
+func (f *fleet) converged(limit time.Duration) {
+	f.t.Helper()
+	began := time.Now()
+	for time.Since(began) < limit {
+		if f.allFollow() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.t.Fatalf("seed %d: not converged within %v: %s", f.seed, limit, f.describe())
+}
+
+func (f *fleet) allFollow() bool {
+	primary, ok := f.writable()
+	if !ok {
+		return false
+	}
+	p := f.group.Status(primary)
+	for _, s := range f.servers {
+		st := f.group.Status(s.ID)
+		if st.Term != p.Term || st.Leader != primary || st.Received != p.Received {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) describe() string {
+	var b strings.Builder
+	for _, s := range f.servers {
+		fmt.Fprintf(&b, "%+v; ", f.group.Status(s.ID))
+	}
+	return b.String()
+}
+
+func contains(ids []cluster.ServerID, id cluster.ServerID) bool {
+	for _, other := range ids {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
+
+// seeds returns the number of seeds of a seeded test.
+func seeds(t *testing.T, fallback int) int {
+	t.Helper()
+	if n, err := strconv.Atoi(os.Getenv("RATTAN_SEEDS")); err == nil {
+		return max(n, fallback)
+	}
+	return fallback
+}
+
+// staticMembers is a view that only tests change.
+type staticMembers struct {
+	mu      sync.Mutex
+	entries []member.Entry
+	leaving map[string]bool
+}
+
+func (s *staticMembers) Snapshot() *member.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return member.NewSnapshot(append([]member.Entry(nil), s.entries...))
+}
+
+func (s *staticMembers) Leaving(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving[address]
+}
+
+func (s *staticMembers) setLeaving(address string, leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving[address] = leaving
+}
+
+var errStoreDown = errors.New("table service unavailable")
+
+// memoryTable is a table service that can be down, or lose its answers.
+type memoryTable struct {
+	mu          sync.Mutex
+	rows        map[string]platform.Row
+	down        bool
+	loseAnswers bool
+}
+
+func (m *memoryTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := m.reach(ctx); err != nil {
+		return platform.Row{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	row, ok := m.rows[key]
+	if !ok {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (m *memoryTable) List(context.Context, string) ([]platform.Row, error) { return nil, nil }
+
+func (m *memoryTable) Commit(ctx context.Context, writes ...platform.Write) error {
+	if err := m.reach(ctx); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, w := range writes {
+		if m.rows[w.Key].Version != w.IfVersion {
+			return platform.ErrConflict
+		}
+	}
+	for _, w := range writes {
+		m.rows[w.Key] = platform.Row{Key: w.Key, Version: w.IfVersion + 1, Value: w.Value}
+	}
+	if m.loseAnswers {
+		return errStoreDown
+	}
+	return nil
+}
+
+// reach hangs until the caller gives up while the service is down.
+func (m *memoryTable) reach(ctx context.Context) error {
+	time.Sleep(2 * time.Millisecond)
+	m.mu.Lock()
+	down := m.down
+	m.mu.Unlock()
+	if down {
+		<-ctx.Done()
+		return errStoreDown
+	}
+	return ctx.Err()
+}
+
+func (m *memoryTable) setDown(down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down = down
+}
+
+type discard struct{}
+
+func (discard) Next(context.Context) (*statement.Batch, error) { return nil, errors.New("no more") }
+func (discard) Answer(context.Context, []byte) error           { return nil }
+
+// write commits one row on s1 through a client that is never cut off.
+func (f *fleet) write() {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(f.ctx, time.Second)
+	defer cancel()
+	conn, err := f.group.Dialer("client").Dial(ctx, f.servers[0], testGroup, backend.Claim{Epoch: 1, Home: "p"})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	x := &backend.Exchange{Batch: &statement.Batch{Messages: []byte("put k v")}}
+	if _, err := conn.Exchange(ctx, x, discard{}); err != nil {
+		f.t.Fatal(err)
+	}
+}
