Keep the stand-in's state over a restart and add its faults

A fault test on real binaries kills a server and starts it again; a server that forgot its seal or its log would break the majority that failover relies on.

Extended-protocol statements outside a transaction now end at Sync, as a real server does; a driver's batch counts on it.

--- a/cmd/rattan-standin/platform.go
+++ b/cmd/rattan-standin/platform.go
@@ -34,6 +34,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "table", Value: "127.0.0.1:7500", Usage: "address of the table service"},
 			&cli.StringFlag{Name: "objects", Value: "127.0.0.1:7501", Usage: "address of the object store"},
+			&cli.StringFlag{Name: "bucket", Value: "rattancove", Usage: "bucket that exists at the start"},
 			&cli.StringFlag{Name: "vms", Value: "127.0.0.1:7502", Usage: "address of the list of VMs"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -44,7 +45,9 @@
 					Log: zerolog.New(os.Stderr).With().Timestamp().Logger(),
 				}, c.String("table"))
 			})
-			g.Go(func() error { return runHTTP(ctx, "objects", c.String("objects"), platform.NewObjects().Handler()) })
+			g.Go(func() error {
+				return runHTTP(ctx, "objects", c.String("objects"), platform.NewObjects(c.String("bucket")).Handler())
+			})
 			g.Go(func() error { return runHTTP(ctx, "vms", c.String("vms"), platform.NewVMs().Handler()) })
 			return g.Wait()
 		},
--- a/internal/pgwire/back/config.go
+++ b/internal/pgwire/back/config.go
@@ -48,8 +48,9 @@
 	ConnectTimeout time.Duration
 	ControlTimeout time.Duration
 	CancelGrace    time.Duration
-	// TLS is used when it is set; a server that refuses it is an error.
-	TLS         *tls.Config
+	// TLS returns the client configuration for a server's host name. When it is
+	// set, a server that does not offer TLS is an error.
+	TLS         func(serverName string) *tls.Config
 	Credentials Credentials
 	MaxPrepared int
 	// Dial reaches a server; nil means TCP.
--- a/internal/pgwire/back/dialer.go
+++ b/internal/pgwire/back/dialer.go
@@ -146,11 +146,11 @@
 	if answer[0] != 'S' {
 		return nil, eris.New("the server does not offer TLS")
 	}
-	cfg := d.cfg.TLS.Clone()
-	if cfg.ServerName == "" {
-		cfg.ServerName, _, _ = net.SplitHostPort(s.Address)
+	host, _, err := net.SplitHostPort(s.Address)
+	if err != nil {
+		return nil, eris.Wrap(err, "server address")
 	}
-	return tls.Client(conn, cfg), nil
+	return tls.Client(conn, d.cfg.TLS(host)), nil
 }
 
 // awaitReady serves the server's startup messages.
--- a/internal/standin/dbserver/control.go
+++ b/internal/standin/dbserver/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/pgwire/back"
@@ -19,6 +18,7 @@
 		return s.statusLocked(), refused("epoch %d of %s is claimed", st.Epoch, st.Home)
 	}
 	s.status.Epoch, s.status.Home = epoch, home
+	s.saveState()
 	var ended []*session
 	for _, c := range s.sessions {
 		if !c.control && c.epoch < epoch {
@@ -48,6 +48,7 @@
 		s.status.Term, s.status.SealHolder = term, holder
 		s.status.Role, s.status.Leader = cluster.RoleSealed, ""
 		s.stopFollowing()
+		s.saveState()
 		s.notify()
 	}
 	s.mu.Unlock()
@@ -102,7 +103,8 @@
 func (s *Server) beginTerm() {
 	s.status.Role = cluster.RolePrimary
 	s.status.Leader = s.cfg.ID
-	s.log = append(s.log, record{Term: s.status.Term, received: time.Now()})
+	s.saveState()
+	s.appendRecord(record{Term: s.status.Term})
 	s.replayed = len(s.log)
 	s.faults.catchUp = false
 	s.notify()
@@ -128,6 +130,7 @@
 	if s.stopFollow == nil || s.leader.Address != leader.Address || term > st.Term {
 		s.startFollowing(term, leader)
 	}
+	s.saveState()
 	s.notify()
 	s.mu.Unlock()
 	s.abortWrites()
--- a/internal/standin/dbserver/engine.go
+++ b/internal/standin/dbserver/engine.go
@@ -61,6 +61,13 @@
 }
 
 func newEngine(dir string) (*engine, error) {
+	old, err := filepath.Glob(filepath.Join(dir, "rows-*"))
+	if err != nil {
+		return nil, eris.Wrap(err, "look for old databases")
+	}
+	for _, path := range old {
+		_ = os.Remove(path)
+	}
 	e := &engine{dir: dir, lock: make(chan struct{}, 1)}
 	return e, e.reset()
 }
--- a/internal/standin/dbserver/execute.go
+++ b/internal/standin/dbserver/execute.go
@@ -67,6 +67,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.tx.open {
+		c.tx.implicit = false
 		return
 	}
 	c.tx = txState{open: true, readOnly: strings.Contains(strings.ToUpper(p.text), "READ ONLY")}
--- a/internal/standin/dbserver/extended.go
+++ b/internal/standin/dbserver/extended.go
@@ -69,7 +69,7 @@
 	}
 	st := &preparedStatement{parsed: p, params: make([]uint32, p.params)}
 	copy(st.params, m.ParameterOIDs)
-	c.inferBytea(st)
+	c.inferTypes(st)
 	c.prepared[m.Name] = st
 	c.backend.Send(&pgproto3.ParseComplete{})
 	return nil
@@ -178,6 +178,7 @@
 	}
 	parsed := st.parsed
 	if p.result == nil {
+		c.beginImplicit(&parsed)
 		r, err := c.execute(&parsed, p.args)
 		if err != nil {
 			return err
@@ -188,6 +189,16 @@
 	return nil
 }
 
+// beginImplicit opens a transaction up to the next Sync for a write outside
+// any transaction.
+func (c *session) beginImplicit(p *parsed) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p.kind == kindWrite && !c.tx.open {
+		c.tx = txState{open: true, implicit: true}
+	}
+}
+
 // sendPortal sends the next rows, at most limit when it is not zero.
 func (c *session) sendPortal(p *portal, parsed *parsed, limit int) {
 	oids := p.statement.oids
--- a/internal/standin/dbserver/faults.go
+++ b/internal/standin/dbserver/faults.go
@@ -15,6 +15,8 @@
 	catchUp bool
 	// hang makes every connection accept but never answer.
 	hang bool
+	// down makes the server end and refuse every connection but control ones.
+	down bool
 	// loseAnswers is the number of commits whose answers are still to be lost.
 	loseAnswers int
 	// slow is added to the time of every statement.
@@ -30,17 +32,28 @@
 // SetHang makes connections accept but never answer until it is switched off.
 func (s *Server) SetHang(on bool) { s.setFault(func(f *faults) { f.hang = on }) }
 
+// SetDown ends the open data connections and refuses new ones until it is
+// switched off.
+func (s *Server) SetDown(on bool) {
+	s.setFault(func(f *faults) { f.down = on })
+	if on {
+		s.cancelSessions(errDown)
+	}
+}
+
 // LoseAnswers closes the connection instead of answering after each of the
 // next n commits.
 func (s *Server) LoseAnswers(n int) { s.setFault(func(f *faults) { f.loseAnswers = n }) }
 
 // Silence makes the data connections that are open now go silent for good.
-func (s *Server) Silence() {
+func (s *Server) Silence() { s.cancelSessions(errSilenced) }
+
+func (s *Server) cancelSessions(cause error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.sessions {
-		if !c.replication && c.silent.CompareAndSwap(false, true) {
-			c.cancel(errSilenced)
+		if !c.control {
+			c.cancel(cause)
 		}
 	}
 }
@@ -76,6 +89,8 @@
 		s.Silence()
 	case "hang":
 		s.SetHang(text == "on")
+	case "down":
+		s.SetDown(text == "on")
 	case "crash":
 		go s.Close()
 	case "lose_answers":
--- a/internal/standin/dbserver/follow.go
+++ b/internal/standin/dbserver/follow.go
@@ -167,8 +167,7 @@
 		}
 	}
 	for _, r := range answer.Records {
-		r.received = time.Now()
-		s.log = append(s.log, r)
+		s.appendRecord(r)
 	}
 	if len(answer.Records) > 0 {
 		s.notify()
--- a/internal/standin/dbserver/infer.go
+++ b/internal/standin/dbserver/infer.go
@@ -12,9 +12,10 @@
 	assignedPattern = regexp.MustCompile(`(?is)"?(\w+)"?\s*(?:=|<>|!=)\s*\?(\d+)`)
 )
 
-// inferBytea marks the parameters that stand for binary columns, so that
-// clients send them as such. The other parameters stay of unknown type.
-func (c *session) inferBytea(st *preparedStatement) {
+// inferTypes gives the parameters that stand for binary and boolean columns
+// their types, because their text forms differ from what the engine stores.
+// The other parameters stay of unknown type.
+func (c *session) inferTypes(st *preparedStatement) {
 	if len(st.params) == 0 {
 		return
 	}
@@ -22,14 +23,14 @@
 	if table == nil {
 		return
 	}
-	binary := c.binaryColumns(table[1])
-	if len(binary) == 0 {
+	typed := c.typedColumns(table[1])
+	if len(typed) == 0 {
 		return
 	}
 	mark := func(name, number string) {
 		n, err := strconv.Atoi(number)
-		if err == nil && n >= 1 && n <= len(st.params) && st.params[n-1] == 0 && binary[strings.ToLower(name)] {
-			st.params[n-1] = oidBytea
+		if err == nil && n >= 1 && n <= len(st.params) && st.params[n-1] == 0 {
+			st.params[n-1] = typed[strings.ToLower(name)]
 		}
 	}
 	for _, m := range assignedPattern.FindAllStringSubmatch(st.parsed.text, -1) {
@@ -43,18 +44,19 @@
 	}
 }
 
-// binaryColumns returns the binary columns of a table by lower-case name.
-func (c *session) binaryColumns(table string) map[string]bool {
+// typedColumns returns the types of the binary and boolean columns of a table
+// by lower-case name.
+func (c *session) typedColumns(table string) map[string]uint32 {
 	r, err := c.probe(command{SQL: "SELECT name, type FROM pragma_table_info(?1)", Args: []value{textValue(table)}})
 	if err != nil {
 		return nil
 	}
-	out := map[string]bool{}
+	out := map[string]uint32{}
 	for _, row := range r.rows {
 		name, _ := row[0].(string)
 		decl, _ := row[1].(string)
-		if oidOf(decl, nil) == oidBytea {
-			out[strings.ToLower(name)] = true
+		if oid := oidOf(decl, nil); oid == oidBytea || oid == oidBool {
+			out[strings.ToLower(name)] = oid
 		}
 	}
 	return out
--- /dev/null
+++ b/internal/standin/dbserver/journal.go
@@ -0,0 +1,123 @@
+package dbserver
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+const journalFile = "journal.jsonl"
+
+// entry is one line of the journal. One field is set.
+type entry struct {
+	State    *savedState `json:"state,omitempty"`
+	Record   *record     `json:"record,omitempty"`
+	Truncate *int        `json:"truncate,omitempty"`
+}
+
+// savedState is what a server keeps besides its log.
+type savedState struct {
+	Status cluster.ServerStatus `json:"status"`
+	Leader cluster.Server       `json:"leader"`
+}
+
+// journal keeps the log and the state of a server over a restart of its
+// process. A nil journal keeps nothing. The server's mu guards it.
+type journal struct {
+	file *os.File
+}
+
+// openJournal returns the entries of an earlier run and the journal for new ones.
+func openJournal(dir string) ([]entry, *journal, error) {
+	path := filepath.Join(dir, journalFile)
+	entries, err := readJournal(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	return entries, &journal{file: file}, eris.Wrap(err, "open journal")
+}
+
+// readJournal reads up to the end or to a line that was cut off by a crash.
+func readJournal(path string) ([]entry, error) {
+	file, err := os.Open(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, eris.Wrap(err, "read journal")
+	}
+	defer func() { _ = file.Close() }()
+	var entries []entry
+	decoder := json.NewDecoder(bufio.NewReader(file))
+	for {
+		var e entry
+		err := decoder.Decode(&e)
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			return entries, nil
+		}
+		if err != nil {
+			return nil, eris.Wrap(err, "read journal")
+		}
+		entries = append(entries, e)
+	}
+}
+
+func (j *journal) write(e entry) {
+	if j == nil {
+		return
+	}
+	line, _ := json.Marshal(e)
+	_, _ = j.file.Write(append(line, '\n'))
+}
+
+func (j *journal) close() {
+	if j != nil {
+		_ = j.file.Close()
+	}
+}
+
+// saveState writes the state to the journal. The caller holds mu.
+func (s *Server) saveState() {
+	s.journal.write(entry{State: &savedState{Status: s.status, Leader: s.leader}})
+}
+
+// restore takes up the state and the log of an earlier run. It reports whether
+// there was one.
+func (s *Server) restore(entries []entry) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := false
+	for _, e := range entries {
+		switch {
+		case e.State != nil:
+			s.status, s.leader = e.State.Status, e.State.Leader
+			found = true
+		case e.Record != nil:
+			s.log = append(s.log, *e.Record)
+		case e.Truncate != nil:
+			s.log = s.log[:*e.Truncate]
+		}
+	}
+	if !found {
+		return false, nil
+	}
+	for _, r := range s.log {
+		if err := s.engine.apply(r.Commands); err != nil {
+			return true, err
+		}
+	}
+	s.replayed = len(s.log)
+	if s.status.Role == cluster.RoleReplica {
+		s.startFollowing(s.status.Term, s.leader)
+	}
+	return true, nil
+}
--- a/internal/standin/dbserver/log.go
+++ b/internal/standin/dbserver/log.go
@@ -22,11 +22,18 @@
 }
 
 func (s *Server) appendCommittedLocked(commands []command) {
-	s.log = append(s.log, record{Term: s.status.Term, Commands: commands, received: time.Now()})
+	s.appendRecord(record{Term: s.status.Term, Commands: commands})
 	s.replayed = len(s.log)
 	s.notify()
 }
 
+// appendRecord adds r to the log. The caller holds mu.
+func (s *Server) appendRecord(r record) {
+	r.received = time.Now()
+	s.log = append(s.log, r)
+	s.journal.write(entry{Record: &r})
+}
+
 // commit makes t of session c permanent unless the server may not write any more.
 func (s *Server) commit(ctx context.Context, c *session, t *transaction) error {
 	if len(t.commands) == 0 {
@@ -97,6 +104,7 @@
 func (s *Server) truncate(offset int) error {
 	rebuild := s.replayed > offset
 	s.log = s.log[:offset]
+	s.journal.write(entry{Truncate: &offset})
 	if !rebuild {
 		return nil
 	}
--- a/internal/standin/dbserver/server.go
+++ b/internal/standin/dbserver/server.go
@@ -25,6 +25,8 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 	ownDir string
+	// journal is nil when nothing outlives the process.
+	journal *journal
 
 	mu       sync.Mutex
 	closed   bool
@@ -58,13 +60,27 @@
 		return nil, err
 	}
 	s.engine = engine
-	return s, s.start()
+	if err := s.start(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	s.wg.Go(s.replay)
+	return s, nil
 }
 
-// start takes the role that the settings give.
+// start takes the role of an earlier run, or else the one that the settings give.
 func (s *Server) start() error {
 	s.status = cluster.ServerStatus{Server: s.cfg.ID, Role: cluster.RoleSealed, Term: 1}
-	s.wg.Go(s.replay)
+	if s.ownDir == "" {
+		entries, journal, err := openJournal(s.cfg.Dir)
+		if err != nil {
+			return err
+		}
+		s.journal = journal
+		if found, err := s.restore(entries); found || err != nil {
+			return err
+		}
+	}
 	if !s.cfg.Primary {
 		if s.cfg.Leader.Address != "" {
 			_, err := s.follow(1, s.cfg.Leader)
@@ -138,6 +154,7 @@
 	s.mu.Unlock()
 	s.wg.Wait()
 	s.engine.close()
+	s.journal.close()
 	if s.ownDir != "" {
 		_ = os.RemoveAll(s.ownDir)
 	}
--- /dev/null
+++ b/internal/standin/dbserver/server_test.go
@@ -0,0 +1,222 @@
+package dbserver
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"go.uber.org/goleak"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func start(t *testing.T, cfg Config) *Server {
+	t.Helper()
+	s, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+func connect(t *testing.T, s *Server) *pgx.Conn {
+	t.Helper()
+	cfg, err := pgx.ParseConfig("host=server user=u database=d sslmode=disable")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.LookupFunc = func(context.Context, string) ([]string, error) { return []string{"127.0.0.1"}, nil }
+	cfg.DialFunc = func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		s.ServeConn(far)
+		return near, nil
+	}
+	c, err := pgx.ConnectConfig(t.Context(), cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close(context.Background()) })
+	return c
+}
+
+func exec(t *testing.T, c *pgx.Conn, text string, args ...any) string {
+	t.Helper()
+	tag, err := c.Exec(t.Context(), text, args...)
+	if err != nil {
+		t.Fatalf("%s: %v", text, err)
+	}
+	return tag.String()
+}
+
+func state(err error) string {
+	var e *pgconn.PgError
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return ""
+}
+
+func TestDriverWorksUnchanged(t *testing.T) {
+	c := connect(t, start(t, Config{Primary: true}))
+	ctx := t.Context()
+	exec(t, c, "CREATE TABLE IF NOT EXISTS rows(key TEXT PRIMARY KEY, version BIGINT NOT NULL, value BYTEA, ok BOOLEAN)")
+	for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeCacheStatement, pgx.QueryExecModeExec, pgx.QueryExecModeDescribeExec} {
+		key, value := mode.String(), []byte{0, 1, 0xff}
+		tag := exec(t, c, "INSERT INTO rows(key, version, value, ok) VALUES ($1, $2, $3, $4)", mode, key, int64(7), value, true)
+		if tag != "INSERT 0 1" {
+			t.Errorf("%v: tag %s", mode, tag)
+		}
+		var version int64
+		var got []byte
+		var ok bool
+		err := c.QueryRow(ctx, "SELECT version, value, ok FROM rows WHERE key = $1 AND version = $2", mode, key, int64(7)).Scan(&version, &got, &ok)
+		if err != nil || version != 7 || !ok || !cmp.Equal(got, value) {
+			t.Errorf("%v: %d %v %v %v", mode, version, got, ok, err)
+		}
+		tag = exec(t, c, "INSERT INTO rows(key, version) VALUES ($1, 1) ON CONFLICT (key) DO NOTHING", mode, key)
+		if tag != "INSERT 0 0" {
+			t.Errorf("%v: tag %s", mode, tag)
+		}
+	}
+}
+
+func TestBatchIsOneTransaction(t *testing.T) {
+	c := connect(t, start(t, Config{Primary: true, Schema: "CREATE TABLE n(i INTEGER PRIMARY KEY)"}))
+	batch := &pgx.Batch{}
+	batch.Queue("INSERT INTO n VALUES ($1)", 1)
+	batch.Queue("INSERT INTO n VALUES ($1)", 2)
+	batch.Queue("INSERT INTO n VALUES ($1)", 1)
+	if err := c.SendBatch(t.Context(), batch).Close(); state(err) != "23505" {
+		t.Fatalf("got %v", err)
+	}
+	var n int64
+	if err := c.QueryRow(t.Context(), "SELECT count(*) FROM n").Scan(&n); err != nil || n != 0 {
+		t.Errorf("%d rows, %v", n, err)
+	}
+}
+
+func TestSavepoints(t *testing.T) {
+	c := connect(t, start(t, Config{Primary: true, Schema: "CREATE TABLE n(i INTEGER PRIMARY KEY)"}))
+	err := pgx.BeginFunc(t.Context(), c, func(tx pgx.Tx) error {
+		if _, err := tx.Exec(t.Context(), "INSERT INTO n VALUES (1)"); err != nil {
+			return err
+		}
+		err := pgx.BeginFunc(t.Context(), tx, func(inner pgx.Tx) error {
+			_, err := inner.Exec(t.Context(), "INSERT INTO n VALUES (1)")
+			return err
+		})
+		if state(err) != "23505" {
+			t.Errorf("inner: %v", err)
+		}
+		_, err = tx.Exec(t.Context(), "INSERT INTO n VALUES (2)")
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if tag := exec(t, c, "DELETE FROM n"); tag != "DELETE 2" {
+		t.Error(tag)
+	}
+}
+
+func TestTransactionsAreIsolated(t *testing.T) {
+	s := start(t, Config{Primary: true, Schema: "CREATE TABLE n(i INTEGER PRIMARY KEY, v INTEGER); INSERT INTO n VALUES (1, 0), (2, 0)"})
+	a, b, reader := connect(t, s), connect(t, s), connect(t, s)
+	exec(t, a, "BEGIN")
+	exec(t, b, "BEGIN")
+	exec(t, a, "UPDATE n SET v = v + 1 WHERE i = 1")
+	exec(t, b, "UPDATE n SET v = v + 1 WHERE i = 2")
+	var seen int64
+	if err := reader.QueryRow(t.Context(), "SELECT sum(v) FROM n").Scan(&seen); err != nil || seen != 0 {
+		t.Errorf("a reader saw %d uncommitted, %v", seen, err)
+	}
+	exec(t, a, "COMMIT")
+	exec(t, b, "COMMIT")
+	if err := reader.QueryRow(t.Context(), "SELECT sum(v) FROM n").Scan(&seen); err != nil || seen != 2 {
+		t.Errorf("a reader saw %d, %v", seen, err)
+	}
+}
+
+func TestConflictingTransactionFails(t *testing.T) {
+	s := start(t, Config{Primary: true, Schema: "CREATE TABLE n(i INTEGER PRIMARY KEY, v INTEGER); INSERT INTO n VALUES (1, 0)"})
+	a, b := connect(t, s), connect(t, s)
+	exec(t, a, "BEGIN")
+	exec(t, a, "UPDATE n SET v = 5 RETURNING v")
+	exec(t, a, "INSERT INTO n VALUES (2, 0)")
+	exec(t, b, "INSERT INTO n VALUES (2, 1)")
+	if _, err := a.Exec(t.Context(), "COMMIT"); state(err) != "40001" {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestSlotsAreServedInOrder(t *testing.T) {
+	s := start(t, Config{Primary: true, Slots: 1, Connections: 3})
+	began := time.Now()
+	done := make(chan struct{})
+	for range 3 {
+		c := connect(t, s)
+		go func() {
+			defer func() { done <- struct{}{} }()
+			_, _ = c.Exec(context.Background(), "SELECT rattan_work($1)", pgx.QueryExecModeExec, 20)
+		}()
+	}
+	for range 3 {
+		<-done
+	}
+	if took := time.Since(began); took < 60*time.Millisecond {
+		t.Errorf("three statements of 20 ms on one slot took %v", took)
+	}
+}
+
+func TestStateOutlivesTheProcess(t *testing.T) {
+	cfg := Config{ID: "a", Primary: true, Dir: t.TempDir(), Schema: "CREATE TABLE n(i INTEGER PRIMARY KEY)"}
+	s, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	exec(t, connect(t, s), "INSERT INTO n VALUES (1)")
+	if _, err := s.claim(7, "p1"); err != nil {
+		t.Fatal(err)
+	}
+	before := s.Status()
+	s.Close()
+	s = start(t, cfg)
+	if diff := cmp.Diff(before, s.Status()); diff != "" {
+		t.Error(diff)
+	}
+	if _, err := s.seal(2, "w"); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	s = start(t, cfg)
+	if st := s.Status(); st.Role != cluster.RoleSealed || st.Term != 2 || st.SealHolder != "w" {
+		t.Errorf("the seal was forgotten: %+v", st)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	s := start(t, Config{Primary: true})
+	old := connect(t, s)
+	s.Silence()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := old.Exec(ctx, "SELECT 1"); err == nil {
+		t.Error("a silent connection answered")
+	}
+	fresh := connect(t, s)
+	exec(t, fresh, "SELECT 1")
+	s.SetDown(true)
+	if _, err := fresh.Exec(t.Context(), "SELECT 1"); err == nil {
+		t.Error("a server that is down answered")
+	}
+	s.SetDown(false)
+	exec(t, connect(t, s), "SELECT 1")
+}
--- a/internal/standin/dbserver/session.go
+++ b/internal/standin/dbserver/session.go
@@ -5,8 +5,8 @@
 	"errors"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -17,6 +17,7 @@
 
 var (
 	errSilenced   = errors.New("connection silenced")
+	errDown       = errors.New("server down")
 	errAnswerLost = errors.New("answer lost")
 	errTerminate  = errors.New("client left")
 	errCancelled  = newError("57014", "canceling statement due to user request")
@@ -33,7 +34,6 @@
 	control     bool
 	replication bool
 	epoch       cluster.Epoch
-	silent      atomic.Bool
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -52,7 +52,9 @@
 
 // txState is the state of the session's transaction.
 type txState struct {
-	open     bool
+	open bool
+	// implicit is set for a transaction that the next Sync ends.
+	implicit bool
 	failed   bool
 	readOnly bool
 	// write is the open write transaction; nil before the first write.
@@ -120,7 +122,11 @@
 	if !sleep(c.ctx, s.cfg.ConnectDelay) {
 		return false
 	}
+	readOptions(params)
 	c.control = params[back.ParamControl] == "1"
+	if s.faultsNow().down && !c.control {
+		return false
+	}
 	c.replication = params[paramReplication] == "1"
 	epoch, _ := strconv.ParseUint(params[back.ParamEpoch], 10, 64)
 	c.epoch = cluster.Epoch(epoch)
@@ -156,6 +162,16 @@
 	return true
 }
 
+// readOptions adds the settings of the form "-c name=value" in the options
+// parameter, which is how psql passes them.
+func readOptions(params map[string]string) {
+	for _, option := range strings.Split(params["options"], "-c") {
+		if name, v, ok := strings.Cut(strings.TrimSpace(option), "="); ok {
+			params[name] = v
+		}
+	}
+}
+
 // loop serves messages until the connection ends.
 func (c *session) loop() error {
 	for {
@@ -242,8 +258,14 @@
 	return nil
 }
 
+// sync ends what Parse, Bind and Execute have begun.
 func (c *session) sync() error {
 	c.skip = false
+	if err := c.endImplicit(); err != nil {
+		if err := c.fail(err, false); err != nil {
+			return err
+		}
+	}
 	c.ready()
 	return c.backend.Flush()
 }
@@ -261,6 +283,22 @@
 	c.backend.Send(&pgproto3.ReadyForQuery{TxStatus: status})
 }
 
+// endImplicit commits an implicit transaction, or rolls it back after an error.
+func (c *session) endImplicit() error {
+	c.mu.Lock()
+	tx := c.tx
+	c.mu.Unlock()
+	switch {
+	case !tx.implicit:
+		return nil
+	case tx.failed:
+		c.rollback()
+		return nil
+	default:
+		return c.commit(c.ctx, &parsed{})
+	}
+}
+
 func (c *session) simpleQuery(text string) error {
 	statements := parse(text)
 	if len(statements) == 0 {
--- a/internal/standin/dbserver/value.go
+++ b/internal/standin/dbserver/value.go
@@ -69,11 +69,16 @@
 		return decodeBinary(data, oid)
 	case oid == oidBytea:
 		return decodeHex(string(data))
+	case oid == oidBool:
+		return intValue(boolNumber[strings.ToLower(string(data))]), nil
 	default:
 		return decodeText(string(data)), nil
 	}
 }
 
+// boolNumber maps the text forms of true to the stored value; others are false.
+var boolNumber = map[string]int64{"t": 1, "true": 1, "1": 1, "y": 1, "yes": 1, "on": 1}
+
 // decodeText binds canonical integers as numbers, because comparisons with
 // expressions have no column type to convert text by.
 func decodeText(s string) value {
--- a/internal/standin/platform/objects.go
+++ b/internal/standin/platform/objects.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"crypto/md5"
 	"encoding/hex"
 	"encoding/xml"
@@ -34,9 +35,13 @@
 	written time.Time
 }
 
-// NewObjects returns an empty store.
-func NewObjects() *Objects {
-	return &Objects{buckets: map[string]bool{}, objects: map[string]object{}}
+// NewObjects returns a store with the given empty buckets.
+func NewObjects(buckets ...string) *Objects {
+	o := &Objects{buckets: map[string]bool{}, objects: map[string]object{}}
+	for _, b := range buckets {
+		o.buckets[b] = true
+	}
+	return o
 }
 
 // Handler returns the HTTP service.
@@ -107,12 +112,8 @@
 		return
 	}
 	w.Header().Set("ETag", stored.etag)
-	w.Header().Set("Last-Modified", stored.written.UTC().Format(http.TimeFormat))
 	w.Header().Set("Content-Type", "application/octet-stream")
-	w.Header().Set("Content-Length", strconv.Itoa(len(stored.data)))
-	if r.Method == http.MethodGet {
-		_, _ = w.Write(stored.data)
-	}
+	http.ServeContent(w, r, "", stored.written, bytes.NewReader(stored.data))
 }
 
 func writeError(w http.ResponseWriter, status int, code string) {
--- /dev/null
+++ b/internal/standin/platform/platform_test.go
@@ -0,0 +1,139 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/platform/httpvms"
+	"github.com/rattancove/rattancove/internal/platform/pgtable"
+	"github.com/rattancove/rattancove/internal/platform/s3objects"
+	"github.com/rattancove/rattancove/internal/settings"
+	"github.com/rattancove/rattancove/internal/standin/dbserver"
+)
+
+func openTable(t *testing.T) (*dbserver.Server, platform.Table) {
+	t.Helper()
+	s, err := dbserver.New(dbserver.Config{ID: "table", Primary: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(l) }()
+	table, err := pgtable.Open(settings.Table{Address: l.Addr().String(), User: "u", Database: "d"}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(table.Close)
+	return s, table
+}
+
+func TestTable(t *testing.T) {
+	s, table := openTable(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	value := []byte{0, '\\', 'x', 0xff}
+	if err := table.Commit(ctx, platform.Write{Key: "a/1", Value: value}, platform.Write{Key: "a/2", Value: []byte("two")}); err != nil {
+		t.Fatal(err)
+	}
+	err := table.Commit(ctx, platform.Write{Key: "a/1", IfVersion: 1, Value: []byte("x")}, platform.Write{Key: "a/2", IfVersion: 9})
+	if !errors.Is(err, platform.ErrConflict) {
+		t.Errorf("stale write: %v", err)
+	}
+	if err := table.Commit(ctx, platform.Write{Key: "a/2", IfVersion: 1, Value: []byte("second")}); err != nil {
+		t.Fatal(err)
+	}
+	rows, err := table.List(ctx, "a/")
+	want := []platform.Row{{Key: "a/1", Version: 1, Value: value}, {Key: "a/2", Version: 2, Value: []byte("second")}}
+	if diff := cmp.Diff(want, rows); diff != "" || err != nil {
+		t.Errorf("%v %s", err, diff)
+	}
+	s.LoseAnswers(1)
+	if err := table.Commit(ctx, platform.Write{Key: "b", Value: []byte("kept")}); err == nil {
+		t.Error("the answer was not lost")
+	}
+	if row, err := table.Get(ctx, "b"); err != nil || string(row.Value) != "kept" {
+		t.Errorf("the write behind the lost answer: %v %v", row, err)
+	}
+	if _, err := table.Get(ctx, "absent"); !errors.Is(err, platform.ErrNotFound) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestObjects(t *testing.T) {
+	server := httptest.NewServer(NewObjects("rattancove").Handler())
+	defer server.Close()
+	objects, err := s3objects.Open(settings.Objects{
+		Endpoint: strings.TrimPrefix(server.URL, "http://"), Bucket: "rattancove", AccessKey: "key", SecretKey: "secret",
+	}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := objects.Put(t.Context(), "documents/1", []byte("text")); err != nil {
+		t.Fatal(err)
+	}
+	data, err := objects.Get(t.Context(), "documents/1")
+	if err != nil || string(data) != "text" {
+		t.Errorf("%q %v", data, err)
+	}
+	if _, err := objects.Get(t.Context(), "documents/2"); !errors.Is(err, platform.ErrNotFound) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestSignedChunks(t *testing.T) {
+	body := "5;chunk-signature=00\r\nhello\r\n6;chunk-signature=00\r\n world\r\n0;chunk-signature=00\r\n\r\n"
+	r := httptest.NewRequest(http.MethodPut, "/b/k", strings.NewReader(body))
+	r.Header.Set("X-Amz-Content-Sha256", "STREAMING-AWS4-HMAC-SHA256-PAYLOAD")
+	if data, err := readBody(r); err != nil || string(data) != "hello world" {
+		t.Errorf("%q %v", data, err)
+	}
+}
+
+func TestVMsAndFaults(t *testing.T) {
+	server := httptest.NewServer(NewVMs(platform.VM{Address: "10.0.0.1"}).Handler())
+	defer server.Close()
+	list := httpvms.Open(server.URL, nil)
+	put := func(path, query, body string) error {
+		r, err := http.NewRequest(http.MethodPut, server.URL+path+"?"+query, strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.DefaultClient.Do(r)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		return err
+	}
+	fault := func(name, value string) {
+		if err := put(FaultPath, url.Values{name: {value}}.Encode(), ""); err != nil {
+			t.Fatal(err)
+		}
+	}
+	fault("down", "true")
+	if _, err := list.VMs(t.Context()); err == nil {
+		t.Error("answered while down")
+	}
+	fault("down", "false")
+	fault("lose", "1")
+	if err := put("/", "", `[{"address":"10.0.0.2","leaving":true}]`); err == nil {
+		t.Error("the answer was not lost")
+	}
+	got, err := list.VMs(t.Context())
+	if diff := cmp.Diff([]platform.VM{{Address: "10.0.0.2", Leaving: true}}, got); diff != "" || err != nil {
+		t.Errorf("%v %s", err, diff)
+	}
+}
