--- a/internal/home/observe.go
+++ b/internal/home/observe.go
@@ -56,7 +56,7 @@
 
 // checkClaim finds out that another home has claimed the group.
 func (o *owner) checkClaim(s cluster.ServerStatus) {
-	if o.phase != phaseServing || o.shared() {
+	if !o.phase.In(phaseServing) || o.shared() {
 		return
 	}
 	if s.Epoch > o.claim.epoch {
@@ -66,7 +66,7 @@
 
 // sample records a proven position of the primary.
 func (o *owner) sample() {
-	if o.phase != phaseServing {
+	if !o.phase.In(phaseServing) {
 		return
 	}
 	at, ok := o.view.sampleTime(o.claim)
@@ -132,7 +132,7 @@
 func (o *owner) claimFor(id cluster.ServerID) (backend.Claim, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.claim.epoch == 0 || o.phase == phaseSuperseded {
+	if o.claim.epoch == 0 || o.phase.In(phaseSuperseded) {
 		return backend.Claim{}, false
 	}
 	if o.view.reports[id].status.Epoch >= o.claim.epoch {
@@ -165,7 +165,7 @@
 		ok, err := check()
 		if err == nil && !ok {
 			err = o.stopped()
-			if o.phase == phaseDraining && o.ctx.Err() == nil {
+			if o.phase.In(phaseDraining) && o.ctx.Err() == nil {
 				err = nil
 			}
 		}
@@ -203,7 +203,7 @@
 		o.commits = o.commits.With(route.Sample{At: time.Now(), Position: primary.status.Received})
 		o.highWater = primary.status.Received
 		o.fallback = primary.status.Received
-		o.phase = phaseServing
+		_, _, _ = o.phase.Fire(transitionEstablish)
 		o.signal()
 		o.rebuild()
 		return true, nil
--- a/internal/home/owner.go
+++ b/internal/home/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"embed"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/rank"
 	"github.com/rattancove/rattancove/internal/route"
+	"github.com/rattancove/rattancove/internal/statechart"
 )
 
 const (
@@ -31,22 +33,24 @@
 	commitSpacing  = time.Millisecond
 )
 
-// phase is the state of an owner.
-type phase uint8
+//go:embed group_home.yaml
+var chartFile embed.FS
 
+var chart = statechart.MustLoad(chartFile, "group_home.yaml")
+
+// Phases of an owner, and the events between them.
 const (
 	// phaseClaiming lasts until a majority accepted the claim and the log
 	// position of the proven primary is known.
-	phaseClaiming phase = iota
-	phaseServing
-	phaseSuperseded
-	phaseDraining
+	phaseClaiming       = "claiming"
+	phaseServing        = "serving"
+	phaseSuperseded     = "superseded"
+	phaseDraining       = "draining"
+	transitionEstablish = "establish"
+	transitionSupersede = "supersede"
+	transitionDrain     = "drain"
 )
 
-func (p phase) String() string {
-	return [...]string{"claiming", "serving", "superseded", "draining"}[p]
-}
-
 // owner is this proxy's hold on one group. It owns the connections to the
 // group's servers.
 type owner struct {
@@ -76,7 +80,7 @@
 	view   *view
 	// changed is closed and replaced whenever the view or the phase changes.
 	changed chan struct{}
-	phase   phase
+	phase   *statechart.Machine
 	claim   claim
 	holder  cluster.ProxyID
 	// history holds proven positions of the primary, commits those of answered commits.
@@ -98,7 +102,7 @@
 		home: h, name: g.Name, budget: rank.NewBudget(), ctx: ctx, cancel: cancel,
 		spec: g, ranks: h.ranks, limits: h.limits,
 		nodes: make(map[cluster.ServerID]*node), view: newView(len(g.Servers)),
-		changed: make(chan struct{}), sessions: newSessions(sessionLimit),
+		phase: chart.NewMachine(), changed: make(chan struct{}), sessions: newSessions(sessionLimit),
 		history: route.NewHistory(historyLimit, historySpacing),
 		commits: route.NewHistory(commitLimit, commitSpacing),
 	}
@@ -188,17 +192,14 @@
 }
 
 func (o *owner) superseded() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.phase == phaseSuperseded
+	return o.phase.In(phaseSuperseded)
 }
 
 // supersede stops an owner whose group another home has claimed. The caller holds the lock.
 func (o *owner) supersede(holder cluster.ProxyID) {
-	if o.phase == phaseSuperseded || o.phase == phaseDraining {
+	if _, _, err := o.phase.Fire(transitionSupersede); err != nil {
 		return
 	}
-	o.phase = phaseSuperseded
 	o.holder = holder
 	o.signal()
 	o.termCancel()
@@ -207,7 +208,7 @@
 
 // stopped returns the error for requests of an owner that serves no longer.
 func (o *owner) stopped() error {
-	switch o.phase {
+	switch o.phase.Current() {
 	case phaseSuperseded:
 		return errcode.New(errcode.Superseded, "home", string(o.holder))
 	case phaseDraining:
@@ -238,9 +239,7 @@
 // ends, then every connection is closed and every goroutine ends.
 func (o *owner) close(ctx context.Context) {
 	o.mu.Lock()
-	if o.phase != phaseSuperseded {
-		o.phase = phaseDraining
-	}
+	_, _, _ = o.phase.Fire(transitionDrain) // an owner that was superseded stays so
 	o.mu.Unlock()
 	o.drain(ctx)
 	o.mu.Lock()
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -75,7 +75,7 @@
 func (o *owner) awaitServing(ctx context.Context, r *request) error {
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
-	err := o.await(ctx, func() (bool, error) { return o.phase != phaseClaiming, nil })
+	err := o.await(ctx, func() (bool, error) { return !o.phase.In(phaseClaiming), nil })
 	if err != nil && ctx.Err() != nil {
 		return errcode.Wrap(err, errcode.NoHome, "claim", string(o.name))
 	}
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -1,10 +1,11 @@
 package order
 
 import (
-	"fmt"
+	"embed"
 	"time"
 
 	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/statechart"
 )
 
 // State is the state of one attempt.
@@ -41,24 +42,10 @@
 	EventRetry Event = "retry"
 )
 
-type edge struct {
-	from  State
-	event Event
-}
+//go:embed order_outcome.yaml
+var chartFile embed.FS
 
-var transitions = map[edge]State{
-	{StateWaiting, EventSend}:     StateSent,
-	{StateWaiting, EventRefuse}:   StateNotRun,
-	{StateWaiting, EventFail}:     StateNotRun,
-	{StateSent, EventAnswer}:      StateHeld,
-	{StateSent, EventRefuse}:      StateNotRun,
-	{StateSent, EventFail}:        StateUnknown,
-	{StateHeld, EventAcknowledge}: StateDone,
-	{StateHeld, EventRefuse}:      StateNotRun,
-	{StateHeld, EventFail}:        StateUnknown,
-	{StateNotRun, EventRetry}:     StateWaiting,
-	{StateUnknown, EventRetry}:    StateWaiting,
-}
+var chart = statechart.MustLoad(chartFile, "order_outcome.yaml")
 
 // Attempts tracks a request over its attempts.
 type Attempts struct {
@@ -67,7 +54,7 @@
 	// Deadline is when the request ends, whatever its outcome.
 	Deadline time.Time
 
-	state State
+	machine *statechart.Machine
 	// everUnknown is set once an attempt had an unknown outcome.
 	everUnknown bool
 	count       int
@@ -78,20 +65,19 @@
 
 // New returns the state before the first attempt.
 func New(hasID bool, deadline time.Time) *Attempts {
-	return &Attempts{HasID: hasID, Deadline: deadline, state: StateWaiting, count: 1}
+	return &Attempts{HasID: hasID, Deadline: deadline, machine: chart.NewMachine(), count: 1}
 }
 
 // State returns the state of the present attempt.
-func (a *Attempts) State() State { return a.state }
+func (a *Attempts) State() State { return State(a.machine.Current()) }
 
 // Fire applies an event. It returns an error for an event that the state does not allow.
 func (a *Attempts) Fire(e Event) error {
-	next, ok := transitions[edge{a.state, e}]
-	if !ok {
-		return fmt.Errorf("order outcome: event %s in state %s", e, a.state)
+	_, next, err := a.machine.Fire(string(e))
+	if err != nil {
+		return err
 	}
-	a.state = next
-	if next == StateUnknown {
+	if State(next) == StateUnknown {
 		a.everUnknown = true
 	}
 	if e == EventRetry {
@@ -106,7 +92,7 @@
 	if a.count >= MaxAttempts || !now.Before(a.Deadline) {
 		return false
 	}
-	switch a.state {
+	switch a.State() {
 	case StateNotRun:
 		return true
 	case StateUnknown:
@@ -119,10 +105,11 @@
 // Outcome returns the outcome over all attempts. A last attempt that did not
 // run proves nothing about an earlier one whose outcome is unknown.
 func (a *Attempts) Outcome() errcode.Outcome {
+	state := a.State()
 	switch {
-	case a.state == StateDone:
+	case state == StateDone:
 		return errcode.OutcomeDone
-	case a.everUnknown || a.state == StateSent || a.state == StateHeld:
+	case a.everUnknown || state == StateSent || state == StateHeld:
 		return errcode.OutcomeUnknown
 	default:
 		return errcode.OutcomeNotRun
--- a/internal/pool/open.go
+++ b/internal/pool/open.go
@@ -53,7 +53,7 @@
 	opensTotal.Inc()
 	p.lastErr = nil
 	p.backoff.Reset()
-	p.release(&Conn{Conn: conn, pool: p, state: stateInUse})
+	p.release(newConn(conn))
 	p.mu.Unlock()
 	return true
 }
@@ -141,8 +141,8 @@
 			young = append(young, c)
 			continue
 		}
-		p.use(c)
-		c.state = stateProbing
+		_, _, _ = c.state.Fire(eventProbe)
+		p.inUse[c] = struct{}{}
 		old = append(old, c)
 	}
 	p.idle = young
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"embed"
 	"errors"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/statechart"
 )
 
 // ErrClosed reports that the pool no longer gives out connections.
@@ -39,22 +41,26 @@
 	ProbeAfter time.Duration
 }
 
-// state is the condition of a pooled connection.
-type state uint8
+//go:embed backend_connection.yaml
+var chartFile embed.FS
 
+var chart = statechart.MustLoad(chartFile, "backend_connection.yaml")
+
+// States and events of a pooled connection.
 const (
-	stateIdle state = iota
-	stateInUse
-	stateResetting
-	stateProbing
-	stateClosed
+	stateInUse  = "in_use"
+	stateIdle   = "idle"
+	eventReturn = "return"
+	eventDirty  = "dirty"
+	eventTake   = "take"
+	eventProbe  = "probe"
+	eventClose  = "close"
 )
 
 // Conn is a pooled connection in the hands of one user.
 type Conn struct {
 	backend.Conn
-	pool      *Pool
-	state     state
+	state     statechart.Machine
 	idleSince time.Time
 }
 
@@ -190,7 +196,7 @@
 func (p *Pool) Return(c *Conn, dirty bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.state != stateInUse {
+	if !c.state.In(stateInUse) {
 		return
 	}
 	if p.closed {
@@ -201,7 +207,7 @@
 		p.release(c)
 		return
 	}
-	c.state = stateResetting
+	_, _, _ = c.state.Fire(eventDirty)
 	p.workers.Go(func() { p.reset(c) })
 }
 
@@ -209,7 +215,7 @@
 func (p *Pool) Discard(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.state != stateInUse {
+	if !c.state.In(stateInUse) {
 		return
 	}
 	p.drop(c)
@@ -223,7 +229,6 @@
 	p.closed = true
 	p.cancel()
 	for _, c := range p.idle {
-		c.state = stateInUse
 		p.drop(c)
 	}
 	p.idle = nil
@@ -247,8 +252,18 @@
 	return s
 }
 
+// newConn returns a connection in use that was just opened.
+func newConn(c backend.Conn) *Conn {
+	pooled := &Conn{Conn: c}
+	pooled.state.Init(chart)
+	return pooled
+}
+
+// use gives an idle, reset or probed connection to a user.
 func (p *Pool) use(c *Conn) {
-	c.state = stateInUse
+	if !c.state.In(stateInUse) {
+		_, _, _ = c.state.Fire(eventTake)
+	}
 	p.inUse[c] = struct{}{}
 }
 
@@ -266,18 +281,17 @@
 		return
 	}
 	delete(p.inUse, c)
-	c.state = stateIdle
+	_, _, _ = c.state.Fire(eventReturn)
 	c.idleSince = time.Now()
 	p.idle = append(p.idle, c)
 }
 
 // drop closes c without waiting for the network.
 func (p *Pool) drop(c *Conn) {
-	if c.state == stateClosed {
-		return
-	}
-	c.state = stateClosed
 	delete(p.inUse, c)
+	if _, _, err := c.state.Fire(eventClose); err != nil {
+		return // closed before
+	}
 	discardsTotal.Inc()
 	_ = c.Close()
 }
