Give each backend connection a fresh TLS configuration

Cause: the adapter now asks for a configuration by server name, so that renewed keys take effect. Change: pass the function on.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -108,7 +108,7 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "backend.tls")
 		}
-		config.TLS = keys.Client("")
+		config.TLS = keys.Client
 	}
 	return back.New(config), nil
 }
