--- a/cmd/rattan-load/main.go
+++ b/cmd/rattan-load/main.go
@@ -20,7 +20,7 @@
 	return &cli.Command{
 		Name:     "rattan-load",
 		Usage:    "drive a deployment with work and report what callers saw",
-		Commands: []*cli.Command{runCommand(), reportCommand(), compareCommand()},
+		Commands: []*cli.Command{runCommand(), queryCommand(), reportCommand(), compareCommand()},
 	}
 }
 
@@ -32,7 +32,7 @@
 			&cli.StringFlag{Name: "profile", Value: "cotopaxi", Usage: "workload: cotopaxi or consorzio"},
 			&cli.StringSliceFlag{Name: "proxy", Usage: "caller address of a proxy; repeat for each", Required: true},
 			&cli.StringSliceFlag{Name: "metrics", Usage: "metrics URL of a process; repeat for each"},
-			&cli.StringFlag{Name: "user", Value: "load", Usage: "database user"},
+			&cli.StringFlag{Name: "user", Usage: "database user; the profile's own when empty"},
 			&cli.StringFlag{Name: "password", Usage: "password of the user", Sources: cli.EnvVars("RATTAN_LOAD_PASSWORD")},
 			&cli.Float64Flag{Name: "rate", Value: 50, Usage: "base requests per second"},
 			&cli.StringFlag{Name: "only", Usage: "restrict the base rate to one rank"},
@@ -89,6 +89,25 @@
 	return all
 }
 
+func queryCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "query",
+		Usage:     "run statements through one proxy and print their rows",
+		ArgsUsage: "SQL...",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "proxy", Usage: "caller address of the proxy", Required: true},
+			&cli.StringFlag{Name: "group", Usage: "database group", Required: true},
+			&cli.StringFlag{Name: "user", Value: "load", Usage: "database user"},
+			&cli.StringFlag{Name: "password", Usage: "password of the user", Sources: cli.EnvVars("RATTAN_LOAD_PASSWORD")},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return load.Query(ctx, os.Stdout, load.Config{
+				Proxies: []string{cmd.String("proxy")}, User: cmd.String("user"), Password: cmd.String("password"),
+			}, cmd.String("group"), cmd.Args().Slice())
+		},
+	}
+}
+
 func reportCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "report",
--- a/internal/load/arrivals.go
+++ b/internal/load/arrivals.go
@@ -35,7 +35,7 @@
 			floodWork = phase.FloodWork
 		}
 		flood := poisson(rand.New(rand.NewPCG(seed, 2)), phase.Duration, phase.FloodRate, func() (Kind, time.Duration) {
-			return floodKind(rank), floodWork
+			return floodKind(profile, rank), floodWork
 		})
 		arrivals = merge(arrivals, flood)
 	}
--- a/internal/load/profile.go
+++ b/internal/load/profile.go
@@ -37,31 +37,39 @@
 
 // Profile is the mix of work of one deployment.
 type Profile struct {
-	Name   string
+	Name string
+	// User is a database user of the deployment's example document.
+	User   string
 	Groups []string
 	Kinds  []Kind
+	// Flood names the kind of read of a flood of the least urgent work.
+	Flood string
 }
 
 var profiles = []Profile{
 	{
 		Name:   "cotopaxi",
-		Groups: []string{"orders_a", "orders_b", "orders_c"},
+		User:   "shop-web",
+		Groups: []string{"orders-1", "orders-2", "orders-3"},
+		Flood:  "catalogue",
 		Kinds: []Kind{
 			{Name: "press_order", Rank: cluster.RankUrgent, Action: ActionOrder, Share: 0.10},
 			{Name: "dispatch_entry", Rank: cluster.RankUrgent, Action: ActionUpdate, Share: 0.05},
-			{Name: "job_card", Rank: cluster.RankNormal, Action: ActionReadOwn, Reads: "session", Share: 0.10},
-			{Name: "stock_check", Rank: cluster.RankNormal, Action: ActionRead, Reads: "recent", Share: 0.25},
-			{Name: "catalogue", Rank: cluster.RankBackground, Action: ActionRead, Reads: "recent", Share: 0.50},
+			{Name: "job_card", Rank: cluster.RankNormal, Action: ActionReadOwn, Reads: "job-cards", Share: 0.10},
+			{Name: "stock_check", Rank: cluster.RankNormal, Action: ActionRead, Reads: "stock", Share: 0.15},
+			{Name: "catalogue", Rank: cluster.RankBackground, Action: ActionRead, Reads: "catalogue", Share: 0.60},
 		},
 	},
 	{
 		Name:   "consorzio",
-		Groups: []string{"canteens_a", "canteens_b", "canteens_c"},
+		User:   "wholesaler-a",
+		Groups: []string{"canteens-1", "canteens-2", "canteens-3"},
+		Flood:  "menus",
 		Kinds: []Kind{
 			{Name: "confirmation", Rank: cluster.RankUrgent, Action: ActionOrder, Share: 0.15},
 			{Name: "canteen_order", Rank: cluster.RankNormal, Action: ActionOrder, Share: 0.10},
-			{Name: "load_list", Rank: cluster.RankNormal, Action: ActionReadOwn, Reads: "session", Share: 0.15},
-			{Name: "menu", Rank: cluster.RankBackground, Action: ActionRead, Reads: "recent", Share: 0.60},
+			{Name: "load_list", Rank: cluster.RankNormal, Action: ActionReadOwn, Reads: "loads", Share: 0.15},
+			{Name: "menu", Rank: cluster.RankBackground, Action: ActionRead, Reads: "menus", Share: 0.60},
 		},
 	},
 }
@@ -92,10 +100,10 @@
 
 // floodKind is the kind of the flood's requests: reads for the least urgent
 // work and updates for the others.
-func floodKind(rank cluster.Rank) Kind {
+func floodKind(profile Profile, rank cluster.Rank) Kind {
 	k := Kind{Name: "flood_" + rank.String(), Rank: rank, Action: ActionUpdate}
 	if rank == cluster.RankBackground {
-		k.Action, k.Reads = ActionRead, "recent"
+		k.Action, k.Reads = ActionRead, profile.Flood
 	}
 	return k
 }
--- /dev/null
+++ b/internal/load/query.go
@@ -0,0 +1,38 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// Query runs statements on one caller connection and prints their rows,
+// separated by tabs.
+func Query(ctx context.Context, out io.Writer, config Config, group string, statements []string) error {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	c := newCallers(config.Proxies, config.User, config.Password)
+	defer c.close()
+	for _, sql := range statements {
+		rows, err := c.exec(ctx, callerKey{0, group}, sql)
+		if err != nil {
+			return err
+		}
+		for _, row := range rows {
+			if err := printRow(out, row); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func printRow(out io.Writer, row [][]byte) error {
+	cells := make([]string, len(row))
+	for i, cell := range row {
+		cells[i] = string(cell)
+	}
+	_, err := fmt.Fprintln(out, strings.Join(cells, "\t"))
+	return err
+}
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"strconv"
@@ -39,7 +40,7 @@
 func Run(ctx context.Context, config Config) (*Report, error) {
 	r := &run{
 		config: config, ledger: newLedger(),
-		callers: newCallers(config.Proxies, config.User, config.Password),
+		callers: newCallers(config.Proxies, cmp.Or(config.User, config.Profile.User), config.Password),
 		slots:   make(chan struct{}, maxInFlight),
 	}
 	defer r.callers.close()
--- a/internal/load/sql.go
+++ b/internal/load/sql.go
@@ -21,5 +21,5 @@
 
 // workNote asks the stand-in backend server for a service time.
 func workNote(work time.Duration) string {
-	return fmt.Sprintf("/*work=%g*/", float64(work)/float64(time.Millisecond))
+	return fmt.Sprintf("/*rattan_work(%g)*/", float64(work)/float64(time.Millisecond))
 }
