--- /dev/null
+++ b/internal/failover/probe.go
@@ -0,0 +1,29 @@
+package failover
+
+import (
+	"context"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+// Status asks a server for its status on a fresh connection within CallTimeout.
+func Status(ctx context.Context, d backend.Dialer, group cluster.GroupName, server cluster.Server) (cluster.ServerStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	control, err := d.DialControl(ctx, server, group)
+	if err != nil {
+		return cluster.ServerStatus{}, err
+	}
+	defer func() { _ = control.Close() }()
+	return control.Status(ctx)
+}
+
+// ProbeServer tries a fresh connection to a server on behalf of a warden.
+func ProbeServer(ctx context.Context, d backend.Dialer, group cluster.GroupName, server cluster.Server) ProbeResult {
+	status, err := Status(ctx, d, group, server)
+	if err != nil {
+		return ProbeResult{Server: server.ID}
+	}
+	return ProbeResult{Server: server.ID, Reachable: true, Role: status.Role, Term: status.Term}
+}
--- a/internal/member/loop.go
+++ b/internal/member/loop.go
@@ -25,7 +25,8 @@
 	Seeds  []string
 	Pinger Pinger
 	Table  platform.Table
-	VMs    platform.VMList
+	// VMs may be nil when the platform has no list.
+	VMs platform.VMList
 	// Rand spreads the loop's calls over time. It is used under the loop's lock.
 	Rand *rand.Rand
 	Log  zerolog.Logger
--- /dev/null
+++ b/internal/member/memberpeer/probe.go
@@ -0,0 +1,54 @@
+package memberpeer
+
+import (
+	"context"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/failover"
+	"github.com/rattancove/rattancove/internal/member"
+	"github.com/rattancove/rattancove/internal/peer/peerpb"
+)
+
+// Probe asks a member to try a fresh connection to a server. It implements
+// warden.Prober.
+func (c *Clients) Probe(
+	ctx context.Context, m member.Member, group cluster.GroupName, server cluster.Server,
+) (failover.ProbeResult, error) {
+	reply, err := c.Client(m.Address).Probe(ctx, &peerpb.ProbeRequest{
+		Group:        string(group),
+		Server:       string(server.ID),
+		Address:      server.Address,
+		TimeoutNanos: int64(failover.CallTimeout),
+	})
+	if err != nil {
+		return failover.ProbeResult{}, err
+	}
+	return failover.ProbeResult{
+		Server:    server.ID,
+		Reachable: reply.GetReachable(),
+		Role:      cluster.Role(reply.GetRole()),
+		Term:      cluster.Term(reply.GetTerm()),
+	}, nil
+}
+
+// ProbeHandler returns the handler that a peer server needs to try fresh
+// connections for wardens.
+func ProbeHandler(d backend.Dialer) func(context.Context, *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
+	return func(ctx context.Context, in *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
+		ctx, cancel := context.WithTimeout(ctx, min(time.Duration(in.GetTimeoutNanos()), failover.CallTimeout))
+		defer cancel()
+		server := cluster.Server{ID: cluster.ServerID(in.GetServer()), Address: in.GetAddress()}
+		status, err := failover.Status(ctx, d, cluster.GroupName(in.GetGroup()), server)
+		if err != nil {
+			return &peerpb.ProbeReply{Error: err.Error()}, nil
+		}
+		return &peerpb.ProbeReply{
+			Reachable: true,
+			Role:      string(status.Role),
+			Term:      uint64(status.Term),
+			Received:  &peerpb.Position{Term: uint64(status.Received.Term), Offset: status.Received.Offset},
+		}, nil
+	}
+}
--- a/internal/member/sources.go
+++ b/internal/member/sources.go
@@ -99,6 +99,9 @@
 }
 
 func (l *Loop) runVMs(ctx context.Context) error {
+	if l.cfg.VMs == nil {
+		return nil
+	}
 	for {
 		if err := l.readVMs(ctx); err != nil && ctx.Err() == nil {
 			eventVMListFailed.Log(&l.cfg.Log).Err(err).Send()
--- a/internal/warden/fleet_test.go
+++ b/internal/warden/fleet_test.go
@@ -19,7 +19,7 @@
 	"github.com/rattancove/rattancove/internal/environment"
 	"github.com/rattancove/rattancove/internal/failover"
 	"github.com/rattancove/rattancove/internal/member"
-	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/platform/platformtest"
 	"github.com/rattancove/rattancove/internal/statement"
 )
 
@@ -32,7 +32,7 @@
 	group   *backendtest.Group
 	servers []cluster.Server
 	doc     *environment.Document
-	table   *memoryTable
+	table   *platformtest.Table
 	view    *staticMembers
 	ctx     context.Context
 	stop    context.CancelFunc
@@ -52,7 +52,7 @@
 }
 
 func newFleet(t *testing.T, seed uint64) *fleet {
-	f := &fleet{t: t, seed: seed, table: &memoryTable{rows: map[string]platform.Row{}}, cancels: map[string]context.CancelFunc{}}
+	f := &fleet{t: t, seed: seed, table: platformtest.NewTable(), cancels: map[string]context.CancelFunc{}}
 	g := environment.Group{Name: testGroup}
 	for i := range 3 {
 		s := environment.Server{
@@ -110,7 +110,7 @@
 
 // Probe implements Prober: the asked proxy tries its own connection.
 func (f *fleet) Probe(ctx context.Context, m member.Member, group cluster.GroupName, server cluster.Server) (failover.ProbeResult, error) {
-	return ProbeServer(ctx, f.group.Dialer(m.ID), group, server), nil
+	return failover.ProbeServer(ctx, f.group.Dialer(m.ID), group, server), nil
 }
 
 // close stops everything, so that the bubble can end.
@@ -245,70 +245,6 @@
 	s.leaving[address] = leaving
 }
 
-var errStoreDown = errors.New("table service unavailable")
-
-// memoryTable is a table service that can be down, or lose its answers.
-type memoryTable struct {
-	mu          sync.Mutex
-	rows        map[string]platform.Row
-	down        bool
-	loseAnswers bool
-}
-
-func (m *memoryTable) Get(ctx context.Context, key string) (platform.Row, error) {
-	if err := m.reach(ctx); err != nil {
-		return platform.Row{}, err
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	row, ok := m.rows[key]
-	if !ok {
-		return platform.Row{}, platform.ErrNotFound
-	}
-	return row, nil
-}
-
-func (m *memoryTable) List(context.Context, string) ([]platform.Row, error) { return nil, nil }
-
-func (m *memoryTable) Commit(ctx context.Context, writes ...platform.Write) error {
-	if err := m.reach(ctx); err != nil {
-		return err
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, w := range writes {
-		if m.rows[w.Key].Version != w.IfVersion {
-			return platform.ErrConflict
-		}
-	}
-	for _, w := range writes {
-		m.rows[w.Key] = platform.Row{Key: w.Key, Version: w.IfVersion + 1, Value: w.Value}
-	}
-	if m.loseAnswers {
-		return errStoreDown
-	}
-	return nil
-}
-
-// reach hangs until the caller gives up while the service is down.
-func (m *memoryTable) reach(ctx context.Context) error {
-	time.Sleep(2 * time.Millisecond)
-	m.mu.Lock()
-	down := m.down
-	m.mu.Unlock()
-	if down {
-		<-ctx.Done()
-		return errStoreDown
-	}
-	return ctx.Err()
-}
-
-func (m *memoryTable) setDown(down bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.down = down
-}
-
 type discard struct{}
 
 func (discard) Next(context.Context) (*statement.Batch, error) { return nil, errors.New("no more") }
--- a/internal/warden/observers.go
+++ b/internal/warden/observers.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/rattancove/rattancove/internal/backend"
-	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/failover"
 	"github.com/rattancove/rattancove/internal/member"
 )
@@ -64,21 +62,3 @@
 		deliver(report)
 	}
 }
-
-// ProbeServer tries a fresh connection to a server on behalf of a warden.
-func ProbeServer(ctx context.Context, d backend.Dialer, group cluster.GroupName, server cluster.Server) failover.ProbeResult {
-	ctx, cancel := context.WithTimeout(ctx, failover.CallTimeout)
-	defer cancel()
-	result := failover.ProbeResult{Server: server.ID}
-	control, err := d.DialControl(ctx, server, group)
-	if err != nil {
-		return result
-	}
-	defer func() { _ = control.Close() }()
-	status, err := control.Status(ctx)
-	if err != nil {
-		return result
-	}
-	result.Reachable, result.Role, result.Term = true, status.Role, status.Term
-	return result
-}
--- a/internal/warden/warden_test.go
+++ b/internal/warden/warden_test.go
@@ -57,7 +57,11 @@
 			f.cancels[f.orderedWardens()[0]]()
 		}, gapBound},
 		{"killed with the store down", func(f *fleet) {
-			f.table.setDown(true)
+			f.table.SetDown(true)
+			f.group.Kill("s1")
+		}, gapBound},
+		{"killed with the store hanging", func(f *fleet) {
+			f.table.SetDelay(time.Minute)
 			f.group.Kill("s1")
 		}, gapBound},
 	}
