--- /dev/null
+++ b/cmd/rattan-warden/serve.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/failover"
+	"github.com/rattancove/rattancove/internal/member"
+	"github.com/rattancove/rattancove/internal/peer"
+	"github.com/rattancove/rattancove/internal/pgwire/back"
+	"github.com/rattancove/rattancove/internal/process"
+	"github.com/rattancove/rattancove/internal/settings"
+	"github.com/rattancove/rattancove/internal/tlskeys"
+	"github.com/rattancove/rattancove/internal/warden"
+)
+
+// leaveDelay is the time between the notice that this warden leaves and its
+// end, so that the next warden takes over first.
+const leaveDelay = 2 * time.Second
+
+// serve runs the warden until ctx ends, tells the others and stops.
+func serve(ctx context.Context, s *settings.Warden) error {
+	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	p, err := process.New(runCtx, s.Common, member.RoleWarden)
+	if err != nil {
+		return err
+	}
+	defer p.Close(runCtx)
+	dialer, err := newDialer(s, p)
+	if err != nil {
+		return err
+	}
+	w := warden.New(config(p, dialer))
+	group, groupCtx := errgroup.WithContext(runCtx)
+	group.Go(func() error {
+		return p.Run(groupCtx, peer.Handlers{Probe: warden.ProbeHandler(dialer)})
+	})
+	group.Go(func() error { return w.Run(groupCtx) })
+	select {
+	case <-ctx.Done():
+		leave(groupCtx, p.Members)
+	case <-groupCtx.Done():
+	}
+	stop()
+	if err := group.Wait(); err != nil && !eris.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+// leave tells the other members and gives them time to take over.
+func leave(ctx context.Context, members *member.Loop) {
+	members.Leave()
+	select {
+	case <-time.After(leaveDelay):
+	case <-ctx.Done():
+	}
+}
+
+func config(p *process.Process, dialer backend.Dialer) warden.Config {
+	return warden.Config{
+		Self: member.Member{
+			ID: string(p.Settings.ID), Role: member.RoleWarden,
+			Address: p.Settings.Peer.Address(), FailureDomain: p.Settings.FailureDomain,
+		},
+		Dialer:  dialer,
+		Store:   failover.NewStore(p.Platform.Table),
+		Members: p.Members,
+		Prober:  warden.PeerProber{Peers: p.Peers},
+		Document: func() *environment.Document {
+			if current := p.Documents.Current(); current != nil {
+				return current.Document
+			}
+			return nil
+		},
+		Seed: rand.Uint64(),
+		Log:  p.Log,
+	}
+}
+
+func newDialer(s *settings.Warden, p *process.Process) (backend.Dialer, error) {
+	config := back.Config{
+		ConnectTimeout: s.Backend.ConnectTimeout,
+		Credentials:    back.Credentials{User: s.Backend.User, Password: s.Backend.Password.Reveal()},
+		Log:            p.Log,
+	}
+	if s.Backend.TLS.Enabled() {
+		keys, err := tlskeys.Load(s.Backend.TLS, p.Log)
+		if err != nil {
+			return nil, eris.Wrap(err, "backend.tls")
+		}
+		config.TLS = keys.Client
+	}
+	return back.New(config), nil
+}
--- a/internal/failover/elect.go
+++ b/internal/failover/elect.go
@@ -55,7 +55,7 @@
 // domainIndex returns the place of a server's failure domain among the
 // preferred ones; servers elsewhere come last.
 func domainIndex(spec GroupSpec, id cluster.ServerID) int {
-	server, _ := spec.server(id)
+	server := spec.server(id)
 	if i := slices.Index(spec.Policy.PreferDomains, server.FailureDomain); i >= 0 {
 		return i
 	}
--- a/internal/failover/executor.go
+++ b/internal/failover/executor.go
@@ -107,7 +107,7 @@
 	defer span.End()
 	ended := make(chan struct{}, len(s.Servers))
 	for _, id := range s.Servers {
-		server, _ := spec.server(id)
+		server := spec.server(id)
 		e.calls.Go(func() {
 			e.sealOne(ctx, spec, server, s)
 			ended <- struct{}{}
@@ -138,15 +138,15 @@
 func (e *Executor) promote(ctx context.Context, spec GroupSpec, p Promote) {
 	ctx, span := e.span(ctx, "promote", spec, p.Attempt.Term)
 	defer span.End()
-	server, _ := spec.server(p.Attempt.Chosen)
+	server := spec.server(p.Attempt.Chosen)
 	e.call(ctx, spec.Name, server, func(ctx context.Context, c backend.Control) (cluster.ServerStatus, error) {
 		return c.Promote(ctx, p.Attempt.Term, p.Attempt.Holder)
 	})
 }
 
 func (e *Executor) follow(ctx context.Context, spec GroupSpec, f Follow) {
-	server, _ := spec.server(f.Server)
-	leader, _ := spec.server(f.Leader)
+	server := spec.server(f.Server)
+	leader := spec.server(f.Leader)
 	e.calls.Go(func() {
 		ctx, span := e.span(ctx, "follow", spec, f.Term)
 		defer span.End()
--- a/internal/failover/spec.go
+++ b/internal/failover/spec.go
@@ -52,12 +52,12 @@
 // patience is the extra time that this warden leaves to those before it.
 func (s GroupSpec) patience() time.Duration { return time.Duration(s.Order) * orderDelay }
 
-// server finds a server by id. The second result is false for an unknown id.
-func (s GroupSpec) server(id cluster.ServerID) (cluster.Server, bool) {
+// server returns a server by id, or the zero value for an unknown id.
+func (s GroupSpec) server(id cluster.ServerID) cluster.Server {
 	for _, server := range s.Servers {
 		if server.ID == id {
-			return server, true
+			return server
 		}
 	}
-	return cluster.Server{}, false
+	return cluster.Server{}
 }
--- a/internal/failover/state.go
+++ b/internal/failover/state.go
@@ -128,6 +128,16 @@
 	return State{Phase: Phase(chart.Initial()), Since: now, Random: seed}
 }
 
+// Active reports whether an attempt is under way that should be finished.
+func (s State) Active() bool {
+	switch s.Phase {
+	case PhaseSealing, PhaseElecting, PhasePromoting, PhaseFollowing:
+		return true
+	default:
+		return false
+	}
+}
+
 // fire moves the state along the chart. An event that the chart does not allow
 // is a programming error and panics.
 func (s State) fire(event string, now time.Time) State {
--- a/internal/failover/store.go
+++ b/internal/failover/store.go
@@ -214,8 +214,8 @@
 	if err != nil {
 		return value, 0, errcode.Wrap(err, errcode.Unknown, "read failover row", Key(group))
 	}
-	if err := json.Unmarshal(r.Value, &value); err != nil {
-		return row{}, r.Version, nil // an unreadable row is replaced
+	if json.Unmarshal(r.Value, &value) != nil {
+		value = row{} // an unreadable row is replaced
 	}
 	return value, r.Version, nil
 }
--- a/internal/warden/fleet_test.go
+++ b/internal/warden/fleet_test.go
@@ -89,7 +89,7 @@
 }
 
 func (f *fleet) config(id string, seed uint64) Config {
-	var dialer backend.Dialer = f.group.Dialer(id)
+	dialer := f.group.Dialer(id)
 	if f.wrap != nil {
 		dialer = f.wrap(id, dialer)
 	}
--- a/internal/warden/group.go
+++ b/internal/warden/group.go
@@ -25,6 +25,7 @@
 	board    *failover.Board
 	executor *failover.Executor
 	state    failover.State
+	retiring atomic.Bool
 }
 
 func newGroupLoop(cfg Config, spec failover.GroupSpec) *groupLoop {
@@ -56,16 +57,21 @@
 	return true
 }
 
-// run watches the servers and decides until ctx ends.
+// retire ends the loop once no attempt is under way.
+func (l *groupLoop) retire() { l.retiring.Store(true) }
+
+// run watches the servers and decides until ctx ends or the loop retires.
 func (l *groupLoop) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
 	var watches sync.WaitGroup
 	defer watches.Wait()
 	defer l.executor.Wait()
+	defer cancel()
 	for _, server := range l.spec.Load().Servers {
 		w := newWatch(l, server)
 		watches.Go(func() { w.run(ctx) })
 	}
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && (l.state.Active() || !l.retiring.Load()) {
 		l.decide(ctx)
 		l.wait(ctx)
 	}
--- a/internal/member/memberpeer/probe.go
+++ b/internal/warden/peers.go
@@ -1,4 +1,4 @@
-package memberpeer
+package warden
 
 import (
 	"context"
@@ -8,15 +8,20 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/failover"
 	"github.com/rattancove/rattancove/internal/member"
+	"github.com/rattancove/rattancove/internal/peer"
 	"github.com/rattancove/rattancove/internal/peer/peerpb"
 )
 
-// Probe asks a member to try a fresh connection to a server. It implements
-// warden.Prober.
-func (c *Clients) Probe(
+// PeerProber implements Prober over the peer protocol.
+type PeerProber struct {
+	Peers *peer.Registry
+}
+
+// Probe implements Prober.
+func (p PeerProber) Probe(
 	ctx context.Context, m member.Member, group cluster.GroupName, server cluster.Server,
 ) (failover.ProbeResult, error) {
-	reply, err := c.Client(m.Address).Probe(ctx, &peerpb.ProbeRequest{
+	reply, err := p.Peers.Client(m.Address).Probe(ctx, &peerpb.ProbeRequest{
 		Group:        string(group),
 		Server:       string(server.ID),
 		Address:      server.Address,
@@ -33,8 +38,8 @@
 	}, nil
 }
 
-// ProbeHandler returns the handler that a peer server needs to try fresh
-// connections for wardens.
+// ProbeHandler returns the handler with which a peer server tries fresh
+// connections for wardens. Every proxy and warden offers it.
 func ProbeHandler(d backend.Dialer) func(context.Context, *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
 	return func(ctx context.Context, in *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
 		ctx, cancel := context.WithTimeout(ctx, min(time.Duration(in.GetTimeoutNanos()), failover.CallTimeout))
@@ -42,7 +47,7 @@
 		server := cluster.Server{ID: cluster.ServerID(in.GetServer()), Address: in.GetAddress()}
 		status, err := failover.Status(ctx, d, cluster.GroupName(in.GetGroup()), server)
 		if err != nil {
-			return &peerpb.ProbeReply{Error: err.Error()}, nil
+			return &peerpb.ProbeReply{Error: err.Error()}, nil //nolint:nilerr // the failure is the answer
 		}
 		return &peerpb.ProbeReply{
 			Reachable: true,
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -52,18 +52,13 @@
 // Warden watches groups. Run may be called once.
 type Warden struct {
 	cfg    Config
-	groups map[cluster.GroupName]*groupRun
+	groups map[cluster.GroupName]*groupLoop
 }
 
-// groupRun is a running loop.
-type groupRun struct {
-	loop *groupLoop
-	stop context.CancelFunc
-}
 
 // New returns a Warden.
 func New(cfg Config) *Warden {
-	return &Warden{cfg: cfg, groups: map[cluster.GroupName]*groupRun{}}
+	return &Warden{cfg: cfg, groups: map[cluster.GroupName]*groupLoop{}}
 }
 
 // Run watches groups until ctx ends. It returns nil.
@@ -87,22 +82,23 @@
 // the view of members.
 func (w *Warden) assign(ctx context.Context, loops *sync.WaitGroup) {
 	wanted := w.specs()
-	for name, run := range w.groups {
+	for name, loop := range w.groups {
 		if _, ok := wanted[name]; !ok {
-			run.stop()
+			loop.retire()
 			delete(w.groups, name)
 		}
 	}
 	for name, spec := range wanted {
-		if run, ok := w.groups[name]; ok && run.loop.update(spec) {
+		old, ok := w.groups[name]
+		if ok && old.update(spec) {
 			continue
-		} else if ok {
-			run.stop()
 		}
-		loopCtx, stop := context.WithCancel(ctx)
+		if ok {
+			old.retire()
+		}
 		loop := newGroupLoop(w.cfg, spec)
-		w.groups[name] = &groupRun{loop: loop, stop: stop}
-		loops.Go(func() { loop.run(loopCtx) })
+		w.groups[name] = loop
+		loops.Go(func() { loop.run(ctx) })
 	}
 	groupsWatched.Set(uint64(len(wanted)))
 }
