--- /dev/null
+++ b/internal/platform/platformclient/open_test.go
@@ -0,0 +1,68 @@
+package platformclient
+
+import (
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/platform/platformtest"
+	"github.com/rattancove/rattancove/internal/settings"
+	standin "github.com/rattancove/rattancove/internal/standin/platform"
+)
+
+func TestObjectsAndVMs(t *testing.T) {
+	objects := httptest.NewServer(standin.NewObjects().Handler())
+	defer objects.Close()
+	want := []platform.VM{{Address: "10.0.0.1"}, {Address: "10.0.0.2", Leaving: true}}
+	vms := httptest.NewServer(standin.NewVMs(want...).Handler())
+	defer vms.Close()
+	services, err := Open(settings.Platform{
+		Timeout: 5 * time.Second,
+		Table:   settings.Table{Address: "127.0.0.1:1", User: "u", Database: "d"},
+		Objects: settings.Objects{
+			Endpoint: strings.TrimPrefix(objects.URL, "http://"), Bucket: "rattancove",
+			AccessKey: "access", SecretKey: "secret",
+		},
+		VMs: settings.VMs{URL: vms.URL},
+	}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer services.Close()
+
+	ctx := t.Context()
+	if _, err := services.Objects.Get(ctx, "doc/x"); !errors.Is(err, platform.ErrNotFound) {
+		t.Errorf("missing object: %v", err)
+	}
+	data := []byte("name: cotopaxi\n")
+	if err := services.Objects.Put(ctx, "doc/x", data); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := services.Objects.Get(ctx, "doc/x"); err != nil || !cmp.Equal(got, data) {
+		t.Errorf("object is %q, %v", got, err)
+	}
+	if got, err := services.VMs.VMs(ctx); err != nil || !cmp.Equal(got, want) {
+		t.Errorf("list is %v, %v", got, err)
+	}
+	if _, err := services.Table.Get(ctx, "k"); err == nil {
+		t.Error("a table service that is down answered")
+	}
+}
+
+func TestEveryCallHasADeadline(t *testing.T) {
+	inner := platformtest.NewTable()
+	inner.SetDelay(time.Hour)
+	table := Table(inner, time.Millisecond)
+	if _, err := table.Get(t.Context(), "k"); err == nil {
+		t.Error("a slow service answered")
+	}
+	if err := table.Commit(t.Context(), platform.Write{Key: "k"}); err == nil {
+		t.Error("a slow service answered")
+	}
+}
--- a/internal/platform/s3objects/objects.go
+++ b/internal/platform/s3objects/objects.go
@@ -52,12 +52,24 @@
 	return &Objects{client: client, bucket: s.Bucket}, nil
 }
 
-// Put implements platform.Objects. The body is sent whole and not in signed
-// chunks; readers check documents by their digest.
+// Put implements platform.Objects. It makes the bucket when it is missing.
 func (o *Objects) Put(ctx context.Context, key string, data []byte) error {
+	err := o.put(ctx, key, data)
+	if minio.ToErrorResponse(err).Code == minio.NoSuchBucket {
+		if err := o.client.MakeBucket(ctx, o.bucket, minio.MakeBucketOptions{}); err != nil {
+			return eris.Wrap(err, "make bucket")
+		}
+		err = o.put(ctx, key, data)
+	}
+	return eris.Wrap(err, "put object")
+}
+
+// put sends the body whole and not in signed chunks; readers check documents
+// by their digest.
+func (o *Objects) put(ctx context.Context, key string, data []byte) error {
 	options := minio.PutObjectOptions{DisableMultipart: true, DisableContentSha256: true}
 	_, err := o.client.PutObject(ctx, o.bucket, key, bytes.NewReader(data), int64(len(data)), options)
-	return eris.Wrap(err, "put object")
+	return err
 }
 
 // Get implements platform.Objects.
@@ -68,7 +80,8 @@
 	}
 	defer object.Close()
 	data, err := io.ReadAll(io.LimitReader(object, maxObjectBytes+1))
-	if minio.ToErrorResponse(err).Code == minio.NoSuchKey {
+	switch minio.ToErrorResponse(err).Code {
+	case minio.NoSuchKey, minio.NoSuchBucket:
 		return nil, platform.ErrNotFound
 	}
 	if err != nil {
