--- /dev/null
+++ b/internal/admin/report.go
@@ -0,0 +1,87 @@
+package admin
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/rollout"
+)
+
+// Report tells what failed in a time, what was done about it, and what is
+// still broken.
+type Report struct {
+	Environment string           `json:"environment"`
+	Since       time.Time        `json:"since"`
+	Time        time.Time        `json:"time"`
+	Failovers   []FailoverStatus `json:"failovers"`
+	// Broken is empty when nothing is left to do.
+	Broken []Finding `json:"broken"`
+}
+
+// Finding is one thing that is broken now.
+type Finding struct {
+	Subject string `json:"subject"`
+	Message string `json:"message"`
+}
+
+// NewReport derives the report since a time from a status.
+func NewReport(s Status, since time.Time) Report {
+	r := Report{Environment: s.Environment, Since: since, Time: s.Time, Failovers: []FailoverStatus{}, Broken: []Finding{}}
+	for _, f := range s.Failovers {
+		if !f.Started.Before(since) || f.Outcome != outcomeDone {
+			r.Failovers = append(r.Failovers, f)
+		}
+	}
+	r.findFailovers()
+	for _, g := range s.Groups {
+		r.findGroup(g)
+	}
+	r.findDocument(s)
+	return r
+}
+
+const outcomeDone = "done"
+
+func (r *Report) add(subject, format string, args ...any) {
+	r.Broken = append(r.Broken, Finding{Subject: subject, Message: fmt.Sprintf(format, args...)})
+}
+
+func (r *Report) findFailovers() {
+	for _, f := range r.Failovers {
+		if f.Outcome != outcomeDone {
+			r.add(string(f.Group), "the failover of term %d is %s", f.Term, f.Outcome)
+		}
+		if f.MayBeLost != "" {
+			r.add(string(f.Group), "the failover of term %d may have lost: %s", f.Term, f.MayBeLost)
+		}
+	}
+}
+
+func (r *Report) findGroup(g GroupStatus) {
+	name := string(g.Name)
+	if g.Primary == "" || !g.Writable {
+		r.add(name, "no primary takes writes")
+	}
+	if g.Home == "" {
+		r.add(name, "no proxy owns the group")
+	}
+	for _, s := range g.Servers {
+		switch {
+		case !s.Reachable:
+			r.add(name, "server %s cannot be reached", s.ID)
+		case s.Ejected != "":
+			r.add(name, "server %s is given no work: %s", s.ID, s.Ejected)
+		}
+	}
+}
+
+func (r *Report) findDocument(s Status) {
+	if s.Document.Status != string(rollout.StatusCurrent) {
+		r.add("document", "the document of %s is %s", s.Proxy, s.Document.Status)
+	}
+	for _, m := range s.Members {
+		if m.Revision < s.Document.Revision {
+			r.add("document", "%s holds revision %d, not %d", m.ID, m.Revision, s.Document.Revision)
+		}
+	}
+}
--- /dev/null
+++ b/internal/admin/server.go
@@ -0,0 +1,207 @@
+package admin
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/document"
+	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/strictyaml"
+	"github.com/rattancove/rattancove/internal/tlskeys"
+)
+
+const (
+	requestTimeout    = 30 * time.Second
+	readHeaderTimeout = 5 * time.Second
+	shutdownTimeout   = 5 * time.Second
+	maxHeaderBytes    = 16 << 10
+	// maxBodyBytes leaves room for the JSON around a document.
+	maxBodyBytes = 2 * strictyaml.MaxBytes
+	// maxRequests bounds the requests that are served at once, so that
+	// requests without a key cannot exhaust the process.
+	maxRequests = 64
+)
+
+// StatusSource tells what this proxy knows of the environment.
+type StatusSource interface {
+	Status(ctx context.Context) (Status, error)
+}
+
+// Documents reads and changes documents; document.Store is one.
+type Documents interface {
+	Current(ctx context.Context, env string) (document.Revision, error)
+	Document(ctx context.Context, env string) (document.Revision, *environment.Document, error)
+	Revision(ctx context.Context, env string, revision uint64) (document.Revision, error)
+	Bytes(ctx context.Context, env, digest string) ([]byte, error)
+	History(ctx context.Context, env string) ([]document.Revision, error)
+	Plan(ctx context.Context, env string, data []byte) (document.Revision, environment.Plan, error)
+	Publish(ctx context.Context, c document.Change, data []byte) (document.Revision, error)
+	Promote(ctx context.Context, c document.Change, from string) (document.Revision, error)
+	Rollback(ctx context.Context, c document.Change, to uint64) (document.Revision, error)
+}
+
+// ExplainRequest describes a statement as a caller would send it.
+type ExplainRequest struct {
+	Group     cluster.GroupName `json:"group"`
+	Customer  string            `json:"customer"`
+	SQL       string            `json:"sql"`
+	Rank      string            `json:"rank"`
+	Read      string            `json:"read"`
+	Session   string            `json:"session"`
+	Freshness string            `json:"freshness"`
+}
+
+// Explanation tells where a statement would go, and why.
+type Explanation struct {
+	Group  cluster.GroupName `json:"group"`
+	Class  string            `json:"class"`
+	Rank   string            `json:"rank"`
+	Home   cluster.ProxyID   `json:"home"`
+	Server cluster.ServerID  `json:"server"`
+	// Steps are the decisions in their order.
+	Steps []ExplanationStep `json:"steps"`
+}
+
+// ExplanationStep is one decision.
+type ExplanationStep struct {
+	Step   string `json:"step"`
+	Result string `json:"result"`
+	Reason string `json:"reason"`
+}
+
+// Explainer tells why a statement goes where it goes. Nothing is run.
+type Explainer interface {
+	Explain(ctx context.Context, r ExplainRequest) (Explanation, error)
+}
+
+// Config holds what the API is served from.
+type Config struct {
+	Status    StatusSource
+	Documents Documents
+	// Explainer may be nil.
+	Explainer Explainer
+	Keys      *Keys
+	// Ready returns why the process is not ready; empty when it is.
+	Ready func() string
+	// Changed is told of each accepted change, so that this process and its
+	// peers take it up at once. It may be nil.
+	Changed func(document.Revision)
+	Log     zerolog.Logger
+}
+
+// Server serves the API.
+type Server struct {
+	config Config
+	mux    *http.ServeMux
+	slots  chan struct{}
+}
+
+// New returns a server.
+func New(config Config) *Server {
+	s := &Server{config: config, mux: http.NewServeMux(), slots: make(chan struct{}, maxRequests)}
+	for _, r := range routes() {
+		s.mux.Handle(r.pattern, s.handler(r))
+	}
+	return s
+}
+
+// Handler returns the API as an HTTP handler.
+func (s *Server) Handler() http.Handler { return s.mux }
+
+// Serve serves on l until ctx ends. With keys set, the API is served over TLS.
+func (s *Server) Serve(ctx context.Context, l net.Listener, keys *tlskeys.Keys) error {
+	server := &http.Server{
+		Handler:           s.mux,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       requestTimeout,
+		WriteTimeout:      2 * requestTimeout,
+		IdleTimeout:       time.Minute,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	stop := context.AfterFunc(ctx, func() {
+		shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+		defer cancel()
+		_ = server.Shutdown(shutdownCtx)
+	})
+	defer stop()
+	var err error
+	if keys != nil {
+		server.TLSConfig = keys.Server(false)
+		err = server.ServeTLS(l, "", "")
+	} else {
+		err = server.Serve(l)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return eris.Wrap(err, "serve administration API")
+}
+
+// handler limits, authenticates and answers the requests of one route.
+func (s *Server) handler(r route) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		status := http.StatusOK
+		body, err := s.answer(w, r, request)
+		if err != nil {
+			e := classify(err)
+			status, body = statusByCode[e.Code], errorBody{Error: e}
+			s.logError(request, e, err)
+		}
+		countRequest(r.pattern, status)
+		writeJSON(w, status, body)
+	})
+}
+
+func (s *Server) answer(w http.ResponseWriter, r route, request *http.Request) (any, error) {
+	select {
+	case s.slots <- struct{}{}:
+		defer func() { <-s.slots }()
+	default:
+		return nil, newError(CodeBusy, "too many requests at once")
+	}
+	var identity Identity
+	if r.need != needNothing {
+		var err error
+		if identity, err = s.authorize(request, r.need); err != nil {
+			return nil, err
+		}
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), requestTimeout)
+	defer cancel()
+	request = request.WithContext(ctx)
+	request.Body = http.MaxBytesReader(w, request.Body, maxBodyBytes)
+	return r.serve(s, request, identity)
+}
+
+func (s *Server) authorize(request *http.Request, need need) (Identity, error) {
+	bearer, ok := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
+	if !ok || bearer == "" {
+		return Identity{}, newError(CodeUnauthorized, "send a key as bearer token")
+	}
+	identity, ok := s.config.Keys.Identify(bearer)
+	if !ok {
+		return Identity{}, newError(CodeUnauthorized, "the key is unknown or has expired")
+	}
+	if !need.allows(identity) {
+		return Identity{}, newError(CodeForbidden, "the key lacks the right for this")
+	}
+	return identity, nil
+}
+
+func (s *Server) logError(request *http.Request, e *Error, cause error) {
+	switch e.Code {
+	case CodeUnauthorized, CodeForbidden:
+		eventRefused.Log(&s.config.Log).Str("remote", request.RemoteAddr).
+			Str("path", request.URL.Path).Str("code", string(e.Code)).Send()
+	case CodeUnavailable, CodeUnknownOutcome:
+		eventFailed.Log(&s.config.Log).Err(cause).Str("path", request.URL.Path).Send()
+	}
+}
--- a/internal/document/change.go
+++ b/internal/document/change.go
@@ -19,7 +19,7 @@
 )
 
 func (s *Store) change(ctx context.Context, c Change, t target) (Revision, error) {
-	if earlier, done, err := s.earlier(ctx, c); done || err != nil {
+	if earlier, done, err := s.earlier(ctx, c, t); done || err != nil {
 		return earlier, err
 	}
 	doc, err := environment.Parse(t.data)
--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -196,6 +196,7 @@
 		{"invalid document", nil, []byte("name: x"), &environment.Faults{}},
 		{"other document", nil, []byte(other), &environment.Faults{}},
 		{"no reason", func(c *Change) { c.Why = "" }, variant(t, 2), new(*RequestError)},
+		{"change id of another change", func(c *Change) { c.ID = "c1" }, variant(t, 2), new(*RequestError)},
 		{"bad change id", func(c *Change) { c.ID = "a/b" }, variant(t, 2), new(*RequestError)},
 	}
 	for _, test := range tests {
--- a/internal/document/store.go
+++ b/internal/document/store.go
@@ -117,7 +117,7 @@
 // Promote gives the change's environment the document in force in another.
 // Errors are those of Publish.
 func (s *Store) Promote(ctx context.Context, c Change, from string) (Revision, error) {
-	if earlier, done, err := s.earlier(ctx, c); done || err != nil {
+	if earlier, done, err := s.earlier(ctx, c, target{kind: KindPromote, source: from}); done || err != nil {
 		return earlier, err
 	}
 	source, err := s.Current(ctx, from)
@@ -134,7 +134,8 @@
 // Rollback gives the change's environment the document of an earlier revision.
 // Errors are those of Publish.
 func (s *Store) Rollback(ctx context.Context, c Change, to uint64) (Revision, error) {
-	if earlier, done, err := s.earlier(ctx, c); done || err != nil {
+	source := strconv.FormatUint(to, 10)
+	if earlier, done, err := s.earlier(ctx, c, target{kind: KindRollback, source: source}); done || err != nil {
 		return earlier, err
 	}
 	old, err := s.Revision(ctx, c.Environment, to)
@@ -145,14 +146,23 @@
 	if err != nil {
 		return Revision{}, err
 	}
-	return s.change(ctx, c, target{kind: KindRollback, source: strconv.FormatUint(to, 10), data: data})
+	return s.change(ctx, c, target{kind: KindRollback, source: source, data: data})
 }
 
 // target is the document that a change leads to.
 type target struct {
 	kind   Kind
 	source string
-	data   []byte
+	// data is nil while the document of a source is not known yet.
+	data []byte
+}
+
+// made reports whether r is a revision that leads to the target.
+func (t target) made(r Revision) bool {
+	if r.Kind != t.kind || r.Source != t.source {
+		return false
+	}
+	return t.kind != KindPublish || r.Digest == environment.Digest(t.data)
 }
 
 // pointer returns the revision in force and the version of its row.
@@ -165,8 +175,9 @@
 	return r, row.Version, err
 }
 
-// earlier returns the revision that the change id made before, if any.
-func (s *Store) earlier(ctx context.Context, c Change) (Revision, bool, error) {
+// earlier returns the revision that the change id made before, if any. An id
+// that was used for something else is refused.
+func (s *Store) earlier(ctx context.Context, c Change, t target) (Revision, bool, error) {
 	if err := c.validate(); err != nil {
 		return Revision{}, false, err
 	}
@@ -178,7 +189,13 @@
 		return Revision{}, false, err
 	}
 	r, err := decode(row.Value)
-	return r, err == nil, err
+	if err != nil {
+		return Revision{}, false, err
+	}
+	if !t.made(r) {
+		return Revision{}, false, &RequestError{Field: "change_id", Message: "was used for another change"}
+	}
+	return r, true, nil
 }
 
 // next builds the revision that follows current.
