Bound what callers hold and stop reads of callers that left

Cause: thousands of callers prepare the same statements, a few can send large messages at once, and callers that gave up left their reads in the queue.

Ruled out: stopping writes of callers that left, because PostgreSQL runs them to their end and a caller cannot tell either way.

--- a/internal/pgwire/front/caller.go
+++ b/internal/pgwire/front/caller.go
@@ -46,6 +46,8 @@
 	// batch is under collection; nil between batches.
 	batch        *batch
 	messageBytes int
+	// reserved is the caller's part of the server's budget.
+	reserved int64
 	// discarding is set after an error until the next Sync.
 	discarding bool
 	// tx is the transaction state that the caller saw last.
@@ -66,6 +68,7 @@
 	err := c.serveRequests()
 	c.fire(signalClosed)
 	c.reader.release()
+	c.release()
 	if err == nil || errors.Is(err, io.EOF) {
 		return
 	}
@@ -123,6 +126,10 @@
 	if c.reader.buffered() {
 		return nil
 	}
+	if c.batch == nil {
+		c.reader.release()
+		c.release()
+	}
 	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
 		return err
 	}
--- a/internal/pgwire/front/collect.go
+++ b/internal/pgwire/front/collect.go
@@ -53,6 +53,11 @@
 	if len(b.Messages)+len(message) > batchBytesFactor*c.messageBytes {
 		return false, errcode.Wrap(errOversize, errcode.LimitExceeded, "collect", "")
 	}
+	if len(b.Messages)+len(message) > smallBatchBytes {
+		if err := c.reserve(len(message)); err != nil {
+			return false, err
+		}
+	}
 	body := message[headerBytes:]
 	switch kind {
 	case msgQuery:
@@ -169,8 +174,9 @@
 		return errcode.Wrap(err, errcode.LimitExceeded, "parse", "")
 	}
 	if name != "" {
-		if !c.prepared.put(name, d, c.server.config.PreparedPerCaller) {
-			b.refuse(errcode.New(errcode.LimitExceeded, "parse", "prepared statements of the caller"))
+		d, room := c.server.definitions.share(d)
+		if !room || !c.prepared.put(name, d, c.server.config.PreparedPerCaller) {
+			b.refuse(errcode.New(errcode.LimitExceeded, "parse", "prepared statements"))
 			return nil
 		}
 		b.answer(&pgproto3.ParseComplete{})
--- a/internal/pgwire/front/config.go
+++ b/internal/pgwire/front/config.go
@@ -24,6 +24,8 @@
 	DefaultTransactionTime   = 10 * time.Minute
 	DefaultIdleInTransaction = time.Minute
 	DefaultPreparedPerCaller = 1000
+	DefaultPreparedBytes     = 32 << 20
+	DefaultBufferBytes       = 64 << 20
 	DefaultServerVersion     = "16.0"
 )
 
@@ -70,6 +72,11 @@
 	WriteTime time.Duration
 	// PreparedPerCaller bounds the named prepared statements of one caller.
 	PreparedPerCaller int
+	// PreparedBytes bounds the definitions of all prepared statements; callers
+	// share equal ones.
+	PreparedBytes int64
+	// BufferBytes bounds the memory for messages and batches above a few KiB.
+	BufferBytes int64
 	// Admit is asked before each new caller; its error, an *errcode.Error,
 	// refuses the caller. It may be nil.
 	Admit func() error
@@ -86,6 +93,8 @@
 	c.MessageTime = orDefault(c.MessageTime, DefaultMessageTime)
 	c.WriteTime = orDefault(c.WriteTime, DefaultWriteTime)
 	c.PreparedPerCaller = orDefault(c.PreparedPerCaller, DefaultPreparedPerCaller)
+	c.PreparedBytes = orDefault(c.PreparedBytes, DefaultPreparedBytes)
+	c.BufferBytes = orDefault(c.BufferBytes, DefaultBufferBytes)
 	return c
 }
 
--- a/internal/pgwire/front/conversation.go
+++ b/internal/pgwire/front/conversation.go
@@ -51,6 +51,7 @@
 	rolledBack bool
 	// settings are in force once the transaction commits.
 	settings []statement.Setting
+	watch    watcher
 	// err is why the connection of the caller ends.
 	err error
 }
@@ -179,6 +180,7 @@
 // Next implements statement.Conversation. It answers batches that need no
 // server itself.
 func (v *conversation) Next(ctx context.Context) (*statement.Batch, error) {
+	v.stopWatch()
 	copying, err := v.beginWait()
 	if err != nil {
 		return nil, err
@@ -263,6 +265,9 @@
 	if c.reader.buffered() {
 		return nil
 	}
+	if c.batch == nil {
+		c.release()
+	}
 	end := time.Now().Add(limits(c.server.directory).IdleInTransaction)
 	if v.transactionEnd.Before(end) {
 		end = v.transactionEnd
--- a/internal/pgwire/front/drain_test.go
+++ b/internal/pgwire/front/drain_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/rattancove/rattancove/internal/environment"
 	"github.com/rattancove/rattancove/internal/pgwire/front"
@@ -97,6 +98,50 @@
 	}
 }
 
+func TestReadOfCallerThatLeftIsStopped(t *testing.T) {
+	for name, leave := range map[string][]byte{"closed": nil, "terminated": {'X', 0, 0, 0, 4}} {
+		t.Run(name, func(t *testing.T) {
+			b := startServer(t, fakeDirectory{}, front.Config{})
+			stopped := make(chan error, 1)
+			b.runner.before = func(ctx context.Context, _ int, _ string) error {
+				<-ctx.Done()
+				stopped <- context.Cause(ctx)
+				return ctx.Err()
+			}
+			conn, f := session(t, b)
+			send(t, f, &pgproto3.Query{String: "select 1"})
+			waitFor(t, func() bool { return b.runner.count() == 1 })
+			_, _ = conn.Write(leave)
+			_ = conn.Close()
+			if err := <-stopped; err == nil || !strings.Contains(err.Error(), "closed its connection") {
+				t.Errorf("the read ended with %v", err)
+			}
+			waitFor(t, func() bool { return b.Callers() == 0 })
+		})
+	}
+}
+
+func TestPipelinedRequestIsNotLostByTheWatch(t *testing.T) {
+	b := startServer(t, fakeDirectory{}, front.Config{})
+	release := make(chan struct{})
+	b.runner.before = func(_ context.Context, _ int, sql string) error {
+		if sql == "select 'slow'" {
+			<-release
+		}
+		return nil
+	}
+	_, f := session(t, b)
+	send(t, f, &pgproto3.Query{String: "select 'slow'"})
+	time.AfterFunc(400*time.Millisecond, func() { close(release) })
+	time.Sleep(300 * time.Millisecond)
+	send(t, f, &pgproto3.Query{String: "select 'next'"})
+	for _, want := range []string{"select 'slow'", "select 'next'"} {
+		if row := expect(t, f, &pgproto3.DataRow{}); string(row.Values[0]) != want {
+			t.Errorf("answer %q, want %q", row.Values[0], want)
+		}
+	}
+}
+
 func TestIdleInTransaction(t *testing.T) {
 	for name, c := range map[string]struct {
 		limits environment.Limits
--- a/internal/pgwire/front/fake_test.go
+++ b/internal/pgwire/front/fake_test.go
@@ -14,6 +14,7 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
 
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/environment"
@@ -21,6 +22,8 @@
 	"github.com/rattancove/rattancove/internal/statement"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // fakeRunner answers batches as a tiny PostgreSQL server would.
 type fakeRunner struct {
 	mu       sync.Mutex
--- a/internal/pgwire/front/frame.go
+++ b/internal/pgwire/front/frame.go
@@ -26,7 +26,9 @@
 // holds no buffer while it waits for the first byte of a message.
 type frameReader struct {
 	source io.Reader
-	pooled *[readBufferBytes]byte
+	// reserve is asked before the buffer grows by a number of bytes.
+	reserve func(bytes int) error
+	pooled  *[readBufferBytes]byte
 	// buf holds unread bytes in buf[read:written].
 	buf     []byte
 	read    int
@@ -37,6 +39,10 @@
 // buffered reports whether part of a message has been read.
 func (r *frameReader) buffered() bool { return r.read < r.written }
 
+// startsWith reports whether the next message is of the type. It may only be
+// called after wait.
+func (r *frameReader) startsWith(kind byte) bool { return r.buffered() && r.buf[r.read] == kind }
+
 // wait blocks until at least one byte of the next message is there.
 func (r *frameReader) wait() error {
 	if r.buffered() {
@@ -84,7 +90,9 @@
 // that arrive, not with the size that a caller claims.
 func (r *frameReader) fill(size int) error {
 	for r.written-r.read < size {
-		r.makeRoom(size)
+		if err := r.makeRoom(size); err != nil {
+			return err
+		}
 		n, err := r.source.Read(r.buf[r.written:])
 		r.written += n
 		if n > 0 {
@@ -101,23 +109,28 @@
 	return nil
 }
 
-func (r *frameReader) makeRoom(size int) {
+func (r *frameReader) makeRoom(size int) error {
 	if r.read == r.written {
 		r.read, r.written = 0, 0
 	}
 	if r.written < len(r.buf) && r.read+size <= len(r.buf) {
-		return
+		return nil
 	}
 	if r.read > 0 {
 		r.written = copy(r.buf, r.buf[r.read:r.written])
 		r.read = 0
 	}
 	if r.written < len(r.buf) {
-		return
+		return nil
 	}
-	grown := make([]byte, min(2*len(r.buf), max(size, len(r.buf)+1)))
+	length := min(2*len(r.buf), size)
+	if err := r.reserve(length - len(r.buf)); err != nil {
+		return err
+	}
+	grown := make([]byte, length)
 	copy(grown, r.buf[:r.written])
 	r.buf = grown
+	return nil
 }
 
 func (r *frameReader) acquire() {
--- a/internal/pgwire/front/frame_test.go
+++ b/internal/pgwire/front/frame_test.go
@@ -37,7 +37,7 @@
 	f.Fuzz(func(t *testing.T, data []byte, piece uint8) {
 		const limit = 16 << 10
 		source := &stutter{data: bytes.Clone(data), piece: int(piece) + 1}
-		r := frameReader{source: source}
+		r := frameReader{source: source, reserve: func(int) error { return nil }}
 		rest := data
 		for {
 			_, message, err := patient(&r, limit)
--- a/internal/pgwire/front/metrics.go
+++ b/internal/pgwire/front/metrics.go
@@ -15,6 +15,7 @@
 var (
 	callersAccepted = metrics.NewCounter("rattan_front_callers_accepted_total")
 	callersRefused  = metrics.NewCounter("rattan_front_callers_refused_total")
+	messagesRefused = metrics.NewCounter("rattan_front_messages_refused_total")
 	cancelRequests  = metrics.NewCounter("rattan_front_cancel_requests_total")
 	callersOpen     = metrics.NewCounter("rattan_front_callers")
 	requestSeconds  [cluster.RankCount]*metrics.Histogram
--- a/internal/pgwire/front/request.go
+++ b/internal/pgwire/front/request.go
@@ -55,7 +55,9 @@
 	defer v.timer.Stop()
 	c.fire(signalRequest)
 	started := time.Now()
+	v.startWatch(req.First.Class)
 	result, err := c.server.runner.Run(ctx, req, v)
+	v.stopWatch()
 	if err == nil && !v.held && !v.left() {
 		err = errcode.Wrap(errIncomplete, errcode.Internal, "run", string(result.Home))
 	}
--- a/internal/pgwire/front/server.go
+++ b/internal/pgwire/front/server.go
@@ -47,6 +47,9 @@
 	draining   atomic.Bool
 	unverified atomic.Int64
 	mockSecret [32]byte
+	// definitions holds the prepared statements of all callers.
+	definitions *definitions
+	budget      budget
 
 	mu        sync.Mutex
 	listeners map[net.Listener]struct{}
@@ -63,14 +66,17 @@
 // directory.
 func New(config Config, runner statement.Runner, directory Directory) *Server {
 	base, cutOff := context.WithCancelCause(context.Background())
+	config = config.withDefaults()
 	s := &Server{
-		config:        config.withDefaults(),
+		config:        config,
 		runner:        runner,
 		directory:     directory,
 		logger:        config.Logger,
 		requestPrefix: fmt.Sprintf("%s-%.8s-", config.Proxy, uuid.NewString()),
 		base:          base,
 		cutOff:        cutOff,
+		definitions:   newDefinitions(config.PreparedBytes),
+		budget:        budget{limit: config.BufferBytes},
 		listeners:     make(map[net.Listener]struct{}),
 		starting:      make(map[net.Conn]struct{}),
 		callers:       make(map[uint32]*caller),
--- a/internal/pgwire/front/session_test.go
+++ b/internal/pgwire/front/session_test.go
@@ -309,3 +309,19 @@
 		all = append(all, strings.TrimPrefix(strings.Split(typeName(m), ".")[1], "*"))
 	}
 }
+
+func TestBufferBudget(t *testing.T) {
+	b := startServer(t, fakeDirectory{}, front.Config{BufferBytes: 300 << 10})
+	conn := b.connect(t, "")
+	for range 3 {
+		if _, err := conn.Exec(t.Context(), "insert "+strings.Repeat("x", 100<<10)); err != nil {
+			t.Fatalf("a message within the budget: %v", err)
+		}
+	}
+	if _, err := conn.Exec(t.Context(), "insert "+strings.Repeat("x", 300<<10)); sqlState(err) != "53400" {
+		t.Errorf("a message beyond the budget: %v", err)
+	}
+	if _, err := b.connect(t, "").Exec(t.Context(), "insert "+strings.Repeat("x", 100<<10)); err != nil {
+		t.Errorf("another caller afterwards: %v", err)
+	}
+}
--- a/internal/pgwire/front/startup.go
+++ b/internal/pgwire/front/startup.go
@@ -260,6 +260,7 @@
 	c := &caller{server: s, conn: conn, tx: txIdle, options: defaultOptions()}
 	c.state.Init(sessionChart)
 	c.reader.source = conn
+	c.reader.reserve = c.reserve
 	c.writer = answerWriter{conn: conn, timeout: s.config.WriteTime}
 	c.user = parameters["user"]
 	c.group = cluster.GroupName(parameters["database"])
