Test what trial mutations of the callers' side left standing

Change: tests for the unnamed statement of another caller, a failed COMMIT with a pending SET, Flush in a transaction block, a cancel between statements, an idle transaction that the home ends, and backslashes in strings.

--- a/internal/pgwire/front/drain_test.go
+++ b/internal/pgwire/front/drain_test.go
@@ -11,6 +11,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/pgwire/front"
 )
 
@@ -145,13 +146,22 @@
 func TestIdleInTransaction(t *testing.T) {
 	for name, c := range map[string]struct {
 		limits environment.Limits
+		home   bool
 		want   string
 	}{
-		"idle":        {environment.Limits{IdleInTransaction: 30 * time.Millisecond}, "25P03"},
-		"transaction": {environment.Limits{TransactionTime: 30 * time.Millisecond}, "54000"},
+		"idle":         {environment.Limits{IdleInTransaction: 30 * time.Millisecond}, false, "25P03"},
+		"transaction":  {environment.Limits{TransactionTime: 30 * time.Millisecond}, false, "54000"},
+		"idle at home": {environment.Limits{}, true, "25P03"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := startServer(t, fakeDirectory{limits: c.limits}, front.Config{})
+			if c.home {
+				b.runner.wait = func(ctx context.Context) (context.Context, error) {
+					ctx, cancel := context.WithTimeout(ctx, 30*time.Millisecond)
+					context.AfterFunc(ctx, cancel)
+					return ctx, errcode.New(errcode.IdleTransaction, "wait for caller", "server-1")
+				}
+			}
 			conn := b.connect(t, "")
 			if _, err := conn.Exec(t.Context(), "begin"); err != nil {
 				t.Fatal(err)
--- a/internal/pgwire/front/fake_test.go
+++ b/internal/pgwire/front/fake_test.go
@@ -59,7 +59,7 @@
 		f.done++
 		f.mu.Unlock()
 	}()
-	s := &fakeSession{runner: f, conv: conv, tx: 'I', sql: map[string]string{}}
+	s := &fakeSession{runner: f, conv: conv, tx: 'I', sql: map[string]string{"": "select 'of another caller'"}}
 	batch := &req.First
 	for n := 0; ; n++ {
 		f.mu.Lock()
@@ -217,6 +217,10 @@
 	case sql == "":
 		s.send(&pgproto3.EmptyQueryResponse{})
 		return nil
+	case sql == "commit boom":
+		s.fail("23503")
+		s.tx = 'I'
+		return nil
 	case tag == "BEGIN":
 		s.tx = 'T'
 	case tag == "ROLLBACK", tag == "COMMIT" && s.tx == 'E':
--- a/internal/pgwire/front/session_test.go
+++ b/internal/pgwire/front/session_test.go
@@ -32,6 +32,7 @@
 		{"set work_mem = '2MB'", []statement.Setting{path, {Name: "work_mem", Value: "2MB"}}},
 		{"begin; set work_mem = '3MB'; rollback", []statement.Setting{path, {Name: "work_mem", Value: "2MB"}}},
 		{"begin; set work_mem = '4MB'; commit", []statement.Setting{path, {Name: "work_mem", Value: "4MB"}}},
+		{"begin; set work_mem = '5MB'; commit boom", []statement.Setting{path, {Name: "work_mem", Value: "4MB"}}},
 		{"reset work_mem", []statement.Setting{path, initial}},
 		{"set search_path to default", []statement.Setting{initial}},
 		{"set search_path to b; reset all", []statement.Setting{initial}},
@@ -209,6 +210,25 @@
 	}
 }
 
+func TestFlushInTransaction(t *testing.T) {
+	b := startServer(t, fakeDirectory{}, front.Config{})
+	_, f := session(t, b)
+	send(t, f, &pgproto3.Query{String: "begin"})
+	expect(t, f, &pgproto3.ReadyForQuery{})
+	send(t, f, &pgproto3.Parse{Query: "select 'f'"}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Flush{})
+	expect(t, f, &pgproto3.CommandComplete{})
+	send(t, f, &pgproto3.Parse{Query: "syntax"}, &pgproto3.Flush{})
+	expect(t, f, &pgproto3.ErrorResponse{})
+	send(t, f, &pgproto3.Parse{Query: "select 1"}, &pgproto3.Sync{})
+	if got := kinds(t, f); got != "" {
+		t.Errorf("answers after an error and before Sync: %s", got)
+	}
+	send(t, f, &pgproto3.Query{String: "rollback"})
+	if z := expect(t, f, &pgproto3.ReadyForQuery{}); z.TxStatus != 'I' {
+		t.Errorf("status %c", z.TxStatus)
+	}
+}
+
 func TestPipeline(t *testing.T) {
 	b := startServer(t, fakeDirectory{}, front.Config{})
 	conn := b.connect(t, "")
--- a/internal/pgwire/front/startup_test.go
+++ b/internal/pgwire/front/startup_test.go
@@ -275,6 +275,15 @@
 	if _, err := conn.Exec(t.Context(), "select 1"); err != nil {
 		t.Errorf("after the cancel: %v", err)
 	}
+	if _, err := conn.Exec(t.Context(), "begin"); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.PgConn().CancelRequest(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Exec(t.Context(), "insert 1"); err != nil {
+		t.Errorf("a cancel request without a running statement ended the transaction: %v", err)
+	}
 	raw := dial(t, b)
 	_, _ = raw.Write([]byte{0, 0, 0, 16, 0x04, 0xd2, 0x16, 0x2e, 0, 0, 0, 1, 1, 2, 3, 4})
 	if k := <-forwarded; k.Process != 1 || k.Secret != [4]byte{1, 2, 3, 4} {
--- a/internal/sqlclass/classify_test.go
+++ b/internal/sqlclass/classify_test.go
@@ -31,7 +31,7 @@
 			"select 1into t", "select $1into t", "select nextval('s')", "select f(1)", "select \"f\"(1)",
 			"select other.count(1)", "select pg_catalog.set_config('a', 'b', false)",
 			"with x as (delete from t returning *) select * from x", "explain analyze select 1",
-			"select 'a\\' into t --'", "select 'open", "select 1 /* open", "commit", "copy t from stdin",
+			"select 'a\\', ' into t --'", "select 'open", "select 1 /* open", "commit", "copy t from stdin",
 			"select $a$ $b$ into t", "do $$ begin end $$", "begin; select 1",
 			"create temp table a(b int) on commit drop", "prepare transaction 'x'",
 			"select " + strings.Repeat(" ", maxTextBytes),
