Hand a group over from home to home without cutting requests off

Cause: a claim ends the data connections of the older epoch, so a planned stop of a home would have cut off what it was running.

Ruled out: letting the old epoch's connections live on beside the new home, since both would then give the same slots away and the new home's high-water mark would miss the old one's commits.

Change: before a claim the new home asks the present one, if it is up, to drain the group and give it up; the old home gives nothing up by itself for 10 s; a released group is not claimed again for 3 s; a leaving proxy announces itself at once.

--- a/cmd/rattan-warden/serve.go
+++ b/cmd/rattan-warden/serve.go
@@ -13,10 +13,8 @@
 	"github.com/rattancove/rattancove/internal/failover"
 	"github.com/rattancove/rattancove/internal/member"
 	"github.com/rattancove/rattancove/internal/peer"
-	"github.com/rattancove/rattancove/internal/pgwire/back"
 	"github.com/rattancove/rattancove/internal/process"
 	"github.com/rattancove/rattancove/internal/settings"
-	"github.com/rattancove/rattancove/internal/tlskeys"
 	"github.com/rattancove/rattancove/internal/warden"
 )
 
@@ -33,7 +31,7 @@
 		return err
 	}
 	defer p.Close(runCtx)
-	dialer, err := newDialer(s, p)
+	dialer, err := p.Dialer()
 	if err != nil {
 		return err
 	}
@@ -84,19 +82,3 @@
 		Log:  p.Log,
 	}
 }
-
-func newDialer(s *settings.Warden, p *process.Process) (backend.Dialer, error) {
-	config := back.Config{
-		ConnectTimeout: s.Backend.ConnectTimeout,
-		Credentials:    back.Credentials{User: s.Backend.User, Password: s.Backend.Password.Reveal()},
-		Log:            p.Log,
-	}
-	if s.Backend.TLS.Enabled() {
-		keys, err := tlskeys.Load(s.Backend.TLS, p.Log)
-		if err != nil {
-			return nil, eris.Wrap(err, "backend.tls")
-		}
-		config.TLS = keys.Client
-	}
-	return back.New(config), nil
-}
--- /dev/null
+++ b/internal/home/handoff.go
@@ -0,0 +1,70 @@
+package home
+
+import (
+	"context"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+const (
+	// handoffTime bounds the wait for the present home of a group to drain it.
+	handoffTime = drainTime + time.Second
+	// yieldTime is how long a group that was released for another home is not
+	// claimed again, so that two proxies whose views differ do not take it
+	// from each other in turn.
+	yieldTime = 3 * time.Second
+)
+
+// released is a group that this proxy has given up.
+type released struct {
+	// drained is closed when nothing of the group runs here any more.
+	drained chan struct{}
+	// until is the time before which the group is not claimed again.
+	until time.Time
+}
+
+// Release gives a group up for another home and returns when its requests
+// have ended, or with the error of ctx.
+func (h *Home) Release(ctx context.Context, group cluster.GroupName) error {
+	h.mu.Lock()
+	h.release(group)
+	r := h.released[group]
+	if r != nil {
+		r.until = time.Now().Add(yieldTime)
+	}
+	h.mu.Unlock()
+	if r == nil {
+		return nil
+	}
+	select {
+	case <-r.drained:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// yielded reports whether the group was released for another home just now.
+// The caller holds the lock.
+func (h *Home) yielded(group cluster.GroupName) bool {
+	r := h.released[group]
+	return r != nil && time.Now().Before(r.until)
+}
+
+// askHandoff lets the present home finish what it runs before its claim is
+// superseded. A home that does not answer is superseded at once.
+func (o *owner) askHandoff() {
+	o.mu.Lock()
+	_, holder := o.view.maxEpoch()
+	o.mu.Unlock()
+	ask := o.home.config.Handoff
+	if ask == nil || holder == "" || holder == o.home.config.ID {
+		return
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, handoffTime)
+	defer cancel()
+	if err := ask(ctx, holder, o.name); err != nil {
+		eventHandoffFailed.Log(o.home.log).Str("group", string(o.name)).Str("holder", string(holder)).Err(err).Send()
+	}
+}
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -25,6 +25,10 @@
 	Policy rank.Policy
 	// Proxies is the number of proxies that share each server under rank.PolicyStatic.
 	Proxies int
+	// Handoff asks the present home of a group to drain it and give it up. It
+	// is called before a claim; the claim goes on whether it succeeds or not.
+	// It may be nil.
+	Handoff func(ctx context.Context, holder cluster.ProxyID, group cluster.GroupName) error
 	// Log receives events; the zero value discards them.
 	Log *zerolog.Logger
 }
@@ -36,12 +40,14 @@
 	dialer backend.Dialer
 	log    *zerolog.Logger
 
-	mu        sync.Mutex
-	groups    map[cluster.GroupName]environment.Group
-	ranks     environment.Ranks
-	limits    environment.Limits
-	owners    map[cluster.GroupName]*owner
-	leaving   map[cluster.ServerID]bool
+	mu      sync.Mutex
+	groups  map[cluster.GroupName]environment.Group
+	ranks   environment.Ranks
+	limits  environment.Limits
+	owners  map[cluster.GroupName]*owner
+	leaving map[cluster.ServerID]bool
+	// released holds the groups that were given up and what became of them.
+	released  map[cluster.GroupName]*released
 	releasing sync.WaitGroup
 	closed    bool
 	without   rules
@@ -68,9 +74,10 @@
 	}
 	return &Home{
 		config: config, dialer: dialer, log: log,
-		groups:  make(map[cluster.GroupName]environment.Group),
-		owners:  make(map[cluster.GroupName]*owner),
-		leaving: make(map[cluster.ServerID]bool),
+		groups:   make(map[cluster.GroupName]environment.Group),
+		owners:   make(map[cluster.GroupName]*owner),
+		leaving:  make(map[cluster.ServerID]bool),
+		released: make(map[cluster.GroupName]*released),
 	}
 }
 
@@ -102,7 +109,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	g, ok := h.groups[group]
-	if !ok || h.closed {
+	if !ok || h.closed || h.yielded(group) {
 		return errcode.New(errcode.NoHome, "own", string(group))
 	}
 	if o, ok := h.owners[group]; ok {
@@ -135,7 +142,10 @@
 		return
 	}
 	delete(h.owners, group)
+	r := &released{drained: make(chan struct{})}
+	h.released[group] = r
 	h.releasing.Go(func() {
+		defer close(r.drained)
 		ctx, cancel := context.WithTimeout(context.Background(), drainTime)
 		defer cancel()
 		o.close(ctx)
--- a/internal/home/observe.go
+++ b/internal/home/observe.go
@@ -225,6 +225,7 @@
 		if err != nil {
 			return err
 		}
+		o.askHandoff()
 		won, err := o.tryClaim()
 		if won || err != nil {
 			return err
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -8,6 +8,7 @@
 
 	"storj.io/drpc/drpcconn"
 
+	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/peer/peerpb"
 	"github.com/rattancove/rattancove/internal/statement"
@@ -54,6 +55,18 @@
 	return err
 }
 
+// Release asks the peer to drain a group and to give it up.
+func (c *Client) Release(ctx context.Context, group cluster.GroupName) error {
+	_, err := call(ctx, c, "release", &peerpb.ReleaseRequest{Group: string(group)}, peerpb.DRPCPeerClient.Release)
+	return err
+}
+
+// GroupStatus returns the status of a group at the peer, as JSON.
+func (c *Client) GroupStatus(ctx context.Context, group cluster.GroupName) ([]byte, error) {
+	reply, err := call(ctx, c, "group status", &peerpb.GroupStatusRequest{Group: string(group)}, peerpb.DRPCPeerClient.GroupStatus)
+	return reply.GetStatus(), err
+}
+
 func call[In, Out any](
 	ctx context.Context, c *Client, step string, in *In,
 	method func(peerpb.DRPCPeerClient, context.Context, *In) (*Out, error),
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -10,6 +10,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/peer/peerpb"
 	"github.com/rattancove/rattancove/internal/statement"
@@ -26,6 +27,10 @@
 	Probe    func(context.Context, *peerpb.ProbeRequest) (*peerpb.ProbeReply, error)
 	Document func(context.Context, *peerpb.DocumentRequest) (*peerpb.DocumentReply, error)
 	Cancel   func(context.Context, *peerpb.CancelRequest) (*peerpb.CancelReply, error)
+	// Release drains a group and gives it up before it returns.
+	Release func(ctx context.Context, group cluster.GroupName) error
+	// GroupStatus returns the status of a group as JSON.
+	GroupStatus func(ctx context.Context, group cluster.GroupName) ([]byte, error)
 }
 
 // Server serves the calls of peers.
@@ -90,6 +95,23 @@
 	return s.handlers.Cancel(ctx, in)
 }
 
+// Release implements peerpb.DRPCPeerServer.
+func (s *Server) Release(ctx context.Context, in *peerpb.ReleaseRequest) (*peerpb.ReleaseReply, error) {
+	if s.handlers.Release == nil {
+		return s.DRPCPeerUnimplementedServer.Release(ctx, in)
+	}
+	return &peerpb.ReleaseReply{}, s.handlers.Release(ctx, cluster.GroupName(in.GetGroup()))
+}
+
+// GroupStatus implements peerpb.DRPCPeerServer.
+func (s *Server) GroupStatus(ctx context.Context, in *peerpb.GroupStatusRequest) (*peerpb.GroupStatusReply, error) {
+	if s.handlers.GroupStatus == nil {
+		return s.DRPCPeerUnimplementedServer.GroupStatus(ctx, in)
+	}
+	status, err := s.handlers.GroupStatus(ctx, cluster.GroupName(in.GetGroup()))
+	return &peerpb.GroupStatusReply{Status: status}, err
+}
+
 // Run implements peerpb.DRPCPeerServer.
 func (s *Server) Run(stream peerpb.DRPCPeer_RunStream) error {
 	if s.handlers.Runner == nil {
--- a/internal/process/ping.go
+++ b/internal/process/ping.go
@@ -100,12 +100,13 @@
 		case <-ctx.Done():
 			return nil
 		case <-changes:
-			p.announce(ctx)
+			p.Announce(ctx)
 		}
 	}
 }
 
-func (p *Process) announce(ctx context.Context) {
+// Announce tells some peers at once of this process's state and document.
+func (p *Process) Announce(ctx context.Context) {
 	members := p.alive()
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	told := 0
--- a/internal/proxy/homes.go
+++ b/internal/proxy/homes.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/environment"
 )
 
@@ -11,6 +12,10 @@
 // proxy should own.
 const homeInterval = time.Second
 
+// foreignTime is how long a group is kept whose home should be another proxy.
+// That proxy asks for it well before; see home.Config.Handoff.
+const foreignTime = 10 * time.Second
+
 // keepHomes owns the groups whose home this proxy is in its view, gives up the
 // others, and passes documents and leaving backend servers on to the homes.
 func (p *Proxy) keepHomes(ctx context.Context) error {
@@ -37,13 +42,26 @@
 			// The only failure is a group that the home does not know yet; the
 			// next look owns it.
 			_ = p.home.Own(group)
+			delete(p.foreign, group)
 			continue
 		}
-		p.home.Disown(group)
+		p.giveUp(group)
 	}
 	p.markLeaving()
 }
 
+// giveUp disowns a group that the other proxy has not asked for in time.
+func (p *Proxy) giveUp(group cluster.GroupName) {
+	since, ok := p.foreign[group]
+	if !ok {
+		p.foreign[group] = time.Now()
+		return
+	}
+	if time.Since(since) >= foreignTime {
+		p.home.Disown(group)
+	}
+}
+
 func (p *Proxy) markLeaving() {
 	current := p.process.Documents.Current()
 	if current == nil {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -16,12 +16,12 @@
 	"github.com/rattancove/rattancove/internal/member"
 	"github.com/rattancove/rattancove/internal/peer"
 	"github.com/rattancove/rattancove/internal/peer/peerpb"
-	"github.com/rattancove/rattancove/internal/pgwire/back"
 	"github.com/rattancove/rattancove/internal/pgwire/front"
 	"github.com/rattancove/rattancove/internal/process"
 	"github.com/rattancove/rattancove/internal/rank"
 	"github.com/rattancove/rattancove/internal/settings"
 	"github.com/rattancove/rattancove/internal/tlskeys"
+	"github.com/rattancove/rattancove/internal/warden"
 )
 
 // staticProxies is the number of proxies that share the servers under the
@@ -35,10 +35,13 @@
 type Proxy struct {
 	settings *settings.Proxy
 	process  *process.Process
+	dialer   backend.Dialer
 	home     *home.Home
 	gateway  *gateway.Gateway
 	front    *front.Server
-	ready    chan struct{}
+	// foreign holds the owned groups whose home should be another proxy, with
+	// the time since when.
+	foreign map[cluster.GroupName]time.Time
 }
 
 // Run runs a proxy until ctx ends and then stops it in order: readiness goes
@@ -80,12 +83,11 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{settings: s, process: common}
-	dialer, err := newDialer(s, common)
-	if err != nil {
+	p := &Proxy{settings: s, process: common, foreign: map[cluster.GroupName]time.Time{}}
+	if p.dialer, err = common.Dialer(); err != nil {
 		return nil, err
 	}
-	p.home = home.New(p.homeConfig(), dialer)
+	p.home = home.New(p.homeConfig(), p.dialer)
 	p.gateway = gateway.New(gateway.Config{
 		Self: s.ID, Local: p.home,
 		Members: homes{self: s.ID, sharing: s.Policy.Sharing, members: common.Members, peers: common.Peers},
@@ -98,23 +100,8 @@
 	return p, nil
 }
 
-func newDialer(s *settings.Proxy, p *process.Process) (backend.Dialer, error) {
-	config := back.Config{
-		ConnectTimeout: s.Backend.ConnectTimeout, Log: p.Log,
-		Credentials: back.Credentials{User: s.Backend.User, Password: s.Backend.Password.Reveal()},
-	}
-	if s.Backend.TLS.Enabled() {
-		keys, err := tlskeys.Load(s.Backend.TLS, p.Log)
-		if err != nil {
-			return nil, eris.Wrap(err, "backend.tls")
-		}
-		config.TLS = keys.Client
-	}
-	return back.New(config), nil
-}
-
 func (p *Proxy) homeConfig() home.Config {
-	config := home.Config{ID: p.settings.ID, Log: &p.process.Log}
+	config := home.Config{ID: p.settings.ID, Log: &p.process.Log, Handoff: p.askRelease}
 	if p.settings.Policy.Sharing == settings.SharingStatic {
 		config.Policy = rank.PolicyStatic
 		config.Proxies = staticProxies
@@ -139,7 +126,19 @@
 }
 
 func (p *Proxy) handlers() peer.Handlers {
-	return peer.Handlers{Runner: p.gateway, Cancel: p.handleCancel}
+	return peer.Handlers{
+		Runner: p.gateway, Probe: warden.ProbeHandler(p.dialer), Cancel: p.handleCancel, Release: p.home.Release,
+	}
+}
+
+// askRelease asks another proxy to drain a group that this one is to own. A
+// proxy that is not known to be up is not asked.
+func (p *Proxy) askRelease(ctx context.Context, holder cluster.ProxyID, group cluster.GroupName) error {
+	e, ok := p.process.Members.Snapshot().Find(member.Key{Role: member.RoleProxy, ID: string(holder)})
+	if !ok || (e.State != member.StateAlive && e.State != member.StateLeaving) {
+		return nil
+	}
+	return p.process.Peers.Client(e.Member.Address).Release(ctx, group)
 }
 
 func (p *Proxy) handleCancel(_ context.Context, in *peerpb.CancelRequest) (*peerpb.CancelReply, error) {
@@ -170,6 +169,7 @@
 func (p *Proxy) drain(ctx context.Context) {
 	eventDraining.Log(&p.process.Log).Send()
 	p.process.Members.Leave()
+	p.process.Announce(ctx)
 	sleep(ctx, p.settings.Drain.ReadyDelay)
 	limited, cancel := context.WithTimeout(ctx, p.settings.Drain.Timeout)
 	defer cancel()
