Track the state of backend connections and add TLS to the stand-in

Three things came out of tests of the adapter: a refused setting is now answered to the caller instead of closing the connection, the position query is no longer sent behind BEGIN, where it would keep the isolation level from being set, and an idle connection that the server ended is noticed before anything is sent, so that the outcome is not run rather than unknown.

--- a/internal/pgwire/back/alive.go
+++ b/internal/pgwire/back/alive.go
@@ -1,6 +1,7 @@
 package back
 
 import (
+	"crypto/tls"
 	"errors"
 	"syscall"
 )
@@ -14,7 +15,12 @@
 	if !l.idle() {
 		return errUnexpected
 	}
-	sys, ok := l.conn.(syscall.Conn)
+	conn := l.conn
+	secured, encrypted := conn.(*tls.Conn)
+	if encrypted {
+		conn = secured.NetConn()
+	}
+	sys, ok := conn.(syscall.Conn)
 	if !ok {
 		return nil
 	}
@@ -38,6 +44,9 @@
 		return peekErr
 	case n == 0:
 		return errStale
+	case encrypted:
+		// What waits may be a message of the TLS layer.
+		return nil
 	default:
 		return l.explain()
 	}
--- a/internal/pgwire/back/batch.go
+++ b/internal/pgwire/back/batch.go
@@ -35,6 +35,20 @@
 // mayEndTransaction reports whether the batch may commit.
 func mayEndTransaction(b *statement.Batch) bool { return mentions(b, endWords) }
 
+// mayEndIdle reports whether the position can be asked for in the same write:
+// nothing waits for COPY data, and the query cannot become the first one of a
+// transaction, after which its isolation level could not be set.
+func mayEndIdle(b *statement.Batch, open bool) bool {
+	switch {
+	case mayCopy(b):
+		return false
+	case open:
+		return mayEndTransaction(b) || mentions(b, otherEnds)
+	default:
+		return b.Class != statement.ClassBegin && b.Class != statement.ClassBeginReadOnly
+	}
+}
+
 // isPlain reports whether the batch surely leaves a transaction around it
 // open and needs no data from the caller.
 func isPlain(b *statement.Batch) bool {
--- a/internal/pgwire/back/config.go
+++ b/internal/pgwire/back/config.go
@@ -30,6 +30,8 @@
 	// chunkBytes is the size from which answers are passed on.
 	chunkBytes = 16 << 10
 	readBuffer = 32 << 10
+	// maxKeptFrame bounds the buffer that a connection keeps for messages.
+	maxKeptFrame = 256 << 10
 )
 
 // Credentials are what the adapter presents to the servers of a group.
--- a/internal/pgwire/back/conn.go
+++ b/internal/pgwire/back/conn.go
@@ -13,6 +13,7 @@
 
 	"github.com/rattancove/rattancove/internal/backend"
 	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/statechart"
 	"github.com/rattancove/rattancove/internal/statement"
 )
 
@@ -22,6 +23,7 @@
 // another call runs.
 type Conn struct {
 	link     *link
+	state    statechart.Machine
 	prepared *preparedSet
 	settings []statement.Setting
 	// settingsUnknown is set when a batch changed settings by itself.
@@ -35,6 +37,12 @@
 
 var _ backend.Conn = (*Conn)(nil)
 
+func newConn(l *link, maxPrepared int) *Conn {
+	c := &Conn{link: l, prepared: newPreparedSet(maxPrepared)}
+	c.state.Init(connectionChart)
+	return c
+}
+
 // Exchange runs one batch. Errors that the server answered are passed to conv
 // and are not errors here. After an error the connection is closed, except
 // that an order mismatch leaves it usable.
@@ -43,6 +51,10 @@
 	if x.Batch.Class == statement.ClassCopyData {
 		return backend.Answer{Tx: c.txStatus()}, nil
 	}
+	if err := c.enter(eventExchange); err != nil {
+		return backend.Answer{}, errcode.Wrap(err, errcode.ConnectionLost, "start exchange", string(c.link.server.ID))
+	}
+	defer c.settle()
 	exchangesTotal.Inc()
 	start := time.Now()
 	ctx, span := tracer.Start(ctx, "backend exchange", trace.WithAttributes(
@@ -60,18 +72,25 @@
 
 func (c *Conn) exchange(ctx context.Context, x *backend.Exchange, conv statement.Conversation) (backend.Answer, error) {
 	if err := c.link.alive(); err != nil {
-		return backend.Answer{}, c.fail(err, errcode.ConnectionLost, "check connection")
+		return backend.Answer{}, c.fail(err, refusalOf(err), "check connection")
 	}
 	open := c.link.status != 'I'
 	if !open {
 		c.wrote = false
 		c.digest = newDigest()
-		if err := c.applySettings(ctx, x.Settings); err != nil {
+	}
+	r := newRelay(ctx, c, x, conv)
+	if !open {
+		refusal, err := c.applySettings(ctx, x.Settings)
+		if err != nil {
 			return backend.Answer{}, err
 		}
+		if refusal != nil {
+			r.replaceByError(refusal)
+			return r.finish(&reply{})
+		}
 	}
 	addToDigest(c.digest, x.Batch)
-	r := newRelay(ctx, c, x, conv)
 	switch {
 	case x.OrderID != "" && !open:
 		return c.runOrder(ctx, x, r)
@@ -86,7 +105,7 @@
 func (c *Conn) runBatch(ctx context.Context, x *backend.Exchange, r *relay) (backend.Answer, error) {
 	var position reply
 	segments := []segment{r.segment()}
-	pipelined := x.WantPosition && !mayCopy(x.Batch)
+	pipelined := x.WantPosition && mayEndIdle(x.Batch, r.wasOpen)
 	if pipelined {
 		segments = append(segments, position.segment(positionQuery))
 	}
@@ -164,6 +183,10 @@
 
 // Reset rolls back what is open and returns the session to its initial state.
 func (c *Conn) Reset(ctx context.Context) error {
+	if err := c.enter(eventReset); err != nil {
+		return errcode.Wrap(err, errcode.ConnectionLost, "start reset", string(c.link.server.ID))
+	}
+	defer c.settle()
 	var rolledBack, discarded reply
 	segments := []segment{discarded.segment(query("DISCARD ALL"))}
 	if c.link.status != 'I' {
@@ -190,4 +213,8 @@
 func (c *Conn) Sent() bool { return c.sent }
 
 // Close closes the connection. The server rolls back an open transaction.
-func (c *Conn) Close() error { return c.link.close() }
+func (c *Conn) Close() error {
+	err := c.link.close()
+	_, _, _ = c.state.Fire(eventClose)
+	return err
+}
--- a/internal/pgwire/back/dialer.go
+++ b/internal/pgwire/back/dialer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"io"
 	"net"
 	"strconv"
@@ -41,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{link: l, prepared: newPreparedSet(d.cfg.MaxPrepared)}, nil
+	return newConn(l, d.cfg.MaxPrepared), nil
 }
 
 // DialControl opens a control connection. The caller owns it.
@@ -62,25 +61,11 @@
 	if err != nil {
 		openErrors.Inc()
 		eventOpenFailed.Log(&d.cfg.Log).Str("server", string(s.ID)).Str("address", s.Address).Err(err).Send()
-		return nil, dialError(err, s)
+		return nil, errcode.Wrap(err, refusalOf(err), "dial", string(s.ID))
 	}
 	return l, nil
 }
 
-func dialError(err error, s cluster.Server) error {
-	code := errcode.ConnectionLost
-	var answer *ServerError
-	if errors.As(err, &answer) {
-		switch answer.Code {
-		case StateSuperseded:
-			code = errcode.Superseded
-		case stateTooManyConnections:
-			code = errcode.Overloaded
-		}
-	}
-	return errcode.Wrap(err, code, "dial", string(s.ID))
-}
-
 func (d *Dialer) connect(ctx context.Context, s cluster.Server, group cluster.GroupName, params map[string]string) (*link, error) {
 	conn, err := d.cfg.Dial(ctx, s.Address)
 	if err != nil {
--- a/internal/pgwire/back/errors.go
+++ b/internal/pgwire/back/errors.go
@@ -1,10 +1,13 @@
 package back
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/rotisserie/eris"
+
+	"github.com/rattancove/rattancove/internal/errcode"
 )
 
 const (
@@ -34,6 +37,23 @@
 	return &ServerError{Severity: severity, Code: m.Code, Message: m.Message}
 }
 
+// refusalOf returns the code for an error after which nothing ran: the server
+// refused the connection, or ended it while it was idle.
+func refusalOf(err error) errcode.Code {
+	var answer *ServerError
+	if !errors.As(err, &answer) {
+		return errcode.ConnectionLost
+	}
+	switch answer.Code {
+	case StateSuperseded:
+		return errcode.Superseded
+	case stateTooManyConnections:
+		return errcode.Overloaded
+	default:
+		return errcode.ConnectionLost
+	}
+}
+
 // Error implements error.
 func (e *ServerError) Error() string { return fmt.Sprintf("%s %s: %s", e.Severity, e.Code, e.Message) }
 
--- a/internal/pgwire/back/exchange_test.go
+++ b/internal/pgwire/back/exchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -11,6 +12,7 @@
 	"github.com/rattancove/rattancove/internal/backend"
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/pgwire/back"
 	"github.com/rattancove/rattancove/internal/statement"
 )
 
@@ -171,47 +173,79 @@
 }
 
 func TestCancel(t *testing.T) {
-	c := newGroup(t, 1, nil).conn(0, backend.Claim{})
-	go func() {
-		for t.Context().Err() == nil {
-			time.Sleep(10 * time.Millisecond)
+	synctest.Test(t, func(t *testing.T) {
+		c := newGroup(t, 1, nil).conn(0, backend.Claim{})
+		go func() {
+			time.Sleep(time.Second)
 			_ = c.Cancel(t.Context())
+		}()
+		got, a := run(t, c, &backend.Exchange{Batch: simple(statement.ClassWrite, "SELECT pg_sleep(60)")})
+		if a.SQLState != "57014" || a.Tx != backend.TxIdle {
+			t.Errorf("got %v %+v", got, a)
 		}
-	}()
-	got, a := run(t, c, &backend.Exchange{Batch: simple(statement.ClassWrite, "SELECT pg_sleep(60)")})
-	if a.SQLState != "57014" || a.Tx != backend.TxIdle {
-		t.Errorf("got %v %+v", got, a)
-	}
+	})
 }
 
 func TestDeadline(t *testing.T) {
-	cases := map[string]*statement.Batch{
-		"read":           simple(statement.ClassRead, "SELECT pg_sleep(60)"),
-		"answered write": simple(statement.ClassWrite, "INSERT INTO rolls SELECT 'x', pg_sleep(60)"),
+	cases := map[string]struct {
+		batch *statement.Batch
+		hang  bool
+		want  errcode.Code
+	}{
+		"read":             {simple(statement.ClassRead, "SELECT pg_sleep(60)"), false, errcode.DeadlinePassed},
+		"answered write":   {simple(statement.ClassWrite, "INSERT INTO rolls SELECT 'x', pg_sleep(60)"), false, errcode.DeadlinePassed},
+		"unanswered write": {simple(statement.ClassWrite, "INSERT INTO rolls VALUES ('x', 1)"), true, errcode.Unknown},
+		"unanswered read":  {simple(statement.ClassRead, "SELECT 1"), true, errcode.DeadlinePassed},
+		"unanswered begin": {simple(statement.ClassBegin, "BEGIN"), true, errcode.DeadlinePassed},
 	}
-	for name, batch := range cases {
+	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			c := newGroup(t, 1, nil).conn(0, backend.Claim{})
-			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
-			defer cancel()
-			if _, err := c.Exchange(ctx, &backend.Exchange{Batch: batch}, &caller{}); !errcode.Is(err, errcode.DeadlinePassed) {
-				t.Errorf("got %v", err)
-			}
-			if _, err := c.Exchange(t.Context(), &backend.Exchange{Batch: batch}, &caller{}); !errcode.Is(err, errcode.ConnectionLost) {
-				t.Errorf("the connection was reused: %v", err)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(t, 1, nil)
+				c := g.conn(0, backend.Claim{})
+				g.servers[0].SetHang(tc.hang)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				began := time.Now()
+				if _, err := c.Exchange(ctx, &backend.Exchange{Batch: tc.batch}, &caller{}); !errcode.Is(err, tc.want) {
+					t.Errorf("got %v", err)
+				}
+				if took := time.Since(began); took > time.Second+back.DefaultCancelGrace {
+					t.Errorf("the exchange ended after %v", took)
+				}
+				if _, err := c.Exchange(t.Context(), &backend.Exchange{Batch: tc.batch}, &caller{}); !errcode.Is(err, errcode.ConnectionLost) || c.Sent() {
+					t.Errorf("the connection was reused: %v", err)
+				}
+			})
 		})
 	}
 }
 
-func TestUnansweredWriteIsUnknown(t *testing.T) {
-	g := newGroup(t, 1, nil)
-	c := g.conn(0, backend.Claim{})
-	g.servers[0].SetHang(true)
-	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
-	defer cancel()
-	_, err := c.Exchange(ctx, &backend.Exchange{Batch: simple(statement.ClassWrite, "INSERT INTO rolls VALUES ('x', 1)")}, &caller{})
-	if !errcode.Is(err, errcode.Unknown) || !c.Sent() {
-		t.Errorf("got %v, sent %v", err, c.Sent())
+func TestLostConnectionInsideTransactionIsNotRun(t *testing.T) {
+	cases := map[string]errcode.Code{
+		"INSERT INTO rolls VALUES ('x', 1)": errcode.ConnectionLost,
+		"COMMIT":                            errcode.Unknown,
+	}
+	for text, want := range cases {
+		g := newGroup(t, 1, nil)
+		c := g.conn(0, backend.Claim{})
+		run(t, c, &backend.Exchange{Batch: simple(statement.ClassBegin, "BEGIN")})
+		g.servers[0].SetDown(true)
+		if _, err := c.Exchange(t.Context(), &backend.Exchange{Batch: simple(statement.ClassWrite, text)}, &caller{}); !errcode.Is(err, want) {
+			t.Errorf("%s: got %v", text, err)
+		}
+	}
+}
+
+func TestRefusedSettingIsAnswered(t *testing.T) {
+	c := newGroup(t, 1, nil).conn(0, backend.Claim{})
+	x := insert("fern")
+	x.Settings = []statement.Setting{{Name: "TimeZone", Value: "no where"}}
+	got, a := run(t, c, x)
+	if diff := cmp.Diff([]string{"22023", "I"}, got); diff != "" || a.SQLState != "22023" || a.Committed || c.Sent() {
+		t.Errorf("%s %+v", diff, a)
+	}
+	if _, a = run(t, c, insert("fern")); !a.Committed {
+		t.Errorf("got %+v", a)
 	}
 }
--- a/internal/pgwire/back/link.go
+++ b/internal/pgwire/back/link.go
@@ -133,8 +133,8 @@
 	if length < frameHeader || length > maxFrame {
 		return 0, nil, errTooLarge
 	}
-	if cap(l.frame) < length {
-		l.frame = make([]byte, length)
+	if cap(l.frame) < length || cap(l.frame) > maxKeptFrame {
+		l.frame = make([]byte, max(length, readBuffer))
 	}
 	l.frame = l.frame[:length]
 	if _, err := io.ReadFull(l.reader, l.frame); err != nil {
--- a/internal/pgwire/back/settings.go
+++ b/internal/pgwire/back/settings.go
@@ -10,21 +10,23 @@
 )
 
 // applySettings puts exactly the wanted settings in force. It sends nothing
-// when they are in force already.
-func (c *Conn) applySettings(ctx context.Context, wanted []statement.Setting) error {
+// when they are in force already. The first result is the server's refusal of
+// a setting, after which nothing is known to be in force.
+func (c *Conn) applySettings(ctx context.Context, wanted []statement.Setting) (*ServerError, error) {
 	if !c.settingsUnknown && slices.Equal(c.settings, wanted) {
-		return nil
+		return nil, nil
 	}
 	commands := settingCommands(c.settings, wanted, c.settingsUnknown)
 	var r reply
 	if err := c.link.pipeline(ctx, r.segment(query(strings.Join(commands, "; ")))); err != nil {
-		return c.fail(err, errcode.ConnectionLost, "apply settings")
+		return nil, c.fail(err, errcode.ConnectionLost, "apply settings")
 	}
-	if err := r.failed(); err != nil {
-		return c.fail(err, errcode.ConnectionLost, "apply settings")
+	if r.err != nil {
+		c.settings, c.settingsUnknown = nil, true
+		return r.err, nil
 	}
 	c.settings, c.settingsUnknown = slices.Clone(wanted), false
-	return nil
+	return nil, nil
 }
 
 // settingCommands returns the statements that lead from one set of settings
--- /dev/null
+++ b/internal/pgwire/back/tls_test.go
@@ -0,0 +1,103 @@
+package back_test
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"math/big"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/pgwire/back"
+	"github.com/rattancove/rattancove/internal/standin/dbserver"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// certificate returns a self-signed certificate for the loopback address.
+func certificate(t *testing.T) (tls.Certificate, *x509.CertPool) {
+	t.Helper()
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, public, private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	parsed, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(parsed)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: private}, pool
+}
+
+// listen serves a server on loopback.
+func listen(t *testing.T, cfg dbserver.Config) (*dbserver.Server, cluster.Server) {
+	t.Helper()
+	cfg.Primary, cfg.Schema = true, schema
+	s, err := dbserver.New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(l) }()
+	return s, cluster.Server{ID: "a", Address: l.Addr().String()}
+}
+
+func TestTLS(t *testing.T) {
+	own, pool := certificate(t)
+	_, secure := listen(t, dbserver.Config{TLS: &tls.Config{Certificates: []tls.Certificate{own}}})
+	_, plain := listen(t, dbserver.Config{})
+	d := back.New(back.Config{TLS: func(name string) *tls.Config { return &tls.Config{RootCAs: pool, ServerName: name} }})
+	c, err := d.Dial(t.Context(), secure, "rolls", backend.Claim{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for _, id := range []string{"a", "b"} {
+		if _, a := run(t, c, insert(id)); !a.Committed {
+			t.Errorf("got %+v", a)
+		}
+	}
+	if _, err := d.Dial(t.Context(), plain, "rolls", backend.Claim{}); !errcode.Is(err, errcode.ConnectionLost) {
+		t.Errorf("a server without TLS: %v", err)
+	}
+}
+
+func TestStaleConnectionIsNoticedBeforeSending(t *testing.T) {
+	s, at := listen(t, dbserver.Config{})
+	c, err := back.New(back.Config{}).Dial(t.Context(), at, "rolls", backend.Claim{Epoch: 1, Home: "p1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	run(t, c, insert("a"))
+	control, err := back.New(back.Config{}).DialControl(t.Context(), at, "rolls")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer control.Close()
+	if _, err := control.Claim(t.Context(), backend.Claim{Epoch: 2, Home: "p2"}); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "ended", func() bool { return s.Connections() == 0 })
+	_, err = c.Exchange(t.Context(), &backend.Exchange{Batch: simple(statement.ClassWrite, "DELETE FROM rolls")}, &caller{})
+	if !errcode.Is(err, errcode.Superseded) || c.Sent() {
+		t.Errorf("got %v, sent %v", err, c.Sent())
+	}
+}
--- a/internal/standin/dbserver/config.go
+++ b/internal/standin/dbserver/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"time"
 
@@ -48,7 +49,9 @@
 	// ConnectDelay is the time that opening a connection takes.
 	ConnectDelay time.Duration
 	// Lag is the time between receiving and replaying a log record.
-	Lag      time.Duration
+	Lag time.Duration
+	// TLS is offered when it is set.
+	TLS      *tls.Config
 	Auth     Auth
 	User     string
 	Password string
--- a/internal/standin/dbserver/functions.go
+++ b/internal/standin/dbserver/functions.go
@@ -86,6 +86,9 @@
 		}
 	case kindSet:
 		name, v := parseSet(p.text)
+		if name == "timezone" && strings.ContainsAny(v, " ;") {
+			return nil, newError("22023", "invalid value for parameter %q: %q", name, v)
+		}
 		c.settings[name] = v
 	default:
 		name := settingName(strings.Join(p.words[1:], "_"))
--- a/internal/standin/dbserver/server_test.go
+++ b/internal/standin/dbserver/server_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -158,22 +160,22 @@
 }
 
 func TestSlotsAreServedInOrder(t *testing.T) {
-	s := start(t, Config{Primary: true, Slots: 1, Connections: 3})
-	began := time.Now()
-	done := make(chan struct{})
-	for range 3 {
-		c := connect(t, s)
-		go func() {
-			defer func() { done <- struct{}{} }()
-			_, _ = c.Exec(context.Background(), "SELECT rattan_work($1)", pgx.QueryExecModeExec, 20)
-		}()
-	}
-	for range 3 {
-		<-done
-	}
-	if took := time.Since(began); took < 60*time.Millisecond {
-		t.Errorf("three statements of 20 ms on one slot took %v", took)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		s := start(t, Config{Primary: true, Slots: 1, Connections: 3, ConnectDelay: 12 * time.Millisecond})
+		began := time.Now()
+		var wg sync.WaitGroup
+		for range 3 {
+			c := connect(t, s)
+			wg.Go(func() {
+				_, _ = c.Exec(context.Background(), "SELECT rattan_work($1)", pgx.QueryExecModeExec, 500)
+			})
+		}
+		wg.Wait()
+		// The first statement starts after one connect delay; the others queue behind it.
+		if took := time.Since(began); took != 1512*time.Millisecond {
+			t.Errorf("three statements of 500 ms on one slot took %v", took)
+		}
+	})
 }
 
 func TestStateOutlivesTheProcess(t *testing.T) {
--- a/internal/standin/dbserver/session.go
+++ b/internal/standin/dbserver/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"strconv"
@@ -101,7 +102,11 @@
 			return false
 		}
 		switch m := m.(type) {
-		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
+		case *pgproto3.SSLRequest:
+			if !c.secure() {
+				return false
+			}
+		case *pgproto3.GSSEncRequest:
 			if _, err := c.conn.Write([]byte("N")); err != nil {
 				return false
 			}
@@ -114,6 +119,20 @@
 	}
 }
 
+// secure answers a request for TLS and reports whether to go on.
+func (c *session) secure() bool {
+	if c.server.cfg.TLS == nil {
+		_, err := c.conn.Write([]byte("N"))
+		return err == nil
+	}
+	if _, err := c.conn.Write([]byte("S")); err != nil {
+		return false
+	}
+	c.conn = tls.Server(c.conn, c.server.cfg.TLS)
+	c.backend = pgproto3.NewBackend(c.conn, c.conn)
+	return true
+}
+
 func (c *session) accept(params map[string]string) bool {
 	s := c.server
 	if c.hung() {
