--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"embed"
 	"errors"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/statechart"
 )
 
 // ErrClosed reports that the pool no longer gives out connections.
@@ -18,6 +20,7 @@
 const (
 	defaultDialTimeout  = 2 * time.Second
 	defaultResetTimeout = 2 * time.Second
+	defaultProbeTimeout = 500 * time.Millisecond
 	defaultProbeAfter   = 15 * time.Second
 	initialBackoff      = 20 * time.Millisecond
 	maxBackoff          = 2 * time.Second
@@ -32,26 +35,32 @@
 	// DialTimeout, ResetTimeout bound one opening and one reset.
 	DialTimeout  time.Duration
 	ResetTimeout time.Duration
+	// ProbeTimeout bounds the probe of an idle connection.
+	ProbeTimeout time.Duration
 	// ProbeAfter is the idle time after which a connection is probed.
 	ProbeAfter time.Duration
 }
 
-// state is the condition of a pooled connection.
-type state uint8
+//go:embed backend_connection.yaml
+var chartFile embed.FS
 
+var chart = statechart.MustLoad(chartFile, "backend_connection.yaml")
+
+// States and events of a pooled connection.
 const (
-	stateIdle state = iota
-	stateInUse
-	stateResetting
-	stateProbing
-	stateClosed
+	stateInUse  = "in_use"
+	stateIdle   = "idle"
+	eventReturn = "return"
+	eventDirty  = "dirty"
+	eventTake   = "take"
+	eventProbe  = "probe"
+	eventClose  = "close"
 )
 
 // Conn is a pooled connection in the hands of one user.
 type Conn struct {
 	backend.Conn
-	pool      *Pool
-	state     state
+	state     statechart.Machine
 	idleSince time.Time
 }
 
@@ -106,6 +115,9 @@
 	if c.ResetTimeout == 0 {
 		c.ResetTimeout = defaultResetTimeout
 	}
+	if c.ProbeTimeout == 0 {
+		c.ProbeTimeout = defaultProbeTimeout
+	}
 	if c.ProbeAfter == 0 {
 		c.ProbeAfter = defaultProbeAfter
 	}
@@ -184,7 +196,7 @@
 func (p *Pool) Return(c *Conn, dirty bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.state != stateInUse {
+	if !c.state.In(stateInUse) {
 		return
 	}
 	if p.closed {
@@ -195,7 +207,7 @@
 		p.release(c)
 		return
 	}
-	c.state = stateResetting
+	_, _, _ = c.state.Fire(eventDirty)
 	p.workers.Go(func() { p.reset(c) })
 }
 
@@ -203,7 +215,7 @@
 func (p *Pool) Discard(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.state != stateInUse {
+	if !c.state.In(stateInUse) {
 		return
 	}
 	p.drop(c)
@@ -217,7 +229,6 @@
 	p.closed = true
 	p.cancel()
 	for _, c := range p.idle {
-		c.state = stateInUse
 		p.drop(c)
 	}
 	p.idle = nil
@@ -241,8 +252,18 @@
 	return s
 }
 
+// newConn returns a connection in use that was just opened.
+func newConn(c backend.Conn) *Conn {
+	pooled := &Conn{Conn: c}
+	pooled.state.Init(chart)
+	return pooled
+}
+
+// use gives an idle, reset or probed connection to a user.
 func (p *Pool) use(c *Conn) {
-	c.state = stateInUse
+	if !c.state.In(stateInUse) {
+		_, _, _ = c.state.Fire(eventTake)
+	}
 	p.inUse[c] = struct{}{}
 }
 
@@ -260,20 +281,19 @@
 		return
 	}
 	delete(p.inUse, c)
-	c.state = stateIdle
+	_, _, _ = c.state.Fire(eventReturn)
 	c.idleSince = time.Now()
 	p.idle = append(p.idle, c)
 }
 
 // drop closes c without waiting for the network.
 func (p *Pool) drop(c *Conn) {
-	if c.state == stateClosed {
-		return
-	}
-	c.state = stateClosed
 	delete(p.inUse, c)
+	if _, _, err := c.state.Fire(eventClose); err != nil {
+		return // closed before
+	}
 	discardsTotal.Inc()
-	_ = c.Conn.Close()
+	_ = c.Close()
 }
 
 func (p *Pool) size() int { return len(p.idle) + len(p.inUse) + p.pending }
