Record orders in transactions at their COMMIT only

The home sets the order id on every batch of a request. The adapter treated each one as the last and would have committed at BEGIN; it now looks for the transaction commands of a batch and records the id at COMMIT. Batches that mix both are refused before anything is sent.

An order whose connection breaks before its COMMIT was sent is not run, and a superseded connection names the home to ask instead.

--- a/internal/errcode/errcode.go
+++ b/internal/errcode/errcode.go
@@ -53,6 +53,7 @@
 	Protocol        = register("protocol_violation", "08P01", OutcomeNotRun, "The connection was closed because of a malformed message.")
 	OldDocument     = register("old_document", "57P03", OutcomeNotRun, "The proxy cannot rule out a newer configuration and takes no new callers.")
 	OrderMismatch   = register("order_mismatch", "22R01", OutcomeNotRun, "The order id was used before for a different request.")
+	OrderShape      = register("order_shape", "0A000", OutcomeNotRun, "An order with an id is one batch without transaction commands, or a transaction whose COMMIT is sent by itself.")
 	Internal        = register("internal", "XX000", OutcomeUnknown, "Report this with the request id.")
 )
 
--- a/internal/pgwire/back/conn.go
+++ b/internal/pgwire/back/conn.go
@@ -44,8 +44,13 @@
 }
 
 // Exchange runs one batch. Errors that the server answered are passed to conv
-// and are not errors here. After an error the connection is closed, except
-// that an order mismatch leaves it usable.
+// and are not errors here.
+//
+// A batch with an order id is one of three: a batch without transaction
+// commands, which is recorded with its answer; the COMMIT of an open
+// transaction, which is recorded with the answer of a successful COMMIT; or
+// another batch of an open transaction, including its BEGIN, which runs as it
+// is. Other batches with an order id are refused before anything is sent.
 func (c *Conn) Exchange(ctx context.Context, x *backend.Exchange, conv statement.Conversation) (backend.Answer, error) {
 	c.sent = false
 	if x.Batch.Class == statement.ClassCopyData {
@@ -91,13 +96,19 @@
 		}
 	}
 	addToDigest(c.digest, x.Batch)
+	if x.OrderID == "" || x.Batch.Class.ReadOnly() || c.link.status == 'E' {
+		return c.runBatch(ctx, x, r)
+	}
+	commands := controlOf(x.Batch)
 	switch {
-	case x.OrderID != "" && !open:
-		return c.runOrder(ctx, x, r)
-	case x.OrderID != "" && c.link.status == 'T':
+	case open && commands.commits:
 		return c.commitOrder(ctx, x, r)
-	default:
+	case open, commands.begins && !commands.commits && !commands.aborts:
 		return c.runBatch(ctx, x, r)
+	case commands != control{}:
+		return backend.Answer{}, r.failure(errcode.OrderShape, "record order")
+	default:
+		return c.runOrder(ctx, x, r)
 	}
 }
 
@@ -158,7 +169,7 @@
 // fail closes the connection and returns err with its code.
 func (c *Conn) fail(err error, code errcode.Code, step string) error {
 	_ = c.link.close()
-	return errcode.Wrap(err, code, step, string(c.link.server.ID))
+	return wrapError(err, code, step, c.link.server)
 }
 
 func (c *Conn) txStatus() backend.TxStatus {
--- a/internal/pgwire/back/control.go
+++ b/internal/pgwire/back/control.go
@@ -76,7 +76,7 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		code = errcode.Unknown
 	}
-	return errcode.Wrap(err, code, strings.TrimPrefix(step, "rattan_"), string(c.link.server.ID))
+	return wrapError(err, code, strings.TrimPrefix(step, "rattan_"), c.link.server)
 }
 
 // refusalCode tells a refusal, after which nothing changed, from other errors.
--- a/internal/pgwire/back/control_test.go
+++ b/internal/pgwire/back/control_test.go
@@ -132,6 +132,9 @@
 	if !errcode.Is(err, errcode.Superseded) {
 		t.Errorf("commit of an old epoch: %v", err)
 	}
+	if e := errcode.From(err); e.Peer != "p2" {
+		t.Errorf("the home to ask is %q", e.Peer)
+	}
 	// The key that the old transaction wrote is free at once.
 	_, a := run(t, g.conn(0, backend.Claim{Epoch: 2, Home: "p2"}), insert("fern"))
 	if !a.Committed {
--- a/internal/pgwire/back/dialer.go
+++ b/internal/pgwire/back/dialer.go
@@ -13,7 +13,6 @@
 
 	"github.com/rattancove/rattancove/internal/backend"
 	"github.com/rattancove/rattancove/internal/cluster"
-	"github.com/rattancove/rattancove/internal/errcode"
 )
 
 // Dialer opens connections to backend servers. It may be used concurrently.
@@ -61,7 +60,7 @@
 	if err != nil {
 		openErrors.Inc()
 		eventOpenFailed.Log(&d.cfg.Log).Str("server", string(s.ID)).Str("address", s.Address).Err(err).Send()
-		return nil, errcode.Wrap(err, refusalOf(err), "dial", string(s.ID))
+		return nil, wrapError(err, refusalOf(err), "dial", s)
 	}
 	return l, nil
 }
--- a/internal/pgwire/back/errors.go
+++ b/internal/pgwire/back/errors.go
@@ -7,6 +7,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/rotisserie/eris"
 
+	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/errcode"
 )
 
@@ -27,6 +28,8 @@
 	Severity string
 	Code     string
 	Message  string
+	// Detail of StateSuperseded is the home whose claim is in force.
+	Detail string
 }
 
 func newServerError(m *pgproto3.ErrorResponse) *ServerError {
@@ -34,7 +37,7 @@
 	if severity == "" {
 		severity = m.Severity
 	}
-	return &ServerError{Severity: severity, Code: m.Code, Message: m.Message}
+	return &ServerError{Severity: severity, Code: m.Code, Message: m.Message, Detail: m.Detail}
 }
 
 // refusalOf returns the code for an error after which nothing ran: the server
@@ -54,6 +57,16 @@
 	}
 }
 
+// wrapError names the server as the peer, or for a superseded claim the home
+// to ask instead.
+func wrapError(err error, code errcode.Code, step string, s cluster.Server) error {
+	var answer *ServerError
+	if code.Name == errcode.Superseded.Name && errors.As(err, &answer) && answer.Code == StateSuperseded {
+		return errcode.Wrap(err, code, step, answer.Detail)
+	}
+	return errcode.Wrap(err, code, step, string(s.ID))
+}
+
 // Error implements error.
 func (e *ServerError) Error() string { return fmt.Sprintf("%s %s: %s", e.Severity, e.Code, e.Message) }
 
--- a/internal/pgwire/back/order.go
+++ b/internal/pgwire/back/order.go
@@ -20,7 +20,7 @@
 // runOrder runs a batch and records the order id and the answer in the same
 // database transaction. A repeat gets the recorded answer.
 func (c *Conn) runOrder(ctx context.Context, x *backend.Exchange, r *relay) (backend.Answer, error) {
-	r.hold = true
+	r.hold, r.recording = true, true
 	digest := digestText(c.digest)
 	var begin, insert reply
 	opening := []segment{begin.segment(query("BEGIN")), insert.segment(statementMessages(orderInsert, x.OrderID, digest))}
@@ -56,6 +56,7 @@
 		return backend.Answer{}, r.failure(errcode.LimitExceeded, "record answer")
 	}
 	r.setIdle()
+	r.commitSent = !c.link.closed.Load()
 	var update, commit, position reply
 	segments := []segment{
 		update.segment(statementMessages(orderUpdate, r.buf, x.OrderID)),
--- a/internal/pgwire/back/protocol.go
+++ b/internal/pgwire/back/protocol.go
@@ -26,7 +26,8 @@
 // SQLSTATEs that the adapter acts on.
 const (
 	// StateSuperseded ends or refuses a data connection whose epoch is lower
-	// than the highest claim that the server has accepted.
+	// than the highest claim that the server has accepted, and refuses a claim
+	// for the same reason. The detail field names the home of that claim.
 	StateSuperseded = "57R01"
 	// StateRefused answers a control call that the server's term, epoch or
 	// holder forbids. Nothing changed.
--- a/internal/pgwire/back/relay.go
+++ b/internal/pgwire/back/relay.go
@@ -32,6 +32,10 @@
 	state     string
 	tag       string
 	committed bool
+	// recording is set when the adapter commits the batch itself, commitSent
+	// once it may have sent the COMMIT.
+	recording  bool
+	commitSent bool
 	// complete is set once the server's ready state has arrived.
 	complete bool
 	// aborted is the error of the caller's side.
@@ -206,14 +210,17 @@
 // taken effect.
 func (r *relay) mayHaveCommitted() bool {
 	b := r.x.Batch
-	if r.complete && r.state != "" && !r.committed && r.x.OrderID == "" {
+	if r.recording {
+		return r.commitSent
+	}
+	if r.complete && r.state != "" && !r.committed {
 		return false
 	}
 	if b.Class.ReadOnly() && !r.conn.wrote {
 		return false
 	}
 	inBlock := r.wasOpen || b.Class == statement.ClassBegin
-	return !inBlock || r.x.OrderID != "" || mayEndTransaction(b)
+	return !inBlock || mayEndTransaction(b)
 }
 
 // failure is the error for an answer that cannot be delivered although the
--- a/internal/standin/dbserver/errors.go
+++ b/internal/standin/dbserver/errors.go
@@ -14,6 +14,7 @@
 type serverError struct {
 	code    string
 	message string
+	detail  string
 	// fatal ends the connection.
 	fatal bool
 }
@@ -29,7 +30,7 @@
 	if e.fatal {
 		severity = "FATAL"
 	}
-	return &pgproto3.ErrorResponse{Severity: severity, SeverityUnlocalized: severity, Code: e.code, Message: e.message}
+	return &pgproto3.ErrorResponse{Severity: severity, SeverityUnlocalized: severity, Code: e.code, Message: e.message, Detail: e.detail}
 }
 
 // Extended result codes of the SQL library.
--- a/internal/standin/dbserver/registry.go
+++ b/internal/standin/dbserver/registry.go
@@ -15,7 +15,7 @@
 	defer s.mu.Unlock()
 	st := s.status
 	if !c.control && (c.epoch < st.Epoch || c.epoch == st.Epoch && st.Epoch > 0 && home != st.Home) {
-		return superseded(st.Epoch)
+		return superseded(st.Home)
 	}
 	if !c.replication && s.countLocked(c.control) >= s.limit(c.control) {
 		return newError("53300", "too many connections")
