--- a/internal/rank/dispatcher.go
+++ b/internal/rank/dispatcher.go
@@ -95,6 +95,10 @@
 	timer     *time.Timer
 	closed    bool
 	stats     Stats
+	// meanCost is the average slot time over all ranks.
+	meanCost average
+	// chargeByCount charges every request alike, for experiments.
+	chargeByCount bool
 }
 
 // New returns a Dispatcher without servers.
--- /dev/null
+++ b/internal/rank/dispatcher_test.go
@@ -0,0 +1,206 @@
+package rank
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/errcode"
+)
+
+// inBubble runs f with a dispatcher of one primary with two slots.
+func inBubble(t *testing.T, ranks environment.Ranks, f func(t *testing.T, d *Dispatcher)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		d := New(Config{Ranks: ranks, QueueBytes: 1000})
+		defer d.Close()
+		d.SetServers([]cluster.Server{{ID: "s", Slots: 2}})
+		d.SetPrimary("s", 2)
+		f(t, d)
+	})
+}
+
+func ask(r cluster.Rank) Request {
+	return Request{Rank: r, Lane: LanePrimary, Eligible: anywhere}
+}
+
+func mustAcquire(t *testing.T, d *Dispatcher, r Request) *Grant {
+	t.Helper()
+	g, err := d.Acquire(t.Context(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+// journal notes in which order requests got a slot.
+type journal struct {
+	mu      sync.Mutex
+	entries []string
+}
+
+func (j *journal) add(entry string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.entries = append(j.entries, entry)
+}
+
+func (j *journal) all() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.Clone(j.entries)
+}
+
+// later acquires in the background and notes name once it has a slot.
+func later(d *Dispatcher, r Request, name string, j *journal, hold time.Duration) {
+	go func() {
+		g, err := d.Acquire(context.Background(), r)
+		if err != nil {
+			j.add(name + " " + errcode.From(err).Code.Name)
+			return
+		}
+		j.add(name)
+		time.Sleep(hold)
+		g.Release()
+	}()
+	synctest.Wait()
+}
+
+func TestOrderOfService(t *testing.T) {
+	inBubble(t, environment.Ranks{}, func(t *testing.T, d *Dispatcher) {
+		a, b := mustAcquire(t, d, ask(cluster.RankNormal)), mustAcquire(t, d, ask(cluster.RankNormal))
+		var order journal
+		later(d, ask(cluster.RankBackground), "background", &order, time.Millisecond)
+		later(d, ask(cluster.RankNormal), "normal", &order, time.Millisecond)
+		later(d, ask(cluster.RankUrgent), "urgent", &order, time.Millisecond)
+		open := ask(cluster.RankBackground)
+		open.Pinned = "s"
+		later(d, open, "open transaction", &order, time.Millisecond)
+		a.Release()
+		a.Release() // has no further effect
+		time.Sleep(time.Second)
+		b.Release()
+		want := []string{"open transaction", "urgent", "normal", "background"}
+		if diff := cmp.Diff(want, order.all()); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	ranks := environment.Ranks{Normal: environment.RankPolicy{Queue: 1, MaxWait: 100 * time.Millisecond}}
+	inBubble(t, ranks, func(t *testing.T, d *Dispatcher) {
+		mustAcquire(t, d, ask(cluster.RankNormal))
+		mustAcquire(t, d, ask(cluster.RankNormal))
+		var order journal
+		later(d, ask(cluster.RankNormal), "first", &order, 0)
+		_, err := d.Acquire(t.Context(), ask(cluster.RankNormal))
+		if !errcode.Is(err, errcode.Overloaded) || errcode.From(err).RetryAfter <= 0 {
+			t.Errorf("full queue: %v", err)
+		}
+		large := ask(cluster.RankUrgent)
+		large.Bytes = 2000
+		if _, err := d.Acquire(t.Context(), large); !errcode.Is(err, errcode.Overloaded) {
+			t.Errorf("bytes of the queue: %v", err)
+		}
+		due := ask(cluster.RankUrgent)
+		due.Deadline = time.Now().Add(20 * time.Millisecond)
+		if _, err := d.Acquire(t.Context(), due); !errcode.Is(err, errcode.DeadlinePassed) {
+			t.Errorf("deadline of the caller: %v", err)
+		}
+		time.Sleep(time.Second)
+		if diff := cmp.Diff([]string{"first overloaded"}, order.all()); diff != "" {
+			t.Errorf("longest wait: %s", diff)
+		}
+		if s := d.Stats(); s.QueuedBytes != 0 || s.Queued != [3]int{} {
+			t.Errorf("leftovers: %+v", s)
+		}
+	})
+}
+
+func TestRefusedBeforeADeadlineThatCannotBeMet(t *testing.T) {
+	inBubble(t, environment.Ranks{}, func(t *testing.T, d *Dispatcher) {
+		for range 20 { // learn that statements take 50 ms
+			g := mustAcquire(t, d, ask(cluster.RankNormal))
+			time.Sleep(50 * time.Millisecond)
+			g.Release()
+		}
+		due := ask(cluster.RankNormal)
+		due.Deadline = time.Now().Add(30 * time.Millisecond)
+		if _, err := d.Acquire(t.Context(), due); !errcode.Is(err, errcode.DeadlinePassed) {
+			t.Fatalf("want a refusal before the start, got %v", err)
+		}
+	})
+}
+
+func TestKeepFreeSlots(t *testing.T) {
+	ranks := environment.Ranks{Urgent: environment.RankPolicy{KeepFreeSlots: 1}}
+	inBubble(t, ranks, func(t *testing.T, d *Dispatcher) {
+		mustAcquire(t, d, ask(cluster.RankBackground))
+		var order journal
+		later(d, ask(cluster.RankNormal), "normal", &order, time.Hour)
+		if len(order.all()) != 0 {
+			t.Fatal("the free slot was given to a lower rank")
+		}
+		later(d, ask(cluster.RankUrgent), "urgent", &order, time.Hour)
+		if len(order.all()) != 1 {
+			t.Fatal("the free slot was refused to the urgent rank")
+		}
+		time.Sleep(2 * time.Hour)
+	})
+}
+
+func TestReadsLeaveASlotOfThePrimary(t *testing.T) {
+	inBubble(t, environment.Ranks{}, func(t *testing.T, d *Dispatcher) {
+		d.SetPrimary("s", 1)
+		read := Request{Rank: cluster.RankUrgent, Lane: LaneRead, Eligible: anywhere}
+		mustAcquire(t, d, read)
+		var order journal
+		later(d, read, "read", &order, 0)
+		if len(order.all()) != 0 {
+			t.Fatal("reads took every slot of the primary")
+		}
+		mustAcquire(t, d, ask(cluster.RankBackground))
+		d.Close()
+	})
+}
+
+func TestRequestWaitsUntilAServerSuits(t *testing.T) {
+	inBubble(t, environment.Ranks{}, func(t *testing.T, d *Dispatcher) {
+		ready := time.Now().Add(30 * time.Millisecond)
+		r := ask(cluster.RankNormal)
+		r.Eligible = func(_ cluster.ServerID, now time.Time) Verdict {
+			return Verdict{OK: !now.Before(ready), RetryAt: ready}
+		}
+		g := mustAcquire(t, d, r)
+		if g.Waited != 30*time.Millisecond {
+			t.Fatalf("waited %v", g.Waited)
+		}
+		g.Release()
+	})
+}
+
+func TestBudget(t *testing.T) {
+	b := NewBudget()
+	for range budgetLimit {
+		if !b.Spend() {
+			t.Fatal("a full budget refused a retry")
+		}
+	}
+	if b.Spend() {
+		t.Fatal("an empty budget allowed a retry")
+	}
+	for range 11 {
+		b.Earn()
+	}
+	if !b.Spend() || b.Spend() {
+		t.Fatal("eleven requests should earn one retry")
+	}
+}
--- /dev/null
+++ b/internal/rank/experiment_test.go
@@ -0,0 +1,309 @@
+package rank
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/environment"
+)
+
+const experimentSeed = 20261204
+
+// load is a Poisson stream of one rank.
+type load struct {
+	rank cluster.Rank
+	// offered is the stream's work as a part of all slot time.
+	offered float64
+	cost    time.Duration
+	// from and until bound the stream in the run.
+	from, until time.Duration
+}
+
+// experiment is a group of one server whose statements take exponential time.
+type experiment struct {
+	slots   int
+	run     time.Duration
+	loads   []load
+	ranks   environment.Ranks
+	policy  Policy
+	proxies int
+	byCount bool
+	// bucket admits work at the rate of all slots with this reserve; zero admits all.
+	bucket time.Duration
+}
+
+// outcome is what one rank got.
+type outcome struct {
+	latency  []time.Duration
+	work     float64
+	done     int
+	refused  int
+	offered  int
+	lateWork float64
+}
+
+func (o *outcome) p99() time.Duration {
+	if len(o.latency) == 0 {
+		return 0
+	}
+	slices.Sort(o.latency)
+	return o.latency[len(o.latency)*99/100]
+}
+
+type results struct {
+	ranks [cluster.RankCount]outcome
+	// busy is the part of the slot time that was used.
+	busy float64
+	run  time.Duration
+}
+
+func (r results) share(slots int, rank cluster.Rank) float64 {
+	return r.ranks[rank].work / (float64(slots) * r.run.Seconds())
+}
+
+// server is the backend server: it runs slots statements at once, in order of arrival.
+type fakeServer struct{ slots chan struct{} }
+
+func (s *fakeServer) run(d time.Duration) {
+	s.slots <- struct{}{}
+	time.Sleep(d)
+	<-s.slots
+}
+
+func (e experiment) measure(t *testing.T) results {
+	t.Helper()
+	var res results
+	synctest.Test(t, func(*testing.T) {
+		res = e.play()
+	})
+	res.run = e.run
+	res.busy = 0
+	for r := range cluster.Rank(cluster.RankCount) {
+		res.busy += res.share(e.slots, r)
+	}
+	return res
+}
+
+func (e experiment) play() results {
+	dispatchers := make([]*Dispatcher, max(e.proxies, 1))
+	for i := range dispatchers {
+		d := New(Config{Policy: e.policy, Ranks: e.ranks, Proxies: e.proxies})
+		d.chargeByCount = e.byCount
+		d.SetServers([]cluster.Server{{ID: "s", Slots: e.slots, Connections: 16}})
+		d.SetPrimary("s", e.slots)
+		dispatchers[i] = d
+	}
+	var (
+		res     results
+		mu      sync.Mutex
+		wg      sync.WaitGroup
+		backend = &fakeServer{slots: make(chan struct{}, e.slots)}
+		start   = time.Now()
+		bucket  *rate.Limiter
+	)
+	if e.bucket > 0 {
+		// One token is a millisecond of slot time.
+		bucket = rate.NewLimiter(rate.Limit(1000*e.slots), int(e.bucket.Milliseconds()))
+	}
+	one := func(d *Dispatcher, r cluster.Rank, cost, usual time.Duration) {
+		arrived := time.Now()
+		if bucket != nil && !bucket.AllowN(arrived, int(usual.Milliseconds())) {
+			mu.Lock()
+			res.ranks[r].refused++
+			mu.Unlock()
+			return
+		}
+		g, err := d.Acquire(context.Background(), Request{Rank: r, Lane: LanePrimary, Eligible: anywhere})
+		if err == nil {
+			backend.run(cost)
+			g.Release()
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		o := &res.ranks[r]
+		if err != nil {
+			o.refused++
+			return
+		}
+		o.done++
+		o.latency = append(o.latency, time.Since(arrived))
+		if time.Since(start) <= e.run {
+			o.work += cost.Seconds()
+		} else {
+			o.lateWork += cost.Seconds()
+		}
+	}
+	for i, l := range e.loads {
+		random := rand.New(rand.NewPCG(experimentSeed, uint64(i)))
+		wg.Go(func() {
+			every := l.cost.Seconds() / (l.offered * float64(e.slots))
+			time.Sleep(l.from)
+			for time.Since(start) < min(e.run, l.until) {
+				time.Sleep(time.Duration(random.ExpFloat64() * every * float64(time.Second)))
+				cost := time.Duration(random.ExpFloat64() * float64(l.cost))
+				d := dispatchers[random.IntN(len(dispatchers))]
+				res.ranks[l.rank].offered++
+				wg.Go(func() { one(d, l.rank, cost, l.cost) })
+			}
+		})
+	}
+	wg.Wait()
+	for _, d := range dispatchers {
+		d.Close()
+	}
+	return res
+}
+
+func anywhere(cluster.ServerID, time.Time) Verdict { return Verdict{OK: true} }
+
+const (
+	usualCost = 5 * time.Millisecond
+	runTime   = 10 * time.Second
+)
+
+func floors() environment.Ranks {
+	var r environment.Ranks
+	r.Urgent = environment.RankPolicy{Floor: 0.5, Queue: 2000, MaxWait: 5 * time.Second}
+	r.Normal = environment.RankPolicy{Floor: 0.2, Queue: 500, MaxWait: 2 * time.Second}
+	r.Background = environment.RankPolicy{Floor: 0.1, Queue: 500, MaxWait: 2 * time.Second}
+	return r
+}
+
+func stream(r cluster.Rank, offered float64, cost time.Duration) load {
+	return load{rank: r, offered: offered, cost: cost, until: runTime}
+}
+
+func (e experiment) with(loads ...load) experiment {
+	e.loads = loads
+	e.run = runTime
+	if e.ranks == (environment.Ranks{}) {
+		e.ranks = floors()
+	}
+	return e
+}
+
+// compare reports whether the experiments also run the policies that were
+// weighed and refused. RATTAN_EXPERIMENTS=1 asks for it.
+func compare() bool { return os.Getenv("RATTAN_EXPERIMENTS") != "" }
+
+// TestFloodOfBackground measures the urgent p99 during a tenfold flood of
+// background work against the urgent p99 alone.
+func TestFloodOfBackground(t *testing.T) {
+	for _, slots := range []int{2, 5} {
+		e := experiment{slots: slots, policy: PolicyRanked}
+		ratio, busy := e.backgroundFlood(t, usualCost)
+		if ratio > 1.25 || busy < 0.95 {
+			t.Errorf("slots %d: urgent p99 ratio %.2f, busy %.3f", slots, ratio, busy)
+		}
+		if !compare() {
+			continue
+		}
+		static := experiment{slots: slots, policy: PolicyStatic, proxies: 8}
+		static.backgroundFlood(t, usualCost)
+		static.backgroundFlood(t, 10*usualCost)
+		e.backgroundFlood(t, 10*usualCost)
+		e.ranks = floors()
+		e.ranks.Urgent.KeepFreeSlots = 1
+		e.backgroundFlood(t, usualCost)
+		e.backgroundFlood(t, 10*usualCost)
+	}
+}
+
+func (e experiment) backgroundFlood(t *testing.T, cost time.Duration) (ratio, busy float64) {
+	t.Helper()
+	urgent := stream(cluster.RankUrgent, 0.3, usualCost)
+	alone := e.with(urgent).measure(t).ranks[cluster.RankUrgent]
+	res := e.with(urgent, stream(cluster.RankBackground, 10, cost)).measure(t)
+	flooded := res.ranks[cluster.RankUrgent]
+	ratio = float64(flooded.p99()) / float64(alone.p99())
+	t.Logf("%s, slots %d, kept free %d, flood of %v: urgent p99 %v, alone %v, ratio %.2f, busy %.3f, background share %.3f",
+		e.policy, e.slots, e.ranks.Urgent.KeepFreeSlots, cost, flooded.p99().Round(time.Microsecond),
+		alone.p99().Round(time.Microsecond), ratio, res.busy, res.share(e.slots, cluster.RankBackground))
+	return ratio, res.busy
+}
+
+// TestFloodOfUrgent measures what the other ranks keep during a tenfold flood
+// of urgent work.
+func TestFloodOfUrgent(t *testing.T) {
+	for _, cost := range []time.Duration{usualCost, 10 * usualCost} {
+		e := experiment{slots: 2, policy: PolicyRanked}
+		normal, background, busy := e.urgentFlood(t, cost)
+		if normal < 0.18 || normal > 0.22 || background < 0.09 || background > 0.11 || busy < 0.95 {
+			t.Errorf("background statements of %v: normal %.3f background %.3f busy %.3f", cost, normal, background, busy)
+		}
+		if compare() {
+			e.byCount = true
+			e.urgentFlood(t, cost)
+		}
+	}
+}
+
+func (e experiment) urgentFlood(t *testing.T, cost time.Duration) (normal, background, busy float64) {
+	t.Helper()
+	res := e.with(stream(cluster.RankUrgent, 10, usualCost),
+		stream(cluster.RankNormal, 1, usualCost), stream(cluster.RankBackground, 1, cost)).measure(t)
+	normal = res.share(e.slots, cluster.RankNormal)
+	background = res.share(e.slots, cluster.RankBackground)
+	t.Logf("background statements of %v, charged by count %v: normal keeps %.3f of 0.2, background %.3f of 0.1, busy %.3f",
+		cost, e.byCount, normal, background, res.busy)
+	return normal, background, res.busy
+}
+
+// TestGoodputUnderOverload measures completed work at ten times the capacity.
+func TestGoodputUnderOverload(t *testing.T) {
+	if goodput := (experiment{slots: 2, policy: PolicyRanked}).overload(t); goodput < 0.95 {
+		t.Errorf("goodput %.3f", goodput)
+	}
+	if !compare() {
+		return
+	}
+	for _, bucket := range []time.Duration{50 * time.Millisecond, 500 * time.Millisecond} {
+		experiment{slots: 2, policy: PolicyRanked, bucket: bucket}.overload(t)
+	}
+	short := experiment{slots: 2, policy: PolicyRanked, ranks: floors()}
+	short.ranks.Background.MaxWait = 300 * time.Millisecond
+	short.overload(t)
+}
+
+// overload floods the background rank and adds some urgent work beside it.
+func (e experiment) overload(t *testing.T) float64 {
+	t.Helper()
+	flood := stream(cluster.RankBackground, 10, usualCost)
+	res := e.with(flood).measure(t)
+	o := res.ranks[cluster.RankBackground]
+	urgent := e.with(flood, stream(cluster.RankUrgent, 0.3, usualCost)).measure(t).ranks[cluster.RankUrgent]
+	t.Logf("bucket %v, longest wait %v: goodput %.3f p99 %v refused %d of %d; urgent work beside it refused %d of %d",
+		e.bucket, e.with().ranks.Background.MaxWait, res.busy, o.p99().Round(time.Millisecond), o.refused, o.offered, urgent.refused, urgent.offered)
+	if o.done+o.refused != o.offered {
+		t.Errorf("%d done and %d refused of %d", o.done, o.refused, o.offered)
+	}
+	return res.busy
+}
+
+// TestLentShareReturns floods with background work and then adds an urgent
+// flood: the urgent work gets its slots back at once, and background keeps
+// its floor although it had used far more before.
+func TestLentShareReturns(t *testing.T) {
+	for _, from := range []time.Duration{5 * time.Second} {
+		e := experiment{slots: 2, policy: PolicyRanked}
+		urgent := stream(cluster.RankUrgent, 10, usualCost)
+		urgent.from = from
+		res := e.with(urgent, stream(cluster.RankBackground, 10, usualCost)).measure(t)
+		rest := (runTime - from).Seconds()
+		lent := from.Seconds()
+		kept := (res.ranks[cluster.RankBackground].work/2 - lent) / rest
+		t.Logf("urgent flood from %v: background keeps %.3f, busy %.3f", from, kept, res.busy)
+		if kept < 0.08 || kept > 0.13 {
+			t.Errorf("background keeps %.3f of its floor 0.1", kept)
+		}
+	}
+}
--- a/internal/rank/schedule.go
+++ b/internal/rank/schedule.go
@@ -64,7 +64,10 @@
 	d.accrue(now)
 	used := now.Sub(g.started).Seconds()
 	d.cost[g.rank].add(used)
-	d.charge(g.server, g.rank, used-g.estimate, g.owed)
+	d.meanCost.add(used)
+	if !d.chargeByCount {
+		d.charge(g.server, g.rank, used-g.estimate, g.owed)
+	}
 	g.server.running[g.rank]--
 	if g.lane == LaneRead {
 		g.server.reads--
@@ -88,6 +91,15 @@
 	}
 }
 
+// estimate is the slot time in seconds that a statement of a rank is charged
+// before its cost is known.
+func (d *Dispatcher) estimate(r cluster.Rank) float64 {
+	if d.chargeByCount {
+		return d.meanCost.value
+	}
+	return d.cost[r].value
+}
+
 // window is the slot time in seconds that a rank's floor is worth over floorWindow.
 func (d *Dispatcher) window(s *server, r cluster.Rank) float64 {
 	return d.floor(r) * float64(s.slots) * floorWindow.Seconds()
@@ -112,7 +124,7 @@
 			credit := s.credit[r] + elapsed*d.floor(r)*float64(s.slots)
 			limit := 0.0
 			if d.waitsFor(s, r) {
-				limit = max(d.window(s, r), 2*d.cost[r].value)
+				limit = max(d.window(s, r), 2*d.estimate(r))
 			}
 			s.credit[r] = min(credit, limit)
 		}
@@ -215,7 +227,7 @@
 func (d *Dispatcher) rankOrder(s *server) []claimant {
 	order := make([]claimant, 0, 2*cluster.RankCount)
 	for r := range cluster.Rank(cluster.RankCount) {
-		if credit := s.credit[r]; credit > 0 && credit >= d.cost[r].value {
+		if credit := s.credit[r]; credit > 0 && credit >= d.estimate(r) {
 			order = append(order, claimant{rank: r, owed: true})
 		}
 	}
@@ -296,7 +308,7 @@
 	g := &Grant{
 		Server: s.id, Reason: reason, Waited: now.Sub(w.arrived),
 		dispatcher: d, server: s, rank: r, lane: w.request.Lane, started: now,
-		estimate: d.cost[r].value, owed: owed,
+		estimate: d.estimate(r), owed: owed,
 	}
 	d.charge(s, r, g.estimate, owed)
 	s.running[r]++
