--- a/internal/backend/backendtest/server.go
+++ b/internal/backend/backendtest/server.go
@@ -19,13 +19,15 @@
 
 // server is one backend server. The group's lock guards every field.
 type server struct {
-	group     *Group
-	spec      cluster.Server
-	role      cluster.Role
-	term      cluster.Term
-	holder    string
-	leader    cluster.ServerID
-	log       []record
+	group  *Group
+	spec   cluster.Server
+	role   cluster.Role
+	term   cluster.Term
+	holder string
+	leader cluster.ServerID
+	log    []record
+	// termStart is the position at which the server became primary.
+	termStart cluster.Position
 	replayLag time.Duration
 	claim     backend.Claim
 
@@ -48,10 +50,17 @@
 func (s *server) status() cluster.ServerStatus {
 	return cluster.ServerStatus{
 		Server: s.spec.ID, Role: s.role, Term: s.term, SealHolder: s.holder, Leader: s.leader,
-		Received: s.received(), Replayed: s.positionAt(s.replayed()), Epoch: s.claim.Epoch, Home: s.claim.Home,
+		TermStart: s.reportedTermStart(), Received: s.received(), Replayed: s.positionAt(s.replayed()), Epoch: s.claim.Epoch, Home: s.claim.Home,
 	}
 }
 
+func (s *server) reportedTermStart() cluster.Position {
+	if s.role != cluster.RolePrimary {
+		return cluster.Position{}
+	}
+	return s.termStart
+}
+
 func (s *server) received() cluster.Position { return s.positionAt(len(s.log)) }
 
 func (s *server) positionAt(n int) cluster.Position {
@@ -141,7 +150,7 @@
 		return false
 	}
 	if s.role == cluster.RoleSealed {
-		s.role, s.leader = cluster.RolePrimary, s.spec.ID
+		s.role, s.leader, s.termStart = cluster.RolePrimary, s.spec.ID, s.received()
 	}
 	return s.role == cluster.RolePrimary
 }
--- a/internal/cluster/server.go
+++ b/internal/cluster/server.go
@@ -47,6 +47,9 @@
 	Received Position
 	// Replayed is the last log position visible to reads.
 	Replayed Position
+	// TermStart is the last log position before Term began, as the primary of
+	// Term knows it; unknown when the server cannot tell.
+	TermStart Position
 	// Epoch and Home are the highest home claim that the server has accepted.
 	Epoch Epoch
 	Home  ProxyID
--- a/internal/home/lineage.go
+++ b/internal/home/lineage.go
@@ -17,9 +17,10 @@
 	}
 }
 
-// observe learns the beginning of a term from the status of its primary, or
-// from the status that the primary reported while it was sealed, since a
-// sealed server stores nothing before it is promoted.
+// observe learns the beginning of a term from the status of its primary: from
+// what it says, from its position before it wrote anything in the term, or
+// from the position that it reported while it was sealed, since a sealed
+// server stores nothing before it is promoted.
 func (l *lineage) observe(s cluster.ServerStatus) {
 	switch s.Role {
 	case cluster.RoleSealed:
@@ -33,6 +34,10 @@
 	if _, ok := l.before[s.Term]; ok {
 		return
 	}
+	if s.TermStart.Known() {
+		l.before[s.Term] = s.TermStart
+		return
+	}
 	if s.Received.Known() && s.Received.Term < s.Term {
 		l.before[s.Term] = s.Received
 		return
