--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,7 +23,7 @@
 	group    *backendtest.Group
 	document *environment.Document
 	homes    []*Home
-	sequence int
+	sequence atomic.Uint64
 }
 
 const (
@@ -148,9 +149,8 @@
 }
 
 func (b *bench) request(class statement.Class, text string) *statement.Request {
-	b.sequence++
 	return &statement.Request{
-		ID: fmt.Sprint(b.sequence), Group: "orders", Rank: cluster.RankNormal, Timeout: 3 * time.Second,
+		ID: fmt.Sprint(b.sequence.Add(1)), Group: "orders", Rank: cluster.RankNormal, Timeout: 3 * time.Second,
 		First: statement.Batch{Messages: []byte(text), Class: class},
 	}
 }
--- a/internal/home/node.go
+++ b/internal/home/node.go
@@ -18,6 +18,8 @@
 	reservedConnections = 4
 	// statusInterval is the time between two status calls when nothing waits for one.
 	statusInterval = 200 * time.Millisecond
+	// searchInterval is the time between two status calls while no primary is reachable.
+	searchInterval = 20 * time.Millisecond
 	// ackInterval is the time between two status calls while writes wait for replication.
 	ackInterval = 2 * time.Millisecond
 	// callTimeout bounds one call on a control connection and its opening.
@@ -137,6 +139,9 @@
 		return n.ctx.Err()
 	}
 	interval := statusInterval
+	if !n.owner.group.Load().PrimaryUp() {
+		interval = searchInterval
+	}
 	if n.owner.acking.Load() > 0 {
 		interval = ackInterval
 	}
--- a/internal/home/observe.go
+++ b/internal/home/observe.go
@@ -44,6 +44,7 @@
 	n.failing = true
 	o.rebuild()
 	o.signal()
+	o.refresh() // looks for a new primary at once
 }
 
 // primaryChanged ends what runs at the old primary. The caller holds the lock.
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,198 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// fakeServer counts connections and can refuse them or go silent.
+type fakeServer struct {
+	mu      sync.Mutex
+	open    int
+	most    int
+	opening int
+	opens   []time.Time
+	refuse  bool
+	silent  bool
+	resets  int
+}
+
+type fakeConn struct {
+	server *fakeServer
+	closed bool
+}
+
+func (s *fakeServer) dial(ctx context.Context) (backend.Conn, error) {
+	s.mu.Lock()
+	s.opening++
+	s.opens = append(s.opens, time.Now())
+	if s.opening > 1 {
+		panic("two connections are opened at once")
+	}
+	s.mu.Unlock()
+	time.Sleep(12 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.opening--
+	if s.refuse || ctx.Err() != nil {
+		return nil, errors.New("connection refused")
+	}
+	s.open++
+	s.most = max(s.most, s.open)
+	return &fakeConn{server: s}, nil
+}
+
+func (c *fakeConn) Exchange(context.Context, *backend.Exchange, statement.Conversation) (backend.Answer, error) {
+	return backend.Answer{}, nil
+}
+func (c *fakeConn) Cancel(context.Context) error { return nil }
+func (c *fakeConn) Sent() bool                   { return false }
+
+func (c *fakeConn) Reset(ctx context.Context) error {
+	c.server.mu.Lock()
+	c.server.resets++
+	silent := c.server.silent
+	c.server.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
+func (c *fakeConn) Close() error {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	if c.closed {
+		panic("closed twice")
+	}
+	c.closed = true
+	c.server.open--
+	return nil
+}
+
+func inBubble(t *testing.T, limit int, f func(t *testing.T, s *fakeServer, p *Pool)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeServer{}
+		p := New(Config{Limit: limit, Dial: s.dial})
+		f(t, s, p)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		p.Close(ctx)
+		if s.open != 0 {
+			t.Errorf("%d connections left open", s.open)
+		}
+	})
+}
+
+func mustGet(t *testing.T, p *Pool) *Conn {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	c, err := p.Get(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func TestLimitAndReuse(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, s *fakeServer, p *Pool) {
+		var wg sync.WaitGroup
+		for range 50 {
+			wg.Go(func() {
+				c := mustGet(t, p)
+				time.Sleep(5 * time.Millisecond)
+				p.Return(c, false)
+			})
+		}
+		wg.Wait()
+		if s.most > 3 || len(s.opens) > 3 {
+			t.Errorf("%d connections at once, %d opened", s.most, len(s.opens))
+		}
+		last := mustGet(t, p)
+		p.Return(last, false)
+		if c := mustGet(t, p); c != last {
+			t.Error("the connection returned last was not reused first")
+		} else {
+			p.Return(c, false)
+		}
+	})
+}
+
+func TestDirtyAndBrokenConnections(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, s *fakeServer, p *Pool) {
+		c := mustGet(t, p)
+		p.Return(c, true)
+		p.Return(c, false) // a second return has no effect
+		again := mustGet(t, p)
+		if again != c || s.resets != 1 {
+			t.Errorf("reset %d times", s.resets)
+		}
+		p.Discard(again)
+		p.Discard(again)
+		if fresh := mustGet(t, p); fresh == c {
+			t.Error("a discarded connection was reused")
+		} else {
+			p.Return(fresh, false)
+		}
+	})
+}
+
+func TestSilentConnectionsAreFound(t *testing.T) {
+	for _, how := range []func(p *Pool){
+		func(p *Pool) { p.Suspect(); time.Sleep(time.Second) },
+		func(*Pool) { time.Sleep(time.Minute) },
+	} {
+		inBubble(t, 2, func(t *testing.T, s *fakeServer, p *Pool) {
+			a, b := mustGet(t, p), mustGet(t, p)
+			p.Return(a, false)
+			p.Return(b, false)
+			s.mu.Lock()
+			s.silent = true
+			s.mu.Unlock()
+			how(p)
+			if stats := p.Stats(); stats.Idle != 0 {
+				t.Errorf("silent connections are still there: %+v", stats)
+			}
+		})
+	}
+}
+
+func TestOpeningBacksOff(t *testing.T) {
+	inBubble(t, 4, func(t *testing.T, s *fakeServer, p *Pool) {
+		s.refuse = true
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		_, err := p.Get(ctx)
+		if err == nil || len(s.opens) > 40 {
+			t.Errorf("%d attempts in 10 s, error %v", len(s.opens), err)
+		}
+		if stats := p.Stats(); stats.Waiting != 0 || stats.Failures == 0 {
+			t.Errorf("%+v", stats)
+		}
+	})
+}
+
+func TestCloseWaitsForConnectionsInUse(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, _ *fakeServer, p *Pool) {
+		c := mustGet(t, p)
+		time.AfterFunc(100*time.Millisecond, func() { p.Return(c, false) })
+		begun := time.Now()
+		p.Close(t.Context())
+		if waited := time.Since(begun); waited < 100*time.Millisecond || waited > 200*time.Millisecond {
+			t.Errorf("closed after %v", waited)
+		}
+		if _, err := p.Get(t.Context()); !errors.Is(err, ErrClosed) {
+			t.Errorf("get after close: %v", err)
+		}
+	})
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -127,7 +127,6 @@
 			options = append(options, o)
 		}
 	}
-	slices.SortStableFunc(options, func(a, b Option) int { return cmp.Compare(a.Wait, b.Wait) })
 	primary, ok := g.server(g.Primary)
 	if ok && primary.Reachable && (!primary.Leaving || len(options) == 0) {
 		options = append(options, overflow(q, primary, options, now))
@@ -135,6 +134,7 @@
 	if len(options) == 0 {
 		return Decision{Reason: ReasonNoServer}
 	}
+	slices.SortStableFunc(options, func(a, b Option) int { return cmp.Compare(a.Wait, b.Wait) })
 	return Decision{Options: options}
 }
 
