--- a/internal/failover/store.go
+++ b/internal/failover/store.go
@@ -77,6 +77,8 @@
 	mu      sync.Mutex
 	seen    map[cluster.GroupName]seenIntent
 	waiting []Record
+	// wake tells Run that a record waits.
+	wake chan struct{}
 }
 
 // seenIntent is another holder's intent and the time at which this process
@@ -88,7 +90,7 @@
 
 // NewStore returns a Store on table.
 func NewStore(table platform.Table) *Store {
-	return &Store{table: table, seen: map[cluster.GroupName]seenIntent{}}
+	return &Store{table: table, seen: map[cluster.GroupName]seenIntent{}, wake: make(chan struct{}, 1)}
 }
 
 // Key returns the key of a group's failover row.
@@ -146,6 +148,10 @@
 		s.waiting = s.waiting[extra:]
 		recordsDropped.Add(extra)
 	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Flush writes the waiting records and returns the first error. Records that
@@ -241,6 +247,7 @@
 		_ = s.Flush(ctx) // what was not written stays queued
 		select {
 		case <-ticker.C:
+		case <-s.wake:
 		case <-ctx.Done():
 			return nil
 		}
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -55,7 +55,6 @@
 	groups map[cluster.GroupName]*groupLoop
 }
 
-
 // New returns a Warden.
 func New(cfg Config) *Warden {
 	return &Warden{cfg: cfg, groups: map[cluster.GroupName]*groupLoop{}}
