--- /dev/null
+++ b/internal/failover/decide_test.go
@@ -0,0 +1,336 @@
+package failover
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/environment"
+)
+
+var start = time.Date(2026, 3, 2, 3, 0, 0, 0, time.UTC)
+
+// at returns the time s seconds after start.
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+// seen is an observation of a server that answers at a time.
+func seen(id cluster.ServerID, role cluster.Role, term cluster.Term, leader cluster.ServerID, offset uint64, when time.Time) Observation {
+	return Observation{At: when, Status: cluster.ServerStatus{
+		Server: id, Role: role, Term: term, Leader: leader, Received: cluster.Position{Term: 1, Offset: offset},
+	}}
+}
+
+// failing makes an observation one of a server that has failed since a time.
+func failing(o Observation, since, last time.Time, failures int) Observation {
+	o.FailingSince, o.FailedAt, o.Failures = since, last, failures
+	return o
+}
+
+// held makes an observation one of a server sealed by holder.
+func held(id cluster.ServerID, term cluster.Term, holder string, offset uint64, when time.Time) Observation {
+	o := seen(id, cluster.RoleSealed, term, "", offset, when)
+	o.Status.SealHolder = holder
+	return o
+}
+
+// healthyGroup is s1 as primary of term 1 with two replicas.
+func healthyGroup(when time.Time) GroupStatus {
+	return GroupStatus{Servers: map[cluster.ServerID]Observation{
+		"s1": seen("s1", cluster.RolePrimary, 1, "s1", 5, when),
+		"s2": seen("s2", cluster.RoleReplica, 1, "s1", 5, when),
+		"s3": seen("s3", cluster.RoleReplica, 1, "s1", 5, when),
+	}}
+}
+
+// with replaces observations of a group.
+func with(g GroupStatus, observations ...Observation) GroupStatus {
+	for _, o := range observations {
+		g.Servers[o.Status.Server] = o
+	}
+	return g
+}
+
+// primaryDown is a group whose primary has failed since start.
+func primaryDown(now time.Time) GroupStatus {
+	g := healthyGroup(now)
+	return with(g, failing(seen("s1", cluster.RolePrimary, 1, "s1", 5, at(-0.5)), start, now, 4))
+}
+
+func report(observer string, when time.Time, primaryReachable, othersReachable bool) ObserverReport {
+	return ObserverReport{Observer: observer, At: when, Probes: []ProbeResult{
+		{Server: "s1", Reachable: primaryReachable, Role: cluster.RolePrimary, Term: 1},
+		{Server: "s2", Reachable: othersReachable, Role: cluster.RoleReplica, Term: 1},
+		{Server: "s3", Reachable: othersReachable, Role: cluster.RoleReplica, Term: 1},
+	}}
+}
+
+// reported adds reports to a group.
+func reported(g GroupStatus, reports ...ObserverReport) GroupStatus {
+	g.Reports = append(g.Reports, reports...)
+	return g
+}
+
+// settled is the state of a warden that has watched for a while.
+func settled(phase Phase, cause Cause) State {
+	s := NewState(at(-60), 1)
+	s.Phase, s.Cause, s.Since, s.Trouble = phase, cause, start, start
+	s.MaxTerm, s.MaxTermAt = 1, at(-60)
+	return s
+}
+
+// kinds names the types of actions.
+func kinds(actions []Action) []string {
+	var names []string
+	for _, a := range actions {
+		switch a := a.(type) {
+		case AskObservers:
+			names = append(names, "ask")
+		case Confirm:
+			names = append(names, "confirm")
+		case Seal:
+			names = append(names, "seal")
+		case Promote:
+			names = append(names, "promote "+string(a.Attempt.Chosen))
+		case Follow:
+			names = append(names, "follow "+string(a.Server)+" "+string(a.Leader))
+		case Report:
+			names = append(names, "report")
+		}
+	}
+	return names
+}
+
+func TestDecideDetection(t *testing.T) {
+	suspected := settled(PhaseSuspected, CauseUnreachable)
+	tests := []struct {
+		name   string
+		spec   func(*GroupSpec)
+		status GroupStatus
+		state  State
+		now    time.Time
+		phase  Phase
+		want   []string
+	}{
+		{name: "healthy", status: healthyGroup(at(1)), state: settled(PhaseHealthy, CauseNone), now: at(1), phase: PhaseHealthy},
+		{name: "cut off warden", status: GroupStatus{}, state: settled(PhaseHealthy, CauseNone), now: at(1), phase: PhaseHealthy},
+		{name: "suspects and asks", status: primaryDown(at(0.3)), state: settled(PhaseHealthy, CauseNone), now: at(0.3), phase: PhaseSuspected, want: []string{"ask"}},
+		{name: "too early", status: reported(primaryDown(at(0.9)), report("e1", at(0.5), false, true)), state: suspected, now: at(0.9), phase: PhaseSuspected, want: []string{"ask"}},
+		{name: "majority against", status: reported(primaryDown(at(1.1)), report("e1", at(0.5), false, true)), state: suspected, now: at(1.1), phase: PhaseSealing, want: []string{"confirm"}},
+		{name: "majority reaches it", status: reported(primaryDown(at(1.1)), report("e1", at(0.5), true, true), report("e2", at(0.5), true, true)), state: suspected, now: at(1.1), phase: PhaseSuspected, want: []string{"ask"}},
+		{name: "even split", status: reported(primaryDown(at(1.1)), report("e1", at(0.5), true, true)), state: suspected, now: at(1.1), phase: PhaseSuspected, want: []string{"ask"}},
+		{name: "cut off observers do not count", status: reported(primaryDown(at(1.1)), report("e1", at(0.5), false, true), report("e2", at(0.5), false, false), report("e3", at(0.5), false, false)), state: suspected, now: at(1.1), phase: PhaseSealing, want: []string{"confirm"}},
+		{name: "stale report does not count", status: reported(primaryDown(at(2.6)), report("e1", at(0.5), true, true)), state: suspected, now: at(2.6), phase: PhaseSealing, want: []string{"confirm"}},
+		{name: "alone waits longer", status: primaryDown(at(1.5)), state: suspected, now: at(1.5), phase: PhaseSuspected, want: []string{"ask"}},
+		{name: "alone acts", status: primaryDown(at(2)), state: suspected, now: at(2), phase: PhaseSealing, want: []string{"confirm"}},
+		{name: "second warden waits", spec: func(s *GroupSpec) { s.Order = 1 }, status: reported(primaryDown(at(2)), report("e1", at(1.5), false, true)), state: suspected, now: at(2), phase: PhaseSuspected, want: []string{"ask"}},
+		{name: "second warden acts", spec: func(s *GroupSpec) { s.Order = 1 }, status: reported(primaryDown(at(2.5)), report("e1", at(1.5), false, true)), state: suspected, now: at(2.5), phase: PhaseSealing, want: []string{"confirm"}},
+		{name: "detection time of the document", spec: func(s *GroupSpec) { s.Policy.DetectAfter = 3 * time.Second }, status: reported(primaryDown(at(2.5)), report("e1", at(1.5), false, true)), state: suspected, now: at(2.5), phase: PhaseSuspected, want: []string{"ask"}},
+		{name: "recovered", status: healthyGroup(at(1.1)), state: suspected, now: at(1.1), phase: PhaseHealthy},
+		{name: "one failure only", status: with(primaryDown(at(1.1)), failing(seen("s1", cluster.RolePrimary, 1, "s1", 5, at(-0.5)), start, start, 1)), state: suspected, now: at(2.1), phase: PhaseSuspected, want: []string{"ask"}},
+		{
+			name: "no majority", status: with(reported(primaryDown(at(2.1)), report("e1", at(1.5), false, true)), failing(seen("s2", cluster.RoleReplica, 1, "s1", 5, start), start, at(2), 4)),
+			state: suspected, now: at(2.1), phase: PhaseWaitingMajority, want: []string{"ask"},
+		},
+		{
+			name: "another warden has just sealed", status: with(reported(primaryDown(at(1.1)), report("e1", at(0.5), false, true)), held("s2", 2, "v/1", 5, at(1.1))),
+			state: suspected, now: at(1.1), phase: PhaseSuspected, want: []string{"ask"},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			spec := specOf(3)
+			if tt.spec != nil {
+				tt.spec(&spec)
+			}
+			got, actions := Decide(spec, tt.status, tt.state, tt.now)
+			if got.Phase != tt.phase {
+				t.Errorf("phase %s, want %s", got.Phase, tt.phase)
+			}
+			if diff := cmp.Diff(tt.want, kinds(actions)); diff != "" {
+				t.Errorf("actions (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// attempting is the state in an attempt at term 2 that began at 2 s.
+func attempting(phase Phase, sealed bool) State {
+	s := settled(phase, CauseUnreachable)
+	s.Since = at(2)
+	s.Attempt = Attempt{Term: 2, Holder: "w/1", Began: at(2), Cause: CauseUnreachable, Replaced: "s1", Sealed: sealed}
+	return s
+}
+
+// confirmedDown is a group whose fresh probes after 2 s confirm that only the
+// primary fails, with the answer of the table service.
+func confirmedDown(outcome IntentOutcome) GroupStatus {
+	g := primaryDown(at(2.1))
+	g.Intent = IntentResult{Outcome: outcome, Holder: "w/1"}
+	return g
+}
+
+func TestDecideAttempt(t *testing.T) {
+	sealed2 := held("s2", 2, "w/1", 5, at(2.2))
+	sealed3 := held("s3", 2, "w/1", 7, at(2.2))
+	promoting := attempting(PhasePromoting, true)
+	promoting.Attempt.Chosen = "s3"
+	following := promoting
+	following.Phase = PhaseFollowing
+	primary3 := seen("s3", cluster.RolePrimary, 2, "s3", 7, at(2.2))
+	tests := []struct {
+		name   string
+		spec   func(*GroupSpec)
+		status GroupStatus
+		state  State
+		now    time.Time
+		phase  Phase
+		want   []string
+	}{
+		{name: "seals when confirmed", status: confirmedDown(IntentGranted), state: attempting(PhaseSealing, false), now: at(2.2), phase: PhaseSealing, want: []string{"seal"}},
+		{name: "seals without the table service", status: confirmedDown(IntentUnreachable), state: attempting(PhaseSealing, false), now: at(2.2), phase: PhaseSealing, want: []string{"seal"}},
+		{name: "stands back for another intent", status: confirmedDown(IntentConflict), state: attempting(PhaseSealing, false), now: at(2.2), phase: PhaseBackoff},
+		{name: "never seals a primary that answers", status: with(confirmedDown(IntentGranted), seen("s1", cluster.RolePrimary, 1, "s1", 5, at(2.1))), state: attempting(PhaseSealing, false), now: at(2.2), phase: PhaseHealthy},
+		{name: "old evidence is asked for again", status: with(confirmedDown(IntentGranted), failing(seen("s1", cluster.RolePrimary, 1, "s1", 5, start), start, at(1.9), 4)), state: attempting(PhaseSealing, false), now: at(2.2), phase: PhaseSealing, want: []string{"confirm"}},
+		{name: "confirmation expires in a pause", status: confirmedDown(IntentGranted), state: attempting(PhaseSealing, false), now: at(3.3), phase: PhaseSealing, want: []string{"confirm"}},
+		{name: "elects with a majority", status: with(confirmedDown(IntentGranted), sealed2, sealed3), state: attempting(PhaseSealing, true), now: at(2.3), phase: PhasePromoting, want: []string{"promote s3"}},
+		{name: "one seal is not enough", status: with(confirmedDown(IntentGranted), sealed2), state: attempting(PhaseSealing, true), now: at(2.3), phase: PhaseSealing, want: []string{"seal"}},
+		{name: "another holder's seal does not count", status: with(confirmedDown(IntentGranted), sealed2, held("s3", 2, "v/1", 7, at(2.2))), state: attempting(PhaseSealing, true), now: at(2.3), phase: PhaseSealing, want: []string{"seal"}},
+		{name: "a higher term wins", status: with(confirmedDown(IntentGranted), sealed2, held("s3", 4, "v/1", 7, at(2.2))), state: attempting(PhaseSealing, true), now: at(2.3), phase: PhaseBackoff},
+		{name: "gives up in time", status: with(confirmedDown(IntentGranted), sealed2), state: attempting(PhaseSealing, true), now: at(3.6), phase: PhaseBackoff},
+		{name: "promotes again", status: with(confirmedDown(IntentGranted), sealed2, sealed3), state: promoting, now: at(2.5), phase: PhasePromoting, want: []string{"promote s3"}},
+		{name: "promotion overtaken", status: with(confirmedDown(IntentGranted), held("s2", 4, "v/1", 5, at(2.2)), sealed3), state: promoting, now: at(2.5), phase: PhaseBackoff},
+		{name: "chosen server died", status: with(confirmedDown(IntentGranted), sealed2, failing(sealed3, at(2.3), at(3.5), 4)), state: promoting, now: at(3.6), phase: PhaseWaitingMajority, want: []string{"ask"}},
+		{name: "others follow", status: with(confirmedDown(IntentGranted), sealed2, primary3), state: promoting, now: at(2.5), phase: PhaseFollowing, want: []string{"follow s2 s3"}},
+		{name: "completed", status: with(confirmedDown(IntentGranted), seen("s2", cluster.RoleReplica, 2, "s3", 5, at(2.3)), primary3), state: following, now: at(2.5), phase: PhaseHealthy, want: []string{"report"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			spec := specOf(3)
+			if tt.spec != nil {
+				tt.spec(&spec)
+			}
+			got, actions := Decide(spec, tt.status, tt.state, tt.now)
+			if got.Phase != tt.phase {
+				t.Errorf("phase %s, want %s", got.Phase, tt.phase)
+			}
+			if diff := cmp.Diff(tt.want, kinds(actions)); diff != "" {
+				t.Errorf("actions (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestDecideRepairAndSwitchover(t *testing.T) {
+	leaving := func(s *GroupSpec) { s.Leaving["s1"] = true }
+	healthy := settled(PhaseHealthy, CauseNone)
+	switching := settled(PhaseSwitchover, CauseLeaving)
+	newPrimary := with(healthyGroup(at(1)), seen("s2", cluster.RolePrimary, 2, "s2", 5, at(1)), seen("s3", cluster.RoleReplica, 2, "s2", 5, at(1)))
+	behind := with(healthyGroup(at(1)), seen("s1", cluster.RolePrimary, 1, "s1", 500, at(1)))
+	tests := []struct {
+		name   string
+		spec   func(*GroupSpec)
+		status GroupStatus
+		state  State
+		now    time.Time
+		phase  Phase
+		want   []string
+	}{
+		{name: "old primary returns", status: newPrimary, state: healthy, now: at(1), phase: PhaseHealthy, want: []string{"report", "follow s1 s2"}},
+		{name: "wrong leader", status: with(healthyGroup(at(1)), seen("s3", cluster.RoleReplica, 1, "s2", 5, at(1))), state: healthy, now: at(1), phase: PhaseHealthy, want: []string{"follow s3 s1"}},
+		{name: "diverged", status: with(healthyGroup(at(1)), seen("s3", cluster.RoleReplica, 1, "s1", 9, at(1))), state: healthy, now: at(1), phase: PhaseHealthy, want: []string{"follow s3 s1"}},
+		{name: "newer answer of a replica is no divergence", status: with(healthyGroup(at(1)), seen("s3", cluster.RoleReplica, 1, "s1", 9, at(1.1))), state: healthy, now: at(1.1), phase: PhaseHealthy},
+		{name: "second warden leaves the repair", spec: func(s *GroupSpec) { s.Order = 1 }, status: newPrimary, state: healthy, now: at(1), phase: PhaseHealthy},
+		{name: "unfinished election", status: with(healthyGroup(at(1)), held("s3", 2, "v/1", 5, at(1))), state: healthy, now: at(1), phase: PhaseSuspected, want: []string{"ask"}},
+		{name: "no primary", status: with(healthyGroup(at(1)), seen("s1", cluster.RoleReplica, 1, "", 5, at(1)), seen("s2", cluster.RoleReplica, 1, "", 5, at(1)), seen("s3", cluster.RoleReplica, 1, "", 5, at(1))), state: healthy, now: at(1), phase: PhaseSuspected, want: []string{"ask"}},
+		{name: "leaving primary", spec: leaving, status: healthyGroup(at(1)), state: healthy, now: at(1), phase: PhaseSealing, want: []string{"confirm"}},
+		{name: "leaving replica", spec: func(s *GroupSpec) { s.Leaving["s2"] = true }, status: healthyGroup(at(1)), state: healthy, now: at(1), phase: PhaseHealthy},
+		{name: "all leaving", spec: func(s *GroupSpec) { s.Leaving["s1"], s.Leaving["s2"], s.Leaving["s3"] = true, true, true }, status: healthyGroup(at(1)), state: healthy, now: at(1), phase: PhaseHealthy},
+		{name: "waits for the heir", spec: leaving, status: behind, state: switching, now: at(1), phase: PhaseSwitchover},
+		{name: "no longer waits", spec: leaving, status: behind, state: switching, now: at(3), phase: PhaseSealing, want: []string{"confirm"}},
+		{name: "no longer leaving", status: healthyGroup(at(1)), state: switching, now: at(1), phase: PhaseHealthy},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			spec := specOf(3)
+			if tt.spec != nil {
+				tt.spec(&spec)
+			}
+			got, actions := Decide(spec, tt.status, tt.state, tt.now)
+			if got.Phase != tt.phase {
+				t.Errorf("phase %s, want %s", got.Phase, tt.phase)
+			}
+			if diff := cmp.Diff(tt.want, kinds(actions)); diff != "" {
+				t.Errorf("actions (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestDecideProperties feeds random observations and checks that every state
+// of the chart accepts them, that nothing is sealed without a confirmation
+// after the attempt began, and that only a server sealed for the attempt is
+// promoted.
+func TestDecideProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		spec := specOf(3)
+		spec.Order = rapid.IntRange(0, 1).Draw(t, "order")
+		spec.Policy.NoMajority = rapid.SampledFrom([]environment.NoMajority{"", environment.NoMajorityPromote}).Draw(t, "policy")
+		state := NewState(start, 1)
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "wait")) * time.Millisecond)
+			spec.Leaving["s1"] = rapid.Bool().Draw(t, "leaving")
+			status := drawStatus(t, state, now)
+			next, actions := Decide(spec, status, state, now)
+			for _, a := range actions {
+				checkAction(t, spec, status, state, a)
+			}
+			state = next
+		}
+	})
+}
+
+// checkAction checks an action that was decided in state s.
+func checkAction(t *rapid.T, spec GroupSpec, status GroupStatus, s State, action Action) {
+	switch a := action.(type) {
+	case Seal:
+		if _, ok := confirmation(spec, status, a.Attempt); !ok && !s.Attempt.Sealed {
+			t.Fatalf("sealed without a confirmation: %+v", status)
+		}
+		if a.Attempt.Term <= 1 {
+			t.Fatalf("sealed at term %d", a.Attempt.Term)
+		}
+	case Promote:
+		if s.Phase == PhaseSealing && len(status.sealedBy(spec, a.Attempt)) < neededSeals(spec, a.Attempt) {
+			t.Fatalf("promoted without seals: %+v", status)
+		}
+	}
+}
+
+// drawStatus returns a random status in which servers often hold the seal of
+// the state's attempt.
+func drawStatus(t *rapid.T, s State, now time.Time) GroupStatus {
+	status := GroupStatus{Servers: map[cluster.ServerID]Observation{}}
+	roles := []cluster.Role{cluster.RolePrimary, cluster.RoleReplica, cluster.RoleSealed}
+	for _, id := range []cluster.ServerID{"s1", "s2", "s3"} {
+		o := Observation{At: now, Status: cluster.ServerStatus{
+			Server: id, Role: rapid.SampledFrom(roles).Draw(t, "role"),
+			Term:     cluster.Term(rapid.IntRange(1, 6).Draw(t, "term")),
+			Leader:   rapid.SampledFrom([]cluster.ServerID{"", "s1", "s2"}).Draw(t, "leader"),
+			Received: cluster.Position{Term: 1, Offset: rapid.Uint64Range(0, 5).Draw(t, "offset")},
+		}}
+		if rapid.Bool().Draw(t, "ours") && s.Attempt.Term > 0 {
+			o.Status.Term, o.Status.SealHolder = s.Attempt.Term, s.Attempt.Holder
+		}
+		if rapid.IntRange(0, 2).Draw(t, "down") == 0 {
+			o = failing(o, now.Add(-3*time.Second), now, 5)
+		}
+		status.Servers[id] = o
+	}
+	outcomes := []IntentOutcome{IntentGranted, IntentConflict, IntentUnreachable}
+	status.Intent = IntentResult{Outcome: rapid.SampledFrom(outcomes).Draw(t, "intent"), Holder: s.Attempt.Holder}
+	return status
+}
