--- a/internal/failover/store.go
+++ b/internal/failover/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strings"
 	"sync"
 	"time"
 
@@ -77,6 +78,8 @@
 	mu      sync.Mutex
 	seen    map[cluster.GroupName]seenIntent
 	waiting []Record
+	// wake tells Run that a record waits.
+	wake chan struct{}
 }
 
 // seenIntent is another holder's intent and the time at which this process
@@ -88,7 +91,7 @@
 
 // NewStore returns a Store on table.
 func NewStore(table platform.Table) *Store {
-	return &Store{table: table, seen: map[cluster.GroupName]seenIntent{}}
+	return &Store{table: table, seen: map[cluster.GroupName]seenIntent{}, wake: make(chan struct{}, 1)}
 }
 
 // Key returns the key of a group's failover row.
@@ -124,7 +127,7 @@
 
 // respects reports whether the intent in the row keeps holder from acting.
 func (s *Store) respects(group cluster.GroupName, current Intent, holder string) bool {
-	if current.Holder == "" || current.Done || current.Holder == holder {
+	if current.Holder == "" || current.Done || wardenOf(current.Holder) == wardenOf(holder) {
 		return false
 	}
 	s.mu.Lock()
@@ -137,6 +140,9 @@
 	return time.Since(seen.at) < intentFor
 }
 
+// wardenOf returns the name of the warden in a holder.
+func wardenOf(holder string) string { return holder[:max(0, strings.LastIndexByte(holder, '/'))] }
+
 // Keep queues a record. Run writes it.
 func (s *Store) Keep(r Record) {
 	s.mu.Lock()
@@ -146,6 +152,10 @@
 		s.waiting = s.waiting[extra:]
 		recordsDropped.Add(extra)
 	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Flush writes the waiting records and returns the first error. Records that
@@ -241,6 +251,7 @@
 		_ = s.Flush(ctx) // what was not written stays queued
 		select {
 		case <-ticker.C:
+		case <-s.wake:
 		case <-ctx.Done():
 			return nil
 		}
