--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rattancove/rattancove/internal/document"
+	"github.com/rattancove/rattancove/internal/environment"
 	"github.com/rattancove/rattancove/internal/platform/platformtest"
 )
 
@@ -287,30 +289,58 @@
 	}
 }
 
-func TestOpenAPIListsEveryRoute(t *testing.T) {
+func TestOpenAPIMatchesTheCode(t *testing.T) {
 	data, err := os.ReadFile("../../docs/openapi.yaml")
 	if err != nil {
 		t.Fatal(err)
 	}
 	var api struct {
-		Paths map[string]map[string]any `yaml:"paths"`
+		Paths      map[string]map[string]any `yaml:"paths"`
+		Components struct {
+			Schemas map[string]struct {
+				Properties map[string]any `yaml:"properties"`
+			} `yaml:"schemas"`
+		} `yaml:"components"`
 	}
 	if err := yaml.Unmarshal(data, &api); err != nil {
 		t.Fatal(err)
 	}
-	documented := map[string]bool{}
+	documented, served := map[string]bool{}, map[string]bool{}
 	for path, methods := range api.Paths {
 		for method := range methods {
-			documented[strings.ToUpper(method)+" "+path] = true
+			if method != "parameters" {
+				documented[strings.ToUpper(method)+" "+path] = true
+			}
 		}
 	}
-	served := map[string]bool{}
 	for _, r := range routes() {
 		served[r.pattern] = true
 	}
 	if diff := cmp.Diff(served, documented); diff != "" {
 		t.Error(diff)
 	}
+	for name, value := range map[string]any{
+		"State": State{}, "Status": Status{}, "DocumentStatus": DocumentStatus{}, "Group": GroupStatus{},
+		"Server": ServerStatus{}, "Queue": QueueStatus{}, "Members": MembersAnswer{}, "Member": MemberStatus{},
+		"Failover": FailoverStatus{}, "Report": Report{}, "Finding": Finding{}, "Explanation": Explanation{},
+		"ExplanationStep": ExplanationStep{}, "ExplainRequest": ExplainRequest{}, "Validation": Validation{},
+		"DocumentText": documentBody{}, "ChangeRequest": ChangeRequest{}, "Revision": document.Revision{},
+		"Changed": ChangeAnswer{}, "History": HistoryAnswer{}, "Current": CurrentAnswer{}, "Rollout": RolloutAnswer{},
+		"Plan": DiffAnswer{}, "Change": environment.Change{}, "Fault": environment.Fault{},
+	} {
+		want := map[string]bool{}
+		for i := range reflect.TypeOf(value).NumField() {
+			tag, _, _ := strings.Cut(reflect.TypeOf(value).Field(i).Tag.Get("json"), ",")
+			want[tag] = true
+		}
+		got := map[string]bool{}
+		for property := range api.Components.Schemas[name].Properties {
+			got[property] = true
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("schema %s:\n%s", name, diff)
+		}
+	}
 }
 
 func TestClassifyHidesCauses(t *testing.T) {
--- a/internal/admin/documents.go
+++ b/internal/admin/documents.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"github.com/rattancove/rattancove/internal/document"
 	"github.com/rattancove/rattancove/internal/environment"
@@ -44,6 +45,7 @@
 	Why        string  `json:"why"`
 	Override   string  `json:"override,omitempty"`
 	IfRevision *uint64 `json:"if_revision,omitempty"`
+	IfDigest   string  `json:"if_digest,omitempty"`
 	// Document is the YAML text to publish.
 	Document string `json:"document,omitempty"`
 	// From is the environment to promote from.
@@ -70,6 +72,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if text := r.URL.Query().Get("revision"); text != "" {
+		return s.earlierDocument(r, env, text, identity)
+	}
 	revision, doc, err := s.config.Documents.Document(r.Context(), env)
 	if err != nil {
 		return nil, err
@@ -82,6 +87,23 @@
 	return CurrentAnswer{Revision: revision, Document: string(data)}, err
 }
 
+// earlierDocument answers with the document of an accepted revision.
+func (s *Server) earlierDocument(r *http.Request, env, text string, identity Identity) (any, error) {
+	if !identity.mayRead() {
+		return nil, newError(CodeForbidden, "the key may not see earlier documents")
+	}
+	number, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return nil, newError(CodeBadRequest, "revision must be a number")
+	}
+	revision, err := s.config.Documents.Revision(r.Context(), env, number)
+	if err != nil {
+		return nil, err
+	}
+	data, err := s.config.Documents.Bytes(r.Context(), env, revision.Digest)
+	return CurrentAnswer{Revision: revision, Document: string(data)}, err
+}
+
 // anonymous hides from one customer who changed what for another.
 func anonymous(r document.Revision) document.Revision {
 	r.Who, r.Why, r.Override, r.ChangeID, r.Source = "", "", "", "", ""
@@ -230,6 +252,7 @@
 	c := document.Change{
 		Environment: env, ID: request.ChangeID, Who: identity.Name, Why: request.Why,
 		Override: request.Override, IfRevision: request.IfRevision,
+		IfDigest: request.IfDigest,
 	}
 	if !identity.admin {
 		c.ID = identity.Name + "." + c.ID // Keeps the change ids of teams apart.
--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -83,6 +83,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		other := change("p0")
+		other.IfDigest = environment.Digest(variant(t, 9))
+		var conflict *ConflictError
+		if _, err := f.Promote(t.Context(), other, "cotopaxi-trial"); !errors.As(err, &conflict) {
+			t.Errorf("another document than the reviewed one: %v", err)
+		}
 		r, err := f.Promote(t.Context(), change("p1"), "cotopaxi-trial")
 		if err != nil || r.Digest != tried.Digest || r.Source != "cotopaxi-trial" {
 			t.Fatalf("promoted %+v, %v", r, err)
--- a/internal/document/revision.go
+++ b/internal/document/revision.go
@@ -49,6 +49,8 @@
 	Override string `json:"override,omitempty"`
 	// IfRevision, when set, is the revision that must be in force; zero means none.
 	IfRevision *uint64 `json:"if_revision,omitempty"`
+	// IfDigest, when set, is the document that a promotion must find at its source.
+	IfDigest string `json:"if_digest,omitempty"`
 }
 
 const (
--- a/internal/document/store.go
+++ b/internal/document/store.go
@@ -124,6 +124,9 @@
 	if err != nil {
 		return Revision{}, eris.Wrapf(err, "environment %s", from)
 	}
+	if c.IfDigest != "" && c.IfDigest != source.Digest {
+		return Revision{}, &ConflictError{Winner: source}
+	}
 	data, err := s.Bytes(ctx, from, source.Digest)
 	if err != nil {
 		return Revision{}, err
