--- a/internal/pgwire/back/conn.go
+++ b/internal/pgwire/back/conn.go
@@ -13,6 +13,7 @@
 
 	"github.com/rattancove/rattancove/internal/backend"
 	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/statechart"
 	"github.com/rattancove/rattancove/internal/statement"
 )
 
@@ -22,6 +23,7 @@
 // another call runs.
 type Conn struct {
 	link     *link
+	state    statechart.Machine
 	prepared *preparedSet
 	settings []statement.Setting
 	// settingsUnknown is set when a batch changed settings by itself.
@@ -35,14 +37,29 @@
 
 var _ backend.Conn = (*Conn)(nil)
 
+func newConn(l *link, maxPrepared int) *Conn {
+	c := &Conn{link: l, prepared: newPreparedSet(maxPrepared)}
+	c.state.Init(connectionChart)
+	return c
+}
+
 // Exchange runs one batch. Errors that the server answered are passed to conv
-// and are not errors here. After an error the connection is closed, except
-// that an order mismatch leaves it usable.
+// and are not errors here.
+//
+// A batch with an order id is one of three: a batch without transaction
+// commands, which is recorded with its answer; the COMMIT of an open
+// transaction, which is recorded with the answer of a successful COMMIT; or
+// another batch of an open transaction, including its BEGIN, which runs as it
+// is. Other batches with an order id are refused before anything is sent.
 func (c *Conn) Exchange(ctx context.Context, x *backend.Exchange, conv statement.Conversation) (backend.Answer, error) {
 	c.sent = false
 	if x.Batch.Class == statement.ClassCopyData {
 		return backend.Answer{Tx: c.txStatus()}, nil
 	}
+	if err := c.enter(eventExchange); err != nil {
+		return backend.Answer{}, errcode.Wrap(err, errcode.ConnectionLost, "start exchange", string(c.link.server.ID))
+	}
+	defer c.settle()
 	exchangesTotal.Inc()
 	start := time.Now()
 	ctx, span := tracer.Start(ctx, "backend exchange", trace.WithAttributes(
@@ -60,25 +77,38 @@
 
 func (c *Conn) exchange(ctx context.Context, x *backend.Exchange, conv statement.Conversation) (backend.Answer, error) {
 	if err := c.link.alive(); err != nil {
-		return backend.Answer{}, c.fail(err, errcode.ConnectionLost, "check connection")
+		return backend.Answer{}, c.fail(err, refusalOf(err), "check connection")
 	}
 	open := c.link.status != 'I'
 	if !open {
 		c.wrote = false
 		c.digest = newDigest()
-		if err := c.applySettings(ctx, x.Settings); err != nil {
+	}
+	r := newRelay(ctx, c, x, conv)
+	if !open {
+		refusal, err := c.applySettings(ctx, x.Settings)
+		if err != nil {
 			return backend.Answer{}, err
 		}
+		if refusal != nil {
+			r.replaceByError(refusal)
+			return r.finish(&reply{})
+		}
 	}
 	addToDigest(c.digest, x.Batch)
-	r := newRelay(ctx, c, x, conv)
+	if x.OrderID == "" || x.Batch.Class.ReadOnly() || c.link.status == 'E' {
+		return c.runBatch(ctx, x, r)
+	}
+	commands := controlOf(x.Batch)
 	switch {
-	case x.OrderID != "" && !open:
-		return c.runOrder(ctx, x, r)
-	case x.OrderID != "" && c.link.status == 'T':
+	case open && commands.commits:
 		return c.commitOrder(ctx, x, r)
-	default:
+	case open, commands.begins && !commands.commits && !commands.aborts:
 		return c.runBatch(ctx, x, r)
+	case commands != control{}:
+		return backend.Answer{}, r.failure(errcode.OrderShape, "record order")
+	default:
+		return c.runOrder(ctx, x, r)
 	}
 }
 
@@ -86,7 +116,7 @@
 func (c *Conn) runBatch(ctx context.Context, x *backend.Exchange, r *relay) (backend.Answer, error) {
 	var position reply
 	segments := []segment{r.segment()}
-	pipelined := x.WantPosition && !mayCopy(x.Batch)
+	pipelined := x.WantPosition && mayEndIdle(x.Batch, r.wasOpen)
 	if pipelined {
 		segments = append(segments, position.segment(positionQuery))
 	}
@@ -139,7 +169,7 @@
 // fail closes the connection and returns err with its code.
 func (c *Conn) fail(err error, code errcode.Code, step string) error {
 	_ = c.link.close()
-	return errcode.Wrap(err, code, step, string(c.link.server.ID))
+	return wrapError(err, code, step, c.link.server)
 }
 
 func (c *Conn) txStatus() backend.TxStatus {
@@ -164,6 +194,10 @@
 
 // Reset rolls back what is open and returns the session to its initial state.
 func (c *Conn) Reset(ctx context.Context) error {
+	if err := c.enter(eventReset); err != nil {
+		return errcode.Wrap(err, errcode.ConnectionLost, "start reset", string(c.link.server.ID))
+	}
+	defer c.settle()
 	var rolledBack, discarded reply
 	segments := []segment{discarded.segment(query("DISCARD ALL"))}
 	if c.link.status != 'I' {
@@ -190,4 +224,8 @@
 func (c *Conn) Sent() bool { return c.sent }
 
 // Close closes the connection. The server rolls back an open transaction.
-func (c *Conn) Close() error { return c.link.close() }
+func (c *Conn) Close() error {
+	err := c.link.close()
+	_, _, _ = c.state.Fire(eventClose)
+	return err
+}
