End callers whose account a new document no longer has

Cause: an accepted document must be in force everywhere within seconds, and a connection outlives the check at its start-up.

Ruled out: looking the account up for each request, which would search the document for each statement.

Change: Server.Recheck, to be called when a document comes into force; a fuzz target for the collection of batches.

--- a/internal/pgwire/front/caller.go
+++ b/internal/pgwire/front/caller.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -59,6 +60,8 @@
 	// mu keeps a drain from interrupting a caller that has just become busy.
 	mu    sync.Mutex
 	state statechart.Machine
+	// revoked is set when the caller's account is gone.
+	revoked atomic.Bool
 	// cancel ends the running request; nil while none runs.
 	cancel context.CancelCauseFunc
 }
@@ -124,7 +127,7 @@
 // the server drains and no message is on its way.
 func (c *caller) awaitQuiet() error {
 	if c.reader.buffered() {
-		return nil
+		return c.mayStay()
 	}
 	if c.batch == nil {
 		c.reader.release()
@@ -136,7 +139,13 @@
 	if c.server.draining.Load() {
 		c.interruptIfQuiet()
 	}
+	if err := c.mayStay(); err != nil {
+		return err
+	}
 	err := c.reader.wait()
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.revoked.Load() {
+		return c.mayStay()
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.server.draining.Load() {
 		return errcode.New(errcode.Draining, "idle", "")
 	}
--- /dev/null
+++ b/internal/pgwire/front/collect_test.go
@@ -0,0 +1,79 @@
+package front
+
+import (
+	"errors"
+	"io"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+type emptyDirectory struct{}
+
+func (emptyDirectory) Account(string, cluster.GroupName) (Account, bool) { return Account{}, true }
+func (emptyDirectory) Limits() environment.Limits                        { return environment.Limits{} }
+func (emptyDirectory) Freshness(string) (f statement.Freshness, ok bool) { return }
+
+// FuzzCollect feeds any messages to the collection of batches and expects that
+// what goes to the home is made of complete messages that end in a boundary.
+func FuzzCollect(f *testing.F) {
+	for _, all := range [][]pgproto3.FrontendMessage{
+		{&pgproto3.Query{String: "set rattancove.rank to urgent; select 1"}},
+		{&pgproto3.Parse{Name: "s", Query: "set x = E'a', $$b$$"}, &pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Execute{}, &pgproto3.Sync{}},
+		{&pgproto3.Parse{Query: "select $1"}, &pgproto3.Describe{ObjectType: 'S'}, &pgproto3.Flush{}, &pgproto3.Bind{}, &pgproto3.Close{ObjectType: 'S'}, &pgproto3.Sync{}},
+	} {
+		var data []byte
+		for _, m := range all {
+			data, _ = m.Encode(data)
+		}
+		f.Add(data)
+	}
+	server := New(Config{BufferBytes: 1 << 40, PreparedBytes: 1 << 40}, nil, emptyDirectory{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c := server.newCaller(nil, map[string]string{"user": "clerk"})
+		c.messageBytes = DefaultMessageBytes
+		for message, rest, ok := nextMessage(data); ok; message, rest, ok = nextMessage(rest) {
+			done, err := c.take(message[0], message)
+			var coded *errcode.Error
+			if err != nil {
+				if !errors.Is(err, io.EOF) && !errors.As(err, &coded) {
+					t.Fatalf("error without a code: %v", err)
+				}
+				return
+			}
+			if done {
+				checkBatch(t, c.finished())
+			}
+		}
+	})
+}
+
+func checkBatch(t *testing.T, b *batch) {
+	t.Helper()
+	if b.err != nil {
+		return
+	}
+	last := byte(0)
+	for rest := b.Messages; len(rest) > 0; {
+		message, after, ok := nextMessage(rest)
+		if !ok {
+			t.Fatalf("incomplete message at %q", rest)
+		}
+		last, rest = message[0], after
+	}
+	ends := map[boundary]bool{
+		boundaryQuery: last == msgQuery || last == msgFunctionCall || b.sent == 0,
+		boundarySync:  last == msgSync, boundaryFlush: last == msgSync,
+	}
+	if !ends[b.boundary] {
+		t.Fatalf("boundary %d after message %q", b.boundary, last)
+	}
+	if b.Class == statement.ClassRead && b.unknownText {
+		t.Fatal("a batch of unknown text is a read")
+	}
+}
--- a/internal/pgwire/front/fake_test.go
+++ b/internal/pgwire/front/fake_test.go
@@ -308,7 +308,7 @@
 	address string
 }
 
-func startServer(t testing.TB, d fakeDirectory, config front.Config) *bench {
+func startServer(t testing.TB, d front.Directory, config front.Config) *bench {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/pgwire/front/startup_test.go
+++ b/internal/pgwire/front/startup_test.go
@@ -14,6 +14,7 @@
 	"io"
 	"math/big"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/xdg-go/scram"
 
+	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/environment"
 	"github.com/rattancove/rattancove/internal/pgwire/front"
 )
@@ -83,6 +85,42 @@
 	}
 }
 
+func TestRecheck(t *testing.T) {
+	d := &changingDirectory{}
+	b := startServer(t, d, front.Config{})
+	idle, open := b.connect(t, ""), b.connect(t, "")
+	if _, err := open.Exec(t.Context(), "begin"); err != nil {
+		t.Fatal(err)
+	}
+	if n := b.Recheck(); n != 0 {
+		t.Errorf("%d callers revoked without a change", n)
+	}
+	d.gone.Store(true)
+	if n := b.Recheck(); n != 2 {
+		t.Errorf("%d callers revoked, want 2", n)
+	}
+	if _, err := idle.Exec(t.Context(), "select 1"); sqlState(err) != "28000" {
+		t.Errorf("idle caller: %v", err)
+	}
+	if _, err := open.Exec(t.Context(), "commit"); err != nil {
+		t.Errorf("open transaction: %v", err)
+	}
+	if _, err := open.Exec(t.Context(), "select 1"); sqlState(err) != "28000" {
+		t.Errorf("after the transaction: %v", err)
+	}
+}
+
+// changingDirectory loses its accounts.
+type changingDirectory struct {
+	fakeDirectory
+	gone atomic.Bool
+}
+
+func (d *changingDirectory) Account(user string, group cluster.GroupName) (front.Account, bool) {
+	a, ok := d.fakeDirectory.Account(user, group)
+	return a, ok && !d.gone.Load()
+}
+
 func TestUnauthenticatedLimits(t *testing.T) {
 	b := startServer(t, fakeDirectory{}, front.Config{MaxUnauthorized: 1, StartupTime: 200 * time.Millisecond})
 	silent := dial(t, b)
--- a/internal/sqlclass/classify_test.go
+++ b/internal/sqlclass/classify_test.go
@@ -111,6 +111,8 @@
 	f.Add("select 1", "a'b", "/*", "where x = 1", uint8(0))
 	f.Add("with x as (", "$$", "--\n", ")", uint8(7))
 	f.Fuzz(func(t *testing.T, plain, quoted, comment, after string, n uint8) {
+		Analyze("set x = " + plain + quoted)
+		Analyze(comment + after)
 		sql := strings.Join([]string{
 			bare(plain), "'" + strings.NewReplacer("'", "''", `\`, "").Replace(quoted) + "'",
 			"/*" + strings.NewReplacer("*", "", "/", "").Replace(comment) + "*/",
