Lock rows in the stand-in by their condition

Two updates of one row with different first arguments ran side by side and one failed with 40001, which no caller of a real server would see. The key is now the table with the condition, or with the first value of a new row.

--- a/internal/pgwire/back/conn.go
+++ b/internal/pgwire/back/conn.go
@@ -82,7 +82,7 @@
 	open := c.link.status != 'I'
 	if !open {
 		c.wrote = false
-		c.digest = newDigest()
+		c.digest = nil
 	}
 	r := newRelay(ctx, c, x, conv)
 	if !open {
@@ -95,7 +95,9 @@
 			return r.finish(&reply{})
 		}
 	}
-	addToDigest(c.digest, x.Batch)
+	if !x.Batch.Class.ReadOnly() {
+		c.digest = addToDigest(c.digest, x.Batch)
+	}
 	if x.OrderID == "" || x.Batch.Class.ReadOnly() || c.link.status == 'E' {
 		return c.runBatch(ctx, x, r)
 	}
--- a/internal/pgwire/back/digest.go
+++ b/internal/pgwire/back/digest.go
@@ -13,14 +13,17 @@
 // between a request and its repeat.
 var commentPattern = regexp.MustCompile(`(?s)/\*.*?\*/`)
 
-func newDigest() hash.Hash { return sha256.New() }
-
-// addToDigest adds what the batch asks for, without comments.
-func addToDigest(h hash.Hash, b *statement.Batch) {
+// addToDigest adds what the batch asks for, without comments, to h, or to a
+// new digest when h is nil.
+func addToDigest(h hash.Hash, b *statement.Batch) hash.Hash {
+	if h == nil {
+		h = sha256.New()
+	}
 	for _, p := range b.Prepared {
 		addFrames(h, p.Parse)
 	}
 	addFrames(h, b.Messages)
+	return h
 }
 
 func addFrames(h hash.Hash, messages []byte) {
--- a/internal/pgwire/back/frames_test.go
+++ b/internal/pgwire/back/frames_test.go
@@ -23,7 +23,7 @@
 		}
 		endsCopy(data)
 		commitAnswer(data)
-		addToDigest(newDigest(), &statement.Batch{Messages: data})
+		addToDigest(nil, &statement.Batch{Messages: data})
 	})
 }
 
--- a/internal/standin/dbserver/doc.go
+++ b/internal/standin/dbserver/doc.go
@@ -4,6 +4,7 @@
 //
 // Transactions are optimistic: the statements of an open transaction are run
 // again when another transaction used the writer in between, and the commit
-// fails with SQLSTATE 40001 when a result differs from the first run. Writes of
-// the same statement with the same first argument wait for each other.
+// fails with SQLSTATE 40001 when a result differs from the first run. Writes
+// with the same condition on the same table, and inserts with the same first
+// value, wait for each other as they would for a row lock.
 package dbserver
--- a/internal/standin/dbserver/locks.go
+++ b/internal/standin/dbserver/locks.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"regexp"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -21,12 +24,31 @@
 	freed chan struct{}
 }
 
-// lockKey names what c writes: its text and its first argument.
+var (
+	rowPattern    = regexp.MustCompile(`(?is)(?:\bFROM|^\s*UPDATE)\s+"?(\w+)"?.*?\bWHERE\b(.*?)(?:\bRETURNING\b.*)?$`)
+	newRowPattern = regexp.MustCompile(`(?is)^\s*INSERT\s+INTO\s+"?(\w+)"?.*?\bVALUES\s*\(([^,)]+)`)
+)
+
+// lockKey names the rows that c writes: the table with the condition of the
+// statement or with the first value of a new row.
 func lockKey(c command) string {
-	if len(c.Args) == 0 {
-		return c.SQL
+	for _, pattern := range []*regexp.Regexp{rowPattern, newRowPattern} {
+		if m := pattern.FindStringSubmatch(c.SQL); m != nil {
+			return strings.ToLower(m[1]) + "|" + strings.Join(strings.Fields(withArgs(m[2], c.Args)), " ")
+		}
 	}
-	return c.SQL + "\x00" + c.Args[0].String()
+	return withArgs(c.SQL, c.Args)
+}
+
+// withArgs puts the arguments in the place of their parameters.
+func withArgs(text string, args []value) string {
+	return paramPattern.ReplaceAllStringFunc(text, func(ref string) string {
+		n, _ := strconv.Atoi(ref[1:])
+		if n < 1 || n > len(args) {
+			return ref
+		}
+		return args[n-1].String()
+	})
 }
 
 func (l *lockTable) acquire(ctx context.Context, t *transaction, key string) error {
--- a/internal/standin/dbserver/server_test.go
+++ b/internal/standin/dbserver/server_test.go
@@ -151,14 +151,33 @@
 	s := start(t, Config{Primary: true, Schema: "CREATE TABLE n(i INTEGER PRIMARY KEY, v INTEGER); INSERT INTO n VALUES (1, 0)"})
 	a, b := connect(t, s), connect(t, s)
 	exec(t, a, "BEGIN")
-	exec(t, a, "UPDATE n SET v = 5 RETURNING v")
-	exec(t, a, "INSERT INTO n VALUES (2, 0)")
-	exec(t, b, "INSERT INTO n VALUES (2, 1)")
+	exec(t, a, "UPDATE n SET v = v + 1 RETURNING v")
+	exec(t, b, "UPDATE n SET v = 10 WHERE i = 1")
 	if _, err := a.Exec(t.Context(), "COMMIT"); state(err) != "40001" {
 		t.Errorf("got %v", err)
 	}
 }
 
+func TestSameKeyWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := start(t, Config{Primary: true, Schema: "CREATE TABLE n(i INTEGER PRIMARY KEY)"})
+		a, b := connect(t, s), connect(t, s)
+		exec(t, a, "BEGIN")
+		exec(t, a, "INSERT INTO n VALUES (1)")
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		wg.Go(func() {
+			time.Sleep(time.Second)
+			_, _ = a.Exec(t.Context(), "COMMIT")
+		})
+		began := time.Now()
+		_, err := b.Exec(t.Context(), "INSERT INTO n VALUES (1)")
+		if state(err) != "23505" || time.Since(began) != time.Second {
+			t.Errorf("got %v after %v", err, time.Since(began))
+		}
+	})
+}
+
 func TestSlotsAreServedInOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := start(t, Config{Primary: true, Slots: 1, Connections: 3, ConnectDelay: 12 * time.Millisecond})
@@ -178,6 +197,48 @@
 	})
 }
 
+func TestLockKeys(t *testing.T) {
+	one := []value{intValue(9), textValue("fern")}
+	cases := []struct {
+		a, b command
+		same bool
+	}{
+		{command{SQL: "UPDATE n SET v = ?1 WHERE i = ?2 RETURNING v", Args: one}, command{SQL: "UPDATE n SET v = 3 WHERE i = fern"}, true},
+		{command{SQL: "SELECT v FROM n WHERE i = ?2", Args: one}, command{SQL: "DELETE FROM n WHERE i  = ?2", Args: one}, true},
+		{command{SQL: "UPDATE n SET v = ?2 WHERE i = ?1", Args: one}, command{SQL: "UPDATE n SET v = ?1 WHERE i = ?2", Args: one}, false},
+		{command{SQL: "INSERT INTO n VALUES (?2, ?1)", Args: one}, command{SQL: "INSERT INTO n(i, v) VALUES (fern, 1) ON CONFLICT DO NOTHING"}, true},
+		{command{SQL: "INSERT INTO n VALUES (?1)", Args: one}, command{SQL: "INSERT INTO m VALUES (?1)", Args: one}, false},
+	}
+	for _, tc := range cases {
+		if (lockKey(tc.a) == lockKey(tc.b)) != tc.same {
+			t.Errorf("%q and %q", lockKey(tc.a), lockKey(tc.b))
+		}
+	}
+}
+
+func TestConcurrentCounterLosesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := start(t, Config{Primary: true, Slots: 4, Schema: "CREATE TABLE n(i INTEGER PRIMARY KEY, v INTEGER); INSERT INTO n VALUES (1, 0)"})
+		var wg sync.WaitGroup
+		for delta := range 8 {
+			c := connect(t, s)
+			wg.Go(func() {
+				for range 5 {
+					_, err := c.Exec(t.Context(), "UPDATE n SET v = v + $1 + rattan_work(5) * 0 WHERE i = 1 RETURNING v", delta)
+					if err != nil {
+						t.Error(err)
+					}
+				}
+			})
+		}
+		wg.Wait()
+		var sum int64
+		if err := connect(t, s).QueryRow(t.Context(), "SELECT v FROM n").Scan(&sum); err != nil || sum != 5*28 {
+			t.Errorf("%d, %v", sum, err)
+		}
+	})
+}
+
 func TestStateOutlivesTheProcess(t *testing.T) {
 	cfg := Config{ID: "a", Primary: true, Dir: t.TempDir(), Schema: "CREATE TABLE n(i INTEGER PRIMARY KEY)"}
 	s, err := New(cfg)
--- a/internal/standin/dbserver/session.go
+++ b/internal/standin/dbserver/session.go
@@ -2,18 +2,14 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"net"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/rattancove/rattancove/internal/cluster"
-	"github.com/rattancove/rattancove/internal/pgwire/back"
 )
 
 var (
@@ -94,103 +90,6 @@
 	_ = c.backend.Flush()
 }
 
-// startup runs the start of a connection and reports whether to go on.
-func (c *session) startup() bool {
-	for {
-		m, err := c.backend.ReceiveStartupMessage()
-		if err != nil {
-			return false
-		}
-		switch m := m.(type) {
-		case *pgproto3.SSLRequest:
-			if !c.secure() {
-				return false
-			}
-		case *pgproto3.GSSEncRequest:
-			if _, err := c.conn.Write([]byte("N")); err != nil {
-				return false
-			}
-		case *pgproto3.CancelRequest:
-			c.server.cancelRequest(m)
-			return false
-		case *pgproto3.StartupMessage:
-			return c.accept(m.Parameters)
-		}
-	}
-}
-
-// secure answers a request for TLS and reports whether to go on.
-func (c *session) secure() bool {
-	if c.server.cfg.TLS == nil {
-		_, err := c.conn.Write([]byte("N"))
-		return err == nil
-	}
-	if _, err := c.conn.Write([]byte("S")); err != nil {
-		return false
-	}
-	c.conn = tls.Server(c.conn, c.server.cfg.TLS)
-	c.backend = pgproto3.NewBackend(c.conn, c.conn)
-	return true
-}
-
-func (c *session) accept(params map[string]string) bool {
-	s := c.server
-	if c.hung() {
-		return false
-	}
-	if !sleep(c.ctx, s.cfg.ConnectDelay) {
-		return false
-	}
-	readOptions(params)
-	c.control = params[back.ParamControl] == "1"
-	if s.faultsNow().down && !c.control {
-		return false
-	}
-	c.replication = params[paramReplication] == "1"
-	epoch, _ := strconv.ParseUint(params[back.ParamEpoch], 10, 64)
-	c.epoch = cluster.Epoch(epoch)
-	err := c.authenticate(params["user"])
-	if err == nil {
-		err = s.register(c, cluster.ProxyID(params[back.ParamHome]))
-	}
-	if err != nil {
-		e := *asServerError(err)
-		e.fatal = true
-		c.backend.Send(e.response())
-		_ = c.backend.Flush()
-		return false
-	}
-	c.backend.Send(&pgproto3.AuthenticationOk{})
-	for _, p := range [][2]string{
-		{"server_version", "16.0 (rattan-standin)"},
-		{"client_encoding", "UTF8"},
-		{"server_encoding", "UTF8"},
-		{"DateStyle", "ISO, MDY"},
-		{"integer_datetimes", "on"},
-		{"standard_conforming_strings", "on"},
-		{"TimeZone", "UTC"},
-	} {
-		c.backend.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
-	}
-	c.backend.Send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: secretKey(c.secret)})
-	c.ready()
-	if c.backend.Flush() != nil {
-		s.unregister(c)
-		return false
-	}
-	return true
-}
-
-// readOptions adds the settings of the form "-c name=value" in the options
-// parameter, which is how psql passes them.
-func readOptions(params map[string]string) {
-	for _, option := range strings.Split(params["options"], "-c") {
-		if name, v, ok := strings.Cut(strings.TrimSpace(option), "="); ok {
-			params[name] = v
-		}
-	}
-}
-
 // loop serves messages until the connection ends.
 func (c *session) loop() error {
 	for {
@@ -399,10 +298,6 @@
 	}
 }
 
-func secretKey(secret uint32) []byte {
-	return []byte{byte(secret >> 24), byte(secret >> 16), byte(secret >> 8), byte(secret)}
-}
-
 // sleep waits for d and reports whether ctx still holds.
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
