--- a/cmd/rattan-standin/backend.go
+++ b/cmd/rattan-standin/backend.go
@@ -22,7 +22,7 @@
 func serverFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.IntFlag{Name: "slots", Value: dbserver.DefaultSlots, Usage: "statements that execute at once"},
-		&cli.IntFlag{Name: "connections", Value: dbserver.DefaultConnections, Usage: "limit of data connections"},
+		&cli.IntFlag{Name: "connections", Value: dbserver.DefaultConnections, Usage: "limit of connections"},
 		&cli.IntFlag{Name: "control-connections", Value: dbserver.DefaultControlConnections, Usage: "connections kept for control beyond the limit"},
 		&cli.DurationFlag{Name: "connect-delay", Value: dbserver.DefaultConnectDelay, Usage: "time that opening a connection takes"},
 		&cli.DurationFlag{Name: "lag", Usage: "time between receiving and replaying a log record"},
--- a/internal/standin/dbserver/config.go
+++ b/internal/standin/dbserver/config.go
@@ -43,7 +43,8 @@
 	Schema string
 	// Slots is the number of statements that execute at once.
 	Slots int
-	// Connections limits data connections; ControlConnections are kept beyond it.
+	// Connections limits the connections; ControlConnections are kept for
+	// control beyond it.
 	Connections        int
 	ControlConnections int
 	// ConnectDelay is the time that opening a connection takes.
--- a/internal/standin/dbserver/registry.go
+++ b/internal/standin/dbserver/registry.go
@@ -17,7 +17,7 @@
 	if !c.control && (c.epoch < st.Epoch || c.epoch == st.Epoch && st.Epoch > 0 && home != st.Home) {
 		return superseded(st.Home)
 	}
-	if !c.replication && s.countLocked(c.control) >= s.limit(c.control) {
+	if !c.replication && s.full(c.control) {
 		return newError("53300", "too many connections")
 	}
 	s.lastPID++
@@ -26,11 +26,14 @@
 	return nil
 }
 
-func (s *Server) limit(control bool) int {
+// full reports whether no place is left. Control connections have the reserved
+// places first and may take ordinary ones beyond. The caller holds mu.
+func (s *Server) full(control bool) bool {
+	data, controls := s.countLocked(false), s.countLocked(true)
 	if control {
-		return s.cfg.ControlConnections
+		return data+controls >= s.cfg.Connections+s.cfg.ControlConnections
 	}
-	return s.cfg.Connections
+	return data+max(0, controls-s.cfg.ControlConnections) >= s.cfg.Connections
 }
 
 func (s *Server) countLocked(control bool) int {
--- a/internal/standin/dbserver/server_test.go
+++ b/internal/standin/dbserver/server_test.go
@@ -283,3 +283,32 @@
 	s.SetDown(false)
 	exec(t, connect(t, s), "SELECT 1")
 }
+
+func TestConnectionLimits(t *testing.T) {
+	s := start(t, Config{Primary: true, Connections: 3, ControlConnections: 2})
+	cases := []struct {
+		data, controls int
+		full           bool
+		control        bool
+	}{
+		{data: 2, full: false},
+		{data: 3, full: true},
+		{data: 3, control: true, full: false},
+		{data: 3, controls: 2, control: true, full: true},
+		{data: 2, controls: 3, full: true},
+		{data: 1, controls: 3, full: false},
+	}
+	for _, tc := range cases {
+		s.mu.Lock()
+		clear(s.sessions)
+		for i := range tc.data + tc.controls {
+			s.sessions[uint32(i)] = &session{control: i >= tc.data}
+		}
+		full := s.full(tc.control)
+		clear(s.sessions)
+		s.mu.Unlock()
+		if full != tc.full {
+			t.Errorf("%+v: full is %v", tc, full)
+		}
+	}
+}
