--- a/internal/pgwire/back/conn.go
+++ b/internal/pgwire/back/conn.go
@@ -29,8 +29,10 @@
 	// settingsUnknown is set when a batch changed settings by itself.
 	settingsUnknown bool
 	sent            bool
-	// wrote is set when the open transaction may have written.
-	wrote bool
+	// wrote is set when the open transaction may have written, readOnly when it
+	// was begun as one that cannot.
+	wrote    bool
+	readOnly bool
 	// digest runs over the batches of the open transaction.
 	digest hash.Hash
 }
@@ -82,6 +84,7 @@
 	open := c.link.status != 'I'
 	if !open {
 		c.wrote = false
+		c.readOnly = x.Batch.Class == statement.ClassBeginReadOnly
 		c.digest = nil
 	}
 	r := newRelay(ctx, c, x, conv)
@@ -95,10 +98,10 @@
 			return r.finish(&reply{})
 		}
 	}
-	if !x.Batch.Class.ReadOnly() {
+	if !c.cannotWrite(x.Batch) {
 		c.digest = addToDigest(c.digest, x.Batch)
 	}
-	if x.OrderID == "" || x.Batch.Class.ReadOnly() || c.link.status == 'E' {
+	if x.OrderID == "" || c.cannotWrite(x.Batch) || c.link.status == 'E' {
 		return c.runBatch(ctx, x, r)
 	}
 	commands := controlOf(x.Batch)
@@ -114,6 +117,9 @@
 	}
 }
 
+// cannotWrite reports whether the batch can change nothing in the present transaction.
+func (c *Conn) cannotWrite(b *statement.Batch) bool { return c.readOnly || b.Class.ReadOnly() }
+
 // runBatch runs a batch as it is.
 func (c *Conn) runBatch(ctx context.Context, x *backend.Exchange, r *relay) (backend.Answer, error) {
 	var position reply
--- a/internal/pgwire/back/order_test.go
+++ b/internal/pgwire/back/order_test.go
@@ -75,6 +75,21 @@
 	}
 }
 
+func TestReadOnlyTransactionIsNotRecorded(t *testing.T) {
+	c := newGroup(t, 1, nil).conn(0, backend.Claim{})
+	begin := order("o1", "BEGIN READ ONLY")
+	begin.Batch.Class = statement.ClassBeginReadOnly
+	run(t, c, begin)
+	run(t, c, order("o1", "SELECT 1"))
+	got, a := run(t, c, order("o1", "COMMIT"))
+	if diff := cmp.Diff([]string{"COMMIT", "I"}, got); diff != "" || a.Committed {
+		t.Errorf("%s %+v", diff, a)
+	}
+	if _, a = run(t, c, order("o1", orderText)); a.Repeat {
+		t.Error("a read-only transaction was recorded")
+	}
+}
+
 func TestOrderOfUnsupportedShapeIsRefused(t *testing.T) {
 	for _, text := range []string{"ROLLBACK; " + orderText, "COMMIT", "BEGIN; " + orderText + "; COMMIT"} {
 		c := newGroup(t, 1, nil).conn(0, backend.Claim{})
--- a/internal/pgwire/back/relay.go
+++ b/internal/pgwire/back/relay.go
@@ -56,7 +56,7 @@
 // connection lacks.
 func (r *relay) segment() segment {
 	r.prefix = r.conn.prepared.missing(r.x.Batch.Prepared)
-	if !r.x.Batch.Class.ReadOnly() {
+	if !r.conn.cannotWrite(r.x.Batch) {
 		r.conn.wrote = true
 	}
 	return segment{data: slices.Concat(r.prefix.data, r.x.Batch.Messages), handle: r.handle}
@@ -216,7 +216,7 @@
 	if r.complete && r.state != "" && !r.committed {
 		return false
 	}
-	if b.Class.ReadOnly() && !r.conn.wrote {
+	if r.conn.cannotWrite(b) && !r.conn.wrote {
 		return false
 	}
 	inBlock := r.wasOpen || b.Class == statement.ClassBegin
--- a/internal/standin/dbserver/functions.go
+++ b/internal/standin/dbserver/functions.go
@@ -91,14 +91,22 @@
 		}
 		c.settings[name] = v
 	default:
-		name := settingName(strings.Join(p.words[1:], "_"))
-		r := &result{columns: []column{{name: name, decl: "TEXT"}}, affected: 1}
-		r.rows = [][]any{{c.settings[name]}}
-		return r, nil
+		return c.show(settingName(strings.Join(p.words[1:], "_"))), nil
 	}
 	return &result{}, nil
 }
 
+// show answers a setting of the session, or else its reported default.
+func (c *session) show(name string) *result {
+	text, ok := c.settings[name]
+	for _, p := range reported {
+		if !ok && strings.EqualFold(p.name, name) {
+			text = p.value
+		}
+	}
+	return &result{columns: []column{{name: name, decl: "TEXT"}}, rows: [][]any{{text}}, affected: 1}
+}
+
 // parseSet reads SET [SESSION|LOCAL] name {TO|=} value.
 func parseSet(text string) (name, v string) {
 	text = strings.TrimSpace(text[len("SET"):])
--- a/internal/standin/dbserver/startup.go
+++ b/internal/standin/dbserver/startup.go
@@ -11,6 +11,17 @@
 	"github.com/rattancove/rattancove/internal/pgwire/back"
 )
 
+// reported are the settings that every connection reports at its start.
+var reported = []struct{ name, value string }{
+	{"server_version", "16.0 (rattan-standin)"},
+	{"client_encoding", "UTF8"},
+	{"server_encoding", "UTF8"},
+	{"DateStyle", "ISO, MDY"},
+	{"integer_datetimes", "on"},
+	{"standard_conforming_strings", "on"},
+	{"TimeZone", "UTC"},
+}
+
 // startup runs the start of a connection and reports whether to go on.
 func (c *session) startup() bool {
 	for {
@@ -78,16 +89,8 @@
 		return false
 	}
 	c.backend.Send(&pgproto3.AuthenticationOk{})
-	for _, p := range [][2]string{
-		{"server_version", "16.0 (rattan-standin)"},
-		{"client_encoding", "UTF8"},
-		{"server_encoding", "UTF8"},
-		{"DateStyle", "ISO, MDY"},
-		{"integer_datetimes", "on"},
-		{"standard_conforming_strings", "on"},
-		{"TimeZone", "UTC"},
-	} {
-		c.backend.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+	for _, p := range reported {
+		c.backend.Send(&pgproto3.ParameterStatus{Name: p.name, Value: p.value})
 	}
 	c.backend.Send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: secretKey(c.secret)})
 	c.ready()
