Record an order only with a batch that executes something

A driver prepares and describes a statement in a batch of its own. With an order id that batch was recorded as the order, and the statement itself would have been taken for its repeat. The digest leaves such batches out as well, since a repeat may find the statement prepared.

--- a/internal/pgwire/back/conn.go
+++ b/internal/pgwire/back/conn.go
@@ -52,7 +52,8 @@
 // commands, which is recorded with its answer; the COMMIT of an open
 // transaction, which is recorded with the answer of a successful COMMIT; or
 // another batch of an open transaction, including its BEGIN, which runs as it
-// is. Other batches with an order id are refused before anything is sent.
+// is. Other batches with an order id are refused before anything is sent. A
+// batch that only prepares or describes is never recorded.
 func (c *Conn) Exchange(ctx context.Context, x *backend.Exchange, conv statement.Conversation) (backend.Answer, error) {
 	c.sent = false
 	if x.Batch.Class == statement.ClassCopyData {
@@ -101,7 +102,8 @@
 	if !c.cannotWrite(x.Batch) {
 		c.digest = addToDigest(c.digest, x.Batch)
 	}
-	if x.OrderID == "" || c.cannotWrite(x.Batch) || c.link.status == 'E' {
+	recorded := x.OrderID != "" && executes(x.Batch.Messages) && !c.cannotWrite(x.Batch)
+	if !recorded || c.link.status == 'E' {
 		return c.runBatch(ctx, x, r)
 	}
 	commands := controlOf(x.Batch)
--- a/internal/pgwire/back/frames_test.go
+++ b/internal/pgwire/back/frames_test.go
@@ -78,3 +78,27 @@
 		}
 	}
 }
+
+func TestDigestCoversWhatRuns(t *testing.T) {
+	digest := func(batches ...*statement.Batch) string {
+		h := addToDigest(nil, &statement.Batch{})
+		for _, b := range batches {
+			h = addToDigest(h, b)
+		}
+		return digestText(h)
+	}
+	batch := func(ms ...pgproto3.FrontendMessage) *statement.Batch {
+		return &statement.Batch{Messages: encode(ms...)}
+	}
+	parse := &pgproto3.Parse{Name: "s", Query: "INSERT INTO rolls VALUES ($1)"}
+	describe := &pgproto3.Describe{ObjectType: 'S', Name: "s"}
+	bind := &pgproto3.Bind{PreparedStatement: "s", Parameters: [][]byte{[]byte("1")}}
+	other := &pgproto3.Bind{PreparedStatement: "s", Parameters: [][]byte{[]byte("2")}}
+	first := digest(batch(parse, describe, &pgproto3.Sync{}), batch(bind, &pgproto3.Execute{}, &pgproto3.Sync{}))
+	if first != digest(batch(bind, &pgproto3.Execute{}, &pgproto3.Sync{})) {
+		t.Error("preparing the statement made a difference")
+	}
+	if first == digest(batch(other, &pgproto3.Execute{}, &pgproto3.Sync{})) {
+		t.Error("another argument made no difference")
+	}
+}
--- a/internal/pgwire/back/order_test.go
+++ b/internal/pgwire/back/order_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/rattancove/rattancove/internal/backend"
 	"github.com/rattancove/rattancove/internal/errcode"
@@ -75,6 +76,22 @@
 	}
 }
 
+func TestPreparingIsNotRecorded(t *testing.T) {
+	c := newGroup(t, 1, nil).conn(0, backend.Claim{})
+	batch := prepared("s1", "INSERT INTO rolls VALUES ($1, 1) RETURNING id", "fern")
+	describe := &statement.Batch{
+		Prepared: batch.Prepared,
+		Messages: messages(&pgproto3.Describe{ObjectType: 'S', Name: "s1"}, &pgproto3.Sync{}),
+	}
+	for i := range 2 {
+		run(t, c, &backend.Exchange{Batch: describe, OrderID: "o1"})
+		got, a := run(t, c, &backend.Exchange{Batch: batch, OrderID: "o1"})
+		if diff := cmp.Diff([]string{"fern", "INSERT 0 1", "I"}, got); diff != "" || a.Repeat != (i > 0) {
+			t.Errorf("attempt %d: %s %+v", i, diff, a)
+		}
+	}
+}
+
 func TestReadOnlyTransactionIsNotRecorded(t *testing.T) {
 	c := newGroup(t, 1, nil).conn(0, backend.Claim{})
 	begin := order("o1", "BEGIN READ ONLY")
