--- a/internal/standin/dbserver/copy.go
+++ b/internal/standin/dbserver/copy.go
@@ -21,8 +21,10 @@
 // copy runs COPY in the text format.
 func (c *session) copy(p *parsed) error {
 	m := copyPattern.FindStringSubmatch(p.text)
-	if m == nil || strings.Contains(strings.ToUpper(p.text), "BINARY") || strings.Contains(strings.ToUpper(p.text), "CSV") {
-		return newError("0A000", "only COPY FROM STDIN and TO STDOUT in text format are supported")
+	options := strings.ToUpper(p.text)
+	binary := strings.Contains(options, "BINARY")
+	if m == nil || strings.Contains(options, "CSV") || binary && strings.EqualFold(m[3], "TO") {
+		return newError("0A000", "only COPY FROM STDIN and COPY TO STDOUT are supported, the latter as text")
 	}
 	c.mu.Lock()
 	failed := c.tx.failed
@@ -33,7 +35,7 @@
 	if strings.EqualFold(m[3], "TO") {
 		return c.copyOut(m[1], m[2])
 	}
-	return c.copyIn(m[1], m[2])
+	return c.copyIn(m[1], m[2], binary)
 }
 
 func (c *session) copyOut(source, columns string) error {
@@ -65,7 +67,7 @@
 	return nil
 }
 
-func (c *session) copyIn(table, columns string) error {
+func (c *session) copyIn(table, columns string, binary bool) error {
 	if err := c.checkWrite(); err != nil {
 		return err
 	}
@@ -73,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	c.backend.Send(&pgproto3.CopyInResponse{ColumnFormatCodes: make([]uint16, len(info.columns))})
+	c.backend.Send(copyInResponse(len(info.columns), binary))
 	if err := c.backend.Flush(); err != nil {
 		return err
 	}
@@ -81,7 +83,11 @@
 	if err != nil {
 		return err
 	}
-	n, err := c.storeCopy(table, columns, info, data)
+	rows, err := copyRows(data, info, binary)
+	if err != nil {
+		return err
+	}
+	n, err := c.storeCopy(table, columns, rows)
 	if err != nil {
 		return err
 	}
@@ -89,6 +95,17 @@
 	return nil
 }
 
+func copyInResponse(columns int, binary bool) *pgproto3.CopyInResponse {
+	m := &pgproto3.CopyInResponse{ColumnFormatCodes: make([]uint16, columns)}
+	if binary {
+		m.OverallFormat = binaryFormat
+		for i := range m.ColumnFormatCodes {
+			m.ColumnFormatCodes[i] = binaryFormat
+		}
+	}
+	return m
+}
+
 func copyList(columns string) string {
 	if columns == "" {
 		return "*"
@@ -119,14 +136,14 @@
 }
 
 // storeCopy inserts the received lines in the open transaction or in one of its own.
-func (c *session) storeCopy(table, columns string, info *result, data []byte) (int, error) {
+func (c *session) storeCopy(table, columns string, rows [][]value) (int, error) {
 	c.mu.Lock()
 	own := !c.tx.open
 	c.mu.Unlock()
 	if own {
 		c.begin(&parsed{})
 	}
-	n, err := c.insertLines(table, columns, info, data)
+	n, err := c.insertRows(table, columns, rows)
 	if !own {
 		return n, err
 	}
@@ -137,13 +154,26 @@
 	return n, c.commit(context.WithoutCancel(c.ctx), &parsed{})
 }
 
-func (c *session) insertLines(table, columns string, info *result, data []byte) (int, error) {
-	marks := make([]string, len(info.columns))
-	for i := range marks {
-		marks[i] = fmt.Sprintf("?%d", i+1)
+func (c *session) insertRows(table, columns string, rows [][]value) (int, error) {
+	for i, args := range rows {
+		marks := make([]string, len(args))
+		for j := range marks {
+			marks[j] = fmt.Sprintf("?%d", j+1)
+		}
+		text := fmt.Sprintf("INSERT INTO %s%s VALUES (%s)", table, columns, strings.Join(marks, ","))
+		if _, err := c.execute(&parsed{text: text, kind: kindWrite}, args); err != nil {
+			return i, err
+		}
 	}
-	insert := &parsed{text: fmt.Sprintf("INSERT INTO %s%s VALUES (%s)", table, columns, strings.Join(marks, ",")), kind: kindWrite}
-	n := 0
+	return len(rows), nil
+}
+
+// copyRows decodes the received data.
+func copyRows(data []byte, info *result, binary bool) ([][]value, error) {
+	if binary {
+		return copyBinaryRows(data, info)
+	}
+	var rows [][]value
 	for line := range strings.Lines(string(data)) {
 		line = strings.TrimRight(line, "\r\n")
 		if line == `\.` {
@@ -151,14 +181,11 @@
 		}
 		args, err := copyArgs(line, info)
 		if err != nil {
-			return n, err
-		}
-		if _, err := c.execute(insert, args); err != nil {
-			return n, err
+			return nil, err
 		}
-		n++
+		rows = append(rows, args)
 	}
-	return n, nil
+	return rows, nil
 }
 
 func copyArgs(line string, info *result) ([]value, error) {
--- a/internal/standin/dbserver/server_test.go
+++ b/internal/standin/dbserver/server_test.go
@@ -105,6 +105,20 @@
 	}
 }
 
+func TestDriverCopiesInBinary(t *testing.T) {
+	c := connect(t, start(t, Config{Primary: true, Schema: "CREATE TABLE n(i INTEGER PRIMARY KEY, v TEXT, b BYTEA)"}))
+	rows := [][]any{{int64(1), "one", []byte{0, 255}}, {int64(2), nil, nil}}
+	n, err := c.CopyFrom(t.Context(), pgx.Identifier{"n"}, []string{"i", "v", "b"}, pgx.CopyFromRows(rows))
+	if err != nil || n != 2 {
+		t.Fatalf("%d rows, %v", n, err)
+	}
+	var v string
+	var b []byte
+	if err := c.QueryRow(t.Context(), "SELECT v, b FROM n WHERE i = 1").Scan(&v, &b); err != nil || v != "one" || !cmp.Equal(b, []byte{0, 255}) {
+		t.Errorf("%q %v %v", v, b, err)
+	}
+}
+
 func TestSavepoints(t *testing.T) {
 	c := connect(t, start(t, Config{Primary: true, Schema: "CREATE TABLE n(i INTEGER PRIMARY KEY)"}))
 	err := pgx.BeginFunc(t.Context(), c, func(tx pgx.Tx) error {
