Keep a late cancel request from reaching another caller's statement

A cancel that is sent as the exchange ends could stop the next statement on the same connection. An exchange now ends only after a request under way was taken, and an empty query absorbs one that may still take effect.

The stand-in logs numbered events.

--- a/internal/pgwire/back/conn.go
+++ b/internal/pgwire/back/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"hash"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel"
@@ -28,7 +29,8 @@
 	settings []statement.Setting
 	// settingsUnknown is set when a batch changed settings by itself.
 	settingsUnknown bool
-	sent            bool
+	sent            atomic.Bool
+	cancels         cancels
 	// wrote is set when the open transaction may have written, readOnly when it
 	// was begun as one that cannot.
 	wrote    bool
@@ -55,7 +57,7 @@
 // is. Other batches with an order id are refused before anything is sent. A
 // batch that only prepares or describes is never recorded.
 func (c *Conn) Exchange(ctx context.Context, x *backend.Exchange, conv statement.Conversation) (backend.Answer, error) {
-	c.sent = false
+	c.sent.Store(false)
 	if x.Batch.Class == statement.ClassCopyData {
 		return backend.Answer{Tx: c.txStatus()}, nil
 	}
@@ -63,6 +65,8 @@
 		return backend.Answer{}, errcode.Wrap(err, errcode.ConnectionLost, "start exchange", string(c.link.server.ID))
 	}
 	defer c.settle()
+	c.cancels.begin()
+	defer c.cancels.end()
 	exchangesTotal.Inc()
 	start := time.Now()
 	ctx, span := tracer.Start(ctx, "backend exchange", trace.WithAttributes(
@@ -79,6 +83,12 @@
 }
 
 func (c *Conn) exchange(ctx context.Context, x *backend.Exchange, conv statement.Conversation) (backend.Answer, error) {
+	if ctx.Err() != nil {
+		return backend.Answer{}, c.fail(ctx.Err(), errcode.DeadlinePassed, "start exchange")
+	}
+	if err := c.absorbCancel(ctx); err != nil {
+		return backend.Answer{}, c.fail(err, errcode.ConnectionLost, "absorb cancel")
+	}
 	if err := c.link.alive(); err != nil {
 		return backend.Answer{}, c.fail(err, refusalOf(err), "check connection")
 	}
@@ -143,7 +153,7 @@
 
 // run sends segments. Its error has the outcome of the exchange.
 func (c *Conn) run(ctx context.Context, r *relay, segments ...segment) error {
-	c.sent = true
+	c.sent.Store(true)
 	err := c.link.pipeline(ctx, segments...)
 	r.stopFeeder()
 	if err == nil {
@@ -193,15 +203,6 @@
 	}
 }
 
-// Cancel asks the server to stop the running exchange, whose answer then
-// arrives as usual. It uses a network connection of its own.
-func (c *Conn) Cancel(ctx context.Context) error {
-	if err := c.link.cancelRequest(ctx); err != nil {
-		return errcode.Wrap(err, errcode.Unknown, "cancel", string(c.link.server.ID))
-	}
-	return nil
-}
-
 // Reset rolls back what is open and returns the session to its initial state.
 func (c *Conn) Reset(ctx context.Context) error {
 	if err := c.enter(eventReset); err != nil {
@@ -231,7 +232,7 @@
 }
 
 // Sent reports whether any byte of the last exchange's batch may have reached the server.
-func (c *Conn) Sent() bool { return c.sent }
+func (c *Conn) Sent() bool { return c.sent.Load() }
 
 // Close closes the connection. The server rolls back an open transaction.
 func (c *Conn) Close() error {
--- a/internal/pgwire/back/exchange_test.go
+++ b/internal/pgwire/back/exchange_test.go
@@ -174,15 +174,18 @@
 
 func TestCancel(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newGroup(t, 1, nil).conn(0, backend.Claim{})
-		go func() {
-			time.Sleep(time.Second)
-			_ = c.Cancel(t.Context())
-		}()
+		g := newGroup(t, 1, nil)
+		c := g.conn(0, backend.Claim{})
+		time.AfterFunc(time.Second, func() { _ = c.Cancel(t.Context()) })
 		got, a := run(t, c, &backend.Exchange{Batch: simple(statement.ClassWrite, "SELECT pg_sleep(60)")})
 		if a.SQLState != "57014" || a.Tx != backend.TxIdle {
 			t.Errorf("got %v %+v", got, a)
 		}
+		run(t, c, &backend.Exchange{Batch: simple(statement.ClassRead, "SELECT 1")})
+		dials := g.net.dials.Load()
+		if err := c.Cancel(t.Context()); err != nil || g.net.dials.Load() != dials {
+			t.Errorf("a cancel without an exchange was sent: %v", err)
+		}
 	})
 }
 
--- a/internal/pgwire/back/harness_test.go
+++ b/internal/pgwire/back/harness_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,11 +23,13 @@
 
 // network connects dialers to servers in this process.
 type network struct {
+	dials   atomic.Int64
 	mu      sync.Mutex
 	servers map[string]*dbserver.Server
 }
 
 func (n *network) dial(_ context.Context, address string) (net.Conn, error) {
+	n.dials.Add(1)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s := n.servers[address]
--- a/internal/standin/dbserver/faults.go
+++ b/internal/standin/dbserver/faults.go
@@ -84,6 +84,7 @@
 
 // applyFault runs a call of funcFault.
 func (s *Server) applyFault(name, text string) error {
+	eventFaultSet.Log(&s.cfg.Log).Str("server", string(s.cfg.ID)).Str("fault", name).Str("value", text).Send()
 	switch name {
 	case "silence":
 		s.Silence()
--- a/internal/standin/dbserver/follow.go
+++ b/internal/standin/dbserver/follow.go
@@ -59,7 +59,7 @@
 	s.wg.Go(func() {
 		for ctx.Err() == nil {
 			if err := s.followOnce(ctx, term, leader); err != nil {
-				s.cfg.Log.Debug().Err(err).Str("leader", leader.Address).Msg("fetch failed")
+				eventFetchFailed.Log(&s.cfg.Log).Str("server", string(s.cfg.ID)).Str("leader", leader.Address).Err(err).Send()
 			}
 			select {
 			case <-time.After(fetchRetry):
--- a/internal/standin/dbserver/journal.go
+++ b/internal/standin/dbserver/journal.go
@@ -85,8 +85,10 @@
 	}
 }
 
-// saveState writes the state to the journal. The caller holds mu.
+// saveState logs a change and writes the state to the journal. The caller holds mu.
 func (s *Server) saveState() {
+	eventRoleChanged.Log(&s.cfg.Log).Str("server", string(s.cfg.ID)).Str("role", string(s.status.Role)).
+		Uint64("term", uint64(s.status.Term)).Uint64("epoch", uint64(s.status.Epoch)).Send()
 	s.journal.write(entry{State: &savedState{Status: s.status, Leader: s.leader}})
 }
 
--- a/internal/standin/dbserver/log.go
+++ b/internal/standin/dbserver/log.go
@@ -91,7 +91,7 @@
 		return wait, s.changed
 	}
 	if err := s.engine.apply(next.Commands); err != nil {
-		s.cfg.Log.Error().Err(err).Msg("replay failed")
+		eventReplayFailed.Log(&s.cfg.Log).Str("server", string(s.cfg.ID)).Err(err).Send()
 		return replayIdle, s.changed
 	}
 	s.replayed++
