--- a/internal/pgwire/back/control_test.go
+++ b/internal/pgwire/back/control_test.go
@@ -1,7 +1,9 @@
 package back_test
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -142,6 +144,33 @@
 	}
 }
 
+func TestClaimEndsSilentConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 1, nil)
+		old := g.conn(0, backend.Claim{Epoch: 1, Home: "p1"})
+		run(t, old, &backend.Exchange{Batch: simple(statement.ClassBegin, "BEGIN")})
+		run(t, old, insert("fern"))
+		g.servers[0].Silence()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := old.Exchange(ctx, insert("moss"), &caller{}); !errcode.Is(err, errcode.DeadlinePassed) {
+			t.Errorf("an exchange inside a transaction on a silent connection: %v", err)
+		}
+		if n := g.servers[0].Connections(); n != 1 {
+			t.Errorf("the server holds %d connections", n)
+		}
+		if _, err := g.control(0).Claim(t.Context(), backend.Claim{Epoch: 2, Home: "p2"}); err != nil {
+			t.Fatal(err)
+		}
+		if _, a := run(t, g.conn(0, backend.Claim{Epoch: 2, Home: "p2"}), insert("fern")); !a.Committed {
+			t.Errorf("got %+v", a)
+		}
+		if n := g.servers[0].Connections(); n != 1 {
+			t.Errorf("the server holds %d connections", n)
+		}
+	})
+}
+
 func TestControlWorksWhileFull(t *testing.T) {
 	g := newGroup(t, 1, func(cfg *dbserver.Config) { cfg.Connections = 1; cfg.Slots = 1 })
 	busy := g.conn(0, backend.Claim{})
--- a/internal/standin/dbserver/control.go
+++ b/internal/standin/dbserver/control.go
@@ -20,9 +20,10 @@
 	s.status.Epoch, s.status.Home = epoch, home
 	s.saveState()
 	var ended []*session
-	for _, c := range s.sessions {
+	for pid, c := range s.sessions {
 		if !c.control && c.epoch < epoch {
 			ended = append(ended, c)
+			delete(s.sessions, pid) // its place is free at once
 		}
 	}
 	s.mu.Unlock()
@@ -48,6 +49,7 @@
 		s.status.Term, s.status.SealHolder = term, holder
 		s.status.Role, s.status.Leader = cluster.RoleSealed, ""
 		s.stopFollowing()
+		s.faults.catchUp = false
 		s.saveState()
 		s.notify()
 	}
@@ -130,6 +132,7 @@
 	if s.stopFollow == nil || s.leader.Address != leader.Address || term > st.Term {
 		s.startFollowing(term, leader)
 	}
+	s.faults.catchUp = false
 	s.saveState()
 	s.notify()
 	s.mu.Unlock()
--- a/internal/standin/dbserver/session.go
+++ b/internal/standin/dbserver/session.go
@@ -34,6 +34,9 @@
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	// ended is closed when the server ends the session.
+	ended   chan struct{}
+	endOnce sync.Once
 
 	settings map[string]string
 	prepared map[string]*preparedStatement
@@ -63,7 +66,7 @@
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	defer cancel(nil)
 	c := &session{
-		server: s, conn: conn, backend: pgproto3.NewBackend(conn, conn), ctx: ctx, cancel: cancel,
+		server: s, conn: conn, backend: pgproto3.NewBackend(conn, conn), ctx: ctx, cancel: cancel, ended: make(chan struct{}),
 		settings: map[string]string{}, prepared: map[string]*preparedStatement{}, portals: map[string]*portal{},
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) })
@@ -71,9 +74,14 @@
 	if !c.startup() {
 		return
 	}
-	defer s.unregister(c)
 	err := c.loop()
 	c.rollback()
+	s.unregister(c)
+	if errors.Is(err, errSilenced) {
+		// The client learns nothing of the end.
+		<-s.ctx.Done()
+		return
+	}
 	c.sayGoodbye(err)
 }
 
@@ -111,10 +119,14 @@
 	}
 }
 
-// rest keeps a silenced connection open until the server closes.
+// rest keeps a silenced session, with its transaction, until the server ends it.
 func (c *session) rest(err error) {
-	if errors.Is(err, errSilenced) {
-		<-c.server.ctx.Done()
+	if !errors.Is(err, errSilenced) {
+		return
+	}
+	select {
+	case <-c.ended:
+	case <-c.server.ctx.Done():
 	}
 }
 
@@ -284,6 +296,7 @@
 // end ends the session from outside and rolls back its transaction.
 func (c *session) end(cause *serverError) {
 	c.cancel(cause)
+	c.endOnce.Do(func() { close(c.ended) })
 	c.abortWrite(cause)
 }
 
