--- a/internal/pgwire/back/control_test.go
+++ b/internal/pgwire/back/control_test.go
@@ -61,9 +61,9 @@
 			t.Fatalf("seal %d: %+v %v", i, st, err)
 		}
 	}
-	_, a = run(t, old, &backend.Exchange{Batch: simple(statement.ClassWrite, "COMMIT")})
-	if a.Committed || a.SQLState == "" {
-		t.Errorf("the old term committed after the seal: %+v", a)
+	_, late := run(t, old, &backend.Exchange{Batch: simple(statement.ClassWrite, "COMMIT")})
+	if late.Committed || late.SQLState == "" {
+		t.Errorf("the old term committed after the seal: %+v", late)
 	}
 	second := g.control(1)
 	if _, err := second.Seal(ctx, 2, "w2"); !errcode.Is(err, errcode.Superseded) {
@@ -76,6 +76,9 @@
 		if st, err := second.Promote(ctx, 2, "w1"); err != nil || st.Role != cluster.RolePrimary || st.Received.Term != 2 {
 			t.Fatalf("promote: %+v %v", st, err)
 		}
+		if st := g.servers[1].Status(); st.TermStart != a.Position {
+			t.Errorf("term 2 began after %v, want %v", st.TermStart, a.Position)
+		}
 	}
 	for _, i := range []int{0, 2} {
 		if _, err := g.control(i).Follow(ctx, 2, g.server(1)); err != nil {
--- a/internal/standin/dbserver/server.go
+++ b/internal/standin/dbserver/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"os"
+	"sort"
 	"sync"
 
 	"github.com/rotisserie/eris"
@@ -171,9 +172,20 @@
 	st := s.status
 	st.Received = s.positionAt(len(s.log))
 	st.Replayed = s.positionAt(s.replayed)
+	st.TermStart = s.termStart(st.Term)
 	return st
 }
 
+// termStart returns the last position before term began; unknown while the log
+// has no record of the term.
+func (s *Server) termStart(term cluster.Term) cluster.Position {
+	first := sort.Search(len(s.log), func(i int) bool { return s.log[i].Term >= term })
+	if first == len(s.log) || s.log[first].Term != term {
+		return cluster.Position{}
+	}
+	return s.positionAt(first)
+}
+
 // positionAt returns the position of the record at offset; unknown for zero.
 func (s *Server) positionAt(offset int) cluster.Position {
 	if offset == 0 {
