--- a/internal/pgwire/back/conn.go
+++ b/internal/pgwire/back/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"hash"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel"
@@ -28,9 +29,12 @@
 	settings []statement.Setting
 	// settingsUnknown is set when a batch changed settings by itself.
 	settingsUnknown bool
-	sent            bool
-	// wrote is set when the open transaction may have written.
-	wrote bool
+	sent            atomic.Bool
+	cancels         cancels
+	// wrote is set when the open transaction may have written, readOnly when it
+	// was begun as one that cannot.
+	wrote    bool
+	readOnly bool
 	// digest runs over the batches of the open transaction.
 	digest hash.Hash
 }
@@ -50,9 +54,10 @@
 // commands, which is recorded with its answer; the COMMIT of an open
 // transaction, which is recorded with the answer of a successful COMMIT; or
 // another batch of an open transaction, including its BEGIN, which runs as it
-// is. Other batches with an order id are refused before anything is sent.
+// is. Other batches with an order id are refused before anything is sent. A
+// batch that only prepares or describes is never recorded.
 func (c *Conn) Exchange(ctx context.Context, x *backend.Exchange, conv statement.Conversation) (backend.Answer, error) {
-	c.sent = false
+	c.sent.Store(false)
 	if x.Batch.Class == statement.ClassCopyData {
 		return backend.Answer{Tx: c.txStatus()}, nil
 	}
@@ -60,6 +65,8 @@
 		return backend.Answer{}, errcode.Wrap(err, errcode.ConnectionLost, "start exchange", string(c.link.server.ID))
 	}
 	defer c.settle()
+	c.cancels.begin()
+	defer c.cancels.end()
 	exchangesTotal.Inc()
 	start := time.Now()
 	ctx, span := tracer.Start(ctx, "backend exchange", trace.WithAttributes(
@@ -76,13 +83,20 @@
 }
 
 func (c *Conn) exchange(ctx context.Context, x *backend.Exchange, conv statement.Conversation) (backend.Answer, error) {
+	if ctx.Err() != nil {
+		return backend.Answer{}, c.fail(ctx.Err(), errcode.DeadlinePassed, "start exchange")
+	}
+	if err := c.absorbCancel(ctx); err != nil {
+		return backend.Answer{}, c.fail(err, errcode.ConnectionLost, "absorb cancel")
+	}
 	if err := c.link.alive(); err != nil {
 		return backend.Answer{}, c.fail(err, refusalOf(err), "check connection")
 	}
 	open := c.link.status != 'I'
 	if !open {
 		c.wrote = false
-		c.digest = newDigest()
+		c.readOnly = x.Batch.Class == statement.ClassBeginReadOnly
+		c.digest = nil
 	}
 	r := newRelay(ctx, c, x, conv)
 	if !open {
@@ -95,8 +109,11 @@
 			return r.finish(&reply{})
 		}
 	}
-	addToDigest(c.digest, x.Batch)
-	if x.OrderID == "" || x.Batch.Class.ReadOnly() || c.link.status == 'E' {
+	if !c.cannotWrite(x.Batch) {
+		c.digest = addToDigest(c.digest, x.Batch)
+	}
+	recorded := x.OrderID != "" && executes(x.Batch.Messages) && !c.cannotWrite(x.Batch)
+	if !recorded || c.link.status == 'E' {
 		return c.runBatch(ctx, x, r)
 	}
 	commands := controlOf(x.Batch)
@@ -112,6 +129,9 @@
 	}
 }
 
+// cannotWrite reports whether the batch can change nothing in the present transaction.
+func (c *Conn) cannotWrite(b *statement.Batch) bool { return c.readOnly || b.Class.ReadOnly() }
+
 // runBatch runs a batch as it is.
 func (c *Conn) runBatch(ctx context.Context, x *backend.Exchange, r *relay) (backend.Answer, error) {
 	var position reply
@@ -133,7 +153,7 @@
 
 // run sends segments. Its error has the outcome of the exchange.
 func (c *Conn) run(ctx context.Context, r *relay, segments ...segment) error {
-	c.sent = true
+	c.sent.Store(true)
 	err := c.link.pipeline(ctx, segments...)
 	r.stopFeeder()
 	if err == nil {
@@ -183,15 +203,6 @@
 	}
 }
 
-// Cancel asks the server to stop the running exchange, whose answer then
-// arrives as usual. It uses a network connection of its own.
-func (c *Conn) Cancel(ctx context.Context) error {
-	if err := c.link.cancelRequest(ctx); err != nil {
-		return errcode.Wrap(err, errcode.Unknown, "cancel", string(c.link.server.ID))
-	}
-	return nil
-}
-
 // Reset rolls back what is open and returns the session to its initial state.
 func (c *Conn) Reset(ctx context.Context) error {
 	if err := c.enter(eventReset); err != nil {
@@ -221,7 +232,7 @@
 }
 
 // Sent reports whether any byte of the last exchange's batch may have reached the server.
-func (c *Conn) Sent() bool { return c.sent }
+func (c *Conn) Sent() bool { return c.sent.Load() }
 
 // Close closes the connection. The server rolls back an open transaction.
 func (c *Conn) Close() error {
