Close gaps in the home's outcomes and availability

A statement that a replica refused as a write is a write from then on: its loss is unknown, not "not run", and it is not sent twice. Marks of the home that a promotion discarded end where the term began instead of refusing sessions. Reads with an exact floor go on without a primary. A caller that left does not count against a server. A draining home ends transactions that are idle for a second. A refused connection fails its waiters.

--- a/internal/home/conversation.go
+++ b/internal/home/conversation.go
@@ -12,12 +12,18 @@
 type conversation struct {
 	statement.Conversation
 	passed atomic.Bool
+	// left is set when the caller could not be reached.
+	left atomic.Bool
 }
 
 // Answer implements statement.Conversation.
 func (c *conversation) Answer(ctx context.Context, data []byte) error {
 	c.passed.Store(true)
-	return c.Conversation.Answer(ctx, data)
+	err := c.Conversation.Answer(ctx, data)
+	if err != nil {
+		c.left.Store(true)
+	}
+	return err
 }
 
 // Next implements statement.Conversation.
--- a/internal/home/lineage.go
+++ b/internal/home/lineage.go
@@ -78,3 +78,11 @@
 	}
 	return retained
 }
+
+// clamp returns p, or where the present term began if p is lost.
+func (l *lineage) clamp(p cluster.Position, present cluster.Term) cluster.Position {
+	if l.retention(p, present) == lost {
+		return l.before[present]
+	}
+	return p
+}
--- a/internal/home/observe.go
+++ b/internal/home/observe.go
@@ -57,7 +57,7 @@
 
 // checkClaim finds out that another home has claimed the group.
 func (o *owner) checkClaim(s cluster.ServerStatus) {
-	if !o.phase.In(phaseServing) || o.shared() {
+	if o.phase.In(phaseClaiming) || o.shared() {
 		return
 	}
 	if s.Epoch > o.claim.epoch {
@@ -191,6 +191,7 @@
 		if err := o.claimMajority(); err != nil {
 			return
 		}
+		o.enterPhase(transitionClaim)
 	}
 	ticket := o.draw()
 	err := o.await(o.ctx, func() (bool, error) {
@@ -215,6 +216,13 @@
 	eventClaimed.Log(o.home.log).Str("group", string(o.name)).Uint64("epoch", uint64(o.claim.epoch)).Send()
 }
 
+func (o *owner) enterPhase(transition string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	_, _, _ = o.phase.Fire(transition) // an owner that drains goes on draining
+	o.signal()
+}
+
 // claimMajority raises the epoch above every reported one until a majority
 // has accepted it for this home.
 func (o *owner) claimMajority() error {
--- a/internal/home/owner.go
+++ b/internal/home/owner.go
@@ -17,6 +17,8 @@
 )
 
 const (
+	// drainIdleTime is how long a draining owner waits for a caller inside a transaction.
+	drainIdleTime = time.Second
 	// drainTime bounds the wait for running requests when a group is given up.
 	drainTime = 10 * time.Second
 	// defaultTimeout bounds a request that states no timeout.
@@ -40,12 +42,14 @@
 
 // Phases of an owner, and the events between them.
 const (
-	// phaseClaiming lasts until a majority accepted the claim and the log
-	// position of the proven primary is known.
+	// phaseClaiming lasts until a majority accepted the claim, phaseClaimed
+	// until the log position of the proven primary is known.
 	phaseClaiming       = "claiming"
+	phaseClaimed        = "claimed"
 	phaseServing        = "serving"
 	phaseSuperseded     = "superseded"
 	phaseDraining       = "draining"
+	transitionClaim     = "claim"
 	transitionEstablish = "establish"
 	transitionSupersede = "supersede"
 	transitionDrain     = "drain"
@@ -62,6 +66,9 @@
 	cancel     context.CancelFunc
 	workers    sync.WaitGroup
 	running    sync.WaitGroup
+	// draining ends when the owner starts to drain.
+	draining   context.Context
+	startDrain context.CancelFunc
 
 	// ticket numbers proofs; see await.
 	ticket atomic.Uint64
@@ -106,6 +113,7 @@
 		history: route.NewHistory(historyLimit, historySpacing),
 		commits: route.NewHistory(commitLimit, commitSpacing),
 	}
+	o.draining, o.startDrain = context.WithCancel(ctx)
 	o.termCtx, o.termCancel = context.WithCancel(ctx)
 	o.dispatcher = rank.New(o.rankConfig())
 	o.group.Store(&route.Group{})
@@ -240,6 +248,7 @@
 func (o *owner) close(ctx context.Context) {
 	o.mu.Lock()
 	_, _, _ = o.phase.Fire(transitionDrain) // an owner that was superseded stays so
+	o.startDrain()
 	o.mu.Unlock()
 	o.drain(ctx)
 	o.mu.Lock()
--- a/internal/home/primary.go
+++ b/internal/home/primary.go
@@ -72,8 +72,12 @@
 // transaction if it opened one.
 func (o *owner) runFirst(ctx context.Context, w *work) (statement.Result, error) {
 	r := w.request
-	x := &backend.Exchange{Batch: &r.First, Gate: o.gate(r, w.group.Term)}
-	if holds(r.First.Class) || r.refused {
+	batch := r.First
+	if r.refused {
+		batch.Class = statement.ClassWrite
+	}
+	x := &backend.Exchange{Batch: &batch, Gate: o.gate(r, w.group.Term)}
+	if holds(batch.Class) {
 		x.HoldAnswer = true
 		x.Release = w.acknowledge
 	}
@@ -81,14 +85,14 @@
 	defer cancel()
 	_ = w.attempts.Fire(order.EventSend)
 	var patience time.Duration
-	if w.attempts.HasID || r.First.Class.ReadOnly() {
+	if w.attempts.HasID || batch.Class.ReadOnly() {
 		patience = o.patience(r)
 	}
 	answer, err := w.exchange(limited, x, patience)
 	if err != nil {
-		err = w.settle(err)
+		err = w.settle(&batch, err)
 		w.end(false)
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !r.conv.left.Load() {
 			o.noteFailure(w.node)
 		}
 		return w.result, err
@@ -134,13 +138,16 @@
 }
 
 // settle turns the error of a failed exchange into the outcome of the attempt.
-func (w *work) settle(err error) error {
+func (w *work) settle(batch *statement.Batch, err error) error {
 	e := errcode.From(err)
 	peer := string(w.node.server.ID)
-	notRun := !w.conn.Sent() || w.request.First.Class.ReadOnly()
+	notRun := !w.conn.Sent() || batch.Class.ReadOnly()
 	switch {
 	case w.attempts.State() == order.StateDone:
 		return err
+	case e.Code.Name == errcode.Superseded.Name && w.attempts.State() == order.StateSent:
+		_ = w.attempts.Fire(order.EventRefuse) // the server refused before it ran anything
+		return w.owner.supersededBy(e)
 	case notRun:
 		_ = w.attempts.Fire(order.EventRefuse)
 		if e.Code.Outcome == errcode.OutcomeNotRun {
@@ -155,3 +162,12 @@
 	}
 	return errcode.Wrap(err, errcode.Unknown, e.Step, peer)
 }
+
+// supersededBy replaces the server in a refusal by the home to ask instead, if
+// it is known. The control connections find out at once.
+func (o *owner) supersededBy(e *errcode.Error) error {
+	o.refresh()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return errcode.Wrap(e, errcode.Superseded, e.Step, string(o.holder))
+}
--- a/internal/home/read.go
+++ b/internal/home/read.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		w.end(false)
 		o.readFailed(ctx, r, w, err)
-		return w.result, readError(err, w)
+		return w.result, o.readError(err, w)
 	}
 	if answer.ReadOnlyRefused {
 		w.end(false)
@@ -98,7 +98,7 @@
 
 // readFailed notes a failure so that the next attempt goes elsewhere.
 func (o *owner) readFailed(ctx context.Context, r *request, w *work, err error) {
-	if ctx.Err() != nil || errcode.Is(err, errcode.NotFresh) {
+	if ctx.Err() != nil || r.conv.left.Load() || errcode.Is(err, errcode.NotFresh) {
 		return
 	}
 	if !w.onPrimary() {
@@ -108,8 +108,11 @@
 }
 
 // readError states that a failed read did not run, whatever the adapter could tell.
-func readError(err error, w *work) error {
+func (o *owner) readError(err error, w *work) error {
 	e := errcode.From(err)
+	if e.Code.Name == errcode.Superseded.Name {
+		return o.supersededBy(e)
+	}
 	if e.Code.Outcome == errcode.OutcomeNotRun {
 		return e
 	}
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -71,13 +71,21 @@
 	return o.runPrimary(ctx, r)
 }
 
-// awaitServing waits until the claim is complete.
+// awaitServing waits until the owner can serve the request. A read with an
+// exact floor needs no primary.
 func (o *owner) awaitServing(ctx context.Context, r *request) error {
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
-	err := o.await(ctx, func() (bool, error) { return !o.phase.In(phaseClaiming), nil })
+	code := errcode.NoHome
+	err := o.await(ctx, func() (bool, error) {
+		if o.phase.In(phaseClaimed) {
+			code = errcode.NoPrimary
+			return !o.needsProof(r), nil
+		}
+		return !o.phase.In(phaseClaiming), nil
+	})
 	if err != nil && ctx.Err() != nil {
-		return errcode.Wrap(err, errcode.NoHome, "claim", string(o.name))
+		return errcode.Wrap(err, code, "claim", string(o.name))
 	}
 	return err
 }
@@ -111,25 +119,33 @@
 	}
 }
 
-// floor returns the position that a read of the request must see.
+// floor returns the position that a read of the request must see. The
+// session's own floor must be part of the present log. The home's own marks
+// stand in for what it does not know; where a promotion has discarded records
+// below them, they end where the present term began.
 func (o *owner) floor(r *request) (cluster.Position, bool, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	floor := r.Floor
 	known := true
+	mark := cluster.Position{}
 	if !r.FloorExact && !o.home.without.floors {
+		known = !o.shared()
 		remembered, ok := o.sessions.floor(r.Session)
-		if !ok || r.Session == "" {
-			remembered = o.fallback
-		}
 		floor = cluster.MaxPosition(floor, remembered)
-		known = !o.shared()
+		switch {
+		case r.Session == "":
+			mark = o.highWater
+		case !ok:
+			mark = o.fallback
+		}
 	}
 	if r.Freshness.Mode == statement.FreshnessLatest {
-		floor = cluster.MaxPosition(floor, o.highWater)
+		mark = cluster.MaxPosition(mark, o.highWater)
 		known = !o.shared()
 	}
-	return floor, known, o.checkRetained(floor)
+	err := o.checkRetained(floor)
+	return cluster.MaxPosition(floor, o.view.lineage.clamp(mark, o.view.term)), known, err
 }
 
 // checkRetained refuses a position that the present term does not have. Where
--- a/internal/home/safety_test.go
+++ b/internal/home/safety_test.go
@@ -296,3 +296,65 @@
 		}
 	})
 }
+
+// A statement that looked like a read and writes is refused by a replica, runs
+// at the primary and is treated as a write from then on.
+func TestWriteThatLookedLikeARead(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, b *bench) {
+		h := b.home("p1")
+		b.mustWrite(h, "", "put k v0")
+		time.Sleep(time.Second)
+		text, result, err := run(h, b.request(statement.ClassRead, "put k v1"))
+		if err != nil || !result.Primary || !result.Position.Known() || text != "put k v1" {
+			t.Fatalf("%q %+v %v", text, result, err)
+		}
+		b.group.LoseAnswers("s1", 1)
+		_, _, err = run(h, b.request(statement.ClassRead, "put k v2"))
+		if !errcode.Is(err, errcode.Unknown) {
+			t.Errorf("with a lost answer: %v", err)
+		}
+		if got := b.group.Values("s1", "k"); len(got) != 3 {
+			t.Errorf("writes that ran: %v", got)
+		}
+	})
+}
+
+// What the home takes for the floor of sessions that it does not know must not
+// refuse them when a promotion discards records that nobody was told of.
+func TestUnknownSessionAfterUnacknowledgedRecordsWereLost(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, b *bench) {
+		b.mustWrite(b.home("p1"), "a", "put k v0")
+		time.Sleep(time.Second)
+		b.group.Cut("s1", "s2")
+		b.group.Cut("s1", "s3")
+		r := b.request(statement.ClassWrite, "put k v1")
+		r.Timeout = 100 * time.Millisecond
+		if _, _, err := run(b.homes[0], r); !errcode.Is(err, errcode.Unknown) {
+			t.Fatalf("a write that no replica has: %v", err)
+		}
+		h := b.home("p2")
+		time.Sleep(time.Second)
+		b.group.Kill("s1")
+		b.promote(2, "s2", "s3")
+		if text, _, err := b.read(h, "new", "k"); err != nil || text != "v0" {
+			t.Errorf("read %q %v", text, err)
+		}
+	})
+}
+
+func TestReadsGoOnWithoutAPrimary(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, b *bench) {
+		w := b.mustWrite(b.home("p1"), "a", "put k v0")
+		time.Sleep(time.Second)
+		b.group.Kill("s1")
+		h := b.home("p2")
+		r := b.request(statement.ClassRead, "get k")
+		r.Floor, r.FloorExact = w.Position, true
+		if text, _, err := run(h, r); err != nil || text != "v0" {
+			t.Errorf("read with an exact floor: %q %v", text, err)
+		}
+		if _, err := b.write(h, "a", "put k v1"); !errcode.Is(err, errcode.NoPrimary) {
+			t.Errorf("write: %v", err)
+		}
+	})
+}
--- a/internal/home/transaction.go
+++ b/internal/home/transaction.go
@@ -91,6 +91,10 @@
 func (w *work) next(ctx context.Context) (*statement.Batch, error) {
 	idle, cancel := context.WithTimeout(ctx, w.owner.idleTime())
 	defer cancel()
+	defer context.AfterFunc(w.owner.draining, func() {
+		sleep(idle, drainIdleTime)
+		cancel()
+	})()
 	batch, err := w.request.conv.Next(idle)
 	peer := string(w.node.server.ID)
 	switch {
@@ -98,6 +102,8 @@
 		return batch, nil
 	case errors.Is(err, io.EOF):
 		return nil, err
+	case w.owner.draining.Err() != nil:
+		return nil, errcode.Wrap(err, errcode.Draining, "wait for caller", string(w.owner.home.config.ID))
 	case w.termCtx.Err() != nil:
 		return nil, errcode.Wrap(err, errcode.ConnectionLost, "transaction", peer)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/internal/pool/open.go
+++ b/internal/pool/open.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // drainPoll is the interval at which Close looks for connections in use.
@@ -44,6 +46,9 @@
 		p.stats.Failures++
 		openFailuresTotal.Inc()
 		p.lastErr = err
+		if len(p.inUse) == 0 {
+			p.failWaiters(eris.Wrap(err, "open connection"))
+		}
 		delay := p.backoff.NextBackOff()
 		p.mu.Unlock()
 		p.sleep(delay)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -85,7 +85,13 @@
 
 // request is one call of Get that waits for a connection.
 type request struct {
-	ready chan *Conn
+	ready chan delivery
+}
+
+// delivery is what a waiting request gets.
+type delivery struct {
+	conn *Conn
+	err  error
 }
 
 // Stats describes a Pool.
@@ -133,19 +139,17 @@
 }
 
 // Get returns a connection, waiting for one to be returned or opened until ctx
-// ends. The error wraps the last failure to open a connection.
+// ends. It fails at once when the opening fails and no connection is in use
+// that could be returned. The error wraps the failure to open a connection.
 func (p *Pool) Get(ctx context.Context) (*Conn, error) {
-	r := &request{ready: make(chan *Conn, 1)}
+	r := &request{ready: make(chan delivery, 1)}
 	c, err := p.take(r)
 	if c != nil || err != nil {
 		return c, err
 	}
 	select {
-	case c, ok := <-r.ready:
-		if !ok {
-			return nil, ErrClosed
-		}
-		return c, nil
+	case got := <-r.ready:
+		return got.conn, got.err
 	case <-ctx.Done():
 		return nil, p.giveUp(r, ctx.Err())
 	}
@@ -179,9 +183,9 @@
 		}
 	}
 	select {
-	case c, ok := <-r.ready:
-		if ok {
-			p.release(c)
+	case got := <-r.ready:
+		if got.conn != nil {
+			p.release(got.conn)
 		}
 	default:
 	}
@@ -232,10 +236,7 @@
 		p.drop(c)
 	}
 	p.idle = nil
-	for _, r := range p.waiters {
-		close(r.ready)
-	}
-	p.waiters = nil
+	p.failWaiters(ErrClosed)
 	p.mu.Unlock()
 	p.waitReturned(ctx)
 	p.workers.Wait()
@@ -277,7 +278,7 @@
 		r := p.waiters[0]
 		p.waiters = p.waiters[1:]
 		p.use(c)
-		r.ready <- c
+		r.ready <- delivery{conn: c}
 		return
 	}
 	delete(p.inUse, c)
@@ -286,6 +287,14 @@
 	p.idle = append(p.idle, c)
 }
 
+// failWaiters ends every waiting Get with err.
+func (p *Pool) failWaiters(err error) {
+	for _, r := range p.waiters {
+		r.ready <- delivery{err: err}
+	}
+	p.waiters = nil
+}
+
 // drop closes c without waiting for the network.
 func (p *Pool) drop(c *Conn) {
 	delete(p.inUse, c)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -172,9 +172,14 @@
 		s.refuse = true
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
-		_, err := p.Get(ctx)
-		if err == nil || len(s.opens) > 40 {
-			t.Errorf("%d attempts in 10 s, error %v", len(s.opens), err)
+		calls := 0
+		for ; ctx.Err() == nil; calls++ {
+			if _, err := p.Get(ctx); err == nil {
+				t.Fatal("a refused connection was given out")
+			}
+		}
+		if len(s.opens) > 40 || calls > len(s.opens)+1 {
+			t.Errorf("%d attempts and %d calls in 10 s", len(s.opens), calls)
 		}
 		if stats := p.Stats(); stats.Waiting != 0 || stats.Failures == 0 {
 			t.Errorf("%+v", stats)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -185,11 +185,13 @@
 	return catchUp(q, g, s, need, now)
 }
 
+// usable reports whether a replica may get reads. While the primary is being
+// replaced, replicas of any term show what they have.
 func usable(g *Group, s Server) bool {
 	if s.ID == g.Primary || s.Ejected || s.Leaving {
 		return false
 	}
-	return s.Reachable && !s.Diverged && s.Term == g.Term
+	return s.Reachable && !s.Diverged && (s.Term == g.Term || g.Primary == "")
 }
 
 // PrimaryUp reports whether the primary is known and reachable.
