--- a/internal/backend/backendtest/server.go
+++ b/internal/backend/backendtest/server.go
@@ -29,7 +29,10 @@
 	// termStart is the position at which the server became primary.
 	termStart cluster.Position
 	replayLag time.Duration
-	claim     backend.Claim
+	// visible is the number of records that were visible to reads so far. A
+	// longer lag does not hide them again.
+	visible int
+	claim   backend.Claim
 
 	down        bool
 	frozen      chan struct{}
@@ -73,13 +76,15 @@
 // replayed returns the number of log records visible to reads.
 func (s *server) replayed() int {
 	if s.role == cluster.RolePrimary {
-		return len(s.log)
+		s.visible = len(s.log)
+		return s.visible
 	}
 	n := len(s.log)
 	now := time.Now()
-	for n > 0 && now.Sub(s.log[n-1].received) < s.replayLag {
+	for n > s.visible && now.Sub(s.log[n-1].received) < s.replayLag {
 		n--
 	}
+	s.visible = n
 	return n
 }
 
@@ -126,6 +131,7 @@
 		common--
 	}
 	s.log = s.log[:common]
+	s.visible = min(s.visible, common)
 	now := time.Now()
 	for _, r := range leader.log[common:] {
 		r.received = now
--- a/internal/home/primary.go
+++ b/internal/home/primary.go
@@ -153,7 +153,7 @@
 	peer := string(w.node.server.ID)
 	notRun := !w.conn.Sent() || batch.Class.ReadOnly()
 	switch {
-	case w.attempts.State() == order.StateDone:
+	case w.attempts.State() == order.StateDone || w.attempts.State() == order.StateNotRun:
 		return err
 	case e.Code.Name == errcode.Superseded.Name && w.attempts.State() == order.StateSent:
 		_ = w.attempts.Fire(order.EventRefuse) // the server refused before it ran anything
--- a/internal/home/work.go
+++ b/internal/home/work.go
@@ -19,6 +19,9 @@
 // cancelGrace is the time that a cancelled statement has to answer.
 const cancelGrace = time.Second
 
+// sqlStateReadOnly answers a write on a server that does not take writes.
+const sqlStateReadOnly = "25006"
+
 // settingReadOnly makes a server refuse writes outside explicit transactions.
 const settingReadOnly = "default_transaction_read_only"
 
@@ -175,6 +178,10 @@
 // nil once the answer may be passed on.
 func (w *work) acknowledge(ctx context.Context, a backend.Answer) error {
 	_ = w.attempts.Fire(order.EventAnswer)
+	if a.SQLState == sqlStateReadOnly && a.Tx == backend.TxIdle && !w.stillPrimary(ctx) {
+		_ = w.attempts.Fire(order.EventRefuse)
+		return errcode.Wrap(errTermChanged, errcode.NoPrimary, "write", string(w.node.server.ID))
+	}
 	if !a.Committed {
 		_ = w.attempts.Fire(order.EventAcknowledge)
 		return nil
@@ -190,6 +197,23 @@
 	return nil
 }
 
+// stillPrimary asks the server that refused a write whether it is the primary
+// of the term in which the attempt began. If it is, the refusal is meant for
+// the caller.
+func (w *work) stillPrimary(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	o := w.owner
+	ticket := o.draw()
+	is := false
+	err := o.await(ctx, func() (bool, error) {
+		r := o.view.reports[w.node.server.ID]
+		is = r.status.Role == cluster.RolePrimary && r.status.Term == w.group.Term
+		return r.ticket >= ticket, nil
+	})
+	return err == nil && is
+}
+
 // awaitAck waits until a committed write may be acknowledged and records it.
 func (o *owner) awaitAck(ctx context.Context, r *request, term cluster.Term, p cluster.Position) (cluster.Position, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
