Spare timers and status calls in the home

Status calls of one server begin at least 1 ms apart, so that proofs share them also where the network takes no time.

--- a/internal/home/node.go
+++ b/internal/home/node.go
@@ -22,6 +22,9 @@
 	searchInterval = 20 * time.Millisecond
 	// ackInterval is the time between two status calls while writes wait for replication.
 	ackInterval = 2 * time.Millisecond
+	// callSpacing is the least time between the beginnings of two status calls.
+	// Proofs that are asked for meanwhile share the next call.
+	callSpacing = time.Millisecond
 	// callTimeout bounds one call on a control connection and its opening.
 	callTimeout = 500 * time.Millisecond
 	// redialInitial and redialMax bound the wait before a control connection is opened anew.
@@ -111,7 +114,7 @@
 		r.status = status
 		r.answered = time.Now()
 		n.owner.observe(n, r)
-		if err := n.pause(r.ticket); err != nil {
+		if err := n.pause(r); err != nil {
 			return err
 		}
 	}
@@ -132,10 +135,13 @@
 	return control.Status(ctx)
 }
 
-// pause waits until the next call is due: at once when a proof was asked for
-// since the last call began.
-func (n *node) pause(ticket uint64) error {
-	if n.owner.ticket.Load() > ticket {
+// pause waits until the next call is due: as soon as the spacing allows when a
+// proof was asked for since the last call began.
+func (n *node) pause(last report) error {
+	if spare := callSpacing - time.Since(last.begun); spare > 0 {
+		sleep(n.ctx, spare)
+	}
+	if n.owner.ticket.Load() > last.ticket {
 		return n.ctx.Err()
 	}
 	interval := statusInterval
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -74,6 +74,9 @@
 // awaitServing waits until the owner can serve the request. A read with an
 // exact floor needs no primary.
 func (o *owner) awaitServing(ctx context.Context, r *request) error {
+	if o.phase.In(phaseServing) {
+		return nil
+	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	code := errcode.NoHome
--- a/internal/home/work.go
+++ b/internal/home/work.go
@@ -85,6 +85,9 @@
 }
 
 func (w *work) connect(ctx context.Context) error {
+	if w.conn = w.node.pool.TryGet(); w.conn != nil {
+		return nil
+	}
 	ctx, cancel := context.WithDeadline(ctx, w.request.deadline)
 	defer cancel()
 	defer context.AfterFunc(w.termCtx, cancel)()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -155,17 +155,33 @@
 	}
 }
 
-// take returns the connection that was idle for the shortest time, or queues r.
+// TryGet returns an idle connection, or nil when there is none.
+func (p *Pool) TryGet() *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.takeLast()
+}
+
+// takeLast returns the connection that was idle for the shortest time, if any.
+func (p *Pool) takeLast() *Conn {
+	n := len(p.idle)
+	if n == 0 || p.closed {
+		return nil
+	}
+	c := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	p.use(c)
+	return c
+}
+
+// take returns an idle connection, or queues r.
 func (p *Pool) take(r *request) (*Conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, ErrClosed
 	}
-	if n := len(p.idle); n > 0 {
-		c := p.idle[n-1]
-		p.idle = p.idle[:n-1]
-		p.use(c)
+	if c := p.takeLast(); c != nil {
 		return c, nil
 	}
 	p.waiters = append(p.waiters, r)
--- a/internal/rank/dispatcher.go
+++ b/internal/rank/dispatcher.go
@@ -182,6 +182,20 @@
 	if err != nil {
 		return nil, err
 	}
+	d.await(ctx, w)
+	if w.err != nil {
+		return nil, w.err
+	}
+	return w.grant, nil
+}
+
+// await returns when w has a grant or an error.
+func (d *Dispatcher) await(ctx context.Context, w *waiter) {
+	select {
+	case <-w.done:
+		return
+	default:
+	}
 	wait := time.NewTimer(time.Until(w.deadline))
 	defer wait.Stop()
 	select {
@@ -192,10 +206,6 @@
 		d.abandon(w, d.expired(w))
 	}
 	<-w.done
-	if w.err != nil {
-		return nil, w.err
-	}
-	return w.grant, nil
 }
 
 // Close refuses waiting requests. Grants stay valid.
