--- a/internal/home/primary.go
+++ b/internal/home/primary.go
@@ -72,8 +72,16 @@
 // transaction if it opened one.
 func (o *owner) runFirst(ctx context.Context, w *work) (statement.Result, error) {
 	r := w.request
-	x := &backend.Exchange{Batch: &r.First, Gate: o.gate(r, w.group.Term)}
-	if holds(r.First.Class) || r.refused {
+	batch := r.First
+	x := &backend.Exchange{Batch: &batch, Gate: o.gate(r, w.group.Term)}
+	switch {
+	case r.refused:
+		batch.Class = statement.ClassWrite
+	case batch.Class == statement.ClassPrimaryRead:
+		batch.Class = statement.ClassRead
+		x.Settings = r.readOnly()
+	}
+	if holds(batch.Class) {
 		x.HoldAnswer = true
 		x.Release = w.acknowledge
 	}
@@ -81,18 +89,24 @@
 	defer cancel()
 	_ = w.attempts.Fire(order.EventSend)
 	var patience time.Duration
-	if w.attempts.HasID || r.First.Class.ReadOnly() {
+	if w.attempts.HasID || batch.Class.ReadOnly() {
 		patience = o.patience(r)
 	}
 	answer, err := w.exchange(limited, x, patience)
 	if err != nil {
-		err = w.settle(err)
+		err = w.settle(&batch, err)
 		w.end(false)
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !r.conv.left.Load() {
 			o.noteFailure(w.node)
 		}
 		return w.result, err
 	}
+	if answer.ReadOnlyRefused {
+		_ = w.attempts.Fire(order.EventRefuse)
+		w.end(false)
+		r.refused = true
+		return w.result, errcode.New(errcode.ConnectionLost, "read-only statement", string(w.node.server.ID))
+	}
 	w.count(answer)
 	if !x.HoldAnswer {
 		_ = w.attempts.Fire(order.EventAnswer)
@@ -134,13 +148,16 @@
 }
 
 // settle turns the error of a failed exchange into the outcome of the attempt.
-func (w *work) settle(err error) error {
+func (w *work) settle(batch *statement.Batch, err error) error {
 	e := errcode.From(err)
 	peer := string(w.node.server.ID)
-	notRun := !w.conn.Sent() || w.request.First.Class.ReadOnly()
+	notRun := !w.conn.Sent() || batch.Class.ReadOnly()
 	switch {
-	case w.attempts.State() == order.StateDone:
+	case w.attempts.State() == order.StateDone || w.attempts.State() == order.StateNotRun:
 		return err
+	case e.Code.Name == errcode.Superseded.Name && w.attempts.State() == order.StateSent:
+		_ = w.attempts.Fire(order.EventRefuse) // the server refused before it ran anything
+		return w.owner.supersededBy(e)
 	case notRun:
 		_ = w.attempts.Fire(order.EventRefuse)
 		if e.Code.Outcome == errcode.OutcomeNotRun {
@@ -155,3 +172,12 @@
 	}
 	return errcode.Wrap(err, errcode.Unknown, e.Step, peer)
 }
+
+// supersededBy replaces the server in a refusal by the home to ask instead, if
+// it is known. The control connections find out at once.
+func (o *owner) supersededBy(e *errcode.Error) error {
+	o.refresh()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return errcode.Wrap(e, errcode.Superseded, e.Step, string(o.holder))
+}
