Refute doubts about members that others hear; test the member view

A process whose path to a member was cut declared the member dead, and the others took its word: seen in TestCutPathIsNoDeath. Evidence of another is now refuted by later or direct contact, and the doubter is told.

--- /dev/null
+++ b/internal/member/lease_test.go
@@ -0,0 +1,81 @@
+package member
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/platform/platformtest"
+)
+
+func TestLeaseRenewal(t *testing.T) {
+	newLease := func(table *platformtest.Table, incarnation uint64) *lease {
+		return &lease{table: table, self: proxyNamed("p", incarnation)}
+	}
+	tests := []struct {
+		name string
+		do   func(t *testing.T, table *platformtest.Table) error
+		code errcode.Code
+	}{
+		{"again and again", func(t *testing.T, table *platformtest.Table) error {
+			l := newLease(table, 1)
+			_ = l.renew(t.Context(), StateAlive)
+			return l.renew(t.Context(), StateAlive)
+		}, errcode.Code{}},
+		{"after a lost answer", func(t *testing.T, table *platformtest.Table) error {
+			l := newLease(table, 1)
+			table.LoseAnswers(1)
+			_ = l.renew(t.Context(), StateAlive)
+			return l.renew(t.Context(), StateAlive)
+		}, errcode.Code{}},
+		{"after an earlier incarnation", func(t *testing.T, table *platformtest.Table) error {
+			_ = newLease(table, 1).renew(t.Context(), StateAlive)
+			return newLease(table, 2).renew(t.Context(), StateAlive)
+		}, errcode.Code{}},
+		{"after a later incarnation", func(t *testing.T, table *platformtest.Table) error {
+			l := newLease(table, 1)
+			_ = l.renew(t.Context(), StateAlive)
+			_ = newLease(table, 2).renew(t.Context(), StateAlive)
+			return l.renew(t.Context(), StateAlive)
+		}, errcode.Superseded},
+		{"while the service is down", func(t *testing.T, table *platformtest.Table) error {
+			table.SetDown(true)
+			return newLease(table, 1).renew(t.Context(), StateAlive)
+		}, errcode.Unknown},
+		{"after the row was removed", func(t *testing.T, table *platformtest.Table) error {
+			l := newLease(table, 1)
+			_ = l.renew(t.Context(), StateAlive)
+			other := newLease(table, 1)
+			_ = other.adopt(t.Context())
+			_ = other.release(t.Context())
+			return l.renew(t.Context(), StateAlive)
+		}, errcode.Code{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			err := tt.do(t, platformtest.NewTable())
+			if tt.code.Name == "" && err != nil || tt.code.Name != "" && !errcode.Is(err, tt.code) {
+				t.Errorf("error %v, want code %q", err, tt.code.Name)
+			}
+		})
+	}
+}
+
+func TestListDropsUnrenewedLeases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := platformtest.NewTable()
+		kept := &lease{table: table, self: proxyNamed("kept", 1)}
+		gone := &lease{table: table, self: proxyNamed("gone", 1)}
+		_ = gone.renew(t.Context(), StateAlive)
+		rows := &leases{table: table, seen: map[string]seenLease{}}
+		for _, want := range []int{2, 2, 2, 1} {
+			_ = kept.renew(t.Context(), StateAlive)
+			values, err := rows.list(t.Context())
+			if err != nil || len(values) != want {
+				t.Errorf("%d leases, error %v, want %d", len(values), err, want)
+			}
+			time.Sleep(leaseInterval)
+		}
+	})
+}
--- a/internal/member/loop.go
+++ b/internal/member/loop.go
@@ -156,7 +156,11 @@
 			continue
 		}
 		stateChanges.Inc()
-		eventMemberChanged.Log(&l.cfg.Log).
+		kind := eventMemberChanged
+		if before.usable() && e.usable() {
+			kind = eventMemberDoubted
+		}
+		kind.Log(&l.cfg.Log).
 			Str("member", e.Member.Key().String()).
 			Str("from", string(before.State)).
 			Str("to", string(e.State)).
--- /dev/null
+++ b/internal/member/loop_test.go
@@ -0,0 +1,270 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rattancove/rattancove/internal/peer/peerpb"
+	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/platform/platformtest"
+)
+
+// testNet delivers pings between loops and counts their bytes.
+type testNet struct {
+	mu    sync.Mutex
+	loops map[string]*Loop
+	cuts  map[[2]string]bool
+	bytes map[string]int
+	table *platformtest.Table
+	vms   *platformtest.VMList
+	stops map[string]context.CancelFunc
+	wg    sync.WaitGroup
+	ctx   context.Context
+}
+
+func newTestNet(t *testing.T) (*testNet, func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	n := &testNet{
+		loops: map[string]*Loop{}, cuts: map[[2]string]bool{}, bytes: map[string]int{},
+		table: platformtest.NewTable(), vms: &platformtest.VMList{}, stops: map[string]context.CancelFunc{}, ctx: ctx,
+	}
+	return n, func() {
+		cancel()
+		n.wg.Wait()
+	}
+}
+
+// start runs a proxy. Its address is "<id>:1".
+func (n *testNet) start(id string, incarnation uint64, seeds ...string) *Loop {
+	self := Member{ID: id, Role: RoleProxy, Address: id + ":1", FailureDomain: "sierra-north", Incarnation: incarnation}
+	l := New(Config{
+		Self: self, Seeds: seeds, Table: n.table, VMs: n.vms, Log: zerolog.Nop(),
+		Pinger: pingerFrom{n, self.Address}, Rand: rand.New(rand.NewPCG(incarnation, uint64(len(n.loops)))),
+	})
+	ctx, cancel := context.WithCancel(n.ctx)
+	n.mu.Lock()
+	n.loops[self.Address], n.stops[self.Address] = l, cancel
+	n.mu.Unlock()
+	n.wg.Go(func() { _ = l.Run(ctx) })
+	return l
+}
+
+// kill stops a process without its lease being released.
+func (n *testNet) kill(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.loops, id+":1")
+}
+
+func (n *testNet) cut(a, b string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[[2]string{a + ":1", b + ":1"}] = cut
+	n.cuts[[2]string{b + ":1", a + ":1"}] = cut
+}
+
+type pingerFrom struct {
+	net  *testNet
+	from string
+}
+
+func (p pingerFrom) Ping(ctx context.Context, address string, news News) (News, error) {
+	p.net.mu.Lock()
+	to, ok := p.net.loops[address]
+	_, running := p.net.loops[p.from]
+	cut := p.net.cuts[[2]string{p.from, address}] || !running
+	p.net.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return News{}, ctx.Err()
+	}
+	if !ok {
+		return News{}, errors.New("connection refused")
+	}
+	time.Sleep(time.Millisecond)
+	reply := to.HandlePing(news)
+	p.net.count(p.from, address, news, reply)
+	return reply, nil
+}
+
+// frameBytes is what a message costs beyond its content: drpc frames and TCP
+// and IP headers, and half an acknowledgement.
+const frameBytes = 14 + 52 + 26
+
+func (n *testNet) count(from, to string, news ...News) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, m := range news {
+		size := frameBytes + wireSize(m)
+		n.bytes[from] += size
+		n.bytes[to] += size
+	}
+}
+
+func wireSize(news News) int {
+	request := &peerpb.PingRequest{
+		From:      protoOf(news.From),
+		Documents: []*peerpb.DocumentVersion{{Environment: "cotopaxi-production", Revision: 300, Digest: fmt.Sprintf("%064d", 1)}},
+	}
+	for _, r := range news.Members {
+		request.Members = append(request.Members, protoOf(r))
+	}
+	return proto.Size(request)
+}
+
+func protoOf(r Report) *peerpb.Member {
+	return &peerpb.Member{
+		Id: r.Member.ID, Address: "10.120.130.140:7000", FailureDomain: r.Member.FailureDomain, Role: string(r.Member.Role),
+		Incarnation: 1<<60 + r.Member.Incarnation, State: string(r.State), AgeMillis: r.Age.Milliseconds(),
+	}
+}
+
+func (n *testNet) states(of string) map[State]int {
+	counts := map[State]int{}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for address, l := range n.loops {
+		if address == of+":1" {
+			continue
+		}
+		e, ok := l.Snapshot().Find(Key{RoleProxy, of})
+		if !ok {
+			counts["unknown"]++
+			continue
+		}
+		counts[e.State]++
+	}
+	return counts
+}
+
+func startFleet(n *testNet, count int) {
+	for i := range count {
+		n.start(fmt.Sprintf("p%d", i), 1, "p0:1", "p1:1")
+	}
+}
+
+func TestFleetFindsItselfAndItsDead(t *testing.T) {
+	for _, size := range []int{3, 8, 16, 40} {
+		for _, storeDown := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d members, store down %v", size, storeDown), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					n, stop := newTestNet(t)
+					defer stop()
+					n.table.SetDown(storeDown)
+					startFleet(n, size)
+					time.Sleep(15 * time.Second)
+					if got := n.states("p2"); got[StateAlive] != size-1 {
+						t.Fatalf("before: %v", got)
+					}
+					n.kill("p2")
+					began := time.Now()
+					for n.states("p2")[StateDead] != size-1 {
+						time.Sleep(100 * time.Millisecond)
+						if time.Since(began) > 10*time.Second {
+							t.Fatalf("after %v: %v", time.Since(began), n.states("p2"))
+						}
+					}
+					t.Logf("all know of the death after %v", time.Since(began))
+				})
+			})
+		}
+	}
+}
+
+func TestCutPathIsNoDeath(t *testing.T) {
+	for _, size := range []int{4, 16} {
+		synctest.Test(t, func(t *testing.T) {
+			n, stop := newTestNet(t)
+			defer stop()
+			startFleet(n, size)
+			time.Sleep(15 * time.Second)
+			n.cut("p1", "p2", true)
+			for range 300 {
+				time.Sleep(100 * time.Millisecond)
+				if got := n.states("p2"); got[StateDead] > 0 {
+					t.Fatalf("%d members: p2 counts as dead: %v", size, got)
+				}
+			}
+		})
+	}
+}
+
+func TestReturningMemberIsHomeOnlyWhenStable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, stop := newTestNet(t)
+		defer stop()
+		startFleet(n, 4)
+		time.Sleep(15 * time.Second)
+		view := n.loops["p0:1"]
+		home, _ := view.Snapshot().HomeOf("g")
+		if home.ID == "p0" {
+			view = n.loops["p1:1"]
+		}
+		n.kill(home.ID)
+		time.Sleep(5 * time.Second)
+		if next, _ := view.Snapshot().HomeOf("g"); next.ID == home.ID {
+			t.Fatal("the dead home is still the home")
+		}
+		n.start(home.ID, 2, "p0:1", "p1:1", "p2:1")
+		time.Sleep(3 * time.Second)
+		if next, _ := view.Snapshot().HomeOf("g"); next.ID == home.ID {
+			t.Error("the returning member is the home at once")
+		}
+		time.Sleep(5 * time.Second)
+		if next, _ := view.Snapshot().HomeOf("g"); next.ID != home.ID {
+			t.Error("the returned member is not the home")
+		}
+	})
+}
+
+func TestLeavingVMIsMarked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, stop := newTestNet(t)
+		defer stop()
+		startFleet(n, 4)
+		time.Sleep(10 * time.Second)
+		n.vms.Set(platform.VM{Address: "p3", Leaving: true}, platform.VM{Address: "10.0.0.7", Leaving: true})
+		time.Sleep(4 * time.Second)
+		if got := n.states("p3"); got[StateLeaving] != 3 {
+			t.Errorf("p3: %v", got)
+		}
+		if l := n.loops["p0:1"]; !l.Leaving("10.0.0.7:5432") || l.Leaving("10.0.0.8:5432") {
+			t.Error("leaving servers are not told apart")
+		}
+	})
+}
+
+// TestTrafficAtScale counts the bytes of a quiet large fleet.
+func TestTrafficAtScale(t *testing.T) {
+	const size, seconds, limit = 80, 30, 5000
+	synctest.Test(t, func(t *testing.T) {
+		n, stop := newTestNet(t)
+		defer stop()
+		startFleet(n, size)
+		time.Sleep(90 * time.Second) // news of the start has spread
+		n.mu.Lock()
+		n.bytes = map[string]int{}
+		n.mu.Unlock()
+		time.Sleep(seconds * time.Second)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		total, most := 0, 0
+		for _, b := range n.bytes {
+			total += b
+			most = max(most, b)
+		}
+		t.Logf("mean %d, most %d bytes a second for a member, both directions", total/size/seconds, most/seconds)
+		if mean := total / size / seconds; mean > limit {
+			t.Errorf("mean %d bytes a second, want at most %d", mean, limit)
+		}
+	})
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -91,6 +91,8 @@
 	EvidenceAt time.Time
 	// Stable is set when the member has been alive for stableAfter.
 	Stable bool
+	// directAt is the time of the last direct contact.
+	directAt time.Time
 	// spread is the number of times that the entry is still sent to others.
 	spread int
 }
--- a/internal/member/ping.go
+++ b/internal/member/ping.go
@@ -20,7 +20,7 @@
 	// fullMeshMembers is the largest view in which every member pings all others.
 	fullMeshMembers = 10
 	// pingFanout is the number of members pinged in a round in larger views.
-	pingFanout = 5
+	pingFanout = 4
 	// pingReports is the most reports that one ping or reply carries.
 	pingReports = 6
 	// welcomeReports is the most reports in the reply to a newcomer.
--- a/internal/member/sources.go
+++ b/internal/member/sources.go
@@ -15,8 +15,8 @@
 	// listInterval is the shortest time between two lists of the lease rows.
 	listInterval = 10 * time.Second
 	// listSpacing is the time that the fleet leaves between two lists by
-	// different members: it bounds the lists at six a second at any size.
-	listSpacing = 160 * time.Millisecond
+	// different members: it bounds the lists at three a second at any size.
+	listSpacing = 320 * time.Millisecond
 	// vmInterval is the shortest time between two reads of the list of VMs.
 	vmInterval = 2 * time.Second
 	// vmSpacing is the time that the fleet leaves between two reads of the
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -13,6 +13,9 @@
 	// stableAfter is the time for which a member must be alive before it
 	// becomes the home of a group.
 	stableAfter = 5 * time.Second
+	// trustDirect is the time after direct contact in which a member's death or
+	// suspicion is not taken from others.
+	trustDirect = 1500 * time.Millisecond
 	// forgetAfter is the time after which a dead member leaves the view.
 	forgetAfter = 10 * time.Minute
 	// spreadFactor times the binary logarithm of the number of members is the
@@ -52,12 +55,25 @@
 		return false
 	case r.Member.Incarnation > e.Member.Incarnation:
 		return t.restart(e, r, at, now)
+	case t.refutes(e, r.State, at, now):
+		e.spread = t.spreads()
+		return false
 	case !at.After(e.EvidenceAt):
 		return false
 	}
 	return t.accept(e, r.State, at, now)
 }
 
+// refutes reports whether this process knows better than someone who doubts a
+// member: it heard of the member later, or had direct contact recently, so
+// that the path between the two others is at fault. The sender is told.
+func (t *table) refutes(e *Entry, s State, at, now time.Time) bool {
+	if s != StateSuspect && s != StateDead || e.State != StateAlive {
+		return false
+	}
+	return !at.After(e.EvidenceAt) || now.Sub(e.directAt) < trustDirect
+}
+
 // accept applies evidence that is newer than what is known. Repeated suspicion
 // does not put off the end of a suspect.
 func (t *table) accept(e *Entry, s State, at, now time.Time) bool {
@@ -124,7 +140,11 @@
 // heard records direct contact.
 func (t *table) heard(r Report, now time.Time) bool {
 	r.Age = 0
-	return t.observe(r, now)
+	changed := t.observe(r, now)
+	if e, ok := t.entries[r.Member.Key()]; ok && e.Member.Incarnation == r.Member.Incarnation {
+		e.directAt = now
+	}
+	return changed
 }
 
 // missed records that a member did not answer.
--- /dev/null
+++ b/internal/member/table_test.go
@@ -0,0 +1,189 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+var start = time.Date(2026, 3, 2, 3, 0, 0, 0, time.UTC)
+
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+func proxyNamed(id string, incarnation uint64) Member {
+	return Member{ID: id, Role: RoleProxy, Address: id + ":1", FailureDomain: "d1", Incarnation: incarnation}
+}
+
+// step is one thing that happens to the table.
+type step struct {
+	at    float64
+	event string
+	age   time.Duration
+	state State
+	inc   uint64
+}
+
+func TestTable(t *testing.T) {
+	heard := func(when float64) step { return step{at: when, event: "heard", inc: 1} }
+	told := func(when float64, s State, age time.Duration) step {
+		return step{at: when, event: "told", state: s, age: age, inc: 1}
+	}
+	missed := func(when float64) step { return step{at: when, event: "missed"} }
+	tick := func(when float64) step { return step{at: when, event: "tick"} }
+	tests := []struct {
+		name   string
+		steps  []step
+		want   State
+		stable bool
+	}{
+		{"heard", []step{heard(1)}, StateAlive, false},
+		{"missed", []step{heard(1), missed(2)}, StateSuspect, false},
+		{"still suspect", []step{heard(1), missed(2), tick(3.9)}, StateSuspect, false},
+		{"dead", []step{heard(1), missed(2), tick(4)}, StateDead, false},
+		{"refuted", []step{heard(1), missed(2), heard(3), tick(5)}, StateAlive, true},
+		{"refuted by a report", []step{heard(1), missed(2), told(3, StateAlive, 500*time.Millisecond), tick(5)}, StateAlive, true},
+		{"older report does not refute", []step{heard(1), missed(2), told(3, StateAlive, 1500*time.Millisecond), tick(4)}, StateDead, false},
+		{"told of a suspicion", []step{heard(1), told(3, StateSuspect, 100*time.Millisecond)}, StateSuspect, false},
+		{"suspicion refuted by direct contact", []step{heard(1), told(2, StateSuspect, 100*time.Millisecond)}, StateAlive, false},
+		{"death refuted by direct contact", []step{heard(1), told(2, StateDead, 0)}, StateAlive, false},
+		{"older suspicion does not count", []step{heard(1), told(2, StateSuspect, 2*time.Second)}, StateAlive, false},
+		{"repeated suspicion does not put off the end", []step{heard(1), missed(2), told(3, StateSuspect, 0), told(3.5, StateSuspect, 0), tick(4)}, StateDead, false},
+		{"told of a death", []step{heard(1), told(3, StateDead, 0)}, StateDead, false},
+		{"returns from death", []step{heard(1), told(3, StateDead, 0), heard(4)}, StateAlive, false},
+		{"returned and not yet stable", []step{heard(1), told(7, StateDead, 0), heard(8), tick(12.9)}, StateAlive, false},
+		{"returned and stable", []step{heard(1), told(7, StateDead, 0), heard(8), tick(13)}, StateAlive, true},
+		{"restarted", []step{heard(1), told(3, StateDead, 0), {at: 4, event: "told", state: StateAlive, inc: 2}}, StateAlive, false},
+		{"earlier incarnation does not count", []step{{at: 1, event: "heard", inc: 2}, told(3, StateDead, 0)}, StateAlive, false},
+		{"leaving", []step{heard(1), told(2, StateLeaving, 0), heard(3)}, StateLeaving, false},
+		{"left", []step{heard(1), told(2, StateLeaving, 0), missed(3)}, StateDead, false},
+		{"left and restarted", []step{heard(1), told(2, StateLeaving, 0), {at: 3, event: "heard", inc: 2}}, StateAlive, false},
+		{"forgotten", []step{heard(1), told(3, StateDead, 0), tick(603)}, "", false},
+		{"unknown dead is not added", []step{told(2, StateDead, 0)}, "", false},
+		{"stable once this process is", []step{heard(1), tick(5)}, StateAlive, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			table := newTable(proxyNamed("self", 1), start)
+			for _, s := range tt.steps {
+				apply(table, s)
+			}
+			e := table.entries[Key{RoleProxy, "p"}]
+			if e == nil {
+				e = &Entry{}
+			}
+			if e.State != tt.want || e.Stable != tt.stable {
+				t.Errorf("state %q, stable %v, want %q, %v", e.State, e.Stable, tt.want, tt.stable)
+			}
+		})
+	}
+}
+
+func apply(table *table, s step) {
+	m := proxyNamed("p", s.inc)
+	switch s.event {
+	case "heard":
+		table.heard(Report{Member: m, State: StateAlive}, at(s.at))
+	case "told":
+		table.observe(Report{Member: m, State: s.state, Age: s.age}, at(s.at))
+	case "missed":
+		table.missed(m.Key(), at(s.at))
+	case "tick":
+		table.tick(at(s.at))
+	}
+}
+
+func TestChangesSpreadBoundedly(t *testing.T) {
+	table := newTable(proxyNamed("self", 1), start)
+	for i := range 20 {
+		table.heard(Report{Member: proxyNamed(fmt.Sprintf("p%d", i), 1), State: StateAlive}, at(1))
+	}
+	sent := 0
+	for rounds := 0; ; rounds++ {
+		reports := table.changes(pingReports, at(2))
+		if len(reports) == 0 {
+			break
+		}
+		if len(reports) > pingReports || rounds > 1000 {
+			t.Fatalf("round %d carries %d reports", rounds, len(reports))
+		}
+		sent += len(reports)
+	}
+	if least, most := 20*spreadFactor, 20*table.spreads(); sent < least || sent > most {
+		t.Errorf("%d reports were sent, want %d to %d", sent, least, most)
+	}
+}
+
+// snapshotOf returns a view of stable members.
+func snapshotOf(role Role, count, domains int) *Snapshot {
+	var entries []Entry
+	for i := range count {
+		m := Member{ID: fmt.Sprintf("m%04d", i), Role: role, FailureDomain: fmt.Sprintf("d%d", i%domains)}
+		entries = append(entries, Entry{Member: m, State: StateAlive, Stable: true})
+	}
+	return NewSnapshot(entries)
+}
+
+func TestHomeOfMovesOnlyWhatItMust(t *testing.T) {
+	const groups = 2000
+	before := snapshotOf(RoleProxy, 8, 4)
+	after := NewSnapshot(before.Entries())
+	after.entries[3].State = StateDead
+	lost := after.entries[3].Member.ID
+	load := map[string]int{}
+	for i := range groups {
+		group := cluster.GroupName(fmt.Sprintf("group_%d", i))
+		a, _ := before.HomeOf(group)
+		b, _ := after.HomeOf(group)
+		load[a.ID]++
+		if a.ID != b.ID && a.ID != lost {
+			t.Fatalf("group %s moved from %s to %s", group, a.ID, b.ID)
+		}
+		if b.ID == lost {
+			t.Fatalf("group %s has a dead home", group)
+		}
+	}
+	for id, n := range load {
+		if n < groups/8*7/10 || n > groups/8*13/10 {
+			t.Errorf("%s is the home of %d of %d groups", id, n, groups)
+		}
+	}
+}
+
+func TestHomeOfPrefersStable(t *testing.T) {
+	s := snapshotOf(RoleProxy, 3, 3)
+	home, _ := s.HomeOf("g")
+	for i := range s.entries {
+		s.entries[i].Stable = s.entries[i].Member.ID != home.ID
+	}
+	if got, ok := NewSnapshot(s.entries).HomeOf("g"); !ok || got.ID == home.ID {
+		t.Errorf("home %s, which is not stable", got.ID)
+	}
+	for i := range s.entries {
+		s.entries[i].Stable = false
+	}
+	if got, _ := NewSnapshot(s.entries).HomeOf("g"); got.ID != home.ID {
+		t.Errorf("home %s, want %s when no proxy is stable", got.ID, home.ID)
+	}
+	if _, ok := NewSnapshot(nil).HomeOf("g"); ok {
+		t.Error("an empty view has a home")
+	}
+}
+
+func TestWardensOfSpreadOverDomains(t *testing.T) {
+	s := snapshotOf(RoleWarden, 8, 4)
+	for i := range 200 {
+		domains := map[string]bool{}
+		wardens := s.WardensOf(cluster.GroupName(fmt.Sprintf("g%d", i)), 3)
+		for _, m := range wardens {
+			domains[m.FailureDomain] = true
+		}
+		if len(wardens) != 3 || len(domains) != 3 {
+			t.Fatalf("%d wardens in %d failure domains", len(wardens), len(domains))
+		}
+	}
+	if got := snapshotOf(RoleWarden, 4, 1).WardensOf("g", 3); len(got) != 3 {
+		t.Errorf("%d wardens in one failure domain, want 3", len(got))
+	}
+}
