--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -83,6 +83,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		other := change("p0")
+		other.IfDigest = environment.Digest(variant(t, 9))
+		var conflict *ConflictError
+		if _, err := f.Promote(t.Context(), other, "cotopaxi-trial"); !errors.As(err, &conflict) {
+			t.Errorf("another document than the reviewed one: %v", err)
+		}
 		r, err := f.Promote(t.Context(), change("p1"), "cotopaxi-trial")
 		if err != nil || r.Digest != tried.Digest || r.Source != "cotopaxi-trial" {
 			t.Fatalf("promoted %+v, %v", r, err)
@@ -196,6 +202,7 @@
 		{"invalid document", nil, []byte("name: x"), &environment.Faults{}},
 		{"other document", nil, []byte(other), &environment.Faults{}},
 		{"no reason", func(c *Change) { c.Why = "" }, variant(t, 2), new(*RequestError)},
+		{"change id of another change", func(c *Change) { c.ID = "c1" }, variant(t, 2), new(*RequestError)},
 		{"bad change id", func(c *Change) { c.ID = "a/b" }, variant(t, 2), new(*RequestError)},
 	}
 	for _, test := range tests {
