--- a/internal/warden/meddle_test.go
+++ b/internal/warden/meddle_test.go
@@ -35,6 +35,20 @@
 	return &meddledControl{Control: c, m: m}, nil
 }
 
+// loseNext loses the answers to the next n calls of a step.
+func (m *meddler) loseNext(step string, n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lose[step] = n
+}
+
+// pauseNext pauses at the next call of a step.
+func (m *meddler) pauseNext(pauses map[string]time.Duration, step string, d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	pauses[step] = d
+}
+
 func (m *meddler) takeLoss(step string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
