--- a/internal/warden/fleet_test.go
+++ b/internal/warden/fleet_test.go
@@ -194,6 +194,16 @@
 	return true
 }
 
+// untouched fails the test when any server has accepted a new term.
+func (f *fleet) untouched() {
+	f.t.Helper()
+	for _, s := range f.servers {
+		if f.group.Status(s.ID).Term != 1 {
+			f.t.Errorf("the primary was replaced: %s", f.describe())
+		}
+	}
+}
+
 func (f *fleet) describe() string {
 	var b strings.Builder
 	for _, s := range f.servers {
--- a/internal/warden/warden_test.go
+++ b/internal/warden/warden_test.go
@@ -6,8 +6,6 @@
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"github.com/rattancove/rattancove/internal/cluster"
 )
 
 const (
@@ -95,8 +93,18 @@
 			}
 			time.Sleep(2 * time.Second)
 		}
-		if got := f.group.Status("s1"); got.Role != cluster.RolePrimary || got.Term != 1 {
-			t.Errorf("the primary was replaced: %s", f.describe())
+		f.untouched()
+	})
+}
+
+// TestCutOffWardensAreNoFailover cuts the responsible wardens off from a
+// primary that the proxies on the other VMs reach.
+func TestCutOffWardensAreNoFailover(t *testing.T) {
+	inFleet(t, 1, nil, func(f *fleet) {
+		for _, vm := range f.orderedWardens() {
+			f.group.Cut(vm, "s1")
 		}
+		time.Sleep(20 * time.Second)
+		f.untouched()
 	})
 }
