Add rattanctl on top of the administration API

Every change shows its plan first, names the revision it starts from and carries a change id, so that a repeat after a lost answer is harmless and a lost race exits with its own code.

--- /dev/null
+++ b/cmd/rattanctl/change.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"os/user"
+	"strings"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/rattancove/rattancove/internal/admin"
+	"github.com/rattancove/rattancove/internal/adminclient"
+	"github.com/rattancove/rattancove/internal/program"
+)
+
+// changeFlags are the flags of every change.
+func changeFlags(more ...cli.Flag) []cli.Flag {
+	return append(more,
+		&cli.StringFlag{Name: "why", Required: true, Usage: "reason for the change; it is recorded"},
+		&cli.StringFlag{Name: "who", Usage: "who makes the change; it is recorded beside the key's name"},
+		&cli.StringFlag{Name: "override", Usage: "reason to change inside a change window; it is recorded"},
+		&cli.StringFlag{Name: "change-id", Usage: "id of the change; a repeat with the same id has no second effect"},
+		&cli.BoolFlag{Name: "yes", Aliases: []string{"y"}, Usage: "do not ask after the plan"},
+		&cli.BoolFlag{Name: "wait", Usage: "wait until the change is in force on every member"},
+	)
+}
+
+func (a *app) promoteCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "promote",
+		Usage: "put the document of another environment, or of a file, in force",
+		Flags: changeFlags(
+			&cli.StringFlag{Name: "from", Usage: "environment that holds the document"},
+			&cli.StringFlag{Name: "file", Usage: "file with the document"},
+			&cli.StringFlag{Name: "to", Required: true, Usage: "environment to change"},
+		),
+		Action: online(a.promote),
+	}
+}
+
+func (a *app) rollbackCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "rollback",
+		Usage: "put the document of an earlier revision in force again, as a new revision",
+		Flags: changeFlags(
+			&cli.StringFlag{Name: "environment", Aliases: []string{"e"}, Required: true, Usage: "environment to change"},
+			&cli.Uint64Flag{Name: "to", Required: true, Usage: "revision to go back to"},
+		),
+		Action: online(a.rollback),
+	}
+}
+
+// change is one change with the document that it leads to.
+type change struct {
+	env       string
+	operation string
+	document  string
+	request   admin.ChangeRequest
+}
+
+func (a *app) promote(ctx context.Context, c *cli.Command, api *adminclient.Client) error {
+	from, file := c.String("from"), c.String("file")
+	if (from == "") == (file == "") {
+		return program.Usage(eris.New("give either --from or --file"))
+	}
+	ch := change{env: c.String("to"), request: request(c)}
+	if file != "" {
+		_, data, err := parseFile(file)
+		if err != nil {
+			return err
+		}
+		ch.operation, ch.document, ch.request.Document = "publish", string(data), string(data)
+		return a.apply(ctx, c, api, ch)
+	}
+	source, err := documentOf(ctx, api, from, 0)
+	if err != nil {
+		return err
+	}
+	ch.operation, ch.document = "promote", source.Document
+	ch.request.From, ch.request.IfDigest = from, source.Revision.Digest
+	return a.apply(ctx, c, api, ch)
+}
+
+func (a *app) rollback(ctx context.Context, c *cli.Command, api *adminclient.Client) error {
+	ch := change{env: c.String("environment"), operation: "rollback", request: request(c)}
+	ch.request.To = c.Uint64("to")
+	earlier, err := documentOf(ctx, api, ch.env, ch.request.To)
+	if err != nil {
+		return err
+	}
+	ch.document = earlier.Document
+	return a.apply(ctx, c, api, ch)
+}
+
+func request(c *cli.Command) admin.ChangeRequest {
+	r := admin.ChangeRequest{
+		ChangeID: c.String("change-id"), Who: c.String("who"), Why: c.String("why"), Override: c.String("override"),
+	}
+	if r.ChangeID == "" {
+		r.ChangeID = uuid.NewString()
+	}
+	if r.Who == "" {
+		if u, err := user.Current(); err == nil {
+			r.Who = u.Username
+		}
+	}
+	return r
+}
+
+// apply shows the plan, asks, sends the change and may wait for its rollout.
+func (a *app) apply(ctx context.Context, c *cli.Command, api *adminclient.Client, ch change) error {
+	plan, err := planOf(ctx, api, ch.env, ch.document)
+	if err != nil {
+		return err
+	}
+	ch.request.IfRevision = &plan.Base.Revision
+	if err := a.confirm(c, ch, plan); err != nil {
+		return err
+	}
+	fmt.Fprintf(a.progress, "change id %s\n", ch.request.ChangeID)
+	answer, err := api.Change(ctx, environmentPath(ch.env, ch.operation), ch.request)
+	if err != nil {
+		return err
+	}
+	if c.Bool("wait") {
+		if _, err := a.waitForRollout(ctx, api, ch.env, answer.Revision.Revision); err != nil {
+			return err
+		}
+	}
+	return a.print(c, answer, func(t *table) {
+		r := answer.Revision
+		t.title("revision %d %s of %s is accepted", r.Revision, short(r.Digest), r.Environment)
+		if c.Bool("wait") {
+			t.title("it is in force on every member")
+		}
+	})
+}
+
+// confirm shows the plan and asks whether to go on, unless --yes is set.
+func (a *app) confirm(c *cli.Command, ch change, plan admin.DiffAnswer) error {
+	show := &app{out: a.progress}
+	if err := show.printPlan(ch.env, plan); err != nil {
+		return err
+	}
+	if c.Bool("yes") {
+		return nil
+	}
+	fmt.Fprintf(a.progress, "Change %s? Type its name to go on: ", ch.env)
+	line, err := bufio.NewReader(a.in).ReadString('\n')
+	if strings.TrimSpace(line) == ch.env {
+		return nil
+	}
+	if err != nil {
+		return program.Usage(eris.New("nothing was changed: the plan was not confirmed; use --yes without a terminal"))
+	}
+	return eris.New("nothing was changed: the plan was not confirmed")
+}
--- /dev/null
+++ b/cmd/rattanctl/command_test.go
@@ -0,0 +1,219 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"github.com/rattancove/rattancove/internal/admin"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/document"
+	"github.com/rattancove/rattancove/internal/platform/platformtest"
+	"github.com/rattancove/rattancove/internal/program"
+)
+
+const env = "cotopaxi-production"
+
+// fixture is a deployment of two members behind an API.
+type fixture struct {
+	t       *testing.T
+	store   *document.Store
+	table   *platformtest.Table
+	url     string
+	keyFile string
+	dir     string
+	// looks counts the reads of the status; the second member lags behind for some.
+	looks atomic.Int32
+	stuck bool
+}
+
+func (f *fixture) Status(ctx context.Context) (admin.Status, error) {
+	current, _ := f.store.Current(ctx, env)
+	late := current.Revision
+	if f.stuck || f.looks.Add(1) < 3 {
+		late = current.Revision - min(current.Revision, 1)
+	}
+	member := func(id cluster.ProxyID, revision uint64) admin.MemberStatus {
+		return admin.MemberStatus{ID: id, Role: "proxy", State: "alive", Revision: revision}
+	}
+	return admin.Status{
+		Environment: env, Proxy: "entry-1",
+		Document: admin.DocumentStatus{Revision: current.Revision, Digest: current.Digest, Status: "current"},
+		Groups: []admin.GroupStatus{{
+			Name: "orders-1", Customers: []string{"works"}, Term: 3, Primary: "orders-1-a", Home: "entry-1", Writable: true,
+			Servers: []admin.ServerStatus{{ID: "orders-1-a", Role: "primary", Reachable: true, Slots: 2, Limit: 16}},
+			Queues:  []admin.QueueStatus{{Rank: "urgent", Waiting: 1}},
+		}},
+		Members:   []admin.MemberStatus{member("entry-1", current.Revision), member("entry-2", late)},
+		Failovers: []admin.FailoverStatus{{Group: "orders-1", Term: 3, From: "orders-1-b", To: "orders-1-a", GapMillis: 900, Outcome: "done", Reason: "no answer"}},
+	}, nil
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{t: t, table: platformtest.NewTable(), dir: t.TempDir()}
+	f.store = document.NewStore(f.table, platformtest.NewObjects())
+	f.keyFile = f.write("key", "ops-key\n")
+	keyPath := f.write("keys.yaml", "keys: [{name: ops, sha256: "+admin.HashKey("ops-key")+", rights: [admin]}]")
+	keys, err := admin.LoadKeys(keyPath, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(admin.New(admin.Config{
+		Status: f, Documents: f.store, Keys: keys, Ready: func() string { return "" }, Log: zerolog.Nop(),
+	}).Handler())
+	t.Cleanup(server.Close)
+	f.url = server.URL
+	return f
+}
+
+func (f *fixture) write(name, text string) string {
+	f.t.Helper()
+	path := filepath.Join(f.dir, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return path
+}
+
+// file writes a document without change windows whose urgent queue is as given.
+func (f *fixture) file(queue string) string {
+	f.t.Helper()
+	data, err := os.ReadFile("../../examples/cotopaxi.yaml")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	text, _, _ := strings.Cut(string(data), "change_windows:")
+	return f.write("doc-"+queue+".yaml", strings.Replace(text, "queue: 2000", "queue: "+queue, 1))
+}
+
+// run runs the command and returns its exit code, output and progress.
+func (f *fixture) run(input string, args ...string) (int, string, string) {
+	f.t.Helper()
+	var out, progress bytes.Buffer
+	command := newCommand(strings.NewReader(input), &out, &progress)
+	command.ExitErrHandler = func(context.Context, *cli.Command, error) {}
+	err := command.Run(f.t.Context(), append([]string{"rattanctl", "--server", f.url, "--key-file", f.keyFile}, args...))
+	if err == nil {
+		return program.ExitOK, out.String(), progress.String()
+	}
+	var coded *program.Error
+	if errors.As(err, &coded) {
+		return coded.Code, out.String(), progress.String() + err.Error()
+	}
+	return program.ExitFailure, out.String(), progress.String() + err.Error()
+}
+
+// step is one run and what it must show.
+type step struct {
+	name  string
+	input string
+	args  []string
+	code  int
+	want  string
+}
+
+func (f *fixture) steps(steps []step) {
+	f.t.Helper()
+	for _, s := range steps {
+		code, out, progress := f.run(s.input, s.args...)
+		if code != s.code || !strings.Contains(out+progress, s.want) {
+			f.t.Errorf("%s: exit code %d, want %d and %q in:\n%s%s", s.name, code, s.code, s.want, out, progress)
+		}
+	}
+}
+
+func TestDocumentLifecycle(t *testing.T) {
+	f := newFixture(t)
+	first, second := f.file("2000"), f.file("2001")
+	promote := []string{"doc", "promote", "--why", "test", "--yes"}
+	f.steps([]step{
+		{"trial", "", append(promote, "--file", first, "--to", "cotopaxi-trial"), 0, "revision 1"},
+		{"production", "", append(promote, "--from", "cotopaxi-trial", "--to", env, "--wait"), 0, "in force on every member"},
+		{"no change", "", []string{"doc", "diff", first, "-e", env}, 0, "nothing changes"},
+		{"diff", "", []string{"doc", "diff", second, "-e", env}, 0, "ranks.urgent.queue"},
+		{"not confirmed", "no\n", []string{"doc", "promote", "--why", "x", "--file", second, "--to", env}, 1, "nothing was changed"},
+		{"no terminal", "", []string{"doc", "promote", "--why", "x", "--file", second, "--to", env}, 2, "nothing was changed"},
+		{"confirmed", env + "\n", []string{"doc", "promote", "--why", "x", "--file", second, "--to", env, "--change-id", "two"}, 0, "revision 2"},
+		{"repeat", "", append(promote, "--file", second, "--to", env, "--change-id", "two"), 0, "revision 2"},
+		{"roll back", "", []string{"doc", "rollback", "-e", env, "--to", "1", "--why", "slow", "--yes"}, 0, "revision 3"},
+		{"history", "", []string{"doc", "history", "-e", env}, 0, "rollback"},
+		{"json", "", []string{"-o", "json", "doc", "history", "-e", env}, 0, `"change_id": "two"`},
+		{"show", "", []string{"doc", "show", "-e", env, "--revision", "2"}, 0, "queue: 2001"},
+		{"missing", "", []string{"doc", "show", "-e", "nowhere"}, 1, "there is no such environment"},
+	})
+}
+
+func TestWaitShowsProgressAndTimesOut(t *testing.T) {
+	f := newFixture(t)
+	args := []string{"doc", "promote", "--why", "test", "--yes", "--wait", "--file", f.file("2000"), "--to", env}
+	code, _, progress := f.run("", args...)
+	if code != 0 || !strings.Contains(progress, "in force on 1 of 2 members, waiting for entry-2") {
+		t.Errorf("exit code %d, progress %s", code, progress)
+	}
+	f.stuck = true
+	f.steps([]step{{"stuck", "", []string{"--timeout", "50ms", "doc", "status", "-e", env, "--wait"}, exitTimeout, "waiting for entry-2"}})
+}
+
+func TestExitCodes(t *testing.T) {
+	f := newFixture(t)
+	f.run("", "doc", "promote", "--why", "test", "--yes", "--file", f.file("2000"), "--to", env)
+	broken := f.write("broken.yaml", "name: x\nranks: 1\n")
+	race := []string{"doc", "promote", "--why", "test", "--yes", "--file", f.file("2001"), "--to", env}
+	f.table.BeforeNextWrite(func() {
+		c := document.Change{Environment: env, ID: "other", Who: "mateo", Why: "first"}
+		if _, err := f.store.Rollback(t.Context(), c, 1); err != nil {
+			t.Error(err)
+		}
+	})
+	f.steps([]step{
+		{"lost race", "", race, exitConflict, "revision 2 of cotopaxi-production by mateo (first) came first"},
+		{"invalid document", "", []string{"doc", "validate", broken}, exitInvalid, broken + ":2:8: ranks: must be a mapping"},
+		{"unknown flag", "", []string{"status", "--colour"}, program.ExitUsage, "flag provided but not defined"},
+		{"missing file", "", []string{"doc", "validate", "nowhere.yaml"}, program.ExitUsage, "no such file"},
+		{"no argument", "", []string{"doc", "validate"}, program.ExitUsage, "give one argument"},
+		{"wrong key", "", []string{"--key-file", f.write("wrong", "no-such-key"), "status"}, 1, "the key is unknown"},
+		{"key of two lines", "", []string{"--key-file", broken, "status"}, program.ExitUsage, "must hold one line"},
+		{"missing flag", "", []string{"doc", "history"}, program.ExitUsage, "environment"},
+		{"key in the clear", "", []string{"--server", "http://10.0.0.1:1", "status"}, program.ExitUsage, "without TLS"},
+		{"version", "", []string{"version"}, 0, "0."},
+	})
+	f.table.SetDown(true)
+	f.steps([]step{{"outage", "", race, 1, "did not answer"}})
+}
+
+func TestStatusAndReport(t *testing.T) {
+	f := newFixture(t)
+	f.run("", "doc", "promote", "--why", "test", "--yes", "--file", f.file("2000"), "--to", env)
+	f.looks.Store(10)
+	f.steps([]step{
+		{"status", "", []string{"status"}, 0, "group orders-1: writable, term 3, primary orders-1-a, home entry-1"},
+		{"report", "", []string{"report"}, 0, "nothing is left broken"},
+	})
+	f.stuck = true
+	f.steps([]step{{"broken", "", []string{"report"}, 1, "entry-2 holds revision 0, not 1"}})
+}
+
+func TestNewKeyIsAccepted(t *testing.T) {
+	f := newFixture(t)
+	code, out, _ := f.run("", "key", "--name", "rosa", "--right", "customer:shop")
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	if code != 0 || len(lines) != 2 {
+		t.Fatalf("exit code %d, output %s", code, out)
+	}
+	keys, err := admin.LoadKeys(f.write("new.yaml", "keys:\n"+lines[1]+"\n"), zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if identity, ok := keys.Identify(lines[0]); !ok || identity.Customer != "shop" {
+		t.Errorf("identity %+v", identity)
+	}
+}
--- /dev/null
+++ b/cmd/rattanctl/document.go
@@ -0,0 +1,214 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/rattancove/rattancove/internal/admin"
+	"github.com/rattancove/rattancove/internal/adminclient"
+	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/program"
+)
+
+// rolloutPoll is the time between two looks at a rollout.
+const rolloutPoll = 500 * time.Millisecond
+
+func (a *app) documentCommand() *cli.Command {
+	env := &cli.StringFlag{Name: "environment", Aliases: []string{"e"}, Required: true, Usage: "environment"}
+	return &cli.Command{
+		Name:  "doc",
+		Usage: "validate, compare, promote and roll back environment documents",
+		Commands: []*cli.Command{
+			{Name: "validate", Usage: "check a document; works without a server", ArgsUsage: "FILE", Action: a.validate},
+			{
+				Name: "diff", Usage: "show what changes when a document replaces the one in force, or another file",
+				ArgsUsage: "FILE | OLD NEW", Action: a.diff,
+				Flags: []cli.Flag{&cli.StringFlag{Name: "environment", Aliases: []string{"e"}, Usage: "environment to compare with"}},
+			},
+			a.promoteCommand(),
+			a.rollbackCommand(),
+			{Name: "history", Usage: "list the revisions of an environment", Flags: []cli.Flag{env}, Action: online(a.history)},
+			{
+				Name: "show", Usage: "print the document in force, or of an earlier revision",
+				Flags:  []cli.Flag{env, &cli.Uint64Flag{Name: "revision", Usage: "earlier revision"}},
+				Action: online(a.show),
+			},
+			{
+				Name: "status", Usage: "show where the newest revision is in force",
+				Flags:  []cli.Flag{env, &cli.BoolFlag{Name: "wait", Usage: "wait until it is in force on every member"}},
+				Action: online(a.documentStatus),
+			},
+		},
+	}
+}
+
+// environmentPath returns the path of an operation on an environment.
+func environmentPath(env, operation string) string {
+	return "/v1/environments/" + url.PathEscape(env) + "/" + operation
+}
+
+// parseFile reads a document. Faults name the file.
+func parseFile(path string) (*environment.Document, []byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, program.Usage(err)
+	}
+	d, err := environment.Parse(data)
+	if err == nil {
+		return d, data, nil
+	}
+	lines := strings.Split(err.Error(), "\n")
+	for i, line := range lines {
+		lines[i] = path + ":" + line
+	}
+	return nil, nil, &program.Error{Code: exitInvalid, Cause: eris.New("the document is refused\n" + strings.Join(lines, "\n"))}
+}
+
+func (a *app) validate(_ context.Context, c *cli.Command) error {
+	path, err := oneArgument(c, "the file of the document")
+	if err != nil {
+		return err
+	}
+	_, data, err := parseFile(path)
+	if err != nil {
+		return err
+	}
+	answer := admin.Validation{Valid: true, Digest: environment.Digest(data)}
+	return a.print(c, answer, func(t *table) { t.title("%s is valid, digest %s", path, answer.Digest) })
+}
+
+func (a *app) diff(ctx context.Context, c *cli.Command) error {
+	env := c.String("environment")
+	switch {
+	case c.Args().Len() == 2 && env == "":
+		return a.diffFiles(c, c.Args().Get(0), c.Args().Get(1))
+	case c.Args().Len() == 1 && env != "":
+		return online(a.diffServer)(ctx, c)
+	default:
+		return program.Usage(eris.New("give two files, or one file and --environment"))
+	}
+}
+
+func (a *app) diffFiles(c *cli.Command, oldPath, newPath string) error {
+	current, _, err := parseFile(oldPath)
+	if err != nil {
+		return err
+	}
+	next, _, err := parseFile(newPath)
+	if err != nil {
+		return err
+	}
+	if err := environment.CheckChange(current, next); err != nil {
+		return withExitCode(err)
+	}
+	plan := environment.Diff(current, next)
+	answer := admin.DiffAnswer{Plan: plan, Dangerous: plan.Dangerous()}
+	return a.print(c, answer, func(t *table) { t.plan(plan) })
+}
+
+func (a *app) diffServer(ctx context.Context, c *cli.Command, api *adminclient.Client) error {
+	_, data, err := parseFile(c.Args().First())
+	if err != nil {
+		return err
+	}
+	answer, err := planOf(ctx, api, c.String("environment"), string(data))
+	if err != nil {
+		return err
+	}
+	return a.print(c, answer, func(t *table) { t.plan(answer.Plan) })
+}
+
+func planOf(ctx context.Context, api *adminclient.Client, env, text string) (admin.DiffAnswer, error) {
+	var answer admin.DiffAnswer
+	err := api.Post(ctx, environmentPath(env, "diff"), map[string]string{"document": text}, &answer)
+	return answer, err
+}
+
+func (a *app) history(ctx context.Context, c *cli.Command, api *adminclient.Client) error {
+	var answer admin.HistoryAnswer
+	if err := api.Get(ctx, environmentPath(c.String("environment"), "history"), &answer); err != nil {
+		return err
+	}
+	return a.print(c, answer, func(t *table) { t.revisions(answer.Revisions) })
+}
+
+func documentOf(ctx context.Context, api *adminclient.Client, env string, revision uint64) (admin.CurrentAnswer, error) {
+	path := environmentPath(env, "document")
+	if revision > 0 {
+		path += fmt.Sprintf("?revision=%d", revision)
+	}
+	var answer admin.CurrentAnswer
+	err := api.Get(ctx, path, &answer)
+	return answer, err
+}
+
+func (a *app) show(ctx context.Context, c *cli.Command, api *adminclient.Client) error {
+	answer, err := documentOf(ctx, api, c.String("environment"), c.Uint64("revision"))
+	if err != nil {
+		return err
+	}
+	if c.String("output") == outputJSON {
+		return a.print(c, answer, nil)
+	}
+	return a.println(strings.TrimSuffix(answer.Document, "\n"))
+}
+
+func (a *app) documentStatus(ctx context.Context, c *cli.Command, api *adminclient.Client) error {
+	env := c.String("environment")
+	var answer admin.RolloutAnswer
+	var err error
+	if c.Bool("wait") {
+		answer, err = a.waitForRollout(ctx, api, env, 0)
+	} else {
+		err = api.Get(ctx, environmentPath(env, "rollout"), &answer)
+	}
+	if err != nil {
+		return err
+	}
+	return a.print(c, answer, func(t *table) {
+		t.title("revision %d %s of %s was accepted at %s", answer.Accepted.Revision, short(answer.Accepted.Digest), env, stamp(answer.Accepted.Time))
+		t.members(answer.Members)
+		if answer.InForce {
+			t.title("in force on every member")
+		} else {
+			t.title("not yet in force on: %s", strings.Join(answer.Behind, ", "))
+		}
+	})
+}
+
+// waitForRollout waits until a revision of at least the given number is in
+// force on every member, and tells the progress each time that it changes.
+func (a *app) waitForRollout(ctx context.Context, api *adminclient.Client, env string, revision uint64) (admin.RolloutAnswer, error) {
+	last := ""
+	for {
+		var answer admin.RolloutAnswer
+		err := api.Get(ctx, environmentPath(env, "rollout"), &answer)
+		if err != nil && ctx.Err() != nil {
+			return answer, context.DeadlineExceeded
+		}
+		if err != nil {
+			return answer, err
+		}
+		if answer.InForce && answer.Accepted.Revision >= revision {
+			return answer, nil
+		}
+		text := fmt.Sprintf("revision %d in force on %d of %d members, waiting for %s", answer.Accepted.Revision,
+			len(answer.Members)-len(answer.Behind), len(answer.Members), strings.Join(answer.Behind, ", "))
+		if text != last {
+			fmt.Fprintln(a.progress, text)
+			last = text
+		}
+		select {
+		case <-time.After(rolloutPoll):
+		case <-ctx.Done():
+			return answer, eris.Wrap(context.DeadlineExceeded, text)
+		}
+	}
+}
--- /dev/null
+++ b/internal/adminclient/client.go
@@ -0,0 +1,167 @@
+// Package adminclient is a client of the administration API.
+package adminclient
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/rotisserie/eris"
+
+	"github.com/rattancove/rattancove/internal/admin"
+	"github.com/rattancove/rattancove/internal/settings"
+)
+
+const (
+	maxAnswerBytes = 64 << 20
+	firstRetry     = 200 * time.Millisecond
+	maxRetry       = 2 * time.Second
+)
+
+// Client calls the API of one proxy. It is safe for concurrent use.
+type Client struct {
+	base *url.URL
+	key  settings.Secret
+	http *http.Client
+}
+
+// Config says where the API is and how to reach it.
+type Config struct {
+	// Server is the URL of a proxy's API. Without TLS it must be on loopback,
+	// as the key would travel in the clear.
+	Server string
+	// KeyFile holds the bearer key on one line.
+	KeyFile string
+	// CAFile holds the authorities of the server; the system's when it is empty.
+	CAFile string
+}
+
+// New returns a client. It does not connect.
+func New(c Config) (*Client, error) {
+	base, err := url.Parse(c.Server)
+	if err != nil || base.Host == "" {
+		return nil, eris.Errorf("server %q: want a URL such as https://10.20.1.5:8443", c.Server)
+	}
+	if base.Scheme != "https" && !isLoopback(base.Hostname()) {
+		return nil, eris.Errorf("server %q: only a server on loopback may be called without TLS", c.Server)
+	}
+	client := &Client{base: base, http: &http.Client{}}
+	if c.KeyFile != "" {
+		data, err := os.ReadFile(c.KeyFile)
+		if err != nil {
+			return nil, eris.Wrap(err, "key file")
+		}
+		key := strings.TrimSpace(string(data))
+		if strings.ContainsAny(key, "\r\n") {
+			return nil, eris.Errorf("key file %s must hold one line", c.KeyFile)
+		}
+		client.key = settings.Secret(key)
+	}
+	if client.http.Transport, err = transport(c.CAFile); err != nil {
+		return nil, err
+	}
+	return client, nil
+}
+
+func isLoopback(host string) bool {
+	ip := net.ParseIP(host)
+	return host == "localhost" || ip != nil && ip.IsLoopback()
+}
+
+func transport(caFile string) (*http.Transport, error) {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.Proxy = nil
+	t.TLSClientConfig = &tls.Config{MinVersion: tls.VersionTLS12}
+	if caFile == "" {
+		return t, nil
+	}
+	pem, err := os.ReadFile(caFile)
+	if err != nil {
+		return nil, eris.Wrap(err, "file of authorities")
+	}
+	t.TLSClientConfig.RootCAs = x509.NewCertPool()
+	if !t.TLSClientConfig.RootCAs.AppendCertsFromPEM(pem) {
+		return nil, eris.Errorf("%s holds no certificate", caFile)
+	}
+	return t, nil
+}
+
+// Get reads path into answer. The error is an *admin.Error when the API
+// answered with one.
+func (c *Client) Get(ctx context.Context, path string, answer any) error {
+	return c.call(ctx, http.MethodGet, path, nil, answer)
+}
+
+// Post sends body to path and reads the answer. Errors are those of Get.
+func (c *Client) Post(ctx context.Context, path string, body, answer any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return eris.Wrap(err, "encode request")
+	}
+	return c.call(ctx, http.MethodPost, path, data, answer)
+}
+
+// Change sends a change and repeats it, while its outcome is unknown, until
+// ctx ends. That is harmless because the change carries its id.
+func (c *Client) Change(ctx context.Context, path string, request admin.ChangeRequest) (admin.ChangeAnswer, error) {
+	policy := backoff.NewExponentialBackOff()
+	policy.InitialInterval, policy.MaxInterval = firstRetry, maxRetry
+	return backoff.Retry(ctx, func() (admin.ChangeAnswer, error) {
+		var answer admin.ChangeAnswer
+		err := c.Post(ctx, path, request, &answer)
+		var refused *admin.Error
+		if errors.As(err, &refused) && refused.Code != admin.CodeUnknownOutcome && refused.Code != admin.CodeBusy {
+			return answer, backoff.Permanent(err)
+		}
+		return answer, err
+	}, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(0))
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, answer any) error {
+	target, err := c.base.Parse(path)
+	if err != nil {
+		return eris.Wrap(err, "path")
+	}
+	request, err := http.NewRequestWithContext(ctx, method, target.String(), bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "request")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if c.key != "" {
+		request.Header.Set("Authorization", "Bearer "+c.key.Reveal())
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return eris.Wrapf(err, "call %s", c.base.Host)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return eris.Wrapf(err, "answer of %s", c.base.Host)
+	}
+	if response.StatusCode != http.StatusOK {
+		return answerError(response.StatusCode, data)
+	}
+	return eris.Wrapf(json.Unmarshal(data, answer), "answer of %s", c.base.Host)
+}
+
+func answerError(status int, data []byte) error {
+	var body struct {
+		Error *admin.Error `json:"error"`
+	}
+	if err := json.Unmarshal(data, &body); err != nil || body.Error == nil {
+		return eris.Errorf("the server answered with status %d", status)
+	}
+	return body.Error
+}
