--- a/internal/strictyaml/fields.go
+++ b/internal/strictyaml/fields.go
@@ -11,34 +11,44 @@
 	// Path names the field; list items are written as "[]".
 	Path string
 	Type string
-	// Default is the value in force when the field is absent; empty when there is none.
+	// Default is the value in force when the field is absent: Required when it
+	// must be set, and None when a string stays empty.
 	Default string
 }
 
+// Defaults of fields that have no value of their own.
+const (
+	Required = "required"
+	None     = "none"
+)
+
 // Fields lists every scalar field of target, a pointer to a struct, in the
 // order of declaration.
 func Fields(target any) []Field {
 	value := reflect.ValueOf(target).Elem()
 	setDefaults(value)
-	return appendFields(nil, "", value)
+	return appendFields(nil, "", "", value)
 }
 
-func appendFields(fields []Field, path string, value reflect.Value) []Field {
+// appendFields lists the fields below value. Rules is the validation tag of
+// the field that holds value.
+func appendFields(fields []Field, path, rules string, value reflect.Value) []Field {
 	switch {
 	case isScalar(value):
-		return append(fields, Field{Path: path, Type: typeName(value), Default: defaultText(value)})
+		return append(fields, Field{Path: path, Type: typeName(value), Default: defaultText(value, rules)})
 	case value.Kind() == reflect.Slice:
 		item := reflect.New(value.Type().Elem()).Elem()
 		setDefaults(item)
-		return appendFields(fields, path+"[]", item)
+		return appendFields(fields, path+"[]", rules, item)
 	}
 	for i := range value.NumField() {
-		name, inline, ok := yamlName(value.Type().Field(i))
+		field := value.Type().Field(i)
+		name, inline, ok := yamlName(field)
 		switch {
 		case inline:
-			fields = appendFields(fields, path, value.Field(i))
+			fields = appendFields(fields, path, "", value.Field(i))
 		case ok:
-			fields = appendFields(fields, join(path, name), value.Field(i))
+			fields = appendFields(fields, join(path, name), field.Tag.Get("validate"), value.Field(i))
 		}
 	}
 	return fields
@@ -60,11 +70,28 @@
 	}
 }
 
-func defaultText(value reflect.Value) string {
-	if value.IsZero() {
-		return ""
+func defaultText(value reflect.Value, rules string) string {
+	switch {
+	case !value.IsZero():
+		return fmt.Sprint(value.Interface())
+	case isRequired(value, rules):
+		return Required
+	case value.Kind() == reflect.String:
+		return None
+	default:
+		return fmt.Sprint(value.Interface())
+	}
+}
+
+// isRequired reports whether the rules refuse the zero value.
+func isRequired(value reflect.Value, rules string) bool {
+	for rule := range strings.SplitSeq(rules, ",") {
+		least, bounded := strings.CutPrefix(rule, "gte=")
+		if rule == "required" || bounded && least != "0" && value.CanInt() {
+			return true
+		}
 	}
-	return fmt.Sprint(value.Interface())
+	return false
 }
 
 // structFields returns the settable fields of a struct by their YAML names.
