Count silent peers as members before a majority is proof

A cut-off minority saw only itself alive, so that two processes could agree that nothing newer existed. Peers that fell silent now count until a proof comes from elsewhere, and a version that only a peer named is no proof by itself. Another document of the same revision, as after a restored backup, is reported and not taken for the one in force.

--- a/internal/admin/documents.go
+++ b/internal/admin/documents.go
@@ -32,7 +32,7 @@
 type RolloutAnswer struct {
 	Accepted document.Revision `json:"accepted"`
 	Members  []MemberStatus    `json:"members"`
-	// Behind lists the members that hold an older revision.
+	// Behind lists the members that hold an older revision or another document.
 	Behind  []string `json:"behind"`
 	InForce bool     `json:"in_force"`
 }
@@ -144,7 +144,7 @@
 func newRollout(accepted document.Revision, members []MemberStatus) RolloutAnswer {
 	a := RolloutAnswer{Accepted: accepted, Members: members, Behind: []string{}}
 	for _, m := range members {
-		if m.Revision < accepted.Revision {
+		if m.behind(accepted.Revision, accepted.Digest) {
 			a.Behind = append(a.Behind, string(m.ID))
 		}
 	}
--- a/internal/admin/report.go
+++ b/internal/admin/report.go
@@ -80,7 +80,7 @@
 		r.add("document", "the document of %s is %s", s.Proxy, s.Document.Status)
 	}
 	for _, m := range s.Members {
-		if m.Revision < s.Document.Revision {
+		if m.behind(s.Document.Revision, s.Document.Digest) {
 			r.add("document", "%s holds revision %d, not %d", m.ID, m.Revision, s.Document.Revision)
 		}
 	}
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -84,6 +84,12 @@
 	Digest   string `json:"digest"`
 }
 
+// behind reports whether the member holds an older revision, or another
+// document of the same one.
+func (m MemberStatus) behind(revision uint64, digest string) bool {
+	return m.Revision < revision || m.Revision == revision && m.Digest != digest
+}
+
 // FailoverStatus is one replacement of a primary.
 type FailoverStatus struct {
 	Group   cluster.GroupName `json:"group"`
--- a/internal/rollout/decide.go
+++ b/internal/rollout/decide.go
@@ -49,6 +49,8 @@
 	// Wanted is the newest version known to exist, and WantedAt when it became known.
 	Wanted   Version
 	WantedAt time.Time
+	// WantedProven is set when the pointer row named Wanted, not only a peer.
+	WantedProven bool
 	// Proof is when the last look began that showed nothing newer than Held.
 	Proof time.Time
 	// Heard holds the last word of each peer.
@@ -132,21 +134,24 @@
 func (s State) pointerRead(o PointerRead) State {
 	// The row only rises, so a later look that shows less refutes what a peer said.
 	if o.Version.Revision < s.Wanted.Revision && o.Begun.After(s.WantedAt) && s.Wanted.Revision > s.Held.Revision {
-		s.Wanted, s.WantedAt = o.Version, o.Begun
+		s.Wanted, s.WantedAt, s.WantedProven = o.Version, o.Begun, true
 	}
-	s = s.want(o.Version, o.Begun)
-	if o.Version.Revision == s.Held.Revision {
+	if o.Version == s.Wanted && o.Begun.After(s.WantedAt) {
+		s.WantedAt, s.WantedProven = o.Begun, true
+	}
+	s = s.want(o.Version, o.Begun, true)
+	if o.Version == s.Held || o.Version.Revision == 0 && s.Held.Revision == 0 {
 		s = s.prove(o.Begun)
 	}
 	return s
 }
 
 // want notes a version that is newer than all known ones.
-func (s State) want(v Version, at time.Time) State {
+func (s State) want(v Version, at time.Time, proven bool) State {
 	if v.Revision <= s.Wanted.Revision || v.Revision <= s.Held.Revision {
 		return s
 	}
-	s.Wanted, s.WantedAt = v, at
+	s.Wanted, s.WantedAt, s.WantedProven = v, at, proven
 	return s.fire("seen")
 }
 
@@ -166,8 +171,8 @@
 		s.Heard = map[cluster.ProxyID]Word{}
 	}
 	s.Heard[o.Peer] = Word{Version: o.Version, At: o.At}
-	s = s.want(o.Version, o.At)
-	if at, ok := s.agreedAt(o.Members, o.At); ok && at.After(s.Proof) {
+	s = s.want(o.Version, o.At, false)
+	if at, ok := s.agreedAt(max(o.Members, len(s.Heard)+1), o.At); ok && at.After(s.Proof) {
 		s = s.prove(at)
 	}
 	return s
@@ -201,11 +206,10 @@
 	if s.Held.Revision < s.Wanted.Revision {
 		return s.fire("superseded")
 	}
-	s.Wanted = s.Held
-	// The version was the newest when it became known.
-	if s.Held.Revision > 0 && s.WantedAt.After(s.Proof) {
+	if s.Held == s.Wanted && s.WantedProven && s.WantedAt.After(s.Proof) {
 		s.Proof = s.WantedAt
 	}
+	s.Wanted = s.Held
 	return s.fire("installed")
 }
 
@@ -227,8 +231,13 @@
 	return s.Wanted, s.Wanted.Revision > s.Held.Revision
 }
 
-// Forget drops the words of peers heard before t.
+// Forget drops the words of peers heard before t. It drops none while there is
+// no proof: the peers that fell silent count among the members until then, so
+// that a cut-off minority does not come to pass for the whole.
 func (s State) Forget(t time.Time) State {
+	if s.Status != StatusCurrent {
+		return s
+	}
 	s.Heard = maps.Clone(s.Heard)
 	maps.DeleteFunc(s.Heard, func(_ cluster.ProxyID, w Word) bool { return w.At.Before(t) })
 	return s
--- a/internal/rollout/events.go
+++ b/internal/rollout/events.go
@@ -18,5 +18,5 @@
 	eventProvenAgain = event.New(5204, zerolog.InfoLevel, "document_proven_again",
 		"The document in force is proven to be the newest again; nothing to do.")
 	eventPointerFell = event.New(5205, zerolog.ErrorLevel, "document_pointer_fell",
-		"The pointer row names an older revision than the one in force, which stays; check whether the table was restored from a backup.")
+		"The pointer row names an older revision than the one in force, or another document of the same revision, and the one in force stays; check whether the table was restored from a backup.")
 )
--- a/internal/rollout/watcher.go
+++ b/internal/rollout/watcher.go
@@ -21,6 +21,8 @@
 	// document is reported as unproven.
 	unprovenLooks = 3
 	tickInterval  = time.Second
+	// peerRetention is how long a silent peer counts as a member.
+	peerRetention = time.Hour
 )
 
 // Source is where documents are kept; document.Store is one.
@@ -222,18 +224,24 @@
 		return
 	}
 	v := Version{Revision: r.Revision, Digest: r.Digest}
-	if held := w.State().Held; v.Revision < held.Revision && err == nil {
+	if held := w.State().Held; err == nil && contradicts(v, held) {
 		eventPointerFell.Log(&w.log).Uint64("row", v.Revision).Uint64("in_force", held.Revision).Send()
 	}
 	w.observe(PointerRead{Version: v, Begun: begun})
 }
 
+// contradicts reports whether the pointer row names an older revision than the
+// one held, or another document of the same revision.
+func contradicts(row, held Version) bool {
+	return row.Revision < held.Revision || row.Revision == held.Revision && row.Digest != held.Digest
+}
+
 func (w *Watcher) tick(ctx context.Context) error {
 	bounds := Bounds{Unproven: unprovenLooks * w.config.Poll, Expired: w.config.MaxUnknownAge}
 	for {
 		now := time.Now()
 		w.mu.Lock()
-		w.state = w.state.Forget(now.Add(-w.config.MaxUnknownAge))
+		w.state = w.state.Forget(now.Add(-peerRetention))
 		w.mu.Unlock()
 		w.observe(Tick{Now: now, Bounds: bounds})
 		if err := sleep(ctx, tickInterval); err != nil {
--- a/internal/rollout/watcher_test.go
+++ b/internal/rollout/watcher_test.go
@@ -146,6 +146,7 @@
 		}
 		w.Offer("entry-2", v, serve(text(t, 1)))
 		time.Sleep(time.Second)
+		w.Offer("entry-2", v, nil)
 		if revision(w) != 1 || w.OldDocument() {
 			t.Errorf("state %+v", w.State())
 		}
