--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -97,7 +97,7 @@
 type Objects struct {
 	// Endpoint is a host and a port without a scheme.
 	Endpoint string `yaml:"endpoint" env:"ENDPOINT" validate:"required,hostname_port"`
-	Bucket   string `yaml:"bucket" env:"BUCKET" validate:"required,max=63"`
+	Bucket   string `yaml:"bucket" env:"BUCKET" validate:"required,min=3,max=63"`
 	Region   string `yaml:"region" env:"REGION"`
 	// KeyFile holds the access key on its first line and the secret key on its second.
 	KeyFile   string `yaml:"key_file" env:"KEY_FILE"`
