Count what was done before a phase ended; keep more idle peer connections

Cause: slot shares and rates were divided by the time with the queues' tail, so that a full primary showed as 82% busy; 2,739 peer connections were opened in 15 s of flood, since at most 32 idle ones were kept. Conclusion: the scenario file describes a run whole, with its floods.

--- a/cmd/rattan-load/main.go
+++ b/cmd/rattan-load/main.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"os"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
@@ -26,22 +25,14 @@
 
 func runCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "run",
-		Usage: "run a profile alone and under a flood",
+		Name:      "run",
+		Usage:     "run a scenario and report what callers saw",
+		ArgsUsage: "SCENARIO",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "profile", Value: "cotopaxi", Usage: "workload: cotopaxi or consorzio"},
 			&cli.StringSliceFlag{Name: "proxy", Usage: "caller address of a proxy; repeat for each", Required: true},
 			&cli.StringSliceFlag{Name: "metrics", Usage: "metrics URL of a process; repeat for each"},
 			&cli.StringFlag{Name: "user", Usage: "database user; the profile's own when empty"},
 			&cli.StringFlag{Name: "password", Usage: "password of the user", Sources: cli.EnvVars("RATTAN_LOAD_PASSWORD")},
-			&cli.Float64Flag{Name: "rate", Value: 50, Usage: "base requests per second"},
-			&cli.StringFlag{Name: "only", Usage: "restrict the base rate to one rank"},
-			&cli.DurationFlag{Name: "work", Value: 10 * time.Millisecond, Usage: "service time of a statement"},
-			&cli.DurationFlag{Name: "duration", Value: 10 * time.Second, Usage: "length of each phase"},
-			&cli.StringFlag{Name: "flood", Usage: "rank of a flood; adds a second phase"},
-			&cli.Float64Flag{Name: "flood-rate", Value: 500, Usage: "requests per second of the flood"},
-			&cli.DurationFlag{Name: "flood-work", Usage: "service time of the flood's statements; 0 means the same"},
-			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the arrivals"},
 			&cli.StringFlag{Name: "out", Usage: "write the report as JSON to this file"},
 			&cli.StringFlag{Name: "plot", Usage: "draw the report to this SVG or PNG file"},
 		},
@@ -50,13 +41,18 @@
 }
 
 func run(ctx context.Context, cmd *cli.Command) error {
-	profile, err := load.FindProfile(cmd.String("profile"))
+	scenario, err := load.ReadScenario(cmd.Args().First())
 	if err != nil {
-		return err
+		return program.Usage(err)
+	}
+	profile, err := load.FindProfile(scenario.Profile)
+	if err != nil {
+		return program.Usage(err)
 	}
 	report, err := load.Run(ctx, load.Config{
-		Profile: profile, Phases: phases(cmd), Proxies: cmd.StringSlice("proxy"), Metrics: cmd.StringSlice("metrics"),
-		User: cmd.String("user"), Password: cmd.String("password"), Work: cmd.Duration("work"), Seed: cmd.Uint64("seed"),
+		Profile: profile, Phases: scenario.Phases, Work: scenario.Work, Seed: uint64(scenario.Seed), Slots: scenario.Slots,
+		Proxies: cmd.StringSlice("proxy"), Metrics: cmd.StringSlice("metrics"),
+		User: cmd.String("user"), Password: cmd.String("password"),
 	})
 	if err != nil {
 		return err
@@ -75,20 +71,6 @@
 	return nil
 }
 
-func phases(cmd *cli.Command) []load.Phase {
-	base := load.Phase{Name: "alone", Duration: cmd.Duration("duration"), Rate: cmd.Float64("rate"), Only: cmd.String("only")}
-	all := []load.Phase{base}
-	if rank := cmd.String("flood"); rank != "" {
-		flood := base
-		flood.Name = "flood_" + rank
-		flood.FloodRank = rank
-		flood.FloodRate = cmd.Float64("flood-rate")
-		flood.FloodWork = cmd.Duration("flood-work")
-		all = append(all, flood)
-	}
-	return all
-}
-
 func queryCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "query",
--- a/internal/load/arrivals.go
+++ b/internal/load/arrivals.go
@@ -2,9 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
-
-	"github.com/rattancove/rattancove/internal/cluster"
 )
 
 // Arrival is one request to send.
@@ -18,25 +17,41 @@
 	Work   time.Duration
 }
 
+// statements returns the number of statements that the request sends.
+func (a Arrival) statements() time.Duration {
+	if a.Kind.Action == ActionReadOwn {
+		return 2
+	}
+	return 1
+}
+
+// Work is the service time that statements ask for.
+type Work struct {
+	Mean time.Duration `yaml:"mean" json:"mean"`
+	// Exponential draws each statement's time from an exponential
+	// distribution; otherwise each takes the mean.
+	Exponential bool `yaml:"exponential" json:"exponential"`
+}
+
+func (w Work) draw(r *rand.Rand) time.Duration {
+	if !w.Exponential {
+		return w.Mean
+	}
+	return time.Duration(r.ExpFloat64() * float64(w.Mean))
+}
+
 // Arrivals returns a phase's requests as a Poisson process, ordered by time.
 // The same seed gives the same arrivals.
-func Arrivals(profile Profile, phase Phase, proxies int, work time.Duration, seed uint64) ([]Arrival, error) {
+func Arrivals(profile Profile, phase Phase, proxies int, work Work, seed uint64) ([]Arrival, error) {
 	base := rand.New(rand.NewPCG(seed, 1))
 	arrivals := poisson(base, phase.Duration, phase.Rate, func() (Kind, time.Duration) {
-		return pickKind(base, profile.Kinds, phase.Only), work
+		return pickKind(base, profile.Kinds, phase.Kinds), work.draw(base)
 	})
-	if phase.FloodRate > 0 {
-		rank, err := cluster.ParseRank(phase.FloodRank)
+	for i, f := range phase.Floods {
+		flood, err := floodArrivals(profile, phase, f, work, rand.New(rand.NewPCG(seed, uint64(4+i))))
 		if err != nil {
 			return nil, err
 		}
-		floodWork := work
-		if phase.FloodWork > 0 {
-			floodWork = phase.FloodWork
-		}
-		flood := poisson(rand.New(rand.NewPCG(seed, 2)), phase.Duration, phase.FloodRate, func() (Kind, time.Duration) {
-			return floodKind(profile, rank), floodWork
-		})
 		arrivals = merge(arrivals, flood)
 	}
 	place := rand.New(rand.NewPCG(seed, 3))
@@ -64,7 +79,20 @@
 	}
 }
 
-func pickKind(r *rand.Rand, kinds []Kind, only string) Kind {
+func floodArrivals(profile Profile, phase Phase, f Flood, work Work, random *rand.Rand) ([]Arrival, error) {
+	kind, err := f.kind(profile)
+	if err != nil {
+		return nil, err
+	}
+	if f.Work > 0 {
+		work.Mean = f.Work
+	}
+	return poisson(random, phase.Duration, f.Rate, func() (Kind, time.Duration) {
+		return kind, work.draw(random)
+	}), nil
+}
+
+func pickKind(r *rand.Rand, kinds []Kind, only []string) Kind {
 	total := 0.0
 	for _, k := range kinds {
 		if matches(k, only) {
@@ -85,7 +113,7 @@
 	return last
 }
 
-func matches(k Kind, only string) bool { return only == "" || k.Rank.String() == only }
+func matches(k Kind, only []string) bool { return len(only) == 0 || slices.Contains(only, k.Name) }
 
 func merge(a, b []Arrival) []Arrival {
 	out := make([]Arrival, 0, len(a)+len(b))
--- a/internal/load/profile.go
+++ b/internal/load/profile.go
@@ -85,25 +85,34 @@
 
 // Phase is a stretch of a run at a steady rate.
 type Phase struct {
-	Name     string        `json:"name"`
-	Duration time.Duration `json:"duration"`
+	Name     string        `yaml:"name" json:"name" validate:"required"`
+	Duration time.Duration `yaml:"duration" json:"duration" validate:"gt=0"`
 	// Rate is the base rate in requests per second over all groups.
-	Rate float64 `json:"rate"`
-	// Only restricts the base rate to one rank; empty means the whole mix.
-	Only string `json:"only,omitempty"`
-	// FloodRank and FloodRate add requests of one rank beside the base rate.
-	FloodRank string  `json:"flood_rank,omitempty"`
-	FloodRate float64 `json:"flood_rate,omitempty"`
-	// FloodWork replaces the service time of the flood's statements.
-	FloodWork time.Duration `json:"flood_work,omitempty"`
+	Rate float64 `yaml:"rate" json:"rate" validate:"gte=0"`
+	// Kinds restricts the base rate to the named kinds; empty means all.
+	Kinds  []string `yaml:"kinds" json:"kinds,omitempty"`
+	Floods []Flood  `yaml:"floods" json:"floods,omitempty" validate:"dive"`
 }
 
-// floodKind is the kind of the flood's requests: reads for the least urgent
-// work and updates for the others.
-func floodKind(profile Profile, rank cluster.Rank) Kind {
-	k := Kind{Name: "flood_" + rank.String(), Rank: rank, Action: ActionUpdate}
-	if rank == cluster.RankBackground {
-		k.Action, k.Reads = ActionRead, profile.Flood
+// Flood adds requests of one rank beside the base rate.
+type Flood struct {
+	Rank string `yaml:"rank" json:"rank" validate:"required,oneof=urgent normal background"`
+	// Action is read or update.
+	Action Action `yaml:"action" json:"action" validate:"required,oneof=read update"`
+	// Rate is in requests per second over all groups.
+	Rate float64 `yaml:"rate" json:"rate" validate:"gt=0"`
+	// Work replaces the mean service time of the flood's statements.
+	Work time.Duration `yaml:"work" json:"work,omitempty" validate:"gte=0"`
+}
+
+func (f Flood) kind(profile Profile) (Kind, error) {
+	rank, err := cluster.ParseRank(f.Rank)
+	if err != nil {
+		return Kind{}, err
+	}
+	k := Kind{Name: "flood_" + f.Rank, Rank: rank, Action: f.Action}
+	if f.Action == ActionRead {
+		k.Reads = profile.Flood
 	}
-	return k
+	return k, nil
 }
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -17,17 +17,31 @@
 		for _, name := range slices.Sorted(maps.Keys(p.Kinds)) {
 			s := p.Kinds[name]
 			fmt.Fprintf(w, "%s\t%s\t%s\t%.1f\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\n", p.Phase.Name, name, s.Rank,
-				float64(s.Outcomes[OutcomeDone])/p.Phase.Duration.Seconds(),
+				float64(s.InTime)/p.Phase.Duration.Seconds(),
 				s.Outcomes[OutcomeDone], s.Outcomes[OutcomeNotRun], s.Outcomes[OutcomeUnknown], s.Outcomes[OutcomeFailed],
 				micros(s.P50), micros(s.P95), micros(s.P99), micros(s.Max))
 		}
 	}
+	for _, p := range r.Phases {
+		fmt.Fprintf(w, "%s: slots %.1f%% busy, reads by replicas %.1f%%, opens %.0f, refused late %.0f\n", p.Phase.Name, 100*p.Busy,
+			100*p.ReplicaShare(), p.Metrics["rattan_pool_opens_total"], p.Metrics["rattan_home_unknown_outcomes_total"])
+	}
 	v := r.Verdict
 	fmt.Fprintf(w, "\norders %d: lost %d, doubled %d, ghosts %d, unresolved %d; reads of own writes %d: stale %d\n",
 		v.Orders, v.Lost, v.Doubled, v.Ghosts, v.Unresolved, v.Reads, v.Stale)
 	return w.Flush()
 }
 
+// ReplicaShare returns the share of reads that replicas served.
+func (p *PhaseResult) ReplicaShare() float64 {
+	replica := p.Metrics[`rattan_home_reads_total{server="replica"}`]
+	primary := p.Metrics[`rattan_home_reads_total{server="primary"}`]
+	if replica+primary == 0 {
+		return 0
+	}
+	return replica / (replica + primary)
+}
+
 // Compare prints the latencies and rates of two reports side by side.
 func Compare(out io.Writer, a, b *Report) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -24,7 +24,7 @@
 	Seed    uint64         `json:"seed"`
 	Machine string         `json:"machine"`
 	Profile string         `json:"profile"`
-	Work    time.Duration  `json:"work"`
+	Work    Work           `json:"work"`
 	Phases  []*PhaseResult `json:"phases"`
 	Verdict Verdict        `json:"verdict"`
 }
@@ -42,8 +42,13 @@
 	Took    time.Duration      `json:"took"`
 	Kinds   map[string]*Series `json:"kinds"`
 	Metrics map[string]float64 `json:"metrics,omitempty"`
+	// Busy is the share of all slot time that was used by requests that were
+	// done before the end of the phase.
+	Busy float64 `json:"busy"`
 
-	mu sync.Mutex
+	mu    sync.Mutex
+	start time.Time
+	work  time.Duration
 }
 
 // Series is the outcome of one kind of work. Latencies are of requests that
@@ -51,16 +56,18 @@
 type Series struct {
 	Rank     string          `json:"rank"`
 	Outcomes map[Outcome]int `json:"outcomes"`
-	P50      int64           `json:"p50_us"`
-	P95      int64           `json:"p95_us"`
-	P99      int64           `json:"p99_us"`
-	Max      int64           `json:"max_us"`
+	// InTime counts requests that were done before the end of the phase.
+	InTime int   `json:"in_time"`
+	P50    int64 `json:"p50_us"`
+	P95    int64 `json:"p95_us"`
+	P99    int64 `json:"p99_us"`
+	Max    int64 `json:"max_us"`
 
 	histogram *hdrhistogram.Histogram
 }
 
-func newPhaseResult(phase Phase) *PhaseResult {
-	return &PhaseResult{Phase: phase, Kinds: map[string]*Series{}}
+func newPhaseResult(phase Phase, start time.Time) *PhaseResult {
+	return &PhaseResult{Phase: phase, start: start, Kinds: map[string]*Series{}}
 }
 
 func (p *PhaseResult) record(kind Kind, outcome Outcome, latency time.Duration) {
@@ -80,9 +87,23 @@
 	}
 }
 
-func (p *PhaseResult) finish(took time.Duration, metrics map[string]float64) {
-	p.Took = took
+// addDone counts a request that was done before the end of the phase.
+func (p *PhaseResult) addDone(a Arrival) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if time.Since(p.start) > p.Phase.Duration {
+		return
+	}
+	p.work += a.statements() * a.Work
+	p.Kinds[a.Kind.Name].InTime++
+}
+
+func (p *PhaseResult) finish(slots int, metrics map[string]float64) {
+	p.Took = time.Since(p.start)
 	p.Metrics = metrics
+	if slots > 0 {
+		p.Busy = p.work.Seconds() / (p.Phase.Duration.Seconds() * float64(slots))
+	}
 	for _, s := range p.Kinds {
 		s.P50 = s.histogram.ValueAtQuantile(50)
 		s.P95 = s.histogram.ValueAtQuantile(95)
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -16,7 +16,7 @@
 	// maxInFlight bounds the requests of a run that wait for an answer.
 	maxInFlight = 4000
 	// requestTimeout bounds one request.
-	requestTimeout = 10 * time.Second
+	requestTimeout = 15 * time.Second
 	// setupTimeout bounds the creation of the tables.
 	setupTimeout = 30 * time.Second
 )
@@ -31,9 +31,10 @@
 	Password string
 	// Metrics are the URLs of the processes' metrics; deltas are kept by phase.
 	Metrics []string
-	// Work is the service time of a statement.
-	Work time.Duration
-	Seed uint64
+	Work    Work
+	// Slots is the number of slots of all backend servers together.
+	Slots int
+	Seed  uint64
 }
 
 // Run carries out the phases in turn and judges the data at the end.
@@ -95,9 +96,9 @@
 		return nil, err
 	}
 	before := scrape(ctx, r.config.Metrics)
-	result := newPhaseResult(phase)
-	var wait sync.WaitGroup
 	start := time.Now()
+	result := newPhaseResult(phase, start)
+	var wait sync.WaitGroup
 	for _, a := range arrivals {
 		if err := sleepUntil(ctx, start.Add(a.At)); err != nil {
 			return nil, err
@@ -116,7 +117,7 @@
 		}()
 	}
 	wait.Wait()
-	result.finish(time.Since(start), metricsDelta(before, scrape(ctx, r.config.Metrics)))
+	result.finish(r.config.Slots, metricsDelta(before, scrape(ctx, r.config.Metrics)))
 	return result, nil
 }
 
@@ -147,7 +148,11 @@
 	case ActionReadOwn:
 		intended, err = r.readOwn(ctx, a, intended)
 	}
-	result.record(a.Kind, classify(err), time.Since(intended))
+	outcome := classify(err)
+	result.record(a.Kind, outcome, time.Since(intended))
+	if outcome == OutcomeDone {
+		result.addDone(a)
+	}
 }
 
 func (r *run) placeOrder(ctx context.Context, a Arrival, phase int) error {
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -20,7 +20,7 @@
 	// maxConnsPerPeer bounds the connections, and so the running calls, to one peer.
 	maxConnsPerPeer = 512
 	// maxIdlePerPeer bounds the idle connections kept to one peer.
-	maxIdlePerPeer = 32
+	maxIdlePerPeer = 256
 	// dialTimeout bounds the opening of a connection to a peer.
 	dialTimeout = time.Second
 	// softCancelGrace bounds the wait for a running send when a call is cancelled.
