--- a/internal/pgwire/front/caller.go
+++ b/internal/pgwire/front/caller.go
@@ -16,6 +16,9 @@
 	"github.com/rattancove/rattancove/internal/statechart"
 )
 
+// farewellTime bounds the last write to a caller.
+const farewellTime = time.Second
+
 // copyPieceBytes is the size at which a piece of a COPY goes to the home.
 const copyPieceBytes = 64 << 10
 
@@ -77,6 +80,7 @@
 		Str("group", string(c.group)).Err(err).Send()
 	var coded *errcode.Error
 	if errors.As(err, &coded) {
+		c.writer.timeout = min(c.writer.timeout, farewellTime)
 		c.writer.message(errorResponse(coded, severityFatal, ""))
 		c.writer.flush()
 	}
--- a/internal/pgwire/front/startup.go
+++ b/internal/pgwire/front/startup.go
@@ -122,7 +122,7 @@
 	var own *sqlError
 	var coded *errcode.Error
 	if errors.As(err, &own) || errors.As(err, &coded) {
-		_ = conn.SetWriteDeadline(time.Now().Add(time.Second))
+		_ = conn.SetWriteDeadline(time.Now().Add(farewellTime))
 		_, _ = conn.Write(encode(errorResponse(err, severityFatal, "")))
 	}
 	_ = conn.Close()
