--- a/internal/pgwire/front/caller.go
+++ b/internal/pgwire/front/caller.go
@@ -10,14 +10,15 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgproto3"
-
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/session"
 	"github.com/rattancove/rattancove/internal/statechart"
 )
 
+// farewellTime bounds the last write to a caller.
+const farewellTime = time.Second
+
 // copyPieceBytes is the size at which a piece of a COPY goes to the home.
 const copyPieceBytes = 64 << 10
 
@@ -79,6 +80,7 @@
 		Str("group", string(c.group)).Err(err).Send()
 	var coded *errcode.Error
 	if errors.As(err, &coded) {
+		c.writer.timeout = min(c.writer.timeout, farewellTime)
 		c.writer.message(errorResponse(coded, severityFatal, ""))
 		c.writer.flush()
 	}
@@ -143,8 +145,8 @@
 		return err
 	}
 	err := c.reader.wait()
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.revoked.Load() {
-		return c.mayStay()
+	if revoked := c.mayStay(); revoked != nil {
+		return revoked
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.server.draining.Load() {
 		return errcode.New(errcode.Draining, "idle", "")
@@ -209,7 +211,8 @@
 // ready tells the caller that the next request may come.
 func (c *caller) ready(tx byte) {
 	c.tx = tx
-	c.writer.message(&pgproto3.ReadyForQuery{TxStatus: tx})
+	message := [...]byte{msgReady, 0, 0, 0, headerBytes, tx}
+	c.writer.write(message[:])
 	c.writer.flush()
 }
 
