--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -15,6 +15,7 @@
 	"github.com/rattancove/rattancove/internal/environment"
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/rank"
+	"github.com/rattancove/rattancove/internal/route"
 	"github.com/rattancove/rattancove/internal/statement"
 )
 
@@ -51,6 +52,8 @@
 	releasing sync.WaitGroup
 	closed    bool
 	without   rules
+	// patience is how long a read waits for a replica.
+	patience time.Duration
 }
 
 // rules names safety rules that tests switch off to show what they prevent.
@@ -73,7 +76,7 @@
 		log = &nop
 	}
 	return &Home{
-		config: config, dialer: dialer, log: log,
+		config: config, dialer: dialer, log: log, patience: route.DefaultPatience,
 		groups:   make(map[cluster.GroupName]environment.Group),
 		owners:   make(map[cluster.GroupName]*owner),
 		leaving:  make(map[cluster.ServerID]bool),
--- a/internal/home/observe.go
+++ b/internal/home/observe.go
@@ -79,7 +79,7 @@
 
 // rebuild replaces what the routing decisions see.
 func (o *owner) rebuild() {
-	g := &route.Group{Term: o.view.term, History: o.history, Commits: o.commits}
+	g := &route.Group{Term: o.view.term, Patience: o.home.patience, History: o.history, Commits: o.commits}
 	if o.view.primaryKnown() {
 		g.Primary = o.view.primary
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// PrimaryPenalty is the wait that a read accepts for a replica before it
-	// takes a slot of the primary.
-	PrimaryPenalty = 25 * time.Millisecond
+	// DefaultPatience is how long a read waits for a replica before it takes a
+	// slot of the primary.
+	DefaultPatience = 60 * time.Millisecond
 	// recheckInterval is the time between two judgements of a replica that is
 	// later than expected.
 	recheckInterval = 2 * time.Millisecond
@@ -61,7 +61,9 @@
 type Group struct {
 	Term    cluster.Term
 	Primary cluster.ServerID
-	Servers []Server
+	// Patience is how long a read waits for a replica before it takes a slot of the primary.
+	Patience time.Duration
+	Servers  []Server
 	// History holds proven positions; it decides the age of data.
 	History *History
 	// Commits holds the positions of commits as they were answered; it serves
@@ -129,7 +131,7 @@
 	}
 	primary, ok := g.server(g.Primary)
 	if ok && primary.Reachable && (!primary.Leaving || len(options) == 0) {
-		options = append(options, overflow(q, primary, options, now))
+		options = append(options, overflow(q, g, primary, options, now))
 	}
 	if len(options) == 0 {
 		return Decision{Reason: ReasonNoServer}
@@ -158,13 +160,13 @@
 }
 
 // overflow offers the primary to a read, at once when no replica suits and
-// otherwise after the read has waited longer than the penalty.
-func overflow(q Query, primary Server, replicas []Option, now time.Time) Option {
+// otherwise after the read has waited out its patience.
+func overflow(q Query, g *Group, primary Server, replicas []Option, now time.Time) Option {
 	o := Option{Server: primary.ID, NotBefore: now, Wait: primary.Wait, Reason: ReasonStale}
 	if len(replicas) == 0 {
 		return o
 	}
-	o.NotBefore = q.Arrived.Add(PrimaryPenalty)
+	o.NotBefore = q.Arrived.Add(g.Patience)
 	o.Wait = max(primary.Wait, o.NotBefore.Sub(now))
 	o.Reason = ReasonBusy
 	return o
@@ -225,8 +227,7 @@
 }
 
 // catchUp offers a lagging replica for the time at which it is expected to
-// have replayed what the read needs, if the read will not have waited longer
-// than the penalty by then. The estimate only decides to wait: Decide is
+// have replayed what the read needs, if that is within the read's patience. The estimate only decides to wait: Decide is
 // asked again before the read runs.
 func catchUp(q Query, g *Group, s Server, need cluster.Position, now time.Time) (Option, bool) {
 	committed, ok := g.Commits.Reached(need)
@@ -239,7 +240,7 @@
 		o.NotBefore = now.Add(recheckInterval)
 	}
 	o.Wait = o.NotBefore.Sub(now) + s.Wait
-	if now.Add(o.Wait).After(q.Arrived.Add(PrimaryPenalty)) {
+	if now.Add(o.Wait).After(q.Arrived.Add(g.Patience)) {
 		return Option{}, false
 	}
 	return o, true
