--- a/internal/pgwire/front/caller.go
+++ b/internal/pgwire/front/caller.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -46,6 +47,8 @@
 	// batch is under collection; nil between batches.
 	batch        *batch
 	messageBytes int
+	// reserved is the caller's part of the server's budget.
+	reserved int64
 	// discarding is set after an error until the next Sync.
 	discarding bool
 	// tx is the transaction state that the caller saw last.
@@ -57,6 +60,8 @@
 	// mu keeps a drain from interrupting a caller that has just become busy.
 	mu    sync.Mutex
 	state statechart.Machine
+	// revoked is set when the caller's account is gone.
+	revoked atomic.Bool
 	// cancel ends the running request; nil while none runs.
 	cancel context.CancelCauseFunc
 }
@@ -66,6 +71,7 @@
 	err := c.serveRequests()
 	c.fire(signalClosed)
 	c.reader.release()
+	c.release()
 	if err == nil || errors.Is(err, io.EOF) {
 		return
 	}
@@ -121,7 +127,11 @@
 // the server drains and no message is on its way.
 func (c *caller) awaitQuiet() error {
 	if c.reader.buffered() {
-		return nil
+		return c.mayStay()
+	}
+	if c.batch == nil {
+		c.reader.release()
+		c.release()
 	}
 	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
 		return err
@@ -129,7 +139,13 @@
 	if c.server.draining.Load() {
 		c.interruptIfQuiet()
 	}
+	if err := c.mayStay(); err != nil {
+		return err
+	}
 	err := c.reader.wait()
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.revoked.Load() {
+		return c.mayStay()
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.server.draining.Load() {
 		return errcode.New(errcode.Draining, "idle", "")
 	}
