--- a/internal/home/faults_test.go
+++ b/internal/home/faults_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rattancove/rattancove/internal/backend"
@@ -14,23 +16,37 @@
 	allProxies = []string{"p0", "p1", "p2"}
 )
 
-// faults injects faults until ctx ends, each undone after a while.
+// faults injects faults of the servers and, at the same time, of the homes and
+// the connections, until ctx ends. Each is undone after a while.
 func (w *world) faults(ctx context.Context) {
-	kinds := []func(){
-		w.killPrimary, w.isolatePrimary, w.freezePrimary, w.moveHome, w.silence,
-		w.loseAnswers, w.cutHome, w.cutReplication, w.lagReplica,
-	}
+	servers := &injector{world: w, random: rand.New(rand.NewPCG(w.random.Uint64(), 1))}
+	homes := &injector{world: w, random: rand.New(rand.NewPCG(w.random.Uint64(), 2))}
+	var both sync.WaitGroup
+	both.Go(func() {
+		servers.run(ctx, servers.killPrimary, servers.isolatePrimary, servers.freezePrimary, servers.cutReplication, servers.lagReplica)
+	})
+	both.Go(func() { homes.run(ctx, homes.moveHome, homes.silence, homes.loseAnswers, homes.cutHome) })
+	both.Wait()
+}
+
+// injector causes one fault at a time.
+type injector struct {
+	*world
+	random *rand.Rand
+}
+
+func (w *injector) run(ctx context.Context, kinds ...func()) {
 	for ctx.Err() == nil {
 		w.sleep(600 * time.Millisecond)
 		kinds[w.random.IntN(len(kinds))]()
 	}
 }
 
-func (w *world) sleep(longest time.Duration) {
+func (w *injector) sleep(longest time.Duration) {
 	time.Sleep(time.Duration(w.random.Int64N(int64(longest))))
 }
 
-func (w *world) killPrimary() {
+func (w *injector) killPrimary() {
 	w.count("primaries killed")
 	old := w.primary()
 	w.group.Kill(old)
@@ -42,7 +58,7 @@
 }
 
 // isolatePrimary cuts the primary off from everything but one home.
-func (w *world) isolatePrimary() {
+func (w *injector) isolatePrimary() {
 	w.count("primaries isolated")
 	old := w.primary()
 	friend := w.random.IntN(len(allProxies))
@@ -55,7 +71,7 @@
 	w.follow()
 }
 
-func (w *world) freezePrimary() {
+func (w *injector) freezePrimary() {
 	w.count("primaries frozen")
 	old := w.primary()
 	w.group.Freeze(old)
@@ -66,7 +82,7 @@
 	w.follow()
 }
 
-func (w *world) moveHome() {
+func (w *injector) moveHome() {
 	w.count("homes moved")
 	old := w.present()
 	w.move(w.random.IntN(len(allProxies)))
@@ -75,21 +91,21 @@
 	}
 }
 
-func (w *world) silence() {
+func (w *injector) silence() {
 	w.count("connections silenced")
 	for _, id := range allServers {
 		w.group.Silence(allProxies[w.random.IntN(len(allProxies))], id)
 	}
 }
 
-func (w *world) loseAnswers() {
+func (w *injector) loseAnswers() {
 	w.count("answers lost")
 	w.group.LoseAnswers(allServers[w.random.IntN(len(allServers))], 1+w.random.IntN(3))
 }
 
 // cutHome cuts one home off from all servers, in one direction or both, and
 // gives the group to another one.
-func (w *world) cutHome() {
+func (w *injector) cutHome() {
 	w.count("homes cut off")
 	p := w.random.IntN(len(allProxies))
 	back := w.random.IntN(2) == 0
@@ -112,7 +128,7 @@
 	}
 }
 
-func (w *world) cutReplication() {
+func (w *injector) cutReplication() {
 	w.count("replication cut")
 	primary := w.primary()
 	for _, id := range allServers {
@@ -124,7 +140,7 @@
 	}
 }
 
-func (w *world) lagReplica() {
+func (w *injector) lagReplica() {
 	w.count("replicas lagging")
 	w.group.SetReplayLag(allServers[w.random.IntN(len(allServers))], time.Duration(w.random.Int64N(int64(time.Second))))
 }
