Measure the cost of connections, statements and control

Cause: docs/CAPACITY.md rests on measured slopes. Ruled out: reading /proc of other processes; every process tells its own memory and processor time.

--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -39,13 +39,22 @@
 		return conn, nil
 	}
 	c.mu.Unlock()
-	host, port, _ := strings.Cut(c.addresses[key.proxy], ":")
-	dsn := fmt.Sprintf("host=%s port=%s user=%s dbname=%s sslmode=disable", host, port, c.user, key.group)
-	if c.password != "" {
-		dsn += " password=" + c.password
+	return c.dial(ctx, key)
+}
+
+func (c *callers) dial(ctx context.Context, key callerKey) (*pgconn.PgConn, error) {
+	address := c.addresses[key.proxy]
+	conn, err := pgconn.Connect(ctx, connString(address, c.user, c.password, key.group))
+	return conn, eris.Wrapf(err, "connect to proxy %s", address)
+}
+
+func connString(address, user, password, group string) string {
+	host, port, _ := strings.Cut(address, ":")
+	dsn := fmt.Sprintf("host=%s port=%s user=%s dbname=%s sslmode=disable", host, port, user, group)
+	if password != "" {
+		dsn += " password=" + password
 	}
-	conn, err := pgconn.Connect(ctx, dsn)
-	return conn, eris.Wrapf(err, "connect to proxy %s", c.addresses[key.proxy])
+	return dsn
 }
 
 func (c *callers) put(key callerKey, conn *pgconn.PgConn) {
--- a/internal/load/scrape.go
+++ b/internal/load/scrape.go
@@ -13,7 +13,8 @@
 
 const scrapeTimeout = 2 * time.Second
 
-// scrape sums the metrics of several processes by name. A process that does
+// scrape sums the metrics of several processes by name, with and without
+// labels. A process that does
 // not answer is left out.
 func scrape(ctx context.Context, urls []string) map[string]float64 {
 	sums := map[string]float64{}
@@ -38,9 +39,12 @@
 	lines := bufio.NewScanner(resp.Body)
 	for lines.Scan() {
 		name, value, ok := strings.Cut(lines.Text(), " ")
-		wanted := strings.HasPrefix(name, "rattan_") || name == "process_cpu_seconds_total"
+		wanted := strings.HasPrefix(name, "rattan_") || name == metricCPU || name == metricMemory
 		if f, err := strconv.ParseFloat(value, 64); ok && err == nil && wanted {
 			sums[name] += f
+			if base, _, labelled := strings.Cut(name, "{"); labelled {
+				sums[base] += f
+			}
 		}
 	}
 }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -124,6 +124,7 @@
 	until bin/rattan-load query --proxy "127.0.0.1:$(fleet_caller_port "$1")" --group "$2" --user "$3" "SELECT 1" >/dev/null 2>&1; do
 		((SECONDS < deadline)) || {
 			echo "proxy $1 does not serve group $2" >&2
+			tail -n 20 "$FLEET_DIR"/proxy-*.log >&2
 			return 1
 		}
 		sleep 0.2
