--- a/internal/home/owner.go
+++ b/internal/home/owner.go
@@ -17,6 +17,10 @@
 )
 
 const (
+	// maxRequests and maxRequestBytes bound the requests of a group that wait
+	// or run, and the memory of their first batches.
+	maxRequests           = 10_000
+	maxRequestBytes int64 = 128 << 20
 	// drainIdleTime is how long a draining owner waits for a caller inside a transaction.
 	drainIdleTime = time.Second
 	// drainTime bounds the wait for running requests when a group is given up.
@@ -79,12 +83,15 @@
 	// group is what the routing decisions see; it is replaced as a whole.
 	group atomic.Pointer[route.Group]
 
-	mu     sync.Mutex
-	spec   environment.Group
-	ranks  environment.Ranks
-	limits environment.Limits
-	nodes  map[cluster.ServerID]*node
-	view   *view
+	mu sync.Mutex
+	// requests and bytes are those of requests that wait or run.
+	requests int
+	bytes    int64
+	spec     environment.Group
+	ranks    environment.Ranks
+	limits   environment.Limits
+	nodes    map[cluster.ServerID]*node
+	view     *view
 	// changed is closed and replaced whenever the view or the phase changes.
 	changed chan struct{}
 	phase   *statechart.Machine
@@ -232,17 +239,33 @@
 	o.changed = make(chan struct{})
 }
 
-// enter counts a running request, unless the owner serves no longer.
-func (o *owner) enter() error {
+// enter counts a running request, unless the owner serves no longer or holds
+// as many requests as it may. leave ends it.
+func (o *owner) enter(bytes int64) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if err := o.stopped(); err != nil {
 		return err
 	}
+	if o.requests >= maxRequests || o.bytes+bytes > orDefault(2*o.limits.QueueBytes, maxRequestBytes) {
+		err := errcode.New(errcode.Overloaded, "enter", string(o.name))
+		err.RetryAfter = retryPause
+		return err
+	}
+	o.requests++
+	o.bytes += bytes
 	o.running.Add(1)
 	return nil
 }
 
+func (o *owner) leave(bytes int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.requests--
+	o.bytes -= bytes
+	o.running.Done()
+}
+
 // close drains the owner: no new requests, running ones may finish until ctx
 // ends, then every connection is closed and every goroutine ends.
 func (o *owner) close(ctx context.Context) {
--- a/internal/home/pins.go
+++ b/internal/home/pins.go
@@ -2,11 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"github.com/rattancove/rattancove/internal/cluster"
 )
 
+// maxPinWaiters is the most transactions of one rank that wait to be opened at one server.
+const maxPinWaiters = 500
+
+var errTooManyTransactions = errors.New("too many transactions wait to be opened")
+
 // pins bounds the open transactions at one server, so that some connections
 // always serve single statements. Less urgent ranks may not take the last pins.
 type pins struct {
@@ -24,7 +30,7 @@
 }
 
 // acquire waits for a pin, the most urgent rank first. It returns the error of
-// ctx if that ends before.
+// ctx if that ends before, or errTooManyTransactions at once.
 func (p *pins) acquire(ctx context.Context, r cluster.Rank) error {
 	p.mu.Lock()
 	if p.taken < p.limits[r] && len(p.waiters[r]) == 0 {
@@ -32,6 +38,10 @@
 		p.mu.Unlock()
 		return nil
 	}
+	if len(p.waiters[r]) >= maxPinWaiters {
+		p.mu.Unlock()
+		return errTooManyTransactions
+	}
 	ready := make(chan struct{})
 	p.waiters[r] = append(p.waiters[r], ready)
 	p.mu.Unlock()
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -50,10 +50,11 @@
 
 // run serves one request.
 func (o *owner) run(ctx context.Context, req *statement.Request, conv statement.Conversation) (statement.Result, error) {
-	if err := o.enter(); err != nil {
+	size := int64(len(req.First.Messages))
+	if err := o.enter(size); err != nil {
 		return statement.Result{}, err
 	}
-	defer o.running.Done()
+	defer o.leave(size)
 	o.budget.Earn()
 	r := o.newRequest(req, conv)
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/home/status.go
+++ b/internal/home/status.go
@@ -157,7 +157,7 @@
 	}
 	e.Floor = q.Floor.String()
 	lane := rank.LanePrimary
-	if !e.NeedsProof || q.Class == statement.ClassRead {
+	if q.Class == statement.ClassRead || q.Class == statement.ClassBeginReadOnly {
 		lane = rank.LaneRead
 	}
 	e.QueueWait = o.dispatcher.ExpectedWait(r.rank, lane)
--- a/internal/home/transaction.go
+++ b/internal/home/transaction.go
@@ -179,9 +179,9 @@
 	return orDefault(o.limits.StatementTime, defaultTimeout)
 }
 
-func orDefault(d, fallback time.Duration) time.Duration {
-	if d > 0 {
-		return d
+func orDefault[T ~int64](value, fallback T) T {
+	if value > 0 {
+		return value
 	}
 	return fallback
 }
--- a/internal/rank/dispatcher.go
+++ b/internal/rank/dispatcher.go
@@ -233,6 +233,7 @@
 	w := d.newWaiter(r, now)
 	if err := d.admit(w, now); err != nil {
 		d.stats.Refused[r.Rank]++
+		refusedTotal[r.Rank].Inc()
 		return nil, err
 	}
 	d.insert(w)
@@ -266,11 +267,16 @@
 	now := time.Now()
 	d.accrue(now)
 	d.remove(w)
-	d.stats.Expired[w.request.Rank]++
+	d.countExpired(w)
 	w.fail(err)
 	d.dispatch(now)
 }
 
+func (d *Dispatcher) countExpired(w *waiter) {
+	d.stats.Expired[w.request.Rank]++
+	expiredTotal[w.request.Rank].Inc()
+}
+
 func (d *Dispatcher) expired(w *waiter) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/rank/schedule.go
+++ b/internal/rank/schedule.go
@@ -73,6 +73,7 @@
 		g.server.reads--
 	}
 	d.stats.SlotSeconds[g.rank] += used
+	slotSeconds[g.rank].Add(used)
 	d.dispatch(now)
 }
 
@@ -287,7 +288,7 @@
 		return false
 	}
 	d.remove(w)
-	d.stats.Expired[w.request.Rank]++
+	d.countExpired(w)
 	w.fail(errcode.New(errcode.DeadlinePassed, "wait for slot", ""))
 	return true
 }
@@ -316,6 +317,7 @@
 		s.reads++
 	}
 	d.stats.Granted[r]++
+	grantedTotal[r].Inc()
 	w.succeed(g)
 }
 
