Ask for the same proof before a repeated order is answered

A server that has the order id on record reports a repeat and no commit, so the home passed the recorded answer on without asking a majority: an order whose first answer could not be acknowledged was acknowledged by its repeat. Outcomes that the adapter proved are taken over, the proof for held answers is made once, and exchanges that the home ended tell why.

--- a/internal/backend/backendtest/execute.go
+++ b/internal/backend/backendtest/execute.go
@@ -131,7 +131,7 @@
 	if orderID != "" {
 		if r, ok := c.server.order(orderID); ok {
 			a := c.answer("")
-			a.Repeat, a.Committed = true, true
+			a.Repeat = true
 			return r.answer, a
 		}
 	}
--- a/internal/home/primary.go
+++ b/internal/home/primary.go
@@ -73,7 +73,7 @@
 func (o *owner) runFirst(ctx context.Context, w *work) (statement.Result, error) {
 	r := w.request
 	batch := r.First
-	x := &backend.Exchange{Batch: &batch, Gate: o.gate(r, w.group.Term)}
+	x := &backend.Exchange{Batch: &batch}
 	switch {
 	case r.refused:
 		batch.Class = statement.ClassWrite
@@ -84,6 +84,8 @@
 	if holds(batch.Class) {
 		x.HoldAnswer = true
 		x.Release = w.acknowledge
+	} else {
+		x.Gate = o.gate(r, w.group.Term)
 	}
 	limited, cancel := o.limitStatement(ctx, r)
 	defer cancel()
@@ -112,6 +114,7 @@
 		_ = w.attempts.Fire(order.EventAnswer)
 		_ = w.attempts.Fire(order.EventAcknowledge)
 	}
+	w.proven = true
 	if answer.Tx != backend.TxIdle {
 		return o.continueTransaction(ctx, w)
 	}
@@ -148,29 +151,27 @@
 }
 
 // settle turns the error of a failed exchange into the outcome of the attempt.
+// Nothing ran if nothing was sent, if the batch can change nothing, or if the
+// adapter has proof of it.
 func (w *work) settle(batch *statement.Batch, err error) error {
+	if w.attempts.State() != order.StateSent {
+		return err // decided when the answer was complete
+	}
 	e := errcode.From(err)
-	peer := string(w.node.server.ID)
-	notRun := !w.conn.Sent() || batch.Class.ReadOnly()
-	switch {
-	case w.attempts.State() == order.StateDone || w.attempts.State() == order.StateNotRun:
-		return err
-	case e.Code.Name == errcode.Superseded.Name && w.attempts.State() == order.StateSent:
-		_ = w.attempts.Fire(order.EventRefuse) // the server refused before it ran anything
-		return w.owner.supersededBy(e)
-	case notRun:
-		_ = w.attempts.Fire(order.EventRefuse)
-		if e.Code.Outcome == errcode.OutcomeNotRun {
-			return e
-		}
-		return errcode.Wrap(err, errcode.ConnectionLost, e.Step, peer)
-	case w.attempts.State() != order.StateUnknown:
+	notRun := !w.conn.Sent() || batch.Class.ReadOnly() || e.Code.Outcome == errcode.OutcomeNotRun
+	if !notRun {
 		_ = w.attempts.Fire(order.EventFail)
+		return e
 	}
-	if e.Code.Outcome == errcode.OutcomeUnknown {
+	_ = w.attempts.Fire(order.EventRefuse)
+	switch {
+	case e.Code.Name == errcode.Superseded.Name:
+		return w.owner.supersededBy(e)
+	case e.Code.Outcome == errcode.OutcomeNotRun:
 		return e
+	default:
+		return errcode.Wrap(err, errcode.ConnectionLost, e.Step, string(w.node.server.ID))
 	}
-	return errcode.Wrap(err, errcode.Unknown, e.Step, peer)
 }
 
 // supersededBy replaces the server in a refusal by the home to ask instead, if
--- a/internal/home/read.go
+++ b/internal/home/read.go
@@ -45,7 +45,7 @@
 // transient reports whether another attempt may end differently.
 func transient(err error) bool {
 	return errcode.Is(err, errcode.ConnectionLost) || errcode.Is(err, errcode.Unknown) ||
-		errcode.Is(err, errcode.Internal) || errors.Is(err, errTermChanged)
+		errcode.Is(err, errcode.Internal) || errors.Is(err, errTermChanged) || errors.Is(err, errSilent)
 }
 
 func (o *owner) tryRead(ctx context.Context, r *request) (statement.Result, error) {
@@ -74,6 +74,7 @@
 		r.refused = true
 		return w.result, errcode.New(errcode.NotFresh, "read-only server", string(w.node.server.ID))
 	}
+	w.proven = true
 	o.readDone(w)
 	if answer.Tx != backend.TxIdle {
 		return o.continueTransaction(ctx, w)
--- a/internal/home/transaction.go
+++ b/internal/home/transaction.go
@@ -150,15 +150,20 @@
 // with a commit. If not, the server rolls the transaction back.
 func (w *work) settleStatement(batch *statement.Batch, err error) error {
 	e := errcode.From(err)
-	peer := string(w.node.server.ID)
-	if w.attempts.State() == order.StateDone {
-		return err
+	if w.attempts.State() != order.StateSent {
+		return err // decided when the answer was complete
+	}
+	if e.Code.Name == errcode.Superseded.Name {
+		return w.owner.supersededBy(e)
+	}
+	if e.Code.Outcome == errcode.OutcomeNotRun {
+		return e
 	}
 	if !w.conn.Sent() || !holds(batch.Class) || !w.onPrimary() {
-		return errcode.Wrap(err, errcode.ConnectionLost, e.Step, peer)
+		return errcode.Wrap(err, errcode.ConnectionLost, e.Step, string(w.node.server.ID))
 	}
 	unknownTotal.Inc()
-	return errcode.Wrap(err, errcode.Unknown, e.Step, peer)
+	return e
 }
 
 func (o *owner) transactionTime() time.Duration {
--- a/internal/home/work.go
+++ b/internal/home/work.go
@@ -28,6 +28,9 @@
 // errTermChanged reports that the primary was replaced while a request ran.
 var errTermChanged = errors.New("the primary was replaced")
 
+// errSilent reports that nothing came back on a connection in good time.
+var errSilent = errors.New("the connection is silent")
+
 // work is one attempt of a request on one connection. It owns the grant and
 // the connection until end.
 type work struct {
@@ -43,6 +46,8 @@
 	termCtx context.Context
 	// pin is held while the attempt is a transaction on the primary; nil if not.
 	pin *pins
+	// proven is set when an answer was passed on after a proof of the term.
+	proven bool
 	// broken is set when the connection must not be reused.
 	broken bool
 }
@@ -130,9 +135,9 @@
 	}
 	x.OrderID = w.request.OrderID
 	x.WantPosition = true
-	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	defer context.AfterFunc(w.termCtx, stop)()
+	runCtx, stop := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer stop(nil)
+	defer context.AfterFunc(w.termCtx, func() { stop(errTermChanged) })()
 	defer context.AfterFunc(ctx, func() { w.cancel(runCtx, stop) })()
 	if patience > 0 {
 		silence := time.AfterFunc(patience, func() { w.suspect(stop) })
@@ -141,13 +146,28 @@
 	answer, err := w.conn.Exchange(runCtx, x, w.request.conv)
 	if err != nil {
 		w.broken = true
+		err = w.explain(err, context.Cause(runCtx))
 	}
 	return answer, err
 }
 
+// explain adds why the home itself ended an exchange. The outcome stays what
+// the adapter says.
+func (w *work) explain(err, cause error) error {
+	if !errors.Is(cause, errTermChanged) && !errors.Is(cause, errSilent) {
+		return err
+	}
+	e := errcode.From(err)
+	code := errcode.ConnectionLost
+	if e.Code.Outcome == errcode.OutcomeUnknown {
+		code = errcode.Unknown
+	}
+	return errcode.Wrap(errors.Join(cause, err), code, e.Step, string(w.node.server.ID))
+}
+
 // cancel asks the server to stop the statement and gives up on it after the grace time.
-func (w *work) cancel(runCtx context.Context, stop context.CancelFunc) {
-	defer stop()
+func (w *work) cancel(runCtx context.Context, stop context.CancelCauseFunc) {
+	defer stop(nil)
 	ctx, cancel := context.WithTimeout(runCtx, cancelGrace)
 	defer cancel()
 	_ = w.conn.Cancel(ctx)
@@ -168,26 +188,22 @@
 }
 
 // suspect gives up on an exchange that has passed nothing on.
-func (w *work) suspect(stop context.CancelFunc) {
+func (w *work) suspect(stop context.CancelCauseFunc) {
 	if w.request.conv.passed.Load() {
 		return
 	}
 	silencesTotal.Inc()
-	stop()
+	stop(errSilent)
 	w.node.pool.Suspect()
 }
 
 // acknowledge is called with a complete answer that is held back. It returns
-// nil once the answer may be passed on.
+// nil once the answer may be passed on. The answer to a repeated order needs
+// the same proof as the first one, which may not have had it.
 func (w *work) acknowledge(ctx context.Context, a backend.Answer) error {
 	_ = w.attempts.Fire(order.EventAnswer)
-	if a.SQLState == sqlStateReadOnly && a.Tx == backend.TxIdle && !w.stillPrimary(ctx) {
-		_ = w.attempts.Fire(order.EventRefuse)
-		return errcode.Wrap(errTermChanged, errcode.NoPrimary, "write", string(w.node.server.ID))
-	}
-	if !a.Committed {
-		_ = w.attempts.Fire(order.EventAcknowledge)
-		return nil
+	if !a.Committed && !a.Repeat {
+		return w.passUncommitted(ctx, a)
 	}
 	w.grant.Release()
 	position, err := w.owner.awaitAck(ctx, w.request, w.group.Term, a.Position)
@@ -200,6 +216,25 @@
 	return nil
 }
 
+// passUncommitted decides on an answer after which nothing is committed. What
+// it says of the data needs proof of the term, unless an earlier batch of the
+// transaction had it.
+func (w *work) passUncommitted(ctx context.Context, a backend.Answer) error {
+	var err error
+	switch {
+	case a.SQLState == sqlStateReadOnly && a.Tx == backend.TxIdle && !w.stillPrimary(ctx):
+		err = errcode.Wrap(errTermChanged, errcode.NoPrimary, "write", string(w.node.server.ID))
+	case !w.proven:
+		err = w.owner.gate(w.request, w.group.Term)(ctx)
+	}
+	if err != nil {
+		_ = w.attempts.Fire(order.EventRefuse)
+		return err
+	}
+	_ = w.attempts.Fire(order.EventAcknowledge)
+	return nil
+}
+
 // stillPrimary asks the server that refused a write whether it is the primary
 // of the term in which the attempt began. If it is, the refusal is meant for
 // the caller.
