--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -64,6 +64,8 @@
 	floors bool
 	// replication is the wait for a majority to store a write.
 	replication bool
+	// repeats is the proof for the recorded answer to a repeated order.
+	repeats bool
 }
 
 var _ statement.Runner = (*Home)(nil)
--- a/internal/home/seeded_test.go
+++ b/internal/home/seeded_test.go
@@ -71,6 +71,7 @@
 func TestSeededFaultsFindMissingRules(t *testing.T) {
 	for name, off := range map[string]rules{
 		"proof": {proof: true}, "floors": {floors: true}, "replication": {replication: true},
+		"repeats": {repeats: true},
 	} {
 		seed := 0
 		for ; seed < searchSeeds; seed++ {
--- a/internal/home/work.go
+++ b/internal/home/work.go
@@ -202,7 +202,8 @@
 // the same proof as the first one, which may not have had it.
 func (w *work) acknowledge(ctx context.Context, a backend.Answer) error {
 	_ = w.attempts.Fire(order.EventAnswer)
-	if !a.Committed && !a.Repeat {
+	repeat := a.Repeat && !w.owner.home.without.repeats
+	if !a.Committed && !repeat {
 		return w.passUncommitted(ctx, a)
 	}
 	w.grant.Release()
