Play seeded faults on whole fleets in virtual time

Eight proxies, three wardens and three groups run in one bubble, with callers whose sessions roam. Histories are checked against the logs of the groups and by porcupine.

--- /dev/null
+++ b/internal/proof/callers_test.go
@@ -0,0 +1,249 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/session"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+const (
+	sessionsPerGroup = 4
+	requestTimeout   = 2 * time.Second
+	// statementMargin is how much longer than its timeout a request may take.
+	statementMargin = time.Second
+	// thinkTime is the mean time between two requests of a session.
+	thinkTime = 120 * time.Millisecond
+	// sharedKeys is the number of keys that all sessions of a group write.
+	sharedKeys = 2
+)
+
+type write struct{ key, value string }
+
+// operation is one request of a session and how it ended.
+type operation struct {
+	session string
+	group   cluster.GroupName
+	orderID string
+	// writes is empty for a read, which has key.
+	writes    []write
+	key       string
+	seen      string
+	latest    bool
+	call, end time.Time
+	outcome   errcode.Outcome
+	result    statement.Result
+	// floor is the position that the session carried.
+	floor cluster.Position
+	// acked is the session's last acknowledged write before the request.
+	acked cluster.Position
+	err   error
+}
+
+func (o *operation) isRead() bool { return len(o.writes) == 0 }
+
+// history records operations in the order in which they ended.
+type history struct {
+	mu         sync.Mutex
+	operations []*operation
+}
+
+func (h *history) add(o *operation) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.operations = append(h.operations, o)
+}
+
+// script is a caller that sends its batches in turn and then leaves.
+type script struct {
+	mu      sync.Mutex
+	think   time.Duration
+	batches []statement.Batch
+	answers []string
+}
+
+// Next implements statement.Conversation.
+func (s *script) Next(ctx context.Context) (*statement.Batch, error) {
+	sleep(ctx, s.think)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	if len(s.batches) == 0 {
+		return nil, io.EOF
+	}
+	b := s.batches[0]
+	s.batches = s.batches[1:]
+	return &b, nil
+}
+
+// Answer implements statement.Conversation.
+func (s *script) Answer(_ context.Context, data []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers = append(s.answers, strings.TrimSpace(string(data)))
+	return nil
+}
+
+func (s *script) last() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.answers) == 0 {
+		return ""
+	}
+	return s.answers[len(s.answers)-1]
+}
+
+// roamer is one session whose requests each go through another proxy.
+type roamer struct {
+	fleet   *fleet
+	name    string
+	group   cluster.GroupName
+	random  *rand.Rand
+	history *history
+	// carries is set for a session that takes a position with it; the floor of
+	// another is known to the home only.
+	carries  bool
+	token    cluster.Position
+	acked    cluster.Position
+	sequence int
+	repeats  []write
+}
+
+// run sends requests until ctx ends.
+func (r *roamer) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(r.random.ExpFloat64() * float64(thinkTime)))
+		p := r.fleet.proxy(r.random.IntN(proxyCount))
+		if p.stopped() {
+			continue // the balancer knows
+		}
+		r.request(p)
+	}
+}
+
+func (r *roamer) next() string {
+	r.sequence++
+	return fmt.Sprintf("%s-%d", r.name, r.sequence)
+}
+
+func (r *roamer) shared() string { return fmt.Sprintf("shared-%d", r.random.IntN(sharedKeys)) }
+
+// request sends one request of a random kind.
+func (r *roamer) request(p *node) {
+	switch n := r.random.IntN(100); {
+	case n < 25:
+		r.order(p, write{"order/" + r.next(), "v-" + r.name + "-" + fmt.Sprint(r.sequence)})
+	case n < 30 && len(r.repeats) > 0:
+		r.order(p, r.repeats[r.random.IntN(len(r.repeats))])
+	case n < 45:
+		r.write(p, "", write{r.name, r.next()})
+	case n < 55:
+		r.write(p, "", write{r.shared(), r.next()})
+	case n < 65:
+		r.transaction(p)
+	case n < 85:
+		r.read(p, r.name, false)
+	default:
+		r.read(p, r.shared(), true)
+	}
+}
+
+// order sends an order with an id, or repeats an earlier one.
+func (r *roamer) order(p *node, w write) {
+	if len(r.repeats) < 10 {
+		r.repeats = append(r.repeats, w)
+	}
+	r.write(p, w.key, w)
+}
+
+func (r *roamer) write(p *node, orderID string, w write) {
+	o := &operation{orderID: orderID, writes: []write{w}}
+	first := statement.Batch{Messages: []byte("work 1ms put " + w.key + " " + w.value)}
+	r.send(p, o, first, &script{}, "put "+w.key+" "+w.value)
+}
+
+func (r *roamer) transaction(p *node) {
+	o := &operation{writes: []write{{r.name, r.next()}, {r.shared(), r.next()}}}
+	s := &script{think: time.Duration(r.random.IntN(int(20 * time.Millisecond)))}
+	for _, w := range o.writes {
+		s.batches = append(s.batches, statement.Batch{Messages: []byte("put " + w.key + " " + w.value)})
+	}
+	s.batches = append(s.batches, statement.Batch{Messages: []byte("commit")})
+	r.send(p, o, statement.Batch{Messages: []byte("begin"), Class: statement.ClassBegin}, s, "commit")
+}
+
+func (r *roamer) read(p *node, key string, latest bool) {
+	o := &operation{key: key, latest: latest}
+	r.send(p, o, statement.Batch{Messages: []byte("get " + key), Class: statement.ClassRead}, &script{}, "")
+}
+
+// send runs a request through p. A write is done if the last answer is want.
+func (r *roamer) send(p *node, o *operation, first statement.Batch, s *script, want string) {
+	s2 := &session.Session{}
+	s2.SetName(r.name)
+	floor := s2.Floor(r.token)
+	req := &statement.Request{
+		ID: r.name + "/" + fmt.Sprint(time.Now().UnixNano()), Group: r.group, Session: r.name,
+		Rank: cluster.Rank(r.random.IntN(cluster.RankCount)), OrderID: o.orderID, Timeout: requestTimeout,
+		Floor: floor.Position, FloorExact: floor.Exact, First: first,
+	}
+	if o.latest {
+		req.Freshness.Mode = statement.FreshnessLatest
+	}
+	o.session, o.group, o.call, o.floor, o.acked = r.name, r.group, time.Now(), r.token, r.acked
+	o.result, o.err = p.serve(req, s)
+	o.end = time.Now()
+	o.seen = s.last()
+	switch {
+	case o.err != nil:
+		o.outcome = errcode.From(o.err).Code.Outcome
+	case !o.isRead() && o.seen != want:
+		o.outcome = errcode.OutcomeNotRun // the server answered an error
+	default:
+		o.outcome = errcode.OutcomeDone
+	}
+	r.history.add(o)
+	if o.outcome != errcode.OutcomeDone {
+		return
+	}
+	s2.Observe(floor, o.result)
+	if r.carries {
+		r.token = cluster.MaxPosition(r.token, s2.Position())
+	}
+	if !o.isRead() {
+		r.acked = cluster.MaxPosition(r.acked, o.result.Position)
+	}
+}
+
+// serve runs a request of a caller of this proxy. The loss of the proxy leaves
+// the outcome of a write unknown.
+func (n *node) serve(req *statement.Request, conv statement.Conversation) (statement.Result, error) {
+	done := make(chan ending, 1)
+	ctx, cancel := context.WithTimeout(n.ctx, req.Timeout+statementMargin)
+	defer cancel()
+	go func() {
+		result, err := n.gateway.Run(ctx, req, conv)
+		done <- ending{result, err}
+	}()
+	select {
+	case e := <-done:
+		if !n.stopped() {
+			return e.result, e.err
+		}
+	case <-n.ctx.Done():
+	}
+	if req.First.Class.ReadOnly() {
+		return statement.Result{}, errcode.New(errcode.ConnectionLost, "entry proxy", n.name)
+	}
+	return statement.Result{}, errcode.New(errcode.Unknown, "entry proxy", n.name)
+}
--- /dev/null
+++ b/internal/proof/dialer_test.go
@@ -0,0 +1,86 @@
+package proof
+
+import (
+	"context"
+	"sync"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// fleetDialer reaches every group from one process.
+type fleetDialer struct {
+	fleet *fleet
+	from  string
+}
+
+func (d *fleetDialer) Dial(ctx context.Context, s cluster.Server, group cluster.GroupName, c backend.Claim) (backend.Conn, error) {
+	conn, err := d.fleet.groups[group].Dialer(d.from).Dial(ctx, s, group, c)
+	if err != nil {
+		return nil, err
+	}
+	return &recordedConn{Conn: conn, fleet: d.fleet, group: group, claim: c}, nil
+}
+
+func (d *fleetDialer) DialControl(ctx context.Context, s cluster.Server, group cluster.GroupName) (backend.Control, error) {
+	control, err := d.fleet.groups[group].Dialer(d.from).DialControl(ctx, s, group)
+	if err != nil {
+		return nil, err
+	}
+	return d.fleet.off.wrapControl(d.fleet, control, s, group, d.from), nil
+}
+
+// recordedConn notes the claim behind every commit that a server answered.
+type recordedConn struct {
+	backend.Conn
+	fleet *fleet
+	group cluster.GroupName
+	claim backend.Claim
+}
+
+func (c *recordedConn) Exchange(ctx context.Context, x *backend.Exchange, conv statement.Conversation) (backend.Answer, error) {
+	sent := *x
+	if c.fleet.off.orderIDs {
+		sent.OrderID = ""
+	}
+	if x.Release != nil {
+		sent.Release = func(ctx context.Context, a backend.Answer) error {
+			if a.Committed {
+				c.fleet.commits.add(c.group, a.Position, c.claim)
+			}
+			return x.Release(ctx, a)
+		}
+	}
+	return c.Conn.Exchange(ctx, &sent, conv)
+}
+
+// commitLog holds the claims of the homes that committed.
+type commitLog struct {
+	mu     sync.Mutex
+	claims map[cluster.GroupName]map[cluster.Position]backend.Claim
+}
+
+func newCommitLog() *commitLog {
+	return &commitLog{claims: map[cluster.GroupName]map[cluster.Position]backend.Claim{}}
+}
+
+// add notes a commit. An answer from the record of order ids has the position
+// of an earlier commit, whose claim stays.
+func (l *commitLog) add(group cluster.GroupName, p cluster.Position, c backend.Claim) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.claims[group] == nil {
+		l.claims[group] = map[cluster.Position]backend.Claim{}
+	}
+	if _, ok := l.claims[group][p]; !ok {
+		l.claims[group][p] = c
+	}
+}
+
+func (l *commitLog) claim(group cluster.GroupName, p cluster.Position) (backend.Claim, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c, ok := l.claims[group][p]
+	return c, ok
+}
--- /dev/null
+++ b/internal/proof/faults_test.go
@@ -0,0 +1,272 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/backend/backendtest"
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+const (
+	faultTime = 14 * time.Second
+	// faultSpacing is the mean time between the starts of two faults.
+	faultSpacing = 1200 * time.Millisecond
+	minFault     = 300 * time.Millisecond
+	maxFault     = 5 * time.Second
+	// frozenTime is longer than the death of a member takes to be noticed.
+	frozenTime = 6 * time.Second
+)
+
+// fault begins a failure and returns how it ends.
+type fault struct {
+	name  string
+	begin func(f *fleet, r *rand.Rand) (end func())
+}
+
+var faults = []fault{
+	{"kill server", killServer}, {"kill primary", killPrimary},
+	{"freeze server", freezeServer}, {"freeze primary", freezePrimary},
+	{"isolate primary", isolatePrimary}, {"isolate primary with one proxy", isolatePrimaryWithProxy},
+	{"silence", silence}, {"cut proxy to server", cutToServer}, {"cut server to proxy", cutFromServer},
+	{"cut peers", cutPeers}, {"kill proxy", killProxy}, {"freeze proxy", freezeProxy},
+	{"cut proxy from store", cutStore}, {"kill warden", killWarden}, {"freeze warden", freezeWarden},
+	{"lag", lag}, {"lose answers", loseAnswers},
+	{"store down", storeDown}, {"store slow", storeSlow}, {"store loses answers", storeLoses},
+}
+
+// injectFaults begins faults until the fault time is over and then ends all of
+// them. One in four comes twice in a row.
+func (f *fleet) injectFaults() {
+	ctx, cancel := context.WithTimeout(f.ctx, faultTime)
+	defer cancel()
+	var running sync.WaitGroup
+	for ctx.Err() == nil {
+		chosen := faults[f.random.IntN(len(faults))]
+		random := rand.New(rand.NewPCG(f.random.Uint64(), 3))
+		last := minFault + time.Duration(f.random.Int64N(int64(maxFault-minFault)))
+		times := 1
+		if f.random.IntN(4) == 0 {
+			times = 2
+		}
+		running.Go(func() {
+			for range times {
+				f.inject(ctx, chosen, random, last)
+			}
+		})
+		sleep(ctx, time.Duration(f.random.ExpFloat64()*float64(faultSpacing)))
+	}
+	running.Wait()
+}
+
+func (f *fleet) inject(ctx context.Context, chosen fault, random *rand.Rand, last time.Duration) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.trace("begin %s for %v", chosen.name, last)
+	end := chosen.begin(f, random)
+	if chosen.name == "freeze proxy" || chosen.name == "freeze warden" {
+		last += frozenTime
+	}
+	sleep(ctx, last)
+	end()
+	f.trace("end %s", chosen.name)
+}
+
+var tracing = os.Getenv("RATTAN_TEST_LOG") != ""
+
+func (f *fleet) trace(format string, args ...any) {
+	if tracing {
+		fmt.Fprintf(os.Stderr, "%s seed %d: %s\n", time.Now().Format("05.000"), f.seed, fmt.Sprintf(format, args...))
+	}
+}
+
+func (f *fleet) anyGroup(r *rand.Rand) (cluster.GroupName, *backendtest.Group) {
+	name := f.names[r.IntN(len(f.names))]
+	return name, f.groups[name]
+}
+
+func (f *fleet) anyServer(r *rand.Rand) (*backendtest.Group, cluster.ServerID) {
+	name, g := f.anyGroup(r)
+	return g, f.servers(name)[r.IntN(serverCount)]
+}
+
+func (f *fleet) anyPrimary(r *rand.Rand) (*backendtest.Group, cluster.ServerID) {
+	name, g := f.anyGroup(r)
+	return g, f.primary(name)
+}
+
+func killServer(f *fleet, r *rand.Rand) func()  { return downServer(f.anyServer(r)) }
+func killPrimary(f *fleet, r *rand.Rand) func() { return downServer(f.anyPrimary(r)) }
+
+func downServer(g *backendtest.Group, id cluster.ServerID) func() {
+	g.Kill(id)
+	return func() { g.Restart(id) }
+}
+
+func freezeServer(f *fleet, r *rand.Rand) func()  { return stallServer(f.anyServer(r)) }
+func freezePrimary(f *fleet, r *rand.Rand) func() { return stallServer(f.anyPrimary(r)) }
+
+func stallServer(g *backendtest.Group, id cluster.ServerID) func() {
+	g.Freeze(id)
+	return func() { g.Thaw(id) }
+}
+
+func isolatePrimary(f *fleet, r *rand.Rand) func() { return f.isolate(r, "") }
+
+func isolatePrimaryWithProxy(f *fleet, r *rand.Rand) func() {
+	return f.isolate(r, f.proxy(r.IntN(proxyCount)).name)
+}
+
+func (f *fleet) isolate(r *rand.Rand, except string) func() {
+	g, id := f.anyPrimary(r)
+	var clients []string
+	for _, n := range f.nodes() {
+		if n.name != except {
+			clients = append(clients, n.name)
+		}
+	}
+	g.Isolate(id, clients...)
+	return func() { g.Rejoin(id, clients...) }
+}
+
+func silence(f *fleet, r *rand.Rand) func() {
+	g, id := f.anyPrimary(r)
+	for _, n := range f.nodes() {
+		g.Silence(n.name, id)
+	}
+	return func() {}
+}
+
+func cutToServer(f *fleet, r *rand.Rand) func() {
+	g, id := f.anyPrimary(r)
+	name := f.proxy(r.IntN(proxyCount)).name
+	g.Cut(name, string(id))
+	return func() { g.Heal(name, string(id)) }
+}
+
+func cutFromServer(f *fleet, r *rand.Rand) func() {
+	g, id := f.anyPrimary(r)
+	name := f.homeOf(r).name
+	g.Cut(string(id), name)
+	return func() { g.Heal(string(id), name) }
+}
+
+// homeOf returns the process that a present member takes for a home.
+func (f *fleet) homeOf(r *rand.Rand) *node {
+	m, ok := f.proxy(r.IntN(proxyCount)).members.Snapshot().HomeOf(f.names[r.IntN(len(f.names))])
+	if ok {
+		if n := f.net.find(m.Address); n != nil {
+			return n
+		}
+	}
+	return f.proxy(r.IntN(proxyCount))
+}
+
+// cutPeers cuts one direction between a home and another proxy.
+func cutPeers(f *fleet, r *rand.Rand) func() {
+	a, b := f.homeOf(r).address, f.proxy(r.IntN(proxyCount)).address
+	if r.IntN(2) == 0 {
+		a, b = b, a
+	}
+	f.net.cut(a, b)
+	return func() { f.net.heal(a, b) }
+}
+
+func killProxy(f *fleet, r *rand.Rand) func() {
+	n := f.homeOf(r)
+	f.kill(n)
+	return func() {
+		if f.proxy(n.index) == n {
+			f.startProxy(n.index)
+		}
+	}
+}
+
+func killWarden(f *fleet, r *rand.Rand) func() {
+	n := f.warden(r.IntN(wardenCount))
+	f.kill(n)
+	return func() {
+		if f.warden(n.index) == n {
+			f.startWarden(n.index)
+		}
+	}
+}
+
+func freezeProxy(f *fleet, r *rand.Rand) func()  { return f.cutOff(f.homeOf(r)) }
+func freezeWarden(f *fleet, r *rand.Rand) func() { return f.cutOff(f.warden(r.IntN(wardenCount))) }
+
+// cutOff cuts a process off from servers, peers and the store, both ways. It
+// goes on with its old beliefs when the cut ends.
+func (f *fleet) cutOff(n *node) func() {
+	if n.stopped() {
+		return func() {} // a killed process stays cut
+	}
+	each := func(servers func(*backendtest.Group, string, string), peers func(string, string)) {
+		for _, name := range f.names {
+			for _, id := range f.servers(name) {
+				servers(f.groups[name], n.name, string(id))
+				servers(f.groups[name], string(id), n.name)
+			}
+		}
+		for _, other := range f.nodes() {
+			if other != n {
+				peers(n.address, other.address)
+				peers(other.address, n.address)
+			}
+		}
+	}
+	each((*backendtest.Group).Cut, f.net.cut)
+	f.setStoreCut(n, true)
+	return func() {
+		if n.stopped() {
+			each(func(*backendtest.Group, string, string) {}, f.net.heal)
+			return
+		}
+		each((*backendtest.Group).Heal, f.net.heal)
+		f.setStoreCut(n, false)
+	}
+}
+
+func (f *fleet) setStoreCut(n *node, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n.storeCut = cut
+}
+
+func cutStore(f *fleet, r *rand.Rand) func() {
+	n := f.homeOf(r)
+	f.setStoreCut(n, true)
+	return func() { f.setStoreCut(n, false) }
+}
+
+func lag(f *fleet, r *rand.Rand) func() {
+	g, id := f.anyServer(r)
+	g.SetReplayLag(id, time.Duration(r.Int64N(int64(3*time.Second))))
+	return func() { g.SetReplayLag(id, 30*time.Millisecond) }
+}
+
+func loseAnswers(f *fleet, r *rand.Rand) func() {
+	g, id := f.anyPrimary(r)
+	g.LoseAnswers(id, 1+r.IntN(4))
+	return func() { g.LoseAnswers(id, 0) }
+}
+
+func storeDown(f *fleet, _ *rand.Rand) func() {
+	f.table.SetDown(true)
+	return func() { f.table.SetDown(false) }
+}
+
+func storeSlow(f *fleet, _ *rand.Rand) func() {
+	f.table.SetDelay(time.Second)
+	return func() { f.table.SetDelay(0) }
+}
+
+func storeLoses(f *fleet, r *rand.Rand) func() {
+	f.table.SetRandom(rand.New(rand.NewPCG(r.Uint64(), 5)), 0.1, 0.3)
+	return func() { f.table.SetRandom(nil, 0, 0) }
+}
--- /dev/null
+++ b/internal/proof/fleet_test.go
@@ -0,0 +1,353 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/backend/backendtest"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/failover"
+	"github.com/rattancove/rattancove/internal/gateway"
+	"github.com/rattancove/rattancove/internal/home"
+	"github.com/rattancove/rattancove/internal/member"
+	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/platform/platformtest"
+	"github.com/rattancove/rattancove/internal/statement"
+	"github.com/rattancove/rattancove/internal/warden"
+)
+
+const (
+	groupCount  = 3
+	serverCount = 3
+	proxyCount  = 8
+	wardenCount = 3
+	serverSlots = 2
+	serverConns = 16
+	// homeInterval and foreignTime are those of the proxy program.
+	homeInterval = time.Second
+	foreignTime  = 10 * time.Second
+)
+
+// fleet is a whole deployment in one bubble.
+type fleet struct {
+	t      *testing.T
+	seed   uint64
+	random *rand.Rand
+	off    switches
+	doc    *environment.Document
+	groups map[cluster.GroupName]*backendtest.Group
+	names  []cluster.GroupName
+	table  *platformtest.Table
+	net    *network
+	ctx    context.Context
+	stop   context.CancelFunc
+	work   sync.WaitGroup
+	// commits holds the home epoch of each commit that a server answered.
+	commits *commitLog
+
+	mu      sync.Mutex
+	starts  uint64
+	proxies [proxyCount]*node
+	wardens [wardenCount]*node
+}
+
+// node is one process: a proxy or a warden. Stopping it ends ctx.
+type node struct {
+	fleet   *fleet
+	name    string
+	index   int
+	address string
+	ctx     context.Context
+	cancel  context.CancelFunc
+	dialer  backend.Dialer
+	members *member.Loop
+	home    *home.Home
+	gateway statement.Runner
+	// storeCut is guarded by the fleet's lock.
+	storeCut bool
+}
+
+func (n *node) stopped() bool { return n.ctx.Err() != nil }
+
+func newFleet(t *testing.T, seed uint64, off switches) *fleet {
+	f := &fleet{
+		t: t, seed: seed, off: off, random: rand.New(rand.NewPCG(seed, 11)), table: platformtest.NewTable(),
+		net: newNetwork(), groups: map[cluster.GroupName]*backendtest.Group{}, commits: newCommitLog(),
+	}
+	f.ctx, f.stop = context.WithCancel(context.Background())
+	f.doc = &environment.Document{}
+	f.doc.SetDefaults()
+	if off.majorityAck {
+		f.doc.Ranks.Urgent.Ack, f.doc.Ranks.Normal.Ack, f.doc.Ranks.Background.Ack =
+			environment.AckPrimary, environment.AckPrimary, environment.AckPrimary
+	}
+	for i := range groupCount {
+		f.addGroup(cluster.GroupName(fmt.Sprintf("group_%d_%d", seed, i)), i)
+	}
+	for i := range wardenCount {
+		f.startWarden(i)
+	}
+	for i := range proxyCount {
+		f.startProxy(i)
+	}
+	return f
+}
+
+func (f *fleet) addGroup(name cluster.GroupName, index int) {
+	g := environment.Group{Name: name}
+	g.SetDefaults()
+	var servers []cluster.Server
+	for i := range serverCount {
+		s := environment.Server{
+			ID:            cluster.ServerID(fmt.Sprintf("g%ds%d", index, i)),
+			Address:       fmt.Sprintf("10.0.%d.%d:5432", index+1, i+1),
+			FailureDomain: fmt.Sprintf("d%d", i), Slots: serverSlots, Connections: serverConns,
+		}
+		g.Servers = append(g.Servers, s)
+		servers = append(servers, s.Cluster())
+	}
+	f.doc.Groups = append(f.doc.Groups, g)
+	f.names = append(f.names, name)
+	f.groups[name] = backendtest.New(backendtest.Config{
+		Name: name, Servers: servers, ShipDelay: 2 * time.Millisecond, ReplayLag: 30 * time.Millisecond,
+		ConnectDelay: 12 * time.Millisecond, NetDelay: 500 * time.Microsecond,
+	})
+}
+
+func (f *fleet) newNode(role member.Role, index, port int) (*node, member.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.starts++
+	n := &node{fleet: f, index: index, name: fmt.Sprintf("%s-%d-%d", role, index, f.starts)}
+	n.address = fmt.Sprintf("10.1.0.%d:%d", index+1, port)
+	n.ctx, n.cancel = context.WithCancel(f.ctx)
+	n.dialer = &fleetDialer{fleet: f, from: n.name}
+	self := member.Member{
+		ID: fmt.Sprintf("entry-%d", index), Role: role, Address: n.address,
+		FailureDomain: fmt.Sprintf("d%d", index%serverCount), Incarnation: f.starts,
+	}
+	n.members = member.New(member.Config{
+		Self: self, Seeds: []string{"10.1.0.1:7000", "10.1.0.2:7000", "10.1.0.3:7000"}, Pinger: pinger{n},
+		Table: &nodeTable{Table: f.table, node: n}, Rand: rand.New(rand.NewPCG(f.seed, f.starts)), Log: zerolog.Nop(),
+	})
+	return n, self
+}
+
+func (f *fleet) startProxy(index int) {
+	n, self := f.newNode(member.RoleProxy, index, 7000)
+	n.home = home.New(home.Config{ID: cluster.ProxyID(self.ID), Handoff: n.askRelease}, n.dialer)
+	n.home.SetDocument(f.doc)
+	n.gateway = f.off.wrapGateway(gateway.New(gateway.Config{
+		Self: cluster.ProxyID(self.ID), Local: f.off.wrapHome(n.home), Members: homes{n},
+	}))
+	f.mu.Lock()
+	f.proxies[index] = n
+	f.mu.Unlock()
+	f.net.attach(n)
+	f.work.Go(func() { _ = n.members.Run(n.ctx) })
+	f.work.Go(n.keepHomes)
+}
+
+func (f *fleet) startWarden(index int) {
+	n, self := f.newNode(member.RoleWarden, index, 7001)
+	w := warden.New(warden.Config{
+		Self: self, Dialer: n.dialer, Store: failover.NewStore(&nodeTable{Table: f.table, node: n}), Members: n.members,
+		Prober: prober{n}, Document: func() *environment.Document { return f.doc }, Seed: f.seed*100 + uint64(index), Log: zerolog.Nop(),
+	})
+	f.mu.Lock()
+	f.wardens[index] = n
+	f.mu.Unlock()
+	f.net.attach(n)
+	f.work.Go(func() { _ = n.members.Run(n.ctx) })
+	f.work.Go(func() { _ = w.Run(n.ctx) })
+}
+
+// kill ends a process as the loss of its VM does: its connections to servers
+// stay open there until another home's claim ends them.
+func (f *fleet) kill(n *node) {
+	for _, name := range f.names {
+		for _, s := range f.servers(name) {
+			f.groups[name].Cut(n.name, string(s))
+			f.groups[name].Cut(string(s), n.name)
+		}
+	}
+	n.cancel()
+	if n.home != nil {
+		f.work.Go(func() { n.home.Close(n.ctx) })
+	}
+}
+
+func (f *fleet) servers(name cluster.GroupName) []cluster.ServerID {
+	g, _ := f.doc.Group(name)
+	var ids []cluster.ServerID
+	for _, s := range g.Servers {
+		ids = append(ids, s.ID)
+	}
+	return ids
+}
+
+// nodes returns the present processes.
+func (f *fleet) nodes() []*node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append(append([]*node(nil), f.proxies[:]...), f.wardens[:]...)
+}
+
+func (f *fleet) proxy(i int) *node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.proxies[i]
+}
+
+func (f *fleet) warden(i int) *node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.wardens[i]
+}
+
+// primary returns the primary of the highest term.
+func (f *fleet) primary(name cluster.GroupName) cluster.ServerID {
+	var best cluster.ServerStatus
+	for _, id := range f.servers(name) {
+		if status := f.groups[name].Status(id); status.Role == cluster.RolePrimary && status.Term > best.Term {
+			best = status
+		}
+	}
+	return best.Server
+}
+
+// close ends every goroutine so that the bubble can end.
+func (f *fleet) close() {
+	f.stop()
+	for _, n := range f.nodes() {
+		if n.home != nil {
+			n.home.Close(n.ctx)
+		}
+	}
+	for _, g := range f.groups {
+		g.Close()
+	}
+	f.work.Wait()
+	time.Sleep(time.Minute) // what is still on the network arrives
+}
+
+// keepHomes owns the groups whose home this proxy is, as the proxy program does.
+func (n *node) keepHomes() {
+	foreign := map[cluster.GroupName]time.Time{}
+	for {
+		changed := n.members.Changed()
+		for _, name := range n.fleet.names {
+			n.assign(name, foreign)
+		}
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-changed:
+		case <-time.After(homeInterval):
+		}
+	}
+}
+
+func (n *node) assign(name cluster.GroupName, foreign map[cluster.GroupName]time.Time) {
+	m, ok := n.members.Snapshot().HomeOf(name)
+	if ok && m.Address == n.address {
+		_ = n.home.Own(name) // the next look repeats it
+		delete(foreign, name)
+		return
+	}
+	since, known := foreign[name]
+	if !known {
+		foreign[name] = time.Now()
+	} else if time.Since(since) >= foreignTime {
+		n.home.Disown(name)
+	}
+}
+
+func (n *node) askRelease(ctx context.Context, holder cluster.ProxyID, group cluster.GroupName) error {
+	e, ok := n.members.Snapshot().Find(member.Key{Role: member.RoleProxy, ID: string(holder)})
+	if !ok || (e.State != member.StateAlive && e.State != member.StateLeaving) {
+		return nil
+	}
+	return n.fleet.net.call(ctx, n, e.Member.Address, func(ctx context.Context, to *node) { _ = to.home.Release(ctx, group) })
+}
+
+// homes implements gateway.Members.
+type homes struct{ node *node }
+
+func (h homes) HomeOf(group cluster.GroupName) cluster.ProxyID {
+	m, ok := h.node.members.Snapshot().HomeOf(group)
+	if !ok {
+		return ""
+	}
+	return cluster.ProxyID(m.ID)
+}
+
+func (h homes) Relay(exclude ...cluster.ProxyID) cluster.ProxyID {
+	for _, m := range h.node.members.Snapshot().Alive(member.RoleProxy) {
+		id := cluster.ProxyID(m.ID)
+		excluded := false
+		for _, e := range exclude {
+			excluded = excluded || e == id
+		}
+		if !excluded {
+			return id
+		}
+	}
+	return ""
+}
+
+func (h homes) Runner(id cluster.ProxyID) statement.Runner {
+	e, ok := h.node.members.Snapshot().Find(member.Key{Role: member.RoleProxy, ID: string(id)})
+	if !ok {
+		return nil
+	}
+	return remote{from: h.node, address: e.Member.Address}
+}
+
+// nodeTable is the table service as one process reaches it.
+type nodeTable struct {
+	platform.Table
+	node *node
+}
+
+func (t *nodeTable) reach(ctx context.Context) error {
+	t.node.fleet.mu.Lock()
+	cut := t.node.storeCut
+	t.node.fleet.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+	}
+	if t.node.stopped() {
+		return platformtest.ErrUnavailable
+	}
+	return ctx.Err()
+}
+
+func (t *nodeTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := t.reach(ctx); err != nil {
+		return platform.Row{}, err
+	}
+	return t.Table.Get(ctx, key)
+}
+
+func (t *nodeTable) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+	if err := t.reach(ctx); err != nil {
+		return nil, err
+	}
+	return t.Table.List(ctx, prefix)
+}
+
+func (t *nodeTable) Commit(ctx context.Context, writes ...platform.Write) error {
+	if err := t.reach(ctx); err != nil {
+		return err
+	}
+	return t.Table.Commit(ctx, writes...)
+}
--- /dev/null
+++ b/internal/proof/linear_test.go
@@ -0,0 +1,146 @@
+package proof
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/rattancove/rattancove/internal/errcode"
+)
+
+// defaultSeeds is the number of seeded runs in CI.
+const defaultSeeds = 20
+
+// searchTime bounds the search for a linear order of one history.
+const searchTime = 20 * time.Second
+
+type registerInput struct {
+	key   string
+	write string
+	read  bool
+}
+
+// register is a register for each key. A read returns the last write.
+var register = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		return partition(history, func(o porcupine.Operation) string { return o.Input.(registerInput).key })
+	},
+	Init: func() any { return "" },
+	Step: func(state, input, output any) (bool, any) {
+		in := input.(registerInput)
+		if in.read {
+			return output.(string) == state.(string), state
+		}
+		return true, in.write
+	},
+	DescribeOperation: func(input, output any) string { return fmt.Sprintf("%+v -> %v", input, output) },
+}
+
+type orderOutput struct{ known, repeat bool }
+
+// orders is the record of order ids. Input is the id, the state whether it ran.
+var orders = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		return partition(history, func(o porcupine.Operation) string { return o.Input.(string) })
+	},
+	Init: func() any { return false },
+	Step: func(state, _, output any) (bool, any) {
+		out := output.(orderOutput)
+		// A first answer is given once; a repeat may follow an attempt inside
+		// the same request.
+		return !out.known || out.repeat || !state.(bool), true
+	},
+}
+
+func partition(history []porcupine.Operation, key func(porcupine.Operation) string) [][]porcupine.Operation {
+	index := map[string]int{}
+	var parts [][]porcupine.Operation
+	for _, o := range history {
+		k := key(o)
+		i, ok := index[k]
+		if !ok {
+			i = len(parts)
+			index[k] = i
+			parts = append(parts, nil)
+		}
+		parts[i] = append(parts[i], o)
+	}
+	return parts
+}
+
+// checkLinearizable searches linear orders of the latest reads and the writes
+// of the shared keys, and of the orders.
+func (o *outcome) checkLinearizable() {
+	o.search(promiseLatest, register, o.registerHistory())
+	o.search(promiseOrders, orders, o.orderHistory())
+}
+
+func (o *outcome) search(promise string, model porcupine.Model, history []porcupine.Operation) {
+	o.counts["operations searched"] += len(history)
+	switch porcupine.CheckOperationsTimeout(model, history, searchTime) {
+	case porcupine.Illegal:
+		o.broke(promise, "no linear order of %d operations", len(history))
+	case porcupine.Unknown:
+		o.counts["searches given up"]++
+	}
+}
+
+// registerHistory holds what touched the shared keys. A write of unknown
+// outcome is open-ended; one that is in no log is left out.
+func (o *outcome) registerHistory() []porcupine.Operation {
+	var history []porcupine.Operation
+	for i, op := range o.history {
+		if op.outcome == errcode.OutcomeNotRun {
+			continue
+		}
+		if op.latest && op.outcome == errcode.OutcomeDone {
+			if op.seen != "" && !o.stored(op) {
+				o.counts["latest reads of unacknowledged writes lost later"]++
+				continue
+			}
+			in := registerInput{key: string(op.group) + "/" + op.key, read: true}
+			history = append(history, porcupine.Operation{ClientId: i, Input: in, Call: op.call.UnixNano(), Output: op.seen, Return: op.end.UnixNano()})
+		}
+		for _, w := range op.writes {
+			if w.key != "shared-0" && w.key != "shared-1" {
+				continue
+			}
+			end := op.end.UnixNano()
+			if op.outcome == errcode.OutcomeUnknown {
+				end = math.MaxInt64
+				if o.times(op.group, w) == 0 {
+					continue
+				}
+			}
+			in := registerInput{key: string(op.group) + "/" + w.key, write: w.value}
+			history = append(history, porcupine.Operation{ClientId: i, Input: in, Call: op.call.UnixNano(), Output: "", Return: end})
+		}
+	}
+	return history
+}
+
+// stored reports whether the value that a read saw is in the final log.
+func (o *outcome) stored(op *operation) bool {
+	return o.times(op.group, write{op.key, op.seen}) > 0
+}
+
+func (o *outcome) orderHistory() []porcupine.Operation {
+	var history []porcupine.Operation
+	for i, op := range o.history {
+		if op.orderID == "" || op.outcome == errcode.OutcomeNotRun {
+			continue
+		}
+		end := op.end.UnixNano()
+		if op.outcome == errcode.OutcomeUnknown {
+			if o.times(op.group, op.writes[0]) == 0 {
+				continue
+			}
+			end = math.MaxInt64
+		}
+		out := orderOutput{known: op.outcome == errcode.OutcomeDone, repeat: op.result.Repeat}
+		history = append(history, porcupine.Operation{ClientId: i, Input: string(op.group) + "/" + op.orderID, Call: op.call.UnixNano(), Output: out, Return: end})
+	}
+	return history
+}
--- /dev/null
+++ b/internal/proof/network_test.go
@@ -0,0 +1,304 @@
+package proof
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/failover"
+	"github.com/rattancove/rattancove/internal/member"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+const (
+	peerDelay = 500 * time.Microsecond
+	// dialTime bounds the opening of a connection to a peer.
+	dialTime = time.Second
+	// keptOpen is how long connections to a peer outlive a cut. Requests on
+	// them are lost; later ones fail to open a connection.
+	keptOpen = 3 * time.Second
+	// cancelGrace bounds the wait for the last frame after a cancel.
+	cancelGrace = 2 * time.Second
+)
+
+var errNoPeer = errors.New("no route to peer")
+
+type link struct{ from, to string }
+
+// network carries calls between processes by address. Cuts act in one direction.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*node
+	cuts  map[link]time.Time
+}
+
+func newNetwork() *network {
+	return &network{nodes: map[string]*node{}, cuts: map[link]time.Time{}}
+}
+
+func (n *network) attach(node *node) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[node.address] = node
+}
+
+func (n *network) find(address string) *node {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.nodes[address]
+}
+
+func (n *network) cut(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[link{from, to}] = time.Now()
+}
+
+func (n *network) heal(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cuts, link{from, to})
+}
+
+func (n *network) isCut(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_, ok := n.cuts[link{from, to}]
+	return ok
+}
+
+// refuses reports whether a new connection is needed and cannot be opened.
+func (n *network) refuses(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range []link{{a, b}, {b, a}} {
+		if since, ok := n.cuts[l]; ok && time.Since(since) > keptOpen {
+			return true
+		}
+	}
+	return false
+}
+
+// call runs f at the peer. A lost request or answer ends with the context.
+func (n *network) call(ctx context.Context, from *node, address string, f func(ctx context.Context, to *node)) error {
+	to := n.find(address)
+	if to == nil || to.stopped() {
+		return errNoPeer
+	}
+	done := make(chan struct{})
+	go func() {
+		time.Sleep(peerDelay)
+		if n.isCut(from.address, address) || to.stopped() {
+			return
+		}
+		f(to.ctx, to)
+		time.Sleep(peerDelay)
+		if !n.isCut(address, from.address) {
+			close(done)
+		}
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-to.ctx.Done():
+		return errNoPeer
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// pinger implements member.Pinger.
+type pinger struct{ from *node }
+
+func (p pinger) Ping(ctx context.Context, address string, news member.News) (member.News, error) {
+	replies := make(chan member.News, 1)
+	err := p.from.fleet.net.call(ctx, p.from, address, func(_ context.Context, to *node) {
+		replies <- to.members.HandlePing(news)
+	})
+	if err != nil {
+		return member.News{}, err
+	}
+	return <-replies, nil
+}
+
+// prober implements warden.Prober.
+type prober struct{ from *node }
+
+func (p prober) Probe(ctx context.Context, m member.Member, group cluster.GroupName, server cluster.Server) (failover.ProbeResult, error) {
+	results := make(chan failover.ProbeResult, 1)
+	err := p.from.fleet.net.call(ctx, p.from, m.Address, func(ctx context.Context, to *node) {
+		results <- failover.ProbeServer(ctx, to.dialer, group, server)
+	})
+	if err != nil {
+		return failover.ProbeResult{}, err
+	}
+	return <-results, nil
+}
+
+// remote is a statement.Runner over the network, with the outcomes of peer.Client.
+type remote struct {
+	from    *node
+	address string
+}
+
+type ending struct {
+	result statement.Result
+	err    error
+}
+
+func (r remote) Run(ctx context.Context, req *statement.Request, conv statement.Conversation) (statement.Result, error) {
+	net := r.from.fleet.net
+	to := net.find(r.address)
+	if to == nil || to.stopped() {
+		return statement.Result{}, errcode.New(errcode.NoHome, "dial peer", r.address)
+	}
+	if net.refuses(r.from.address, r.address) {
+		sleep(ctx, dialTime)
+		return statement.Result{}, errcode.New(errcode.NoHome, "dial peer", r.address)
+	}
+	homeCtx, stop := context.WithCancel(to.ctx)
+	c := &call{
+		net: net, home: r.address, entry: r.from.address, stop: stop, mayWrite: !req.First.Class.ReadOnly(),
+		done: make(chan ending, 1), frames: make(chan frame),
+	}
+	sent := *req
+	go c.serve(homeCtx, to, &sent)
+	defer c.hangUp()
+	return c.receive(ctx, to, conv)
+}
+
+// call is one request at a peer. Its frames arrive at the goroutine of Run, as
+// those of peer.Client do.
+type call struct {
+	net         *network
+	home, entry string
+	stop        context.CancelFunc
+	done        chan ending
+	frames      chan frame
+	// mayWrite is set while a batch that may write is with the peer.
+	mayWrite bool
+}
+
+// frame is an answer, or asks for the next batch.
+type frame struct {
+	answer []byte
+	next   bool
+	reply  chan reply
+}
+
+type reply struct {
+	batch *statement.Batch
+	err   error
+}
+
+// serve is the peer's side.
+func (c *call) serve(ctx context.Context, to *node, req *statement.Request) {
+	defer c.stop()
+	time.Sleep(peerDelay)
+	if c.net.isCut(c.entry, c.home) || to.stopped() {
+		return
+	}
+	result, err := to.gateway.Run(ctx, req, c)
+	time.Sleep(peerDelay)
+	if c.net.isCut(c.home, c.entry) || to.stopped() {
+		return
+	}
+	c.done <- ending{result, err}
+}
+
+// receive is the entry proxy's side.
+func (c *call) receive(ctx context.Context, to *node, conv statement.Conversation) (statement.Result, error) {
+	cancelled := ctx.Done()
+	var grace <-chan time.Time
+	for {
+		select {
+		case e := <-c.done:
+			return e.result, e.err
+		case f := <-c.frames:
+			f.reply <- c.take(ctx, f, conv)
+		case <-to.ctx.Done():
+			return statement.Result{}, c.broken()
+		case <-cancelled:
+			cancelled, grace = nil, time.After(cancelGrace)
+			c.hangUp()
+		case <-grace:
+			return statement.Result{}, c.broken()
+		}
+	}
+}
+
+func (c *call) take(ctx context.Context, f frame, conv statement.Conversation) reply {
+	if !f.next {
+		return reply{err: conv.Answer(ctx, f.answer)}
+	}
+	c.mayWrite = false
+	batch, err := conv.Next(ctx)
+	if err == nil {
+		c.mayWrite = !batch.Class.ReadOnly()
+	}
+	return reply{batch, err}
+}
+
+// hangUp ends the request at the peer, if the peer learns of it.
+func (c *call) hangUp() {
+	time.AfterFunc(peerDelay, func() {
+		if !c.net.isCut(c.entry, c.home) {
+			c.stop()
+		}
+	})
+}
+
+func (c *call) broken() error {
+	if c.mayWrite {
+		return errcode.New(errcode.Unknown, "run at home", c.home)
+	}
+	return errcode.New(errcode.ConnectionLost, "run at home", c.home)
+}
+
+// send carries a frame from the peer and waits for what the caller says.
+func (c *call) send(ctx context.Context, f frame) reply {
+	sleep(ctx, peerDelay)
+	if c.net.isCut(c.home, c.entry) {
+		<-ctx.Done()
+	}
+	f.reply = make(chan reply, 1)
+	select {
+	case c.frames <- f:
+	case <-ctx.Done():
+		return reply{err: ctx.Err()}
+	}
+	select {
+	case r := <-f.reply:
+		return r
+	case <-ctx.Done():
+		return reply{err: ctx.Err()}
+	}
+}
+
+// Answer implements statement.Conversation.
+func (c *call) Answer(ctx context.Context, data []byte) error {
+	return c.send(ctx, frame{answer: append([]byte(nil), data...)}).err
+}
+
+// Next implements statement.Conversation.
+func (c *call) Next(ctx context.Context) (*statement.Batch, error) {
+	r := c.send(ctx, frame{next: true})
+	if r.err != nil {
+		return nil, r.err
+	}
+	sleep(ctx, peerDelay)
+	if c.net.isCut(c.entry, c.home) {
+		<-ctx.Done()
+	}
+	return r.batch, ctx.Err()
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/proof/seeded_test.go
@@ -0,0 +1,103 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// startTime is the time in which members become stable and homes claim.
+const startTime = 7 * time.Second
+
+func newRandom(a, b uint64) *rand.Rand { return rand.New(rand.NewPCG(a, b)) }
+
+// seeds is the number of seeded runs. RATTAN_SEEDS sets another one.
+func seeds() int {
+	if n, err := strconv.Atoi(os.Getenv("RATTAN_SEEDS")); err == nil {
+		return n
+	}
+	return defaultSeeds
+}
+
+// runSeed plays one seed in a bubble and checks its history.
+func runSeed(t *testing.T, seed uint64, off switches) *outcome {
+	t.Helper()
+	var out *outcome
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, seed, off)
+		defer f.close()
+		out = f.play()
+	})
+	out.checkLinearizable()
+	return out
+}
+
+func (f *fleet) play() *outcome {
+	time.Sleep(startTime)
+	h := &history{}
+	ctx, cancel := context.WithCancel(f.ctx)
+	var callers sync.WaitGroup
+	for g, name := range f.names {
+		for i := range sessionsPerGroup {
+			r := &roamer{
+				fleet: f, name: fmt.Sprintf("s%d%d", g, i), group: name, history: h,
+				random: newRandom(f.seed, uint64(100+g*sessionsPerGroup+i)), carries: i%2 == 0,
+			}
+			callers.Go(func() { r.run(ctx) })
+		}
+	}
+	f.injectFaults()
+	f.trace("healed")
+	took, broken := f.recovery(h)
+	time.Sleep(time.Second)
+	cancel()
+	callers.Wait()
+	time.Sleep(requestTimeout) // what was cut off may still run
+	out := f.check(h)
+	out.violations = append(out.violations, broken...)
+	out.counts["slowest recovery ms"] = int(took.Milliseconds())
+	return out
+}
+
+// totals adds the counts of runs up. It is safe for concurrent use.
+type totals struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func (s *totals) add(counts map[string]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, n := range counts {
+		if strings.HasPrefix(name, "most") || strings.HasPrefix(name, "slowest") {
+			s.counts[name] = max(s.counts[name], n)
+			continue
+		}
+		s.counts[name] += n
+	}
+}
+
+// TestSeededFleet plays faults on a whole fleet and checks every promise.
+func TestSeededFleet(t *testing.T) {
+	sum := &totals{counts: map[string]int{}}
+	t.Run("seeds", func(t *testing.T) {
+		for seed := range seeds() {
+			t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+				t.Parallel()
+				out := runSeed(t, uint64(seed), switches{})
+				for _, v := range out.violations {
+					t.Errorf("seed %d: %s: %s", seed, v.promise, v.text)
+				}
+				sum.add(out.counts)
+			})
+		}
+	})
+	t.Logf("%d seeds: %s", seeds(), strings.Join(sortedCounts(sum.counts), ", "))
+}
