Report all that a read saw as its observed position

Cause: a read reported the position of the last status report of its server, which can be older than the data that it returned, and at the primary older than the session's floor. A session that carries the observed position could then read older data at a replica. The exchange already returns the position after the read; it is used now, and the report only where the server did not tell.

--- /dev/null
+++ b/internal/home/observed_test.go
@@ -0,0 +1,33 @@
+package home
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// TestReadsReportAllThatTheySaw checks that the position a read reports covers
+// the value it returned, so that a session's later reads see no less.
+func TestReadsReportAllThatTheySaw(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, b *bench) {
+		h := b.home("p1")
+		for n := 1; n <= 60; n++ { // the value is the offset of its record
+			b.mustWrite(h, "", fmt.Sprint("put k ", n))
+			time.Sleep(time.Duration(n) * time.Millisecond / 2)
+			for range 4 {
+				r := b.request(statement.ClassRead, "get k")
+				r.FloorExact = true
+				text, result, err := run(h, r)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if seen, _ := strconv.ParseUint(text, 10, 64); result.Observed.Offset < seen {
+					t.Fatalf("read %d and reported %v of %s", seen, result.Observed, result.Server)
+				}
+			}
+		}
+	})
+}
--- a/internal/home/read.go
+++ b/internal/home/read.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/order"
 	"github.com/rattancove/rattancove/internal/rank"
@@ -74,7 +75,7 @@
 		r.refused = true
 		return w.result, errcode.New(errcode.NotFresh, "read-only server", string(w.node.server.ID))
 	}
-	o.readDone(w)
+	o.readDone(w, answer.Position)
 	if answer.Tx != backend.TxIdle {
 		return o.continueTransaction(ctx, w)
 	}
@@ -82,17 +83,22 @@
 	return w.result, nil
 }
 
-func (o *owner) readDone(w *work) {
+// readDone records a read. at is the server's position after the read, which
+// covers all that the read saw; unknown when the server did not tell.
+func (o *owner) readDone(w *work, at cluster.Position) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	w.node.failures = 0
-	w.result.Observed = o.view.reports[w.node.server.ID].status.Replayed
+	w.result.Observed = at
+	if !at.Known() {
+		w.result.Observed = o.view.reports[w.node.server.ID].status.Replayed
+	}
 	if w.onPrimary() {
 		readsPrimaryTotal.Inc()
 		return
 	}
 	for _, s := range w.group.Servers {
-		if s.ID == w.node.server.ID {
+		if s.ID == w.node.server.ID && !at.Known() {
 			w.result.Observed = s.Replayed
 		}
 	}
