--- a/internal/proof/callers_test.go
+++ b/internal/proof/callers_test.go
@@ -43,6 +43,8 @@
 	result    statement.Result
 	// floor is the position that the session carried.
 	floor cluster.Position
+	// carries is set when the session carries the position of its reads.
+	carries bool
 	// acked is the session's last acknowledged write before the request.
 	acked cluster.Position
 	err   error
@@ -151,8 +153,10 @@
 		r.write(p, "", write{r.shared(), r.next()})
 	case n < 65:
 		r.transaction(p)
-	case n < 85:
+	case n < 75:
 		r.read(p, r.name, false)
+	case n < 85:
+		r.read(p, r.shared(), false)
 	default:
 		r.read(p, r.shared(), true)
 	}
@@ -200,6 +204,7 @@
 	if o.latest {
 		req.Freshness.Mode = statement.FreshnessLatest
 	}
+	o.carries = r.carries
 	o.session, o.group, o.call, o.floor, o.acked = r.name, r.group, time.Now(), r.token, r.acked
 	o.result, o.err = p.serve(req, s)
 	o.end = time.Now()
--- a/internal/proof/check_test.go
+++ b/internal/proof/check_test.go
@@ -150,7 +150,7 @@
 // checkSessions checks the reads of each session. The history is in the order
 // of ends, which is the order of calls within a session.
 func (o *outcome) checkSessions() {
-	acked := map[string]int{}
+	acked, read := map[string]int{}, map[string]int{}
 	for _, op := range o.history {
 		if op.outcome != errcode.OutcomeDone {
 			continue
@@ -166,10 +166,17 @@
 			continue
 		}
 		o.checkPosition(op, op.result.Observed, cluster.MaxPosition(op.floor, op.acked))
+		seen := slices.Index(o.logs[op.group][op.key], op.seen) + 1
+		if last := op.session + "/" + op.key; op.carries && seen > 0 {
+			if seen < read[last] {
+				o.counts["back in time"]++
+				o.broke(promiseMonotonic, "saw entry %d of the log after entry %d: %v", seen, read[last], op)
+			}
+			read[last] = seen
+		}
 		if op.key != op.session {
 			continue
 		}
-		seen := slices.Index(log, op.seen) + 1
 		if seen == 0 && op.seen != "" {
 			o.counts["reads of unacknowledged writes lost later"]++
 			continue
