Serve the administration API from rattan-proxy

The API and its client existed, but no process served it. The status joins the document, the members with the document that each told last, the groups as their homes see them (over GroupStatus when another proxy is the home) and the recorded failovers. What could not be asked is named instead of left out: a group whose home does not answer and a table service that is down are findings of the report. Members that have stopped no longer hold a rollout up.

An accepted change makes the watcher look at the pointer row at once. Offering the version under the name of this process was ruled out: it would have counted as the word of one more member. Silent members now count in the majority that proves a document, so that a cut-off minority is no proof.

The queue's oldest wait was always zero and is dropped from the API.

--- a/cmd/rattanctl/output.go
+++ b/cmd/rattanctl/output.go
@@ -95,6 +95,10 @@
 }
 
 func (t *table) group(g admin.GroupStatus) {
+	if g.Unknown != "" {
+		t.title("\ngroup %s: home %s, its state is not known: %s", g.Name, dash(string(g.Home)), g.Unknown)
+		return
+	}
 	state := "writable"
 	if !g.Writable {
 		state = "NOT WRITABLE"
@@ -106,9 +110,9 @@
 			fmt.Sprintf("%d/%d", s.Connections, s.Limit), serverState(s))
 	}
 	_ = t.writer.Flush()
-	t.row("  RANK", "WAITING", "RUNNING", "OLDEST", "REFUSED")
+	t.row("  RANK", "WAITING", "RUNNING", "REFUSED", "EXPIRED")
 	for _, q := range g.Queues {
-		t.row("  "+q.Rank, q.Waiting, q.Running, millis(q.OldestMillis), q.Refused)
+		t.row("  "+q.Rank, q.Waiting, q.Running, q.Refused, q.Expired)
 	}
 }
 
--- a/internal/admin/documents.go
+++ b/internal/admin/documents.go
@@ -28,7 +28,8 @@
 	Dangerous bool              `json:"dangerous"`
 }
 
-// RolloutAnswer tells where the revision accepted last is in force.
+// RolloutAnswer tells where the revision accepted last is in force. Members
+// that are known to have stopped do not count.
 type RolloutAnswer struct {
 	Accepted document.Revision `json:"accepted"`
 	Members  []MemberStatus    `json:"members"`
@@ -128,27 +129,28 @@
 	if err != nil {
 		return nil, err
 	}
-	status, err := s.visibleStatus(r, identity)
-	if err != nil {
-		return nil, err
-	}
-	if status.Environment != env {
+	if s.config.Environment != env {
 		return nil, newError(CodeNotFound, "this process belongs to another environment")
 	}
 	if !identity.mayRead() {
 		accepted = anonymous(accepted)
 	}
-	return newRollout(accepted, status.Members), nil
+	return newRollout(accepted, s.config.Status.Members()), nil
 }
 
 func newRollout(accepted document.Revision, members []MemberStatus) RolloutAnswer {
 	a := RolloutAnswer{Accepted: accepted, Members: members, Behind: []string{}}
+	running := 0
 	for _, m := range members {
+		if !m.Running() {
+			continue
+		}
+		running++
 		if m.behind(accepted.Revision, accepted.Digest) {
-			a.Behind = append(a.Behind, string(m.ID))
+			a.Behind = append(a.Behind, m.Name())
 		}
 	}
-	a.InForce = len(members) > 0 && len(a.Behind) == 0
+	a.InForce = running > 0 && len(a.Behind) == 0
 	return a
 }
 
--- a/internal/admin/observe.go
+++ b/internal/admin/observe.go
@@ -60,9 +60,8 @@
 	return NewReport(status, since), nil
 }
 
-func (s *Server) members(r *http.Request, identity Identity) (any, error) {
-	status, err := s.visibleStatus(r, identity)
-	return MembersAnswer{Members: status.Members}, err
+func (s *Server) members(*http.Request, Identity) (any, error) {
+	return MembersAnswer{Members: s.config.Status.Members()}, nil
 }
 
 func (s *Server) explain(r *http.Request, identity Identity) (any, error) {
--- a/internal/admin/report.go
+++ b/internal/admin/report.go
@@ -28,11 +28,14 @@
 func NewReport(s Status, since time.Time) Report {
 	r := Report{Environment: s.Environment, Since: since, Time: s.Time, Failovers: []FailoverStatus{}, Broken: []Finding{}}
 	for _, f := range s.Failovers {
-		if !f.Started.Before(since) || f.Outcome != outcomeDone {
+		if !f.Started.Before(since) || f.Outcome != OutcomeDone {
 			r.Failovers = append(r.Failovers, f)
 		}
 	}
 	r.findFailovers()
+	if s.FailoversMissing != "" {
+		r.add("failovers", "the list is not complete: %s", s.FailoversMissing)
+	}
 	for _, g := range s.Groups {
 		r.findGroup(g)
 	}
@@ -40,7 +43,8 @@
 	return r
 }
 
-const outcomeDone = "done"
+// OutcomeDone is the outcome of a failover that replaced the primary.
+const OutcomeDone = "done"
 
 func (r *Report) add(subject, format string, args ...any) {
 	r.Broken = append(r.Broken, Finding{Subject: subject, Message: fmt.Sprintf(format, args...)})
@@ -48,7 +52,7 @@
 
 func (r *Report) findFailovers() {
 	for _, f := range r.Failovers {
-		if f.Outcome != outcomeDone {
+		if f.Outcome != OutcomeDone {
 			r.add(string(f.Group), "the failover of term %d is %s", f.Term, f.Outcome)
 		}
 		if f.MayBeLost != "" {
@@ -59,6 +63,10 @@
 
 func (r *Report) findGroup(g GroupStatus) {
 	name := string(g.Name)
+	if g.Unknown != "" {
+		r.add(name, "its state is not known: %s", g.Unknown)
+		return
+	}
 	if g.Primary == "" || !g.Writable {
 		r.add(name, "no primary takes writes")
 	}
@@ -80,8 +88,8 @@
 		r.add("document", "the document of %s is %s", s.Proxy, s.Document.Status)
 	}
 	for _, m := range s.Members {
-		if m.behind(s.Document.Revision, s.Document.Digest) {
-			r.add("document", "%s holds revision %d, not %d", m.ID, m.Revision, s.Document.Revision)
+		if m.Running() && m.behind(s.Document.Revision, s.Document.Digest) {
+			r.add("document", "%s holds revision %d, not %d", m.Name(), m.Revision, s.Document.Revision)
 		}
 	}
 }
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -33,6 +33,8 @@
 // StatusSource tells what this proxy knows of the environment.
 type StatusSource interface {
 	Status(ctx context.Context) (Status, error)
+	// Members lists the processes of the deployment without asking anyone.
+	Members() []MemberStatus
 }
 
 // Documents reads and changes documents; document.Store is one.
@@ -70,6 +72,11 @@
 	Steps []ExplanationStep `json:"steps"`
 }
 
+// Add adds a decision.
+func (e *Explanation) Add(step, result, reason string) {
+	e.Steps = append(e.Steps, ExplanationStep{Step: step, Result: result, Reason: reason})
+}
+
 // ExplanationStep is one decision.
 type ExplanationStep struct {
 	Step   string `json:"step"`
@@ -84,8 +91,10 @@
 
 // Config holds what the API is served from.
 type Config struct {
-	Status    StatusSource
-	Documents Documents
+	// Environment is the environment that this process belongs to.
+	Environment string
+	Status      StatusSource
+	Documents   Documents
 	// Explainer may be nil.
 	Explainer Explainer
 	Keys      *Keys
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/member"
 )
 
 // Status is what one proxy knows of the environment.
@@ -16,6 +17,8 @@
 	Groups      []GroupStatus    `json:"groups"`
 	Members     []MemberStatus   `json:"members"`
 	Failovers   []FailoverStatus `json:"failovers"`
+	// FailoversMissing tells why failovers may be missing; empty when none is.
+	FailoversMissing string `json:"failovers_missing,omitempty"`
 }
 
 // DocumentStatus is the document in force in one process.
@@ -41,6 +44,9 @@
 	Writable bool           `json:"writable"`
 	Servers  []ServerStatus `json:"servers"`
 	Queues   []QueueStatus  `json:"queues"`
+	// Unknown tells why nothing is known beyond the document; empty when the
+	// home answered.
+	Unknown string `json:"unknown,omitempty"`
 }
 
 // ServerStatus is one backend server as the home of its group sees it.
@@ -63,11 +69,12 @@
 
 // QueueStatus is the queue of one rank at the home of a group.
 type QueueStatus struct {
-	Rank         string `json:"rank"`
-	Waiting      int    `json:"waiting"`
-	Running      int    `json:"running"`
-	OldestMillis int64  `json:"oldest_millis"`
-	Refused      uint64 `json:"refused_total"`
+	Rank    string `json:"rank"`
+	Waiting int    `json:"waiting"`
+	Running int    `json:"running"`
+	Refused uint64 `json:"refused_total"`
+	// Expired counts requests that left the queue without a slot.
+	Expired uint64 `json:"expired_total"`
 }
 
 // MemberStatus is one process of the deployment.
@@ -84,6 +91,13 @@
 	Digest   string `json:"digest"`
 }
 
+// Name returns the role and the id of the member, as both programs of an entry
+// VM share an id.
+func (m MemberStatus) Name() string { return m.Role + "/" + string(m.ID) }
+
+// Running reports whether the member is not known to have stopped.
+func (m MemberStatus) Running() bool { return m.State != string(member.StateDead) }
+
 // behind reports whether the member holds an older revision, or another
 // document of the same one.
 func (m MemberStatus) behind(revision uint64, digest string) bool {
--- a/internal/pgwire/front/local.go
+++ b/internal/pgwire/front/local.go
@@ -146,15 +146,15 @@
 func (c *caller) show(name string) (localResult, error) {
 	r := localResult{tag: "SHOW", column: name}
 	switch strings.TrimPrefix(name, sqlclass.HintPrefix) {
-	case optionToken:
+	case OptionToken:
 		r.value = session.FormatToken(c.group, c.session.Position())
-	case optionSession:
+	case OptionSession:
 		r.value = c.session.Name()
-	case optionRank:
+	case OptionRank:
 		r.value = c.options.rank.String()
-	case optionFreshness:
+	case OptionFreshness:
 		r.value = c.options.freshnessText
-	case optionOrderID:
+	case OptionOrderID:
 		r.value = c.orderID
 	default:
 		return localResult{}, unknownOption(strings.TrimPrefix(name, sqlclass.HintPrefix))
--- a/internal/pgwire/front/options.go
+++ b/internal/pgwire/front/options.go
@@ -13,11 +13,11 @@
 // Names of the options that a caller gives in start-up parameters, with SET
 // or in a comment, after sqlclass.HintPrefix.
 const (
-	optionRank      = "rank"
-	optionFreshness = "freshness"
-	optionSession   = "session"
-	optionOrderID   = "order_id"
-	optionToken     = "token"
+	OptionRank      = "rank"
+	OptionFreshness = "freshness"
+	OptionSession   = "session"
+	OptionOrderID   = "order_id"
+	OptionToken     = "token"
 )
 
 // Words for the freshness modes besides an age and the document's kinds of read.
@@ -43,23 +43,23 @@
 // setOption sets a session option. An empty value returns it to its initial value.
 func (c *caller) setOption(name, value string) error {
 	switch name {
-	case optionRank:
+	case OptionRank:
 		return c.setRank(value)
-	case optionFreshness:
+	case OptionFreshness:
 		return c.setFreshness(value)
-	case optionSession:
+	case OptionSession:
 		if err := checkName(name, value); err != nil {
 			return err
 		}
 		c.session.SetName(value)
 		return nil
-	case optionOrderID:
+	case OptionOrderID:
 		if err := checkName(name, value); err != nil {
 			return err
 		}
 		c.orderID = value
 		return nil
-	case optionToken:
+	case OptionToken:
 		p, err := session.ParseToken(c.group, value)
 		if err != nil {
 			return invalidOption(name, value, err)
@@ -78,7 +78,7 @@
 	}
 	rank, err := cluster.ParseRank(value)
 	if err != nil {
-		return invalidOption(optionRank, value, err)
+		return invalidOption(OptionRank, value, err)
 	}
 	c.options.rank = rank
 	return nil
@@ -90,7 +90,7 @@
 		c.options.freshnessText = c.startup.freshnessText
 		return nil
 	}
-	f, err := parseFreshness(c.server.directory, value)
+	f, err := ParseFreshness(c.server.directory, value)
 	if err != nil {
 		return err
 	}
@@ -99,9 +99,9 @@
 	return nil
 }
 
-// parseFreshness reads "session", "latest", an age such as "1s", or the name
+// ParseFreshness reads "session", "latest", an age such as "1s", or the name
 // of a kind of read in the document.
-func parseFreshness(d Directory, value string) (statement.Freshness, error) {
+func ParseFreshness(d Directory, value string) (statement.Freshness, error) {
 	if f, ok := d.Freshness(value); ok {
 		return f, nil
 	}
@@ -113,7 +113,7 @@
 	}
 	age, err := time.ParseDuration(value)
 	if err != nil || age < 0 {
-		return statement.Freshness{}, invalidOption(optionFreshness, value, err)
+		return statement.Freshness{}, invalidOption(OptionFreshness, value, err)
 	}
 	return statement.Freshness{Mode: statement.FreshnessBounded, MaxAge: age}, nil
 }
@@ -158,22 +158,22 @@
 
 func (c *caller) applyHint(o *statementOptions, h sqlclass.Hint) (err error) {
 	switch h.Key {
-	case optionRank:
+	case OptionRank:
 		o.rank, err = cluster.ParseRank(h.Value)
 		if err != nil {
 			return invalidOption(h.Key, h.Value, err)
 		}
 		return nil
-	case optionFreshness:
-		o.freshness, err = parseFreshness(c.server.directory, h.Value)
+	case OptionFreshness:
+		o.freshness, err = ParseFreshness(c.server.directory, h.Value)
 		return err
-	case optionSession:
+	case OptionSession:
 		o.session, o.sessionSet = h.Value, true
 		return checkName(h.Key, h.Value)
-	case optionOrderID:
+	case OptionOrderID:
 		o.orderID = h.Value
 		return checkName(h.Key, h.Value)
-	case optionToken:
+	case OptionToken:
 		o.token, err = session.ParseToken(c.group, h.Value)
 		if err != nil {
 			return invalidOption(h.Key, h.Value, err)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -64,7 +64,7 @@
 	p.Members = member.New(p.memberConfig())
 	p.Documents = rollout.NewWatcher(rollout.Config{
 		Environment: s.Environment, Poll: s.Document.Poll, MaxUnknownAge: s.Document.MaxUnknownAge,
-		Members: func() int { return len(p.alive()) },
+		Members: p.memberCount,
 	}, p.Store, log)
 	return p, p.bootstrap()
 }
@@ -172,6 +172,19 @@
 	}
 }
 
+// memberCount counts the members that did not leave by a planned stop. Members
+// that fell silent count, so that a cut-off minority does not take itself for
+// the whole.
+func (p *Process) memberCount() int {
+	count := 0
+	for _, e := range p.Members.Snapshot().Entries() {
+		if e.State != member.StateLeaving {
+			count++
+		}
+	}
+	return count
+}
+
 // alive returns the living members of every role.
 func (p *Process) alive() []member.Member {
 	s := p.Members.Snapshot()
--- a/internal/proxy/homes.go
+++ b/internal/proxy/homes.go
@@ -36,7 +36,7 @@
 }
 
 func (p *Proxy) assignHomes() {
-	view := homes{self: p.settings.ID, sharing: p.settings.Policy.Sharing, members: p.process.Members, peers: p.process.Peers}
+	view := p.members()
 	for _, group := range p.groups() {
 		if view.HomeOf(group) == p.settings.ID {
 			// The only failure is a group that the home does not know yet; the
--- /dev/null
+++ b/internal/proxy/homestatus.go
@@ -0,0 +1,75 @@
+package proxy
+
+import (
+	"slices"
+
+	"github.com/rattancove/rattancove/internal/admin"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/home"
+)
+
+// Reasons for which a home gives a server no work.
+const (
+	reasonLeaving = "its VM is leaving"
+	reasonEjected = "it failed too often"
+)
+
+// phaseServing is the phase of a home that serves its group.
+const phaseServing = "serving"
+
+// ownStatus returns the status of a group that this proxy owns. The error
+// tells that it does not own the group.
+func (p *Proxy) ownStatus(group cluster.GroupName) (admin.GroupStatus, error) {
+	groups := p.home.Status().Groups
+	i := slices.IndexFunc(groups, func(g home.GroupStatus) bool { return g.Group == group })
+	current := p.process.Documents.Current()
+	if i < 0 || current == nil {
+		return admin.GroupStatus{}, errcode.New(errcode.NoHome, "group status", string(p.settings.ID))
+	}
+	spec, _ := current.Document.Group(group)
+	return homeStatus(p.settings.ID, groups[i], spec), nil
+}
+
+// homeStatus joins what a home knows of a group with the document.
+func homeStatus(self cluster.ProxyID, g home.GroupStatus, spec environment.Group) admin.GroupStatus {
+	s := admin.GroupStatus{
+		Name: g.Group, Customers: spec.Customers, Term: g.Term, Epoch: g.Epoch, Home: self, Primary: g.Primary,
+		Servers: []admin.ServerStatus{}, Queues: []admin.QueueStatus{},
+	}
+	for _, server := range g.Servers {
+		s.Servers = append(s.Servers, serverStatus(server, spec))
+		if server.Server == g.Primary {
+			takesWrites := server.Reachable && server.Role == cluster.RolePrimary && server.Term == g.Term
+			s.Writable = takesWrites && g.Phase == phaseServing
+		}
+	}
+	for _, r := range g.Ranks {
+		s.Queues = append(s.Queues, admin.QueueStatus{
+			Rank: r.Rank, Waiting: r.Queued, Running: r.Running, Refused: r.Refused, Expired: r.Expired,
+		})
+	}
+	return s
+}
+
+func serverStatus(s home.ServerStatus, group environment.Group) admin.ServerStatus {
+	status := admin.ServerStatus{
+		ID: s.Server, Role: s.Role, Reachable: s.Reachable, LagMillis: s.Lag.Milliseconds(),
+		Received: s.Received, Replayed: s.Replayed,
+		Running: s.Pool.InUse, Connections: s.Pool.Idle + s.Pool.InUse,
+	}
+	switch {
+	case s.Leaving:
+		status.Ejected = reasonLeaving
+	case s.Ejected:
+		status.Ejected = reasonEjected
+	}
+	for _, spec := range group.Servers {
+		if spec.ID == s.Server {
+			status.Address, status.FailureDomain = spec.Address, spec.FailureDomain
+			status.Slots, status.Limit = spec.Slots, spec.Connections
+		}
+	}
+	return status
+}
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -19,6 +19,14 @@
 	peers   *peer.Registry
 }
 
+// members returns the view of the members that routing uses.
+func (p *Proxy) members() homes {
+	return homes{
+		self: p.settings.ID, sharing: p.settings.Policy.Sharing,
+		members: p.process.Members, peers: p.process.Peers,
+	}
+}
+
 // HomeOf implements gateway.Members. Under the static policy every proxy is
 // its own home.
 func (h homes) HomeOf(group cluster.GroupName) cluster.ProxyID {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -11,6 +12,7 @@
 
 	"github.com/rattancove/rattancove/internal/backend"
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/failover"
 	"github.com/rattancove/rattancove/internal/gateway"
 	"github.com/rattancove/rattancove/internal/home"
 	"github.com/rattancove/rattancove/internal/member"
@@ -42,6 +44,10 @@
 	// foreign holds the owned groups whose home should be another proxy, with
 	// the time since when.
 	foreign map[cluster.GroupName]time.Time
+	// failovers are the records that wardens keep.
+	failovers *failover.Store
+	// draining is set when a planned stop begins.
+	draining atomic.Bool
 }
 
 // Run runs a proxy until ctx ends and then stops it in order: readiness goes
@@ -63,6 +69,7 @@
 	group.Go(func() error { return p.process.Run(groupCtx, p.handlers()) })
 	group.Go(func() error { return p.front.Serve(groupCtx, listener) })
 	group.Go(func() error { return p.keepHomes(groupCtx) })
+	group.Go(func() error { return p.serveAdmin(groupCtx) })
 	eventStarted.Log(&p.process.Log).Str("callers", s.Callers.Listen).Str("peers", s.Peer.Listen).Send()
 	select {
 	case <-ctx.Done():
@@ -84,14 +91,12 @@
 		return nil, err
 	}
 	p := &Proxy{settings: s, process: common, foreign: map[cluster.GroupName]time.Time{}}
+	p.failovers = failover.NewStore(common.Platform.Table)
 	if p.dialer, err = common.Dialer(); err != nil {
 		return nil, err
 	}
 	p.home = home.New(p.homeConfig(), p.dialer)
-	p.gateway = gateway.New(gateway.Config{
-		Self: s.ID, Local: p.home,
-		Members: homes{self: s.ID, sharing: s.Policy.Sharing, members: common.Members, peers: common.Peers},
-	})
+	p.gateway = gateway.New(gateway.Config{Self: s.ID, Local: p.home, Members: p.members()})
 	config, err := p.frontConfig()
 	if err != nil {
 		return nil, err
@@ -128,6 +133,7 @@
 func (p *Proxy) handlers() peer.Handlers {
 	return peer.Handlers{
 		Runner: p.gateway, Probe: warden.ProbeHandler(p.dialer), Cancel: p.handleCancel, Release: p.home.Release,
+		GroupStatus: p.handleGroupStatus,
 	}
 }
 
@@ -168,6 +174,7 @@
 // drain carries out the order of a planned stop.
 func (p *Proxy) drain(ctx context.Context) {
 	eventDraining.Log(&p.process.Log).Send()
+	p.draining.Store(true)
 	p.process.Members.Leave()
 	p.process.Announce(ctx)
 	sleep(ctx, p.settings.Drain.ReadyDelay)
@@ -186,7 +193,7 @@
 	}
 }
 
-// Group names the groups of the document in force.
+// groups names the groups of the document in force.
 func (p *Proxy) groups() []cluster.GroupName {
 	current := p.process.Documents.Current()
 	if current == nil {
--- a/internal/rollout/watcher.go
+++ b/internal/rollout/watcher.go
@@ -62,6 +62,8 @@
 	log    zerolog.Logger
 	// wake tells the fetch loop that a version is missing.
 	wake chan struct{}
+	// refresh asks for a look at the pointer row at once.
+	refresh chan struct{}
 
 	mu      sync.Mutex
 	state   State
@@ -78,6 +80,7 @@
 		source:      source,
 		log:         log,
 		wake:        make(chan struct{}, 1),
+		refresh:     make(chan struct{}, 1),
 		state:       State{Status: StatusEmpty},
 		offers:      map[Version][]Fetch{},
 		subscribers: map[chan *InForce]bool{},
@@ -209,12 +212,24 @@
 func (w *Watcher) look(ctx context.Context) error {
 	for {
 		w.lookOnce(ctx)
-		if err := sleep(ctx, jitter(w.config.Poll)); err != nil {
-			return err
+		select {
+		case <-time.After(jitter(w.config.Poll)):
+		case <-w.refresh:
+		case <-ctx.Done():
+			return ctx.Err()
 		}
 	}
 }
 
+// Refresh makes the watcher look at the pointer row at once, for a process
+// that knows of a new revision.
+func (w *Watcher) Refresh() {
+	select {
+	case w.refresh <- struct{}{}:
+	default:
+	}
+}
+
 func (w *Watcher) lookOnce(ctx context.Context) {
 	begun := time.Now()
 	r, err := w.source.Current(ctx, w.config.Environment)
--- a/internal/rollout/watcher_test.go
+++ b/internal/rollout/watcher_test.go
@@ -120,6 +120,20 @@
 	})
 }
 
+func TestRefreshLooksAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		w := f.start(t, 1)
+		synctest.Wait()
+		v := f.publish(t, 1)
+		w.Refresh()
+		synctest.Wait()
+		if got := w.State(); got.Held != v || got.Status != StatusCurrent {
+			t.Errorf("held %+v, status %s, want %+v", got.Held, got.Status, v)
+		}
+	})
+}
+
 func TestWrongBytesOfAPeerFallBackToTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet()
