--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -10,12 +10,15 @@
 #   FLEET_LAG       replay lag of replicas
 #   FLEET_SHARING   home or static
 #   FLEET_PORT      first port of the range
+#   FLEET_BOOTSTRAP yes to start proxies with the document, no to let
+#                   fleet_publish put the first one in force
 
 FLEET_PROXIES=${FLEET_PROXIES:-3}
 FLEET_WARDENS=${FLEET_WARDENS:-2}
 FLEET_LAG=${FLEET_LAG:-50ms}
 FLEET_SHARING=${FLEET_SHARING:-home}
 FLEET_PORT=${FLEET_PORT:-21000}
+FLEET_BOOTSTRAP=${FLEET_BOOTSTRAP:-yes}
 FLEET_DOCUMENT=${FLEET_DOCUMENT:-examples/cotopaxi.yaml}
 FLEET_PIDS=()
 declare -A FLEET_PID
@@ -48,13 +51,38 @@
 	done <"$FLEET_DOCUMENT" >"$FLEET_DIR/document.yaml"
 }
 
+# fleet_key makes the operators' key of the administration API.
+fleet_key() {
+	local entry
+	{
+		IFS= read -r FLEET_KEY
+		IFS= read -r entry
+	} < <(bin/rattanctl key --name operator --right admin 2>/dev/null)
+	printf '%s\n' "$FLEET_KEY" >"$FLEET_DIR/key"
+	printf 'keys:\n%s\n' "$entry" >"$FLEET_DIR/keys.yaml"
+}
+
+# fleet_ctl PROXY ARGUMENTS... runs rattanctl against a proxy.
+fleet_ctl() {
+	local proxy=$1
+	shift
+	bin/rattanctl --server "http://127.0.0.1:$(fleet_admin_port "$proxy")" --key-file "$FLEET_DIR/key" "$@"
+}
+
+# fleet_publish FILE WHY puts a document in force everywhere.
+fleet_publish() {
+	fleet_ctl 1 doc promote --yes --wait --file "$1" --to "$FLEET_ENVIRONMENT" --why "$2" \
+		--override "measurement on stand-ins"
+}
+
 # fleet_servers prints "group id slots connections" for each server.
 fleet_servers() {
 	awk '/^  - name:/ {group=$3} /- \{id:/ {gsub(/[{},]/,""); print group, $3, $9, $11}' "$FLEET_DIR/document.yaml"
 }
 
 fleet_common() {
-	local id=$1 domain=$2 port=$3 metrics=$4 seeds
+	local id=$1 domain=$2 port=$3 metrics=$4 seeds bootstrap=""
+	[[ $FLEET_BOOTSTRAP == no ]] || bootstrap="$FLEET_DIR/document.yaml"
 	seeds=$(for i in $(seq 1 "$FLEET_PROXIES"); do printf '"127.0.0.1:%s", ' "$(fleet_peer_port "$i")"; done)
 	cat <<-END
 		id: $id
@@ -66,7 +94,7 @@
 		  table: {address: "127.0.0.1:$FLEET_PORT", user: rattancove, database: platform}
 		  objects: {endpoint: "127.0.0.1:$((FLEET_PORT + 1))", bucket: rattancove}
 		  vms: {url: "http://127.0.0.1:$((FLEET_PORT + 2))/vms"}
-		document: {poll: 2s, max_unknown_age: 5m, bootstrap_file: "$FLEET_DIR/document.yaml"}
+		document: {poll: 2s, max_unknown_age: 5m, bootstrap_file: "$bootstrap"}
 		trace: {exporter: "${FLEET_TRACE:-off}", path: "$FLEET_DIR/trace.json"}
 	END
 }
@@ -74,6 +102,7 @@
 fleet_start() {
 	mkdir -p "$FLEET_DIR"
 	fleet_document
+	fleet_key
 	FLEET_ENVIRONMENT=$(awk '/^name:/ {print $2; exit}' "$FLEET_DOCUMENT")
 	fleet_spawn platform bin/rattan-standin platform --table "127.0.0.1:$FLEET_PORT" \
 		--objects "127.0.0.1:$((FLEET_PORT + 1))" --vms "127.0.0.1:$((FLEET_PORT + 2))"
@@ -103,6 +132,7 @@
 	{
 		fleet_common "entry-$i" $((i % 4)) "$(fleet_peer_port "$i")" "$(fleet_metrics_port "$i")"
 		cat <<-END
+			admin: {listen: "127.0.0.1:$(fleet_admin_port "$i")", keys_file: "$FLEET_DIR/keys.yaml"}
 			callers: {listen: "127.0.0.1:$(fleet_caller_port "$i")"}
 			drain: {ready_delay: ${FLEET_READY_DELAY:-500ms}, timeout: 30s}
 			policy: {sharing: $FLEET_SHARING}
