Ask members that seem behind when a rollout is looked at

Members that seem behind are now asked, at most 64 in one look. A poll of all members and shorter ping rounds were ruled out, as they cost messages while nothing changes.

--- a/cmd/rattanctl/command_test.go
+++ b/cmd/rattanctl/command_test.go
@@ -36,8 +36,7 @@
 	stuck bool
 }
 
-func (f *fixture) Members() []admin.MemberStatus {
-	ctx := f.t.Context()
+func (f *fixture) Members(ctx context.Context) []admin.MemberStatus {
 	current, _ := f.store.Current(ctx, env)
 	late := current.Revision
 	if f.stuck || f.looks.Add(1) < 3 {
@@ -60,7 +59,7 @@
 			Servers: []admin.ServerStatus{{ID: "orders-1-a", Role: "primary", Reachable: true, Slots: 2, Limit: 16}},
 			Queues:  []admin.QueueStatus{{Rank: "urgent", Waiting: 1}},
 		}},
-		Members:   f.Members(),
+		Members:   f.Members(ctx),
 		Failovers: []admin.FailoverStatus{{Group: "orders-1", Term: 3, From: "orders-1-b", To: "orders-1-a", GapMillis: 900, Outcome: "done", Reason: "no answer"}},
 	}, nil
 }
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -37,7 +37,7 @@
 
 func (f *fixture) Status(context.Context) (Status, error) { return f.status, nil }
 
-func (f *fixture) Members() []MemberStatus { return f.status.Members }
+func (f *fixture) Members(context.Context) []MemberStatus { return f.status.Members }
 
 func (f *fixture) Explain(_ context.Context, r ExplainRequest) (Explanation, error) {
 	return Explanation{Group: r.Group, Home: "entry-1"}, nil
--- a/internal/admin/documents.go
+++ b/internal/admin/documents.go
@@ -135,7 +135,7 @@
 	if !identity.mayRead() {
 		accepted = anonymous(accepted)
 	}
-	return newRollout(accepted, s.config.Status.Members()), nil
+	return newRollout(accepted, s.config.Status.Members(r.Context())), nil
 }
 
 func newRollout(accepted document.Revision, members []MemberStatus) RolloutAnswer {
--- a/internal/admin/observe.go
+++ b/internal/admin/observe.go
@@ -60,8 +60,8 @@
 	return NewReport(status, since), nil
 }
 
-func (s *Server) members(*http.Request, Identity) (any, error) {
-	return MembersAnswer{Members: s.config.Status.Members()}, nil
+func (s *Server) members(r *http.Request, _ Identity) (any, error) {
+	return MembersAnswer{Members: s.config.Status.Members(r.Context())}, nil
 }
 
 func (s *Server) explain(r *http.Request, identity Identity) (any, error) {
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -33,8 +33,9 @@
 // StatusSource tells what this proxy knows of the environment.
 type StatusSource interface {
 	Status(ctx context.Context) (Status, error)
-	// Members lists the processes of the deployment without asking anyone.
-	Members() []MemberStatus
+	// Members lists the processes of the deployment. Those that seem behind
+	// are asked.
+	Members(ctx context.Context) []MemberStatus
 }
 
 // Documents reads and changes documents; document.Store is one.
--- a/internal/process/ping.go
+++ b/internal/process/ping.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/rattancove/rattancove/internal/cluster"
@@ -122,6 +123,16 @@
 	}
 }
 
+// Ask exchanges state and document with the processes at the addresses, and
+// returns when they answered or ctx ended.
+func (p *Process) Ask(ctx context.Context, addresses []string) {
+	var calls sync.WaitGroup
+	for _, address := range addresses {
+		calls.Go(func() { p.announceTo(ctx, address) })
+	}
+	calls.Wait()
+}
+
 func (p *Process) announceTo(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -21,6 +22,9 @@
 const (
 	// statusTimeout bounds what a status waits for homes and the table service.
 	statusTimeout = 2 * time.Second
+	// askTimeout and askLimit bound the question to members that seem behind.
+	askTimeout = 500 * time.Millisecond
+	askLimit   = 64
 	// statusCalls bounds the calls that one status makes at once.
 	statusCalls = 16
 	// reasonNoDocument is the status of a group without a document.
@@ -33,7 +37,7 @@
 	defer cancel()
 	s := admin.Status{
 		Environment: p.settings.Environment, Proxy: p.settings.ID, Time: time.Now(),
-		Document: p.documentStatus(), Members: p.Members(),
+		Document: p.documentStatus(), Members: p.Members(ctx),
 		Groups: []admin.GroupStatus{}, Failovers: []admin.FailoverStatus{},
 	}
 	if current := p.process.Documents.Current(); current != nil {
@@ -55,8 +59,30 @@
 }
 
 // Members implements admin.StatusSource. The document of another member is the
-// one that it told this process last.
-func (p *Proxy) Members() []admin.MemberStatus {
+// one that it told this process last. Some members that seem behind are asked
+// first, as their word may not have arrived yet.
+func (p *Proxy) Members(ctx context.Context) []admin.MemberStatus {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	p.process.Ask(ctx, p.behind())
+	return p.knownMembers()
+}
+
+// behind returns the addresses of running members that are not known to hold
+// the document in force here, in random order.
+func (p *Proxy) behind() []string {
+	held := p.process.Documents.State().Held
+	var addresses []string
+	for _, m := range p.knownMembers() {
+		if m.Running() && (m.Revision != held.Revision || m.Digest != held.Digest) {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(len(addresses), askLimit)]
+}
+
+func (p *Proxy) knownMembers() []admin.MemberStatus {
 	state := p.process.Documents.State()
 	self := member.Key{Role: member.RoleProxy, ID: string(p.settings.ID)}
 	members := []admin.MemberStatus{}
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -160,6 +160,18 @@
 	done
 }
 
+# fleet_wait_admin PROXY waits until the administration API answers.
+fleet_wait_admin() {
+	local deadline=$((SECONDS + 30))
+	until fleet_ctl "$1" status >/dev/null 2>&1; do
+		((SECONDS < deadline)) || {
+			echo "the administration API of proxy $1 does not answer; see $FLEET_DIR/proxy-$1.log" >&2
+			return 1
+		}
+		sleep 0.2
+	done
+}
+
 fleet_stop() {
 	local pid name i
 	for ((i = ${#FLEET_PIDS[@]} - 1; i >= 0; i--)); do kill -TERM "${FLEET_PIDS[i]}" 2>/dev/null || true; done
