--- a/cmd/rattanctl/command.go
+++ b/cmd/rattanctl/command.go
@@ -56,18 +56,10 @@
 			}},
 		},
 	}
-	markUsageErrors(command)
+	program.Prepare(command)
 	return command
 }
 
-// markUsageErrors gives wrong flags of every command the exit code of wrong usage.
-func markUsageErrors(c *cli.Command) {
-	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error { return program.Usage(err) }
-	for _, sub := range c.Commands {
-		markUsageErrors(sub)
-	}
-}
-
 func validOutput(s string) error {
 	if s != outputTable && s != outputJSON {
 		return errors.New("output must be table or json")
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -42,6 +42,26 @@
 	return &Error{Code: ExitUsage, Cause: err}
 }
 
+// Prepare makes wrong usage of cmd and of its subcommands an error of Usage:
+// unknown commands, unknown or missing flags, and values that do not parse.
+func Prepare(cmd *cli.Command) {
+	cmd.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error { return Usage(err) }
+	if len(cmd.Commands) > 0 && cmd.Action == nil {
+		cmd.Action = showCommands
+	}
+	for _, sub := range cmd.Commands {
+		Prepare(sub)
+	}
+}
+
+// showCommands is the action of a command that only has subcommands.
+func showCommands(_ context.Context, cmd *cli.Command) error {
+	if name := cmd.Args().First(); name != "" {
+		return Usage(fmt.Errorf("there is no command %q; see --help", name))
+	}
+	return cli.ShowSubcommandHelp(cmd)
+}
+
 // Run runs cmd until it returns and gives the process's exit code. SIGINT and
 // SIGTERM end the command's context; a second signal ends the process.
 func Run(cmd *cli.Command) int {
@@ -51,7 +71,7 @@
 	cmd.Version = version.Version
 	cmd.EnableShellCompletion = true
 	cmd.ExitErrHandler = func(context.Context, *cli.Command, error) {}
-	cmd.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error { return Usage(err) }
+	Prepare(cmd)
 	err := cmd.Run(ctx, os.Args)
 	if err == nil {
 		return ExitOK
