Refuse an order id that would have no effect

Cause: an order id inside a transaction block, or a second one in a batch, was ignored without a word, and the caller would rely on it.

Change: both are errors, and comments inside a block are checked.

--- a/internal/pgwire/front/conversation.go
+++ b/internal/pgwire/front/conversation.go
@@ -192,6 +192,9 @@
 		if err != nil {
 			return nil, v.leave(ctx, err)
 		}
+		if !copying && b.err == nil {
+			b.err = v.caller.checkLateHints(b)
+		}
 		if copying || !v.caller.answerHere(b) {
 			v.start(b)
 			return &b.Batch, nil
--- a/internal/pgwire/front/fake_test.go
+++ b/internal/pgwire/front/fake_test.go
@@ -211,6 +211,9 @@
 			return err
 		}
 	}
+	if _, bare, commented := strings.Cut(sql, "*/ "); commented {
+		sql = bare
+	}
 	upper := strings.ToUpper(sql)
 	tag := strings.ToUpper(strings.SplitN(upper, " ", 2)[0])
 	switch {
--- a/internal/pgwire/front/options.go
+++ b/internal/pgwire/front/options.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"errors"
 	"strconv"
 	"time"
 
@@ -26,6 +27,14 @@
 	freshnessLatest  = "latest"
 )
 
+var (
+	errTwoOrderIDs = errors.New("the statements of one batch have different order ids")
+	errLateOrderID = &sqlError{
+		state:   "25001",
+		message: "the order id must be given before or with the statement that opens the transaction block",
+	}
+)
+
 // maxNameBytes bounds session names and order ids.
 const maxNameBytes = 128
 
@@ -54,6 +63,9 @@
 		c.session.SetName(value)
 		return nil
 	case optionOrderID:
+		if c.tx != txIdle {
+			return errLateOrderID
+		}
 		if err := checkName(name, value); err != nil {
 			return err
 		}
@@ -138,22 +150,46 @@
 // requestOptions combines the session's options with the leading comments of
 // the texts that the batch runs. It consumes the session's order id.
 func (c *caller) requestOptions(b *batch) (statementOptions, error) {
-	o := statementOptions{options: c.options, orderID: c.orderID}
+	o := statementOptions{options: c.options}
+	if err := c.applyHints(&o, b); err != nil {
+		return o, err
+	}
+	if o.orderID == "" {
+		o.orderID = c.orderID
+	}
 	c.orderID = ""
+	return o, nil
+}
+
+// checkLateHints checks the comments of a batch in an open transaction, where
+// they no longer have an effect. An order id there is refused, because the
+// caller would rely on it.
+func (c *caller) checkLateHints(b *batch) error {
+	var o statementOptions
+	if err := c.applyHints(&o, b); err != nil {
+		return err
+	}
+	if o.orderID != "" {
+		return errLateOrderID
+	}
+	return nil
+}
+
+func (c *caller) applyHints(o *statementOptions, b *batch) error {
 	for _, a := range b.executed {
 		if a.Hints.Malformed {
-			return o, invalidOption("comment", "", nil)
+			return invalidOption("comment", "", nil)
 		}
 		if a.Hints.TraceParent != "" {
 			o.traceParent = a.Hints.TraceParent
 		}
 		for _, h := range a.Hints.Keys {
-			if err := c.applyHint(&o, h); err != nil {
-				return o, err
+			if err := c.applyHint(o, h); err != nil {
+				return err
 			}
 		}
 	}
-	return o, nil
+	return nil
 }
 
 func (c *caller) applyHint(o *statementOptions, h sqlclass.Hint) (err error) {
@@ -171,6 +207,9 @@
 		o.session, o.sessionSet = h.Value, true
 		return checkName(h.Key, h.Value)
 	case optionOrderID:
+		if o.orderID != "" && o.orderID != h.Value {
+			return invalidOption(h.Key, h.Value, errTwoOrderIDs)
+		}
 		o.orderID = h.Value
 		return checkName(h.Key, h.Value)
 	case optionToken:
--- a/internal/pgwire/front/session_test.go
+++ b/internal/pgwire/front/session_test.go
@@ -134,6 +134,36 @@
 	}
 }
 
+func TestOrderIDs(t *testing.T) {
+	b := startServer(t, fakeDirectory{}, front.Config{})
+	conn := b.connect(t, "")
+	for _, c := range []struct{ sql, code, order string }{
+		{"set rattancove.order_id to 'o-1'", "", ""},
+		{"begin", "", "o-1"},
+		{"set rattancove.order_id to 'o-2'", "25001", "o-1"},
+		{"/*rattancove.order_id='o-2'*/ insert 1", "25001", "o-1"},
+		{"/*rattancove.rank='urgent'*/ insert 1", "", "o-1"},
+		{"/*rattancove.rank='first'*/ insert 1", "22023", "o-1"},
+		{"commit", "", "o-1"},
+		{"insert 1", "", ""},
+		{"/*rattancove.order_id='o-3'*/ begin", "", "o-3"},
+		{"rollback", "", "o-3"},
+	} {
+		if _, err := conn.Exec(t.Context(), c.sql); sqlState(err) != c.code {
+			t.Errorf("%s: %v, want %q", c.sql, err, c.code)
+		}
+		if b.runner.count() > 0 && b.runner.lastRequest().OrderID != c.order {
+			t.Errorf("%s: order id %q, want %q", c.sql, b.runner.lastRequest().OrderID, c.order)
+		}
+	}
+	var batch pgx.Batch
+	batch.Queue("/*rattancove.order_id='a'*/ insert 1")
+	batch.Queue("/*rattancove.order_id='b'*/ insert 2")
+	if err := conn.SendBatch(t.Context(), &batch).Close(); sqlState(err) != "22023" {
+		t.Errorf("two order ids in one batch: %v", err)
+	}
+}
+
 func TestPreparedStatements(t *testing.T) {
 	b := startServer(t, fakeDirectory{}, front.Config{PreparedPerCaller: 2})
 	conn, other := b.connect(t, ""), b.connect(t, "")
