--- a/internal/pgwire/front/caller.go
+++ b/internal/pgwire/front/caller.go
@@ -19,9 +19,6 @@
 // farewellTime bounds the last write to a caller.
 const farewellTime = time.Second
 
-// copyPieceBytes is the size at which a piece of a COPY goes to the home.
-const copyPieceBytes = 64 << 10
-
 // caller is one caller connection. Its goroutine owns everything but the
 // fields under mu. While a request runs, the Runner calls back through the
 // conversation on the caller's behalf.
--- a/internal/pgwire/front/collect.go
+++ b/internal/pgwire/front/collect.go
@@ -9,7 +9,6 @@
 
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/sqlclass"
-	"github.com/rattancove/rattancove/internal/statement"
 )
 
 // Types of frontend messages.
@@ -350,37 +349,6 @@
 	}
 }
 
-// takeCopy adds one message of a COPY from the caller. It reports whether the
-// piece is complete.
-func (c *caller) takeCopy(kind byte, message []byte, extended bool) (bool, error) {
-	if c.batch == nil {
-		c.batch = &batch{boundary: boundaryCopy}
-		c.batch.Class = statement.ClassCopyData
-	}
-	b := c.batch
-	switch kind {
-	case msgCopyData:
-		b.Messages = append(b.Messages, message...)
-		return len(b.Messages) >= copyPieceBytes || !c.reader.buffered(), nil
-	case msgCopyDone, msgCopyFail:
-		b.Messages = append(b.Messages, message...)
-		b.sent++
-		return !extended, nil
-	case msgSync:
-		if b.sent == 0 {
-			return false, nil
-		}
-		b.Messages = append(b.Messages, message...)
-		return true, nil
-	case msgFlush:
-		return false, nil
-	case msgTerminate:
-		return false, io.EOF
-	default:
-		return false, protocolError("copy")
-	}
-}
-
 func objectName(message []byte, at string) (object byte, name string, err error) {
 	body := message[headerBytes:]
 	if len(body) < 2 || (body[0] != objectStatement && body[0] != objectPortal) {
