--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -178,13 +178,27 @@
 		}
 		return err
 	}
+	err = r.send(&peerpb.ToHome{Batch: batchToProto(batch)})
+	if errors.Is(err, io.EOF) {
+		return r.ended()
+	}
 	r.mayWrite = !batch.Class.ReadOnly()
-	if err := r.send(&peerpb.ToHome{Batch: batchToProto(batch)}); err != nil {
+	if err != nil {
 		return r.broken(err)
 	}
 	return nil
 }
 
+// ended returns why the home ended the request while it waited for a batch,
+// which it has not taken.
+func (r *remoteRun) ended() error {
+	frame, err := r.stream.Recv()
+	if err == nil && frame.GetFailure() != nil {
+		return failureFromProto(frame.GetFailure())
+	}
+	return errcode.Wrap(io.EOF, errcode.ConnectionLost, "next batch", r.client.address)
+}
+
 func (r *remoteRun) send(frame *peerpb.ToHome) error {
 	frame.RequestId = r.req.ID
 	frame.Sequence = r.out
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -209,6 +209,30 @@
 	}
 }
 
+type slowCaller struct{ callerEnd }
+
+func (c *slowCaller) Next(ctx context.Context) (*statement.Batch, error) {
+	time.Sleep(time.Minute)
+	return &statement.Batch{Messages: []byte("COMMIT")}, nil
+}
+
+func TestHomeEndsAnIdleTransactionAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var dials atomic.Int32
+		client, stop := pair(t, runnerFunc(func(ctx context.Context, _ *statement.Request, c statement.Conversation) (statement.Result, error) {
+			limited, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			_, _ = c.Next(limited)
+			return statement.Result{}, errcode.New(errcode.IdleTransaction, "transaction", "")
+		}), &dials, nil)
+		defer stop()
+		_, err := client.Run(t.Context(), fullRequest(), &slowCaller{})
+		if outcome := errcode.From(err).Code.Outcome; outcome != errcode.OutcomeNotRun {
+			t.Fatalf("outcome %s: %v", outcome, err)
+		}
+	})
+}
+
 func TestCallerLeavingEndsTheTransaction(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var dials atomic.Int32
--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -29,14 +29,26 @@
 }
 
 var faults = []fault{
-	{"kill server", killServer}, {"kill primary", killPrimary},
-	{"freeze server", freezeServer}, {"freeze primary", freezePrimary},
-	{"isolate primary", isolatePrimary}, {"isolate primary with one proxy", isolatePrimaryWithProxy},
-	{"silence", silence}, {"cut proxy to server", cutToServer}, {"cut server to proxy", cutFromServer},
-	{"cut peers", cutPeers}, {"kill proxy", killProxy}, {"freeze proxy", freezeProxy},
-	{"cut proxy from store", cutStore}, {"kill warden", killWarden}, {"freeze warden", freezeWarden},
-	{"lag", lag}, {"lose answers", loseAnswers},
-	{"store down", storeDown}, {"store slow", storeSlow}, {"store loses answers", storeLoses},
+	{"kill server", killServer},
+	{"kill primary", killPrimary},
+	{"freeze server", freezeServer},
+	{"freeze primary", freezePrimary},
+	{"isolate primary", isolatePrimary},
+	{"isolate primary with one proxy", isolatePrimaryWithProxy},
+	{"silence", silence},
+	{"cut proxy to server", cutToServer},
+	{"cut server to proxy", cutFromServer},
+	{"cut peers", cutPeers},
+	{"kill proxy", killProxy},
+	{"freeze proxy", freezeProxy},
+	{"cut proxy from store", cutStore},
+	{"kill warden", killWarden},
+	{"freeze warden", freezeWarden},
+	{"lag", lag},
+	{"lose answers", loseAnswers},
+	{"store down", storeDown},
+	{"store slow", storeSlow},
+	{"store loses answers", storeLoses},
 }
 
 // injectFaults begins faults until the fault time is over and then ends all of
--- a/internal/proxy/homes.go
+++ b/internal/proxy/homes.go
@@ -29,6 +29,7 @@
 			return nil
 		case d := <-documents:
 			p.home.SetDocument(d.Document)
+			p.front.Recheck()
 		case <-changed:
 		case <-time.After(homeInterval):
 		}
