Let transactions wait for a new primary as single writes do

Without a primary the opening of a transaction failed after its retries although the deadline was far. It now waits until a primary is reachable.

--- a/internal/home/behaviour_test.go
+++ b/internal/home/behaviour_test.go
@@ -118,6 +118,22 @@
 	})
 }
 
+// A transaction that is opened while there is no primary waits for the new one.
+func TestTransactionWaitsForThePrimary(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, b *bench) {
+		h := b.home("p1")
+		b.mustWrite(h, "", "put k v0")
+		b.group.Kill("s1")
+		time.AfterFunc(1500*time.Millisecond, func() { b.promote(2, "s2", "s3") })
+		time.Sleep(100 * time.Millisecond)
+		_, r, err := run(h, b.request(statement.ClassBegin, "begin"),
+			statement.Batch{Messages: []byte("put k v1")}, statement.Batch{Messages: []byte("commit")})
+		if err != nil || r.Server != "s2" || !r.Position.Known() {
+			t.Errorf("%+v %v", r, err)
+		}
+	})
+}
+
 // TestPlannedMove hands the group to another home while a write and an idle
 // transaction run. The write is not cut off.
 func TestPlannedMove(t *testing.T) {
--- a/internal/home/transaction.go
+++ b/internal/home/transaction.go
@@ -41,6 +41,13 @@
 func (o *owner) pinPrimary(ctx context.Context, r *request) (*node, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
+	err := o.await(ctx, func() (bool, error) { return o.group.Load().PrimaryUp(), nil })
+	if err != nil && ctx.Err() != nil {
+		return nil, errcode.Wrap(err, errcode.NoPrimary, "wait for primary", string(o.name))
+	}
+	if err != nil {
+		return nil, err
+	}
 	termCtx, group := o.present()
 	n := o.node(group.Primary)
 	if n == nil {
