--- a/internal/home/behaviour_test.go
+++ b/internal/home/behaviour_test.go
@@ -124,7 +124,16 @@
 		h := b.home("p1")
 		b.mustWrite(h, "", "put k v0")
 		b.group.Kill("s1")
-		time.AfterFunc(1500*time.Millisecond, func() { b.promote(2, "s2", "s3") })
+		for _, id := range []cluster.ServerID{"s2", "s3"} { // no primary is known any more
+			c, err := b.group.Dialer("warden").DialControl(t.Context(), cluster.Server{ID: id}, "orders")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := c.Seal(t.Context(), 2, "warden"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.AfterFunc(2*time.Second, func() { b.promote(2, "s2", "s3") })
 		time.Sleep(100 * time.Millisecond)
 		_, r, err := run(h, b.request(statement.ClassBegin, "begin"),
 			statement.Batch{Messages: []byte("put k v1")}, statement.Batch{Messages: []byte("commit")})
