--- a/internal/member/loop.go
+++ b/internal/member/loop.go
@@ -109,9 +109,10 @@
 	reply := News{From: l.own()}
 	if newcomer {
 		reply.Members = l.table.all(welcomeReports, now)
-	} else {
-		reply.Members = l.table.changes(pingReports, now)
+		return reply
 	}
+	reply.Members = l.table.contradict(news.Members, pingReports, now)
+	reply.Members = append(reply.Members, l.table.changes(pingReports-len(reply.Members), now)...)
 	return reply
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -93,6 +93,13 @@
 	Stable bool
 	// directAt is the time of the last direct contact.
 	directAt time.Time
+	// doubtedAt is the time at which this process last began to doubt the member.
+	doubtedAt time.Time
+	// triedAt is the doubtedAt for which the member was pinged directly.
+	triedAt time.Time
+	// contestedUntil ends the time in which evidence that the member lives is
+	// passed on at once, because others doubt it.
+	contestedUntil time.Time
 	// spread is the number of times that the entry is still sent to others.
 	spread int
 }
--- a/internal/member/ping.go
+++ b/internal/member/ping.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 )
@@ -22,9 +21,14 @@
 	fullMeshMembers = 10
 	// pingFanout is the number of members pinged in a round in larger views.
 	pingFanout = 4
-	// suspectsPinged is the most suspects that are pinged in a round besides
-	// the others, so that no death is taken on trust.
+	// suspectsPinged is the most suspects that are pinged at a time, so that no
+	// death is taken on trust.
 	suspectsPinged = 64
+	// othersAsked is the number of members that are asked at each tick about
+	// the suspects that will soon count as dead.
+	othersAsked = 4
+	// tickInterval is the time between two looks at what time alone changes.
+	tickInterval = 250 * time.Millisecond
 	// pingReports is the most reports that one ping or reply carries.
 	pingReports = 6
 	// welcomeReports is the most reports in the reply to a newcomer.
@@ -37,22 +41,45 @@
 	address string
 }
 
+// runPings pings members in turn and suspects at once.
 func (l *Loop) runPings(ctx context.Context) error {
-	var round sync.WaitGroup
-	defer round.Wait()
+	var pings sync.WaitGroup
+	defer pings.Wait()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	round := time.NewTimer(0)
+	defer round.Stop()
 	for {
-		for _, t := range l.targets() {
-			round.Go(func() { l.ping(ctx, t) })
-		}
-		if !l.pause(ctx, pingInterval) {
+		var targets []target
+		select {
+		case <-ctx.Done():
 			return nil
+		case <-round.C:
+			targets = l.targets()
+			round.Reset(l.jitter(pingInterval))
+		case <-ticker.C:
+			targets = l.tick()
+		}
+		for _, t := range targets {
+			pings.Go(func() { l.ping(ctx, t) })
 		}
-		l.mu.Lock()
-		l.publish(l.table.tick(time.Now()))
-		l.mu.Unlock()
 	}
 }
 
+// tick applies the passing of time and returns the suspects that this process
+// has not yet tried itself, and others to ask about those that it has.
+func (l *Loop) tick() []target {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.publish(l.table.tick(now))
+	keys := l.table.untried(suspectsPinged)
+	if l.table.askOthers(now) {
+		keys = append(keys, l.next(othersAsked)...)
+	}
+	return l.addressed(keys)
+}
+
 // targets returns the processes to ping in this round: all others in a small
 // view, else the next few of a shuffled queue, so that each is reached in turn.
 func (l *Loop) targets() []target {
@@ -66,17 +93,20 @@
 	if others >= fullMeshMembers {
 		count = pingFanout
 	}
-	keys := l.table.suspects(suspectsPinged)
-	for range count {
+	return l.addressed(l.next(count))
+}
+
+// next takes up to count other members from the queue. The caller holds the lock.
+func (l *Loop) next(count int) []Key {
+	var keys []Key
+	for range min(count, len(l.table.entries)-1) {
 		if len(l.queue) == 0 {
 			l.refill()
 		}
-		if !slices.Contains(keys, l.queue[0]) {
-			keys = append(keys, l.queue[0])
-		}
+		keys = append(keys, l.queue[0])
 		l.queue = l.queue[1:]
 	}
-	return l.addressed(keys)
+	return keys
 }
 
 // addressed returns the keys that are still in the view as targets. The caller
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -8,8 +8,15 @@
 )
 
 const (
-	// deadAfter is the time after which a suspect is dead.
-	deadAfter = 2 * time.Second
+	// deadAfter is the time for which this process must doubt a member before
+	// it counts as dead: long enough for direct pings.
+	deadAfter = 1500 * time.Millisecond
+	// askAfter is the time after which others are asked about a suspect.
+	askAfter = 750 * time.Millisecond
+	// contestedFor is the time for which new evidence of a member that others
+	// doubt is passed on contestedSpread times.
+	contestedFor    = 5 * time.Second
+	contestedSpread = 6
 	// stableAfter is the time for which a member must be alive before it
 	// becomes the home of a group.
 	stableAfter = 5 * time.Second
@@ -56,6 +63,7 @@
 	case r.Member.Incarnation > e.Member.Incarnation:
 		return t.restart(e, r, at, now)
 	case t.refutes(e, r.State, at, now):
+		e.contestedUntil = now.Add(contestedFor)
 		e.spread = t.spreads()
 		return false
 	case !at.After(e.EvidenceAt):
@@ -82,6 +90,9 @@
 		return false
 	}
 	e.EvidenceAt = at
+	if now.Before(e.contestedUntil) {
+		e.spread = max(e.spread, contestedSpread)
+	}
 	return t.fire(e, eventOf(s), now)
 }
 
@@ -105,17 +116,29 @@
 
 func doubt(s State) bool { return s == StateSuspect || s == StateDead }
 
-// suspects returns up to limit suspects.
-func (t *table) suspects(limit int) []Key {
+// untried returns up to limit suspects that were not yet returned since the
+// doubt began.
+func (t *table) untried(limit int) []Key {
 	var keys []Key
 	for key, e := range t.entries {
-		if e.State == StateSuspect && len(keys) < limit {
+		if e.State == StateSuspect && e.triedAt.Before(e.doubtedAt) && len(keys) < limit {
+			e.triedAt = e.doubtedAt
 			keys = append(keys, key)
 		}
 	}
 	return keys
 }
 
+// askOthers reports whether some suspect will soon count as dead.
+func (t *table) askOthers(now time.Time) bool {
+	for _, e := range t.entries {
+		if e.State == StateSuspect && now.Sub(e.doubtedAt) >= askAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // eventOf returns the event that evidence of a state stands for.
 func eventOf(s State) string {
 	switch s {
@@ -138,6 +161,9 @@
 	if State(next) == StateAlive && e.State == StateDead {
 		e.Since = now
 	}
+	if State(next) == StateSuspect {
+		e.doubtedAt = now
+	}
 	e.State = State(next)
 	e.spread = t.spreads()
 	return true
@@ -181,7 +207,7 @@
 	changed := false
 	for key, e := range t.entries {
 		silent := now.Sub(e.EvidenceAt)
-		if e.State == StateSuspect && silent >= deadAfter {
+		if e.State == StateSuspect && now.Sub(e.doubtedAt) >= deadAfter {
 			e.EvidenceAt = now
 			changed = t.fire(e, eventExpired, now) || changed
 		}
@@ -206,12 +232,12 @@
 	return now.Sub(e.Since) >= stableAfter
 }
 
-// changes returns up to limit reports of recent changes and counts them as
-// passed on. Those passed on least come first.
+// changes returns up to limit reports of suspects and of recent changes and
+// counts them as passed on. Those passed on least come first.
 func (t *table) changes(limit int, now time.Time) []Report {
 	var fresh []*Entry
 	for _, e := range t.entries {
-		if e.spread > 0 {
+		if e.spread > 0 || e.State == StateSuspect {
 			fresh = append(fresh, e)
 		}
 	}
@@ -220,12 +246,24 @@
 	})
 	var reports []Report
 	for _, e := range fresh[:min(limit, len(fresh))] {
-		e.spread--
+		e.spread = max(0, e.spread-1)
 		reports = append(reports, e.report(now))
 	}
 	return reports
 }
 
+// contradict returns up to limit reports of living members that others doubt.
+func (t *table) contradict(told []Report, limit int, now time.Time) []Report {
+	var reports []Report
+	for _, r := range told {
+		e, ok := t.entries[r.Member.Key()]
+		if ok && doubt(r.State) && e.State == StateAlive && len(reports) < limit {
+			reports = append(reports, e.report(now))
+		}
+	}
+	return reports
+}
+
 // all returns up to limit reports of the members that are not dead.
 func (t *table) all(limit int, now time.Time) []Report {
 	var reports []Report
