--- a/internal/home/work.go
+++ b/internal/home/work.go
@@ -19,6 +19,12 @@
 // cancelGrace is the time that a cancelled statement has to answer.
 const cancelGrace = time.Second
 
+// sqlStateReadOnly answers a write on a server that does not take writes.
+const sqlStateReadOnly = "25006"
+
+// settingReadOnly makes a server refuse writes outside explicit transactions.
+const settingReadOnly = "default_transaction_read_only"
+
 // errTermChanged reports that the primary was replaced while a request ran.
 var errTermChanged = errors.New("the primary was replaced")
 
@@ -79,6 +85,9 @@
 }
 
 func (w *work) connect(ctx context.Context) error {
+	if w.conn = w.node.pool.TryGet(); w.conn != nil {
+		return nil
+	}
 	ctx, cancel := context.WithDeadline(ctx, w.request.deadline)
 	defer cancel()
 	defer context.AfterFunc(w.termCtx, cancel)()
@@ -116,7 +125,9 @@
 // passed something: the path may have gone silent, and the attempt is one that
 // can be repeated. The other idle connections are probed then.
 func (w *work) exchange(ctx context.Context, x *backend.Exchange, patience time.Duration) (backend.Answer, error) {
-	x.Settings = w.request.Settings
+	if x.Settings == nil {
+		x.Settings = w.request.Settings
+	}
 	x.OrderID = w.request.OrderID
 	x.WantPosition = true
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -143,6 +154,19 @@
 	<-ctx.Done()
 }
 
+// readOnly are the session's settings with writes forbidden. A read at the
+// primary runs under them, so that a read that turns out to write is refused
+// there as it is on a replica.
+func (r *request) readOnly() []statement.Setting {
+	settings := make([]statement.Setting, 0, len(r.Settings)+1)
+	for _, s := range r.Settings {
+		if s.Name != settingReadOnly {
+			settings = append(settings, s)
+		}
+	}
+	return append(settings, statement.Setting{Name: settingReadOnly, Value: "on"})
+}
+
 // suspect gives up on an exchange that has passed nothing on.
 func (w *work) suspect(stop context.CancelFunc) {
 	if w.request.conv.passed.Load() {
@@ -157,6 +181,10 @@
 // nil once the answer may be passed on.
 func (w *work) acknowledge(ctx context.Context, a backend.Answer) error {
 	_ = w.attempts.Fire(order.EventAnswer)
+	if a.SQLState == sqlStateReadOnly && a.Tx == backend.TxIdle && !w.stillPrimary(ctx) {
+		_ = w.attempts.Fire(order.EventRefuse)
+		return errcode.Wrap(errTermChanged, errcode.NoPrimary, "write", string(w.node.server.ID))
+	}
 	if !a.Committed {
 		_ = w.attempts.Fire(order.EventAcknowledge)
 		return nil
@@ -172,6 +200,23 @@
 	return nil
 }
 
+// stillPrimary asks the server that refused a write whether it is the primary
+// of the term in which the attempt began. If it is, the refusal is meant for
+// the caller.
+func (w *work) stillPrimary(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	o := w.owner
+	ticket := o.draw()
+	is := false
+	err := o.await(ctx, func() (bool, error) {
+		r := o.view.reports[w.node.server.ID]
+		is = r.status.Role == cluster.RolePrimary && r.status.Term == w.group.Term
+		return r.ticket >= ticket, nil
+	})
+	return err == nil && is
+}
+
 // awaitAck waits until a committed write may be acknowledged and records it.
 func (o *owner) awaitAck(ctx context.Context, r *request, term cluster.Term, p cluster.Position) (cluster.Position, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
--- a/internal/pgwire/front/caller.go
+++ b/internal/pgwire/front/caller.go
@@ -7,16 +7,18 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgproto3"
-
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/session"
 	"github.com/rattancove/rattancove/internal/statechart"
 )
 
+// farewellTime bounds the last write to a caller.
+const farewellTime = time.Second
+
 // copyPieceBytes is the size at which a piece of a COPY goes to the home.
 const copyPieceBytes = 64 << 10
 
@@ -46,6 +48,8 @@
 	// batch is under collection; nil between batches.
 	batch        *batch
 	messageBytes int
+	// reserved is the caller's part of the server's budget.
+	reserved int64
 	// discarding is set after an error until the next Sync.
 	discarding bool
 	// tx is the transaction state that the caller saw last.
@@ -57,6 +61,8 @@
 	// mu keeps a drain from interrupting a caller that has just become busy.
 	mu    sync.Mutex
 	state statechart.Machine
+	// revoked is set when the caller's account is gone.
+	revoked atomic.Bool
 	// cancel ends the running request; nil while none runs.
 	cancel context.CancelCauseFunc
 }
@@ -66,6 +72,7 @@
 	err := c.serveRequests()
 	c.fire(signalClosed)
 	c.reader.release()
+	c.release()
 	if err == nil || errors.Is(err, io.EOF) {
 		return
 	}
@@ -73,6 +80,7 @@
 		Str("group", string(c.group)).Err(err).Send()
 	var coded *errcode.Error
 	if errors.As(err, &coded) {
+		c.writer.timeout = min(c.writer.timeout, farewellTime)
 		c.writer.message(errorResponse(coded, severityFatal, ""))
 		c.writer.flush()
 	}
@@ -121,7 +129,11 @@
 // the server drains and no message is on its way.
 func (c *caller) awaitQuiet() error {
 	if c.reader.buffered() {
-		return nil
+		return c.mayStay()
+	}
+	if c.batch == nil {
+		c.reader.release()
+		c.release()
 	}
 	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
 		return err
@@ -129,7 +141,13 @@
 	if c.server.draining.Load() {
 		c.interruptIfQuiet()
 	}
+	if err := c.mayStay(); err != nil {
+		return err
+	}
 	err := c.reader.wait()
+	if revoked := c.mayStay(); revoked != nil {
+		return revoked
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.server.draining.Load() {
 		return errcode.New(errcode.Draining, "idle", "")
 	}
@@ -193,7 +211,8 @@
 // ready tells the caller that the next request may come.
 func (c *caller) ready(tx byte) {
 	c.tx = tx
-	c.writer.message(&pgproto3.ReadyForQuery{TxStatus: tx})
+	message := [...]byte{msgReady, 0, 0, 0, headerBytes, tx}
+	c.writer.write(message[:])
 	c.writer.flush()
 }
 
--- a/internal/pgwire/front/fake_test.go
+++ b/internal/pgwire/front/fake_test.go
@@ -14,6 +14,7 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
 
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/environment"
@@ -21,6 +22,8 @@
 	"github.com/rattancove/rattancove/internal/statement"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // fakeRunner answers batches as a tiny PostgreSQL server would.
 type fakeRunner struct {
 	mu       sync.Mutex
@@ -56,7 +59,7 @@
 		f.done++
 		f.mu.Unlock()
 	}()
-	s := &fakeSession{runner: f, conv: conv, tx: 'I', sql: map[string]string{}}
+	s := &fakeSession{runner: f, conv: conv, tx: 'I', sql: map[string]string{"": "select 'of another caller'"}}
 	batch := &req.First
 	for n := 0; ; n++ {
 		f.mu.Lock()
@@ -214,6 +217,10 @@
 	case sql == "":
 		s.send(&pgproto3.EmptyQueryResponse{})
 		return nil
+	case sql == "commit boom":
+		s.fail("23503")
+		s.tx = 'I'
+		return nil
 	case tag == "BEGIN":
 		s.tx = 'T'
 	case tag == "ROLLBACK", tag == "COMMIT" && s.tx == 'E':
@@ -301,7 +308,7 @@
 	address string
 }
 
-func startServer(t testing.TB, d fakeDirectory, config front.Config) *bench {
+func startServer(t testing.TB, d front.Directory, config front.Config) *bench {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/pgwire/front/server.go
+++ b/internal/pgwire/front/server.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,6 +48,9 @@
 	draining   atomic.Bool
 	unverified atomic.Int64
 	mockSecret [32]byte
+	// definitions holds the prepared statements of all callers.
+	definitions *definitions
+	budget      budget
 
 	mu        sync.Mutex
 	listeners map[net.Listener]struct{}
@@ -63,14 +67,17 @@
 // directory.
 func New(config Config, runner statement.Runner, directory Directory) *Server {
 	base, cutOff := context.WithCancelCause(context.Background())
+	config = config.withDefaults()
 	s := &Server{
-		config:        config.withDefaults(),
+		config:        config,
 		runner:        runner,
 		directory:     directory,
 		logger:        config.Logger,
 		requestPrefix: fmt.Sprintf("%s-%.8s-", config.Proxy, uuid.NewString()),
 		base:          base,
 		cutOff:        cutOff,
+		definitions:   newDefinitions(config.PreparedBytes),
+		budget:        budget{limit: config.BufferBytes},
 		listeners:     make(map[net.Listener]struct{}),
 		starting:      make(map[net.Conn]struct{}),
 		callers:       make(map[uint32]*caller),
@@ -189,5 +196,5 @@
 
 // nextRequestID returns an id that no other request has.
 func (s *Server) nextRequestID() string {
-	return fmt.Sprintf("%s%x", s.requestPrefix, s.requestCount.Add(1))
+	return s.requestPrefix + strconv.FormatUint(s.requestCount.Add(1), 16)
 }
--- a/internal/pgwire/front/startup.go
+++ b/internal/pgwire/front/startup.go
@@ -122,7 +122,7 @@
 	var own *sqlError
 	var coded *errcode.Error
 	if errors.As(err, &own) || errors.As(err, &coded) {
-		_ = conn.SetWriteDeadline(time.Now().Add(time.Second))
+		_ = conn.SetWriteDeadline(time.Now().Add(farewellTime))
 		_, _ = conn.Write(encode(errorResponse(err, severityFatal, "")))
 	}
 	_ = conn.Close()
@@ -260,6 +260,7 @@
 	c := &caller{server: s, conn: conn, tx: txIdle, options: defaultOptions()}
 	c.state.Init(sessionChart)
 	c.reader.source = conn
+	c.reader.reserve = c.reserve
 	c.writer = answerWriter{conn: conn, timeout: s.config.WriteTime}
 	c.user = parameters["user"]
 	c.group = cluster.GroupName(parameters["database"])
--- a/internal/standin/dbserver/server_test.go
+++ b/internal/standin/dbserver/server_test.go
@@ -105,6 +105,20 @@
 	}
 }
 
+func TestDriverCopiesInBinary(t *testing.T) {
+	c := connect(t, start(t, Config{Primary: true, Schema: "CREATE TABLE n(i INTEGER PRIMARY KEY, v TEXT, b BYTEA)"}))
+	rows := [][]any{{int64(1), "one", []byte{0, 255}}, {int64(2), nil, nil}}
+	n, err := c.CopyFrom(t.Context(), pgx.Identifier{"n"}, []string{"i", "v", "b"}, pgx.CopyFromRows(rows))
+	if err != nil || n != 2 {
+		t.Fatalf("%d rows, %v", n, err)
+	}
+	var v string
+	var b []byte
+	if err := c.QueryRow(t.Context(), "SELECT v, b FROM n WHERE i = 1").Scan(&v, &b); err != nil || v != "one" || !cmp.Equal(b, []byte{0, 255}) {
+		t.Errorf("%q %v %v", v, b, err)
+	}
+}
+
 func TestSavepoints(t *testing.T) {
 	c := connect(t, start(t, Config{Primary: true, Schema: "CREATE TABLE n(i INTEGER PRIMARY KEY)"}))
 	err := pgx.BeginFunc(t.Context(), c, func(tx pgx.Tx) error {
@@ -151,14 +165,33 @@
 	s := start(t, Config{Primary: true, Schema: "CREATE TABLE n(i INTEGER PRIMARY KEY, v INTEGER); INSERT INTO n VALUES (1, 0)"})
 	a, b := connect(t, s), connect(t, s)
 	exec(t, a, "BEGIN")
-	exec(t, a, "UPDATE n SET v = 5 RETURNING v")
-	exec(t, a, "INSERT INTO n VALUES (2, 0)")
-	exec(t, b, "INSERT INTO n VALUES (2, 1)")
+	exec(t, a, "UPDATE n SET v = v + 1 RETURNING v")
+	exec(t, b, "UPDATE n SET v = 10 WHERE i = 1")
 	if _, err := a.Exec(t.Context(), "COMMIT"); state(err) != "40001" {
 		t.Errorf("got %v", err)
 	}
 }
 
+func TestSameKeyWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := start(t, Config{Primary: true, Schema: "CREATE TABLE n(i INTEGER PRIMARY KEY)"})
+		a, b := connect(t, s), connect(t, s)
+		exec(t, a, "BEGIN")
+		exec(t, a, "INSERT INTO n VALUES (1)")
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		wg.Go(func() {
+			time.Sleep(time.Second)
+			_, _ = a.Exec(t.Context(), "COMMIT")
+		})
+		began := time.Now()
+		_, err := b.Exec(t.Context(), "INSERT INTO n VALUES (1)")
+		if state(err) != "23505" || time.Since(began) != time.Second {
+			t.Errorf("got %v after %v", err, time.Since(began))
+		}
+	})
+}
+
 func TestSlotsAreServedInOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := start(t, Config{Primary: true, Slots: 1, Connections: 3, ConnectDelay: 12 * time.Millisecond})
@@ -178,6 +211,48 @@
 	})
 }
 
+func TestLockKeys(t *testing.T) {
+	one := []value{intValue(9), textValue("fern")}
+	cases := []struct {
+		a, b command
+		same bool
+	}{
+		{command{SQL: "UPDATE n SET v = ?1 WHERE i = ?2 RETURNING v", Args: one}, command{SQL: "UPDATE n SET v = 3 WHERE i = fern"}, true},
+		{command{SQL: "SELECT v FROM n WHERE i = ?2", Args: one}, command{SQL: "DELETE FROM n WHERE i  = ?2", Args: one}, true},
+		{command{SQL: "UPDATE n SET v = ?2 WHERE i = ?1", Args: one}, command{SQL: "UPDATE n SET v = ?1 WHERE i = ?2", Args: one}, false},
+		{command{SQL: "INSERT INTO n VALUES (?2, ?1)", Args: one}, command{SQL: "INSERT INTO n(i, v) VALUES (fern, 1) ON CONFLICT DO NOTHING"}, true},
+		{command{SQL: "INSERT INTO n VALUES (?1)", Args: one}, command{SQL: "INSERT INTO m VALUES (?1)", Args: one}, false},
+	}
+	for _, tc := range cases {
+		if (lockKey(tc.a) == lockKey(tc.b)) != tc.same {
+			t.Errorf("%q and %q", lockKey(tc.a), lockKey(tc.b))
+		}
+	}
+}
+
+func TestConcurrentCounterLosesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := start(t, Config{Primary: true, Slots: 4, Schema: "CREATE TABLE n(i INTEGER PRIMARY KEY, v INTEGER); INSERT INTO n VALUES (1, 0)"})
+		var wg sync.WaitGroup
+		for delta := range 8 {
+			c := connect(t, s)
+			wg.Go(func() {
+				for range 5 {
+					_, err := c.Exec(t.Context(), "UPDATE n SET v = v + $1 + rattan_work(5) * 0 WHERE i = 1 RETURNING v", delta)
+					if err != nil {
+						t.Error(err)
+					}
+				}
+			})
+		}
+		wg.Wait()
+		var sum int64
+		if err := connect(t, s).QueryRow(t.Context(), "SELECT v FROM n").Scan(&sum); err != nil || sum != 5*28 {
+			t.Errorf("%d, %v", sum, err)
+		}
+	})
+}
+
 func TestStateOutlivesTheProcess(t *testing.T) {
 	cfg := Config{ID: "a", Primary: true, Dir: t.TempDir(), Schema: "CREATE TABLE n(i INTEGER PRIMARY KEY)"}
 	s, err := New(cfg)
@@ -222,3 +297,32 @@
 	s.SetDown(false)
 	exec(t, connect(t, s), "SELECT 1")
 }
+
+func TestConnectionLimits(t *testing.T) {
+	s := start(t, Config{Primary: true, Connections: 3, ControlConnections: 2})
+	cases := []struct {
+		data, controls int
+		full           bool
+		control        bool
+	}{
+		{data: 2, full: false},
+		{data: 3, full: true},
+		{data: 3, control: true, full: false},
+		{data: 3, controls: 2, control: true, full: true},
+		{data: 2, controls: 3, full: true},
+		{data: 1, controls: 3, full: false},
+	}
+	for _, tc := range cases {
+		s.mu.Lock()
+		clear(s.sessions)
+		for i := range tc.data + tc.controls {
+			s.sessions[uint32(i)] = &session{control: i >= tc.data}
+		}
+		full := s.full(tc.control)
+		clear(s.sessions)
+		s.mu.Unlock()
+		if full != tc.full {
+			t.Errorf("%+v: full is %v", tc, full)
+		}
+	}
+}
