Count a server without a free place as alive; hold fewer connections

Stand-ins keep four places for control connections. Three wardens, the home and fresh probes can exceed them, and a refusal for lack of places was taken for a dead server.

--- a/internal/failover/board.go
+++ b/internal/failover/board.go
@@ -63,6 +63,17 @@
 	b.notify()
 }
 
+// Alive records that a server refused a connection begun at began for lack of
+// places: it lives, though its status is not known anew.
+func (b *Board) Alive(id cluster.ServerID, began time.Time) {
+	b.mu.Lock()
+	status := b.servers[id].Status
+	b.mu.Unlock()
+	if status.Server != "" {
+		b.Answered(id, status, began)
+	}
+}
+
 // Failed records that a fresh connection begun at began failed within timeout.
 // A failure that took much longer shows a pause of this process and is
 // ignored.
--- a/internal/failover/board_test.go
+++ b/internal/failover/board_test.go
@@ -46,6 +46,12 @@
 			time.Sleep(10 * time.Second)
 			b.Failed("s1", began, time.Second)
 		}, false, 0, 0},
+		{"a server without a free place lives", func(b *Board) {
+			b.Answered("s1", status(3), time.Now())
+			b.Failed("s1", time.Now(), time.Second)
+			time.Sleep(time.Second)
+			b.Alive("s1", time.Now())
+		}, false, 0, 3},
 		{"terms never fall", func(b *Board) {
 			b.Answered("s1", status(3), time.Now())
 			time.Sleep(time.Second)
--- a/internal/failover/decide_test.go
+++ b/internal/failover/decide_test.go
@@ -67,6 +67,13 @@
 	}}
 }
 
+// fullPrimary is a report of an observer for which the primary had no place.
+func fullPrimary(observer string) ObserverReport {
+	r := report(observer, at(0.5), true, true)
+	r.Probes[0].Role, r.Probes[0].Term = "", 0
+	return r
+}
+
 // reported adds reports to a group.
 func reported(g GroupStatus, reports ...ObserverReport) GroupStatus {
 	g.Reports = append(g.Reports, reports...)
@@ -120,6 +127,7 @@
 		{name: "too early", status: reported(primaryDown(at(0.9)), report("e1", at(0.5), false, true)), state: suspected, now: at(0.9), phase: PhaseSuspected, want: []string{"ask"}},
 		{name: "majority against", status: reported(primaryDown(at(1.1)), report("e1", at(0.5), false, true)), state: suspected, now: at(1.1), phase: PhaseSealing, want: []string{"confirm"}},
 		{name: "majority reaches it", status: reported(primaryDown(at(1.1)), report("e1", at(0.5), true, true), report("e2", at(0.5), true, true)), state: suspected, now: at(1.1), phase: PhaseSuspected, want: []string{"ask"}},
+		{name: "full is not failed", status: reported(primaryDown(at(1.1)), fullPrimary("e1"), fullPrimary("e2")), state: suspected, now: at(1.1), phase: PhaseSuspected, want: []string{"ask"}},
 		{name: "even split", status: reported(primaryDown(at(1.1)), report("e1", at(0.5), true, true)), state: suspected, now: at(1.1), phase: PhaseSuspected, want: []string{"ask"}},
 		{name: "cut off observers do not count", status: reported(primaryDown(at(1.1)), report("e1", at(0.5), false, true), report("e2", at(0.5), false, false), report("e3", at(0.5), false, false)), state: suspected, now: at(1.1), phase: PhaseSealing, want: []string{"confirm"}},
 		{name: "stale report does not count", status: reported(primaryDown(at(2.6)), report("e1", at(0.5), true, true)), state: suspected, now: at(2.6), phase: PhaseSealing, want: []string{"confirm"}},
--- a/internal/failover/detect.go
+++ b/internal/failover/detect.go
@@ -75,12 +75,13 @@
 func judge(spec GroupSpec, status GroupStatus, since, now time.Time) verdict {
 	var v verdict
 	term := status.maxTerm()
-	v.add(ownReport(spec, status, now), term)
+	primary, _, _ := status.primary(spec)
+	v.add(ownReport(spec, status, now), primary, term)
 	for _, r := range status.Reports {
 		if r.At.Before(since) || now.Sub(r.At) > evidenceFor {
 			continue
 		}
-		v.add(r, term)
+		v.add(r, primary, term)
 	}
 	return v
 }
@@ -99,14 +100,17 @@
 	return report
 }
 
-func (v *verdict) add(r ObserverReport, term cluster.Term) {
+// add counts a report. A primary that lives but has no place for another
+// connection counts as reached.
+func (v *verdict) add(r ObserverReport, suspect cluster.ServerID, term cluster.Term) {
 	reached, primary := 0, false
 	for _, p := range r.Probes {
 		if !p.Reachable {
 			continue
 		}
 		reached++
-		primary = primary || (p.Role == cluster.RolePrimary && p.Term >= term)
+		full := p.Role == "" && p.Server == suspect
+		primary = primary || full || (p.Role == cluster.RolePrimary && p.Term >= term)
 	}
 	if reached == 0 {
 		return // the observer itself is cut off
--- a/internal/failover/executor.go
+++ b/internal/failover/executor.go
@@ -211,6 +211,10 @@
 	defer cancel()
 	began := time.Now()
 	control, err := e.dialer.DialControl(ctx, server, group)
+	if IsAlive(err) {
+		e.board.Alive(server.ID, began)
+		return true
+	}
 	if err != nil {
 		e.failed(ctx, server.ID, began)
 		return true // there is nothing to ask
--- a/internal/failover/status.go
+++ b/internal/failover/status.go
@@ -33,8 +33,10 @@
 type ProbeResult struct {
 	Server    cluster.ServerID
 	Reachable bool
-	Role      cluster.Role
-	Term      cluster.Term
+	// Role and Term are empty when the server lives but had no place for
+	// another connection.
+	Role cluster.Role
+	Term cluster.Term
 }
 
 // ObserverReport is what another process found by fresh connections.
--- a/internal/warden/peers.go
+++ b/internal/warden/peers.go
@@ -47,7 +47,7 @@
 		server := cluster.Server{ID: cluster.ServerID(in.GetServer()), Address: in.GetAddress()}
 		status, err := failover.Status(ctx, d, cluster.GroupName(in.GetGroup()), server)
 		if err != nil {
-			return &peerpb.ProbeReply{Error: err.Error()}, nil //nolint:nilerr // the failure is the answer
+			return &peerpb.ProbeReply{Reachable: failover.IsAlive(err), Error: err.Error()}, nil //nolint:nilerr // the failure is the answer
 		}
 		return &peerpb.ProbeReply{
 			Reachable: true,
--- a/internal/warden/watch.go
+++ b/internal/warden/watch.go
@@ -91,8 +91,11 @@
 // freshDue reports whether a primary must prove that it takes new connections.
 func (w *watch) freshDue() bool { return w.primary && time.Since(w.freshAt) >= freshInterval }
 
-// fresh replaces the connection by a new one and asks on it.
+// fresh replaces the connection by a new one and asks on it. The old one is
+// closed first, because places for control connections are few; only the
+// warden that acts first keeps the new one.
 func (w *watch) fresh(ctx context.Context) bool {
+	w.replace(nil)
 	began := time.Now()
 	w.freshAt = began
 	callCtx, cancel := context.WithTimeout(ctx, failover.CallTimeout)
@@ -101,12 +104,16 @@
 	if err == nil {
 		var status cluster.ServerStatus
 		if status, err = control.Status(callCtx); err == nil {
-			w.replace(control)
+			w.keep(control)
 			w.answered(status, began)
 			return true
 		}
 		_ = control.Close()
 	}
+	if failover.IsAlive(err) {
+		w.board.Alive(w.server.ID, began)
+		return true
+	}
 	if ctx.Err() == nil {
 		w.board.Failed(w.server.ID, began, failover.CallTimeout)
 	}
@@ -124,6 +131,15 @@
 	w.board.Answered(w.server.ID, status, began)
 }
 
+// keep keeps a new connection, or closes it when another warden acts first.
+func (w *watch) keep(control backend.Control) {
+	if w.spec.Load().Order > 0 {
+		_ = control.Close()
+		return
+	}
+	w.control = control
+}
+
 // replace closes the connection and keeps another, which may be nil.
 func (w *watch) replace(control backend.Control) {
 	if w.control != nil {
