--- a/internal/failover/status.go
+++ b/internal/failover/status.go
@@ -95,6 +95,13 @@
 	return id, term, id != ""
 }
 
+// Primary returns the server that is, as far as known, the primary of the
+// highest term; empty when there is none.
+func (g GroupStatus) Primary(spec GroupSpec) cluster.ServerID {
+	id, _, _ := g.primary(spec)
+	return id
+}
+
 // sealedBy returns the statuses of the servers that hold the seal of an
 // attempt, ordered as in the spec.
 func (g GroupStatus) sealedBy(spec GroupSpec, a Attempt) []cluster.ServerStatus {
--- a/internal/warden/watch.go
+++ b/internal/warden/watch.go
@@ -16,9 +16,10 @@
 	// calls to a primary and to another server.
 	primaryInterval = 500 * time.Millisecond
 	replicaInterval = time.Second
-	// failingInterval is the time between two fresh connections to a server
-	// that does not answer.
+	// failingInterval is the time between two fresh connections to a primary
+	// that does not answer, and downInterval to another server.
 	failingInterval = 250 * time.Millisecond
+	downInterval    = time.Second
 	// freshInterval is the time between two fresh connections to a primary
 	// that answers.
 	freshInterval = time.Second
@@ -60,14 +61,18 @@
 
 // interval returns the time until the next look.
 func (w *watch) interval(answered bool) time.Duration {
+	spec := w.spec.Load()
+	primary := w.board.Status().Primary(*spec) == w.server.ID
 	interval := replicaInterval
 	switch {
-	case !answered:
+	case !answered && primary:
 		return failingInterval
-	case w.primary:
+	case !answered:
+		return downInterval
+	case primary:
 		interval = primaryInterval
 	}
-	if w.spec.Load().Order > 0 {
+	if spec.Order > 0 {
 		return time.Duration(standbyFactor * float64(interval))
 	}
 	return interval
