--- a/internal/failover/attempt.go
+++ b/internal/failover/attempt.go
@@ -133,7 +133,6 @@
 	}
 	chosen := elect(spec, sealed, avoid)
 	s.Attempt.Chosen, s.Attempt.Position, s.Attempt.Voters = chosen.Server, chosen.Received, len(sealed)
-	s.Base, s.BaseTerm = chosen.Received, s.Attempt.Term
 	s.Attempt.Behind = cluster.Position{}
 	for _, other := range sealed {
 		if chosen.Received.Less(other.Received) {
@@ -173,7 +172,7 @@
 	if overtaken(status, a) {
 		return s.lose(now), nil
 	}
-	followers := followers(spec, status, s, a.Chosen, now)
+	followers := followers(spec, status, a.Chosen, now)
 	if converged(spec, status, a) || a.WithoutMajority {
 		report := Report{Record: completed(spec, s, now)}
 		return s.fire(eventConverged, now), append(followers, report)
--- a/internal/failover/decide.go
+++ b/internal/failover/decide.go
@@ -10,7 +10,7 @@
 // called after every change of the status and at least every 100 ms while a
 // group is not healthy.
 func Decide(spec GroupSpec, status GroupStatus, s State, now time.Time) (State, []Action) {
-	s = s.trackReplication(spec, status, now).trackTerm(spec, status, now)
+	s = s.trackReplication(spec, status, now).trackTerm(status, now)
 	for {
 		next, actions := decidePhase(spec, status, s, now)
 		if len(actions) > 0 || next.Phase == s.Phase {
@@ -70,7 +70,7 @@
 
 // repair makes servers that do not follow the primary do so.
 func repair(spec GroupSpec, status GroupStatus, s State, primary cluster.ServerID, now time.Time) (State, []Action) {
-	actions := followers(spec, status, s, primary, now)
+	actions := followers(spec, status, primary, now)
 	if len(actions) == 0 {
 		s.UnrepairedSince = time.Time{}
 		return s, nil
@@ -87,14 +87,14 @@
 
 // followers returns the actions that make the reachable servers follow the
 // primary, and a report for each earlier primary whose tail is discarded.
-func followers(spec GroupSpec, status GroupStatus, s State, primary cluster.ServerID, now time.Time) []Action {
+func followers(spec GroupSpec, status GroupStatus, primary cluster.ServerID, now time.Time) []Action {
 	var actions []Action
 	p := status.Servers[primary].Status
 	for _, id := range status.reachable(spec) {
 		if id == primary || status.following(id, primary) || status.Servers[id].Status.Term > p.Term {
 			continue
 		}
-		if old := status.Servers[id].Status; old.Role == cluster.RolePrimary && s.hasTail(old, p.Term) {
+		if old := status.Servers[id].Status; old.Role == cluster.RolePrimary && hasTail(old, p) {
 			actions = append(actions, Report{Record: discardedTail(spec, old, p, now)})
 		}
 		actions = append(actions, Follow{Server: id, Term: p.Term, Leader: primary})
@@ -103,9 +103,9 @@
 }
 
 // hasTail reports whether an earlier primary may hold records that the log of
-// term does not continue.
-func (s State) hasTail(old cluster.ServerStatus, term cluster.Term) bool {
-	return s.BaseTerm != term || !s.Base.Known() || s.Base.Less(old.Received)
+// the primary does not continue.
+func hasTail(old, primary cluster.ServerStatus) bool {
+	return !primary.TermStart.Known() || primary.TermStart.Less(old.Received)
 }
 
 func decideSuspected(spec GroupSpec, status GroupStatus, s State, now time.Time) (State, []Action) {
--- a/internal/failover/decide_test.go
+++ b/internal/failover/decide_test.go
@@ -21,6 +21,7 @@
 func seen(id cluster.ServerID, role cluster.Role, term cluster.Term, leader cluster.ServerID, offset uint64, when time.Time) Observation {
 	return Observation{At: when, Status: cluster.ServerStatus{
 		Server: id, Role: role, Term: term, Leader: leader, Received: cluster.Position{Term: 1, Offset: offset},
+		TermStart: cluster.Position{Term: 1, Offset: 5},
 	}}
 }
 
--- a/internal/failover/detect.go
+++ b/internal/failover/detect.go
@@ -150,20 +150,11 @@
 	return o.Failures >= failuresToSuspect && now.Sub(o.FailedAt) <= evidenceFor
 }
 
-// trackTerm notes when a new term was first seen, and where its log began if
-// its primary has not written yet.
-func (s State) trackTerm(spec GroupSpec, status GroupStatus, now time.Time) State {
+// trackTerm notes when a new term was first seen.
+func (s State) trackTerm(status GroupStatus, now time.Time) State {
 	if term := status.maxTerm(); term > s.MaxTerm {
 		s.MaxTerm, s.MaxTermAt = term, now
 	}
-	id, term, ok := status.primary(spec)
-	p := status.Servers[id].Status
-	if ok && term > s.BaseTerm {
-		s.Base, s.BaseTerm = cluster.Position{}, term
-		if p.Term == term && p.Received.Term < term {
-			s.Base = p.Received
-		}
-	}
 	return s
 }
 
--- a/internal/failover/state.go
+++ b/internal/failover/state.go
@@ -114,10 +114,6 @@
 	// MaxTerm is the highest term seen, and MaxTermAt the time of its first sight.
 	MaxTerm   cluster.Term
 	MaxTermAt time.Time
-	// Base is the position at which the log of BaseTerm began; unknown when
-	// this warden did not see it.
-	Base     cluster.Position
-	BaseTerm cluster.Term
 	// StallAt is the time of the last failover for a stalled replication.
 	StallAt time.Time
 	// Switchovers counts the tries to hand over from a leaving primary.
