--- a/internal/failover/executor.go
+++ b/internal/failover/executor.go
@@ -85,7 +85,10 @@
 	for _, server := range spec.Servers {
 		wg.Go(func() { e.Probe(ctx, spec.Name, server) })
 	}
-	intent := Intent{Term: c.Attempt.Term, Holder: c.Attempt.Holder, At: time.Now()}
+	intent := Intent{
+		Term: c.Attempt.Term, Holder: c.Attempt.Holder, At: time.Now(),
+		WithoutMajority: c.Attempt.WithoutMajority,
+	}
 	e.board.SetIntent(e.store.Announce(ctx, spec.Name, intent))
 	wg.Wait()
 }
--- a/internal/failover/store.go
+++ b/internal/failover/store.go
@@ -60,14 +60,18 @@
 	Holder string       `json:"holder"`
 	// At is the holder's wall clock, for operators.
 	At time.Time `json:"at"`
+	// WithoutMajority announces a promotion that only this row arbitrates.
+	WithoutMajority bool `json:"without_majority,omitempty"`
 	// Done is set when the attempt is over.
 	Done bool `json:"done"`
 }
 
 // row is the value of a group's failover row.
 type row struct {
-	Intent  Intent   `json:"intent"`
-	Records []Record `json:"records"`
+	Intent Intent `json:"intent"`
+	// MaxTerm is the highest term ever announced.
+	MaxTerm cluster.Term `json:"max_term"`
+	Records []Record     `json:"records"`
 }
 
 // Store keeps intents and records in the table service. Its methods are safe
@@ -107,12 +111,16 @@
 		result.Outcome = IntentUnreachable
 		return result
 	}
-	result.Term = value.Intent.Term
-	if s.respects(group, value.Intent, intent.Holder) {
+	result.Term = value.MaxTerm
+	// A promotion without a majority needs a term that nobody else was granted,
+	// as its holder may only be paused.
+	taken := intent.WithoutMajority && intent.Term <= value.MaxTerm && intent.Holder != value.Intent.Holder
+	if taken || s.respects(group, value.Intent, intent.Holder) {
 		result.Outcome = IntentConflict
 		return result
 	}
 	value.Intent = intent
+	value.MaxTerm = max(value.MaxTerm, intent.Term)
 	err = s.write(ctx, group, version, value)
 	switch {
 	case err == nil:
--- a/internal/failover/store_test.go
+++ b/internal/failover/store_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/platform/platformtest"
 )
 
@@ -59,6 +60,38 @@
 	}
 }
 
+// TestTermWithoutMajorityIsGrantedOnce lets a holder pause after it was
+// granted a term and checks that no other holder is ever granted the same.
+func TestTermWithoutMajorityIsGrantedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := platformtest.NewTable()
+		store := NewStore(table)
+		announce := func(holder string, term cluster.Term, withoutMajority bool) IntentResult {
+			return store.Announce(t.Context(), "g", Intent{Term: term, Holder: holder, WithoutMajority: withoutMajority})
+		}
+		steps := []struct {
+			holder          string
+			term            cluster.Term
+			withoutMajority bool
+			want            IntentOutcome
+		}{
+			{"a/1", 3, true, IntentGranted},
+			{"a/1", 3, true, IntentGranted},
+			{"b/1", 2, false, IntentGranted},
+			{"c/1", 3, true, IntentConflict},
+			{"c/2", 5, true, IntentGranted},
+		}
+		for _, step := range steps {
+			announce(step.holder, step.term, step.withoutMajority)
+			time.Sleep(intentFor) // an announcement of another is respected until then
+			got := announce(step.holder, step.term, step.withoutMajority)
+			if got.Outcome != step.want {
+				t.Errorf("%s at %d: %s, want %s", step.holder, step.term, got.Outcome, step.want)
+			}
+		}
+	})
+}
+
 func TestRecordsOutlastAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := platformtest.NewTable()
