--- a/internal/failover/decide.go
+++ b/internal/failover/decide.go
@@ -78,13 +78,28 @@
 	if s.UnrepairedSince.IsZero() {
 		s.UnrepairedSince = now
 	}
-	if now.Sub(s.UnrepairedSince) < spec.patience() || now.Before(s.RepairAt) {
+	if now.Before(s.RepairAt) || !standbyMayRepair(spec, status, s, actions) {
 		return s, nil
 	}
 	s.RepairAt = now.Add(repairInterval)
 	return s, actions
 }
 
+// standbyMayRepair reports whether the wardens before this one have had time
+// to repair and servers were seen unrepaired after that.
+func standbyMayRepair(spec GroupSpec, status GroupStatus, s State, actions []Action) bool {
+	if spec.Order == 0 {
+		return true
+	}
+	due := s.UnrepairedSince.Add(spec.patience())
+	for _, action := range actions {
+		if f, ok := action.(Follow); ok && status.Servers[f.Server].At.Before(due) {
+			return false
+		}
+	}
+	return true
+}
+
 // followers returns the actions that make the reachable servers follow the
 // primary, and a report for each earlier primary whose tail is discarded.
 func followers(spec GroupSpec, status GroupStatus, primary cluster.ServerID, now time.Time) []Action {
--- a/internal/failover/decide_test.go
+++ b/internal/failover/decide_test.go
@@ -237,6 +237,8 @@
 func TestDecideRepairAndSwitchover(t *testing.T) {
 	leaving := func(s *GroupSpec) { s.Leaving["s1"] = true }
 	healthy := settled(PhaseHealthy, CauseNone)
+	unrepaired := settled(PhaseHealthy, CauseNone)
+	unrepaired.UnrepairedSince = at(1)
 	switching := settled(PhaseSwitchover, CauseLeaving)
 	newPrimary := with(healthyGroup(at(1)), seen("s2", cluster.RolePrimary, 2, "s2", 5, at(1)), seen("s3", cluster.RoleReplica, 2, "s2", 5, at(1)))
 	behind := with(healthyGroup(at(1)), seen("s1", cluster.RolePrimary, 1, "s1", 500, at(1)))
@@ -255,6 +257,8 @@
 		{name: "diverged", status: with(healthyGroup(at(1)), seen("s3", cluster.RoleReplica, 1, "s1", 9, at(1))), state: healthy, now: at(1), phase: PhaseHealthy, want: []string{"follow s3 s1"}},
 		{name: "newer answer of a replica is no divergence", status: with(healthyGroup(at(1)), seen("s3", cluster.RoleReplica, 1, "s1", 9, at(1.1))), state: healthy, now: at(1.1), phase: PhaseHealthy},
 		{name: "second warden leaves the repair", spec: func(s *GroupSpec) { s.Order = 1 }, status: newPrimary, state: healthy, now: at(1), phase: PhaseHealthy},
+		{name: "second warden does not repair by an old answer", spec: func(s *GroupSpec) { s.Order = 1 }, status: newPrimary, state: unrepaired, now: at(3), phase: PhaseHealthy},
+		{name: "second warden repairs at last", spec: func(s *GroupSpec) { s.Order = 1 }, status: with(newPrimary, seen("s1", cluster.RolePrimary, 1, "s1", 5, at(3))), state: unrepaired, now: at(3), phase: PhaseHealthy, want: []string{"follow s1 s2"}},
 		{name: "unfinished election", status: with(healthyGroup(at(1)), held("s3", 2, "v/1", 5, at(1))), state: healthy, now: at(1), phase: PhaseSuspected, want: []string{"ask"}},
 		{name: "no primary", status: with(healthyGroup(at(1)), seen("s1", cluster.RoleReplica, 1, "", 5, at(1)), seen("s2", cluster.RoleReplica, 1, "", 5, at(1)), seen("s3", cluster.RoleReplica, 1, "", 5, at(1))), state: healthy, now: at(1), phase: PhaseSuspected, want: []string{"ask"}},
 		{name: "leaving primary", spec: leaving, status: healthyGroup(at(1)), state: healthy, now: at(1), phase: PhaseSealing, want: []string{"confirm"}},
