--- a/internal/failover/status.go
+++ b/internal/failover/status.go
@@ -33,8 +33,10 @@
 type ProbeResult struct {
 	Server    cluster.ServerID
 	Reachable bool
-	Role      cluster.Role
-	Term      cluster.Term
+	// Role and Term are empty when the server lives but had no place for
+	// another connection.
+	Role cluster.Role
+	Term cluster.Term
 }
 
 // ObserverReport is what another process found by fresh connections.
@@ -93,6 +95,13 @@
 	return id, term, id != ""
 }
 
+// Primary returns the server that is, as far as known, the primary of the
+// highest term; empty when there is none.
+func (g GroupStatus) Primary(spec GroupSpec) cluster.ServerID {
+	id, _, _ := g.primary(spec)
+	return id
+}
+
 // sealedBy returns the statuses of the servers that hold the seal of an
 // attempt, ordered as in the spec.
 func (g GroupStatus) sealedBy(spec GroupSpec, a Attempt) []cluster.ServerStatus {
