Refuse writes under a read-only default; keep pings apart from statements

Cause: reads at the primary carry default_transaction_read_only, which the stand-in ignored, so that a misjudged read could write unacknowledged; pings and statements shared one pool of peer connections, so that stale connections after a silent path failed pings in a row; every probe of a dead server warned.

Ruled out: a shorter life of idle connections, which costs dials. Change: the stand-in heeds the setting; pings, probes and documents have their own registry; a failed control connection is left to its owner to report. Conclusion: the new test fails without the change (INSERT ran).

--- a/cmd/rattan-warden/serve.go
+++ b/cmd/rattan-warden/serve.go
@@ -71,7 +71,7 @@
 		Dialer:  dialer,
 		Store:   failover.NewStore(p.Platform.Table),
 		Members: p.Members,
-		Prober:  warden.PeerProber{Peers: p.Peers},
+		Prober:  warden.PeerProber{Peers: p.Control},
 		Document: func() *environment.Document {
 			if current := p.Documents.Current(); current != nil {
 				return current.Document
--- a/internal/pgwire/back/dialer.go
+++ b/internal/pgwire/back/dialer.go
@@ -59,7 +59,10 @@
 	l, err := d.connect(ctx, s, group, params)
 	if err != nil {
 		openErrors.Inc()
-		eventOpenFailed.Log(&d.cfg.Log).Str("server", string(s.ID)).Str("address", s.Address).Err(err).Send()
+		if params[ParamControl] == "" {
+			// A failed control connection is a probe's answer; its owner reports it.
+			eventOpenFailed.Log(&d.cfg.Log).Str("server", string(s.ID)).Str("address", s.Address).Err(err).Send()
+		}
 		return nil, wrapError(err, refusalOf(err), "dial", s)
 	}
 	return l, nil
--- a/internal/process/ping.go
+++ b/internal/process/ping.go
@@ -26,7 +26,7 @@
 
 // Ping implements member.Pinger.
 func (pg pinger) Ping(ctx context.Context, address string, news member.News) (member.News, error) {
-	reply, err := pg.p.Peers.Client(address).Ping(ctx, &peerpb.PingRequest{
+	reply, err := pg.p.Control.Client(address).Ping(ctx, &peerpb.PingRequest{
 		From: reportToProto(news.From), Members: reportsToProto(news.Members), Documents: pg.p.versions(),
 	})
 	if err != nil {
@@ -74,7 +74,7 @@
 }
 
 func (p *Process) fetchDocument(ctx context.Context, address string, revision uint64) ([]byte, error) {
-	reply, err := p.Peers.Client(address).Document(ctx, &peerpb.DocumentRequest{
+	reply, err := p.Control.Client(address).Document(ctx, &peerpb.DocumentRequest{
 		Environment: p.Settings.Environment, AtLeastRevision: revision,
 	})
 	if err != nil {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -30,7 +30,10 @@
 	Store     *document.Store
 	Members   *member.Loop
 	Documents *rollout.Watcher
-	Peers     *peer.Registry
+	// Peers carry statements, Control pings and probes, so that neither waits
+	// for connections of the other.
+	Peers   *peer.Registry
+	Control *peer.Registry
 
 	role        member.Role
 	peerKeys    *tlskeys.Keys
@@ -72,6 +75,7 @@
 func (p *Process) openPeers() error {
 	if !p.Settings.Peer.TLS.Enabled() {
 		p.Peers = peer.NewRegistry(peer.Dialer(nil))
+		p.Control = peer.NewRegistry(peer.Dialer(nil))
 		return nil
 	}
 	keys, err := tlskeys.Load(p.Settings.Peer.TLS, p.Log)
@@ -79,7 +83,9 @@
 		return eris.Wrap(err, "peer.tls")
 	}
 	p.peerKeys = keys
-	p.Peers = peer.NewRegistry(peer.Dialer(func() *tls.Config { return keys.Client("") }))
+	config := func() *tls.Config { return keys.Client("") }
+	p.Peers = peer.NewRegistry(peer.Dialer(config))
+	p.Control = peer.NewRegistry(peer.Dialer(config))
 	return nil
 }
 
@@ -149,6 +155,7 @@
 // Close flushes traces and closes clients.
 func (p *Process) Close(ctx context.Context) {
 	p.Peers.Close()
+	p.Control.Close()
 	p.Platform.Close()
 	_ = p.stopTracing(ctx)
 }
@@ -169,6 +176,7 @@
 			keep[e.Member.Address] = true
 		}
 		p.Peers.Retain(keep)
+		p.Control.Retain(keep)
 	}
 }
 
--- a/internal/standin/dbserver/execute.go
+++ b/internal/standin/dbserver/execute.go
@@ -178,7 +178,7 @@
 
 func (c *session) checkWrite() error {
 	c.mu.Lock()
-	readOnly := c.tx.readOnly
+	readOnly := c.tx.readOnly || c.settings["default_transaction_read_only"] == "on"
 	c.mu.Unlock()
 	if readOnly {
 		return newError(back.StateReadOnly, "cannot execute a write in a read-only transaction")
--- a/internal/standin/dbserver/server_test.go
+++ b/internal/standin/dbserver/server_test.go
@@ -326,3 +326,11 @@
 		}
 	}
 }
+
+func TestReadOnlySettingRefusesWrites(t *testing.T) {
+	c := connect(t, start(t, Config{Primary: true, Schema: "CREATE TABLE n(i INTEGER PRIMARY KEY)"}))
+	exec(t, c, "SET default_transaction_read_only = on")
+	if _, err := c.Exec(t.Context(), "INSERT INTO n VALUES (1)"); state(err) != "25006" {
+		t.Fatalf("got %v", err)
+	}
+}
