Bound a replica's lag from both sides of the status calls

Cause: reads of a session's own writes went to the primary at 50 ms of lag. The lag was taken as the time from commit to the status call that showed the record, and an idle group is asked rarely, so the pause between calls counted as lag and looked longer than a read's patience.

Ruled out: asking idle groups more often, which control traffic forbids.

Change: the estimate lies between the bounds that two calls give and moves only as far as they require. The forward span names the reason of the choice.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,7 @@
 		attribute.String("rattancove.group", string(req.Group)),
 		attribute.String("rattancove.home", string(result.Home)),
 		attribute.String("rattancove.server", string(result.Server)),
+		attribute.String("rattancove.reason", result.Reason),
 	)
 	if err != nil {
 		span.RecordError(err)
--- a/internal/home/lag.go
+++ b/internal/home/lag.go
@@ -11,28 +11,44 @@
 const lagWeight = 0.2
 
 // lagEstimate follows the time from a commit to its replay on one replica.
+// Status calls only bound that time from both sides, and they may be far
+// apart, so the estimate moves only as far as the bounds require.
 type lagEstimate struct {
 	replayed cluster.Position
-	value    time.Duration
+	// looked is the beginning of the status call that reported replayed.
+	looked time.Time
+	known  bool
+	value  time.Duration
 }
 
-// observe takes in a replayed position. When it has advanced, the first record
-// that is new was replayed since the last observation.
-func (l *lagEstimate) observe(replayed cluster.Position, at time.Time, commits *route.History) {
+// observe takes in the replayed position of a status call. When it has
+// advanced, the first record that is new was replayed between the previous
+// call's beginning and this call's answer.
+func (l *lagEstimate) observe(replayed cluster.Position, begun, answered time.Time, commits *route.History) {
+	looked := l.looked
+	if begun.After(looked) {
+		l.looked = begun
+	}
 	if !l.replayed.Less(replayed) {
 		return
 	}
 	next := cluster.Position{Term: replayed.Term, Offset: l.replayed.Offset + 1}
-	first := l.replayed.Known()
+	first := !l.replayed.Known()
 	l.replayed = replayed
 	committed, ok := commits.Reached(next)
-	if !first || !ok || committed.After(at) {
+	if first || !ok || committed.After(answered) {
 		return
 	}
-	sample := at.Sub(committed)
-	if l.value == 0 {
-		l.value = sample
+	l.within(max(looked.Sub(committed), 0), answered.Sub(committed))
+}
+
+// within moves the estimate towards the nearer bound when it is outside.
+func (l *lagEstimate) within(least, most time.Duration) {
+	nearest := min(max(l.value, least), most)
+	if !l.known {
+		l.known = true
+		l.value = nearest
 		return
 	}
-	l.value += time.Duration(lagWeight * float64(sample-l.value))
+	l.value += time.Duration(lagWeight * float64(nearest-l.value))
 }
--- a/internal/home/observe.go
+++ b/internal/home/observe.go
@@ -23,7 +23,7 @@
 		return
 	}
 	n.failing = false
-	n.lag.observe(r.status.Replayed, r.answered, o.commits)
+	n.lag.observe(r.status.Replayed, r.begun, r.answered, o.commits)
 	if o.view.observe(n.server.ID, r) {
 		o.primaryChanged()
 	}
