Ask the servers of an idle group every 2 s instead of every 200 ms

Cause: an idle proxy made 15 status calls a second for each group that it owns (scripts/slopes), which at 2.5 groups a daemon is beyond 5 KB/s of control. Ruled out: no calls at all while idle, as a home would not learn that it was superseded or that a primary came back. Change: after 5 s without a request the interval is 2 s; the first request after a pause asks for the statuses at once.

--- a/internal/home/node.go
+++ b/internal/home/node.go
@@ -18,6 +18,10 @@
 	reservedConnections = 4
 	// statusInterval is the time between two status calls when nothing waits for one.
 	statusInterval = 200 * time.Millisecond
+	// idleAfter is the time without requests after which a group is idle, and
+	// idleInterval the time between two status calls of an idle group.
+	idleAfter    = 5 * time.Second
+	idleInterval = 2 * time.Second
 	// searchInterval is the time between two status calls while no primary is reachable.
 	searchInterval = 20 * time.Millisecond
 	// ackInterval is the time between two status calls while writes wait for replication.
@@ -145,6 +149,9 @@
 		return n.ctx.Err()
 	}
 	interval := statusInterval
+	if n.owner.idle() {
+		interval = idleInterval
+	}
 	if !n.owner.group.Load().PrimaryUp() {
 		interval = searchInterval
 	}
--- a/internal/home/owner.go
+++ b/internal/home/owner.go
@@ -76,6 +76,8 @@
 
 	// ticket numbers proofs; see await.
 	ticket atomic.Uint64
+	// lastRequest is the time of the last request in Unix nanoseconds.
+	lastRequest atomic.Int64
 	// acking counts writes that wait for replication.
 	acking atomic.Int32
 	// kicks wake the control connections; the slice is replaced as a whole.
@@ -239,9 +241,24 @@
 	o.changed = make(chan struct{})
 }
 
+// idle reports whether the group has had no request for a while.
+func (o *owner) idle() bool {
+	return time.Since(time.Unix(0, o.lastRequest.Load())) > idleAfter
+}
+
+// touch notes a request. The first one after a pause asks for the statuses,
+// which may be as old as idleInterval.
+func (o *owner) touch() {
+	if o.idle() {
+		o.refresh()
+	}
+	o.lastRequest.Store(time.Now().UnixNano())
+}
+
 // enter counts a running request, unless the owner serves no longer or holds
 // as many requests as it may. leave ends it.
 func (o *owner) enter(bytes int64) error {
+	o.touch()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if err := o.stopped(); err != nil {
