Test the programs as operators and callers meet them

One fleet of real processes: 3 proxies, 2 wardens and 6 backend servers. It validates, promotes, loses a race with exit code 3 and rolls back; is refused with a wrong key, another customer's key and an expired certificate; kills the primary and pauses a home while orders under ids flow, and counts each order; stops a proxy during a statement of 2 s, which ends, with exit code 0.

The test found that a proxy whose administration certificate had expired joined its peers before it failed, and stood dead in their view for minutes. The files and the listener are now opened first.

--- /dev/null
+++ b/internal/integration/fleet_test.go
@@ -0,0 +1,265 @@
+package integration
+
+import (
+	"bufio"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"net/http"
+	"net/http/httptest"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/admin"
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+func TestFleet(t *testing.T) {
+	f := startFleet(t)
+	f.eventually("administration API", func() bool { code, _ := f.rattanctl(0, "status"); return code == 0 })
+	f.eventually("all members known", func() bool { return len(f.status(0).Members) == proxyCount+wardenCount })
+	for _, test := range []struct {
+		name string
+		run  func(*testing.T, *fleet)
+	}{
+		{"documents", documents},
+		{"keys and certificates", keysAndCertificates},
+		{"failover", killPrimary},
+		{"paused home", pauseHome},
+		{"planned stop", plannedStop},
+	} {
+		if !t.Run(test.name, func(t *testing.T) { f.t = t; test.run(t, f) }) {
+			f.t = t
+			return
+		}
+		f.t = t
+	}
+}
+
+// documents validates, promotes, loses a race, rolls back and waits for rollouts.
+func documents(_ *testing.T, f *fleet) {
+	first, second, third := f.write("1.yaml", f.document(2000)), f.write("2.yaml", f.document(2001)), f.write("3.yaml", f.document(2002))
+	broken := f.write("broken.yaml", strings.Replace(f.document(1), "slots: 2", "slots: none", 1))
+	promote := func(file string) []string {
+		return []string{"doc", "promote", "--file", file, "--to", environment, "--why", "test"}
+	}
+	f.expect(0, "is valid", "doc", "validate", first)
+	f.expect(4, "broken.yaml:9", "doc", "validate", broken)
+	f.expect(0, "in force on every member", append(promote(first), "--yes", "--wait")...)
+
+	loser := f.rattanctlCommand("operator", f.admins[1], promote(second)...)
+	answer, out := f.askedForConfirmation(loser)
+	f.expect(0, "revision 2", append(promote(third), "--yes")...)
+	fmt.Fprintln(answer, environment)
+	rest := out()
+	if _ = loser.Wait(); loser.ProcessState.ExitCode() != 3 || !strings.Contains(rest, "came first") {
+		f.t.Errorf("the second promotion ended with %d: %s", loser.ProcessState.ExitCode(), rest)
+	}
+	f.expect(0, "in force on every member", "doc", "rollback", "-e", environment, "--to", "1", "--why", "test", "--yes", "--wait")
+	f.expect(0, "rollback", "doc", "history", "-e", environment)
+	for proxy := range proxyCount {
+		if held := f.status(proxy).Document; held.Revision != 3 {
+			f.t.Errorf("proxy %d holds revision %d, want 3", proxy+1, held.Revision)
+		}
+	}
+}
+
+// askedForConfirmation starts a change and returns once it asks. The first
+// result takes the answer, the second returns what is printed after it.
+func (f *fleet) askedForConfirmation(cmd *exec.Cmd) (interface{ Write([]byte) (int, error) }, func() string) {
+	f.t.Helper()
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	progress, err := cmd.StderrPipe()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	reader := bufio.NewReader(progress)
+	if _, err := reader.ReadString('?'); err != nil {
+		f.t.Fatal(err)
+	}
+	return in, func() string {
+		var text strings.Builder
+		_, _ = reader.WriteTo(&text)
+		return text.String()
+	}
+}
+
+func keysAndCertificates(t *testing.T, f *fleet) {
+	f.write("wrong.key", "no such key\n")
+	for _, c := range []struct{ key, text, command string }{
+		{"wrong", "unknown or has expired", "status"},
+		{"works-team", "lacks the right", "doc history -e " + environment},
+		{"works-team", "may not see earlier documents", "doc rollback -e " + environment + " --to 1 --why test --yes"},
+		{"works-team", "may not see this group", "explain --group orders-1 SELECT"},
+	} {
+		if code, out := f.rattanctlAs(c.key, 0, strings.Fields(c.command)...); code != 1 || !strings.Contains(out, c.text) {
+			t.Errorf("%s as %s: exit code %d, want 1 and %q in:\n%s", c.command, c.key, code, c.text, out)
+		}
+	}
+	if code, out := f.rattanctlAs("works-team", 0, "status"); code != 0 || strings.Contains(out, "orders-1") || !strings.Contains(out, "orders-2") {
+		t.Errorf("a customer's status ended with %d and shows:\n%s", code, out)
+	}
+	if err := f.execute(t.Context(), 0, "SELECT 1"); err != nil {
+		t.Errorf("a caller of the group's customer: %v", err)
+	}
+	f.ca.issue(t, f.dir, "expired", time.Now().Add(-time.Hour))
+	f.refusesExpiredServer()
+	settings := f.write("expired.yaml", f.common(7, "127.0.0.1:0")+fmt.Sprintf(`callers: {listen: "127.0.0.1:0"}
+admin: {listen: "127.0.0.1:0", keys_file: %s/keys.yaml, tls: {cert_file: %s/expired.crt, key_file: %s/expired.key}}
+`, f.dir, f.dir, f.dir))
+	out, err := exec.Command(filepath.Join(f.dir, "rattan-proxy"), "--settings", settings).CombinedOutput()
+	if err == nil || !strings.Contains(string(out), "expired") {
+		t.Errorf("a proxy with an expired certificate: %v\n%s", err, out)
+	}
+}
+
+// refusesExpiredServer checks that rattanctl sends its key to no server whose
+// certificate has expired.
+func (f *fleet) refusesExpiredServer() {
+	pair, err := tls.LoadX509KeyPair(filepath.Join(f.dir, "expired.crt"), filepath.Join(f.dir, "expired.key"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		f.t.Error("the server got a request")
+	}))
+	server.TLS = &tls.Config{Certificates: []tls.Certificate{pair}}
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.StartTLS()
+	defer server.Close()
+	cmd := f.rattanctlCommand("operator", server.Listener.Addr().String(), "status")
+	out, err := cmd.CombinedOutput()
+	if err == nil || !strings.Contains(string(out), "expired") {
+		f.t.Errorf("an expired server: %v\n%s", err, out)
+	}
+}
+
+// killPrimary kills the primary while orders flow, and reads the report
+// before and after the server is back.
+func killPrimary(t *testing.T, f *fleet) {
+	f.eventually("a table", func() bool {
+		return f.execute(t.Context(), 0, "CREATE TABLE IF NOT EXISTS press_orders (id TEXT)") == nil
+	})
+	f.healthy()
+	o := f.placeOrders("failover")
+	o.progress(5)
+	old := f.group(0).Primary
+	f.signal(string(old), syscall.SIGKILL)
+	_ = f.wait(string(old))
+	o.progress(20)
+	if now := f.group(0); now.Primary == old || !now.Writable {
+		t.Errorf("the primary is %s, writable %t", now.Primary, now.Writable)
+	}
+	f.eventually("failover in the report", func() bool {
+		code, out := f.rattanctl(0, "report")
+		return code == 1 && strings.Contains(out, "primary unreachable") && strings.Contains(out, string(old)+" cannot be reached")
+	})
+	f.startServer(slices.IndexFunc(f.servers[:], func(address string) bool { return f.addressOf(old) == address }))
+	f.healthy()
+	o.progress(5)
+	o.check()
+}
+
+// discarded is in the finding about records that a returning primary had kept
+// to itself. All ranks wait for a majority here, so none was acknowledged.
+const discarded = "which no majority had stored, are discarded"
+
+// healthy waits until the report finds nothing broken but discarded records.
+func (f *fleet) healthy() {
+	f.t.Helper()
+	var report admin.Report
+	defer func() {
+		if f.t.Failed() {
+			f.t.Log(report.Broken)
+		}
+	}()
+	f.eventually("nothing left broken", func() bool {
+		out, err := f.rattanctlCommand("operator", f.admins[0], "--output", "json", "report").Output()
+		if report = (admin.Report{}); json.Unmarshal(out, &report) != nil {
+			return false
+		}
+		report.Broken = slices.DeleteFunc(report.Broken, func(b admin.Finding) bool { return strings.Contains(b.Message, discarded) })
+		return len(report.Broken) == 0 && !report.Time.IsZero() && (err == nil || len(report.Failovers) > 0)
+	})
+}
+
+// group returns the status of orders-1 as a proxy shows it.
+func (f *fleet) group(proxy int) admin.GroupStatus { return f.status(proxy).Groups[0] }
+
+func (f *fleet) addressOf(id cluster.ServerID) string {
+	for i, address := range f.servers {
+		if serverID(i) == string(id) {
+			return address
+		}
+	}
+	return ""
+}
+
+// pauseHome pauses the home of a group until the others count it as dead, and
+// lets it go on while orders flow.
+func pauseHome(_ *testing.T, f *fleet) {
+	home := f.group(0).Home
+	name := strings.Replace(string(home), "entry", "proxy", 1)
+	other := int(home[len(home)-1]-'0') % proxyCount
+	o := f.placeOrders("pause")
+	o.progress(5)
+	f.signal(name, syscall.SIGSTOP)
+	f.eventually("another home", func() bool {
+		g := f.group(other)
+		return g.Home != home && g.Unknown == "" && g.Writable
+	})
+	o.progress(10)
+	f.signal(name, syscall.SIGCONT)
+	f.eventually("the paused proxy is alive again", func() bool {
+		return !slices.ContainsFunc(f.status(other).Members, func(m admin.MemberStatus) bool { return m.State != "alive" })
+	})
+	o.progress(20)
+	f.eventually("all proxies agree on the home", func() bool {
+		first := f.group(0)
+		for proxy := 1; proxy < proxyCount; proxy++ {
+			if g := f.group(proxy); g.Home != first.Home || g.Epoch != first.Epoch || g.Unknown != "" {
+				return false
+			}
+		}
+		return first.Unknown == ""
+	})
+	o.check()
+}
+
+// plannedStop stops a proxy during a statement of 2 s.
+func plannedStop(t *testing.T, f *fleet) {
+	f.eventually("the proxy serves", func() bool { return f.execute(t.Context(), 2, "SELECT 1") == nil })
+	done := make(chan error, 1)
+	go func() { done <- f.execute(t.Context(), 2, "SELECT pg_sleep(2)") }()
+	f.eventually("the statement runs", func() bool {
+		select {
+		case err := <-done:
+			t.Fatalf("the statement ended before it was seen: %v, group %+v", err, f.group(0))
+		default:
+		}
+		return slices.ContainsFunc(f.group(0).Queues, func(q admin.QueueStatus) bool { return q.Running > 0 })
+	})
+	f.signal("proxy-3", syscall.SIGTERM)
+	if err := <-done; err != nil {
+		t.Errorf("the statement in flight: %v", err)
+	}
+	if err := f.wait("proxy-3"); err != nil {
+		t.Errorf("the proxy ended with %v", err)
+	}
+	if err := f.execute(t.Context(), 0, "SELECT 1"); err != nil {
+		t.Errorf("another proxy: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/integration/harness_test.go
@@ -0,0 +1,269 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/admin"
+)
+
+const (
+	proxyCount  = 3
+	wardenCount = 2
+	environment = "cotopaxi"
+	// patience bounds every wait for the fleet.
+	patience = 15 * time.Second
+	lookTime = 50 * time.Millisecond
+)
+
+// fleet is a deployment of real processes. Its methods fail the test.
+type fleet struct {
+	t    *testing.T
+	dir  string
+	ca   *authority
+	keys []string
+
+	table, objects, vms string
+	callers, admins     [proxyCount]string
+	peers               [proxyCount + wardenCount]string
+	servers             [6]string
+
+	mu        sync.Mutex
+	processes map[string]*exec.Cmd
+}
+
+// startFleet builds the programs and starts every process without a document.
+func startFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, dir: t.TempDir(), ca: newAuthority(t), processes: map[string]*exec.Cmd{}}
+	build := exec.Command("go", "build", "-o", f.dir, "../../cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	t.Cleanup(f.stop)
+	f.choosePorts()
+	f.write("keys.yaml", "keys:\n"+f.key("operator", "admin")+f.key("works-team", "customer:works"))
+	f.spawn("platform", "rattan-standin", "platform", "--table", f.table, "--objects", f.objects, "--vms", f.vms)
+	for i := range f.servers {
+		f.startServer(i)
+	}
+	f.ca.issue(t, f.dir, "proxy", time.Now().Add(time.Hour))
+	for i := range proxyCount {
+		f.startProxy(i)
+	}
+	for i := range wardenCount {
+		f.write(fmt.Sprintf("warden-%d.yaml", i+1), f.common(i, f.peers[proxyCount+i]))
+		name := fmt.Sprintf("warden-%d", i+1)
+		f.spawn(name, "rattan-warden", "--settings", filepath.Join(f.dir, name+".yaml"))
+	}
+	return f
+}
+
+func (f *fleet) choosePorts() {
+	ports := []*string{&f.table, &f.objects, &f.vms}
+	for i := range proxyCount {
+		ports = append(ports, &f.callers[i], &f.admins[i])
+	}
+	for i := range f.peers {
+		ports = append(ports, &f.peers[i])
+	}
+	for i := range f.servers {
+		ports = append(ports, &f.servers[i])
+	}
+	for _, port := range ports {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		defer l.Close()
+		*port = l.Addr().String()
+	}
+}
+
+// key makes a key in a file of its name and returns its entry.
+func (f *fleet) key(name, right string) string {
+	f.write(name+".key", name+"-secret\n")
+	return fmt.Sprintf("  - {name: %s, sha256: %s, rights: [%q]}\n", name, admin.HashKey(name+"-secret"), right)
+}
+
+func (f *fleet) write(name, text string) string {
+	path := filepath.Join(f.dir, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return path
+}
+
+// serverID names the servers orders-1-a to orders-2-c.
+func serverID(i int) string { return fmt.Sprintf("orders-%d-%c", i/3+1, 'a'+i%3) }
+
+// startServer starts a server, or starts it again with what it stored.
+func (f *fleet) startServer(i int) {
+	leader := ""
+	if i%3 > 0 {
+		leader = serverID(i-i%3) + "@" + f.servers[i-i%3]
+	}
+	state := filepath.Join(f.dir, serverID(i))
+	if err := os.MkdirAll(state, 0o700); err != nil {
+		f.t.Fatal(err)
+	}
+	f.spawn(serverID(i), "rattan-standin", "backend", "--id", serverID(i), "--listen", f.servers[i],
+		"--group-leader", leader, "--lag", "20ms", "--log-level", "warn", "--dir", state)
+}
+
+func (f *fleet) common(i int, peer string) string {
+	return fmt.Sprintf(`id: entry-%d
+failure_domain: domain-%d
+environment: %s
+peer: {listen: %q, seeds: [%q]}
+platform:
+  table: {address: %q, user: rattancove, database: platform}
+  objects: {endpoint: %q, bucket: rattancove}
+  vms: {url: "http://%s/vms"}
+document: {poll: 1s}
+`, i+1, i, environment, peer, f.peers[0], f.table, f.objects, f.vms)
+}
+
+func (f *fleet) startProxy(i int) {
+	name := fmt.Sprintf("proxy-%d", i+1)
+	f.write(name+".yaml", f.common(i, f.peers[i])+fmt.Sprintf(`callers: {listen: %q}
+admin: {listen: %q, keys_file: %s, tls: {cert_file: %s, key_file: %s}}
+drain: {ready_delay: 200ms, timeout: 10s}
+`, f.callers[i], f.admins[i], f.dir+"/keys.yaml", f.dir+"/proxy.crt", f.dir+"/proxy.key"))
+	f.spawn(name, "rattan-proxy", "--settings", filepath.Join(f.dir, name+".yaml"))
+}
+
+// spawn starts a process whose log is kept beside the settings.
+func (f *fleet) spawn(name, program string, args ...string) {
+	log, err := os.OpenFile(filepath.Join(f.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer log.Close()
+	cmd := exec.Command(filepath.Join(f.dir, program), args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.processes[name] = cmd
+}
+
+func (f *fleet) signal(name string, signal syscall.Signal) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.processes[name].Process.Signal(signal); err != nil {
+		f.t.Fatalf("signal %s: %v", name, err)
+	}
+}
+
+// wait returns how a process ended.
+func (f *fleet) wait(name string) error {
+	f.mu.Lock()
+	cmd := f.processes[name]
+	delete(f.processes, name)
+	f.mu.Unlock()
+	stop := time.AfterFunc(patience, func() { _ = cmd.Process.Kill() })
+	defer stop.Stop()
+	return cmd.Wait()
+}
+
+// stop ends what still runs and shows the logs of a failed test.
+func (f *fleet) stop() {
+	for name, cmd := range f.processes {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		if f.t.Failed() {
+			data, _ := os.ReadFile(filepath.Join(f.dir, name+".log"))
+			f.t.Logf("%s:\n%s", name, data[max(0, len(data)-3000):])
+		}
+	}
+}
+
+// rattanctl runs a command against a proxy with the operator's key and returns
+// its exit code and everything that it printed.
+func (f *fleet) rattanctl(proxy int, args ...string) (int, string) {
+	f.t.Helper()
+	return f.rattanctlAs("operator", proxy, args...)
+}
+
+func (f *fleet) rattanctlAs(key string, proxy int, args ...string) (int, string) {
+	f.t.Helper()
+	cmd := f.rattanctlCommand(key, f.admins[proxy], args...)
+	out, _ := cmd.CombinedOutput()
+	return cmd.ProcessState.ExitCode(), string(out)
+}
+
+func (f *fleet) rattanctlCommand(key, server string, args ...string) *exec.Cmd {
+	base := []string{
+		"--server", "https://" + server, "--ca", filepath.Join(f.dir, "ca.crt"),
+		"--key-file", filepath.Join(f.dir, key+".key"), "--timeout", patience.String(),
+	}
+	return exec.Command(filepath.Join(f.dir, "rattanctl"), append(base, args...)...)
+}
+
+// expect runs rattanctl and checks its exit code and that it printed text.
+func (f *fleet) expect(code int, text string, args ...string) {
+	f.t.Helper()
+	got, out := f.rattanctl(0, args...)
+	if got != code || !strings.Contains(out, text) {
+		f.t.Fatalf("rattanctl %v: exit code %d, want %d and %q in:\n%s", args, got, code, text, out)
+	}
+}
+
+// status returns what a proxy knows.
+func (f *fleet) status(proxy int) admin.Status {
+	f.t.Helper()
+	cmd := f.rattanctlCommand("operator", f.admins[proxy], "--output", "json", "status")
+	out, err := cmd.Output()
+	var s admin.Status
+	if err != nil || json.Unmarshal(out, &s) != nil {
+		f.t.Fatalf("status: %v\n%s", err, out)
+	}
+	return s
+}
+
+// eventually waits until a condition holds.
+func (f *fleet) eventually(what string, condition func() bool) {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(f.t.Context(), patience)
+	defer cancel()
+	for !condition() {
+		select {
+		case <-ctx.Done():
+			f.t.Fatalf("in vain: %s", what)
+		case <-time.After(lookTime):
+		}
+	}
+}
+
+// document returns the environment document with the size of the urgent queue.
+func (f *fleet) document(queue int) string {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "name: %s\ncustomers:\n  - {name: shop, users: [{name: shop-web}]}\n", environment)
+	fmt.Fprint(&b, "  - {name: works, users: [{name: stock}]}\ngroups:\n")
+	for i, address := range f.servers {
+		if i%3 == 0 {
+			customer := []string{"shop", "works"}[i/3]
+			fmt.Fprintf(&b, "  - name: orders-%d\n    customers: [%s]\n    servers:\n", i/3+1, customer)
+		}
+		fmt.Fprintf(&b, "      - {id: %s, address: %q, failure_domain: domain-%d, slots: 2, connections: 16}\n", serverID(i), address, i%3)
+	}
+	fmt.Fprintf(&b, `ranks:
+  urgent: {floor: 0.5, queue: %d, max_wait: 5s, ack: majority}
+  normal: {floor: 0.3, queue: 1000, max_wait: 5s, ack: majority}
+  background: {floor: 0.1, queue: 500, max_wait: 10s, ack: majority}
+`, queue)
+	return b.String()
+}
--- a/internal/proxy/admin.go
+++ b/internal/proxy/admin.go
@@ -11,28 +11,30 @@
 	"github.com/rattancove/rattancove/internal/tlskeys"
 )
 
-// serveAdmin serves the administration API until ctx ends. Without a listener
-// in the settings it does nothing.
-func (p *Proxy) serveAdmin(ctx context.Context) error {
+// openAdmin opens the listener of the administration API and returns what
+// serves it until a context ends. A fault of its files shows before the proxy
+// joins its peers. Without a listener in the settings nothing is served.
+func (p *Proxy) openAdmin() (func(context.Context) error, error) {
 	s := p.settings.Admin
 	if s.Listen == "" {
-		return nil
+		return func(context.Context) error { return nil }, nil
 	}
 	keys, err := admin.LoadKeys(s.KeysFile, p.process.Log)
 	if err != nil {
-		return eris.Wrap(err, "admin.keys_file")
+		return nil, eris.Wrap(err, "admin.keys_file")
 	}
 	var certificates *tlskeys.Keys
 	if s.TLS.Enabled() {
 		if certificates, err = tlskeys.Load(s.TLS, p.process.Log); err != nil {
-			return eris.Wrap(err, "admin.tls")
+			return nil, eris.Wrap(err, "admin.tls")
 		}
 	}
 	listener, err := net.Listen("tcp", s.Listen)
 	if err != nil {
-		return eris.Wrapf(err, "listen for administration on %s", s.Listen)
+		return nil, eris.Wrapf(err, "listen for administration on %s", s.Listen)
 	}
-	return p.adminServer(keys).Serve(ctx, listener, certificates)
+	server := p.adminServer(keys)
+	return func(ctx context.Context) error { return server.Serve(ctx, listener, certificates) }, nil
 }
 
 func (p *Proxy) adminServer(keys *admin.Keys) *admin.Server {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -65,11 +65,15 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen for callers on %s", s.Callers.Listen)
 	}
+	serveAdmin, err := p.openAdmin()
+	if err != nil {
+		return err
+	}
 	group, groupCtx := errgroup.WithContext(runCtx)
 	group.Go(func() error { return p.process.Run(groupCtx, p.handlers()) })
 	group.Go(func() error { return p.front.Serve(groupCtx, listener) })
 	group.Go(func() error { return p.keepHomes(groupCtx) })
-	group.Go(func() error { return p.serveAdmin(groupCtx) })
+	group.Go(func() error { return serveAdmin(groupCtx) })
 	eventStarted.Log(&p.process.Log).Str("callers", s.Callers.Listen).Str("peers", s.Peer.Listen).Send()
 	select {
 	case <-ctx.Done():
