--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -29,10 +29,9 @@
 
 // fleet is a deployment of real processes. Its methods fail the test.
 type fleet struct {
-	t    *testing.T
-	dir  string
-	ca   *authority
-	keys []string
+	t   *testing.T
+	dir string
+	ca  *authority
 
 	table, objects, vms string
 	callers, admins     [proxyCount]string
