Show in the demo where each request ran

The processes ended without exporting their last spans: they flushed under a context that had already ended, so the trace of the demo was empty.

--- a/cmd/rattan-load/main.go
+++ b/cmd/rattan-load/main.go
@@ -19,7 +19,7 @@
 	return &cli.Command{
 		Name:     "rattan-load",
 		Usage:    "drive a deployment with work and report what callers saw",
-		Commands: []*cli.Command{runCommand(), queryCommand(), reportCommand(), compareCommand()},
+		Commands: []*cli.Command{runCommand(), queryCommand(), reportCommand(), compareCommand(), traceCommand()},
 	}
 }
 
--- /dev/null
+++ b/cmd/rattan-load/trace.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/rattancove/rattancove/internal/load"
+	"github.com/rattancove/rattancove/internal/program"
+)
+
+func traceCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "trace",
+		Usage:     "show the spans that processes exported to a file",
+		ArgsUsage: "FILE",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Args().Len() != 1 {
+				return program.Usage(errors.New("give one argument: the file of spans"))
+			}
+			f, err := os.Open(cmd.Args().First())
+			if err != nil {
+				return err
+			}
+			defer f.Close()
+			return load.WriteTraces(os.Stdout, f)
+		},
+	}
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -22,6 +22,9 @@
 	"github.com/rattancove/rattancove/internal/tlskeys"
 )
 
+// flushTimeout bounds the export of the last spans.
+const flushTimeout = 2 * time.Second
+
 // Process is the common part of a proxy or warden. Close ends it.
 type Process struct {
 	Settings  settings.Common
@@ -146,8 +149,10 @@
 	return l, nil
 }
 
-// Close flushes traces and closes clients.
+// Close flushes traces and closes clients. It does so also when ctx has ended.
 func (p *Process) Close(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
+	defer cancel()
 	p.Peers.Close()
 	p.Platform.Close()
 	_ = p.stopTracing(ctx)
