--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 
 	"github.com/rs/zerolog"
 	"storj.io/drpc/drpcmux"
@@ -142,8 +143,12 @@
 	stream    peerpb.DRPCPeer_RunStream
 	requestID string
 	cancel    context.CancelFunc
-	out       uint32
 	batches   chan *peerpb.ToHome
+
+	// mu orders frames by their sequence: the answer of a COPY and the request
+	// for its next batch come from different goroutines.
+	mu  sync.Mutex
+	out uint32
 }
 
 func newServedConversation(stream peerpb.DRPCPeer_RunStream, id string, cancel context.CancelFunc) *servedConversation {
@@ -202,6 +207,8 @@
 }
 
 func (c *servedConversation) send(frame *peerpb.FromHome) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	frame.RequestId = c.requestID
 	frame.Sequence = c.out
 	c.out++
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -12,6 +12,7 @@
 
 	"github.com/rattancove/rattancove/internal/backend"
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/failover"
 	"github.com/rattancove/rattancove/internal/gateway"
 	"github.com/rattancove/rattancove/internal/home"
@@ -122,6 +123,7 @@
 	config := front.Config{
 		Proxy: p.settings.ID, RequireTLS: p.settings.Callers.RequireTLS,
 		StartupTime: p.settings.Callers.StartupTimeout, Logger: p.process.Log, ForwardCancel: p.forwardCancel,
+		Admit: p.admit,
 	}
 	if !p.settings.Callers.TLS.Enabled() {
 		return config, nil
@@ -134,6 +136,15 @@
 	return config, nil
 }
 
+// admit refuses new callers while the proxy has no document or cannot rule
+// out a newer one for too long.
+func (p *Proxy) admit() error {
+	if p.process.Documents.OldDocument() {
+		return errcode.New(errcode.OldDocument, "admit caller", string(p.settings.ID))
+	}
+	return nil
+}
+
 func (p *Proxy) handlers() peer.Handlers {
 	return peer.Handlers{
 		Runner: p.gateway, Probe: warden.ProbeHandler(p.dialer), Cancel: p.handleCancel, Release: p.home.Release,
