--- a/internal/integration/certificates_test.go
+++ b/internal/integration/certificates_test.go
@@ -29,7 +29,11 @@
 		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
 		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
 	}
-	a.certificate, a.der = template, a.sign(t, template, template, a.key)
+	a.der = a.sign(t, template, template, a.key)
+	var err error
+	if a.certificate, err = x509.ParseCertificate(a.der); err != nil {
+		t.Fatal(err)
+	}
 	return a
 }
 
--- a/internal/integration/fleet_test.go
+++ b/internal/integration/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -239,6 +240,23 @@
 	o.check()
 }
 
+// ready asks as the balancer does.
+func (f *fleet) ready(proxy int) bool {
+	f.t.Helper()
+	pool := x509.NewCertPool()
+	pool.AddCert(f.ca.certificate)
+	client := http.Client{
+		Timeout:   patience,
+		Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}, DisableKeepAlives: true},
+	}
+	answer, err := client.Get("https://" + f.admins[proxy] + "/v1/ready")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
 // plannedStop stops a proxy during a statement of 2 s.
 func plannedStop(t *testing.T, f *fleet) {
 	f.eventually("the proxy serves", func() bool { return f.execute(t.Context(), 2, "SELECT 1") == nil })
@@ -252,7 +270,16 @@
 		}
 		return slices.ContainsFunc(f.group(0).Queues, func(q admin.QueueStatus) bool { return q.Running > 0 })
 	})
+	if !f.ready(2) {
+		t.Error("the proxy is not ready before its stop")
+	}
 	f.signal("proxy-3", syscall.SIGTERM)
+	f.eventually("the proxy is no longer ready", func() bool { return !f.ready(2) })
+	select {
+	case err := <-done:
+		t.Fatalf("the statement ended before readiness went: %v", err)
+	default:
+	}
 	if err := <-done; err != nil {
 		t.Errorf("the statement in flight: %v", err)
 	}
