--- a/internal/proxy/homes.go
+++ b/internal/proxy/homes.go
@@ -21,7 +21,14 @@
 func (p *Proxy) keepHomes(ctx context.Context) error {
 	documents, stop := p.process.Documents.Subscribe()
 	defer stop()
+	recheck := false
 	for {
+		// While the document may be out of date the directory lets nobody in,
+		// but callers that are connected stay.
+		if recheck && !p.process.Documents.OldDocument() {
+			p.front.Recheck()
+			recheck = false
+		}
 		changed := p.process.Members.Changed()
 		p.assignHomes()
 		select {
@@ -29,7 +36,7 @@
 			return nil
 		case d := <-documents:
 			p.home.SetDocument(d.Document)
-			p.front.Recheck()
+			recheck = true
 		case <-changed:
 		case <-time.After(homeInterval):
 		}
