--- a/internal/proof/dialer_test.go
+++ b/internal/proof/dialer_test.go
@@ -13,6 +13,23 @@
 type fleetDialer struct {
 	fleet *fleet
 	from  string
+	// home is set for the dialer of a proxy.
+	home bool
+
+	mu   sync.Mutex
+	last map[cluster.ServerID]*lastStatus
+}
+
+func (d *fleetDialer) lastOf(id cluster.ServerID) *lastStatus {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.last == nil {
+		d.last = map[cluster.ServerID]*lastStatus{}
+	}
+	if d.last[id] == nil {
+		d.last[id] = &lastStatus{}
+	}
+	return d.last[id]
 }
 
 func (d *fleetDialer) Dial(ctx context.Context, s cluster.Server, group cluster.GroupName, c backend.Claim) (backend.Conn, error) {
@@ -25,10 +42,10 @@
 
 func (d *fleetDialer) DialControl(ctx context.Context, s cluster.Server, group cluster.GroupName) (backend.Control, error) {
 	control, err := d.fleet.groups[group].Dialer(d.from).DialControl(ctx, s, group)
-	if err != nil {
-		return nil, err
+	if !d.home {
+		return control, err
 	}
-	return d.fleet.off.wrapControl(d.fleet, control, s, group, d.from), nil
+	return d.fleet.off.wrapControl(control, err, d.lastOf(s.ID))
 }
 
 // recordedConn notes the claim behind every commit that a server answered.
--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -13,11 +13,9 @@
 )
 
 const (
-	faultTime = 14 * time.Second
-	// faultSpacing is the mean time between the starts of two faults.
-	faultSpacing = 1200 * time.Millisecond
-	minFault     = 300 * time.Millisecond
-	maxFault     = 5 * time.Second
+	faultTime = 11 * time.Second
+	minFault  = 300 * time.Millisecond
+	maxFault  = 5 * time.Second
 	// frozenTime is longer than the death of a member takes to be noticed.
 	frozenTime = 6 * time.Second
 )
@@ -28,7 +26,26 @@
 	begin func(f *fleet, r *rand.Rand) (end func())
 }
 
-var faults = []fault{
+// mix tells which faults come and how densely.
+type mix struct {
+	faults []fault
+	// spacing is the mean time between the starts of two faults.
+	spacing time.Duration
+}
+
+// everything mixes all faults; storm takes servers away faster than they come back.
+var (
+	everything = mix{faults: allFaults, spacing: 900 * time.Millisecond}
+	storm      = mix{faults: serverFaults, spacing: 300 * time.Millisecond}
+)
+
+var serverFaults = []fault{
+	{"kill server", killServer}, {"kill primary", killPrimary},
+	{"freeze server", freezeServer}, {"isolate primary", isolatePrimary},
+	{"isolate primary with one proxy", isolatePrimaryWithProxy},
+}
+
+var allFaults = []fault{
 	{"kill server", killServer}, {"kill primary", killPrimary},
 	{"freeze server", freezeServer}, {"freeze primary", freezePrimary},
 	{"isolate primary", isolatePrimary}, {"isolate primary with one proxy", isolatePrimaryWithProxy},
@@ -46,7 +63,7 @@
 	defer cancel()
 	var running sync.WaitGroup
 	for ctx.Err() == nil {
-		chosen := faults[f.random.IntN(len(faults))]
+		chosen := f.mix.faults[f.random.IntN(len(f.mix.faults))]
 		random := rand.New(rand.NewPCG(f.random.Uint64(), 3))
 		last := minFault + time.Duration(f.random.Int64N(int64(maxFault-minFault)))
 		times := 1
@@ -58,7 +75,7 @@
 				f.inject(ctx, chosen, random, last)
 			}
 		})
-		sleep(ctx, time.Duration(f.random.ExpFloat64()*float64(faultSpacing)))
+		sleep(ctx, time.Duration(f.random.ExpFloat64()*float64(f.mix.spacing)))
 	}
 	running.Wait()
 }
--- a/internal/proof/fleet_test.go
+++ b/internal/proof/fleet_test.go
@@ -42,6 +42,7 @@
 	seed   uint64
 	random *rand.Rand
 	off    switches
+	mix    mix
 	doc    *environment.Document
 	groups map[cluster.GroupName]*backendtest.Group
 	names  []cluster.GroupName
@@ -77,9 +78,9 @@
 
 func (n *node) stopped() bool { return n.ctx.Err() != nil }
 
-func newFleet(t *testing.T, seed uint64, off switches) *fleet {
+func newFleet(t *testing.T, seed uint64, m mix, off switches) *fleet {
 	f := &fleet{
-		t: t, seed: seed, off: off, random: rand.New(rand.NewPCG(seed, 11)), table: platformtest.NewTable(),
+		t: t, seed: seed, mix: m, off: off, random: rand.New(rand.NewPCG(seed, 11)), table: platformtest.NewTable(),
 		net: newNetwork(), groups: map[cluster.GroupName]*backendtest.Group{}, commits: newCommitLog(),
 	}
 	f.ctx, f.stop = context.WithCancel(context.Background())
@@ -104,6 +105,9 @@
 func (f *fleet) addGroup(name cluster.GroupName, index int) {
 	g := environment.Group{Name: name}
 	g.SetDefaults()
+	if f.off.seals {
+		g.Promotion.NoMajority = environment.NoMajorityPromote
+	}
 	var servers []cluster.Server
 	for i := range serverCount {
 		s := environment.Server{
@@ -129,7 +133,7 @@
 	n := &node{fleet: f, index: index, name: fmt.Sprintf("%s-%d-%d", role, index, f.starts)}
 	n.address = fmt.Sprintf("10.1.0.%d:%d", index+1, port)
 	n.ctx, n.cancel = context.WithCancel(f.ctx)
-	n.dialer = &fleetDialer{fleet: f, from: n.name}
+	n.dialer = &fleetDialer{fleet: f, from: n.name, home: role == member.RoleProxy}
 	self := member.Member{
 		ID: fmt.Sprintf("entry-%d", index), Role: role, Address: n.address,
 		FailureDomain: fmt.Sprintf("d%d", index%serverCount), Incarnation: f.starts,
@@ -213,9 +217,10 @@
 	return f.wardens[i]
 }
 
-// primary returns the primary of the highest term.
+// primary returns the primary of the highest term, or the first server while
+// there is none.
 func (f *fleet) primary(name cluster.GroupName) cluster.ServerID {
-	var best cluster.ServerStatus
+	best := cluster.ServerStatus{Server: f.servers(name)[0]}
 	for _, id := range f.servers(name) {
 		if status := f.groups[name].Status(id); status.Role == cluster.RolePrimary && status.Term > best.Term {
 			best = status
--- a/internal/proof/linear_test.go
+++ b/internal/proof/linear_test.go
@@ -10,9 +10,6 @@
 	"github.com/rattancove/rattancove/internal/errcode"
 )
 
-// defaultSeeds is the number of seeded runs in CI.
-const defaultSeeds = 20
-
 // searchTime bounds the search for a linear order of one history.
 const searchTime = 20 * time.Second
 
--- a/internal/proof/seeded_test.go
+++ b/internal/proof/seeded_test.go
@@ -13,6 +13,13 @@
 	"time"
 )
 
+// defaultSeeds is the number of seeded runs in CI, and stormShare the part of
+// them that TestSeededServerStorm plays besides.
+const (
+	defaultSeeds = 200
+	stormShare   = 5
+)
+
 // startTime is the time in which members become stable and homes claim.
 const startTime = 7 * time.Second
 
@@ -27,11 +34,11 @@
 }
 
 // runSeed plays one seed in a bubble and checks its history.
-func runSeed(t *testing.T, seed uint64, off switches) *outcome {
+func runSeed(t *testing.T, seed uint64, m mix, off switches) *outcome {
 	t.Helper()
 	var out *outcome
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, seed, off)
+		f := newFleet(t, seed, m, off)
 		defer f.close()
 		out = f.play()
 	})
@@ -84,14 +91,21 @@
 	}
 }
 
-// TestSeededFleet plays faults on a whole fleet and checks every promise.
-func TestSeededFleet(t *testing.T) {
+// TestSeededFleet plays all faults on a whole fleet and checks every promise.
+func TestSeededFleet(t *testing.T) { playSeeds(t, seeds(), everything) }
+
+// TestSeededServerStorm takes servers away so densely that groups lose their
+// majorities, and checks every promise.
+func TestSeededServerStorm(t *testing.T) { playSeeds(t, seeds()/stormShare, storm) }
+
+func playSeeds(t *testing.T, count int, m mix) {
+	t.Helper()
 	sum := &totals{counts: map[string]int{}}
 	t.Run("seeds", func(t *testing.T) {
-		for seed := range seeds() {
+		for seed := range count {
 			t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 				t.Parallel()
-				out := runSeed(t, uint64(seed), switches{})
+				out := runSeed(t, uint64(seed), m, switches{})
 				for _, v := range out.violations {
 					t.Errorf("seed %d: %s: %s", seed, v.promise, v.text)
 				}
@@ -99,5 +113,5 @@
 			})
 		}
 	})
-	t.Logf("%d seeds: %s", seeds(), strings.Join(sortedCounts(sum.counts), ", "))
+	t.Logf("%d seeds: %s", count, strings.Join(sortedCounts(sum.counts), ", "))
 }
--- a/internal/proof/switches_test.go
+++ b/internal/proof/switches_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync"
 
 	"github.com/rattancove/rattancove/internal/backend"
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/platform/platformtest"
 	"github.com/rattancove/rattancove/internal/statement"
 )
 
@@ -21,8 +23,11 @@
 	floors bool
 	// claims lets servers take claims of homes without effect.
 	claims bool
-	// seals lets wardens believe that every server accepted a seal.
+	// seals lets wardens promote without the seals of a majority.
 	seals bool
+	// freshStatus shows homes the last known status of servers that they
+	// cannot reach, as a home does that trusts what it once learned.
+	freshStatus bool
 }
 
 func (s switches) wrapGateway(r statement.Runner) statement.Runner {
@@ -39,14 +44,64 @@
 	return floorlessRunner{r}
 }
 
-func (s switches) wrapControl(f *fleet, c backend.Control, server cluster.Server, group cluster.GroupName, _ string) backend.Control {
+// wrapControl changes what a home hears from a server. c is nil when the
+// server could not be reached.
+func (s switches) wrapControl(c backend.Control, dialErr error, last *lastStatus) (backend.Control, error) {
+	if s.freshStatus {
+		return &trustingControl{Control: c, last: last}, nil
+	}
+	if dialErr != nil {
+		return nil, dialErr
+	}
 	if s.claims {
-		c = &unclaimedControl{Control: c}
+		return &unclaimedControl{Control: c}, nil
+	}
+	return c, nil
+}
+
+// lastStatus is the last status that a process heard from a server.
+type lastStatus struct {
+	mu     sync.Mutex
+	status cluster.ServerStatus
+}
+
+// trustingControl answers for a server that cannot be reached.
+type trustingControl struct {
+	backend.Control
+	last *lastStatus
+}
+
+func (c *trustingControl) remember(status cluster.ServerStatus, err error) (cluster.ServerStatus, error) {
+	c.last.mu.Lock()
+	defer c.last.mu.Unlock()
+	if err == nil {
+		c.last.status = status
+	}
+	if err != nil && c.last.status.Server != "" && !errcode.Is(err, errcode.Superseded) {
+		return c.last.status, nil
 	}
-	if s.seals {
-		c = &unsealedControl{Control: c, fleet: f, server: server.ID, group: group}
+	return status, err
+}
+
+func (c *trustingControl) Status(ctx context.Context) (cluster.ServerStatus, error) {
+	if c.Control == nil {
+		return c.remember(cluster.ServerStatus{}, platformtest.ErrUnavailable)
 	}
-	return c
+	return c.remember(c.Control.Status(ctx))
+}
+
+func (c *trustingControl) Claim(ctx context.Context, claim backend.Claim) (cluster.ServerStatus, error) {
+	if c.Control == nil {
+		return cluster.ServerStatus{}, platformtest.ErrUnavailable
+	}
+	return c.Control.Claim(ctx, claim)
+}
+
+func (c *trustingControl) Close() error {
+	if c.Control == nil {
+		return nil
+	}
+	return c.Control.Close()
 }
 
 type repeatingRunner struct{ statement.Runner }
@@ -86,20 +141,3 @@
 	c.claim = claim
 	return c.Status(ctx)
 }
-
-// unsealedControl forges the answers to seals of servers that cannot be reached.
-type unsealedControl struct {
-	backend.Control
-	fleet  *fleet
-	server cluster.ServerID
-	group  cluster.GroupName
-}
-
-func (c *unsealedControl) Seal(ctx context.Context, term cluster.Term, holder string) (cluster.ServerStatus, error) {
-	status, err := c.Control.Seal(ctx, term, holder)
-	if err != nil && !errcode.Is(err, errcode.Superseded) {
-		status = cluster.ServerStatus{Server: c.server, Role: cluster.RoleSealed, Term: term, SealHolder: holder}
-		return status, nil
-	}
-	return status, err
-}
