--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -197,21 +197,13 @@
 func killProxy(f *fleet, r *rand.Rand) func() {
 	n := f.homeOf(r)
 	f.kill(n)
-	return func() {
-		if f.proxy(n.index) == n {
-			f.startProxy(n.index)
-		}
-	}
+	return func() { n.restart.Do(func() { f.startProxy(n.index) }) }
 }
 
 func killWarden(f *fleet, r *rand.Rand) func() {
 	n := f.warden(r.IntN(wardenCount))
 	f.kill(n)
-	return func() {
-		if f.warden(n.index) == n {
-			f.startWarden(n.index)
-		}
-	}
+	return func() { n.restart.Do(func() { f.startWarden(n.index) }) }
 }
 
 func freezeProxy(f *fleet, r *rand.Rand) func()  { return f.cutOff(f.homeOf(r)) }
--- a/internal/proof/fleet_test.go
+++ b/internal/proof/fleet_test.go
@@ -72,6 +72,8 @@
 	members *member.Loop
 	home    *home.Home
 	gateway statement.Runner
+	// restart starts a killed process anew, once.
+	restart sync.Once
 	// storeCut is guarded by the fleet's lock.
 	storeCut bool
 }
