--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -49,21 +49,35 @@
 var partition = fault{name: "partition primary with its home", begin: partitionWithHome, least: partitionTime}
 
 var serverFaults = []fault{
-	{name: "kill server", begin: killServer}, {name: "kill primary", begin: killPrimary},
-	{name: "freeze server", begin: freezeServer}, {name: "isolate primary", begin: isolatePrimary},
+	{name: "kill server", begin: killServer},
+	{name: "kill primary", begin: killPrimary},
+	{name: "freeze server", begin: freezeServer},
+	{name: "isolate primary", begin: isolatePrimary},
 	{name: "isolate primary with one proxy", begin: isolatePrimaryWithProxy},
 }
 
 var allFaults = []fault{
-	{name: "kill server", begin: killServer}, {name: "kill primary", begin: killPrimary},
-	{name: "freeze server", begin: freezeServer}, {name: "freeze primary", begin: freezePrimary},
-	{name: "isolate primary", begin: isolatePrimary}, {name: "isolate primary with one proxy", begin: isolatePrimaryWithProxy},
-	{name: "silence", begin: silence}, {name: "cut proxy to server", begin: cutToServer}, {name: "cut server to proxy", begin: cutFromServer},
-	{name: "cut peers", begin: cutPeers}, {name: "kill proxy", begin: killProxy}, {name: "freeze proxy", begin: freezeProxy, least: frozenTime},
-	{name: "cut proxy from store", begin: cutStore}, {name: "kill warden", begin: killWarden}, {name: "freeze warden", begin: freezeWarden, least: frozenTime},
-	{name: "lag", begin: lag}, {name: "lose answers", begin: loseAnswers},
+	{name: "kill server", begin: killServer},
+	{name: "kill primary", begin: killPrimary},
+	{name: "freeze server", begin: freezeServer},
+	{name: "freeze primary", begin: freezePrimary},
+	{name: "isolate primary", begin: isolatePrimary},
+	{name: "isolate primary with one proxy", begin: isolatePrimaryWithProxy},
+	{name: "silence", begin: silence},
+	{name: "cut proxy to server", begin: cutToServer},
+	{name: "cut server to proxy", begin: cutFromServer},
+	{name: "cut peers", begin: cutPeers},
+	{name: "kill proxy", begin: killProxy},
+	{name: "freeze proxy", begin: freezeProxy, least: frozenTime},
+	{name: "cut proxy from store", begin: cutStore},
+	{name: "kill warden", begin: killWarden},
+	{name: "freeze warden", begin: freezeWarden, least: frozenTime},
+	{name: "lag", begin: lag},
+	{name: "lose answers", begin: loseAnswers},
 	partition,
-	{name: "store down", begin: storeDown}, {name: "store slow", begin: storeSlow}, {name: "store loses answers", begin: storeLoses},
+	{name: "store down", begin: storeDown},
+	{name: "store slow", begin: storeSlow},
+	{name: "store loses answers", begin: storeLoses},
 }
 
 // injectFaults begins faults until the fault time is over and then ends all of
