--- a/internal/failover/decide.go
+++ b/internal/failover/decide.go
@@ -78,13 +78,28 @@
 	if s.UnrepairedSince.IsZero() {
 		s.UnrepairedSince = now
 	}
-	if now.Sub(s.UnrepairedSince) < spec.patience() || now.Before(s.RepairAt) {
+	if now.Before(s.RepairAt) || !standbyMayRepair(spec, status, s, actions) {
 		return s, nil
 	}
 	s.RepairAt = now.Add(repairInterval)
 	return s, actions
 }
 
+// standbyMayRepair reports whether the wardens before this one have had time
+// to repair and servers were seen unrepaired after that.
+func standbyMayRepair(spec GroupSpec, status GroupStatus, s State, actions []Action) bool {
+	if spec.Order == 0 {
+		return true
+	}
+	due := s.UnrepairedSince.Add(spec.patience())
+	for _, action := range actions {
+		if f, ok := action.(Follow); ok && status.Servers[f.Server].At.Before(due) {
+			return false
+		}
+	}
+	return true
+}
+
 // followers returns the actions that make the reachable servers follow the
 // primary, and a report for each earlier primary whose tail is discarded.
 func followers(spec GroupSpec, status GroupStatus, primary cluster.ServerID, now time.Time) []Action {
@@ -94,7 +109,7 @@
 		if id == primary || status.following(id, primary) || status.Servers[id].Status.Term > p.Term {
 			continue
 		}
-		if old := status.Servers[id].Status; old.Role == cluster.RolePrimary {
+		if old := status.Servers[id].Status; old.Role == cluster.RolePrimary && hasTail(old, p) {
 			actions = append(actions, Report{Record: discardedTail(spec, old, p, now)})
 		}
 		actions = append(actions, Follow{Server: id, Term: p.Term, Leader: primary})
@@ -102,6 +117,12 @@
 	return actions
 }
 
+// hasTail reports whether an earlier primary may hold records that the log of
+// the primary does not continue.
+func hasTail(old, primary cluster.ServerStatus) bool {
+	return !primary.TermStart.Known() || primary.TermStart.Less(old.Received)
+}
+
 func decideSuspected(spec GroupSpec, status GroupStatus, s State, now time.Time) (State, []Action) {
 	cause, since := diagnose(spec, status, s, now)
 	if cause == CauseNone {
