--- a/internal/member/ping.go
+++ b/internal/member/ping.go
@@ -47,7 +47,7 @@
 	defer pings.Wait()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	round := time.NewTimer(0)
+	round := time.NewTimer(time.Nanosecond)
 	defer round.Stop()
 	for {
 		var targets []target
