Leave a transaction alone when a cancel request comes after its answer

Between the answer to BEGIN and the home's request for the next batch the caller still counted as running, so that a cancel request in that moment ended the transaction. Ruled out: the test; PostgreSQL ignores a cancel request that finds nothing running. Change: the caller counts as answered before the last message of a batch's answer is sent. Conclusion: mended.

--- a/internal/pgwire/front/caller.go
+++ b/internal/pgwire/front/caller.go
@@ -62,6 +62,9 @@
 	revoked atomic.Bool
 	// cancel ends the running request; nil while none runs.
 	cancel context.CancelCauseFunc
+	// answered is set before the last message of a batch's answer is sent, after
+	// which a cancel request has nothing to stop.
+	answered atomic.Bool
 }
 
 // serve runs the caller's requests until the connection ends.
@@ -255,7 +258,7 @@
 func (c *caller) cancelRequest(cause error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.cancel != nil && c.state.In(stateRunning) {
+	if c.cancel != nil && c.state.In(stateRunning) && !c.answered.Load() {
 		c.cancel(cause)
 	}
 }
--- a/internal/pgwire/front/conversation.go
+++ b/internal/pgwire/front/conversation.go
@@ -147,6 +147,7 @@
 }
 
 func (v *conversation) takeReady(message []byte) bool {
+	v.caller.answered.Store(true)
 	v.tx = message[len(message)-1]
 	v.waiting = true
 	v.copying = false
@@ -229,6 +230,7 @@
 		v.rolledBack = false
 	}
 	v.waiting = false
+	v.caller.answered.Store(false)
 	remaining := time.Until(v.transactionEnd)
 	v.timer.Reset(min(limits(v.caller.server.directory).StatementTime, remaining) + statementMargin)
 	v.caller.fire(signalBatch)
--- a/internal/pgwire/front/request.go
+++ b/internal/pgwire/front/request.go
@@ -53,6 +53,7 @@
 	req.TraceParent = traceParent(ctx, span)
 	v := newConversation(c, b, cancel)
 	defer v.timer.Stop()
+	c.answered.Store(false)
 	c.fire(signalRequest)
 	started := time.Now()
 	v.startWatch(req.First.Class)
--- a/internal/pgwire/front/startup_test.go
+++ b/internal/pgwire/front/startup_test.go
@@ -337,3 +337,32 @@
 		}
 	}
 }
+
+// TestCancelAfterTheAnswerLeavesTheTransactionAlone sends the cancel request
+// when the answer to BEGIN has arrived and the home has not yet asked for the
+// next batch.
+func TestCancelAfterTheAnswerLeavesTheTransactionAlone(t *testing.T) {
+	b := startServer(t, fakeDirectory{}, front.Config{})
+	answered, cancelled := make(chan struct{}), make(chan struct{})
+	b.runner.wait = func(ctx context.Context) (context.Context, error) {
+		select {
+		case <-cancelled:
+		default:
+			close(answered)
+			<-cancelled
+		}
+		return ctx, ctx.Err()
+	}
+	conn := b.connect(t, "")
+	if _, err := conn.Exec(t.Context(), "begin"); err != nil {
+		t.Fatal(err)
+	}
+	<-answered
+	if err := conn.PgConn().CancelRequest(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	close(cancelled)
+	if _, err := conn.Exec(t.Context(), "insert 1"); err != nil {
+		t.Fatalf("the transaction ended: %v", err)
+	}
+}
