--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -113,6 +113,7 @@
 	defer func() { <-p.tokens }()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.prune()
 	if !healthy || p.closed || !isOpen(conn) || len(p.idle) >= maxIdlePerPeer {
 		_ = conn.Close()
 		return
@@ -120,6 +121,15 @@
 	p.idle = append(p.idle, idleConn{conn: conn, since: time.Now()})
 }
 
+// prune closes the connections that were idle for too long, which are the
+// first ones. The caller holds the lock.
+func (p *pool) prune() {
+	for len(p.idle) > 0 && time.Since(p.idle[0].since) >= idleConnLifetime {
+		_ = p.idle[0].conn.Close()
+		p.idle = p.idle[1:]
+	}
+}
+
 func (p *pool) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
