Acknowledge only commits of the proven term; end claims with their owner

The trace showed the commit on the old primary at the moment it thawed, two seconds after the promotion.

Ruled out: a divergent tail counted as stored by a repeated order (possible only without a record that opens the term; the stand-in writes one, the in-memory model did not and does now), late control calls of a woken server, and the checker.

Change: choose() takes the slot, the floor and the routing state in one term or chooses again; a position below the proven term is never acknowledged; an owner that is not established is cut off when it is given up; a server admits one home for each epoch.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -8,7 +8,8 @@
 )
 
 // Claim identifies the home on whose behalf a connection is opened. A server
-// refuses and ends connections of an epoch below the highest it has accepted.
+// refuses and ends connections of an epoch below the highest it has accepted,
+// and those of the same epoch by another home.
 type Claim struct {
 	Epoch cluster.Epoch
 	Home  cluster.ProxyID
@@ -87,7 +88,9 @@
 	// writes nor stores log records of a lower term. A server that accepted
 	// the same or a higher term from another holder refuses.
 	Seal(ctx context.Context, term cluster.Term, holder string) (cluster.ServerStatus, error)
-	// Promote makes a server sealed at term by holder the primary of term.
+	// Promote makes a server sealed at term by holder the primary of term. The
+	// primary opens the term with a log record, so that every position that it
+	// reports afterwards is of its own term.
 	Promote(ctx context.Context, term cluster.Term, holder string) (cluster.ServerStatus, error)
 	// Follow makes the server a replica of leader at term. It discards log
 	// records that the leader does not have.
--- a/internal/backend/backendtest/conn.go
+++ b/internal/backend/backendtest/conn.go
@@ -89,7 +89,7 @@
 	switch {
 	case s.down:
 		return errRefused
-	case !c.control && c.claim.Epoch < s.claim.Epoch:
+	case !c.control && s.claim.Epoch > 0 && (c.claim.Epoch < s.claim.Epoch || c.claim.Epoch == s.claim.Epoch && c.claim.Home != s.claim.Home):
 		return errors.New("home epoch superseded")
 	case !c.control && s.dataConns() >= s.spec.Connections:
 		return errors.New("too many connections")
--- a/internal/backend/backendtest/server.go
+++ b/internal/backend/backendtest/server.go
@@ -157,6 +157,7 @@
 	}
 	if s.role == cluster.RoleSealed {
 		s.role, s.leader, s.termStart = cluster.RolePrimary, s.spec.ID, s.received()
+		s.append(nil, "", "")
 	}
 	return s.role == cluster.RolePrimary
 }
--- a/internal/home/observe.go
+++ b/internal/home/observe.go
@@ -205,6 +205,7 @@
 		o.commits = o.commits.With(route.Sample{At: time.Now(), Position: primary.status.Received})
 		o.highWater = primary.status.Received
 		o.fallback = primary.status.Received
+		o.established = true
 		_, _, _ = o.phase.Fire(transitionEstablish)
 		o.signal()
 		o.rebuild()
--- a/internal/home/owner.go
+++ b/internal/home/owner.go
@@ -98,7 +98,9 @@
 	changed chan struct{}
 	phase   *statechart.Machine
 	claim   claim
-	holder  cluster.ProxyID
+	// established is set once the claim is won and the floors are known.
+	established bool
+	holder      cluster.ProxyID
 	// history holds proven positions of the primary, commits those of answered commits.
 	history  *route.History
 	commits  *route.History
@@ -284,11 +286,16 @@
 }
 
 // close drains the owner: no new requests, running ones may finish until ctx
-// ends, then every connection is closed and every goroutine ends.
+// ends, then every connection is closed and every goroutine ends. An owner
+// that is not established yet is cut off at once: it must not go on claiming
+// beside a later owner of the same proxy, and nothing of it has run.
 func (o *owner) close(ctx context.Context) {
 	o.mu.Lock()
 	_, _, _ = o.phase.Fire(transitionDrain) // an owner that was superseded stays so
 	o.startDrain()
+	if !o.established {
+		o.cancel()
+	}
 	o.mu.Unlock()
 	o.drain(ctx)
 	o.mu.Lock()
--- /dev/null
+++ b/internal/home/replaced_test.go
@@ -0,0 +1,125 @@
+package home
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/rank"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+func (b *bench) ownerOf(h *Home) *owner {
+	b.t.Helper()
+	o, err := h.owner("orders")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return o
+}
+
+// A commit of a replaced primary lies below the positions of the new term, so
+// that every follower of the new primary seems to have it.
+func TestCommitOfReplacedPrimaryIsNotAcknowledged(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, b *bench) {
+		h := b.home("p1")
+		b.mustWrite(h, "clerk", "put k v1")
+		b.group.Freeze("s1")
+		b.promote(2, "s2", "s3")
+		time.Sleep(time.Second)
+		b.mustWrite(h, "clerk", "put k v2")
+		o := b.ownerOf(h)
+		r := o.newRequest(b.request(statement.ClassWrite, "put k v3"), &caller{})
+		lost := cluster.Position{Term: 1, Offset: 2}
+		if p, err := o.awaitAck(context.Background(), r, 2, lost); err == nil {
+			t.Errorf("%v was acknowledged as %v", lost, p)
+		}
+		b.group.Thaw("s1")
+	})
+}
+
+// A slot may be granted at a primary that is replaced before the request goes
+// on. It must not run there as if the server were a replica.
+func TestSlotAtReplacedPrimaryIsGivenBack(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, b *bench) {
+		h := b.home("p1")
+		b.mustWrite(h, "clerk", "put k v1")
+		o := b.ownerOf(h)
+		choose := func() *work {
+			r := o.newRequest(b.request(statement.ClassWrite, "put k v2"), &caller{})
+			w, err := o.choose(context.Background(), r, rank.LanePrimary)
+			if err != nil {
+				t.Error(err)
+			}
+			return w
+		}
+		first, second := choose(), choose()
+		third := make(chan *work)
+		go func() { third <- choose() }()
+		synctest.Wait()
+		o.mu.Lock()
+		first.grant.Release() // the third is granted in the old term
+		for _, id := range allServers {
+			report := o.view.reports[id]
+			report.status.Term = 2
+			o.view.reports[id] = report
+		}
+		o.view.term, o.view.primary = 2, "s2"
+		o.primaryChanged()
+		o.rebuild()
+		o.mu.Unlock()
+		w := <-third
+		if w.node.server.ID != "s2" || w.group.Primary != "s2" {
+			t.Errorf("granted at %s in a term whose primary is %s", w.node.server.ID, w.group.Primary)
+		}
+		w.grant.Release()
+		second.grant.Release()
+	})
+}
+
+// A home that is given up while it claims must not win the claim later, beside
+// another owner, and what waited for it has not run.
+func TestReleaseEndsClaim(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, b *bench) {
+		for _, id := range allServers {
+			b.group.Cut("p1", string(id))
+		}
+		h := b.home("p1")
+		result := make(chan error)
+		go func() {
+			_, err := b.write(h, "clerk", "put k v1")
+			result <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		h.Disown("orders")
+		for _, id := range allServers {
+			b.group.Heal("p1", string(id))
+		}
+		if err := <-result; err == nil || errcode.From(err).Code.Outcome != errcode.OutcomeNotRun {
+			t.Errorf("the request that waited ended with %v", err)
+		}
+		time.Sleep(time.Second)
+		if s := b.group.Status("s1"); s.Epoch != 0 || len(b.group.Values("s1", "k")) != 0 {
+			t.Errorf("the claim went on: %+v", s)
+		}
+	})
+}
+
+// A data connection carries a claim that was won: a server admits no other
+// home of the same epoch.
+func TestServerAdmitsOneHomePerEpoch(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, b *bench) {
+		h := b.home("p1")
+		b.mustWrite(h, "clerk", "put k v1")
+		o := b.ownerOf(h)
+		claim := o.backendClaim()
+		claim.Home = "p2"
+		if c, err := b.group.Dialer("p2").Dial(context.Background(), o.node("s1").server, "orders", claim); err == nil {
+			_ = c.Close()
+			t.Error("admitted")
+		}
+	})
+}
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -72,8 +72,8 @@
 	return o.runPrimary(ctx, r)
 }
 
-// awaitServing waits until the owner can serve the request. A read with an
-// exact floor needs no primary.
+// awaitServing waits until the owner is established. A read with an exact
+// floor needs no primary and may run once the claim is won.
 func (o *owner) awaitServing(ctx context.Context, r *request) error {
 	if o.phase.In(phaseServing) {
 		return nil
@@ -86,7 +86,7 @@
 			code = errcode.NoPrimary
 			return !o.needsProof(r), nil
 		}
-		return !o.phase.In(phaseClaiming), nil
+		return o.established, nil
 	})
 	if err != nil && ctx.Err() != nil {
 		return errcode.Wrap(err, code, "claim", string(o.name))
@@ -176,25 +176,34 @@
 	}, err
 }
 
-// acquire waits for a slot at a server that suits the request.
-func (o *owner) acquire(ctx context.Context, r *request, lane rank.Lane, q route.Query) (*rank.Grant, error) {
+// acquire waits for a slot at a server that suits the request. It returns the
+// routing state in which the server was chosen.
+func (o *owner) acquire(ctx context.Context, r *request, lane rank.Lane, q route.Query) (*rank.Grant, *route.Group, error) {
+	var chosen *route.Group
 	grant, err := o.dispatcher.Acquire(ctx, rank.Request{
 		Rank: r.rank, Lane: lane, Bytes: len(r.First.Messages), Deadline: r.deadline,
-		Eligible: func(id cluster.ServerID, now time.Time) rank.Verdict { return o.judge(q, id, now) },
+		Eligible: func(id cluster.ServerID, now time.Time) rank.Verdict {
+			group := o.group.Load()
+			verdict := o.judge(q, group, id, now)
+			if verdict.OK {
+				chosen = group
+			}
+			return verdict
+		},
 	})
 	if err == nil {
 		waitSeconds[r.rank].Update(grant.Waited.Seconds())
-		return grant, nil
+		return grant, chosen, nil
 	}
 	if !o.group.Load().PrimaryUp() && lane == rank.LanePrimary && !errcode.Is(err, errcode.Draining) {
-		return nil, errcode.Wrap(err, errcode.NoPrimary, "wait for primary", string(o.name))
+		return nil, nil, errcode.Wrap(err, errcode.NoPrimary, "wait for primary", string(o.name))
 	}
-	return nil, err
+	return nil, nil, err
 }
 
 // judge applies the routing decision to one server with a free slot.
-func (o *owner) judge(q route.Query, id cluster.ServerID, now time.Time) rank.Verdict {
-	d := route.Decide(q, o.group.Load(), now)
+func (o *owner) judge(q route.Query, group *route.Group, id cluster.ServerID, now time.Time) rank.Verdict {
+	d := route.Decide(q, group, now)
 	var next time.Time
 	for _, option := range d.Options {
 		if option.Overdue {
--- a/internal/home/work.go
+++ b/internal/home/work.go
@@ -54,16 +54,11 @@
 
 // begin takes a slot and a connection.
 func (o *owner) begin(ctx context.Context, r *request, lane rank.Lane) (*work, error) {
-	q, err := o.query(r)
+	w, err := o.choose(ctx, r, lane)
 	if err != nil {
 		return nil, err
 	}
-	grant, err := o.acquire(ctx, r, lane, q)
-	if err != nil {
-		return nil, err
-	}
-	w := &work{owner: o, request: r, grant: grant, node: o.node(grant.Server)}
-	w.termCtx, w.group = o.present()
+	grant := w.grant
 	if w.node == nil {
 		grant.Release()
 		return nil, errcode.New(errcode.ConnectionLost, "server removed", string(grant.Server))
@@ -82,6 +77,29 @@
 	return w, nil
 }
 
+// choose takes a slot at a server that suits the request in the present term.
+// A choice that was made before the primary changed is made again: it would
+// take the replaced primary for a replica, and the floor may be lost since.
+func (o *owner) choose(ctx context.Context, r *request, lane rank.Lane) (*work, error) {
+	for {
+		asked := o.group.Load()
+		q, err := o.query(r)
+		if err != nil {
+			return nil, err
+		}
+		grant, chosen, err := o.acquire(ctx, r, lane, q)
+		if err != nil {
+			return nil, err
+		}
+		w := &work{owner: o, request: r, grant: grant, node: o.node(grant.Server)}
+		w.termCtx, w.group = o.present()
+		if asked.Term == w.group.Term && chosen.Term == w.group.Term && chosen.Primary == w.group.Primary {
+			return w, nil
+		}
+		grant.Release()
+	}
+}
+
 // present returns the routing state and a context that ends with its term.
 func (o *owner) present() (context.Context, *route.Group) {
 	o.mu.Lock()
@@ -253,7 +271,9 @@
 	return err == nil && is
 }
 
-// awaitAck waits until a committed write may be acknowledged and records it.
+// awaitAck waits until a committed write may be acknowledged and records it. A
+// position of an earlier term is that of a replaced primary: the present log
+// need not have it, however far it has come.
 func (o *owner) awaitAck(ctx context.Context, r *request, term cluster.Term, p cluster.Position) (cluster.Position, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
@@ -272,6 +292,9 @@
 			}
 			p = primary.status.Received
 		}
+		if p.Term < term && !o.home.without.proof {
+			return false, errTermChanged
+		}
 		q := requirement{ticket: ticket, claim: o.claim, term: term}
 		if o.ranks.Policy(r.rank).Ack != environment.AckPrimary && !o.home.without.replication {
 			q.received = p
