--- a/internal/backend/backendtest/server.go
+++ b/internal/backend/backendtest/server.go
@@ -108,11 +108,10 @@
 	return record{}, false
 }
 
-func (s *server) append(writes []write, orderID, answer string) cluster.Position {
+func (s *server) append(writes []write, orderID, answer string) {
 	p := cluster.Position{Term: s.term, Offset: uint64(len(s.log) + 1)}
 	s.log = append(s.log, record{position: p, writes: writes, orderID: orderID, answer: answer, received: time.Now()})
 	s.group.shipLater()
-	return p
 }
 
 // pull copies what the leader has and this replica lacks, after discarding
--- a/internal/home/replaced_test.go
+++ b/internal/home/replaced_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,42 +42,73 @@
 	})
 }
 
+// chooseDuringPromotion queues r behind two writes and lets the home learn of a
+// new term, which begins after the first record, before the request goes on.
+// If early is set, a slot is granted in the old term.
+func chooseDuringPromotion(o *owner, b *bench, r *statement.Request, early bool) (*work, error) {
+	choose := func(r *statement.Request) (*work, error) {
+		return o.choose(context.Background(), o.newRequest(r, &caller{}), rank.LanePrimary)
+	}
+	first, _ := choose(b.request(statement.ClassWrite, "put k v2"))
+	second, _ := choose(b.request(statement.ClassWrite, "put k v2"))
+	defer second.grant.Release()
+	var w *work
+	var err error
+	var third sync.WaitGroup
+	third.Go(func() { w, err = choose(r) })
+	synctest.Wait()
+	o.mu.Lock()
+	if early {
+		first.grant.Release()
+	} else {
+		defer first.grant.Release()
+	}
+	for _, id := range allServers {
+		report := o.view.reports[id]
+		report.status.Term = 2
+		o.view.reports[id] = report
+	}
+	o.view.term, o.view.primary = 2, "s2"
+	o.view.lineage.before[2] = cluster.Position{Term: 1, Offset: 1}
+	o.primaryChanged()
+	o.rebuild()
+	o.mu.Unlock()
+	third.Wait()
+	return w, err
+}
+
 // A slot may be granted at a primary that is replaced before the request goes
 // on. It must not run there as if the server were a replica.
 func TestSlotAtReplacedPrimaryIsGivenBack(t *testing.T) {
 	inBubble(t, nil, func(t *testing.T, b *bench) {
 		h := b.home("p1")
 		b.mustWrite(h, "clerk", "put k v1")
-		o := b.ownerOf(h)
-		choose := func() *work {
-			r := o.newRequest(b.request(statement.ClassWrite, "put k v2"), &caller{})
-			w, err := o.choose(context.Background(), r, rank.LanePrimary)
-			if err != nil {
-				t.Error(err)
-			}
-			return w
-		}
-		first, second := choose(), choose()
-		third := make(chan *work)
-		go func() { third <- choose() }()
-		synctest.Wait()
-		o.mu.Lock()
-		first.grant.Release() // the third is granted in the old term
-		for _, id := range allServers {
-			report := o.view.reports[id]
-			report.status.Term = 2
-			o.view.reports[id] = report
+		w, err := chooseDuringPromotion(b.ownerOf(h), b, b.request(statement.ClassWrite, "put k v3"), true)
+		if err != nil {
+			t.Fatal(err)
 		}
-		o.view.term, o.view.primary = 2, "s2"
-		o.primaryChanged()
-		o.rebuild()
-		o.mu.Unlock()
-		w := <-third
+		defer w.grant.Release()
 		if w.node.server.ID != "s2" || w.group.Primary != "s2" {
 			t.Errorf("granted at %s in a term whose primary is %s", w.node.server.ID, w.group.Primary)
 		}
-		w.grant.Release()
-		second.grant.Release()
+	})
+}
+
+// A floor that the promotion discarded is refused, also when the request was
+// admitted before the promotion.
+func TestFloorLostInReplacedTermIsRefused(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, b *bench) {
+		h := b.home("p1")
+		b.mustWrite(h, "clerk", "put k v1")
+		r := b.request(statement.ClassPrimaryRead, "get k")
+		r.Floor, r.FloorExact = cluster.Position{Term: 1, Offset: 9}, true
+		w, err := chooseDuringPromotion(b.ownerOf(h), b, r, false)
+		if !errcode.Is(err, errcode.PositionLost) {
+			t.Errorf("a floor that is lost gave %+v, %v", w, err)
+		}
+		if err == nil {
+			w.grant.Release()
+		}
 	})
 }
 
