Let a process that was paused become stable anew

Cause: a proxy that was stopped for 6 s counted itself stable when it woke, while the others counted 5 s from its return. It claimed its groups at once, gave them up to the others' view and claimed them again. Ruled out: the handoff, which did what the views asked for.

Change: the loop notices a gap of 4 s between two ticks, resets its own stability and the age of its doubts. Shorter pauses are left alone, because the others may not have noticed them.

TestPausedProcessHasToBeStableAnew covers the table.

--- a/internal/member/loop.go
+++ b/internal/member/loop.go
@@ -44,12 +44,15 @@
 	leaving  map[string]bool
 	failures map[Key]int
 	queue    []Key
+	// ticked is the time of the last tick.
+	ticked time.Time
 }
 
 // New returns a Loop whose view holds only the process itself. Run starts it.
 func New(cfg Config) *Loop {
+	now := time.Now()
 	l := &Loop{
-		cfg: cfg, table: newTable(cfg.Self, time.Now()), state: StateAlive,
+		cfg: cfg, table: newTable(cfg.Self, now), state: StateAlive, ticked: now,
 		changed: make(chan struct{}), leaving: map[string]bool{}, failures: map[Key]int{},
 	}
 	l.snapshot = NewSnapshot(l.table.sorted())
--- a/internal/member/ping.go
+++ b/internal/member/ping.go
@@ -29,6 +29,9 @@
 	othersAsked = 4
 	// tickInterval is the time between two looks at what time alone changes.
 	tickInterval = 250 * time.Millisecond
+	// pausedAfter is the time without a tick after which this process has been
+	// paused for so long that the others count it as dead.
+	pausedAfter = 4 * time.Second
 	// pingReports is the most reports that one ping or reply carries.
 	pingReports = 6
 	// welcomeReports is the most reports in the reply to a newcomer.
@@ -72,6 +75,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
+	if now.Sub(l.ticked) >= pausedAfter {
+		l.table.resume(now)
+	}
+	l.ticked = now
 	l.publish(l.table.tick(now))
 	keys := l.table.untried(suspectsPinged)
 	if l.table.askOthers(now) {
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -222,6 +222,18 @@
 	return changed
 }
 
+// resume takes account of a pause of this process. It has to be stable anew, as
+// in the view of the others, and what it doubted before the pause is doubted
+// for the full time again.
+func (t *table) resume(now time.Time) {
+	t.entries[t.self].Since = now
+	for _, e := range t.entries {
+		if e.State == StateSuspect {
+			e.doubtedAt = now
+		}
+	}
+}
+
 // stable reports whether a member has been alive long enough to be a home.
 // Members that were found while this process started count at once, so that a
 // process that joins an old fleet agrees with it.
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -95,6 +95,26 @@
 	}
 }
 
+func TestPausedProcessHasToBeStableAnew(t *testing.T) {
+	table := newTable(proxyNamed("self", 1), at(0))
+	other := proxyNamed("other", 1)
+	table.observe(Report{Member: other, State: StateAlive}, at(0))
+	table.tick(at(10))
+	table.missed(other.Key(), at(10))
+	table.resume(at(20))
+	table.tick(at(20))
+	if table.entries[table.self].Stable {
+		t.Error("stable right after a pause")
+	}
+	if got := table.entries[other.Key()].State; got != StateSuspect {
+		t.Errorf("the pause counted as silence of the other: %s", got)
+	}
+	table.tick(at(25))
+	if !table.entries[table.self].Stable {
+		t.Error("not stable again")
+	}
+}
+
 func TestChangesSpreadBoundedly(t *testing.T) {
 	table := newTable(proxyNamed("self", 1), start)
 	for i := range 20 {
