Tell callers that are being accepted of a drain

A connection that the listener had handed over when the drain began was closed without a message (EOF), and one that still waited in the listen queue was reset when the listener closed. Seen as a failure of TestDrainCutsOffNothing on a loaded machine, whose caller before authentication had not been accepted yet. The wait for the start-up message was ruled out: a connection that is noted before the drain is told.

A drain now lets Serve empty the listen queue for up to 100 ms and refuses each connection with 57P01 before the listener closes. Drain also waits for Serve.

TestDrainTellsConnectionThatIsBeingAccepted holds the connection before and after Accept; before the change it ended with a reset and an EOF.

--- a/internal/pgwire/front/drain.go
+++ b/internal/pgwire/front/drain.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Drain stops accepting callers, ends idle callers with a FATAL
-// admin_shutdown, lets running statements and open transactions finish, and
+// Drain stops accepting callers, ends idle callers and those before
+// authentication with a FATAL admin_shutdown, lets running statements and open transactions finish, and
 // returns when every connection is closed. When ctx ends first, the remaining
 // callers are cut off and the cause is returned.
 func (s *Server) Drain(ctx context.Context) error {
@@ -39,7 +39,10 @@
 	defer s.mu.Unlock()
 	s.draining.Store(true)
 	for l := range s.listeners {
-		_ = l.Close()
+		// Serve takes what has been connected and closes the listener.
+		if !acceptUntil(l, time.Now()) {
+			_ = l.Close()
+		}
 	}
 	for conn := range s.starting {
 		_ = conn.SetReadDeadline(time.Now().Add(drainLinger))
--- a/internal/pgwire/front/drain_test.go
+++ b/internal/pgwire/front/drain_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -67,6 +70,62 @@
 	}
 }
 
+// TestDrainTellsConnectionThatIsBeingAccepted begins a drain before the server
+// takes a connection from the listen queue, and while it takes it.
+func TestDrainTellsConnectionThatIsBeingAccepted(t *testing.T) {
+	for _, queued := range []bool{true, false} {
+		t.Run(fmt.Sprintf("queued=%t", queued), func(t *testing.T) {
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			l := &gatedListener{
+				TCPListener: inner.(*net.TCPListener), queued: queued,
+				reached: make(chan struct{}), gate: make(chan struct{}),
+			}
+			server := front.New(front.Config{Proxy: "proxy-1"}, &fakeRunner{}, fakeDirectory{})
+			served, drained := make(chan error, 1), make(chan error, 1)
+			go func() { served <- server.Serve(context.Background(), l) }()
+			b := &bench{Server: server, address: inner.Addr().String()}
+			conn := dial(t, b)
+			<-l.reached
+			go func() { drained <- server.Drain(context.Background()) }()
+			waitFor(t, func() bool { return !server.Ready() })
+			close(l.gate)
+			if e := expect(t, pgproto3.NewFrontend(conn, conn), &pgproto3.ErrorResponse{}); e.Code != "57P01" {
+				t.Errorf("error %+v, want 57P01", e)
+			}
+			if err := errors.Join(<-served, <-drained); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// gatedListener stops the first Accept at the gate, before or after it takes
+// the connection.
+type gatedListener struct {
+	*net.TCPListener
+	queued        bool
+	once          sync.Once
+	reached, gate chan struct{}
+}
+
+func (l *gatedListener) Accept() (net.Conn, error) {
+	wait := func() {
+		l.once.Do(func() {
+			close(l.reached)
+			<-l.gate
+		})
+	}
+	if l.queued {
+		wait()
+	}
+	conn, err := l.TCPListener.Accept()
+	wait()
+	return conn, err
+}
+
 func TestDrainDeadline(t *testing.T) {
 	b := startServer(t, fakeDirectory{}, front.Config{})
 	b.runner.before = func(ctx context.Context, _ int, sql string) error {
--- a/internal/pgwire/front/server.go
+++ b/internal/pgwire/front/server.go
@@ -24,7 +24,8 @@
 	// acceptRetry is the wait after a failed accept.
 	acceptRetry = 50 * time.Millisecond
 	// drainLinger is how long an idle caller's request that is already on its
-	// way is waited for when a drain begins.
+	// way, or a connection that waits to be accepted, is waited for when a drain
+	// begins.
 	drainLinger = 100 * time.Millisecond
 	// forceTime bounds the wait for callers that were cut off.
 	forceTime = 5 * time.Second
@@ -56,7 +57,8 @@
 	listeners map[net.Listener]struct{}
 	// starting holds the connections before authentication.
 	starting map[net.Conn]struct{}
-	// connections counts accepted connections, also before authentication.
+	// connections counts listeners and accepted connections, also before
+	// authentication.
 	connections sync.WaitGroup
 	callers     map[uint32]*caller
 	customers   map[string]int
@@ -98,10 +100,12 @@
 	if !s.addListener(listener) {
 		return errors.Join(errcode.New(errcode.Draining, "serve", ""), listener.Close())
 	}
+	defer s.connections.Done()
 	defer s.removeListener(listener)
 	stop := context.AfterFunc(ctx, func() { s.force(context.Cause(ctx)) })
 	defer stop()
 	eventListening.Log(&s.logger).Stringer("address", listener.Addr()).Send()
+	emptying := false
 	for {
 		conn, err := listener.Accept()
 		switch {
@@ -110,7 +114,10 @@
 		case ctx.Err() != nil:
 			return context.Cause(ctx)
 		case s.draining.Load():
-			return nil
+			if emptying || !acceptUntil(listener, time.Now().Add(drainLinger)) {
+				return nil
+			}
+			emptying = true
 		case errors.Is(err, net.ErrClosed):
 			return err
 		default:
@@ -146,6 +153,7 @@
 		return false
 	}
 	s.listeners[l] = struct{}{}
+	s.connections.Add(1)
 	return true
 }
 
@@ -156,14 +164,16 @@
 	_ = l.Close()
 }
 
-// accept serves a connection in its own goroutine.
+// acceptUntil bounds the wait for connections. It reports false when the
+// listener has no deadline or is closed.
+func acceptUntil(l net.Listener, deadline time.Time) bool {
+	d, ok := l.(interface{ SetDeadline(time.Time) error })
+	return ok && d.SetDeadline(deadline) == nil
+}
+
+// accept serves a connection in its own goroutine. While the server drains,
+// start refuses it.
 func (s *Server) accept(conn net.Conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.Ready() {
-		_ = conn.Close()
-		return
-	}
 	callersAccepted.Inc()
 	s.connections.Add(1)
 	go func() {
