Wait for the farewell in the test of a stale connection

TestStaleConnectionIsNoticedBeforeSending failed once in 5 runs under GOMAXPROCS=4 beside load: the exchange was sent and then refused as not run, which is right when the server's farewell is still on its way. The test waited for the stand-in to drop the connection from its count, which it does before it says farewell. A fault of the product was ruled out: the outcome is 'not run' in both cases.

The test now waits until the client's socket has bytes to read and checks the same as before. 300 runs under GOMAXPROCS=1, 2 and 4 pass.

--- a/internal/pgwire/back/tls_test.go
+++ b/internal/pgwire/back/tls_test.go
@@ -1,12 +1,14 @@
 package back_test
 
 import (
+	"context"
 	"crypto/ed25519"
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
 	"math/big"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -80,8 +82,16 @@
 }
 
 func TestStaleConnectionIsNoticedBeforeSending(t *testing.T) {
-	s, at := listen(t, dbserver.Config{})
-	c, err := back.New(back.Config{}).Dial(t.Context(), at, "rolls", backend.Claim{Epoch: 1, Home: "p1"})
+	_, at := listen(t, dbserver.Config{})
+	var own *net.TCPConn
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+		if err == nil {
+			own = conn.(*net.TCPConn)
+		}
+		return conn, err
+	}
+	c, err := back.New(back.Config{Dial: dial}).Dial(t.Context(), at, "rolls", backend.Claim{Epoch: 1, Home: "p1"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -95,9 +105,27 @@
 	if _, err := control.Claim(t.Context(), backend.Claim{Epoch: 2, Home: "p2"}); err != nil {
 		t.Fatal(err)
 	}
-	await(t, "ended", func() bool { return s.Connections() == 0 })
+	await(t, "the farewell has arrived", func() bool { return readable(t, own) })
 	_, err = c.Exchange(t.Context(), &backend.Exchange{Batch: simple(statement.ClassWrite, "DELETE FROM rolls")}, &caller{})
 	if !errcode.Is(err, errcode.Superseded) || c.Sent() {
 		t.Errorf("got %v, sent %v", err, c.Sent())
 	}
 }
+
+// readable reports whether a connection has bytes to read, and leaves them there.
+func readable(t *testing.T, conn *net.TCPConn) bool {
+	t.Helper()
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	err = raw.Read(func(fd uintptr) bool {
+		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n > 0
+}
