Cut connections between the real programs and measure the failover gap there

A relay of the integration tests holds back one or both directions, silences open connections and delays, between proxies or wardens and servers and between proxies. TestCutFleet runs four groups of one fleet at once, each with its own kind of failure of the primary: killed, frozen, isolated, silent path; then answers and questions of a proxy's peers are held back in turn. Every acknowledged order must be there once and must be seen by reads of its session through another proxy.

--- /dev/null
+++ b/internal/integration/cut_test.go
@@ -0,0 +1,237 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+const (
+	// failuresEnv is the number of failures of each kind; one when unset. When
+	// it is set, the gaps are held against their bound.
+	failuresEnv = "RATTAN_FAILURES"
+	// gapReportEnv is the file that takes the gaps.
+	gapReportEnv = "RATTAN_GAP_REPORT"
+	// gapBound is the time within which a change of primary must be over.
+	gapBound = 12 * time.Second
+	// gapWriters is the number of writers of each group.
+	gapWriters = 3
+	// silenceTime is how long a failure is looked at that needs no failover.
+	silenceTime = 3 * time.Second
+	peerDelay   = 20 * time.Millisecond
+)
+
+// failure is a kind of failure of a primary.
+type failure struct {
+	name string
+	// replaced tells whether another primary must follow.
+	replaced     bool
+	inject, heal func(f *fleet, server int)
+}
+
+var failures = []failure{
+	{
+		name: "killed", replaced: true,
+		inject: func(f *fleet, server int) {
+			f.signal(serverID(server), syscall.SIGKILL)
+			_ = f.wait(serverID(server))
+		},
+		heal: (*fleet).startServer,
+	},
+	{
+		name: "frozen", replaced: true,
+		inject: func(f *fleet, server int) { f.signal(serverID(server), syscall.SIGSTOP) },
+		heal:   func(f *fleet, server int) { f.signal(serverID(server), syscall.SIGCONT) },
+	},
+	{
+		name: "isolated", replaced: true,
+		inject: func(f *fleet, server int) { f.relays[f.servers[server]].setCut(toTarget, fromTarget) },
+		heal:   func(f *fleet, server int) { f.relays[f.servers[server]].setCut() },
+	},
+	{
+		name:   "silent path",
+		inject: func(f *fleet, server int) { f.relays[f.servers[server]].silence() },
+		heal:   func(*fleet, int) {},
+	},
+}
+
+// gapReport is the measurement of one kind of failure. The gap is the longest
+// time without an acknowledgement, the wait that of the slowest order.
+type gapReport struct {
+	Kind       string  `json:"kind"`
+	GapMillis  []int64 `json:"gap_ms"`
+	GapP50     int64   `json:"gap_p50_ms"`
+	GapWorst   int64   `json:"gap_worst_ms"`
+	WaitMillis []int64 `json:"wait_ms"`
+	WaitP50    int64   `json:"wait_p50_ms"`
+	WaitWorst  int64   `json:"wait_worst_ms"`
+	Verdict    verdict `json:"verdict"`
+}
+
+// TestCutFleet runs the programs with relays between them. Each group sees its
+// own kind of failure, all groups at once, and then a proxy is cut off one way.
+func TestCutFleet(t *testing.T) {
+	f := startFleet(t, len(failures), true)
+	f.eventually("administration API", func() bool { code, _ := f.rattanctl(0, "status"); return code == 0 })
+	f.eventually("all members known", func() bool { return len(f.status(0).Members) == proxyCount+wardenCount })
+	f.expect(0, "in force on every member", "doc", "promote", "--file", f.write("1.yaml", f.document(2000)),
+		"--to", environment, "--why", "test", "--yes", "--wait")
+	reports := make([]*gapReport, len(failures))
+	t.Run("primary", func(t *testing.T) {
+		for group, kind := range failures {
+			t.Run(kind.name, func(t *testing.T) {
+				t.Parallel()
+				reports[group] = f.with(t).repeat(group, kind)
+			})
+		}
+	})
+	if t.Failed() {
+		return
+	}
+	t.Run("one-way cut of a peer", func(t *testing.T) { f.with(t).cutPeer() })
+	writeReports(t, reports)
+}
+
+func failureCount(t *testing.T) int {
+	text := os.Getenv(failuresEnv)
+	if text == "" {
+		return 1
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// repeat causes failures of one kind one after another while orders flow.
+func (f *fleet) repeat(group int, kind failure) *gapReport {
+	f.createTable(group)
+	o := f.placeOrders(group, kind.name[:1], gapWriters)
+	report := &gapReport{Kind: kind.name}
+	for range failureCount(f.t) {
+		primary := f.settled(group)
+		o.progress(5 * gapWriters)
+		begun := time.Now()
+		kind.inject(f, f.serverIndex(primary))
+		f.replaced(group, primary, kind)
+		o.progress(5 * gapWriters)
+		gap, wait := o.slowest(begun)
+		report.GapMillis = append(report.GapMillis, gap.Milliseconds())
+		report.WaitMillis = append(report.WaitMillis, wait.Milliseconds())
+		kind.heal(f, f.serverIndex(primary))
+	}
+	f.settled(group)
+	report.Verdict = o.check()
+	report.GapP50, report.GapWorst = median(report.GapMillis), slices.Max(report.GapMillis)
+	report.WaitP50, report.WaitWorst = median(report.WaitMillis), slices.Max(report.WaitMillis)
+	f.t.Logf("%+v", *report)
+	return report
+}
+
+// settled waits until a group has one primary that every server follows, and
+// returns it.
+func (f *fleet) settled(group int) cluster.ServerID {
+	f.t.Helper()
+	var primary cluster.ServerID
+	f.eventually("a settled group", func() bool {
+		g := f.group(0, group)
+		if g.Unknown != "" || !g.Writable {
+			return false
+		}
+		primary = g.Primary
+		for _, s := range g.Servers {
+			follows := s.Role == cluster.RoleReplica || s.ID == primary && s.Role == cluster.RolePrimary
+			if !follows || !s.Reachable || s.Ejected != "" {
+				return false
+			}
+		}
+		return true
+	})
+	return primary
+}
+
+// replaced waits until the failure is over.
+func (f *fleet) replaced(group int, old cluster.ServerID, kind failure) {
+	f.t.Helper()
+	if !kind.replaced {
+		time.Sleep(silenceTime)
+		return
+	}
+	f.eventually("another primary", func() bool {
+		g := f.group(0, group)
+		return g.Unknown == "" && g.Writable && g.Primary != old
+	})
+}
+
+// slowest returns the longest time without an acknowledgement and the longest
+// wait for one, among the orders acknowledged since a time.
+func (o *orders) slowest(since time.Time) (gap, wait time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for i, p := range o.placed[1:] {
+		if p.acked.Before(since) {
+			continue
+		}
+		gap = max(gap, p.acked.Sub(o.placed[i].acked))
+		wait = max(wait, p.acked.Sub(p.begun))
+	}
+	return gap, wait
+}
+
+func median(values []int64) int64 {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[len(sorted)/2]
+}
+
+func writeReports(t *testing.T, reports []*gapReport) {
+	for _, r := range reports {
+		t.Logf("%-12s %3d failures, gap p50 %5d ms, worst %5d ms, order p50 %5d ms, worst %5d ms; acknowledged %d, lost %d, doubled %d, stale %d of %d",
+			r.Kind, len(r.GapMillis), r.GapP50, r.GapWorst, r.WaitP50, r.WaitWorst,
+			r.Verdict.Acknowledged, r.Verdict.Lost, r.Verdict.Doubled, r.Verdict.Stale, r.Verdict.Reads)
+		if os.Getenv(failuresEnv) != "" && r.GapWorst > gapBound.Milliseconds() {
+			t.Errorf("%s: the worst gap is longer than %v", r.Kind, gapBound)
+		}
+	}
+	path := os.Getenv(gapReportEnv)
+	if path == "" {
+		return
+	}
+	data, err := json.MarshalIndent(map[string]any{
+		"command": fmt.Sprintf("scripts/failover-gap %d", failureCount(t)), "time": time.Now().UTC().Format(time.DateOnly),
+		"bound_ms": gapBound.Milliseconds(), "kinds": reports,
+	}, "", "  ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, append(data, '\n'), 0o644); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// cutPeer holds back what the home of a group answers to its peers, then what
+// they ask, and then delays both, while orders flow through all proxies. The
+// home's own connections to its peers work, so it stays the home, and orders get
+// through at its own proxy only. Held back requests run when the cut ends.
+func (f *fleet) cutPeer() {
+	home := f.group(0, 0).Home
+	r := f.relays[f.peers[home[len(home)-1]-'1']]
+	o := f.placeOrders(0, "peer", gapWriters)
+	o.progress(5 * gapWriters)
+	for _, d := range []direction{fromTarget, toTarget} {
+		r.setCut(d)
+		o.progress(2 * gapWriters)
+		r.setCut()
+		f.settled(0)
+	}
+	r.setDelay(peerDelay)
+	o.progress(5 * gapWriters)
+	o.check()
+}
