Ask the home of a group for its explanation

Cause: explain at a proxy that is not the home only named the home, so that an operator had to find its administration address and ask again.

Ruled out: a redirect of the client, which needs administration addresses in the member list (docs/design/operators.md).

Change: the asked proxy passes the question to the home over the peer protocol (Explain) on the connections of pings, for at most 2 s, and puts the step hop before the home's answer. The home does not pass it on. A home that does not answer is told in the field unknown.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -71,6 +71,8 @@
 	Server cluster.ServerID  `json:"server"`
 	// Steps are the decisions in their order.
 	Steps []ExplanationStep `json:"steps"`
+	// Unknown tells why the home's decisions are missing; empty when they are not.
+	Unknown string `json:"unknown,omitempty"`
 }
 
 // Add adds a decision.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -67,6 +67,18 @@
 	return reply.GetStatus(), err
 }
 
+// Explain asks the home of a group where a statement would go. The request and
+// the answer are JSON of the administration API.
+func (c *Client) Explain(ctx context.Context, request []byte) (*peerpb.ExplainReply, error) {
+	return call(ctx, c, "explain", &peerpb.ExplainRequest{Request: request}, peerpb.DRPCPeerClient.Explain)
+}
+
+// Failovers returns the failovers that the warden at the peer is carrying out.
+func (c *Client) Failovers(ctx context.Context) ([]*peerpb.RunningFailover, error) {
+	reply, err := call(ctx, c, "failovers", &peerpb.FailoversRequest{}, peerpb.DRPCPeerClient.Failovers)
+	return reply.GetFailovers(), err
+}
+
 func call[In, Out any](
 	ctx context.Context, c *Client, step string, in *In,
 	method func(peerpb.DRPCPeerClient, context.Context, *In) (*Out, error),
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -32,6 +32,8 @@
 	Release func(ctx context.Context, group cluster.GroupName) error
 	// GroupStatus returns the status of a group as JSON.
 	GroupStatus func(ctx context.Context, group cluster.GroupName) ([]byte, error)
+	Explain     func(context.Context, *peerpb.ExplainRequest) (*peerpb.ExplainReply, error)
+	Failovers   func(context.Context, *peerpb.FailoversRequest) (*peerpb.FailoversReply, error)
 }
 
 // Server serves the calls of peers.
@@ -113,6 +115,22 @@
 	return &peerpb.GroupStatusReply{Status: status}, err
 }
 
+// Explain implements peerpb.DRPCPeerServer.
+func (s *Server) Explain(ctx context.Context, in *peerpb.ExplainRequest) (*peerpb.ExplainReply, error) {
+	if s.handlers.Explain == nil {
+		return s.DRPCPeerUnimplementedServer.Explain(ctx, in)
+	}
+	return s.handlers.Explain(ctx, in)
+}
+
+// Failovers implements peerpb.DRPCPeerServer.
+func (s *Server) Failovers(ctx context.Context, in *peerpb.FailoversRequest) (*peerpb.FailoversReply, error) {
+	if s.handlers.Failovers == nil {
+		return s.DRPCPeerUnimplementedServer.Failovers(ctx, in)
+	}
+	return s.handlers.Failovers(ctx, in)
+}
+
 // Run implements peerpb.DRPCPeerServer.
 func (s *Server) Run(stream peerpb.DRPCPeer_RunStream) error {
 	if s.handlers.Runner == nil {
--- a/internal/proxy/explain.go
+++ b/internal/proxy/explain.go
@@ -2,18 +2,27 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
+	"time"
 
 	"github.com/google/uuid"
 
 	"github.com/rattancove/rattancove/internal/admin"
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/home"
+	"github.com/rattancove/rattancove/internal/member"
+	"github.com/rattancove/rattancove/internal/peer/peerpb"
 	"github.com/rattancove/rattancove/internal/pgwire/front"
 	"github.com/rattancove/rattancove/internal/sqlclass"
 	"github.com/rattancove/rattancove/internal/statement"
 )
 
+// explainTimeout bounds the question to the home of a group.
+const explainTimeout = 2 * time.Second
+
 var classNames = map[statement.Class]string{
 	statement.ClassWrite:         "write",
 	statement.ClassRead:          "read",
@@ -23,29 +32,112 @@
 }
 
 // Explain implements admin.Explainer. Only the home of a group knows its
-// servers; another proxy explains the way to the home and names it.
+// servers; another proxy passes the question on to the home.
 func (p *Proxy) Explain(ctx context.Context, r admin.ExplainRequest) (admin.Explanation, error) {
+	owner := p.members().HomeOf(r.Group)
+	e, req, err := p.explainHere(r, owner)
+	if err != nil {
+		return admin.Explanation{}, err
+	}
+	if owner == p.settings.ID {
+		p.explainRoute(ctx, &e, req)
+		return e, nil
+	}
+	return p.explainAtHome(ctx, e, r)
+}
+
+// explainHere returns the part of an explanation that any proxy knows.
+func (p *Proxy) explainHere(r admin.ExplainRequest, owner cluster.ProxyID) (admin.Explanation, *statement.Request, error) {
 	req, err := p.explainedRequest(r)
 	if err != nil {
-		return admin.Explanation{}, &admin.Error{Code: admin.CodeBadRequest, Message: err.Error()}
+		return admin.Explanation{}, nil, &admin.Error{Code: admin.CodeBadRequest, Message: err.Error()}
 	}
-	owner := p.members().HomeOf(r.Group)
 	e := admin.Explanation{
 		Group: r.Group, Class: classNames[req.First.Class], Rank: req.Rank.String(), Home: owner,
 	}
 	e.Add("class", e.Class, "read from the text; in doubt a write")
 	e.Add("home", string(owner), "rendezvous hash over the stable proxies")
-	if owner != p.settings.ID {
-		e.Add("server", "decided by the home", "ask the administration API of "+string(owner))
-		return e, nil
-	}
+	return e, req, nil
+}
+
+// explainRoute adds what the home at this proxy decides.
+func (p *Proxy) explainRoute(ctx context.Context, e *admin.Explanation, req *statement.Request) {
 	decided, err := p.home.Explain(ctx, req)
 	if err != nil {
 		e.Add("server", "none", err.Error())
+		return
+	}
+	addRoute(e, decided)
+}
+
+// explainAtHome asks the home and returns its answer with the hop to it. When
+// the home does not answer, e tells so.
+func (p *Proxy) explainAtHome(ctx context.Context, e admin.Explanation, r admin.ExplainRequest) (admin.Explanation, error) {
+	ctx, cancel := context.WithTimeout(ctx, explainTimeout)
+	defer cancel()
+	answer, err := p.askExplanation(ctx, e.Home, r)
+	var refused *admin.Error
+	if errors.As(err, &refused) {
+		return admin.Explanation{}, err
+	}
+	if err != nil {
+		e.Unknown = "the home " + string(e.Home) + " did not answer: " + err.Error()
+		if e.Home == "" {
+			e.Unknown = "no proxy is the home of the group"
+		}
+		e.Add("server", "unknown", e.Unknown)
 		return e, nil
 	}
-	addRoute(&e, decided)
-	return e, nil
+	hop := admin.ExplanationStep{
+		Step: "hop", Result: string(e.Home), Reason: "asked by " + string(p.settings.ID) + "; the steps after this are the home's answer",
+	}
+	answer.Steps = append([]admin.ExplanationStep{hop}, answer.Steps...)
+	return answer, nil
+}
+
+// askExplanation asks another proxy for its explanation. An *admin.Error tells
+// that the request is invalid there.
+func (p *Proxy) askExplanation(ctx context.Context, home cluster.ProxyID, r admin.ExplainRequest) (admin.Explanation, error) {
+	e, ok := p.process.Members.Snapshot().Find(member.Key{Role: member.RoleProxy, ID: string(home)})
+	if !ok {
+		return admin.Explanation{}, errcode.New(errcode.NoHome, "explain", string(home))
+	}
+	request, err := json.Marshal(r)
+	if err != nil {
+		return admin.Explanation{}, errcode.Wrap(err, errcode.Internal, "explain", string(home))
+	}
+	reply, err := p.process.Control.Client(e.Member.Address).Explain(ctx, request)
+	if err != nil {
+		return admin.Explanation{}, err
+	}
+	if invalid := reply.GetInvalid(); invalid != "" {
+		return admin.Explanation{}, &admin.Error{Code: admin.CodeBadRequest, Message: invalid}
+	}
+	var answer admin.Explanation
+	if err := json.Unmarshal(reply.GetExplanation(), &answer); err != nil {
+		return admin.Explanation{}, errcode.Wrap(err, errcode.Protocol, "explain", string(home))
+	}
+	return answer, nil
+}
+
+// handleExplain answers a peer that takes this proxy for the home. The
+// question is not passed on, so that it makes one hop also while the views of
+// the members differ.
+func (p *Proxy) handleExplain(ctx context.Context, in *peerpb.ExplainRequest) (*peerpb.ExplainReply, error) {
+	var r admin.ExplainRequest
+	if err := json.Unmarshal(in.GetRequest(), &r); err != nil {
+		return nil, errcode.Wrap(err, errcode.Protocol, "explain", string(p.settings.ID))
+	}
+	e, req, err := p.explainHere(r, p.members().HomeOf(r.Group))
+	if err != nil {
+		return &peerpb.ExplainReply{Invalid: err.Error()}, nil //nolint:nilerr // the fault is the answer
+	}
+	p.explainRoute(ctx, &e, req)
+	data, err := json.Marshal(e)
+	if err != nil {
+		return nil, errcode.Wrap(err, errcode.Internal, "explain", string(p.settings.ID))
+	}
+	return &peerpb.ExplainReply{Explanation: data}, nil
 }
 
 // addRoute adds what the home decides. The first option is tried first.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -149,7 +149,7 @@
 func (p *Proxy) handlers() peer.Handlers {
 	return peer.Handlers{
 		Runner: p.gateway, Probe: warden.ProbeHandler(p.dialer), Cancel: p.handleCancel, Release: p.home.Release,
-		GroupStatus: p.handleGroupStatus,
+		GroupStatus: p.handleGroupStatus, Explain: p.handleExplain,
 	}
 }
 
