Refuse arguments that a command does not take

Cause: rattanctl status orders-1, rattan-load report A B and a daemon with a stray word ignored the extra arguments; a forgotten one was an empty file name.

Change: program.Prepare holds every command without subcommands to its ArgsUsage: names for the arguments, | between forms, ... for repeats. A violation is a usage error with exit code 2, in all five programs.

--- a/cmd/rattan-load/trace.go
+++ b/cmd/rattan-load/trace.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"os"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/rattancove/rattancove/internal/load"
-	"github.com/rattancove/rattancove/internal/program"
 )
 
 func traceCommand() *cli.Command {
@@ -17,9 +15,6 @@
 		Usage:     "show the spans that processes exported to a file",
 		ArgsUsage: "FILE",
 		Action: func(_ context.Context, cmd *cli.Command) error {
-			if cmd.Args().Len() != 1 {
-				return program.Usage(errors.New("give one argument: the file of spans"))
-			}
 			f, err := os.Open(cmd.Args().First())
 			if err != nil {
 				return err
--- a/cmd/rattanctl/command.go
+++ b/cmd/rattanctl/command.go
@@ -127,11 +127,3 @@
 		return program.ExitFailure
 	}
 }
-
-// oneArgument returns the only argument, or a usage error.
-func oneArgument(c *cli.Command, what string) (string, error) {
-	if c.Args().Len() != 1 {
-		return "", program.Usage(eris.Errorf("give one argument: %s", what))
-	}
-	return c.Args().First(), nil
-}
--- a/cmd/rattanctl/document.go
+++ b/cmd/rattanctl/document.go
@@ -72,10 +72,7 @@
 }
 
 func (a *app) validate(_ context.Context, c *cli.Command) error {
-	path, err := oneArgument(c, "the file of the document")
-	if err != nil {
-		return err
-	}
+	path := c.Args().First()
 	_, data, err := parseFile(path)
 	if err != nil {
 		return err
--- a/cmd/rattanctl/status.go
+++ b/cmd/rattanctl/status.go
@@ -98,19 +98,15 @@
 }
 
 func (a *app) explain(ctx context.Context, c *cli.Command, api *adminclient.Client) error {
-	sql, err := oneArgument(c, "the statement")
-	if err != nil {
-		return err
-	}
 	request := map[string]string{
-		"sql": sql, "group": c.String("group"), "customer": c.String("customer"), "rank": c.String("rank"),
+		"sql": c.Args().First(), "group": c.String("group"), "customer": c.String("customer"), "rank": c.String("rank"),
 		"read": c.String("read"), "freshness": c.String("freshness"), "session": c.String("session"),
 	}
 	var e admin.Explanation
 	if err := api.Post(ctx, "/v1/explain", request, &e); err != nil {
 		return err
 	}
-	return a.print(c, e, func(t *table) {
+	err := a.print(c, e, func(t *table) {
 		t.title("group %s, class %s, rank %s, home %s, server %s", e.Group, e.Class, e.Rank, dash(string(e.Home)), dash(string(e.Server)))
 		t.row("STEP", "RESULT", "REASON")
 		for _, s := range e.Steps {
@@ -118,6 +114,10 @@
 		}
 	})
 }
+	if err == nil && e.Unknown != "" {
+		err = eris.New(e.Unknown)
+	}
+	return err
 
 func (a *app) keyCommand() *cli.Command {
 	return &cli.Command{
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -43,12 +43,16 @@
 }
 
 // Prepare makes wrong usage of cmd and of its subcommands an error of Usage:
-// unknown commands, unknown or missing flags, and values that do not parse.
+// unknown commands, unknown or missing flags, values that do not parse, and
+// arguments other than those that ArgsUsage describes.
 func Prepare(cmd *cli.Command) {
 	cmd.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error { return Usage(err) }
 	if len(cmd.Commands) > 0 && cmd.Action == nil {
 		cmd.Action = showCommands
 	}
+	if len(cmd.Commands) == 0 {
+		cmd.Action = checkArguments(cmd.ArgsUsage, cmd.Action)
+	}
 	for _, sub := range cmd.Commands {
 		Prepare(sub)
 	}
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/urfave/cli/v3"
@@ -16,7 +18,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{{
 			Name: "doc",
-			Commands: []*cli.Command{{
+			Commands: []*cli.Command{{Name: "validate", ArgsUsage: "FILE", Action: done}, {
 				Name: "show", Action: done,
 				Flags: []cli.Flag{
 					&cli.StringFlag{Name: "environment", Required: true},
@@ -38,6 +40,9 @@
 		{"doc", "show"},
 		{"doc", "show", "--environment", "e", "--nothing"},
 		{"doc", "show", "--environment", "e", "--revision", "x"},
+		{"doc", "show", "--environment", "e", "extra"},
+		{"doc", "validate"},
+		{"doc", "validate", "a", "b"},
 	} {
 		err := newCommand().Run(t.Context(), append([]string{"rattan"}, args...))
 		var e *Error
@@ -48,9 +53,34 @@
 }
 
 func TestRightUsage(t *testing.T) {
-	for _, args := range [][]string{{}, {"doc"}, {"--help"}, {"doc", "show", "--help"}, {"doc", "show", "--environment", "e"}} {
+	for _, args := range [][]string{{}, {"doc"}, {"--help"}, {"doc", "show", "--help"}, {"doc", "show", "--environment", "e"}, {"doc", "validate", "a"}} {
 		if err := newCommand().Run(t.Context(), append([]string{"rattan"}, args...)); err != nil {
 			t.Errorf("%v: %v", args, err)
 		}
 	}
 }
+
+func TestAcceptedArguments(t *testing.T) {
+	for usage, accepted := range map[string]string{
+		"": "0", "FILE": "1", "A B": "2", "FILE | OLD NEW": "12", "SQL...": "1234", "A SQL...": "234",
+	} {
+		for count := range 5 {
+			if got, want := acceptsArguments(usage, count), strings.Contains(accepted, strconv.Itoa(count)); got != want {
+				t.Errorf("%q takes %d arguments: %t", usage, count, got)
+			}
+		}
+	}
+}
+
+func TestDaemonTakesNoArguments(t *testing.T) {
+	load := func(string) (int, error) { return 0, nil }
+	serve := func(context.Context, int) error { t.Error("the daemon serves"); return nil }
+	cmd := Daemon("rattan-proxy", "", load, serve)
+	cmd.ExitErrHandler = func(context.Context, *cli.Command, error) {}
+	Prepare(cmd)
+	err := cmd.Run(t.Context(), []string{"rattan-proxy", "--settings", "file", "extra"})
+	var e *Error
+	if !errors.As(err, &e) || e.Code != ExitUsage {
+		t.Errorf("%v is not wrong usage", err)
+	}
+}
