Show running failovers; serve the status at wardens

Cause: rattan-warden ignored admin.listen, and a failover was seen only once it had ended.

Ruled out: the intent row as source, which is absent during an outage of the table service, names no step and outlives a lost attempt; refusing the setting, as a warden knows most when proxies are what fails (docs/design/operators.md).

Change: the status moves from proxy to the package deployment, which both programs serve. A warden serves what reads and refuses changes. It tells its failovers (group, term, step, ages) over the peer protocol; status shows them with outcome running, step, step_since and warden, and names silent wardens.

--- a/cmd/rattan-warden/serve.go
+++ b/cmd/rattan-warden/serve.go
@@ -8,7 +8,10 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/rattancove/rattancove/internal/admin"
 	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/deployment"
 	"github.com/rattancove/rattancove/internal/environment"
 	"github.com/rattancove/rattancove/internal/failover"
 	"github.com/rattancove/rattancove/internal/member"
@@ -36,11 +39,16 @@
 		return err
 	}
 	w := warden.New(config(p, dialer))
+	serveAdmin, err := admin.Open(s.Admin, adminConfig(p))
+	if err != nil {
+		return err
+	}
 	group, groupCtx := errgroup.WithContext(runCtx)
 	group.Go(func() error {
-		return p.Run(groupCtx, peer.Handlers{Probe: warden.ProbeHandler(dialer)})
+		return p.Run(groupCtx, peer.Handlers{Probe: warden.ProbeHandler(dialer), Failovers: w.HandleFailovers})
 	})
 	group.Go(func() error { return w.Run(groupCtx) })
+	group.Go(func() error { return serveAdmin(groupCtx) })
 	select {
 	case <-ctx.Done():
 		leave(groupCtx, p.Members)
@@ -62,6 +70,29 @@
 	}
 }
 
+// adminConfig lets operators look at the deployment while no proxy can be
+// asked. Changes are left to proxies.
+func adminConfig(p *process.Process) admin.Config {
+	return admin.Config{
+		Environment: p.Settings.Environment,
+		Status: &deployment.Source{
+			Process: p, Role: member.RoleWarden, Records: failover.NewStore(p.Platform.Table), HomeOf: homeOf(p.Members),
+		},
+		Documents: p.Store,
+		Ready:     p.NotReady,
+		ReadOnly:  true,
+		Log:       p.Log,
+	}
+}
+
+// homeOf returns the home of a group in the view of the members.
+func homeOf(members *member.Loop) func(cluster.GroupName) cluster.ProxyID {
+	return func(group cluster.GroupName) cluster.ProxyID {
+		m, _ := members.Snapshot().HomeOf(group)
+		return cluster.ProxyID(m.ID)
+	}
+}
+
 func config(p *process.Process, dialer backend.Dialer) warden.Config {
 	return warden.Config{
 		Self: member.Member{
--- a/cmd/rattanctl/command_test.go
+++ b/cmd/rattanctl/command_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
@@ -34,6 +35,10 @@
 	// looks counts the reads of the status; the second member lags behind for some.
 	looks atomic.Int32
 	stuck bool
+
+	running        []admin.FailoverStatus
+	runningMissing string
+	explanation    admin.Explanation
 }
 
 func (f *fixture) Members(ctx context.Context) []admin.MemberStatus {
@@ -59,11 +64,16 @@
 			Servers: []admin.ServerStatus{{ID: "orders-1-a", Role: "primary", Reachable: true, Slots: 2, Limit: 16}},
 			Queues:  []admin.QueueStatus{{Rank: "urgent", Waiting: 1}},
 		}},
-		Members:   f.Members(ctx),
-		Failovers: []admin.FailoverStatus{{Group: "orders-1", Term: 3, From: "orders-1-b", To: "orders-1-a", GapMillis: 900, Outcome: "done", Reason: "no answer"}},
+		Members:        f.Members(ctx),
+		Failovers:      append([]admin.FailoverStatus{{Group: "orders-1", Term: 3, From: "orders-1-b", To: "orders-1-a", GapMillis: 900, Outcome: "done", Reason: "no answer"}}, f.running...),
+		RunningMissing: f.runningMissing,
 	}, nil
 }
 
+func (f *fixture) Explain(context.Context, admin.ExplainRequest) (admin.Explanation, error) {
+	return f.explanation, nil
+}
+
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{t: t, table: platformtest.NewTable(), dir: t.TempDir()}
 	f.store = document.NewStore(f.table, platformtest.NewObjects())
@@ -74,7 +84,7 @@
 		t.Fatal(err)
 	}
 	server := httptest.NewServer(admin.New(admin.Config{
-		Environment: env, Status: f, Documents: f.store, Keys: keys, Ready: func() string { return "" }, Log: zerolog.Nop(),
+		Environment: env, Status: f, Explainer: f, Documents: f.store, Keys: keys, Ready: func() string { return "" }, Log: zerolog.Nop(),
 	}).Handler())
 	t.Cleanup(server.Close)
 	f.url = server.URL
@@ -205,12 +215,35 @@
 	f.looks.Store(10)
 	f.steps([]step{
 		{"status", "", []string{"status"}, 0, "group orders-1: writable, term 3, primary orders-1-a, home entry-1"},
+		{"none runs", "", []string{"status"}, 0, "no failover is running"},
 		{"report", "", []string{"report"}, 0, "nothing is left broken"},
 	})
+	f.running = []admin.FailoverStatus{{
+		Group: "orders-1", Term: 4, From: "orders-1-a", Outcome: admin.OutcomeRunning, Step: "sealing", Warden: "entry-2",
+		Reason: "primary unreachable", StepSince: time.Date(2026, 12, 4, 3, 0, 0, 0, time.UTC), GapMillis: 1500,
+	}}
+	f.runningMissing = "no answer from warden/entry-3"
+	f.steps([]step{
+		{"running", "", []string{"status"}, 0, "orders-1  4     sealing  2026-12-04T03:00:00Z  1.5s         orders-1-a  -   entry-2  primary unreachable"},
+		{"missing", "", []string{"status"}, 0, "running failovers may be missing: no answer from warden/entry-3"},
+		{"json", "", []string{"-o", "json", "status"}, 0, `"step": "sealing"`},
+		{"report of running", "", []string{"report"}, 1, "the failover of term 4 is running: step sealing at warden entry-2"},
+	})
+	f.running = nil
 	f.stuck = true
 	f.steps([]step{{"broken", "", []string{"report"}, 1, "entry-2 holds revision 0, not 1"}})
 }
 
+func TestExplain(t *testing.T) {
+	f := newFixture(t)
+	explain := []string{"explain", "--group", "orders-1", "SELECT 1"}
+	f.explanation = admin.Explanation{Group: "orders-1", Home: "entry-2", Server: "orders-1-b"}
+	f.explanation.Add("hop", "entry-2", "asked by entry-1")
+	f.steps([]step{{"hop", "", explain, 0, "asked by entry-1"}})
+	f.explanation.Unknown = "the home entry-2 did not answer"
+	f.steps([]step{{"no answer", "", explain, 1, "the home entry-2 did not answer"}})
+}
+
 func TestNewKeyIsAccepted(t *testing.T) {
 	f := newFixture(t)
 	code, out, _ := f.run("", "key", "--name", "rosa", "--right", "customer:shop")
--- a/cmd/rattanctl/output.go
+++ b/cmd/rattanctl/output.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -83,14 +84,37 @@
 	}
 }
 
+// runningFailovers shows the failovers that have not ended.
+func (t *table) runningFailovers(failovers []admin.FailoverStatus, missing string) {
+	shown := false
+	for _, f := range failovers {
+		if f.Outcome != admin.OutcomeRunning {
+			continue
+		}
+		if !shown {
+			t.row("RUNNING", "TERM", "STEP", "SINCE", "TROUBLE FOR", "FROM", "TO", "WARDEN", "REASON")
+			shown = true
+		}
+		t.row(f.Group, f.Term, f.Step, stamp(f.StepSince), millis(f.GapMillis), dash(string(f.From)), dash(string(f.To)), f.Warden, f.Reason)
+	}
+	if !shown {
+		t.title("no failover is running")
+	}
+	if missing != "" {
+		t.title("running failovers may be missing: %s", missing)
+	}
+}
+
+// failovers shows the failovers that have ended.
 func (t *table) failovers(failovers []admin.FailoverStatus) {
-	if len(failovers) == 0 {
+	ended := slices.DeleteFunc(slices.Clone(failovers), func(f admin.FailoverStatus) bool { return f.Outcome == admin.OutcomeRunning })
+	if len(ended) == 0 {
 		t.title("no failovers")
 		return
 	}
-	t.row("STARTED", "GROUP", "TERM", "FROM", "TO", "GAP", "OUTCOME", "REASON", "MAY BE LOST")
-	for _, f := range failovers {
-		t.row(stamp(f.Started), f.Group, f.Term, f.From, dash(string(f.To)), millis(f.GapMillis), f.Outcome, f.Reason, dash(f.MayBeLost))
+	t.row("STARTED", "GROUP", "TERM", "FROM", "TO", "GAP", "OUTCOME", "REASON", "WARDEN", "MAY BE LOST")
+	for _, f := range ended {
+		t.row(stamp(f.Started), f.Group, f.Term, f.From, dash(string(f.To)), millis(f.GapMillis), f.Outcome, f.Reason, dash(f.Warden), dash(f.MayBeLost))
 	}
 }
 
--- a/cmd/rattanctl/status.go
+++ b/cmd/rattanctl/status.go
@@ -34,7 +34,7 @@
 		return err
 	}
 	return a.print(c, s, func(t *table) {
-		t.title("%s as %s knows it at %s", s.Environment, s.Proxy, stamp(s.Time))
+		t.title("%s as %s/%s knows it at %s", s.Environment, s.Role, s.Proxy, stamp(s.Time))
 		t.title("document: revision %d %s, %s", s.Document.Revision, short(s.Document.Digest), s.Document.Status)
 		for _, g := range s.Groups {
 			t.group(g)
@@ -42,6 +42,7 @@
 		t.title("")
 		t.members(s.Members)
 		t.title("")
+		t.runningFailovers(s.Failovers, s.RunningMissing)
 		t.failovers(s.Failovers)
 	})
 }
@@ -113,11 +114,11 @@
 			t.row(s.Step, s.Result, s.Reason)
 		}
 	})
-}
 	if err == nil && e.Unknown != "" {
 		err = eris.New(e.Unknown)
 	}
 	return err
+}
 
 func (a *app) keyCommand() *cli.Command {
 	return &cli.Command{
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -160,6 +160,26 @@
 	}
 }
 
+func TestReadOnlyRefusesEveryChange(t *testing.T) {
+	f := newFixture(t)
+	config := f.server.config
+	config.ReadOnly = true
+	f.server = New(config)
+	for _, operation := range []string{"publish", "promote", "rollback"} {
+		var refused errorBody
+		code := f.call("ops-key", "POST", "/v1/environments/"+env+"/"+operation, ChangeRequest{}, &refused)
+		if code != http.StatusForbidden || refused.Error.Code != CodeForbidden {
+			t.Errorf("%s: %d %+v", operation, code, refused.Error)
+		}
+	}
+	if code := f.call("monitor-key", "GET", "/v1/status", nil, nil); code != http.StatusOK {
+		t.Errorf("status: %d", code)
+	}
+	if code := f.call("wrong-key", "GET", "/v1/status", nil, nil); code != http.StatusUnauthorized {
+		t.Errorf("status with a wrong key: %d", code)
+	}
+}
+
 func TestNoTeamSeesOrChangesAnothers(t *testing.T) {
 	f := newFixture(t)
 	f.publish("ops-key", "c1", text(t), nil)
--- /dev/null
+++ b/internal/admin/open.go
@@ -0,0 +1,37 @@
+package admin
+
+import (
+	"context"
+	"net"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/rattancove/rattancove/internal/settings"
+	"github.com/rattancove/rattancove/internal/tlskeys"
+)
+
+// Open opens the listener that the settings name and returns what serves the
+// API of config on it until a context ends. Keys of config are read from the
+// settings. A fault of the files shows here, before anything is served. Without
+// a listener in the settings nothing is served.
+func Open(s settings.Admin, config Config) (func(context.Context) error, error) {
+	if s.Listen == "" {
+		return func(context.Context) error { return nil }, nil
+	}
+	var err error
+	if config.Keys, err = LoadKeys(s.KeysFile, config.Log); err != nil {
+		return nil, eris.Wrap(err, "admin.keys_file")
+	}
+	var certificates *tlskeys.Keys
+	if s.TLS.Enabled() {
+		if certificates, err = tlskeys.Load(s.TLS, config.Log); err != nil {
+			return nil, eris.Wrap(err, "admin.tls")
+		}
+	}
+	listener, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen for administration on %s", s.Listen)
+	}
+	server := New(config)
+	return func(ctx context.Context) error { return server.Serve(ctx, listener, certificates) }, nil
+}
--- a/internal/admin/report.go
+++ b/internal/admin/report.go
@@ -43,8 +43,13 @@
 	return r
 }
 
-// OutcomeDone is the outcome of a failover that replaced the primary.
-const OutcomeDone = "done"
+// Outcomes of a failover.
+const (
+	// OutcomeDone means that the primary was replaced.
+	OutcomeDone = "done"
+	// OutcomeRunning means that a warden is replacing the primary.
+	OutcomeRunning = "running"
+)
 
 func (r *Report) add(subject, format string, args ...any) {
 	r.Broken = append(r.Broken, Finding{Subject: subject, Message: fmt.Sprintf(format, args...)})
@@ -52,7 +57,11 @@
 
 func (r *Report) findFailovers() {
 	for _, f := range r.Failovers {
-		if f.Outcome != OutcomeDone {
+		switch f.Outcome {
+		case OutcomeDone:
+		case OutcomeRunning:
+			r.add(string(f.Group), "the failover of term %d is running: step %s at warden %s", f.Term, f.Step, f.Warden)
+		default:
 			r.add(string(f.Group), "the failover of term %d is %s", f.Term, f.Outcome)
 		}
 		if f.MayBeLost != "" {
--- a/internal/admin/routes.go
+++ b/internal/admin/routes.go
@@ -31,6 +31,9 @@
 	}
 }
 
+// changes reports whether a route with this need changes something.
+func (n need) changes() bool { return n == needWrite || n == needAdmin }
+
 // route is one operation of the API. Its result is the body of the answer.
 type route struct {
 	pattern string
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -106,7 +106,9 @@
 	// Changed is told of each accepted change, so that this process and its
 	// peers take it up at once. It may be nil.
 	Changed func(document.Revision)
-	Log     zerolog.Logger
+	// ReadOnly refuses every change.
+	ReadOnly bool
+	Log      zerolog.Logger
 }
 
 // Server serves the API.
@@ -180,6 +182,9 @@
 		return nil, newError(CodeBusy, "too many requests at once")
 	}
 	var identity Identity
+	if s.config.ReadOnly && r.need.changes() {
+		return nil, newError(CodeForbidden, "this process takes no changes; ask a proxy")
+	}
 	if r.need != needNothing {
 		var err error
 		if identity, err = s.authorize(request, r.need); err != nil {
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -8,17 +8,22 @@
 	"github.com/rattancove/rattancove/internal/member"
 )
 
-// Status is what one proxy knows of the environment.
+// Status is what one process knows of the environment.
 type Status struct {
-	Environment string           `json:"environment"`
-	Proxy       cluster.ProxyID  `json:"proxy"`
-	Time        time.Time        `json:"time"`
-	Document    DocumentStatus   `json:"document"`
-	Groups      []GroupStatus    `json:"groups"`
-	Members     []MemberStatus   `json:"members"`
-	Failovers   []FailoverStatus `json:"failovers"`
+	Environment string `json:"environment"`
+	// Proxy is the id of the process that answers, and Role its role.
+	Proxy     cluster.ProxyID  `json:"proxy"`
+	Role      string           `json:"role"`
+	Time      time.Time        `json:"time"`
+	Document  DocumentStatus   `json:"document"`
+	Groups    []GroupStatus    `json:"groups"`
+	Members   []MemberStatus   `json:"members"`
+	Failovers []FailoverStatus `json:"failovers"`
 	// FailoversMissing tells why failovers may be missing; empty when none is.
 	FailoversMissing string `json:"failovers_missing,omitempty"`
+	// RunningMissing tells why running failovers may be missing; empty when
+	// every living warden answered.
+	RunningMissing string `json:"running_missing,omitempty"`
 }
 
 // DocumentStatus is the document in force in one process.
@@ -113,10 +118,17 @@
 	Reason  string            `json:"reason"`
 	Started time.Time         `json:"started"`
 	// Ended is zero while the failover is running.
-	Ended     time.Time `json:"ended"`
-	GapMillis int64     `json:"gap_millis"`
+	Ended time.Time `json:"ended"`
+	// GapMillis is the time from the trouble to the end, or until now.
+	GapMillis int64 `json:"gap_millis"`
 	// Outcome is "done", "running" or "failed".
 	Outcome string `json:"outcome"`
+	// Warden is the id of the warden that carries it out or did so.
+	Warden string `json:"warden,omitempty"`
+	// Step is a phase of the group_failover chart and StepSince the time at
+	// which it began; set while the failover is running.
+	Step      string    `json:"step,omitempty"`
+	StepSince time.Time `json:"step_since,omitzero"`
 	// MayBeLost tells what acknowledged work the new primary may lack; empty when none.
 	MayBeLost string `json:"may_be_lost,omitempty"`
 	// Discarded tells which unacknowledged writes were discarded; empty when none.
--- /dev/null
+++ b/internal/deployment/members.go
@@ -0,0 +1,54 @@
+package deployment
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/admin"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/member"
+)
+
+// Members implements admin.StatusSource. The document of another member is the
+// one that it told this process last. Some members that seem behind are asked
+// first, as their word may not have arrived yet.
+func (s *Source) Members(ctx context.Context) []admin.MemberStatus {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	s.Process.Ask(ctx, s.behind())
+	return s.knownMembers()
+}
+
+// behind returns the addresses of running members that are not known to hold
+// the document in force here, in random order.
+func (s *Source) behind() []string {
+	held := s.Process.Documents.State().Held
+	var addresses []string
+	for _, m := range s.knownMembers() {
+		if m.Running() && (m.Revision != held.Revision || m.Digest != held.Digest) {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(len(addresses), askLimit)]
+}
+
+func (s *Source) knownMembers() []admin.MemberStatus {
+	state := s.Process.Documents.State()
+	self := member.Key{Role: s.Role, ID: string(s.Process.Settings.ID)}
+	members := []admin.MemberStatus{}
+	for _, e := range s.Process.Members.Snapshot().Entries() {
+		version := state.Heard[cluster.ProxyID(e.Member.Key().String())].Version
+		age := time.Since(e.EvidenceAt)
+		if e.Member.Key() == self {
+			version, age = state.Held, 0
+		}
+		members = append(members, admin.MemberStatus{
+			ID: cluster.ProxyID(e.Member.ID), Address: e.Member.Address, FailureDomain: e.Member.FailureDomain,
+			Role: string(e.Member.Role), State: string(e.State), AgeMillis: age.Milliseconds(),
+			Revision: version.Revision, Digest: version.Digest,
+		})
+	}
+	return members
+}
--- a/internal/deployment/source.go
+++ b/internal/deployment/source.go
@@ -1,11 +1,8 @@
-package proxy
+package deployment
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +14,7 @@
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/failover"
 	"github.com/rattancove/rattancove/internal/member"
+	"github.com/rattancove/rattancove/internal/process"
 )
 
 const (
@@ -27,88 +25,69 @@
 	askLimit   = 64
 	// statusCalls bounds the calls that one status makes at once.
 	statusCalls = 16
-	// reasonNoDocument is the status of a group without a document.
 )
 
+// Source gathers the status of a deployment. It implements admin.StatusSource.
+type Source struct {
+	Process *process.Process
+	// Role is the role of this process.
+	Role member.Role
+	// Records are the failovers that wardens have finished.
+	Records *failover.Store
+	// Own returns the status of a group whose home is this process. It is nil
+	// where no group has its home.
+	Own func(cluster.GroupName) (admin.GroupStatus, error)
+	// HomeOf names the home of a group; empty when there is none.
+	HomeOf func(cluster.GroupName) cluster.ProxyID
+}
+
 // Status implements admin.StatusSource. Homes that do not answer in time make
 // their groups unknown.
-func (p *Proxy) Status(ctx context.Context) (admin.Status, error) {
+func (s *Source) Status(ctx context.Context) (admin.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	s := admin.Status{
-		Environment: p.settings.Environment, Proxy: p.settings.ID, Time: time.Now(),
-		Document: p.documentStatus(), Members: p.Members(ctx),
+	status := admin.Status{
+		Environment: s.Process.Settings.Environment, Proxy: s.Process.Settings.ID, Role: string(s.Role), Time: time.Now(),
+		Document: s.documentStatus(), Members: s.Members(ctx),
 		Groups: []admin.GroupStatus{}, Failovers: []admin.FailoverStatus{},
 	}
-	if current := p.process.Documents.Current(); current != nil {
-		s.Groups = p.groupStatuses(ctx, current.Document.Groups)
-		s.Failovers, s.FailoversMissing = p.failoverStatuses(ctx, current.Document.Groups)
-	}
-	return s, nil
-}
-
-func (p *Proxy) documentStatus() admin.DocumentStatus {
-	state := p.process.Documents.State()
-	s := admin.DocumentStatus{
-		Revision: state.Held.Revision, Digest: state.Held.Digest, Status: string(state.Status), ProofAgeMillis: -1,
-	}
-	if age, ok := p.process.Documents.ProofAge(); ok {
-		s.ProofAgeMillis = age.Milliseconds()
+	if current := s.Process.Documents.Current(); current != nil {
+		s.addGroups(ctx, &status, current.Document.Groups)
 	}
-	return s
+	return status, nil
 }
 
-// Members implements admin.StatusSource. The document of another member is the
-// one that it told this process last. Some members that seem behind are asked
-// first, as their word may not have arrived yet.
-func (p *Proxy) Members(ctx context.Context) []admin.MemberStatus {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	p.process.Ask(ctx, p.behind())
-	return p.knownMembers()
+// addGroups adds the groups and their failovers. Wardens are asked beside the
+// homes, as either may use up the time.
+func (s *Source) addGroups(ctx context.Context, status *admin.Status, groups []environment.Group) {
+	var parts sync.WaitGroup
+	var running []admin.FailoverStatus
+	parts.Go(func() { status.Groups = s.groupStatuses(ctx, groups) })
+	parts.Go(func() { status.Failovers, status.FailoversMissing = s.recordedFailovers(ctx, groups) })
+	parts.Go(func() { running, status.RunningMissing = s.runningFailovers(ctx) })
+	parts.Wait()
+	status.Failovers = joinFailovers(status.Failovers, running)
 }
 
-// behind returns the addresses of running members that are not known to hold
-// the document in force here, in random order.
-func (p *Proxy) behind() []string {
-	held := p.process.Documents.State().Held
-	var addresses []string
-	for _, m := range p.knownMembers() {
-		if m.Running() && (m.Revision != held.Revision || m.Digest != held.Digest) {
-			addresses = append(addresses, m.Address)
-		}
+func (s *Source) documentStatus() admin.DocumentStatus {
+	state := s.Process.Documents.State()
+	status := admin.DocumentStatus{
+		Revision: state.Held.Revision, Digest: state.Held.Digest, Status: string(state.Status), ProofAgeMillis: -1,
 	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:min(len(addresses), askLimit)]
-}
-
-func (p *Proxy) knownMembers() []admin.MemberStatus {
-	state := p.process.Documents.State()
-	self := member.Key{Role: member.RoleProxy, ID: string(p.settings.ID)}
-	members := []admin.MemberStatus{}
-	for _, e := range p.process.Members.Snapshot().Entries() {
-		version := state.Heard[cluster.ProxyID(e.Member.Key().String())].Version
-		age := time.Since(e.EvidenceAt)
-		if e.Member.Key() == self {
-			version, age = state.Held, 0
-		}
-		members = append(members, admin.MemberStatus{
-			ID: cluster.ProxyID(e.Member.ID), Address: e.Member.Address, FailureDomain: e.Member.FailureDomain,
-			Role: string(e.Member.Role), State: string(e.State), AgeMillis: age.Milliseconds(),
-			Revision: version.Revision, Digest: version.Digest,
-		})
+	if age, ok := s.Process.Documents.ProofAge(); ok {
+		status.ProofAgeMillis = age.Milliseconds()
 	}
-	return members
+	return status
 }
 
 // groupStatuses returns the groups of the document, in its order.
-func (p *Proxy) groupStatuses(ctx context.Context, groups []environment.Group) []admin.GroupStatus {
+func (s *Source) groupStatuses(ctx context.Context, groups []environment.Group) []admin.GroupStatus {
 	statuses := make([]admin.GroupStatus, len(groups))
 	var calls errgroup.Group
 	calls.SetLimit(statusCalls)
 	for i, g := range groups {
 		calls.Go(func() error {
-			statuses[i] = p.groupStatus(ctx, g)
+			statuses[i] = s.groupStatus(ctx, g)
 			return nil
 		})
 	}
@@ -116,9 +95,9 @@
 	return statuses
 }
 
-func (p *Proxy) groupStatus(ctx context.Context, g environment.Group) admin.GroupStatus {
-	home := p.members().HomeOf(g.Name)
-	status, err := p.statusFrom(ctx, g.Name, home)
+func (s *Source) groupStatus(ctx context.Context, g environment.Group) admin.GroupStatus {
+	home := s.HomeOf(g.Name)
+	status, err := s.statusFrom(ctx, g.Name, home)
 	if err != nil {
 		status = admin.GroupStatus{Home: home, Unknown: err.Error()}
 	}
@@ -127,15 +106,15 @@
 }
 
 // statusFrom returns what the home knows of a group.
-func (p *Proxy) statusFrom(ctx context.Context, group cluster.GroupName, home cluster.ProxyID) (admin.GroupStatus, error) {
-	if home == p.settings.ID {
-		return p.ownStatus(group)
+func (s *Source) statusFrom(ctx context.Context, group cluster.GroupName, home cluster.ProxyID) (admin.GroupStatus, error) {
+	if s.Own != nil && home == s.Process.Settings.ID {
+		return s.Own(group)
 	}
-	e, ok := p.process.Members.Snapshot().Find(member.Key{Role: member.RoleProxy, ID: string(home)})
+	e, ok := s.Process.Members.Snapshot().Find(member.Key{Role: member.RoleProxy, ID: string(home)})
 	if !ok {
 		return admin.GroupStatus{}, errcode.New(errcode.NoHome, "group status", string(home))
 	}
-	data, err := p.process.Peers.Client(e.Member.Address).GroupStatus(ctx, group)
+	data, err := s.Process.Peers.Client(e.Member.Address).GroupStatus(ctx, group)
 	if err != nil {
 		return admin.GroupStatus{}, err
 	}
@@ -145,50 +124,3 @@
 	}
 	return status, nil
 }
-
-// handleGroupStatus tells a peer of a group that this proxy owns.
-func (p *Proxy) handleGroupStatus(_ context.Context, group cluster.GroupName) ([]byte, error) {
-	status, err := p.ownStatus(group)
-	if err != nil {
-		return nil, err
-	}
-	return json.Marshal(status)
-}
-
-// failoverStatuses returns the recorded failovers in their order in time, and
-// why some may be missing.
-func (p *Proxy) failoverStatuses(ctx context.Context, groups []environment.Group) ([]admin.FailoverStatus, string) {
-	var (
-		mu       sync.Mutex
-		statuses = []admin.FailoverStatus{}
-		calls    errgroup.Group
-	)
-	calls.SetLimit(statusCalls)
-	for _, g := range groups {
-		calls.Go(func() error {
-			records, err := p.failovers.Records(ctx, g.Name)
-			mu.Lock()
-			defer mu.Unlock()
-			for _, r := range records {
-				statuses = append(statuses, failoverStatus(r))
-			}
-			return err
-		})
-	}
-	missing := ""
-	if err := calls.Wait(); err != nil {
-		missing = err.Error()
-	}
-	slices.SortFunc(statuses, func(a, b admin.FailoverStatus) int {
-		return cmp.Or(a.Started.Compare(b.Started), cmp.Compare(a.Group, b.Group))
-	})
-	return statuses, missing
-}
-
-func failoverStatus(r failover.Record) admin.FailoverStatus {
-	return admin.FailoverStatus{
-		Group: r.Group, Term: r.Term, From: r.OldPrimary, To: r.NewPrimary, Reason: string(r.Cause),
-		Started: r.TroubleAt, Ended: r.CompletedAt, GapMillis: r.CompletedAt.Sub(r.TroubleAt).Milliseconds(),
-		Outcome: admin.OutcomeDone, MayBeLost: r.MayBeLost, Discarded: r.Discarded,
-	}
-}
--- /dev/null
+++ b/internal/failover/progress.go
@@ -0,0 +1,33 @@
+package failover
+
+import (
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+// Progress describes a failover under way.
+type Progress struct {
+	// Term is the term of the last attempt; zero while none has begun.
+	Term cluster.Term
+	Step Phase
+	// StepSince is the time at which the step began.
+	StepSince time.Time
+	Cause     Cause
+	// Trouble is the time at which the trouble began.
+	Trouble time.Time
+	// From is the primary to replace and To the server to promote, once known.
+	From, To cluster.ServerID
+}
+
+// Progress returns the failover under way. The second result is false while
+// the group is healthy or its trouble is not yet confirmed.
+func (s State) Progress() (Progress, bool) {
+	if s.Phase == PhaseHealthy || s.Phase == PhaseSuspected {
+		return Progress{}, false
+	}
+	return Progress{
+		Term: s.Attempt.Term, Step: s.Phase, StepSince: s.Since, Cause: s.Cause, Trouble: s.Trouble,
+		From: s.Attempt.Replaced, To: s.Attempt.Chosen,
+	}, true
+}
--- a/internal/failover/store.go
+++ b/internal/failover/store.go
@@ -135,7 +135,7 @@
 
 // respects reports whether the intent in the row keeps holder from acting.
 func (s *Store) respects(group cluster.GroupName, current Intent, holder string) bool {
-	if current.Holder == "" || current.Done || wardenOf(current.Holder) == wardenOf(holder) {
+	if current.Holder == "" || current.Done || WardenOf(current.Holder) == WardenOf(holder) {
 		return false
 	}
 	s.mu.Lock()
@@ -148,8 +148,8 @@
 	return time.Since(seen.at) < intentFor
 }
 
-// wardenOf returns the name of the warden in a holder.
-func wardenOf(holder string) string { return holder[:max(0, strings.LastIndexByte(holder, '/'))] }
+// WardenOf returns the name of the warden in a holder.
+func WardenOf(holder string) string { return holder[:max(0, strings.LastIndexByte(holder, '/'))] }
 
 // Keep queues a record. Run writes it.
 func (s *Store) Keep(r Record) {
--- a/internal/integration/fleet_test.go
+++ b/internal/integration/fleet_test.go
@@ -32,7 +32,10 @@
 	}{
 		{"documents", documents},
 		{"keys and certificates", keysAndCertificates},
+		{"explain at every proxy", explainEverywhere},
+		{"status of a warden", wardenStatus},
 		{"failover", killPrimary},
+		{"running failover", runningFailover},
 		{"paused home", pauseHome},
 		{"planned stop", plannedStop},
 	} {
--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -35,6 +35,7 @@
 
 	table, objects, vms string
 	callers, admins     [proxyCount]string
+	wardenAdmins        [wardenCount]string
 	peers               [proxyCount + wardenCount]string
 	servers             [6]string
 
@@ -61,7 +62,7 @@
 		f.startProxy(i)
 	}
 	for i := range wardenCount {
-		f.write(fmt.Sprintf("warden-%d.yaml", i+1), f.common(i, f.peers[proxyCount+i]))
+		f.write(fmt.Sprintf("warden-%d.yaml", i+1), f.common(i, f.peers[proxyCount+i])+f.admin(f.wardenAdmins[i]))
 		name := fmt.Sprintf("warden-%d", i+1)
 		f.spawn(name, "rattan-warden", "--settings", filepath.Join(f.dir, name+".yaml"))
 	}
@@ -76,6 +77,9 @@
 	for i := range f.peers {
 		ports = append(ports, &f.peers[i])
 	}
+	for i := range f.wardenAdmins {
+		ports = append(ports, &f.wardenAdmins[i])
+	}
 	for i := range f.servers {
 		ports = append(ports, &f.servers[i])
 	}
@@ -133,12 +137,17 @@
 `, i+1, i, environment, peer, f.peers[0], f.table, f.objects, f.vms)
 }
 
+// admin returns the settings of an administration listener.
+func (f *fleet) admin(address string) string {
+	return fmt.Sprintf("admin: {listen: %q, keys_file: %s, tls: {cert_file: %s, key_file: %s}}\n",
+		address, f.dir+"/keys.yaml", f.dir+"/proxy.crt", f.dir+"/proxy.key")
+}
+
 func (f *fleet) startProxy(i int) {
 	name := fmt.Sprintf("proxy-%d", i+1)
-	f.write(name+".yaml", f.common(i, f.peers[i])+fmt.Sprintf(`callers: {listen: %q}
-admin: {listen: %q, keys_file: %s, tls: {cert_file: %s, key_file: %s}}
+	f.write(name+".yaml", f.common(i, f.peers[i])+f.admin(f.admins[i])+fmt.Sprintf(`callers: {listen: %q}
 drain: {ready_delay: 200ms, timeout: 10s}
-`, f.callers[i], f.admins[i], f.dir+"/keys.yaml", f.dir+"/proxy.crt", f.dir+"/proxy.key"))
+`, f.callers[i]))
 	f.spawn(name, "rattan-proxy", "--settings", filepath.Join(f.dir, name+".yaml"))
 }
 
@@ -199,7 +208,13 @@
 
 func (f *fleet) rattanctlAs(key string, proxy int, args ...string) (int, string) {
 	f.t.Helper()
-	cmd := f.rattanctlCommand(key, f.admins[proxy], args...)
+	return f.rattanctlAt(key, f.admins[proxy], args...)
+}
+
+// rattanctlAt runs a command against the administration API at an address.
+func (f *fleet) rattanctlAt(key, address string, args ...string) (int, string) {
+	f.t.Helper()
+	cmd := f.rattanctlCommand(key, address, args...)
 	out, _ := cmd.CombinedOutput()
 	return cmd.ProcessState.ExitCode(), string(out)
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -185,6 +185,19 @@
 	}
 }
 
+// NotReady returns why the document keeps this process from doing its work;
+// empty when it does not.
+func (p *Process) NotReady() string {
+	switch {
+	case p.Documents.Current() == nil:
+		return "there is no environment document yet"
+	case p.Documents.OldDocument():
+		return "a newer environment document cannot be ruled out"
+	default:
+		return ""
+	}
+}
+
 // memberCount counts the members that did not leave by a planned stop. Members
 // that fell silent count, so that a cut-off minority does not take itself for
 // the whole.
--- a/internal/proxy/admin.go
+++ b/internal/proxy/admin.go
@@ -1,67 +1,33 @@
 package proxy
 
 import (
-	"context"
-	"net"
-
-	"github.com/rotisserie/eris"
-
 	"github.com/rattancove/rattancove/internal/admin"
+	"github.com/rattancove/rattancove/internal/deployment"
 	"github.com/rattancove/rattancove/internal/document"
-	"github.com/rattancove/rattancove/internal/tlskeys"
+	"github.com/rattancove/rattancove/internal/member"
 )
 
-// openAdmin opens the listener of the administration API and returns what
-// serves it until a context ends. A fault of its files shows before the proxy
-// joins its peers. Without a listener in the settings nothing is served.
-func (p *Proxy) openAdmin() (func(context.Context) error, error) {
-	s := p.settings.Admin
-	if s.Listen == "" {
-		return func(context.Context) error { return nil }, nil
-	}
-	keys, err := admin.LoadKeys(s.KeysFile, p.process.Log)
-	if err != nil {
-		return nil, eris.Wrap(err, "admin.keys_file")
-	}
-	var certificates *tlskeys.Keys
-	if s.TLS.Enabled() {
-		if certificates, err = tlskeys.Load(s.TLS, p.process.Log); err != nil {
-			return nil, eris.Wrap(err, "admin.tls")
-		}
-	}
-	listener, err := net.Listen("tcp", s.Listen)
-	if err != nil {
-		return nil, eris.Wrapf(err, "listen for administration on %s", s.Listen)
-	}
-	server := p.adminServer(keys)
-	return func(ctx context.Context) error { return server.Serve(ctx, listener, certificates) }, nil
-}
-
-func (p *Proxy) adminServer(keys *admin.Keys) *admin.Server {
-	return admin.New(admin.Config{
+func (p *Proxy) adminConfig() admin.Config {
+	return admin.Config{
 		Environment: p.settings.Environment,
-		Status:      p,
-		Documents:   p.process.Store,
-		Explainer:   p,
-		Keys:        keys,
-		Ready:       p.notReady,
-		Changed:     p.documentChanged,
-		Log:         p.process.Log,
-	})
+		Status: &deployment.Source{
+			Process: p.process, Role: member.RoleProxy, Records: p.failovers,
+			Own: p.ownStatus, HomeOf: p.members().HomeOf,
+		},
+		Documents: p.process.Store,
+		Explainer: p,
+		Ready:     p.notReady,
+		Changed:   p.documentChanged,
+		Log:       p.process.Log,
+	}
 }
 
 // notReady returns why the balancer should send no callers; empty when it should.
 func (p *Proxy) notReady() string {
-	switch {
-	case p.draining.Load():
+	if p.draining.Load() {
 		return "a planned stop has begun"
-	case p.process.Documents.Current() == nil:
-		return "there is no environment document yet"
-	case p.process.Documents.OldDocument():
-		return "a newer environment document cannot be ruled out"
-	default:
-		return ""
 	}
+	return p.process.NotReady()
 }
 
 // documentChanged takes up a revision that this process accepted. Its peers
--- a/internal/proxy/homestatus.go
+++ b/internal/proxy/homestatus.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"context"
+	"encoding/json"
 	"slices"
 
 	"github.com/rattancove/rattancove/internal/admin"
@@ -32,6 +34,15 @@
 	return homeStatus(p.settings.ID, groups[i], spec), nil
 }
 
+// handleGroupStatus tells a peer of a group that this proxy owns.
+func (p *Proxy) handleGroupStatus(_ context.Context, group cluster.GroupName) ([]byte, error) {
+	status, err := p.ownStatus(group)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(status)
+}
+
 // homeStatus joins what a home knows of a group with the document.
 func homeStatus(self cluster.ProxyID, g home.GroupStatus, spec environment.Group) admin.GroupStatus {
 	s := admin.GroupStatus{
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/rattancove/rattancove/internal/admin"
 	"github.com/rattancove/rattancove/internal/backend"
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/errcode"
@@ -67,7 +68,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen for callers on %s", s.Callers.Listen)
 	}
-	serveAdmin, err := p.openAdmin()
+	serveAdmin, err := admin.Open(s.Admin, p.adminConfig())
 	if err != nil {
 		return err
 	}
--- a/internal/warden/fleet_test.go
+++ b/internal/warden/fleet_test.go
@@ -38,6 +38,7 @@
 	stop    context.CancelFunc
 	wardens sync.WaitGroup
 	cancels map[string]context.CancelFunc
+	byID    map[string]*Warden
 	// wrap, when set, changes the dialer of a warden.
 	wrap func(id string, d backend.Dialer) backend.Dialer
 	seed uint64
@@ -52,7 +53,7 @@
 }
 
 func newFleet(t *testing.T, seed uint64) *fleet {
-	f := &fleet{t: t, seed: seed, name: cluster.GroupName(fmt.Sprintf("group_%d", seed)), table: platformtest.NewTable(), cancels: map[string]context.CancelFunc{}}
+	f := &fleet{t: t, seed: seed, name: cluster.GroupName(fmt.Sprintf("group_%d", seed)), table: platformtest.NewTable(), cancels: map[string]context.CancelFunc{}, byID: map[string]*Warden{}}
 	g := environment.Group{Name: f.name}
 	for i := range 3 {
 		s := environment.Server{
@@ -84,6 +85,7 @@
 		ctx, cancel := context.WithCancel(f.ctx)
 		f.cancels[id] = cancel
 		w := New(f.config(id, f.seed*100+uint64(i)))
+		f.byID[id] = w
 		f.wardens.Go(func() { _ = w.Run(ctx) })
 	}
 }
--- a/internal/warden/group.go
+++ b/internal/warden/group.go
@@ -25,14 +25,15 @@
 	board    *failover.Board
 	executor *failover.Executor
 	state    failover.State
+	running  *running
 	retiring atomic.Bool
 }
 
-func newGroupLoop(cfg Config, spec failover.GroupSpec) *groupLoop {
+func newGroupLoop(cfg Config, spec failover.GroupSpec, running *running) *groupLoop {
 	board := failover.NewBoard()
 	observers := &observers{self: cfg.Self, members: cfg.Members, prober: cfg.Prober}
 	l := &groupLoop{
-		cfg: cfg, board: board,
+		cfg: cfg, board: board, running: running,
 		executor: failover.NewExecutor(cfg.Dialer, board, cfg.Store, observers, cfg.Log),
 		state:    failover.NewState(time.Now(), cfg.Seed^seedOf(spec)),
 	}
@@ -64,6 +65,7 @@
 func (l *groupLoop) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	var watches sync.WaitGroup
+	defer l.running.remove(l)
 	defer watches.Wait()
 	defer l.executor.Wait()
 	defer cancel()
@@ -84,6 +86,7 @@
 		before := l.state.Phase
 		state, actions := failover.Decide(spec, l.board.Status(), l.state, time.Now())
 		l.state = state
+		l.running.set(l, spec.Name, state)
 		l.logPhase(spec, before)
 		if len(actions) == 0 {
 			return
--- /dev/null
+++ b/internal/warden/running.go
@@ -0,0 +1,61 @@
+package warden
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/failover"
+	"github.com/rattancove/rattancove/internal/peer/peerpb"
+)
+
+// running holds the failovers under way by the loop that carries them out. A
+// group has two loops while an attempt on its former servers ends.
+type running struct {
+	mu     sync.Mutex
+	byLoop map[*groupLoop]runningFailover
+}
+
+// runningFailover is the failover of one group.
+type runningFailover struct {
+	group    cluster.GroupName
+	progress failover.Progress
+}
+
+func newRunning() *running { return &running{byLoop: map[*groupLoop]runningFailover{}} }
+
+// set replaces what is known of a loop.
+func (r *running) set(l *groupLoop, group cluster.GroupName, state failover.State) {
+	progress, ok := state.Progress()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !ok {
+		delete(r.byLoop, l)
+		return
+	}
+	r.byLoop[l] = runningFailover{group: group, progress: progress}
+}
+
+// remove forgets a loop that has ended.
+func (r *running) remove(l *groupLoop) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.byLoop, l)
+}
+
+// HandleFailovers tells a peer of the failovers under way.
+func (w *Warden) HandleFailovers(context.Context, *peerpb.FailoversRequest) (*peerpb.FailoversReply, error) {
+	now := time.Now()
+	w.running.mu.Lock()
+	defer w.running.mu.Unlock()
+	reply := &peerpb.FailoversReply{}
+	for _, f := range w.running.byLoop {
+		reply.Failovers = append(reply.Failovers, &peerpb.RunningFailover{
+			Group: string(f.group), Term: uint64(f.progress.Term), Step: string(f.progress.Step),
+			Cause: string(f.progress.Cause), From: string(f.progress.From), To: string(f.progress.To),
+			AgeNanos: int64(now.Sub(f.progress.Trouble)), StepAgeNanos: int64(now.Sub(f.progress.StepSince)),
+		})
+	}
+	return reply, nil
+}
--- a/internal/warden/scenario_test.go
+++ b/internal/warden/scenario_test.go
@@ -89,7 +89,7 @@
 			h := f.record()
 			spec := failover.SpecOf(f.doc.Groups[0], f.doc.Ranks, "racer", 0, f.view.Leaving)
 			for i := range 3 {
-				racer := newGroupLoop(f.config(fmt.Sprintf("e%d", i+4), seed*31+uint64(i)), spec)
+				racer := newGroupLoop(f.config(fmt.Sprintf("e%d", i+4), seed*31+uint64(i)), spec, newRunning())
 				f.wardens.Go(func() { racer.run(f.ctx) })
 			}
 			time.Sleep(time.Second)
--- a/internal/warden/warden.go
+++ b/internal/warden/warden.go
@@ -51,13 +51,14 @@
 
 // Warden watches groups. Run may be called once.
 type Warden struct {
-	cfg    Config
-	groups map[cluster.GroupName]*groupLoop
+	cfg     Config
+	groups  map[cluster.GroupName]*groupLoop
+	running *running
 }
 
 // New returns a Warden.
 func New(cfg Config) *Warden {
-	return &Warden{cfg: cfg, groups: map[cluster.GroupName]*groupLoop{}}
+	return &Warden{cfg: cfg, groups: map[cluster.GroupName]*groupLoop{}, running: newRunning()}
 }
 
 // Run watches groups until ctx ends. It returns nil.
@@ -95,7 +96,7 @@
 		if ok {
 			old.retire()
 		}
-		loop := newGroupLoop(w.cfg, spec)
+		loop := newGroupLoop(w.cfg, spec, w.running)
 		w.groups[name] = loop
 		loops.Go(func() { loop.run(ctx) })
 	}
