Test certificates outside of their time at the programs' listeners

Cause: expired certificates were tested in tlskeys and at the administration API only; that each way in closes rested on reading the code. A failed TLS handshake at the administration API was printed past the events.

The two authorities of the tests are one package, tlstest. Handshake faults of the administration API are event 5305, level debug.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -21,6 +22,8 @@
 	"github.com/rattancove/rattancove/internal/document"
 	"github.com/rattancove/rattancove/internal/environment"
 	"github.com/rattancove/rattancove/internal/platform/platformtest"
+	"github.com/rattancove/rattancove/internal/tlskeys"
+	"github.com/rattancove/rattancove/internal/tlskeys/tlstest"
 )
 
 const env = "cotopaxi-production"
@@ -160,6 +163,48 @@
 	}
 }
 
+// TestConnectionFaultsAreEvents sends what is no HTTP over TLS.
+func TestConnectionFaultsAreEvents(t *testing.T) {
+	f := newFixture(t)
+	keys, err := tlskeys.Load(tlstest.NewAuthority(t, t.TempDir()).Valid("entry"), zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := make(lineWriter, 1)
+	config := f.server.config
+	config.Log = zerolog.New(lines)
+	served := make(chan error, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { served <- New(config).Serve(ctx, listener, keys) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Write([]byte("no handshake\n")); err != nil {
+		t.Fatal(err)
+	}
+	if line := <-lines; !strings.Contains(line, "admin_connection_failed") || !strings.Contains(line, "TLS") {
+		t.Errorf("log %s", line)
+	}
+	_ = conn.Close()
+	cancel()
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+}
+
+// lineWriter passes on each line of a log.
+type lineWriter chan string
+
+func (w lineWriter) Write(line []byte) (int, error) {
+	w <- string(line)
+	return len(line), nil
+}
+
 func TestReadOnlyRefusesEveryChange(t *testing.T) {
 	f := newFixture(t)
 	config := f.server.config
--- a/internal/admin/events.go
+++ b/internal/admin/events.go
@@ -17,4 +17,6 @@
 		"An operator changed the document of an environment; nothing to do.")
 	eventFailed = event.New(5304, zerolog.ErrorLevel, "admin_failed",
 		"A request to the administration API failed inside the system; look at the cause.")
+	eventConnectionFailed = event.New(5305, zerolog.DebugLevel, "admin_connection_failed",
+		"A connection to the administration API ended before a request, for example in the TLS handshake; look at the client, or at event 5101.")
 )
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log"
 	"net"
 	"net/http"
 	"strings"
@@ -139,6 +140,7 @@
 		WriteTimeout:      2 * requestTimeout,
 		IdleTimeout:       time.Minute,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          log.New(connectionLog{&s.config.Log}, "", 0),
 	}
 	stop := context.AfterFunc(ctx, func() {
 		shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
@@ -159,6 +161,15 @@
 	return eris.Wrap(err, "serve administration API")
 }
 
+// connectionLog makes events of what the HTTP server says about connections.
+type connectionLog struct{ log *zerolog.Logger }
+
+// Write implements io.Writer; text is one line.
+func (c connectionLog) Write(text []byte) (int, error) {
+	eventConnectionFailed.Log(c.log).Str("cause", strings.TrimSpace(string(text))).Send()
+	return len(text), nil
+}
+
 // handler limits, authenticates and answers the requests of one route.
 func (s *Server) handler(r route) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
--- a/internal/integration/fleet_test.go
+++ b/internal/integration/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"crypto/tls"
-	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -16,7 +15,6 @@
 	"strings"
 	"syscall"
 	"testing"
-	"time"
 
 	"github.com/rattancove/rattancove/internal/admin"
 	"github.com/rattancove/rattancove/internal/cluster"
@@ -119,7 +117,7 @@
 	if err := f.execute(t.Context(), 0, "SELECT 1"); err != nil {
 		t.Errorf("a caller of the group's customer: %v", err)
 	}
-	f.ca.issue(t, f.dir, "expired", time.Now().Add(-time.Hour))
+	f.ca.Expired("expired")
 	f.refusesExpiredServer()
 	settings := f.write("expired.yaml", f.common(7, "127.0.0.1:0")+fmt.Sprintf(`callers: {listen: "127.0.0.1:0"}
 admin: {listen: "127.0.0.1:0", keys_file: %s/keys.yaml, tls: {cert_file: %s/expired.crt, key_file: %s/expired.key}}
@@ -241,11 +239,9 @@
 // ready asks as the balancer does.
 func (f *fleet) ready(proxy int) bool {
 	f.t.Helper()
-	pool := x509.NewCertPool()
-	pool.AddCert(f.ca.certificate)
 	client := http.Client{
 		Timeout:   patience,
-		Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}, DisableKeepAlives: true},
+		Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: f.ca.Pool()}, DisableKeepAlives: true},
 	}
 	answer, err := client.Get("https://" + f.admins[proxy] + "/v1/ready")
 	if err != nil {
--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/rattancove/rattancove/internal/admin"
+	"github.com/rattancove/rattancove/internal/tlskeys/tlstest"
 )
 
 const (
@@ -31,7 +32,7 @@
 type fleet struct {
 	t   *testing.T
 	dir string
-	ca  *authority
+	ca  *tlstest.Authority
 
 	table, objects, vms string
 	callers, admins     [proxyCount]string
@@ -45,7 +46,8 @@
 
 // startFleet builds the programs and starts every process without a document.
 func startFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, dir: t.TempDir(), ca: newAuthority(t), processes: map[string]*exec.Cmd{}}
+	f := &fleet{t: t, dir: t.TempDir(), processes: map[string]*exec.Cmd{}}
+	f.ca = tlstest.NewAuthority(t, f.dir)
 	build := exec.Command("go", "build", "-o", f.dir, "../../cmd/...")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
@@ -57,7 +59,7 @@
 	for i := range f.servers {
 		f.startServer(i)
 	}
-	f.ca.issue(t, f.dir, "proxy", time.Now().Add(time.Hour))
+	f.ca.Valid("proxy")
 	for i := range proxyCount {
 		f.startProxy(i)
 	}
--- a/internal/proxy/explain_test.go
+++ b/internal/proxy/explain_test.go
@@ -43,9 +43,7 @@
 	if !strings.Contains(text, "callers:") {
 		text += "callers: {listen: \"127.0.0.1:0\"}\n"
 	}
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	writeFile(t, path, text)
 	s, err := settings.LoadProxy(path)
 	if err != nil {
 		t.Fatal(err)
@@ -53,6 +51,13 @@
 	return s
 }
 
+func writeFile(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // explainers are two proxies that know each other and never change their view.
 type explainers struct {
 	t           *testing.T
--- a/internal/tlskeys/keys_test.go
+++ b/internal/tlskeys/keys_test.go
@@ -2,18 +2,10 @@
 
 import (
 	"bytes"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"errors"
-	"math/big"
 	"net"
 	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -22,75 +14,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rattancove/rattancove/internal/settings"
+	"github.com/rattancove/rattancove/internal/tlskeys/tlstest"
 )
 
-// authority issues certificates for 127.0.0.1.
-type authority struct {
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-	dir         string
-}
-
-func newAuthority(t *testing.T) *authority {
-	t.Helper()
-	a := &authority{dir: t.TempDir()}
-	var err error
-	if a.key, err = ecdsa.GenerateKey(elliptic.P256(), rand.Reader); err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test authority"},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if a.certificate, err = x509.ParseCertificate(der); err != nil {
-		t.Fatal(err)
-	}
-	a.write(t, "ca.crt", "CERTIFICATE", der)
-	return a
-}
-
-func (a *authority) write(t *testing.T, name, kind string, der []byte) string {
-	t.Helper()
-	path := filepath.Join(a.dir, name)
-	data := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
-	if err := os.WriteFile(path, data, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	return path
-}
-
-// issue writes a certificate that ends at notAfter and returns its files.
-func (a *authority) issue(t *testing.T, name string, notAfter time.Time) settings.TLS {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name},
-		NotBefore: time.Now().Add(-2 * time.Hour), NotAfter: notAfter,
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	keyDER, err := x509.MarshalECPrivateKey(key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return settings.TLS{
-		CertFile: a.write(t, name+".crt", "CERTIFICATE", der),
-		KeyFile:  a.write(t, name+".key", "EC PRIVATE KEY", keyDER),
-		CAFile:   filepath.Join(a.dir, "ca.crt"),
-	}
-}
-
 func load(t *testing.T, files settings.TLS, log *bytes.Buffer) *Keys {
 	t.Helper()
 	k, err := Load(files, zerolog.New(log))
@@ -129,15 +55,14 @@
 
 func TestMutual(t *testing.T) {
 	var log bytes.Buffer
-	a, stranger := newAuthority(t), newAuthority(t)
-	hour := time.Now().Add(time.Hour)
-	server := load(t, a.issue(t, "server", hour), &log).Server(true)
-	known := load(t, a.issue(t, "client", hour), &log)
+	a, stranger := tlstest.NewAuthority(t, t.TempDir()), tlstest.NewAuthority(t, t.TempDir())
+	server := load(t, a.Valid("server"), &log).Server(true)
+	known := load(t, a.Valid("client"), &log)
 	if _, err := handshake(t, server, known.Client("127.0.0.1")); err != nil {
 		t.Errorf("known client: %v", err)
 	}
-	files := stranger.issue(t, "client", hour)
-	files.CAFile = filepath.Join(a.dir, "ca.crt")
+	files := stranger.Valid("client")
+	files.CAFile = a.CAFile()
 	if _, err := handshake(t, server, load(t, files, &log).Client("127.0.0.1")); err == nil {
 		t.Error("a client of another authority was let in")
 	}
@@ -152,12 +77,13 @@
 
 func TestExpiredIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		a := newAuthority(t)
-		_, err := Load(a.issue(t, "server", time.Now().Add(-time.Minute)), zerolog.Nop())
-		if !errors.Is(err, ErrExpired) {
-			t.Errorf("error is %v", err)
+		a := tlstest.NewAuthority(t, t.TempDir())
+		for _, files := range []settings.TLS{a.Expired("expired"), a.Early("early")} {
+			if _, err := Load(files, zerolog.Nop()); !errors.Is(err, ErrExpired) {
+				t.Errorf("%s: error is %v", files.CertFile, err)
+			}
 		}
-		k := load(t, a.issue(t, "server", time.Now().Add(time.Minute)), &bytes.Buffer{})
+		k := load(t, a.Issue("server", time.Now().Add(-time.Hour), time.Now().Add(time.Minute)), &bytes.Buffer{})
 		if _, err := k.serverConfig(false); err != nil {
 			t.Errorf("a valid certificate: %v", err)
 		}
@@ -170,15 +96,12 @@
 
 func TestChangedFilesAreTakenUp(t *testing.T) {
 	var log bytes.Buffer
-	a := newAuthority(t)
-	hour := time.Now().Add(time.Hour)
-	files := a.issue(t, "server", hour)
+	a := tlstest.NewAuthority(t, t.TempDir())
+	files := a.Valid("server")
 	k := load(t, files, &log)
 	server, client := k.Server(false), load(t, settings.TLS{CAFile: files.CAFile}, &log)
 
-	replace := a.issue(t, "replacement", hour)
-	copyFile(t, replace.CertFile, files.CertFile)
-	copyFile(t, replace.KeyFile, files.KeyFile)
+	tlstest.Replace(t, files, a.Valid("replacement"))
 	k.looked = time.Time{}
 	if name, err := handshake(t, server, client.Client("127.0.0.1")); err != nil || name != "replacement" {
 		t.Errorf("server presents %q, %v", name, err)
@@ -195,13 +118,39 @@
 	}
 }
 
-func copyFile(t *testing.T, from, to string) {
-	t.Helper()
-	data, err := os.ReadFile(from)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := os.WriteFile(to, data, 0o600); err != nil {
-		t.Fatal(err)
-	}
+// TestReloadAroundExpiry replaces the files of a key in use by ones that are
+// expired or not yet valid, lets it expire, and renews it.
+func TestReloadAroundExpiry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+		a := tlstest.NewAuthority(t, t.TempDir())
+		files := a.Issue("server", time.Now().Add(-time.Hour), time.Now().Add(time.Minute))
+		k := load(t, files, &log)
+		name := func() string {
+			config, err := k.serverConfig(true)
+			if err != nil {
+				return err.Error()
+			}
+			return config.Certificates[0].Leaf.Subject.CommonName
+		}
+		for _, bad := range []settings.TLS{a.Expired("expired"), a.Early("early")} {
+			time.Sleep(2 * lookInterval)
+			tlstest.Replace(t, files, bad)
+			if got := name(); got != "server" {
+				t.Errorf("with %s in the file the listener has %q", bad.CertFile, got)
+			}
+		}
+		if failed := strings.Count(log.String(), "tls_keys_reload_failed"); failed != 2 {
+			t.Errorf("%d failures were logged", failed)
+		}
+		time.Sleep(2 * time.Minute)
+		if _, err := k.serverConfig(true); !errors.Is(err, ErrExpired) {
+			t.Errorf("after the expiry: %v", err)
+		}
+		time.Sleep(2 * lookInterval)
+		tlstest.Replace(t, files, a.Issue("renewed", time.Now().Add(-time.Minute), time.Now().Add(time.Minute)))
+		if got := name(); got != "renewed" {
+			t.Errorf("after the renewal the listener has %q", got)
+		}
+	})
 }
