Read a changed document by the pieces that changed

Cause: a process reads the whole document at each change: 1.2 s and 523 MB for 4,700 groups, beyond a daemon's processor time and memory.

What needs a parser to be cut safely stays whole. Parser keeps the groups of the pieces of the last two documents, checks the whole and leaves faults to Parse, which knows their places. The check of a group's customers no longer builds the set of all customers for each group.

--- a/internal/environment/bench_test.go
+++ b/internal/environment/bench_test.go
@@ -1,6 +1,7 @@
 package environment
 
 import (
+	"bytes"
 	"fmt"
 	"strings"
 	"testing"
@@ -38,3 +39,43 @@
 		})
 	}
 }
+
+// BenchmarkChange reads documents that each differ from the one before in one
+// group: whole, and with a parser that knows the one before. moved-B is what a
+// process has to be sent for a change.
+func BenchmarkChange(b *testing.B) {
+	for _, groups := range []int{470, 4700} {
+		base := ofSize(groups)
+		server := fmt.Sprintf("10.%d.%d.1:5432\", failure_domain: d1, slots: ", groups/2/250, groups/2%250)
+		change := func(i int) []byte {
+			return bytes.Replace(base, []byte(server+"2"), fmt.Appendf(nil, "%s%d", server, i%9+1), 1)
+		}
+		b.Run(fmt.Sprintf("groups=%d/whole", groups), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				if _, err := Parse(change(i)); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(base)), "moved-B")
+		})
+		b.Run(fmt.Sprintf("groups=%d/pieces", groups), func(b *testing.B) {
+			p := NewParser()
+			if _, err := p.Parse(change(1)); err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				if _, err := p.Parse(change(i)); err != nil {
+					b.Fatal(err)
+				}
+			}
+			next := Split(change(2))
+			bytes := len(next.Manifest())
+			for _, piece := range moved(Split(change(1)), next) {
+				bytes += len(piece.Data)
+			}
+			b.ReportMetric(float64(bytes), "moved-B")
+		})
+	}
+}
--- a/internal/environment/check.go
+++ b/internal/environment/check.go
@@ -33,7 +33,12 @@
 func (c *checker) check(d *Document) {
 	c.checkNames(d)
 	c.checkCustomers(d)
+	known := map[string]bool{}
+	for _, customer := range d.Customers {
+		known[customer.Name] = true
+	}
 	for i, g := range d.Groups {
+		c.checkGroupCustomers(fmt.Sprintf("groups[%d].customers", i), known, g)
 		c.checkGroup(fmt.Sprintf("groups[%d]", i), d, g)
 	}
 	c.checkRanks(d)
@@ -130,7 +135,6 @@
 	if need := minServers(d); len(g.Servers) > 0 && len(g.Servers) < need {
 		c.fault(path+".servers", "needs at least %d servers so that a failed primary can be replaced", need)
 	}
-	c.checkGroupCustomers(path+".customers", d, g)
 	domains := map[string]bool{}
 	for i, s := range g.Servers {
 		domains[s.FailureDomain] = true
@@ -157,11 +161,7 @@
 	return 2
 }
 
-func (c *checker) checkGroupCustomers(path string, d *Document, g Group) {
-	known := map[string]bool{}
-	for _, customer := range d.Customers {
-		known[customer.Name] = true
-	}
+func (c *checker) checkGroupCustomers(path string, known map[string]bool, g Group) {
 	names := c.unique("customer")
 	for i, name := range g.Customers {
 		place := fmt.Sprintf("%s[%d]", path, i)
--- /dev/null
+++ b/internal/environment/parser.go
@@ -0,0 +1,133 @@
+package environment
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/rattancove/rattancove/internal/strictyaml"
+)
+
+// documentsKept is the number of documents whose parsed pieces a Parser keeps.
+const documentsKept = 2
+
+// Parser reads documents and keeps the groups of the last ones, so that a
+// change costs the reading of the pieces that it touches. It is safe for
+// concurrent use. Documents that it returns share groups and are not to be
+// changed.
+type Parser struct {
+	mu sync.Mutex
+	// groups holds the groups of a piece by its digest.
+	groups map[string][]Group
+	// frames holds the first group and what is not a group, by the digests of
+	// the first and the last piece.
+	frames map[string]*Document
+	// recent holds the keys of both maps that the last documents use.
+	recent [][]string
+}
+
+// NewParser returns a parser that has read nothing.
+func NewParser() *Parser {
+	return &Parser{groups: map[string][]Group{}, frames: map[string]*Document{}}
+}
+
+// Parse returns what the function Parse returns.
+func (p *Parser) Parse(data []byte) (*Document, error) {
+	if len(data) > strictyaml.MaxBytes {
+		return Parse(data)
+	}
+	t := Split(data)
+	if t.whole() {
+		return Parse(data)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if d, ok := p.parsePieces(t); ok {
+		return d, nil
+	}
+	return Parse(data) // finds the faults and their places
+}
+
+// parsePieces joins the groups of the pieces and checks the whole. The second
+// result is false when there are faults.
+func (p *Parser) parsePieces(t Text) (*Document, bool) {
+	first, last := t.Pieces[0], t.Pieces[len(t.Pieces)-1]
+	frame, ok := p.frame(first, last)
+	if !ok {
+		return nil, false
+	}
+	d := *frame
+	d.Groups = slices.Clone(frame.Groups)
+	used := []string{frameKey(first, last)}
+	for _, piece := range t.Pieces[1 : len(t.Pieces)-1] {
+		groups, ok := p.piece(piece)
+		if !ok {
+			return nil, false
+		}
+		d.Groups = append(d.Groups, groups...)
+		used = append(used, piece.Digest)
+	}
+	c := checker{source: strictyaml.NewSource()}
+	c.check(&d)
+	if len(c.faults) > 0 {
+		return nil, false
+	}
+	p.keep(used)
+	return &d, true
+}
+
+func frameKey(first, last Piece) string { return first.Digest + last.Digest }
+
+// frame reads the first and the last piece, which together are a document.
+func (p *Parser) frame(first, last Piece) (*Document, bool) {
+	key := frameKey(first, last)
+	if d, ok := p.frames[key]; ok {
+		return d, true
+	}
+	d, err := Parse(slices.Concat(first.Data, last.Data))
+	if err != nil {
+		return nil, false
+	}
+	p.frames[key] = d
+	return d, true
+}
+
+// piece reads a piece between the first and the last.
+func (p *Parser) piece(piece Piece) ([]Group, bool) {
+	if groups, ok := p.groups[piece.Digest]; ok {
+		return groups, true
+	}
+	var body struct {
+		Groups []Group `yaml:"groups" validate:"required,min=1,dive"`
+	}
+	source, faults := strictyaml.Decode(slices.Concat([]byte("groups:\n"), piece.Data), &body)
+	faults = append(faults, source.Validate(strictyaml.NewValidator(), &body)...)
+	if faults.Err() != nil {
+		return nil, false
+	}
+	p.groups[piece.Digest] = body.Groups
+	return body.Groups, true
+}
+
+// keep forgets the pieces that none of the last documents uses.
+func (p *Parser) keep(used []string) {
+	p.recent = append(p.recent, used)
+	if extra := len(p.recent) - documentsKept; extra > 0 {
+		p.recent = slices.Delete(p.recent, 0, extra)
+	}
+	kept := map[string]bool{}
+	for _, keys := range p.recent {
+		for _, key := range keys {
+			kept[key] = true
+		}
+	}
+	for key := range p.groups {
+		if !kept[key] {
+			delete(p.groups, key)
+		}
+	}
+	for key := range p.frames {
+		if !kept[key] {
+			delete(p.frames, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/environment/split_test.go
@@ -0,0 +1,180 @@
+package environment
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// large returns a document that is stored in pieces.
+func large() []byte { return ofSize(300) }
+
+// edited returns large with one text replaced.
+func edited(t *testing.T, old, next string) []byte {
+	t.Helper()
+	if !bytes.Contains(large(), []byte(old)) {
+		t.Fatalf("the document lacks %q", old)
+	}
+	return bytes.Replace(large(), []byte(old), []byte(next), 1)
+}
+
+// moved returns the pieces of next that old lacks.
+func moved(old, next Text) []Piece {
+	known := map[string]bool{}
+	for _, p := range old.Pieces {
+		known[p.Digest] = true
+	}
+	var pieces []Piece
+	for _, p := range next.Pieces {
+		if !known[p.Digest] {
+			pieces = append(pieces, p)
+		}
+	}
+	return pieces
+}
+
+const (
+	// aGroup is a group that is not cut before, with the line after its name.
+	aGroup  = "  - name: g150\n    customers: [c0]\n"
+	aServer = `10.0.150.1:5432", failure_domain: d1, slots: 2`
+)
+
+func TestAChangeOfOneGroupMovesOnePiece(t *testing.T) {
+	old := Split(large())
+	if len(old.Pieces) < 10 {
+		t.Fatalf("%d pieces", len(old.Pieces))
+	}
+	added := "  - name: new\n    customers: [c0]\n    servers:\n"
+	for i := range 3 {
+		added += fmt.Sprintf("      - {id: new-%d, address: \"10.9.9.%d:5432\", failure_domain: d%d, slots: 2, connections: 16}\n", i, i, i)
+	}
+	for name, next := range map[string][]byte{
+		"field":   edited(t, aServer, strings.Replace(aServer, "slots: 2", "slots: 3", 1)),
+		"added":   edited(t, aGroup, added+aGroup),
+		"removed": edited(t, aGroup+string(bytes.SplitN(bytes.SplitN(large(), []byte(aGroup), 2)[1], []byte("  - name: g151"), 2)[0]), ""),
+	} {
+		text := Split(next)
+		if !bytes.Equal(text.Bytes(), next) {
+			t.Errorf("%s: the pieces are not the text", name)
+		}
+		if pieces := moved(old, text); len(pieces) != 1 {
+			t.Errorf("%s: %d pieces move", name, len(pieces))
+		}
+	}
+}
+
+func TestManifestRoundTrip(t *testing.T) {
+	text := Split(large())
+	digests, ok, err := PieceDigests(text.Manifest())
+	if err != nil || !ok || len(digests) != len(text.Pieces) {
+		t.Fatalf("%d digests, manifest %t, %v", len(digests), ok, err)
+	}
+	known := map[string][]byte{}
+	for _, p := range text.Pieces {
+		known[p.Digest] = p.Data
+	}
+	if data, err := Join(digests, known); err != nil || !bytes.Equal(data, large()) {
+		t.Errorf("joined %d bytes, %v", len(data), err)
+	}
+	known[digests[1]] = []byte("  - name: other\n")
+	if _, err := Join(digests, known); !errors.Is(err, ErrManifest) {
+		t.Errorf("a piece that does not match: %v", err)
+	}
+	delete(known, digests[1])
+	if _, err := Join(digests, known); !errors.Is(err, ErrManifest) {
+		t.Errorf("a missing piece: %v", err)
+	}
+	if _, ok, err := PieceDigests(text.Manifest()[:len(manifestMark)+40]); !ok || !errors.Is(err, ErrManifest) {
+		t.Errorf("a cut manifest: %t, %v", ok, err)
+	}
+}
+
+func TestSmallDocumentsStayWhole(t *testing.T) {
+	for _, file := range []string{"cotopaxi", "consorzio"} {
+		data, err := os.ReadFile("../../examples/" + file + ".yaml")
+		if err != nil {
+			t.Fatal(err)
+		}
+		text := Split(data)
+		if _, manifest, _ := PieceDigests(text.Manifest()); !text.whole() || manifest || !bytes.Equal(text.Manifest(), data) {
+			t.Errorf("%s is stored in %d pieces", file, len(text.Pieces))
+		}
+	}
+}
+
+// TestUnsafeTextsStayWhole puts in what goes on over lines.
+func TestUnsafeTextsStayWhole(t *testing.T) {
+	const first = "  - name: g0\n"
+	for name, data := range map[string][]byte{
+		"quotes":        edited(t, first, "  - name: \"g0\n      x\"\n"),
+		"brackets":      edited(t, "[c0]", "[c0,\n     c1]"),
+		"block scalar":  edited(t, first, "  - name: |\n      g0\n"),
+		"flow groups":   edited(t, "groups:\n", "groups: []\nx:\n"),
+		"marker":        edited(t, "  - name: g7\n", "---\n  - name: g7\n"),
+		"quoted groups": edited(t, "name: size\n", "name: \"size\n  x\"\n"),
+		"outdented":     edited(t, "  - name: g7\n", " - name: g7\n"),
+		"tab":           edited(t, first, "  - name: g0\t\n"),
+	} {
+		if text := Split(data); !text.whole() {
+			t.Errorf("%s: %d pieces", name, len(text.Pieces))
+		}
+	}
+}
+
+// TestParserAgreesWithParse compares the document or the faults of both.
+func TestParserAgreesWithParse(t *testing.T) {
+	tail := "reads:\n  - {name: r, mode: latest}\n"
+	texts := map[string][]byte{
+		"large":            large(),
+		"apostrophe":       edited(t, "[c0]", "[c0] # the cooks' group"),
+		"comment":          edited(t, aGroup, "# one's own\n\n"+aGroup),
+		"tail":             append(large(), tail...),
+		"groups first":     append([]byte("groups:\n"+strings.SplitN(string(large()), "groups:\n", 2)[1]), strings.SplitN(string(large()), "groups:\n", 2)[0]...),
+		"at the margin":    outdented(),
+		"changed":          edited(t, aServer, strings.Replace(aServer, "slots: 2", "slots: 3", 1)),
+		"too few slots":    edited(t, aServer, strings.Replace(aServer, "slots: 2", "slots: 0", 1)),
+		"unknown field":    edited(t, aServer, strings.Replace(aServer, "slots: 2", "slot: 2", 1)),
+		"unknown customer": edited(t, aGroup, strings.Replace(aGroup, "c0", "nobody", 1)),
+		"name twice":       edited(t, "  - name: g150\n", "  - name: g2\n"),
+		"address twice":    edited(t, `"10.0.150.1:5432"`, `"10.0.2.1:5432"`),
+		"second groups":    append(large(), "groups:\n  - {name: x}\n"...),
+		"second document":  append(large(), "---\nname: x\n"...),
+		"unknown tail":     append(large(), "other: 1\n"...),
+	}
+	p := NewParser()
+	for range 2 {
+		for name, data := range texts {
+			want, wantErr := Parse(data)
+			got, gotErr := p.Parse(data)
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("%s: %s", name, diff)
+			}
+			if diff := cmp.Diff(fmt.Sprint(wantErr), fmt.Sprint(gotErr)); diff != "" {
+				t.Errorf("%s: %s", name, diff)
+			}
+		}
+	}
+}
+
+// outdented is large with the groups at the margin.
+func outdented() []byte {
+	head, groups, _ := strings.Cut(string(large()), "groups:\n")
+	return []byte(head + "groups:\n" + strings.ReplaceAll(groups, "  - name", "- name"))
+}
+
+func TestParserForgetsWhatNoDocumentUses(t *testing.T) {
+	p := NewParser()
+	for i := range 20 {
+		if _, err := p.Parse(edited(t, aServer, strings.Replace(aServer, "slots: 2", fmt.Sprintf("slots: %d", i%10+1), 1))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if pieces := len(Split(large()).Pieces); len(p.groups) > pieces || len(p.frames) != 1 {
+		t.Errorf("%d pieces and %d frames are kept, a document has %d", len(p.groups), len(p.frames), pieces)
+	}
+}
--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -32,7 +32,7 @@
 // Decode fills target, a pointer to a struct, from data. It decodes as much as
 // it can: the source is valid and target is filled also when there are faults.
 func Decode(data []byte, target any) (*Source, Faults) {
-	d := &decoder{source: newSource()}
+	d := &decoder{source: NewSource()}
 	value := reflect.ValueOf(target).Elem()
 	setDefaults(value)
 	d.decodeText(data, value)
--- a/internal/strictyaml/source.go
+++ b/internal/strictyaml/source.go
@@ -16,7 +16,8 @@
 	faulty    map[string]bool
 }
 
-func newSource() *Source {
+// NewSource returns a source that knows no places.
+func NewSource() *Source {
 	return &Source{positions: map[string]position{}, faulty: map[string]bool{}}
 }
 
