Store large documents in pieces and send only the new ones

Ruled out: an object for each group, whose manifest is 150 KB (5.4 KB/s); a tree of manifests, which needs two rounds (docs/design/documents.md).

Change: a text of 64 KiB or more is written as pieces of about 20 groups and a manifest in the object of the revision. Pointer row, digest and text stay as they are. Whole objects stay readable, and peers of earlier versions get the whole text. The store reads and checks documents with the shared parser.

--- a/internal/document/change.go
+++ b/internal/document/change.go
@@ -22,7 +22,8 @@
 	if earlier, done, err := s.earlier(ctx, c, t); done || err != nil {
 		return earlier, err
 	}
-	doc, err := environment.Parse(t.data)
+	text := environment.Split(t.data)
+	doc, err := s.parser.ParseText(text)
 	if err != nil {
 		return Revision{}, err
 	}
@@ -33,30 +34,32 @@
 	if c.IfRevision != nil && *c.IfRevision != current.Revision {
 		return Revision{}, &ConflictError{Winner: current}
 	}
-	if err := s.checkAllowed(ctx, c, current, doc); err != nil {
+	present, err := s.checkAllowed(ctx, c, current, doc)
+	if err != nil {
 		return Revision{}, err
 	}
 	r := next(c, t, current)
-	if err := s.objects.Put(ctx, objectKey(c.Environment, r.Digest), t.data); err != nil {
+	if err := s.write(ctx, c.Environment, text, present); err != nil {
 		return Revision{}, err
 	}
 	return s.commit(ctx, r, version)
 }
 
 // checkAllowed refuses a change inside a change window of the document in
-// force, and a document that may not follow it.
-func (s *Store) checkAllowed(ctx context.Context, c Change, current Revision, next *environment.Document) error {
+// force, and a document that may not follow it. It returns the object of the
+// document in force; nil when there is none.
+func (s *Store) checkAllowed(ctx context.Context, c Change, current Revision, next *environment.Document) ([]byte, error) {
 	if current.Revision == 0 {
-		return nil
+		return nil, nil
 	}
-	inForce, err := s.load(ctx, c.Environment, current.Digest)
+	inForce, object, err := s.load(ctx, c.Environment, current.Digest)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if window, closed := inForce.ClosedAt(time.Now()); closed && c.Override == "" {
-		return &WindowError{Window: window}
+		return nil, &WindowError{Window: window}
 	}
-	return environment.CheckChange(inForce, next)
+	return object, environment.CheckChange(inForce, next)
 }
 
 // commit moves the pointer row from version. All attempts carry the same
--- /dev/null
+++ b/internal/document/pieces.go
@@ -0,0 +1,119 @@
+package document
+
+import (
+	"context"
+	"sync"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rattancove/rattancove/internal/environment"
+)
+
+const (
+	// pieceCalls bounds the calls to the object store for one document.
+	pieceCalls = 16
+	// textsKept is the number of documents whose pieces a Store keeps.
+	textsKept = 2
+)
+
+// pieceCache keeps the pieces of the documents used last. Pieces are named by
+// their digests and never change.
+type pieceCache struct {
+	mu    sync.Mutex
+	texts []map[string][]byte
+}
+
+// add keeps the pieces of a text in place of the oldest.
+func (c *pieceCache) add(t environment.Text) {
+	if t.Whole() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.texts = append(c.texts, t.ByDigest())
+	if extra := len(c.texts) - textsKept; extra > 0 {
+		c.texts = c.texts[extra:]
+	}
+}
+
+func (c *pieceCache) get(digest string) ([]byte, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, pieces := range c.texts {
+		if data, ok := pieces[digest]; ok {
+			return data, true
+		}
+	}
+	return nil, false
+}
+
+// write stores a document: first its pieces, but for those that the object
+// present names, and then the object that names them.
+func (s *Store) write(ctx context.Context, env string, t environment.Text, present []byte) error {
+	if !t.Whole() {
+		digests, _, _ := environment.PieceDigests(present)
+		if err := s.writePieces(ctx, env, t, digests); err != nil {
+			return err
+		}
+	}
+	return s.objects.Put(ctx, objectKey(env, environment.Digest(t.Bytes())), t.Manifest())
+}
+
+func (s *Store) writePieces(ctx context.Context, env string, t environment.Text, present []string) error {
+	missing := t.ByDigest()
+	for _, digest := range present {
+		delete(missing, digest)
+	}
+	calls, ctx := errgroup.WithContext(ctx)
+	calls.SetLimit(pieceCalls)
+	for digest, data := range missing {
+		calls.Go(func() error { return s.objects.Put(ctx, pieceKey(env, digest), data) })
+	}
+	return calls.Wait()
+}
+
+// read returns the text that an object of a document is or names. Pieces of
+// held, a document that the caller has, are not fetched.
+func (s *Store) read(ctx context.Context, env string, object []byte, held environment.Text) ([]byte, error) {
+	digests, manifest, err := environment.PieceDigests(object)
+	if err != nil || !manifest {
+		return object, err
+	}
+	known, err := s.pieces(ctx, env, digests, held.ByDigest())
+	if err != nil {
+		return nil, err
+	}
+	return environment.Join(digests, known)
+}
+
+// pieces adds to known the pieces that it lacks.
+func (s *Store) pieces(ctx context.Context, env string, digests []string, known map[string][]byte) (map[string][]byte, error) {
+	var mu sync.Mutex
+	calls, ctx := errgroup.WithContext(ctx)
+	calls.SetLimit(pieceCalls)
+	for _, digest := range digests {
+		mu.Lock()
+		_, ok := known[digest]
+		mu.Unlock()
+		if ok {
+			continue
+		}
+		calls.Go(func() error {
+			data, err := s.piece(ctx, env, digest)
+			mu.Lock()
+			defer mu.Unlock()
+			known[digest] = data
+			return err
+		})
+	}
+	return known, calls.Wait()
+}
+
+func (s *Store) piece(ctx context.Context, env, digest string) ([]byte, error) {
+	if data, ok := s.cache.get(digest); ok {
+		return data, nil
+	}
+	data, err := s.objects.Get(ctx, pieceKey(env, digest))
+	return data, eris.Wrapf(err, "piece %s of %s", digest, env)
+}
--- a/internal/document/revision.go
+++ b/internal/document/revision.go
@@ -92,6 +92,8 @@
 
 func objectKey(environment, digest string) string { return "doc/" + environment + "/" + digest }
 
+func pieceKey(environment, digest string) string { return "piece/" + environment + "/" + digest }
+
 func pointerKey(environment string) string { return "env/" + environment }
 
 func historyPrefix(environment string) string { return "hist/" + environment + "/" }
--- a/internal/document/store.go
+++ b/internal/document/store.go
@@ -14,15 +14,18 @@
 )
 
 // Store reads and changes the documents of all environments. It is safe for
-// concurrent use and keeps nothing between calls.
+// concurrent use. It keeps the pieces of the documents used last, which never
+// change.
 type Store struct {
 	table   platform.Table
 	objects platform.Objects
+	cache   pieceCache
+	parser  *environment.Parser
 }
 
 // NewStore returns a store on the platform's services.
 func NewStore(table platform.Table, objects platform.Objects) *Store {
-	return &Store{table: table, objects: objects}
+	return &Store{table: table, objects: objects, parser: environment.NewParser()}
 }
 
 // Current returns the revision in force, or platform.ErrNotFound.
@@ -57,16 +60,36 @@
 	return decode(row.Value)
 }
 
+// Parser reads documents; what it has read serves the Store as well.
+func (s *Store) Parser() *environment.Parser { return s.parser }
+
 // Bytes returns the document of a digest. The bytes are checked against it.
 func (s *Store) Bytes(ctx context.Context, env, digest string) ([]byte, error) {
-	data, err := s.objects.Get(ctx, objectKey(env, digest))
+	return s.Update(ctx, env, digest, environment.Text{})
+}
+
+// Update returns what Bytes returns. Only what held lacks is fetched.
+func (s *Store) Update(ctx context.Context, env, digest string, held environment.Text) ([]byte, error) {
+	t, _, err := s.text(ctx, env, digest, held)
+	return t.Bytes(), err
+}
+
+// text returns a document in pieces, and the object that is or names it.
+func (s *Store) text(ctx context.Context, env, digest string, held environment.Text) (environment.Text, []byte, error) {
+	object, err := s.objects.Get(ctx, objectKey(env, digest))
 	if err != nil {
-		return nil, err
+		return environment.Text{}, nil, err
+	}
+	data, err := s.read(ctx, env, object, held)
+	if err != nil {
+		return environment.Text{}, nil, err
 	}
 	if environment.Digest(data) != digest {
-		return nil, eris.Wrapf(ErrDigest, "document %s of %s", digest, env)
+		return environment.Text{}, nil, eris.Wrapf(ErrDigest, "document %s of %s", digest, env)
 	}
-	return data, nil
+	t := environment.Split(data)
+	s.cache.add(t)
+	return t, object, nil
 }
 
 // Document returns the revision in force with its document, or
@@ -76,22 +99,24 @@
 	if err != nil {
 		return Revision{}, nil, err
 	}
-	d, err := s.load(ctx, env, r.Digest)
+	d, _, err := s.load(ctx, env, r.Digest)
 	return r, d, err
 }
 
-func (s *Store) load(ctx context.Context, env, digest string) (*environment.Document, error) {
-	data, err := s.Bytes(ctx, env, digest)
+// load returns a document and the object that is or names it.
+func (s *Store) load(ctx context.Context, env, digest string) (*environment.Document, []byte, error) {
+	t, object, err := s.text(ctx, env, digest, environment.Text{})
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	return environment.Parse(data)
+	d, err := s.parser.ParseText(t)
+	return d, object, err
 }
 
 // Plan returns the revision in force and what changes when data replaces it.
 // The error is environment.Faults when data may not replace it.
 func (s *Store) Plan(ctx context.Context, env string, data []byte) (Revision, environment.Plan, error) {
-	next, err := environment.Parse(data)
+	next, err := s.parser.Parse(data)
 	if err != nil {
 		return Revision{}, nil, err
 	}
--- a/internal/environment/bench_test.go
+++ b/internal/environment/bench_test.go
@@ -1,33 +1,15 @@
 package environment
 
 import (
-	"bytes"
 	"fmt"
-	"strings"
 	"testing"
-)
 
-// ofSize returns a document of n groups with three servers each.
-func ofSize(n int) []byte {
-	var b strings.Builder
-	customers := max(n/10, 1)
-	b.WriteString("name: size\ncustomers:\n")
-	for i := range customers {
-		fmt.Fprintf(&b, "  - {name: c%d}\n", i)
-	}
-	b.WriteString("groups:\n")
-	for i := range n {
-		fmt.Fprintf(&b, "  - name: g%d\n    customers: [c%d]\n    servers:\n", i, i%customers)
-		for j := range 3 {
-			fmt.Fprintf(&b, "      - {id: g%d-%d, address: \"10.%d.%d.%d:5432\", failure_domain: d%d, slots: 2, connections: 16}\n", i, j, i/250, i%250, j, j)
-		}
-	}
-	return []byte(b.String())
-}
+	"github.com/rattancove/rattancove/internal/environment/environmenttest"
+)
 
 func BenchmarkParse(b *testing.B) {
 	for _, groups := range []int{3, 100, 470, 4700} {
-		data := ofSize(groups)
+		data := environmenttest.OfSize(groups)
 		b.Run(fmt.Sprintf("groups=%d", groups), func(b *testing.B) {
 			b.ReportAllocs()
 			b.SetBytes(int64(len(data)))
@@ -45,11 +27,11 @@
 // process has to be sent for a change.
 func BenchmarkChange(b *testing.B) {
 	for _, groups := range []int{470, 4700} {
-		base := ofSize(groups)
-		server := fmt.Sprintf("10.%d.%d.1:5432\", failure_domain: d1, slots: ", groups/2/250, groups/2%250)
-		change := func(i int) []byte {
-			return bytes.Replace(base, []byte(server+"2"), fmt.Appendf(nil, "%s%d", server, i%9+1), 1)
+		var texts [][]byte
+		for slots := range 9 {
+			texts = append(texts, environmenttest.WithSlots(groups, slots+1))
 		}
+		change := func(i int) []byte { return texts[i%len(texts)] }
 		b.Run(fmt.Sprintf("groups=%d/whole", groups), func(b *testing.B) {
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
@@ -57,7 +39,7 @@
 					b.Fatal(err)
 				}
 			}
-			b.ReportMetric(float64(len(base)), "moved-B")
+			b.ReportMetric(float64(len(change(0))), "moved-B")
 		})
 		b.Run(fmt.Sprintf("groups=%d/pieces", groups), func(b *testing.B) {
 			p := NewParser()
--- /dev/null
+++ b/internal/environment/environmenttest/document.go
@@ -0,0 +1,37 @@
+// Package environmenttest makes documents for tests.
+package environmenttest
+
+import (
+	"fmt"
+	"strings"
+)
+
+// OfSize returns a document of n groups with three servers each.
+func OfSize(n int) []byte {
+	var b strings.Builder
+	customers := max(n/10, 1)
+	b.WriteString("name: size\ncustomers:\n")
+	for i := range customers {
+		fmt.Fprintf(&b, "  - {name: c%d}\n", i)
+	}
+	b.WriteString("groups:\n")
+	for i := range n {
+		fmt.Fprintf(&b, "  - name: g%d\n    customers: [c%d]\n    servers:\n", i, i%customers)
+		for j := range 3 {
+			fmt.Fprintf(&b, "      - {id: g%d-%d, address: \"10.%d.%d.%d:5432\", failure_domain: d%d, slots: 2, connections: 16}\n", i, j, i/250, i%250, j, j)
+		}
+	}
+	return []byte(b.String())
+}
+
+// Server returns the text of OfSize that names the slots of the second server
+// of a group, with another number of slots.
+func Server(group, slots int) string {
+	return fmt.Sprintf("10.%d.%d.1:5432\", failure_domain: d1, slots: %d", group/250, group%250, slots)
+}
+
+// WithSlots returns a document of n groups that differs from others in the
+// slots of one server of the group in the middle.
+func WithSlots(n, slots int) []byte {
+	return []byte(strings.Replace(string(OfSize(n)), Server(n/2, 2), Server(n/2, slots), 1))
+}
--- a/internal/environment/parser.go
+++ b/internal/environment/parser.go
@@ -32,19 +32,20 @@
 
 // Parse returns what the function Parse returns.
 func (p *Parser) Parse(data []byte) (*Document, error) {
-	if len(data) > strictyaml.MaxBytes {
-		return Parse(data)
-	}
-	t := Split(data)
-	if t.whole() {
-		return Parse(data)
+	return p.ParseText(Split(data))
+}
+
+// ParseText returns what Parse returns for a text in pieces.
+func (p *Parser) ParseText(t Text) (*Document, error) {
+	if t.Whole() || len(t.data) > strictyaml.MaxBytes {
+		return Parse(t.data)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if d, ok := p.parsePieces(t); ok {
 		return d, nil
 	}
-	return Parse(data) // finds the faults and their places
+	return Parse(t.data) // finds the faults and their places
 }
 
 // parsePieces joins the groups of the pieces and checks the whole. The second
--- a/internal/environment/split.go
+++ b/internal/environment/split.go
@@ -34,6 +34,7 @@
 // that is short or not written one group after the other is one piece.
 type Text struct {
 	Pieces []Piece
+	data   []byte
 }
 
 // Piece is a part of a text, named by its digest.
@@ -53,7 +54,7 @@
 }
 
 func newText(data []byte, cuts []int) Text {
-	t := Text{Pieces: make([]Piece, 0, len(cuts)+1)}
+	t := Text{Pieces: make([]Piece, 0, len(cuts)+1), data: data}
 	from := 0
 	for _, to := range append(slices.Clone(cuts), len(data)) {
 		part := data[from:to:to]
@@ -63,13 +64,13 @@
 	return t
 }
 
-// whole reports whether the text is one piece.
-func (t Text) whole() bool { return len(t.Pieces) == 1 }
+// Whole reports whether the text is one piece.
+func (t Text) Whole() bool { return len(t.Pieces) == 1 }
 
 // Manifest returns the object that names the pieces; the text itself when it
 // is one piece.
 func (t Text) Manifest() []byte {
-	if t.whole() {
+	if t.Whole() {
 		return t.Pieces[0].Data
 	}
 	var b bytes.Buffer
@@ -82,12 +83,15 @@
 }
 
 // Bytes returns the whole text.
-func (t Text) Bytes() []byte {
-	parts := make([][]byte, len(t.Pieces))
-	for i, p := range t.Pieces {
-		parts[i] = p.Data
+func (t Text) Bytes() []byte { return t.data }
+
+// ByDigest returns the pieces by their digests.
+func (t Text) ByDigest() map[string][]byte {
+	pieces := make(map[string][]byte, len(t.Pieces))
+	for _, p := range t.Pieces {
+		pieces[p.Digest] = p.Data
 	}
-	return bytes.Join(parts, nil)
+	return pieces
 }
 
 // PieceDigests returns the digests that an object names. The second result is
--- a/internal/environment/split_test.go
+++ b/internal/environment/split_test.go
@@ -9,10 +9,12 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/rattancove/rattancove/internal/environment/environmenttest"
 )
 
 // large returns a document that is stored in pieces.
-func large() []byte { return ofSize(300) }
+func large() []byte { return environmenttest.OfSize(300) }
 
 // edited returns large with one text replaced.
 func edited(t *testing.T, old, next string) []byte {
@@ -25,19 +27,26 @@
 
 // moved returns the pieces of next that old lacks.
 func moved(old, next Text) []Piece {
-	known := map[string]bool{}
-	for _, p := range old.Pieces {
-		known[p.Digest] = true
-	}
+	known := old.ByDigest()
 	var pieces []Piece
 	for _, p := range next.Pieces {
-		if !known[p.Digest] {
+		if _, ok := known[p.Digest]; !ok {
 			pieces = append(pieces, p)
 		}
 	}
 	return pieces
 }
 
+// digestsOf returns the digests in the manifest of a text.
+func digestsOf(t *testing.T, text Text) []string {
+	t.Helper()
+	digests, ok, err := PieceDigests(text.Manifest())
+	if err != nil || !ok {
+		t.Fatalf("manifest %t, %v", ok, err)
+	}
+	return digests
+}
+
 const (
 	// aGroup is a group that is not cut before, with the line after its name.
 	aGroup  = "  - name: g150\n    customers: [c0]\n"
@@ -59,8 +68,8 @@
 		"removed": edited(t, aGroup+string(bytes.SplitN(bytes.SplitN(large(), []byte(aGroup), 2)[1], []byte("  - name: g151"), 2)[0]), ""),
 	} {
 		text := Split(next)
-		if !bytes.Equal(text.Bytes(), next) {
-			t.Errorf("%s: the pieces are not the text", name)
+		if joined, err := Join(digestsOf(t, text), text.ByDigest()); err != nil || !bytes.Equal(joined, next) {
+			t.Errorf("%s: the pieces are not the text: %v", name, err)
 		}
 		if pieces := moved(old, text); len(pieces) != 1 {
 			t.Errorf("%s: %d pieces move", name, len(pieces))
@@ -70,13 +79,9 @@
 
 func TestManifestRoundTrip(t *testing.T) {
 	text := Split(large())
-	digests, ok, err := PieceDigests(text.Manifest())
-	if err != nil || !ok || len(digests) != len(text.Pieces) {
-		t.Fatalf("%d digests, manifest %t, %v", len(digests), ok, err)
-	}
-	known := map[string][]byte{}
-	for _, p := range text.Pieces {
-		known[p.Digest] = p.Data
+	digests, known := digestsOf(t, text), text.ByDigest()
+	if len(digests) != len(text.Pieces) {
+		t.Fatalf("%d digests of %d pieces", len(digests), len(text.Pieces))
 	}
 	if data, err := Join(digests, known); err != nil || !bytes.Equal(data, large()) {
 		t.Errorf("joined %d bytes, %v", len(data), err)
@@ -101,7 +106,7 @@
 			t.Fatal(err)
 		}
 		text := Split(data)
-		if _, manifest, _ := PieceDigests(text.Manifest()); !text.whole() || manifest || !bytes.Equal(text.Manifest(), data) {
+		if _, manifest, _ := PieceDigests(text.Manifest()); !text.Whole() || manifest || !bytes.Equal(text.Manifest(), data) {
 			t.Errorf("%s is stored in %d pieces", file, len(text.Pieces))
 		}
 	}
@@ -120,7 +125,7 @@
 		"outdented":     edited(t, "  - name: g7\n", " - name: g7\n"),
 		"tab":           edited(t, first, "  - name: g0\t\n"),
 	} {
-		if text := Split(data); !text.whole() {
+		if text := Split(data); !text.Whole() {
 			t.Errorf("%s: %d pieces", name, len(text.Pieces))
 		}
 	}
@@ -130,21 +135,23 @@
 func TestParserAgreesWithParse(t *testing.T) {
 	tail := "reads:\n  - {name: r, mode: latest}\n"
 	texts := map[string][]byte{
-		"large":            large(),
-		"apostrophe":       edited(t, "[c0]", "[c0] # the cooks' group"),
-		"comment":          edited(t, aGroup, "# one's own\n\n"+aGroup),
-		"tail":             append(large(), tail...),
-		"groups first":     append([]byte("groups:\n"+strings.SplitN(string(large()), "groups:\n", 2)[1]), strings.SplitN(string(large()), "groups:\n", 2)[0]...),
-		"at the margin":    outdented(),
-		"changed":          edited(t, aServer, strings.Replace(aServer, "slots: 2", "slots: 3", 1)),
-		"too few slots":    edited(t, aServer, strings.Replace(aServer, "slots: 2", "slots: 0", 1)),
-		"unknown field":    edited(t, aServer, strings.Replace(aServer, "slots: 2", "slot: 2", 1)),
-		"unknown customer": edited(t, aGroup, strings.Replace(aGroup, "c0", "nobody", 1)),
-		"name twice":       edited(t, "  - name: g150\n", "  - name: g2\n"),
-		"address twice":    edited(t, `"10.0.150.1:5432"`, `"10.0.2.1:5432"`),
-		"second groups":    append(large(), "groups:\n  - {name: x}\n"...),
-		"second document":  append(large(), "---\nname: x\n"...),
-		"unknown tail":     append(large(), "other: 1\n"...),
+		"large":             large(),
+		"apostrophe":        edited(t, "[c0]", "[c0] # the cooks' group"),
+		"comment":           edited(t, aGroup, "# one's own\n\n"+aGroup),
+		"tail":              append(large(), tail...),
+		"groups first":      append([]byte("groups:\n"+strings.SplitN(string(large()), "groups:\n", 2)[1]), strings.SplitN(string(large()), "groups:\n", 2)[0]...),
+		"at the margin":     outdented(),
+		"changed":           edited(t, aServer, strings.Replace(aServer, "slots: 2", "slots: 3", 1)),
+		"too few slots":     edited(t, aServer, strings.Replace(aServer, "slots: 2", "slots: 0", 1)),
+		"unknown field":     edited(t, aServer, strings.Replace(aServer, "slots: 2", "slot: 2", 1)),
+		"unknown customer":  edited(t, aGroup, strings.Replace(aGroup, "c0", "nobody", 1)),
+		"name twice":        edited(t, "  - name: g150\n", "  - name: g2\n"),
+		"address twice":     edited(t, `"10.0.150.1:5432"`, `"10.0.2.1:5432"`),
+		"second groups":     append(large(), "groups:\n  - {name: x}\n"...),
+		"second document":   append(large(), "---\nname: x\n"...),
+		"mark":              append([]byte(manifestMark), large()...),
+		"mark as directive": append([]byte(manifestMark+"---\n"), large()...),
+		"unknown tail":      append(large(), "other: 1\n"...),
 	}
 	p := NewParser()
 	for range 2 {
@@ -178,3 +185,13 @@
 		t.Errorf("%d pieces and %d frames are kept, a document has %d", len(p.groups), len(p.frames), pieces)
 	}
 }
+
+// TestNoDocumentBeginsLikeAManifest keeps the two kinds of object apart.
+func TestNoDocumentBeginsLikeAManifest(t *testing.T) {
+	small := environmenttest.OfSize(3)
+	for _, text := range [][]byte{small, append([]byte("---\n"), small...)} {
+		if _, err := Parse(append([]byte(manifestMark), text...)); err == nil {
+			t.Errorf("a document that begins with %q is valid", manifestMark)
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/document_test.go
@@ -0,0 +1,88 @@
+package process
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/environment/environmenttest"
+	"github.com/rattancove/rattancove/internal/peer"
+	"github.com/rattancove/rattancove/internal/peer/peerpb"
+	"github.com/rattancove/rattancove/internal/rollout"
+	"github.com/rattancove/rattancove/internal/settings"
+)
+
+// hold puts a large document in force as a revision.
+func hold(t *testing.T, p *Process, revision int) {
+	t.Helper()
+	data := environmenttest.WithSlots(300, revision+1)
+	if revision == 0 {
+		if err := p.Documents.Bootstrap(data); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	changes, stop := p.Documents.Subscribe()
+	defer stop()
+	<-changes // the one in force
+	v := rollout.Version{Revision: uint64(revision), Digest: environment.Digest(data)}
+	p.Documents.Offer("proxy/entry-9", v, func(context.Context) ([]byte, error) { return data, nil })
+	<-changes
+}
+
+// TestPeersSendWhatTheOtherLacks fetches a document from a peer that knows the
+// one held here, from one that does not, and as a process without a document.
+func TestPeersSendWhatTheOtherLacks(t *testing.T) {
+	serving, asking := newProcess(t, settings.TLS{}), newProcess(t, settings.TLS{})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- serving.Documents.Run(ctx) }()
+	hold(t, serving, 0)
+	hold(t, serving, 1)
+	newest := serving.Documents.Current()
+
+	log := zerolog.Nop()
+	server, err := peer.NewServer(peer.Handlers{Document: serving.handleDocument}, &log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(ctx, l) }()
+
+	fetch := func(what string) {
+		t.Helper()
+		data, err := asking.fetchDocument(ctx, l.Addr().String(), 1)
+		if err != nil || !bytes.Equal(data, newest.Text.Bytes()) {
+			t.Errorf("%s: %d bytes, %v", what, len(data), err)
+		}
+	}
+	fetch("without a document")
+	hold(t, asking, 0)
+	fetch("with the document before")
+	for what, c := range map[string]struct {
+		base   string
+		pieces int
+		whole  bool
+	}{
+		"before":  {asking.Documents.Current().Version.Digest, 1, false},
+		"unknown": {environment.Digest(nil), 0, true},
+		"earlier": {"", 0, true}, // a program that does not tell what it holds
+	} {
+		reply, err := serving.handleDocument(ctx, &peerpb.DocumentRequest{Environment: "cotopaxi", BaseDigest: c.base})
+		if err != nil || len(reply.GetPieces()) != c.pieces || (len(reply.GetDocument()) > 0) != c.whole || (len(reply.GetManifest()) > 0) == c.whole {
+			t.Errorf("%s: %d pieces, %d bytes, %v", what, len(reply.GetPieces()), len(reply.GetDocument()), err)
+		}
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/process/ping.go
+++ b/internal/process/ping.go
@@ -73,22 +73,33 @@
 	}
 }
 
+// fetchDocument asks a peer for its document, or for what the one in force
+// here lacks of it.
 func (p *Process) fetchDocument(ctx context.Context, address string, revision uint64) ([]byte, error) {
-	reply, err := p.Control.Client(address).Document(ctx, &peerpb.DocumentRequest{
-		Environment: p.Settings.Environment, AtLeastRevision: revision,
-	})
+	request := &peerpb.DocumentRequest{Environment: p.Settings.Environment, AtLeastRevision: revision}
+	held := p.Documents.Current()
+	if held != nil {
+		request.BaseDigest = held.Version.Digest
+	}
+	reply, err := p.Control.Client(address).Document(ctx, request)
 	if err != nil {
 		return nil, err
 	}
-	return reply.GetDocument(), nil
+	if held == nil || len(reply.GetManifest()) == 0 {
+		return reply.GetDocument(), nil
+	}
+	return held.Apply(rollout.Update{Manifest: reply.GetManifest(), Pieces: reply.GetPieces()})
 }
 
 func (p *Process) handleDocument(_ context.Context, in *peerpb.DocumentRequest) (*peerpb.DocumentReply, error) {
-	current := p.Documents.Current()
+	current, update, ok := p.Documents.UpdateFrom(in.GetBaseDigest())
 	if current == nil || in.GetEnvironment() != p.Settings.Environment || current.Version.Revision < in.GetAtLeastRevision() {
 		return nil, errcode.New(errcode.OldDocument, "document", string(p.Settings.ID))
 	}
-	return &peerpb.DocumentReply{Version: p.version(current), Document: current.Data}, nil
+	if ok {
+		return &peerpb.DocumentReply{Version: p.version(current), Manifest: update.Manifest, Pieces: update.Pieces}, nil
+	}
+	return &peerpb.DocumentReply{Version: p.version(current), Document: current.Text.Bytes()}, nil
 }
 
 // announceDocuments tells some peers of each new document at once. They tell
--- a/internal/rollout/fetch.go
+++ b/internal/rollout/fetch.go
@@ -75,7 +75,11 @@
 			return nil
 		}
 	}
-	data, err := w.source.Bytes(ctx, w.config.Environment, v.Digest)
+	var held environment.Text
+	if current := w.Current(); current != nil {
+		held = current.Text
+	}
+	data, err := w.source.Update(ctx, w.config.Environment, v.Digest, held)
 	if err != nil {
 		return err
 	}
@@ -101,11 +105,12 @@
 	if environment.Digest(data) != v.Digest {
 		return eris.Wrapf(document.ErrDigest, "revision %d", v.Revision)
 	}
-	parsed, err := environment.Parse(data)
+	text := environment.Split(data)
+	parsed, err := w.source.Parser().ParseText(text)
 	if err != nil {
 		return eris.Wrapf(err, "revision %d", v.Revision)
 	}
-	if w.putInForce(&InForce{Version: v, Document: parsed, Data: data}) {
+	if w.putInForce(&InForce{Version: v, Document: parsed, Text: text}) {
 		installs.Inc()
 		eventInForce.Log(&w.log).Uint64("revision", v.Revision).Str("digest", v.Digest).Send()
 	}
@@ -120,6 +125,7 @@
 	if w.inForce != nil && next.Version.Revision <= w.inForce.Version.Revision {
 		return false
 	}
+	w.remember(w.inForce)
 	w.inForce = next
 	w.state = Decide(w.state, Installed{Version: next.Version})
 	for v := range w.offers {
--- a/internal/rollout/watcher.go
+++ b/internal/rollout/watcher.go
@@ -29,8 +29,11 @@
 type Source interface {
 	// Current returns the revision in force, or platform.ErrNotFound.
 	Current(ctx context.Context, env string) (document.Revision, error)
-	// Bytes returns the document of a digest.
-	Bytes(ctx context.Context, env, digest string) ([]byte, error)
+	// Update returns the document of a digest. Pieces that held has are not
+	// fetched.
+	Update(ctx context.Context, env, digest string, held environment.Text) ([]byte, error)
+	// Parser reads documents.
+	Parser() *environment.Parser
 }
 
 // Fetch gets the bytes of an offered version from a peer.
@@ -48,11 +51,11 @@
 	Members func() int
 }
 
-// InForce is a document in force with its version and bytes. It is immutable.
+// InForce is a document in force with its version and text. It is immutable.
 type InForce struct {
 	Version  Version
 	Document *environment.Document
-	Data     []byte
+	Text     environment.Text
 }
 
 // Watcher holds the document in force. It is safe for concurrent use.
@@ -69,7 +72,9 @@
 	state   State
 	inForce *InForce
 	// offers holds the ways to fetch a version from peers.
-	offers      map[Version][]Fetch
+	offers map[Version][]Fetch
+	// past holds the documents that were in force before, oldest first.
+	past        []pastDocument
 	subscribers map[chan *InForce]bool
 }
 
