--- a/cmd/rattanctl/status.go
+++ b/cmd/rattanctl/status.go
@@ -34,7 +34,7 @@
 		return err
 	}
 	return a.print(c, s, func(t *table) {
-		t.title("%s as %s knows it at %s", s.Environment, s.Proxy, stamp(s.Time))
+		t.title("%s as %s/%s knows it at %s", s.Environment, s.Role, s.Proxy, stamp(s.Time))
 		t.title("document: revision %d %s, %s", s.Document.Revision, short(s.Document.Digest), s.Document.Status)
 		for _, g := range s.Groups {
 			t.group(g)
@@ -42,6 +42,7 @@
 		t.title("")
 		t.members(s.Members)
 		t.title("")
+		t.runningFailovers(s.Failovers, s.RunningMissing)
 		t.failovers(s.Failovers)
 	})
 }
@@ -98,25 +99,25 @@
 }
 
 func (a *app) explain(ctx context.Context, c *cli.Command, api *adminclient.Client) error {
-	sql, err := oneArgument(c, "the statement")
-	if err != nil {
-		return err
-	}
 	request := map[string]string{
-		"sql": sql, "group": c.String("group"), "customer": c.String("customer"), "rank": c.String("rank"),
+		"sql": c.Args().First(), "group": c.String("group"), "customer": c.String("customer"), "rank": c.String("rank"),
 		"read": c.String("read"), "freshness": c.String("freshness"), "session": c.String("session"),
 	}
 	var e admin.Explanation
 	if err := api.Post(ctx, "/v1/explain", request, &e); err != nil {
 		return err
 	}
-	return a.print(c, e, func(t *table) {
+	err := a.print(c, e, func(t *table) {
 		t.title("group %s, class %s, rank %s, home %s, server %s", e.Group, e.Class, e.Rank, dash(string(e.Home)), dash(string(e.Server)))
 		t.row("STEP", "RESULT", "REASON")
 		for _, s := range e.Steps {
 			t.row(s.Step, s.Result, s.Reason)
 		}
 	})
+	if err == nil && e.Unknown != "" {
+		err = eris.New(e.Unknown)
+	}
+	return err
 }
 
 func (a *app) keyCommand() *cli.Command {
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log"
 	"net"
 	"net/http"
 	"strings"
@@ -71,6 +72,8 @@
 	Server cluster.ServerID  `json:"server"`
 	// Steps are the decisions in their order.
 	Steps []ExplanationStep `json:"steps"`
+	// Unknown tells why the home's decisions are missing; empty when they are not.
+	Unknown string `json:"unknown,omitempty"`
 }
 
 // Add adds a decision.
@@ -104,7 +107,9 @@
 	// Changed is told of each accepted change, so that this process and its
 	// peers take it up at once. It may be nil.
 	Changed func(document.Revision)
-	Log     zerolog.Logger
+	// ReadOnly refuses every change.
+	ReadOnly bool
+	Log      zerolog.Logger
 }
 
 // Server serves the API.
@@ -135,6 +140,7 @@
 		WriteTimeout:      2 * requestTimeout,
 		IdleTimeout:       time.Minute,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          log.New(connectionLog{&s.config.Log}, "", 0),
 	}
 	stop := context.AfterFunc(ctx, func() {
 		shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
@@ -155,6 +161,15 @@
 	return eris.Wrap(err, "serve administration API")
 }
 
+// connectionLog makes events of what the HTTP server says about connections.
+type connectionLog struct{ log *zerolog.Logger }
+
+// Write implements io.Writer; text is one line.
+func (c connectionLog) Write(text []byte) (int, error) {
+	eventConnectionFailed.Log(c.log).Str("cause", strings.TrimSpace(string(text))).Send()
+	return len(text), nil
+}
+
 // handler limits, authenticates and answers the requests of one route.
 func (s *Server) handler(r route) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
@@ -178,6 +193,9 @@
 		return nil, newError(CodeBusy, "too many requests at once")
 	}
 	var identity Identity
+	if s.config.ReadOnly && r.need.changes() {
+		return nil, newError(CodeForbidden, "this process takes no changes; ask a proxy")
+	}
 	if r.need != needNothing {
 		var err error
 		if identity, err = s.authorize(request, r.need); err != nil {
--- /dev/null
+++ b/internal/deployment/source.go
@@ -0,0 +1,126 @@
+package deployment
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rattancove/rattancove/internal/admin"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/failover"
+	"github.com/rattancove/rattancove/internal/member"
+	"github.com/rattancove/rattancove/internal/process"
+)
+
+const (
+	// statusTimeout bounds what a status waits for homes and the table service.
+	statusTimeout = 2 * time.Second
+	// askTimeout and askLimit bound the question to members that seem behind.
+	askTimeout = 500 * time.Millisecond
+	askLimit   = 64
+	// statusCalls bounds the calls that one status makes at once.
+	statusCalls = 16
+)
+
+// Source gathers the status of a deployment. It implements admin.StatusSource.
+type Source struct {
+	Process *process.Process
+	// Role is the role of this process.
+	Role member.Role
+	// Records are the failovers that wardens have finished.
+	Records *failover.Store
+	// Own returns the status of a group whose home is this process. It is nil
+	// where no group has its home.
+	Own func(cluster.GroupName) (admin.GroupStatus, error)
+	// HomeOf names the home of a group; empty when there is none.
+	HomeOf func(cluster.GroupName) cluster.ProxyID
+}
+
+// Status implements admin.StatusSource. Homes that do not answer in time make
+// their groups unknown.
+func (s *Source) Status(ctx context.Context) (admin.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	status := admin.Status{
+		Environment: s.Process.Settings.Environment, Proxy: s.Process.Settings.ID, Role: string(s.Role), Time: time.Now(),
+		Document: s.documentStatus(), Members: s.Members(ctx),
+		Groups: []admin.GroupStatus{}, Failovers: []admin.FailoverStatus{},
+	}
+	if current := s.Process.Documents.Current(); current != nil {
+		s.addGroups(ctx, &status, current.Document.Groups)
+	}
+	return status, nil
+}
+
+// addGroups adds the groups and their failovers. Wardens are asked beside the
+// homes, as either may use up the time.
+func (s *Source) addGroups(ctx context.Context, status *admin.Status, groups []environment.Group) {
+	var parts sync.WaitGroup
+	var running []admin.FailoverStatus
+	parts.Go(func() { status.Groups = s.groupStatuses(ctx, groups) })
+	parts.Go(func() { status.Failovers, status.FailoversMissing = s.recordedFailovers(ctx, groups) })
+	parts.Go(func() { running, status.RunningMissing = s.runningFailovers(ctx) })
+	parts.Wait()
+	status.Failovers = joinFailovers(status.Failovers, running)
+}
+
+func (s *Source) documentStatus() admin.DocumentStatus {
+	state := s.Process.Documents.State()
+	status := admin.DocumentStatus{
+		Revision: state.Held.Revision, Digest: state.Held.Digest, Status: string(state.Status), ProofAgeMillis: -1,
+	}
+	if age, ok := s.Process.Documents.ProofAge(); ok {
+		status.ProofAgeMillis = age.Milliseconds()
+	}
+	return status
+}
+
+// groupStatuses returns the groups of the document, in its order.
+func (s *Source) groupStatuses(ctx context.Context, groups []environment.Group) []admin.GroupStatus {
+	statuses := make([]admin.GroupStatus, len(groups))
+	var calls errgroup.Group
+	calls.SetLimit(statusCalls)
+	for i, g := range groups {
+		calls.Go(func() error {
+			statuses[i] = s.groupStatus(ctx, g)
+			return nil
+		})
+	}
+	_ = calls.Wait()
+	return statuses
+}
+
+func (s *Source) groupStatus(ctx context.Context, g environment.Group) admin.GroupStatus {
+	home := s.HomeOf(g.Name)
+	status, err := s.statusFrom(ctx, g.Name, home)
+	if err != nil {
+		status = admin.GroupStatus{Home: home, Unknown: err.Error()}
+	}
+	status.Name, status.Customers = g.Name, g.Customers
+	return status
+}
+
+// statusFrom returns what the home knows of a group.
+func (s *Source) statusFrom(ctx context.Context, group cluster.GroupName, home cluster.ProxyID) (admin.GroupStatus, error) {
+	if s.Own != nil && home == s.Process.Settings.ID {
+		return s.Own(group)
+	}
+	e, ok := s.Process.Members.Snapshot().Find(member.Key{Role: member.RoleProxy, ID: string(home)})
+	if !ok {
+		return admin.GroupStatus{}, errcode.New(errcode.NoHome, "group status", string(home))
+	}
+	data, err := s.Process.Peers.Client(e.Member.Address).GroupStatus(ctx, group)
+	if err != nil {
+		return admin.GroupStatus{}, err
+	}
+	var status admin.GroupStatus
+	if err := json.Unmarshal(data, &status); err != nil {
+		return admin.GroupStatus{}, errcode.Wrap(err, errcode.Protocol, "group status", string(home))
+	}
+	return status, nil
+}
--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/rattancove/rattancove/internal/admin"
+	"github.com/rattancove/rattancove/internal/tlskeys/tlstest"
 )
 
 const (
@@ -42,10 +43,11 @@
 type fleet struct {
 	t   *testing.T
 	dir string
-	ca  *authority
+	ca  *tlstest.Authority
 
 	table, objects, vms string
 	callers, admins     [proxyCount]string
+	wardenAdmins        [wardenCount]string
 	// peers and servers are the addresses by which others reach a process, and
 	// peerListens and serverListens those on which it listens.
 	peers, peerListens     [proxyCount + wardenCount]string
@@ -60,9 +62,10 @@
 // startFleet builds the programs and starts every process without a document.
 func startFleet(t *testing.T, groups int, relayed bool) *fleet {
 	f := &fleet{
-		t: t, dir: t.TempDir(), ca: newAuthority(t), mu: &sync.Mutex{}, processes: map[string]*exec.Cmd{},
+		t: t, dir: t.TempDir(), mu: &sync.Mutex{}, processes: map[string]*exec.Cmd{},
 		serverListens: make([]string, groups*groupServers), relays: map[string]*relay{},
 	}
+	f.ca = tlstest.NewAuthority(t, f.dir)
 	build := exec.Command("go", "build", "-o", f.dir, "../../cmd/...")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
@@ -75,12 +78,12 @@
 	for i := range f.servers {
 		f.startServer(i)
 	}
-	f.ca.issue(t, f.dir, "proxy", time.Now().Add(time.Hour))
+	f.ca.Valid("proxy")
 	for i := range proxyCount {
 		f.startProxy(i)
 	}
 	for i := range wardenCount {
-		f.write(fmt.Sprintf("warden-%d.yaml", i+1), f.common(i, f.peerListens[proxyCount+i], f.peers[proxyCount+i]))
+		f.write(fmt.Sprintf("warden-%d.yaml", i+1), f.common(i, f.peerListens[proxyCount+i], f.peers[proxyCount+i])+f.admin(f.wardenAdmins[i]))
 		name := fmt.Sprintf("warden-%d", i+1)
 		f.spawn(name, "rattan-warden", "--settings", filepath.Join(f.dir, name+".yaml"))
 	}
@@ -102,6 +105,9 @@
 	for i := range f.peerListens {
 		ports = append(ports, &f.peerListens[i])
 	}
+	for i := range f.wardenAdmins {
+		ports = append(ports, &f.wardenAdmins[i])
+	}
 	for i := range f.serverListens {
 		ports = append(ports, &f.serverListens[i])
 	}
@@ -202,12 +208,17 @@
 `, i+1, i, environment, listen, advertise, f.peers[0], f.table, f.objects, f.vms)
 }
 
+// admin returns the settings of an administration listener.
+func (f *fleet) admin(address string) string {
+	return fmt.Sprintf("admin: {listen: %q, keys_file: %s, tls: {cert_file: %s, key_file: %s}}\n",
+		address, f.dir+"/keys.yaml", f.dir+"/proxy.crt", f.dir+"/proxy.key")
+}
+
 func (f *fleet) startProxy(i int) {
 	name := fmt.Sprintf("proxy-%d", i+1)
-	f.write(name+".yaml", f.common(i, f.peerListens[i], f.peers[i])+fmt.Sprintf(`callers: {listen: %q}
-admin: {listen: %q, keys_file: %s, tls: {cert_file: %s, key_file: %s}}
+	f.write(name+".yaml", f.common(i, f.peerListens[i], f.peers[i])+f.admin(f.admins[i])+fmt.Sprintf(`callers: {listen: %q}
 drain: {ready_delay: 200ms, timeout: 60s}
-`, f.callers[i], f.admins[i], f.dir+"/keys.yaml", f.dir+"/proxy.crt", f.dir+"/proxy.key"))
+`, f.callers[i]))
 	f.spawn(name, "rattan-proxy", "--settings", filepath.Join(f.dir, name+".yaml"))
 }
 
@@ -268,7 +279,13 @@
 
 func (f *fleet) rattanctlAs(key string, proxy int, args ...string) (int, string) {
 	f.t.Helper()
-	cmd := f.rattanctlCommand(key, f.admins[proxy], args...)
+	return f.rattanctlAt(key, f.admins[proxy], args...)
+}
+
+// rattanctlAt runs a command against the administration API at an address.
+func (f *fleet) rattanctlAt(key, address string, args ...string) (int, string) {
+	f.t.Helper()
+	cmd := f.rattanctlCommand(key, address, args...)
 	out, _ := cmd.CombinedOutput()
 	return cmd.ProcessState.ExitCode(), string(out)
 }
