Agree on homes from the first contact; finish relayed requests at a stop

A restart left groups without a reachable home for 3.5 s, several in turn for more than 10 s. Cause of answers cut off at a planned stop: the peer server ended while requests of other proxies passed through, and before the last result was written.

Ruled out: a holder that refuses to release (a cut holder would keep the group), and waiting before each claim (every failure would wait).

Change: reports carry whether the sender takes the member for stable; a starting process believes it, and is nobody's home in its own view until its first contact, for 2 s at most. The peer server counts the requests that run and a stop waits for them within drain.timeout.

TestRestartedMemberAgreesOnHomesAtOnce failed twice on the way (members known from leases only; stability learned at the next tick) and passes. TestDrainWaitsForRunningRequests covers the stop.

--- a/internal/member/loop.go
+++ b/internal/member/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,7 +56,8 @@
 		cfg: cfg, table: newTable(cfg.Self, now), state: StateAlive, ticked: now,
 		changed: make(chan struct{}), leaving: map[string]bool{}, failures: map[Key]int{},
 	}
-	l.snapshot = NewSnapshot(l.table.sorted())
+	l.table.alone = slices.ContainsFunc(cfg.Seeds, func(address string) bool { return address != cfg.Self.Address })
+	l.snapshot = l.table.snapshot()
 	return l
 }
 
@@ -139,7 +141,9 @@
 }
 
 // own returns the report of this process about itself. The caller holds the lock.
-func (l *Loop) own() Report { return Report{Member: l.cfg.Self, State: l.state} }
+func (l *Loop) own() Report {
+	return Report{Member: l.cfg.Self, State: l.state, Stable: l.table.entries[l.table.self].Stable}
+}
 
 // publish replaces the snapshot after a change. The caller holds the lock.
 func (l *Loop) publish(changed bool) {
@@ -147,7 +151,7 @@
 		return
 	}
 	old := l.snapshot
-	l.snapshot = NewSnapshot(l.table.sorted())
+	l.snapshot = l.table.snapshot()
 	close(l.changed)
 	l.changed = make(chan struct{})
 	l.logChanges(old)
--- a/internal/member/loop_test.go
+++ b/internal/member/loop_test.go
@@ -268,3 +268,45 @@
 		}
 	})
 }
+
+// A process that joins an old fleet takes the others' home for its own from
+// the beginning. It does not choose itself because it finds nobody stable.
+func TestRestartedMemberAgreesOnHomesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, stop := newTestNet(t)
+		defer stop()
+		startFleet(n, 8)
+		time.Sleep(15 * time.Second)
+		home, _ := n.loops["p0:1"].Snapshot().HomeOf("g")
+		n.kill(home.ID)
+		time.Sleep(5 * time.Second)
+		others := n.loops["p0:1"]
+		if home.ID == "p0" {
+			others = n.loops["p1:1"]
+		}
+		restarted := n.start(home.ID, 2, "p0:1", "p1:1", "p2:1")
+		for began := time.Now(); time.Since(began) < 4*time.Second; time.Sleep(time.Millisecond) {
+			want, _ := others.Snapshot().HomeOf("g")
+			if got, ok := restarted.Snapshot().HomeOf("g"); ok && got.ID != want.ID {
+				t.Fatalf("%v after the start the home is %s, and %s for the others", time.Since(began), got.ID, want.ID)
+			}
+		}
+	})
+}
+
+// A process that reaches no other one is its own home after a while.
+func TestLoneMemberBecomesHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, stop := newTestNet(t)
+		defer stop()
+		l := n.start("p0", 1, "p0:1", "p1:1")
+		time.Sleep(aloneFor / 2)
+		if _, ok := l.Snapshot().HomeOf("g"); ok {
+			t.Error("a home before the others could answer")
+		}
+		time.Sleep(aloneFor)
+		if home, ok := l.Snapshot().HomeOf("g"); !ok || home.ID != "p0" {
+			t.Errorf("no home: %v", home)
+		}
+	})
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -73,6 +73,8 @@
 	State  State
 	// Age is the time since the state was true.
 	Age time.Duration
+	// Stable is set when the sender takes the member for stable.
+	Stable bool
 }
 
 // News is the content of a ping and of its reply.
@@ -91,6 +93,8 @@
 	EvidenceAt time.Time
 	// Stable is set when the member has been alive for stableAfter.
 	Stable bool
+	// toldStable is set when another process has told that it is.
+	toldStable bool
 	// directAt is the time of the last direct contact.
 	directAt time.Time
 	// doubtedAt is the time at which this process last began to doubt the member.
--- a/internal/member/snapshot.go
+++ b/internal/member/snapshot.go
@@ -14,6 +14,8 @@
 // Snapshot is the view at one moment. It is immutable and safe for concurrent use.
 type Snapshot struct {
 	entries []Entry
+	// alone is set while a process that has just started knows no other member.
+	alone bool
 	// homes caches HomeOf by group.
 	homes sync.Map
 }
@@ -48,8 +50,12 @@
 
 // HomeOf returns the proxy that should be the home of group. Proxies that are
 // not yet stable are chosen only when no other is usable. The second result is
-// false when no proxy is usable.
+// false when no proxy is usable, and while a process that has just started has
+// not heard from another one.
 func (s *Snapshot) HomeOf(group cluster.GroupName) (Member, bool) {
+	if s.alone {
+		return Member{}, false
+	}
 	if m, ok := s.homes.Load(group); ok {
 		return m.(Member), true
 	}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -20,6 +20,9 @@
 	// stableAfter is the time for which a member must be alive before it
 	// becomes the home of a group.
 	stableAfter = 5 * time.Second
+	// aloneFor is the time for which a process that has just started waits for
+	// an answer from another one before it counts itself as the only member.
+	aloneFor = 2 * time.Second
 	// trustDirect is the time after direct contact in which a member's death or
 	// suspicion is not taken from others.
 	trustDirect = 1500 * time.Millisecond
@@ -35,6 +38,9 @@
 	self    Key
 	entries map[Key]*Entry
 	started time.Time
+	// alone is set until the process has direct contact with another one, if
+	// there are others to ask, for at most aloneFor.
+	alone bool
 }
 
 // newTable returns a view that holds only the process itself.
@@ -50,8 +56,27 @@
 	if key == t.self {
 		return false
 	}
+	changed := t.merge(r, now)
+	return t.learnStable(r, now) || changed
+}
+
+// learnStable takes in that a member is stable, and reports whether the view
+// changed.
+func (t *table) learnStable(r Report, now time.Time) bool {
+	e, ok := t.entries[r.Member.Key()]
+	if !ok || !r.Stable || e.toldStable || r.Member.Incarnation != e.Member.Incarnation {
+		return false
+	}
+	e.toldStable = true
+	before := e.Stable
+	e.Stable = e.usable() && t.stable(e, now)
+	return e.Stable != before
+}
+
+// merge takes in the state of a member.
+func (t *table) merge(r Report, now time.Time) bool {
 	at := now.Add(-r.Age)
-	e, ok := t.entries[key]
+	e, ok := t.entries[r.Member.Key()]
 	switch {
 	case !ok && r.State == StateDead:
 		return false
@@ -106,6 +131,7 @@
 	e.Member = r.Member
 	e.EvidenceAt = at
 	e.Since = now
+	e.toldStable = false
 	t.fire(e, eventRestarted, now)
 	if r.State != StateAlive {
 		t.fire(e, eventOf(r.State), now)
@@ -160,6 +186,7 @@
 	}
 	if State(next) == StateAlive && e.State == StateDead {
 		e.Since = now
+		e.toldStable = false
 	}
 	if State(next) == StateSuspect {
 		e.doubtedAt = now
@@ -176,7 +203,8 @@
 // heard records direct contact.
 func (t *table) heard(r Report, now time.Time) bool {
 	r.Age = 0
-	changed := t.observe(r, now)
+	changed := t.observe(r, now) || t.alone
+	t.alone = false
 	if e, ok := t.entries[r.Member.Key()]; ok && e.Member.Incarnation == r.Member.Incarnation {
 		e.directAt = now
 	}
@@ -204,7 +232,8 @@
 
 // tick applies the passing of time and reports whether the view changed.
 func (t *table) tick(now time.Time) bool {
-	changed := false
+	changed := t.alone && now.Sub(t.started) >= aloneFor
+	t.alone = t.alone && !changed
 	for key, e := range t.entries {
 		silent := now.Sub(e.EvidenceAt)
 		if e.State == StateSuspect && now.Sub(e.doubtedAt) >= deadAfter {
@@ -234,12 +263,12 @@
 	}
 }
 
-// stable reports whether a member has been alive long enough to be a home.
-// Members that were found while this process started count at once, so that a
-// process that joins an old fleet agrees with it.
+// stable reports whether a member has been alive long enough to be a home. Of
+// members that were found while this process started it takes the word of the
+// others, so that a process that joins an old fleet agrees with it at once.
 func (t *table) stable(e *Entry, now time.Time) bool {
 	if e.Since.Sub(t.started) < stableAfter {
-		return now.Sub(t.started) >= stableAfter
+		return e.toldStable || now.Sub(t.started) >= stableAfter
 	}
 	return now.Sub(e.Since) >= stableAfter
 }
@@ -288,7 +317,13 @@
 }
 
 func (e *Entry) report(now time.Time) Report {
-	return Report{Member: e.Member, State: e.State, Age: now.Sub(e.EvidenceAt)}
+	return Report{Member: e.Member, State: e.State, Age: now.Sub(e.EvidenceAt), Stable: e.Stable}
+}
+
+func (t *table) snapshot() *Snapshot {
+	s := NewSnapshot(t.sorted())
+	s.alone = t.alone
+	return s
 }
 
 func (t *table) sorted() []Entry {
--- /dev/null
+++ b/internal/peer/drain_test.go
@@ -0,0 +1,58 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// A server that is stopped after Drain has cut off no result.
+func TestDrainWaitsForRunningRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := zerolog.Nop()
+		server, err := NewServer(Handlers{Runner: runnerFunc(func(context.Context, *statement.Request, statement.Conversation) (statement.Result, error) {
+			time.Sleep(2 * time.Second)
+			return statement.Result{Reason: "late"}, nil
+		})}, &log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := server.Drain(t.Context()); err != nil {
+			t.Fatalf("nothing runs: %v", err)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		client := NewClient("peer", func(context.Context, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() { _ = server.ServeConn(ctx, far) }()
+			return near, nil
+		})
+		defer client.Close()
+		results := make(chan error)
+		go func() {
+			r := fullRequest()
+			r.Timeout = 10 * time.Second
+			_, err := client.Run(t.Context(), r, &callerEnd{})
+			results <- err
+		}()
+		time.Sleep(time.Second)
+		short, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		if err := server.Drain(short); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("a request runs, and the drain ended with %v", err)
+		}
+		go func() {
+			_ = server.Drain(t.Context())
+			stop()
+		}()
+		if err := <-results; err != nil {
+			t.Errorf("cut off: %v", err)
+		}
+	})
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -41,6 +41,7 @@
 	peerpb.DRPCPeerUnimplementedServer
 	handlers Handlers
 	server   *drpcserver.Server
+	runs     runs
 	log      *zerolog.Logger
 }
 
@@ -136,6 +137,8 @@
 	if s.handlers.Runner == nil {
 		return s.DRPCPeerUnimplementedServer.Run(stream)
 	}
+	s.runs.begin()
+	defer s.runs.end()
 	first, err := stream.Recv()
 	if err != nil {
 		return err
--- a/internal/process/ping.go
+++ b/internal/process/ping.go
@@ -151,13 +151,14 @@
 	if !ok {
 		return
 	}
-	_, _ = pinger{p}.Ping(ctx, address, member.News{From: member.Report{Member: self.Member, State: self.State}})
+	_, _ = pinger{p}.Ping(ctx, address, member.News{From: member.Report{Member: self.Member, State: self.State, Stable: self.Stable}})
 }
 
 func reportToProto(r member.Report) *peerpb.Member {
 	return &peerpb.Member{
 		Id: r.Member.ID, Address: r.Member.Address, FailureDomain: r.Member.FailureDomain, Role: string(r.Member.Role),
 		Incarnation: r.Member.Incarnation, State: string(r.State), AgeMillis: r.Age.Milliseconds(),
+		Stable: r.Stable,
 	}
 }
 
@@ -167,8 +168,9 @@
 			ID: m.GetId(), Role: member.Role(m.GetRole()), Address: m.GetAddress(),
 			FailureDomain: m.GetFailureDomain(), Incarnation: m.GetIncarnation(),
 		},
-		State: member.State(m.GetState()),
-		Age:   time.Duration(m.GetAgeMillis()) * time.Millisecond,
+		State:  member.State(m.GetState()),
+		Age:    time.Duration(m.GetAgeMillis()) * time.Millisecond,
+		Stable: m.GetStable(),
 	}
 }
 
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -41,6 +42,8 @@
 	role        member.Role
 	peerKeys    *tlskeys.Keys
 	stopTracing func(context.Context) error
+	// peerServer is set once Run has begun.
+	peerServer atomic.Pointer[peer.Server]
 }
 
 // New builds a process. It connects to nothing, so that a process starts
@@ -124,6 +127,7 @@
 	if err != nil {
 		return err
 	}
+	p.peerServer.Store(server)
 	listener, err := p.listenPeers()
 	if err != nil {
 		return err
@@ -144,6 +148,15 @@
 	return group.Wait()
 }
 
+// DrainPeers waits until no request of a peer runs here, or ctx ends.
+func (p *Process) DrainPeers(ctx context.Context) error {
+	server := p.peerServer.Load()
+	if server == nil {
+		return nil
+	}
+	return server.Drain(ctx)
+}
+
 func (p *Process) listenPeers() (net.Listener, error) {
 	l, err := net.Listen("tcp", p.Settings.Peer.Listen)
 	if err != nil {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -201,6 +201,9 @@
 		eventDrainCut.Log(&p.process.Log).Err(err).Send()
 	}
 	p.home.Close(limited)
+	if err := p.process.DrainPeers(limited); err != nil {
+		eventDrainCut.Log(&p.process.Log).Err(err).Send()
+	}
 }
 
 func sleep(ctx context.Context, d time.Duration) {
