Provoke what each safety mechanism prevents; switch off two more

Cause: TestSeededFleetFindsMissingMechanisms found a missing mechanism only if the order of goroutines happened to be right. Answers and outcomes had checks but no switch.

Change: TestScenariosFindMissingMechanisms plays one scenario for each mechanism, with it and without it. The search by seed stays. For the seals it plays a new mix that takes two servers of a group away while the third lacks the last writes; the same mix is played with every mechanism on by TestSeededMajorityLoss. Two switches are new: connections with an unread answer are handed out again, and every failure is called not run. Answers of each batch are compared with it, and a read's answer with what was written to its key, as a promise of its own; before, a strange answer to a write counted as a refusal and one to a read was not compared.

--- a/internal/proof/callers_test.go
+++ b/internal/proof/callers_test.go
@@ -1,10 +1,12 @@
 package proof
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -18,6 +20,8 @@
 const (
 	sessionsPerGroup = 4
 	requestTimeout   = 2 * time.Second
+	// usualWork is the time that a single write takes at its server.
+	usualWork = time.Millisecond
 	// statementMargin is how much longer than its timeout a request may take.
 	statementMargin = time.Second
 	// thinkTime is the mean time between two requests of a session.
@@ -50,6 +54,8 @@
 	// acked is the session's last acknowledged write before the request.
 	acked cluster.Position
 	err   error
+	// foreign is set when an answer belongs to another request.
+	foreign bool
 }
 
 func (o *operation) isRead() bool { return len(o.writes) == 0 }
@@ -107,6 +113,21 @@
 	return s.answers[len(s.answers)-1]
 }
 
+// answersTo reports whether each answer is the wanted one or a refusal.
+func (s *script) answersTo(want []string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, answer := range s.answers {
+		if !slices.Contains(refusals, answer) && (i >= len(want) || answer != want[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+// refusals are the answers of servers to what they do not run.
+var refusals = []string{"read-only", "rollback"}
+
 // roamer is one session whose requests each go through another proxy.
 type roamer struct {
 	fleet   *fleet
@@ -121,6 +142,8 @@
 	acked    cluster.Position
 	sequence int
 	repeats  []write
+	// work and timeout take the place of usualWork and requestTimeout if set.
+	work, timeout time.Duration
 }
 
 // run sends requests until ctx ends.
@@ -174,8 +197,9 @@
 
 func (r *roamer) write(p *node, orderID string, w write) {
 	o := &operation{orderID: orderID, writes: []write{w}}
-	first := statement.Batch{Messages: []byte("work 1ms put " + w.key + " " + w.value)}
-	r.send(p, o, first, &script{}, "put "+w.key+" "+w.value)
+	put := "put " + w.key + " " + w.value
+	first := statement.Batch{Messages: []byte("work " + cmp.Or(r.work, usualWork).String() + " " + put)}
+	r.send(p, o, first, &script{}, put)
 }
 
 func (r *roamer) transaction(p *node) {
@@ -185,22 +209,22 @@
 		s.batches = append(s.batches, statement.Batch{Messages: []byte("put " + w.key + " " + w.value)})
 	}
 	s.batches = append(s.batches, statement.Batch{Messages: []byte("commit")})
-	r.send(p, o, statement.Batch{Messages: []byte("begin"), Class: statement.ClassBegin}, s, "commit")
+	r.send(p, o, statement.Batch{Messages: []byte("begin"), Class: statement.ClassBegin}, s, "begin", "put", "put", "commit")
 }
 
 func (r *roamer) read(p *node, key string, latest bool) {
 	o := &operation{key: key, latest: latest}
-	r.send(p, o, statement.Batch{Messages: []byte("get " + key), Class: statement.ClassRead}, &script{}, "")
+	r.send(p, o, statement.Batch{Messages: []byte("get " + key), Class: statement.ClassRead}, &script{})
 }
 
-// send runs a request through p. A write is done if the last answer is want.
-func (r *roamer) send(p *node, o *operation, first statement.Batch, s *script, want string) {
+// send runs a request through p. A write is done if its answers are want.
+func (r *roamer) send(p *node, o *operation, first statement.Batch, s *script, want ...string) {
 	s2 := &session.Session{}
 	s2.SetName(r.name)
 	floor := s2.Floor(r.token)
 	req := &statement.Request{
 		ID: r.name + "/" + fmt.Sprint(time.Now().UnixNano()), Group: r.group, Session: r.name,
-		Rank: cluster.Rank(r.random.IntN(cluster.RankCount)), OrderID: o.orderID, Timeout: requestTimeout,
+		Rank: cluster.Rank(r.random.IntN(cluster.RankCount)), OrderID: o.orderID, Timeout: cmp.Or(r.timeout, requestTimeout),
 		Floor: floor.Position, FloorExact: floor.Exact, First: first,
 	}
 	if o.latest {
@@ -211,10 +235,11 @@
 	o.result, o.err = p.serve(req, s)
 	o.end = time.Now()
 	o.seen = s.last()
+	o.foreign = !o.isRead() && !s.answersTo(want)
 	switch {
 	case o.err != nil:
 		o.outcome = errcode.From(o.err).Code.Outcome
-	case !o.isRead() && o.seen != want:
+	case !o.isRead() && !slices.Equal(s.answers, want):
 		o.outcome = errcode.OutcomeNotRun // the server answered an error
 	default:
 		o.outcome = errcode.OutcomeDone
@@ -239,7 +264,7 @@
 	ctx, cancel := context.WithTimeout(n.ctx, req.Timeout+statementMargin)
 	defer cancel()
 	go func() {
-		result, err := n.gateway.Run(ctx, req, conv)
+		result, err := n.fleet.off.wrapEntry(n.gateway).Run(ctx, req, conv)
 		done <- ending{result, err}
 	}()
 	select {
--- a/internal/proof/check_test.go
+++ b/internal/proof/check_test.go
@@ -23,6 +23,7 @@
 	promiseRecovers  = "recovers by itself"
 	promiseLimits    = "limits of servers"
 	promiseWhole     = "whole transactions"
+	promiseAnswers   = "answers to their own requests"
 )
 
 // violation is a broken promise.
@@ -58,6 +59,7 @@
 	out.count()
 	out.checkWrites()
 	out.checkSessions()
+	out.checkAnswers()
 	f.checkHomes(out)
 	f.checkUsage(out)
 	for _, name := range f.names {
@@ -188,6 +190,26 @@
 	}
 }
 
+// checkAnswers checks that each answer is one to its request: what was put, or
+// a value that some request wrote to the key.
+func (o *outcome) checkAnswers() {
+	written := map[cluster.GroupName]map[write]bool{}
+	for _, op := range o.history {
+		if written[op.group] == nil {
+			written[op.group] = map[write]bool{}
+		}
+		for _, w := range op.writes {
+			written[op.group][w] = true
+		}
+	}
+	for _, op := range o.history {
+		strange := op.isRead() && op.outcome == errcode.OutcomeDone && op.seen != "" && !written[op.group][write{op.key, op.seen}]
+		if op.foreign || strange {
+			o.broke(promiseAnswers, "the answer is one to another request: %v", op)
+		}
+	}
+}
+
 func (o *outcome) checkPosition(op *operation, got, floor cluster.Position) {
 	if got.Known() && got.Less(floor) {
 		o.broke(promiseMonotonic, "%v after %v: %v", got, floor, op)
--- a/internal/proof/dialer_test.go
+++ b/internal/proof/dialer_test.go
@@ -21,6 +21,8 @@
 
 	mu   sync.Mutex
 	last map[cluster.ServerID]*lastStatus
+	// unread is used when its switch is set.
+	unread unreadConns
 }
 
 func (d *fleetDialer) lastOf(id cluster.ServerID) *lastStatus {
@@ -36,13 +38,28 @@
 }
 
 func (d *fleetDialer) Dial(ctx context.Context, s cluster.Server, group cluster.GroupName, c backend.Claim) (backend.Conn, error) {
-	conn, err := d.fleet.groups[group].Dialer(d.from).Dial(ctx, s, group, c)
+	conn, err := d.open(ctx, s, group, c)
 	if err != nil {
 		return nil, err
 	}
 	return &recordedConn{Conn: conn, fleet: d.fleet, group: group, claim: c}, nil
 }
 
+func (d *fleetDialer) open(ctx context.Context, s cluster.Server, group cluster.GroupName, c backend.Claim) (backend.Conn, error) {
+	if !d.fleet.off.unread {
+		return d.fleet.groups[group].Dialer(d.from).Dial(ctx, s, group, c)
+	}
+	key := unreadKey{s.ID, c}
+	if kept := d.unread.take(key); kept != nil {
+		return kept, nil
+	}
+	conn, err := d.fleet.groups[group].Dialer(d.from).Dial(ctx, s, group, c)
+	if err != nil {
+		return nil, err
+	}
+	return &unreadConn{Conn: conn, closed: &d.unread, key: key}, nil
+}
+
 func (d *fleetDialer) DialControl(ctx context.Context, s cluster.Server, group cluster.GroupName) (backend.Control, error) {
 	control, err := d.fleet.groups[group].Dialer(d.from).DialControl(ctx, s, group)
 	if !d.home {
--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +18,11 @@
 	maxFault = 5 * time.Second
 	// frozenTime is longer than the death of a member takes to be noticed.
 	frozenTime = 6 * time.Second
+	// lostMajorityTime is longer than a group without a majority waits for one
+	// where a document lets it promote without.
+	lostMajorityTime = 6 * time.Second
+	// maxLaggard bounds how long a replica is kept from storing commits.
+	maxLaggard = time.Second
 	// partitionTime is longer than the other side takes to find a new home and
 	// a new primary.
 	partitionTime = 9 * time.Second
@@ -39,15 +45,19 @@
 	time time.Duration
 }
 
-// everything mixes all faults; storm takes servers away faster than they come back.
+// everything mixes all faults; storm takes servers away faster than they come
+// back; laggards leaves a server alone that lacks the last writes.
 var (
 	everything = mix{faults: allFaults, spacing: 900 * time.Millisecond, time: 11 * time.Second}
 	storm      = mix{faults: serverFaults, spacing: 300 * time.Millisecond, time: 11 * time.Second}
+	laggards   = mix{faults: []fault{majorityLoss}, spacing: 2 * time.Second, time: 15 * time.Second}
 	partitions = mix{faults: []fault{partition}, spacing: 8 * time.Second, time: 25 * time.Second}
 )
 
 var partition = fault{name: "partition primary with its home", begin: partitionWithHome, least: partitionTime}
 
+var majorityLoss = fault{name: "lose majority", begin: loseMajority, least: lostMajorityTime}
+
 var serverFaults = []fault{
 	{name: "kill server", begin: killServer},
 	{name: "kill primary", begin: killPrimary},
@@ -305,6 +315,31 @@
 	return func() { f.setStoreCut(n, false) }
 }
 
+// loseMajority takes the primary and a replica away after the other replica
+// was kept from storing commits for a while.
+func loseMajority(f *fleet, r *rand.Rand) func() {
+	name, g := f.anyGroup(r)
+	primary := f.primary(name)
+	servers := f.servers(name)
+	first := slices.Index(servers, primary) + 1 + r.IntN(serverCount-1)
+	laggard := servers[first%serverCount]
+	g.Cut(string(primary), string(laggard))
+	time.Sleep(time.Duration(r.Int64N(int64(maxLaggard))))
+	for _, id := range servers {
+		if id != laggard {
+			g.Kill(id)
+		}
+	}
+	g.Heal(string(primary), string(laggard))
+	return func() {
+		for _, id := range servers {
+			if id != laggard {
+				g.Restart(id)
+			}
+		}
+	}
+}
+
 func lag(f *fleet, r *rand.Rand) func() {
 	g, id := f.anyServer(r)
 	g.SetReplayLag(id, time.Duration(r.Int64N(int64(3*time.Second))))
--- a/internal/proof/missing_test.go
+++ b/internal/proof/missing_test.go
@@ -8,30 +8,64 @@
 // searchSeeds is the most runs in which a missing mechanism must be found.
 const searchSeeds = 40
 
+// missing is a mechanism that is switched off, and the promise that it keeps.
+type missing struct {
+	name    string
+	off     switches
+	promise string
+	// play provokes what the mechanism prevents.
+	play scenario
+	// mix is searched by seed.
+	mix mix
+}
+
+var mechanisms = []missing{
+	{"majority acknowledgement", switches{majorityAck: true}, promiseKept, loseUnshippedWrite, storm},
+	{"order ids at the servers", switches{orderIDs: true}, promiseOnce, loseOrderAnswer, everything},
+	{"unknown without an id sent once", switches{unknownOnce: true}, promiseOnce, loseWriteAnswer, everything},
+	{"floors of unknown sessions", switches{floors: true}, promiseOwnWrites, readBehindLag, everything},
+	{"claims of homes", switches{claims: true}, promiseOneHome, splitHomes, everything},
+	{"seals by a majority", switches{seals: true}, promiseKept, leaveLaggard, laggards},
+	{"unread answers close connections", switches{unread: true}, promiseAnswers, abandonAnswers, everything},
+	{"not run only if it did not run", switches{outcomes: true}, promiseNotRun, loseWriteAnswer, everything},
+}
+
+// find returns the first violation of a promise.
+func (o *outcome) find(promise string) (violation, bool) {
+	i := slices.IndexFunc(o.violations, func(v violation) bool { return v.promise == promise })
+	if i < 0 {
+		return violation{}, false
+	}
+	return o.violations[i], true
+}
+
+// TestScenariosFindMissingMechanisms plays for each mechanism what it is for,
+// with and without it.
+func TestScenariosFindMissingMechanisms(t *testing.T) {
+	for _, m := range mechanisms {
+		t.Run(m.name, func(t *testing.T) {
+			t.Parallel()
+			for _, v := range runScenario(t, m.play, switches{}).violations {
+				t.Errorf("with the mechanism: %s: %s", v.promise, v.text)
+			}
+			v, found := runScenario(t, m.play, m.off).find(m.promise)
+			if !found {
+				t.Fatalf("without the mechanism %q was kept", m.promise)
+			}
+			t.Logf("%s: %s", v.promise, v.text)
+		})
+	}
+}
+
 // TestSeededFleetFindsMissingMechanisms switches one mechanism off at a time
-// and expects that the same runs break one of the promises that it keeps.
+// and expects that the same runs break the promise that it keeps.
 func TestSeededFleetFindsMissingMechanisms(t *testing.T) {
-	tests := []struct {
-		name     string
-		mix      mix
-		off      switches
-		promises []string
-	}{
-		{"majority acknowledgement", storm, switches{majorityAck: true}, []string{promiseKept}},
-		{"order ids at the servers", everything, switches{orderIDs: true}, []string{promiseOnce}},
-		{"unknown without an id sent once", everything, switches{unknownOnce: true}, []string{promiseOnce}},
-		{"floors of unknown sessions", everything, switches{floors: true}, []string{promiseOwnWrites}},
-		{"claims of homes", everything, switches{claims: true}, []string{promiseOneHome}},
-		{"seals by a majority", storm, switches{seals: true}, []string{promiseKept}},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
+	for _, m := range mechanisms {
+		t.Run(m.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(searchSeeds) {
-				out := runSeed(t, seed, test.mix, test.off)
-				i := slices.IndexFunc(out.violations, func(v violation) bool { return slices.Contains(test.promises, v.promise) })
-				if i >= 0 {
-					t.Logf("seed %d: %s: %s", seed, out.violations[i].promise, out.violations[i].text)
+				if v, found := runSeed(t, seed, m.mix, m.off).find(m.promise); found {
+					t.Logf("seed %d: %s: %s", seed, v.promise, v.text)
 					return
 				}
 			}
--- /dev/null
+++ b/internal/proof/scenarios_test.go
@@ -0,0 +1,166 @@
+package proof
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/backend/backendtest"
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+const (
+	// slowWork is a statement that outlives impatientTime and the time that a
+	// home gives a cancelled statement to answer.
+	slowWork      = 3 * time.Second
+	impatientTime = 300 * time.Millisecond
+	// shortWork is a statement that keeps its connection for a while.
+	shortWork = 50 * time.Millisecond
+)
+
+// scenario is the interleaving of faults and requests that one mechanism is for.
+type scenario func(f *fleet, h *history)
+
+// runScenario plays a scenario in a quiet fleet and checks its history.
+func runScenario(t *testing.T, play scenario, off switches) *outcome {
+	t.Helper()
+	var out *outcome
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, everything, off)
+		defer f.close()
+		time.Sleep(startTime)
+		h := &history{}
+		play(f, h)
+		out = f.check(h)
+	})
+	out.checkLinearizable()
+	return out
+}
+
+// caller returns a session of the first group that sends what it is told to.
+func (f *fleet) caller(h *history, name string) *roamer {
+	return &roamer{fleet: f, name: name, group: f.names[0], random: newRandom(1, 1), history: h}
+}
+
+// first returns the first group, its primary and its replicas.
+func (f *fleet) first() (g *backendtest.Group, primary cluster.ServerID, replicas []cluster.ServerID) {
+	name := f.names[0]
+	primary = f.primary(name)
+	for _, id := range f.servers(name) {
+		if id != primary {
+			replicas = append(replicas, id)
+		}
+	}
+	return f.groups[name], primary, replicas
+}
+
+// loseUnshippedWrite takes a primary away for good before its replicas have
+// stored the last write.
+func loseUnshippedWrite(f *fleet, h *history) {
+	g, primary, replicas := f.first()
+	for _, id := range replicas {
+		g.Cut(string(primary), string(id))
+	}
+	r := f.caller(h, "clerk")
+	r.write(f.proxy(0), "", write{"clerk", r.next()})
+	g.Kill(primary)
+	time.Sleep(partitionTime)
+	for _, id := range replicas {
+		g.Heal(string(primary), string(id))
+	}
+	g.Restart(primary)
+	time.Sleep(partitionTime)
+}
+
+// leaveLaggard takes away the two servers that stored the last write. The
+// third one lacks it.
+func leaveLaggard(f *fleet, h *history) {
+	g, primary, replicas := f.first()
+	g.Cut(string(primary), string(replicas[0]))
+	r := f.caller(h, "clerk")
+	r.write(f.proxy(0), "", write{"clerk", r.next()})
+	g.Kill(primary)
+	g.Kill(replicas[1])
+	g.Heal(string(primary), string(replicas[0]))
+	time.Sleep(partitionTime)
+	g.Restart(primary)
+	g.Restart(replicas[1])
+	time.Sleep(partitionTime)
+}
+
+// loseOrderAnswer loses the answer to an order that may be repeated.
+func loseOrderAnswer(f *fleet, h *history) {
+	g, primary, _ := f.first()
+	g.LoseAnswers(primary, 1)
+	r := f.caller(h, "clerk")
+	r.order(f.proxy(0), write{"order/" + r.next(), "v"})
+}
+
+// loseWriteAnswer loses the answer to a write that may not be repeated.
+func loseWriteAnswer(f *fleet, h *history) {
+	g, primary, _ := f.first()
+	g.LoseAnswers(primary, 1)
+	r := f.caller(h, "clerk")
+	r.write(f.proxy(0), "", write{"clerk", r.next()})
+}
+
+// readBehindLag reads a session's own write while the replicas do not show it.
+func readBehindLag(f *fleet, h *history) {
+	g, _, replicas := f.first()
+	for _, id := range replicas {
+		g.SetReplayLag(id, time.Minute)
+	}
+	r := f.caller(h, "clerk")
+	r.write(f.proxy(0), "", write{"clerk", r.next()})
+	for i := range proxyCount {
+		r.read(f.proxy(i), "clerk", false)
+	}
+}
+
+// splitHomes cuts a home off from its peers but not from the servers, and
+// writes through it and through the other side in turn.
+func splitHomes(f *fleet, h *history) {
+	old := f.homeOfGroup(f.random, f.names[0])
+	for _, n := range f.nodes() {
+		if n != old {
+			f.net.cut(n.address, old.address)
+			f.net.cut(old.address, n.address)
+		}
+	}
+	time.Sleep(partitionTime)
+	left, right := f.caller(h, "left"), f.caller(h, "right")
+	for range 5 {
+		right.write(f.proxy((old.index+1)%proxyCount), "", write{"right", right.next()})
+		left.write(old, "", write{"left", left.next()})
+	}
+}
+
+// abandonAnswers gives up on statements that answer later, and then uses as
+// many connections again.
+func abandonAnswers(f *fleet, h *history) {
+	slow := []*roamer{f.caller(h, "slow-1"), f.caller(h, "slow-2")}
+	for _, r := range slow {
+		r.work, r.timeout = slowWork, impatientTime
+	}
+	writeAtOnce(f, slow)
+	time.Sleep(slowWork)
+	quick := []*roamer{f.caller(h, "quick-1"), f.caller(h, "quick-2"), f.caller(h, "quick-3")}
+	for _, r := range quick {
+		r.work = shortWork
+	}
+	writeAtOnce(f, quick)
+}
+
+// writeAtOnce lets each session write once through its home's proxy.
+func writeAtOnce(f *fleet, sessions []*roamer) {
+	done := make(chan bool)
+	for _, r := range sessions {
+		go func() {
+			r.write(f.proxy(0), "", write{r.name, r.next()})
+			done <- true
+		}()
+	}
+	for range sessions {
+		<-done
+	}
+}
--- a/internal/proof/seeded_test.go
+++ b/internal/proof/seeded_test.go
@@ -18,8 +18,10 @@
 const (
 	defaultSeeds = 200
 	stormShare   = 5
-	// partitionShare is the same for TestSeededPartitions.
-	partitionShare = 10
+	// partitionShare and majorityLossShare are the same for
+	// TestSeededPartitions and TestSeededMajorityLoss.
+	partitionShare    = 10
+	majorityLossShare = 10
 )
 
 // startTime is the time in which members become stable and homes claim.
@@ -104,6 +106,10 @@
 // with what they believe, and checks every promise.
 func TestSeededPartitions(t *testing.T) { playSeeds(t, seeds()/partitionShare, partitions) }
 
+// TestSeededMajorityLoss takes two servers of a group away at once while the
+// third one lacks the last writes, and checks every promise.
+func TestSeededMajorityLoss(t *testing.T) { playSeeds(t, seeds()/majorityLossShare, laggards) }
+
 func playSeeds(t *testing.T, count int, m mix) {
 	t.Helper()
 	sum := &totals{counts: map[string]int{}}
--- a/internal/proof/switches_test.go
+++ b/internal/proof/switches_test.go
@@ -29,6 +29,10 @@
 	// freshStatus shows homes that are set to trust the last known status of
 	// servers that they cannot reach.
 	freshStatus bool
+	// unread hands connections with an unread answer out again.
+	unread bool
+	// outcomes reports every failure as not run.
+	outcomes bool
 }
 
 func (s switches) wrapGateway(r statement.Runner) statement.Runner {
@@ -38,6 +42,14 @@
 	return repeatingRunner{r}
 }
 
+// wrapEntry changes what callers hear from their proxy.
+func (s switches) wrapEntry(r statement.Runner) statement.Runner {
+	if !s.outcomes {
+		return r
+	}
+	return denyingRunner{r}
+}
+
 func (s switches) wrapHome(r statement.Runner) statement.Runner {
 	if !s.floors {
 		return r
@@ -119,6 +131,17 @@
 	return result, err
 }
 
+// denyingRunner calls what failed not run.
+type denyingRunner struct{ statement.Runner }
+
+func (r denyingRunner) Run(ctx context.Context, req *statement.Request, conv statement.Conversation) (statement.Result, error) {
+	result, err := r.Runner.Run(ctx, req, conv)
+	if err != nil && errcode.From(err).Code.Outcome == errcode.OutcomeUnknown {
+		err = errcode.Wrap(err, errcode.ConnectionLost, "run", string(req.Group))
+	}
+	return result, err
+}
+
 type floorlessRunner struct{ statement.Runner }
 
 func (r floorlessRunner) Run(ctx context.Context, req *statement.Request, conv statement.Conversation) (statement.Result, error) {
