Change documents during the faults of the seeded fleet runs

Every process of the fleet follows the document as the programs do: a rollout.Watcher over the fake platform, versions on the pings and announcements to peers. Two operators change it from the revision that they read, at the same times, while the platform is down, slow or loses answers.

Four switches show that the checks find what is missing: conditions on the pointer row, the record of change ids, the refusal of older documents, and looks at the platform.

The fault that takes the platform away now takes the object store too. Cuts from the platform are counted, so that the first of two that overlap no longer ends both.

--- a/internal/proof/callers_test.go
+++ b/internal/proof/callers_test.go
@@ -151,7 +151,7 @@
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(r.random.ExpFloat64() * float64(thinkTime)))
 		p := r.fleet.proxy(r.random.IntN(proxyCount))
-		if p.stopped() {
+		if !p.ready() {
 			continue // the balancer knows
 		}
 		r.request(p)
@@ -257,9 +257,15 @@
 	}
 }
 
+// ready reports whether the balancer sends callers to this proxy.
+func (n *node) ready() bool { return !n.stopped() && !n.documents.OldDocument() }
+
 // serve runs a request of a caller of this proxy. The loss of the proxy leaves
 // the outcome of a write unknown.
 func (n *node) serve(req *statement.Request, conv statement.Conversation) (statement.Result, error) {
+	if n.documents.OldDocument() {
+		return statement.Result{}, errcode.New(errcode.OldDocument, "admit caller", n.name)
+	}
 	done := make(chan ending, 1)
 	ctx, cancel := context.WithTimeout(n.ctx, req.Timeout+statementMargin)
 	defer cancel()
--- a/internal/proof/check_test.go
+++ b/internal/proof/check_test.go
@@ -24,6 +24,9 @@
 	promiseLimits    = "limits of servers"
 	promiseWhole     = "whole transactions"
 	promiseAnswers   = "answers to their own requests"
+	promiseRises     = "revisions only rise"
+	promiseChanges   = "changes end as answered"
+	promiseNews      = "documents in force in time"
 )
 
 // violation is a broken promise.
@@ -40,6 +43,9 @@
 	history    []*operation
 	// logs holds the final values of each key in the log of the primary.
 	logs map[cluster.GroupName]map[string][]string
+	// changes is what operators did, and revisions the revision that each made.
+	changes   []*change
+	revisions map[string]uint64
 }
 
 func (o *outcome) broke(promise, format string, args ...any) {
@@ -62,6 +68,7 @@
 	out.checkAnswers()
 	f.checkHomes(out)
 	f.checkUsage(out)
+	f.checkDocuments(out)
 	for _, name := range f.names {
 		status := f.groups[name].Status(f.primary(name))
 		out.counts["failovers"] += int(status.Term) - 1
--- /dev/null
+++ b/internal/proof/documents_test.go
@@ -0,0 +1,429 @@
+package proof
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/document"
+	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/member"
+	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/platform/platformclient"
+	"github.com/rattancove/rattancove/internal/rollout"
+	"github.com/rattancove/rattancove/internal/settings"
+)
+
+const (
+	environmentName = "fleet"
+	customerName    = "team"
+	operatorCount   = 2
+	// changeInterval is the time between two changes of an operator. All
+	// operators change at the same time.
+	changeInterval = 1500 * time.Millisecond
+	// operatorDelay bounds the time that a call of an operator takes to arrive.
+	operatorDelay = 10 * time.Millisecond
+	// resendTime is the pause before a change of unknown outcome is sent again.
+	resendTime = time.Second
+	// announceTime bounds one announcement to a peer.
+	announceTime = time.Second
+)
+
+// document returns the fleet's document with a queue of its own.
+func (f *fleet) document(n int) []byte {
+	changed := *f.doc
+	changed.Ranks.Background.Queue += n
+	data, err := environment.Encode(&changed)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return data
+}
+
+// publishFirst puts the first document in force.
+func (f *fleet) publishFirst() {
+	first := document.Change{Environment: environmentName, ID: "first", Who: "fleet", Why: "start"}
+	if _, err := document.NewStore(f.table, f.objects).Publish(f.ctx, first, f.document(0)); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// nodeObjects is the object store as one process reaches it.
+type nodeObjects struct {
+	platform.Objects
+	node *node
+}
+
+func (o *nodeObjects) Get(ctx context.Context, key string) ([]byte, error) {
+	if err := o.node.reachStore(ctx); err != nil {
+		return nil, err
+	}
+	return o.Objects.Get(ctx, key)
+}
+
+func (n *node) openDocuments() {
+	table := platformclient.Table(&nodeTable{Table: n.fleet.table, node: n}, settings.DefaultPlatformTimeout)
+	objects := platformclient.Objects(&nodeObjects{Objects: n.fleet.objects, node: n}, settings.DefaultPlatformTimeout)
+	n.documents = rollout.NewWatcher(rollout.Config{
+		Environment: environmentName, Poll: settings.DefaultDocumentPoll,
+		MaxUnknownAge: settings.DefaultDocumentMaxUnknownAge, Members: n.memberCount,
+	}, n.fleet.off.wrapSource(document.NewStore(table, objects)), zerolog.Nop())
+}
+
+func (n *node) memberCount() int {
+	count := 0
+	for _, e := range n.members.Snapshot().Entries() {
+		if e.State != member.StateLeaving {
+			count++
+		}
+	}
+	return count
+}
+
+// inForce returns the document in force at the process, or nil.
+func (n *node) inForce() *environment.Document {
+	if current := n.documents.Current(); current != nil {
+		return current.Document
+	}
+	return nil
+}
+
+// offer tells this process of the document that a peer holds.
+func (n *node) offer(from *node, held *rollout.InForce) {
+	if held == nil {
+		return
+	}
+	if n.fleet.off.rising && n.home != nil {
+		n.apply(held)
+		return
+	}
+	n.documents.Offer(cluster.ProxyID(from.self.Key().String()), held.Version, func(ctx context.Context) ([]byte, error) {
+		return n.fetchDocument(ctx, from.address, held.Version.Revision)
+	})
+}
+
+func (n *node) fetchDocument(ctx context.Context, address string, revision uint64) ([]byte, error) {
+	replies := make(chan []byte, 1)
+	err := n.fleet.net.call(ctx, n, address, func(_ context.Context, to *node) {
+		var data []byte
+		if held := to.documents.Current(); held != nil && held.Version.Revision >= revision {
+			data = held.Data
+		}
+		replies <- data
+	})
+	if err != nil {
+		return nil, err
+	}
+	return <-replies, nil
+}
+
+// announceDocuments tells the peers of each new document at once.
+func (n *node) announceDocuments() {
+	changes, stop := n.documents.Subscribe()
+	defer stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-changes:
+			n.announce()
+		}
+	}
+}
+
+// announce tells the peers of this process's state and document.
+func (n *node) announce() {
+	view := n.members.Snapshot()
+	self, _ := view.Find(n.self.Key())
+	for _, m := range append(view.Alive(member.RoleProxy), view.Alive(member.RoleWarden)...) {
+		if m.Address == n.address {
+			continue
+		}
+		n.fleet.work.Go(func() {
+			ctx, cancel := context.WithTimeout(n.ctx, announceTime)
+			defer cancel()
+			_, _ = pinger{n}.Ping(ctx, m.Address, member.News{From: member.Report{Member: n.self, State: self.State}})
+		})
+	}
+}
+
+// apply puts a document in force at the home and checks that revisions rise.
+func (n *node) apply(d *rollout.InForce) {
+	n.home.SetDocument(d.Document)
+	if last := n.applied.Swap(d.Version.Revision); d.Version.Revision < last {
+		n.fleet.documents.broke(promiseRises, "%s went from revision %d to %d", n.name, last, d.Version.Revision)
+	}
+}
+
+// documents records what operators did and what was wrong with it.
+type documents struct {
+	mu         sync.Mutex
+	changes    []*change
+	violations []violation
+	counts     map[string]int
+}
+
+func (d *documents) broke(promise, format string, args ...any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.violations = append(d.violations, violation{promise, fmt.Sprintf(format, args...)})
+}
+
+func (d *documents) count(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.counts[name]++
+}
+
+func (d *documents) add(c *change) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.changes = append(d.changes, c)
+}
+
+// change is what an operator read or changed and how it ended.
+type change struct {
+	// id is empty for a read.
+	id        string
+	base      uint64
+	call, end time.Time
+	// revision and winner are the answer.
+	revision uint64
+	winner   string
+	ending   changeEnding
+	sent     int
+	err      error
+}
+
+// changeEnding tells what the operator learned.
+type changeEnding int
+
+const (
+	changeRefused changeEnding = iota
+	changeDone
+	changeConflict
+	changeUnknown
+)
+
+// operator changes documents, each from the revision that it read.
+type operator struct {
+	fleet    *fleet
+	name     string
+	random   *rand.Rand
+	store    *document.Store
+	sequence int
+}
+
+func (f *fleet) operators() []*operator {
+	var all []*operator
+	for i := range operatorCount {
+		o := &operator{fleet: f, name: fmt.Sprintf("operator-%d", i), random: newRandom(f.seed, uint64(300+i))}
+		o.store = document.NewStore(&operatorTable{Table: f.off.wrapTable(f.table), operator: o}, f.objects)
+		all = append(all, o)
+	}
+	return all
+}
+
+// operatorTable spreads the calls of operators over time.
+type operatorTable struct {
+	platform.Table
+	operator *operator
+}
+
+func (t *operatorTable) pause() {
+	time.Sleep(time.Duration(t.operator.random.Int64N(int64(operatorDelay))))
+}
+
+func (t *operatorTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	t.pause()
+	return t.Table.Get(ctx, key)
+}
+
+func (t *operatorTable) Commit(ctx context.Context, writes ...platform.Write) error {
+	t.pause()
+	return t.Table.Commit(ctx, writes...)
+}
+
+// run changes documents until ctx ends and then waits for its last answer.
+func (o *operator) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		o.change()
+		sleep(ctx, changeInterval-time.Duration(time.Now().UnixNano()%int64(changeInterval)))
+	}
+}
+
+// change reads the revision in force and publishes the next one.
+func (o *operator) change() {
+	ctx := o.fleet.ctx
+	read := &change{call: time.Now()}
+	current, err := o.store.Current(ctx, environmentName)
+	read.end = time.Now()
+	if err != nil {
+		return
+	}
+	read.revision, read.winner, read.ending = current.Revision, current.ChangeID, changeDone
+	o.fleet.documents.add(read)
+	o.sequence++
+	c := &change{id: fmt.Sprintf("%s-%d", o.name, o.sequence), base: current.Revision, call: time.Now()}
+	o.publish(c)
+	c.end = time.Now()
+	o.fleet.documents.add(c)
+}
+
+// publish sends a change until its outcome is known.
+func (o *operator) publish(c *change) {
+	sent := document.Change{Environment: environmentName, ID: c.id, Who: o.name, Why: "seeded", IfRevision: &c.base}
+	data := o.fleet.document(o.sequence)
+	for {
+		var conflict *document.ConflictError
+		var unknown *document.UnknownError
+		c.sent++
+		r, err := o.store.Publish(o.fleet.ctx, sent, data)
+		c.err = err
+		switch {
+		case err == nil:
+			c.revision, c.winner, c.ending = r.Revision, r.ChangeID, changeDone
+			return
+		case errors.As(err, &conflict):
+			c.revision, c.winner, c.ending = conflict.Winner.Revision, conflict.Winner.ChangeID, changeConflict
+			return
+		case errors.As(err, &unknown):
+			c.ending = changeUnknown
+		case c.ending != changeUnknown:
+			return
+		}
+		if o.fleet.ctx.Err() != nil {
+			return
+		}
+		time.Sleep(resendTime)
+	}
+}
+
+// checkDocuments compares what operators were told with the revisions.
+func (f *fleet) checkDocuments(out *outcome) {
+	history, err := document.NewStore(f.table, f.objects).History(f.ctx, environmentName)
+	if err != nil {
+		out.broke(promiseChanges, "no history: %v", err)
+	}
+	revisions := map[string]uint64{}
+	for i, r := range history {
+		if r.Revision != uint64(i)+1 {
+			out.broke(promiseRises, "revision %d follows %d", r.Revision, i)
+		}
+		if earlier, ok := revisions[r.ChangeID]; ok {
+			out.broke(promiseChanges, "%s made revisions %d and %d", r.ChangeID, earlier, r.Revision)
+		}
+		revisions[r.ChangeID] = r.Revision
+	}
+	d := f.documents
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out.changes, out.revisions = d.changes, revisions
+	for _, c := range d.changes {
+		out.checkChange(c)
+	}
+	out.violations = append(out.violations, d.violations...)
+	out.counts["revisions"] += len(history)
+	out.counts["revisions checked at processes"] += d.counts["checked"]
+}
+
+func (o *outcome) checkChange(c *change) {
+	if c.id == "" {
+		return
+	}
+	made := o.revisions[c.id]
+	switch {
+	case c.ending == changeDone && made != c.revision:
+		o.broke(promiseChanges, "%s was answered revision %d and made %d", c.id, c.revision, made)
+	case c.ending == changeConflict && made != 0:
+		o.broke(promiseChanges, "%s lost to %s by the answer and made revision %d", c.id, c.winner, made)
+	case c.ending == changeRefused && made != 0:
+		o.broke(promiseChanges, "%s was refused and made revision %d: %v", c.id, made, c.err)
+	}
+	switch c.ending {
+	case changeDone:
+		o.counts["changes done"]++
+	case changeConflict:
+		o.counts["changes in conflict"]++
+	case changeRefused:
+		o.counts["changes refused"]++
+	case changeUnknown:
+		o.counts["changes unknown"]++
+	}
+	if c.sent > 1 {
+		o.counts["changes sent again"]++
+	}
+}
+
+// Switches.
+
+// wrapSource changes what processes read of the document in force.
+func (s switches) wrapSource(source rollout.Source) rollout.Source {
+	if !s.looks {
+		return source
+	}
+	return &firstSource{Source: source}
+}
+
+// firstSource answers with the first revision that it saw.
+type firstSource struct {
+	rollout.Source
+	mu    sync.Mutex
+	first document.Revision
+}
+
+func (s *firstSource) Current(ctx context.Context, env string) (document.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.first.Revision > 0 {
+		return s.first, nil
+	}
+	r, err := s.Source.Current(ctx, env)
+	s.first = r
+	return r, err
+}
+
+// wrapTable changes how the table service treats operators.
+func (s switches) wrapTable(t platform.Table) platform.Table {
+	switch {
+	case s.conditions:
+		return unconditionalTable{t}
+	case s.changeIDs:
+		return forgetfulTable{t}
+	default:
+		return t
+	}
+}
+
+// unconditionalTable writes whatever the versions of the rows are.
+type unconditionalTable struct{ platform.Table }
+
+func (t unconditionalTable) Commit(ctx context.Context, writes ...platform.Write) error {
+	forced := make([]platform.Write, len(writes))
+	for i, w := range writes {
+		row, err := t.Get(ctx, w.Key)
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			return err
+		}
+		w.IfVersion = row.Version
+		forced[i] = w
+	}
+	return t.Table.Commit(ctx, forced...)
+}
+
+// forgetfulTable has no record of changes.
+type forgetfulTable struct{ platform.Table }
+
+func (t forgetfulTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	if strings.HasPrefix(key, "change/") {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return t.Table.Get(ctx, key)
+}
--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rattancove/rattancove/internal/backend/backendtest"
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/platform/platformtest"
 )
 
 const (
@@ -292,27 +293,21 @@
 		}
 	}
 	each((*backendtest.Group).Cut, f.net.cut)
-	f.setStoreCut(n, true)
+	n.store.cut()
 	return func() {
 		if n.stopped() {
 			each(func(*backendtest.Group, string, string) {}, f.net.heal)
 			return
 		}
 		each((*backendtest.Group).Heal, f.net.heal)
-		f.setStoreCut(n, false)
+		n.store.heal()
 	}
 }
 
-func (f *fleet) setStoreCut(n *node, cut bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n.storeCut = cut
-}
-
 func cutStore(f *fleet, r *rand.Rand) func() {
 	n := f.homeOf(r)
-	f.setStoreCut(n, true)
-	return func() { f.setStoreCut(n, false) }
+	n.store.cut()
+	return n.store.heal
 }
 
 // loseMajority takes the primary and a replica away after the other replica
@@ -352,17 +347,35 @@
 	return func() { g.LoseAnswers(id, 0) }
 }
 
+// eachService makes a service of the platform fail and returns how that ends.
+func (f *fleet) eachService(begin, end func(*platformtest.Faults)) func() {
+	services := []*platformtest.Faults{&f.table.Faults, &f.objects.Faults}
+	f.platform.cut()
+	for _, s := range services {
+		begin(s)
+	}
+	return func() {
+		for _, s := range services {
+			end(s)
+		}
+		f.platform.heal()
+	}
+}
+
 func storeDown(f *fleet, _ *rand.Rand) func() {
-	f.table.SetDown(true)
-	return func() { f.table.SetDown(false) }
+	return f.eachService(
+		func(s *platformtest.Faults) { s.SetDown(true) },
+		func(s *platformtest.Faults) { s.SetDown(false) })
 }
 
 func storeSlow(f *fleet, _ *rand.Rand) func() {
-	f.table.SetDelay(time.Second)
-	return func() { f.table.SetDelay(0) }
+	return f.eachService(
+		func(s *platformtest.Faults) { s.SetDelay(time.Second) },
+		func(s *platformtest.Faults) { s.SetDelay(0) })
 }
 
 func storeLoses(f *fleet, r *rand.Rand) func() {
-	f.table.SetRandom(rand.New(rand.NewPCG(r.Uint64(), 5)), 0.1, 0.3)
-	return func() { f.table.SetRandom(nil, 0, 0) }
+	return f.eachService(
+		func(s *platformtest.Faults) { s.SetRandom(rand.New(rand.NewPCG(r.Uint64(), 5)), 0.1, 0.3) },
+		func(s *platformtest.Faults) { s.SetRandom(nil, 0, 0) })
 }
--- a/internal/proof/fleet_test.go
+++ b/internal/proof/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/rattancove/rattancove/internal/member"
 	"github.com/rattancove/rattancove/internal/platform"
 	"github.com/rattancove/rattancove/internal/platform/platformtest"
+	"github.com/rattancove/rattancove/internal/rollout"
 	"github.com/rattancove/rattancove/internal/statement"
 	"github.com/rattancove/rattancove/internal/warden"
 )
@@ -46,10 +48,14 @@
 	groups map[cluster.GroupName]*backendtest.Group
 	names  []cluster.GroupName
 	table  *platformtest.Table
-	net    *network
-	ctx    context.Context
-	stop   context.CancelFunc
-	work   sync.WaitGroup
+	// objects holds the documents. platform is cut while it or table fails.
+	objects   *platformtest.Objects
+	platform  *contact
+	documents *documents
+	net       *network
+	ctx       context.Context
+	stop      context.CancelFunc
+	work      sync.WaitGroup
 	// commits holds the home epoch of each commit that a server answered.
 	commits *commitLog
 
@@ -73,8 +79,13 @@
 	gateway statement.Runner
 	// restart starts a killed process anew, once.
 	restart sync.Once
-	// storeCut is guarded by the fleet's lock.
-	storeCut bool
+	self    member.Member
+	started time.Time
+	// store is the way to the platform.
+	store     *contact
+	documents *rollout.Watcher
+	// applied is the revision that the home has.
+	applied atomic.Uint64
 }
 
 func (n *node) stopped() bool { return n.ctx.Err() != nil }
@@ -82,10 +93,11 @@
 func newFleet(t *testing.T, seed uint64, m mix, off switches) *fleet {
 	f := &fleet{
 		t: t, seed: seed, mix: m, off: off, random: rand.New(rand.NewPCG(seed, 11)), table: platformtest.NewTable(),
+		objects: platformtest.NewObjects(), platform: &contact{from: time.Now()}, documents: &documents{counts: map[string]int{}},
 		net: newNetwork(), groups: map[cluster.GroupName]*backendtest.Group{}, commits: newCommitLog(),
 	}
 	f.ctx, f.stop = context.WithCancel(context.Background())
-	f.doc = &environment.Document{}
+	f.doc = &environment.Document{Name: environmentName, Customers: []environment.Customer{{Name: customerName}}}
 	f.doc.SetDefaults()
 	if off.majorityAck {
 		f.doc.Ranks.Urgent.Ack, f.doc.Ranks.Normal.Ack, f.doc.Ranks.Background.Ack =
@@ -94,17 +106,19 @@
 	for i := range groupCount {
 		f.addGroup(cluster.GroupName(fmt.Sprintf("group_%d_%d", seed, i)), i)
 	}
+	f.publishFirst()
 	for i := range wardenCount {
 		f.startWarden(i)
 	}
 	for i := range proxyCount {
 		f.startProxy(i)
 	}
+	f.work.Go(f.watchDocuments)
 	return f
 }
 
 func (f *fleet) addGroup(name cluster.GroupName, index int) {
-	g := environment.Group{Name: name}
+	g := environment.Group{Name: name, Customers: []string{customerName}}
 	g.SetDefaults()
 	if f.off.seals {
 		g.Promotion.NoMajority = environment.NoMajorityPromote
@@ -127,54 +141,61 @@
 	})
 }
 
-func (f *fleet) newNode(role member.Role, index, port int) (*node, member.Member) {
+func (f *fleet) newNode(role member.Role, index, port int) *node {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.starts++
-	n := &node{fleet: f, index: index, name: fmt.Sprintf("%s-%d-%d", role, index, f.starts)}
+	n := &node{fleet: f, index: index, name: fmt.Sprintf("%s-%d-%d", role, index, f.starts), started: time.Now()}
+	n.store = &contact{from: n.started}
 	n.address = fmt.Sprintf("10.1.0.%d:%d", index+1, port)
 	n.ctx, n.cancel = context.WithCancel(f.ctx)
 	n.dialer = &fleetDialer{fleet: f, from: n.name, home: role == member.RoleProxy}
-	self := member.Member{
+	n.self = member.Member{
 		ID: fmt.Sprintf("entry-%d", index), Role: role, Address: n.address,
 		FailureDomain: fmt.Sprintf("d%d", index%serverCount), Incarnation: f.starts,
 	}
 	n.members = member.New(member.Config{
-		Self: self, Seeds: []string{"10.1.0.1:7000", "10.1.0.2:7000", "10.1.0.3:7000"}, Pinger: pinger{n},
+		Self: n.self, Seeds: []string{"10.1.0.1:7000", "10.1.0.2:7000", "10.1.0.3:7000"}, Pinger: pinger{n},
 		Table: &nodeTable{Table: f.table, node: n}, Rand: rand.New(rand.NewPCG(f.seed, f.starts)), Log: zerolog.Nop(),
 	})
-	return n, self
+	n.openDocuments()
+	return n
 }
 
 func (f *fleet) startProxy(index int) {
-	n, self := f.newNode(member.RoleProxy, index, 7000)
-	n.home = home.New(home.Config{ID: cluster.ProxyID(self.ID), Handoff: n.askRelease}, n.dialer)
-	n.home.SetDocument(f.doc)
+	n := f.newNode(member.RoleProxy, index, 7000)
+	n.home = home.New(home.Config{ID: cluster.ProxyID(n.self.ID), Handoff: n.askRelease}, n.dialer)
 	n.gateway = f.off.wrapGateway(gateway.New(gateway.Config{
-		Self: cluster.ProxyID(self.ID), Local: f.off.wrapHome(n.home), Members: homes{n},
+		Self: cluster.ProxyID(n.self.ID), Local: f.off.wrapHome(n.home), Members: homes{n},
 	}))
 	f.mu.Lock()
 	f.proxies[index] = n
 	f.mu.Unlock()
-	f.net.attach(n)
-	f.work.Go(func() { _ = n.members.Run(n.ctx) })
+	n.join()
 	f.work.Go(n.keepHomes)
 }
 
 func (f *fleet) startWarden(index int) {
-	n, self := f.newNode(member.RoleWarden, index, 7001)
+	n := f.newNode(member.RoleWarden, index, 7001)
 	w := warden.New(warden.Config{
-		Self: self, Dialer: n.dialer, Store: failover.NewStore(&nodeTable{Table: f.table, node: n}), Members: n.members,
-		Prober: prober{n}, Document: func() *environment.Document { return f.doc }, Seed: f.seed*100 + uint64(index), Log: zerolog.Nop(),
+		Self: n.self, Dialer: n.dialer, Store: failover.NewStore(&nodeTable{Table: f.table, node: n}), Members: n.members,
+		Prober: prober{n}, Document: n.inForce, Seed: f.seed*100 + uint64(index), Log: zerolog.Nop(),
 	})
 	f.mu.Lock()
 	f.wardens[index] = n
 	f.mu.Unlock()
-	f.net.attach(n)
-	f.work.Go(func() { _ = n.members.Run(n.ctx) })
+	n.join()
 	f.work.Go(func() { _ = w.Run(n.ctx) })
 }
 
+// join starts what every process runs.
+func (n *node) join() {
+	n.fleet.net.attach(n)
+	n.fleet.work.Go(func() { _ = n.members.Run(n.ctx) })
+	n.fleet.work.Go(func() { _ = n.documents.Run(n.ctx) })
+	n.fleet.work.Go(n.announceDocuments)
+}
+
 // kill ends a process as the loss of its VM does: its connections to servers
 // stay open there until another home's claim ends them.
 func (f *fleet) kill(n *node) {
@@ -247,6 +268,8 @@
 
 // keepHomes owns the groups whose home this proxy is, as the proxy program does.
 func (n *node) keepHomes() {
+	documents, stop := n.documents.Subscribe()
+	defer stop()
 	foreign := map[cluster.GroupName]time.Time{}
 	for {
 		changed := n.members.Changed()
@@ -256,6 +279,8 @@
 		select {
 		case <-n.ctx.Done():
 			return
+		case d := <-documents:
+			n.apply(d)
 		case <-changed:
 		case <-time.After(homeInterval):
 		}
@@ -324,35 +349,33 @@
 	node *node
 }
 
-func (t *nodeTable) reach(ctx context.Context) error {
-	t.node.fleet.mu.Lock()
-	cut := t.node.storeCut
-	t.node.fleet.mu.Unlock()
-	if cut {
+// reachStore waits for as long as ctx lasts while the platform is out of reach.
+func (n *node) reachStore(ctx context.Context) error {
+	if n.store.isCut() {
 		<-ctx.Done()
 	}
-	if t.node.stopped() {
+	if n.stopped() {
 		return platformtest.ErrUnavailable
 	}
 	return ctx.Err()
 }
 
 func (t *nodeTable) Get(ctx context.Context, key string) (platform.Row, error) {
-	if err := t.reach(ctx); err != nil {
+	if err := t.node.reachStore(ctx); err != nil {
 		return platform.Row{}, err
 	}
 	return t.Table.Get(ctx, key)
 }
 
 func (t *nodeTable) List(ctx context.Context, prefix string) ([]platform.Row, error) {
-	if err := t.reach(ctx); err != nil {
+	if err := t.node.reachStore(ctx); err != nil {
 		return nil, err
 	}
 	return t.Table.List(ctx, prefix)
 }
 
 func (t *nodeTable) Commit(ctx context.Context, writes ...platform.Write) error {
-	if err := t.reach(ctx); err != nil {
+	if err := t.node.reachStore(ctx); err != nil {
 		return err
 	}
 	return t.Table.Commit(ctx, writes...)
--- a/internal/proof/linear_test.go
+++ b/internal/proof/linear_test.go
@@ -72,6 +72,7 @@
 func (o *outcome) checkLinearizable() {
 	o.search(promiseLatest, register, o.registerHistory())
 	o.search(promiseOrders, orders, o.orderHistory())
+	o.search(promiseChanges, pointer, o.pointerHistory())
 }
 
 func (o *outcome) search(promise string, model porcupine.Model, history []porcupine.Operation) {
@@ -118,6 +119,48 @@
 	return history
 }
 
+// pointerState is the row that names the document in force.
+type pointerState struct {
+	revision uint64
+	id       string
+}
+
+// pointer is that row. A change moves it from the revision that it names.
+var pointer = porcupine.Model{
+	Init: func() any { return pointerState{revision: 1, id: "first"} },
+	Step: func(state, input, _ any) (bool, any) {
+		s, c := state.(pointerState), input.(*change)
+		seen := pointerState{c.revision, c.winner}
+		switch {
+		case c.id == "":
+			return s == seen, s
+		case c.ending == changeConflict:
+			return s.revision != c.base, s
+		case c.ending == changeDone:
+			return s.revision == c.base && seen == pointerState{c.base + 1, c.id}, seen
+		default:
+			return s.revision == c.base, pointerState{c.base + 1, c.id}
+		}
+	},
+}
+
+// pointerHistory holds the reads and changes of operators. A change of unknown
+// outcome is open-ended; one that made no revision is left out.
+func (o *outcome) pointerHistory() []porcupine.Operation {
+	var history []porcupine.Operation
+	for i, c := range o.changes {
+		end := c.end.UnixNano()
+		if c.ending == changeRefused || c.ending == changeUnknown {
+			end = math.MaxInt64
+			if o.revisions[c.id] == 0 {
+				continue
+			}
+		}
+		history = append(history, porcupine.Operation{ClientId: i, Input: c, Call: c.call.UnixNano(), Return: end})
+	}
+	return history
+}
+
 // stored reports whether the value that a read saw is in the final log.
 func (o *outcome) stored(op *operation) bool {
 	return o.times(op.group, write{op.key, op.seen}) > 0
--- a/internal/proof/missing_test.go
+++ b/internal/proof/missing_test.go
@@ -28,6 +28,10 @@
 	{"seals by a majority", switches{seals: true}, promiseKept, leaveLaggard, laggards},
 	{"unread answers close connections", switches{unread: true}, promiseAnswers, abandonAnswers, everything},
 	{"not run only if it did not run", switches{outcomes: true}, promiseNotRun, loseWriteAnswer, everything},
+	{"documents only rise at a process", switches{rising: true}, promiseRises, bringBackOldDocument, everything},
+	{"looks at the platform", switches{looks: true}, promiseNews, changeOnce, everything},
+	{"conditions on the pointer row", switches{conditions: true}, promiseChanges, raceOperators, everything},
+	{"record of change ids", switches{changeIDs: true}, promiseChanges, loseChangeAnswer, everything},
 }
 
 // find returns the first violation of a promise.
--- a/internal/proof/network_test.go
+++ b/internal/proof/network_test.go
@@ -10,6 +10,7 @@
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/failover"
 	"github.com/rattancove/rattancove/internal/member"
+	"github.com/rattancove/rattancove/internal/rollout"
 	"github.com/rattancove/rattancove/internal/statement"
 )
 
@@ -33,10 +34,12 @@
 	mu    sync.Mutex
 	nodes map[string]*node
 	cuts  map[link]time.Time
+	// healed holds when cuts ended.
+	healed map[link]time.Time
 }
 
 func newNetwork() *network {
-	return &network{nodes: map[string]*node{}, cuts: map[link]time.Time{}}
+	return &network{nodes: map[string]*node{}, cuts: map[link]time.Time{}, healed: map[link]time.Time{}}
 }
 
 func (n *network) attach(node *node) {
@@ -61,6 +64,21 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.cuts, link{from, to})
+	n.healed[link{from, to}] = time.Now()
+}
+
+// joined returns the time that two processes have reached each other, zero if
+// they do not.
+func (n *network) joined(a, b string, now time.Time) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	there, back := link{a, b}, link{b, a}
+	for _, l := range []link{there, back} {
+		if _, cut := n.cuts[l]; cut {
+			return 0
+		}
+	}
+	return min(now.Sub(n.healed[there]), now.Sub(n.healed[back]))
 }
 
 func (n *network) isCut(from, to string) bool {
@@ -115,12 +133,18 @@
 
 func (p pinger) Ping(ctx context.Context, address string, news member.News) (member.News, error) {
 	replies := make(chan member.News, 1)
+	held := p.from.documents.Current()
+	var peer *node
+	var heldThere *rollout.InForce
 	err := p.from.fleet.net.call(ctx, p.from, address, func(_ context.Context, to *node) {
+		peer, heldThere = to, to.documents.Current()
+		to.offer(p.from, held)
 		replies <- to.members.HandlePing(news)
 	})
 	if err != nil {
 		return member.News{}, err
 	}
+	p.from.offer(peer, heldThere)
 	return <-replies, nil
 }
 
--- a/internal/proof/scenarios_test.go
+++ b/internal/proof/scenarios_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -164,3 +165,38 @@
 		<-done
 	}
 }
+
+// raceOperators lets operators change the document from the same revisions.
+func raceOperators(f *fleet, _ *history) {
+	var racing sync.WaitGroup
+	for _, o := range f.operators() {
+		racing.Go(func() {
+			for range 5 {
+				o.change()
+			}
+		})
+	}
+	racing.Wait()
+}
+
+// loseChangeAnswer loses the answer to a change that took effect.
+func loseChangeAnswer(f *fleet, _ *history) {
+	const lost = 3 // a lease may be renewed at the same time
+	f.table.LoseAnswers(lost)
+	f.operators()[0].change()
+}
+
+// bringBackOldDocument cuts a proxy off while the document changes.
+func bringBackOldDocument(f *fleet, _ *history) {
+	heal := f.cutOff(f.proxy(0))
+	f.operators()[0].change()
+	time.Sleep(partitionTime)
+	heal()
+	time.Sleep(2 * rolloutBound)
+}
+
+// changeOnce changes the document while nothing fails.
+func changeOnce(f *fleet, _ *history) {
+	f.operators()[0].change()
+	time.Sleep(2 * rolloutBound)
+}
--- a/internal/proof/seeded_test.go
+++ b/internal/proof/seeded_test.go
@@ -64,6 +64,9 @@
 			callers.Go(func() { r.run(ctx) })
 		}
 	}
+	for _, o := range f.operators() {
+		callers.Go(func() { o.run(ctx) })
+	}
 	f.injectFaults()
 	f.trace("healed")
 	took, broken := f.recovery(h)
--- a/internal/proof/switches_test.go
+++ b/internal/proof/switches_test.go
@@ -33,6 +33,14 @@
 	unread bool
 	// outcomes reports every failure as not run.
 	outcomes bool
+	// rising puts the document of any peer in force at proxies.
+	rising bool
+	// looks shows processes the first revision only.
+	looks bool
+	// conditions lets operators overwrite each other's changes.
+	conditions bool
+	// changeIDs keeps the record of changes from operators.
+	changeIDs bool
 }
 
 func (s switches) wrapGateway(r statement.Runner) statement.Runner {
