Stop proxies in order and take servers away in the seeded fleet runs

Planned stops take the steps of the proxy program in their order: the members learn of it, the balancer stops sending within a second, callers drain, the home closes, and a new process starts. Servers are announced as leaving in a list of VMs that lags by a second, are switched over if they are primaries, taken away 8 s after the notice and replaced.

Checked: 5 s after the notice a leaving server gets no new work from a home that could read the list; a leaving primary is held to it where nothing keeps the wardens from replacing it (TestSeededLeavingServers). With planned stops only, every request must be done within its 10 s (TestSeededPlannedStops). Both are in the mix of all faults as well, and TestSeededOutages plays the faults of the platform alone. Two switches show that the checks find a missing list and a missing drain.

TestSeededPlannedStops fails for a fault of the product. A proxy that was started again takes no member for stable in its first 5 s, chooses itself as home and takes its groups, while all others still route to the old home; and requests that a stopping proxy relays are cut off. It is not eased.

The fake platform now takes 4 ms for a call, so that a proxy learns of its peers before it has a document, and relays are chosen at random, both as in the programs. Recovery writes through a proxy once it is ready.

--- a/internal/proof/callers_test.go
+++ b/internal/proof/callers_test.go
@@ -257,14 +257,16 @@
 	}
 }
 
-// ready reports whether the balancer sends callers to this proxy.
-func (n *node) ready() bool { return !n.stopped() && !n.documents.OldDocument() }
-
 // serve runs a request of a caller of this proxy. The loss of the proxy leaves
 // the outcome of a write unknown.
 func (n *node) serve(req *statement.Request, conv statement.Conversation) (statement.Result, error) {
-	if n.documents.OldDocument() {
+	n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
+	switch {
+	case n.documents.OldDocument():
 		return statement.Result{}, errcode.New(errcode.OldDocument, "admit caller", n.name)
+	case n.closed.Load():
+		return statement.Result{}, errcode.New(errcode.Draining, "admit caller", n.name)
 	}
 	done := make(chan ending, 1)
 	ctx, cancel := context.WithTimeout(n.ctx, req.Timeout+statementMargin)
--- a/internal/proof/check_test.go
+++ b/internal/proof/check_test.go
@@ -24,6 +24,8 @@
 	promiseLimits    = "limits of servers"
 	promiseWhole     = "whole transactions"
 	promiseAnswers   = "answers to their own requests"
+	promiseLeaving   = "no new work for leaving servers"
+	promiseStops     = "planned stops cut nothing off"
 	promiseRises     = "revisions only rise"
 	promiseChanges   = "changes end as answered"
 	promiseNews      = "documents in force in time"
@@ -69,6 +71,7 @@
 	f.checkHomes(out)
 	f.checkUsage(out)
 	f.checkDocuments(out)
+	f.checkDepartures(out)
 	for _, name := range f.names {
 		status := f.groups[name].Status(f.primary(name))
 		out.counts["failovers"] += int(status.Term) - 1
@@ -104,6 +107,9 @@
 		}
 		o.counts["requests"]++
 		o.counts[kind+" "+op.outcome.String()]++
+		if op.outcome == errcode.OutcomeDone {
+			o.counts["slowest request ms"] = max(o.counts["slowest request ms"], int(op.end.Sub(op.call).Milliseconds()))
+		}
 		if op.result.Repeat {
 			o.counts["repeats"]++
 		}
@@ -285,6 +291,10 @@
 	r := &roamer{fleet: f, name: fmt.Sprintf("recovery-%d", proxy), group: name, random: newRandom(f.seed, uint64(proxy)), history: h}
 	var last *operation
 	for time.Now().Before(deadline) {
+		if !f.proxy(proxy).ready() {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
 		r.write(f.proxy(proxy), "", write{r.name, r.next()})
 		h.mu.Lock()
 		for _, o := range h.operations {
--- a/internal/proof/contact_test.go
+++ b/internal/proof/contact_test.go
@@ -67,16 +67,17 @@
 	store := document.NewStore(f.table, f.objects)
 	var samples []sample
 	for f.ctx.Err() == nil {
-		now := sample{at: time.Now(), held: map[*node]uint64{}}
-		if f.platform.since(now.at) > 0 {
+		now := sample{held: map[*node]uint64{}}
+		if f.platform.since(time.Now()) > 0 {
 			r, _ := store.Current(f.ctx, environmentName)
 			now.newest = r.Revision
 		}
+		now.at = time.Now()
 		for _, n := range f.nodes() {
 			now.held[n] = n.revision()
 		}
 		samples = append(samples, now)
-		for now.at.Sub(samples[0].at) > rolloutBound {
+		for len(samples) > 1 && now.at.Sub(samples[1].at) >= rolloutBound {
 			samples = samples[1:]
 		}
 		f.compare(samples[0], now)
--- a/internal/proof/dialer_test.go
+++ b/internal/proof/dialer_test.go
@@ -13,6 +13,7 @@
 // fleetDialer reaches every group from one process.
 type fleetDialer struct {
 	fleet *fleet
+	node  *node
 	from  string
 	// home is set for the dialer of a proxy.
 	home bool
@@ -42,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &recordedConn{Conn: conn, fleet: d.fleet, group: group, claim: c}, nil
+	return &recordedConn{Conn: conn, fleet: d.fleet, node: d.node, group: group, server: s.ID, claim: c}, nil
 }
 
 func (d *fleetDialer) open(ctx context.Context, s cluster.Server, group cluster.GroupName, c backend.Claim) (backend.Conn, error) {
@@ -71,12 +72,19 @@
 // recordedConn notes the claim behind every commit that a server answered.
 type recordedConn struct {
 	backend.Conn
-	fleet *fleet
-	group cluster.GroupName
-	claim backend.Claim
+	fleet  *fleet
+	node   *node
+	group  cluster.GroupName
+	server cluster.ServerID
+	claim  backend.Claim
+	// open is set inside a transaction.
+	open bool
 }
 
 func (c *recordedConn) Exchange(ctx context.Context, x *backend.Exchange, conv statement.Conversation) (backend.Answer, error) {
+	if !c.open {
+		c.fleet.newWork(c.node, c.group, c.server)
+	}
 	sent := *x
 	if c.fleet.off.orderIDs {
 		sent.OrderID = ""
@@ -89,7 +97,9 @@
 			return x.Release(ctx, a)
 		}
 	}
-	return c.Conn.Exchange(ctx, &sent, conv)
+	answer, err := c.Conn.Exchange(ctx, &sent, conv)
+	c.open = err == nil && answer.Tx != backend.TxIdle
+	return answer, err
 }
 
 // commitLog holds the claims of the homes that committed.
--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -17,6 +17,12 @@
 const (
 	minFault = 300 * time.Millisecond
 	maxFault = 5 * time.Second
+	// platformDelay is the time of a call to the platform, and slowPlatform
+	// while it is slow.
+	platformDelay = 4 * time.Millisecond
+	slowPlatform  = time.Second
+	// patientTime is longer than the moves of a home after a planned stop.
+	patientTime = 10 * time.Second
 	// frozenTime is longer than the death of a member takes to be noticed.
 	frozenTime = 6 * time.Second
 	// lostMajorityTime is longer than a group without a majority waits for one
@@ -44,6 +50,12 @@
 	spacing time.Duration
 	// time is how long faults come. All end with it.
 	time time.Duration
+	// quiet is set where nothing but planned stops may end a request.
+	quiet bool
+	// timeout is that of the requests; requestTimeout if it is zero.
+	timeout time.Duration
+	// switchover is set where nothing keeps a leaving primary from being replaced.
+	switchover bool
 }
 
 // everything mixes all faults; storm takes servers away faster than they come
@@ -52,6 +64,9 @@
 	everything = mix{faults: allFaults, spacing: 900 * time.Millisecond, time: 11 * time.Second}
 	storm      = mix{faults: serverFaults, spacing: 300 * time.Millisecond, time: 11 * time.Second}
 	laggards   = mix{faults: []fault{majorityLoss}, spacing: 2 * time.Second, time: 15 * time.Second}
+	stops      = mix{faults: []fault{plannedStop}, spacing: 10 * time.Second, time: 40 * time.Second, quiet: true, timeout: patientTime}
+	outages    = mix{faults: platformFaults, spacing: 800 * time.Millisecond, time: 15 * time.Second}
+	leavings   = mix{faults: leavingFaults, spacing: 3 * time.Second, time: 25 * time.Second, switchover: true}
 	partitions = mix{faults: []fault{partition}, spacing: 8 * time.Second, time: 25 * time.Second}
 )
 
@@ -67,6 +82,22 @@
 	{name: "isolate primary with one proxy", begin: isolatePrimaryWithProxy},
 }
 
+var plannedStop = fault{name: "planned stop", begin: stopProxy}
+
+var platformFaults = []fault{
+	{name: "store down", begin: storeDown},
+	{name: "store slow", begin: storeSlow},
+	{name: "store loses answers", begin: storeLoses},
+	{name: "cut proxy from store", begin: cutStore},
+	{name: "kill proxy", begin: killProxy},
+}
+
+var leavingFaults = []fault{
+	plannedStop,
+	{name: "leaving server", begin: leaveServer, least: noticeTime},
+	{name: "leaving primary", begin: leavePrimary, least: noticeTime},
+}
+
 var allFaults = []fault{
 	{name: "kill server", begin: killServer},
 	{name: "kill primary", begin: killPrimary},
@@ -86,6 +117,8 @@
 	{name: "lag", begin: lag},
 	{name: "lose answers", begin: loseAnswers},
 	partition,
+	plannedStop,
+	{name: "leaving server", begin: leaveServer, least: noticeTime},
 	{name: "store down", begin: storeDown},
 	{name: "store slow", begin: storeSlow},
 	{name: "store loses answers", begin: storeLoses},
@@ -347,15 +380,18 @@
 	return func() { g.LoseAnswers(id, 0) }
 }
 
+func (f *fleet) services() []*platformtest.Faults {
+	return []*platformtest.Faults{&f.table.Faults, &f.objects.Faults, &f.vms.Faults}
+}
+
 // eachService makes a service of the platform fail and returns how that ends.
 func (f *fleet) eachService(begin, end func(*platformtest.Faults)) func() {
-	services := []*platformtest.Faults{&f.table.Faults, &f.objects.Faults}
 	f.platform.cut()
-	for _, s := range services {
+	for _, s := range f.services() {
 		begin(s)
 	}
 	return func() {
-		for _, s := range services {
+		for _, s := range f.services() {
 			end(s)
 		}
 		f.platform.heal()
@@ -370,8 +406,8 @@
 
 func storeSlow(f *fleet, _ *rand.Rand) func() {
 	return f.eachService(
-		func(s *platformtest.Faults) { s.SetDelay(time.Second) },
-		func(s *platformtest.Faults) { s.SetDelay(0) })
+		func(s *platformtest.Faults) { s.SetDelay(slowPlatform) },
+		func(s *platformtest.Faults) { s.SetDelay(platformDelay) })
 }
 
 func storeLoses(f *fleet, r *rand.Rand) func() {
--- a/internal/proof/fleet_test.go
+++ b/internal/proof/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -49,13 +50,15 @@
 	names  []cluster.GroupName
 	table  *platformtest.Table
 	// objects holds the documents. platform is cut while it or table fails.
-	objects   *platformtest.Objects
-	platform  *contact
-	documents *documents
-	net       *network
-	ctx       context.Context
-	stop      context.CancelFunc
-	work      sync.WaitGroup
+	objects    *platformtest.Objects
+	platform   *contact
+	documents  *documents
+	vms        *platformtest.VMList
+	departures *departures
+	net        *network
+	ctx        context.Context
+	stop       context.CancelFunc
+	work       sync.WaitGroup
 	// commits holds the home epoch of each commit that a server answered.
 	commits *commitLog
 
@@ -86,6 +89,12 @@
 	documents *rollout.Watcher
 	// applied is the revision that the home has.
 	applied atomic.Uint64
+	// draining is set when a planned stop begins, and closed when the proxy
+	// takes no callers any more. The balancer knows at unready.
+	draining, closed atomic.Bool
+	unready          atomic.Int64
+	// inFlight counts the requests of callers of this proxy.
+	inFlight atomic.Int64
 }
 
 func (n *node) stopped() bool { return n.ctx.Err() != nil }
@@ -94,6 +103,7 @@
 	f := &fleet{
 		t: t, seed: seed, mix: m, off: off, random: rand.New(rand.NewPCG(seed, 11)), table: platformtest.NewTable(),
 		objects: platformtest.NewObjects(), platform: &contact{from: time.Now()}, documents: &documents{counts: map[string]int{}},
+		vms: &platformtest.VMList{}, departures: &departures{notices: map[cluster.ServerID]departure{}, counts: map[string]int{}},
 		net: newNetwork(), groups: map[cluster.GroupName]*backendtest.Group{}, commits: newCommitLog(),
 	}
 	f.ctx, f.stop = context.WithCancel(context.Background())
@@ -107,6 +117,9 @@
 		f.addGroup(cluster.GroupName(fmt.Sprintf("group_%d_%d", seed, i)), i)
 	}
 	f.publishFirst()
+	for _, s := range f.services() {
+		s.SetDelay(platformDelay)
+	}
 	for i := range wardenCount {
 		f.startWarden(i)
 	}
@@ -149,14 +162,14 @@
 	n.store = &contact{from: n.started}
 	n.address = fmt.Sprintf("10.1.0.%d:%d", index+1, port)
 	n.ctx, n.cancel = context.WithCancel(f.ctx)
-	n.dialer = &fleetDialer{fleet: f, from: n.name, home: role == member.RoleProxy}
+	n.dialer = &fleetDialer{fleet: f, node: n, from: n.name, home: role == member.RoleProxy}
 	n.self = member.Member{
 		ID: fmt.Sprintf("entry-%d", index), Role: role, Address: n.address,
 		FailureDomain: fmt.Sprintf("d%d", index%serverCount), Incarnation: f.starts,
 	}
 	n.members = member.New(member.Config{
 		Self: n.self, Seeds: []string{"10.1.0.1:7000", "10.1.0.2:7000", "10.1.0.3:7000"}, Pinger: pinger{n},
-		Table: &nodeTable{Table: f.table, node: n}, Rand: rand.New(rand.NewPCG(f.seed, f.starts)), Log: zerolog.Nop(),
+		Table: &nodeTable{Table: f.table, node: n}, VMs: &nodeVMs{f.vms, n}, Rand: rand.New(rand.NewPCG(f.seed, f.starts)), Log: zerolog.Nop(),
 	})
 	n.openDocuments()
 	return n
@@ -276,6 +289,7 @@
 		for _, name := range n.fleet.names {
 			n.assign(name, foreign)
 		}
+		n.markLeaving()
 		select {
 		case <-n.ctx.Done():
 			return
@@ -322,17 +336,16 @@
 }
 
 func (h homes) Relay(exclude ...cluster.ProxyID) cluster.ProxyID {
+	var ids []cluster.ProxyID
 	for _, m := range h.node.members.Snapshot().Alive(member.RoleProxy) {
-		id := cluster.ProxyID(m.ID)
-		excluded := false
-		for _, e := range exclude {
-			excluded = excluded || e == id
-		}
-		if !excluded {
-			return id
+		if id := cluster.ProxyID(m.ID); !slices.Contains(exclude, id) {
+			ids = append(ids, id)
 		}
 	}
-	return ""
+	if len(ids) == 0 {
+		return ""
+	}
+	return ids[rand.IntN(len(ids))]
 }
 
 func (h homes) Runner(id cluster.ProxyID) statement.Runner {
--- a/internal/proof/missing_test.go
+++ b/internal/proof/missing_test.go
@@ -31,7 +31,9 @@
 	{"documents only rise at a process", switches{rising: true}, promiseRises, bringBackOldDocument, everything},
 	{"looks at the platform", switches{looks: true}, promiseNews, changeOnce, everything},
 	{"conditions on the pointer row", switches{conditions: true}, promiseChanges, raceOperators, everything},
-	{"record of change ids", switches{changeIDs: true}, promiseChanges, loseChangeAnswer, everything},
+	{"record of change ids", switches{changeIDs: true}, promiseChanges, loseChangeAnswer, outages},
+	{"list of leaving VMs", switches{leaving: true}, promiseLeaving, readBesideLeaving, leavings},
+	{"drain at a planned stop", switches{drain: true}, promiseStops, stopInFlight, stops},
 }
 
 // find returns the first violation of a promise.
@@ -49,10 +51,10 @@
 	for _, m := range mechanisms {
 		t.Run(m.name, func(t *testing.T) {
 			t.Parallel()
-			for _, v := range runScenario(t, m.play, switches{}).violations {
+			for _, v := range runScenario(t, m, switches{}).violations {
 				t.Errorf("with the mechanism: %s: %s", v.promise, v.text)
 			}
-			v, found := runScenario(t, m.play, m.off).find(m.promise)
+			v, found := runScenario(t, m, m.off).find(m.promise)
 			if !found {
 				t.Fatalf("without the mechanism %q was kept", m.promise)
 			}
--- a/internal/proof/scenarios_test.go
+++ b/internal/proof/scenarios_test.go
@@ -22,16 +22,16 @@
 // scenario is the interleaving of faults and requests that one mechanism is for.
 type scenario func(f *fleet, h *history)
 
-// runScenario plays a scenario in a quiet fleet and checks its history.
-func runScenario(t *testing.T, play scenario, off switches) *outcome {
+// runScenario plays the scenario of a mechanism and checks its history.
+func runScenario(t *testing.T, m missing, off switches) *outcome {
 	t.Helper()
 	var out *outcome
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 1, everything, off)
+		f := newFleet(t, 1, m.mix, off)
 		defer f.close()
 		time.Sleep(startTime)
 		h := &history{}
-		play(f, h)
+		m.play(f, h)
 		out = f.check(h)
 	})
 	out.checkLinearizable()
@@ -200,3 +200,29 @@
 	f.operators()[0].change()
 	time.Sleep(2 * rolloutBound)
 }
+
+// readBesideLeaving reads after the bound while a replica is leaving.
+func readBesideLeaving(f *fleet, h *history) {
+	_, _, replicas := f.first()
+	f.announceLeaving(f.names[0], replicas[0])
+	time.Sleep(leavingBound + time.Second)
+	r := f.caller(h, "clerk")
+	for i := range 5 * proxyCount {
+		r.read(f.proxy(i%proxyCount), "clerk", false)
+	}
+}
+
+// stopInFlight stops a home in order while it runs requests of its own callers
+// and of another proxy's.
+func stopInFlight(f *fleet, h *history) {
+	n := f.homeOfGroup(f.random, f.names[0])
+	own, others := f.caller(h, "own"), f.caller(h, "others")
+	var running sync.WaitGroup
+	for r, entry := range map[*roamer]*node{own: n, others: f.proxy((n.index + 1) % proxyCount)} {
+		r.work, r.timeout = slowWork, patientTime
+		running.Go(func() { r.write(entry, "", write{r.name, r.next()}) })
+	}
+	time.Sleep(shortWork)
+	f.stopPlanned(n)
+	running.Wait()
+}
--- a/internal/proof/seeded_test.go
+++ b/internal/proof/seeded_test.go
@@ -18,10 +18,12 @@
 const (
 	defaultSeeds = 200
 	stormShare   = 5
-	// partitionShare and majorityLossShare are the same for
-	// TestSeededPartitions and TestSeededMajorityLoss.
+	// partitionShare and the others are the same for the tests of their names.
 	partitionShare    = 10
 	majorityLossShare = 10
+	plannedStopShare  = 10
+	leavingShare      = 10
+	outageShare       = 10
 )
 
 // startTime is the time in which members become stable and homes claim.
@@ -60,6 +62,7 @@
 			r := &roamer{
 				fleet: f, name: fmt.Sprintf("s%d%d", g, i), group: name, history: h,
 				random: newRandom(f.seed, uint64(100+g*sessionsPerGroup+i)), carries: i%2 == 0,
+				timeout: f.mix.timeout,
 			}
 			callers.Go(func() { r.run(ctx) })
 		}
@@ -113,6 +116,18 @@
 // third one lacks the last writes, and checks every promise.
 func TestSeededMajorityLoss(t *testing.T) { playSeeds(t, seeds()/majorityLossShare, laggards) }
 
+// TestSeededPlannedStops stops proxies in order and starts them again, and
+// checks that every request is done.
+func TestSeededPlannedStops(t *testing.T) { playSeeds(t, seeds()/plannedStopShare, stops) }
+
+// TestSeededLeavingServers announces servers as leaving and takes them away
+// while proxies are stopped, and checks every promise.
+func TestSeededLeavingServers(t *testing.T) { playSeeds(t, seeds()/leavingShare, leavings) }
+
+// TestSeededOutages lets the platform fail while operators change documents,
+// and checks every promise.
+func TestSeededOutages(t *testing.T) { playSeeds(t, seeds()/outageShare, outages) }
+
 func playSeeds(t *testing.T, count int, m mix) {
 	t.Helper()
 	sum := &totals{counts: map[string]int{}}
--- a/internal/proof/switches_test.go
+++ b/internal/proof/switches_test.go
@@ -41,6 +41,10 @@
 	conditions bool
 	// changeIDs keeps the record of changes from operators.
 	changeIDs bool
+	// leaving keeps the list of VMs from processes.
+	leaving bool
+	// drain stops proxies without their drain.
+	drain bool
 }
 
 func (s switches) wrapGateway(r statement.Runner) statement.Runner {
