--- a/internal/proof/check_test.go
+++ b/internal/proof/check_test.go
@@ -23,6 +23,12 @@
 	promiseRecovers  = "recovers by itself"
 	promiseLimits    = "limits of servers"
 	promiseWhole     = "whole transactions"
+	promiseAnswers   = "answers to their own requests"
+	promiseLeaving   = "no new work for leaving servers"
+	promiseStops     = "planned stops cut nothing off"
+	promiseRises     = "revisions only rise"
+	promiseChanges   = "changes end as answered"
+	promiseNews      = "documents in force in time"
 )
 
 // violation is a broken promise.
@@ -39,6 +45,9 @@
 	history    []*operation
 	// logs holds the final values of each key in the log of the primary.
 	logs map[cluster.GroupName]map[string][]string
+	// changes is what operators did, and revisions the revision that each made.
+	changes   []*change
+	revisions map[string]uint64
 }
 
 func (o *outcome) broke(promise, format string, args ...any) {
@@ -58,8 +67,11 @@
 	out.count()
 	out.checkWrites()
 	out.checkSessions()
+	out.checkAnswers()
 	f.checkHomes(out)
 	f.checkUsage(out)
+	f.checkDocuments(out)
+	f.checkDepartures(out)
 	for _, name := range f.names {
 		status := f.groups[name].Status(f.primary(name))
 		out.counts["failovers"] += int(status.Term) - 1
@@ -95,6 +107,9 @@
 		}
 		o.counts["requests"]++
 		o.counts[kind+" "+op.outcome.String()]++
+		if op.outcome == errcode.OutcomeDone {
+			o.counts["slowest request ms"] = max(o.counts["slowest request ms"], int(op.end.Sub(op.call).Milliseconds()))
+		}
 		if op.result.Repeat {
 			o.counts["repeats"]++
 		}
@@ -188,6 +203,26 @@
 	}
 }
 
+// checkAnswers checks that each answer is one to its request: what was put, or
+// a value that some request wrote to the key.
+func (o *outcome) checkAnswers() {
+	written := map[cluster.GroupName]map[write]bool{}
+	for _, op := range o.history {
+		if written[op.group] == nil {
+			written[op.group] = map[write]bool{}
+		}
+		for _, w := range op.writes {
+			written[op.group][w] = true
+		}
+	}
+	for _, op := range o.history {
+		strange := op.isRead() && op.outcome == errcode.OutcomeDone && op.seen != "" && !written[op.group][write{op.key, op.seen}]
+		if op.foreign || strange {
+			o.broke(promiseAnswers, "the answer is one to another request: %v", op)
+		}
+	}
+}
+
 func (o *outcome) checkPosition(op *operation, got, floor cluster.Position) {
 	if got.Known() && got.Less(floor) {
 		o.broke(promiseMonotonic, "%v after %v: %v", got, floor, op)
@@ -256,6 +291,10 @@
 	r := &roamer{fleet: f, name: fmt.Sprintf("recovery-%d", proxy), group: name, random: newRandom(f.seed, uint64(proxy)), history: h}
 	var last *operation
 	for time.Now().Before(deadline) {
+		if !f.proxy(proxy).ready() {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
 		r.write(f.proxy(proxy), "", write{r.name, r.next()})
 		h.mu.Lock()
 		for _, o := range h.operations {
--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -5,18 +5,31 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rattancove/rattancove/internal/backend/backendtest"
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/platform/platformtest"
 )
 
 const (
 	minFault = 300 * time.Millisecond
 	maxFault = 5 * time.Second
+	// platformDelay is the time of a call to the platform, and slowPlatform
+	// while it is slow.
+	platformDelay = 4 * time.Millisecond
+	slowPlatform  = time.Second
+	// patientTime is longer than the moves of a home after a planned stop.
+	patientTime = 10 * time.Second
 	// frozenTime is longer than the death of a member takes to be noticed.
 	frozenTime = 6 * time.Second
+	// lostMajorityTime is longer than a group without a majority waits for one
+	// where a document lets it promote without.
+	lostMajorityTime = 6 * time.Second
+	// maxLaggard bounds how long a replica is kept from storing commits.
+	maxLaggard = time.Second
 	// partitionTime is longer than the other side takes to find a new home and
 	// a new primary.
 	partitionTime = 9 * time.Second
@@ -37,17 +50,30 @@
 	spacing time.Duration
 	// time is how long faults come. All end with it.
 	time time.Duration
+	// quiet is set where nothing but planned stops may end a request.
+	quiet bool
+	// timeout is that of the requests; requestTimeout if it is zero.
+	timeout time.Duration
+	// switchover is set where nothing keeps a leaving primary from being replaced.
+	switchover bool
 }
 
-// everything mixes all faults; storm takes servers away faster than they come back.
+// everything mixes all faults; storm takes servers away faster than they come
+// back; laggards leaves a server alone that lacks the last writes.
 var (
 	everything = mix{faults: allFaults, spacing: 900 * time.Millisecond, time: 11 * time.Second}
 	storm      = mix{faults: serverFaults, spacing: 300 * time.Millisecond, time: 11 * time.Second}
+	laggards   = mix{faults: []fault{majorityLoss}, spacing: 2 * time.Second, time: 15 * time.Second}
+	stops      = mix{faults: []fault{plannedStop}, spacing: 10 * time.Second, time: 40 * time.Second, quiet: true, timeout: patientTime}
+	outages    = mix{faults: platformFaults, spacing: 800 * time.Millisecond, time: 15 * time.Second}
+	leavings   = mix{faults: leavingFaults, spacing: 3 * time.Second, time: 25 * time.Second, switchover: true}
 	partitions = mix{faults: []fault{partition}, spacing: 8 * time.Second, time: 25 * time.Second}
 )
 
 var partition = fault{name: "partition primary with its home", begin: partitionWithHome, least: partitionTime}
 
+var majorityLoss = fault{name: "lose majority", begin: loseMajority, least: lostMajorityTime}
+
 var serverFaults = []fault{
 	{name: "kill server", begin: killServer},
 	{name: "kill primary", begin: killPrimary},
@@ -56,6 +82,22 @@
 	{name: "isolate primary with one proxy", begin: isolatePrimaryWithProxy},
 }
 
+var plannedStop = fault{name: "planned stop", begin: stopProxy}
+
+var platformFaults = []fault{
+	{name: "store down", begin: storeDown},
+	{name: "store slow", begin: storeSlow},
+	{name: "store loses answers", begin: storeLoses},
+	{name: "cut proxy from store", begin: cutStore},
+	{name: "kill proxy", begin: killProxy},
+}
+
+var leavingFaults = []fault{
+	plannedStop,
+	{name: "leaving server", begin: leaveServer, least: noticeTime},
+	{name: "leaving primary", begin: leavePrimary, least: noticeTime},
+}
+
 var allFaults = []fault{
 	{name: "kill server", begin: killServer},
 	{name: "kill primary", begin: killPrimary},
@@ -75,6 +117,8 @@
 	{name: "lag", begin: lag},
 	{name: "lose answers", begin: loseAnswers},
 	partition,
+	plannedStop,
+	{name: "leaving server", begin: leaveServer, least: noticeTime},
 	{name: "store down", begin: storeDown},
 	{name: "store slow", begin: storeSlow},
 	{name: "store loses answers", begin: storeLoses},
@@ -282,27 +326,46 @@
 		}
 	}
 	each((*backendtest.Group).Cut, f.net.cut)
-	f.setStoreCut(n, true)
+	n.store.cut()
 	return func() {
 		if n.stopped() {
 			each(func(*backendtest.Group, string, string) {}, f.net.heal)
 			return
 		}
 		each((*backendtest.Group).Heal, f.net.heal)
-		f.setStoreCut(n, false)
+		n.store.heal()
 	}
 }
 
-func (f *fleet) setStoreCut(n *node, cut bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n.storeCut = cut
-}
-
 func cutStore(f *fleet, r *rand.Rand) func() {
 	n := f.homeOf(r)
-	f.setStoreCut(n, true)
-	return func() { f.setStoreCut(n, false) }
+	n.store.cut()
+	return n.store.heal
+}
+
+// loseMajority takes the primary and a replica away after the other replica
+// was kept from storing commits for a while.
+func loseMajority(f *fleet, r *rand.Rand) func() {
+	name, g := f.anyGroup(r)
+	primary := f.primary(name)
+	servers := f.servers(name)
+	first := slices.Index(servers, primary) + 1 + r.IntN(serverCount-1)
+	laggard := servers[first%serverCount]
+	g.Cut(string(primary), string(laggard))
+	time.Sleep(time.Duration(r.Int64N(int64(maxLaggard))))
+	for _, id := range servers {
+		if id != laggard {
+			g.Kill(id)
+		}
+	}
+	g.Heal(string(primary), string(laggard))
+	return func() {
+		for _, id := range servers {
+			if id != laggard {
+				g.Restart(id)
+			}
+		}
+	}
 }
 
 func lag(f *fleet, r *rand.Rand) func() {
@@ -317,17 +380,38 @@
 	return func() { g.LoseAnswers(id, 0) }
 }
 
+func (f *fleet) services() []*platformtest.Faults {
+	return []*platformtest.Faults{&f.table.Faults, &f.objects.Faults, &f.vms.Faults}
+}
+
+// eachService makes a service of the platform fail and returns how that ends.
+func (f *fleet) eachService(begin, end func(*platformtest.Faults)) func() {
+	f.platform.cut()
+	for _, s := range f.services() {
+		begin(s)
+	}
+	return func() {
+		for _, s := range f.services() {
+			end(s)
+		}
+		f.platform.heal()
+	}
+}
+
 func storeDown(f *fleet, _ *rand.Rand) func() {
-	f.table.SetDown(true)
-	return func() { f.table.SetDown(false) }
+	return f.eachService(
+		func(s *platformtest.Faults) { s.SetDown(true) },
+		func(s *platformtest.Faults) { s.SetDown(false) })
 }
 
 func storeSlow(f *fleet, _ *rand.Rand) func() {
-	f.table.SetDelay(time.Second)
-	return func() { f.table.SetDelay(0) }
+	return f.eachService(
+		func(s *platformtest.Faults) { s.SetDelay(slowPlatform) },
+		func(s *platformtest.Faults) { s.SetDelay(platformDelay) })
 }
 
 func storeLoses(f *fleet, r *rand.Rand) func() {
-	f.table.SetRandom(rand.New(rand.NewPCG(r.Uint64(), 5)), 0.1, 0.3)
-	return func() { f.table.SetRandom(nil, 0, 0) }
+	return f.eachService(
+		func(s *platformtest.Faults) { s.SetRandom(rand.New(rand.NewPCG(r.Uint64(), 5)), 0.1, 0.3) },
+		func(s *platformtest.Faults) { s.SetRandom(nil, 0, 0) })
 }
--- a/internal/proof/switches_test.go
+++ b/internal/proof/switches_test.go
@@ -29,6 +29,22 @@
 	// freshStatus shows homes that are set to trust the last known status of
 	// servers that they cannot reach.
 	freshStatus bool
+	// unread hands connections with an unread answer out again.
+	unread bool
+	// outcomes reports every failure as not run.
+	outcomes bool
+	// rising puts the document of any peer in force at proxies.
+	rising bool
+	// looks shows processes the first revision only.
+	looks bool
+	// conditions lets operators overwrite each other's changes.
+	conditions bool
+	// changeIDs keeps the record of changes from operators.
+	changeIDs bool
+	// leaving keeps the list of VMs from processes.
+	leaving bool
+	// drain stops proxies without their drain.
+	drain bool
 }
 
 func (s switches) wrapGateway(r statement.Runner) statement.Runner {
@@ -38,6 +54,14 @@
 	return repeatingRunner{r}
 }
 
+// wrapEntry changes what callers hear from their proxy.
+func (s switches) wrapEntry(r statement.Runner) statement.Runner {
+	if !s.outcomes {
+		return r
+	}
+	return denyingRunner{r}
+}
+
 func (s switches) wrapHome(r statement.Runner) statement.Runner {
 	if !s.floors {
 		return r
@@ -119,6 +143,17 @@
 	return result, err
 }
 
+// denyingRunner calls what failed not run.
+type denyingRunner struct{ statement.Runner }
+
+func (r denyingRunner) Run(ctx context.Context, req *statement.Request, conv statement.Conversation) (statement.Result, error) {
+	result, err := r.Runner.Run(ctx, req, conv)
+	if err != nil && errcode.From(err).Code.Outcome == errcode.OutcomeUnknown {
+		err = errcode.Wrap(err, errcode.ConnectionLost, "run", string(req.Group))
+	}
+	return result, err
+}
+
 type floorlessRunner struct{ statement.Runner }
 
 func (r floorlessRunner) Run(ctx context.Context, req *statement.Request, conv statement.Conversation) (statement.Result, error) {
