Release the slot when the server has ended the batch

Cause: a read at the primary held its slot while it waited for the proof of the term, and every read while its answer crossed the hop to the entry proxy, although the server had ended. The rank was charged for that time as well.

Ruled out: sending the next statement before the answer to the last, since the server would get more than its slots at times.

The adapter now calls Exchange.Ended at the server's ready state, before the gate and the rest of the answer; a recorded order ends with its commit, and a large answer holds the slot while the server produces it. The connection is kept until the end as before, within the limit of the pool.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -52,6 +52,11 @@
 	OrderID string
 	// WantPosition asks for the log position in the same round trip.
 	WantPosition bool
+	// Ended is called once the server has ended the batch, and what the adapter
+	// ran with it, in good order: before Gate, Release and the rest of the
+	// answer. Only the position may still be asked for. It may be nil and may
+	// be called again.
+	Ended func()
 	// Gate is called once before the first byte of an answer is passed to the
 	// conversation. Its error aborts the exchange. It may be nil.
 	Gate func(ctx context.Context) error
--- a/internal/backend/backendtest/conn.go
+++ b/internal/backend/backendtest/conn.go
@@ -268,6 +268,9 @@
 	if execErr != nil {
 		return backend.Answer{}, c.exchangeError(execErr, x.Batch.Class)
 	}
+	if x.Ended != nil {
+		x.Ended()
+	}
 	if answer.ReadOnlyRefused {
 		return answer, nil
 	}
--- a/internal/home/work.go
+++ b/internal/home/work.go
@@ -31,8 +31,8 @@
 // errSilent reports that nothing came back on a connection in good time.
 var errSilent = errors.New("the connection is silent")
 
-// work is one attempt of a request on one connection. It owns the grant and
-// the connection until end.
+// work is one attempt of a request on one connection. It owns the connection
+// until end, and the grant until the server has ended the batch.
 type work struct {
 	owner    *owner
 	request  *request
@@ -153,6 +153,7 @@
 	}
 	x.OrderID = w.request.OrderID
 	x.WantPosition = true
+	x.Ended = w.grant.Release
 	runCtx, stop := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer stop(nil)
 	defer context.AfterFunc(w.termCtx, func() { stop(errTermChanged) })()
--- a/internal/pgwire/back/exchange_test.go
+++ b/internal/pgwire/back/exchange_test.go
@@ -252,3 +252,51 @@
 		t.Errorf("got %+v", a)
 	}
 }
+
+// steps notes what happens in an exchange.
+type steps struct {
+	caller
+	list []string
+}
+
+func (s *steps) note(step string) {
+	if len(s.list) == 0 || s.list[len(s.list)-1] != step {
+		s.list = append(s.list, step)
+	}
+}
+
+func (s *steps) Answer(ctx context.Context, data []byte) error {
+	s.note("answer")
+	return s.caller.Answer(ctx, data)
+}
+
+func TestEndedComesWhenTheServerHasNothingMoreToRun(t *testing.T) {
+	long := "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i+1 FROM n WHERE i < 20000) SELECT i, 'padding padding padding' FROM n"
+	cases := []struct {
+		name string
+		x    *backend.Exchange
+		want []string
+	}{
+		{"read", &backend.Exchange{Batch: simple(statement.ClassRead, "SELECT 1")}, []string{"ended", "gate", "answer", "ended"}},
+		{"streamed answer", &backend.Exchange{Batch: simple(statement.ClassRead, long)}, []string{"gate", "answer", "ended", "answer", "ended"}},
+		{"held write", &backend.Exchange{Batch: simple(statement.ClassWrite, "INSERT INTO rolls VALUES ('fern', 1)"), HoldAnswer: true}, []string{"ended", "release", "answer"}},
+		{"order", &backend.Exchange{Batch: simple(statement.ClassWrite, "INSERT INTO rolls VALUES ('moss', 1)"), HoldAnswer: true, OrderID: "o"}, []string{"ended", "release", "answer"}},
+	}
+	c := newGroup(t, 1, nil).conn(0, backend.Claim{})
+	for _, tc := range cases {
+		s := &steps{}
+		tc.x.WantPosition = true
+		tc.x.Ended = func() { s.note("ended") }
+		if tc.x.HoldAnswer {
+			tc.x.Release = func(context.Context, backend.Answer) error { s.note("release"); return nil }
+		} else {
+			tc.x.Gate = func(context.Context) error { s.note("gate"); return nil }
+		}
+		if _, err := c.Exchange(t.Context(), tc.x, s); err != nil {
+			t.Fatalf("%s: %v", tc.name, err)
+		}
+		if diff := cmp.Diff(tc.want, s.list); diff != "" {
+			t.Errorf("%s: %s", tc.name, diff)
+		}
+	}
+}
--- a/internal/pgwire/back/relay.go
+++ b/internal/pgwire/back/relay.go
@@ -76,6 +76,9 @@
 	case typeReady:
 		r.complete = true
 		r.stopFeeder()
+		if !r.recording {
+			r.ended()
+		}
 	}
 	r.leadIn = r.leadIn && isLeadIn(kind)
 	if r.refused {
@@ -171,8 +174,16 @@
 	return a, r.deliver(a)
 }
 
+// ended reports that the server has nothing more to run.
+func (r *relay) ended() {
+	if r.x.Ended != nil {
+		r.x.Ended()
+	}
+}
+
 // deliver passes the held answer on unless the caller's side forbids it.
 func (r *relay) deliver(a backend.Answer) error {
+	r.ended()
 	if r.refused {
 		return nil
 	}
