Refuse at the entry what the home has just refused

Cause: nine in ten requests of a flood crossed the hop, took the home's locks and a proof ticket, and came back refused.

The home's advice for a request that would wait too long now includes an eighth of the queue; the excess alone is the time of one statement.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,11 +47,12 @@
 
 // Gateway implements statement.Runner for every group of the environment.
 type Gateway struct {
-	config Config
+	config   Config
+	refusals *refusals
 }
 
 // New returns a Gateway.
-func New(config Config) *Gateway { return &Gateway{config: config} }
+func New(config Config) *Gateway { return &Gateway{config: config, refusals: newRefusals()} }
 
 // Run implements statement.Runner.
 func (g *Gateway) Run(ctx context.Context, req *statement.Request, conv statement.Conversation) (statement.Result, error) {
@@ -141,7 +142,23 @@
 	if a.req.Hops >= maxHops {
 		return statement.Result{}, redirectError(home)
 	}
-	attemptReq.Hops++
+	if a.req.Hops > 0 {
+		return a.forward(ctx, home, &attemptReq)
+	}
+	if err := a.gateway.refusals.check(a.req, home); err != nil {
+		return statement.Result{}, err
+	}
+	result, err := a.forward(ctx, home, &attemptReq)
+	if err != nil {
+		a.gateway.refusals.note(a.req, home, err)
+	}
+	return result, err
+}
+
+// forward sends the request to its home at another proxy, through a third one
+// when the direct way has failed.
+func (a *attempt) forward(ctx context.Context, home cluster.ProxyID, req *statement.Request) (statement.Result, error) {
+	req.Hops++
 	next := home
 	if a.relay {
 		if other := a.gateway.config.Members.Relay(home, a.gateway.config.Self); other != "" {
@@ -154,7 +171,7 @@
 	if runner == nil {
 		return statement.Result{}, errcode.New(errcode.NoHome, "address of home", string(next))
 	}
-	return runner.Run(ctx, &attemptReq, a.conv)
+	return runner.Run(ctx, req, a.conv)
 }
 
 // mayRepeat decides on another attempt and remembers what the failed one taught.
--- a/internal/rank/dispatcher.go
+++ b/internal/rank/dispatcher.go
@@ -43,6 +43,9 @@
 	// defaultQueue and defaultMaxWait bound a rank whose document entry is zero.
 	defaultQueue   = 1000
 	defaultMaxWait = 10 * time.Second
+	// drainPart is the part of a queue, as a divisor, that is served before a
+	// request that would have waited too long is advised to come back.
+	drainPart = 8
 	// defaultQueueBytes bounds the bytes of all waiting requests.
 	defaultQueueBytes = 64 << 20
 )
--- a/internal/rank/queue.go
+++ b/internal/rank/queue.go
@@ -94,7 +94,7 @@
 		return nil
 	}
 	if now.Add(expected).After(w.deadline) {
-		return overloaded("wait too long", expected-w.deadline.Sub(now))
+		return overloaded("wait too long", expected-w.deadline.Sub(now)+expected/drainPart)
 	}
 	if !r.Deadline.IsZero() && now.Add(d.cost[r.Rank].duration()).After(r.Deadline) {
 		return errcode.New(errcode.DeadlinePassed, "admit", "")
