Stop waiting for a replica that fell behind

Cause: a replica that was later than the estimate of its lag counted as expected at any moment, so that reads of the latest data and of own writes waited out their patience of 60 ms, asking for its status every 2 ms.

Once a status has shown the replica later than its usual lag, the next look is due after an eighth of the lag seen, 2 ms at least; beyond the patience the primary serves the read at once. TestReadsDoNotWaitForAReplicaThatFellBehind: slowest read 60 ms before, 2 ms now.

--- a/internal/home/lag_test.go
+++ b/internal/home/lag_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/route"
+	"github.com/rattancove/rattancove/internal/statement"
 )
 
 // TestLagIsNotTakenForThePauseBetweenStatusCalls lets a replica that is 50 ms
@@ -36,3 +37,35 @@
 		t.Fatalf("estimate %v for a lag of at least 400 ms", l.value)
 	}
 }
+
+// TestReadsDoNotWaitForAReplicaThatFellBehind lets the replicas stop replaying
+// after the home has learned their usual lag.
+func TestReadsDoNotWaitForAReplicaThatFellBehind(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, b *bench) {
+		h := b.home("p1")
+		for range 20 {
+			b.mustWrite(h, "s", "put k v")
+			time.Sleep(replayLag)
+		}
+		for _, id := range []cluster.ServerID{"s2", "s3"} {
+			b.group.SetReplayLag(id, time.Hour)
+		}
+		b.mustWrite(h, "s", "put k v")
+		time.Sleep(time.Second)
+		var slowest time.Duration
+		for range 10 {
+			r := b.request(statement.ClassRead, "get k")
+			r.Freshness.Mode = statement.FreshnessLatest
+			begun := time.Now()
+			_, result, err := run(h, r)
+			if err != nil || !result.Primary {
+				t.Fatalf("%+v %v", result, err)
+			}
+			slowest = max(slowest, time.Since(begun))
+		}
+		t.Logf("slowest read %v", slowest)
+		if slowest > route.DefaultPatience/2 {
+			t.Errorf("a read took %v", slowest)
+		}
+	})
+}
--- a/internal/home/workload_test.go
+++ b/internal/home/workload_test.go
@@ -53,10 +53,11 @@
 		b.mustWrite(h, "", "put k v")
 		time.Sleep(2 * time.Second)
 		m := &mixedWorkload{bench: b, home: h, pace: workload}
+		calls := statusCallsTotal.Get()
 		m.run(t)
 		share = float64(m.replicas) / float64(len(m.latency))
-		t.Logf("writes %.2f, lag %v, patience %v: %.3f of %d reads at replicas, p50 %v, p99 %v", m.writes, lag, patience, share,
-			len(m.latency), percentile(m.latency, 50).Round(100*time.Microsecond), percentile(m.latency, 99).Round(100*time.Microsecond))
+		t.Logf("writes %.2f, lag %v, patience %v: %.3f of %d reads at replicas, p50 %v, p99 %v, %d status calls", m.writes, lag, patience, share,
+			len(m.latency), percentile(m.latency, 50).Round(100*time.Microsecond), percentile(m.latency, 99).Round(100*time.Microsecond), statusCallsTotal.Get()-calls)
 	})
 	return share
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -13,9 +13,12 @@
 	// DefaultPatience is how long a read waits for a replica before it takes a
 	// slot of the primary.
 	DefaultPatience = 60 * time.Millisecond
-	// recheckInterval is the time between two judgements of a replica that is
+	// recheckInterval is the least time between two looks at a replica that is
 	// later than expected.
 	recheckInterval = 2 * time.Millisecond
+	// recheckPart is the part of the lag seen so far, as a divisor, after which
+	// a replica that is later than expected is looked at again.
+	recheckPart = 8
 )
 
 // Query is what a request asks of a server.
@@ -236,7 +239,7 @@
 	if !ok || committed.After(q.Arrived) {
 		committed = q.Arrived
 	}
-	o := Option{Server: s.ID, NotBefore: committed.Add(s.Lag), Reason: ReasonCatchUp, Need: need}
+	o := Option{Server: s.ID, NotBefore: expected(s, committed), Reason: ReasonCatchUp, Need: need}
 	if !o.NotBefore.After(now) {
 		o.Overdue = true
 		o.NotBefore = now.Add(recheckInterval)
@@ -248,6 +251,18 @@
 	return o, true
 }
 
+// expected returns when a replica will probably have replayed what was
+// committed at a time. Once a status has shown that it is later than its usual
+// lag, the wait grows with the lag that was seen.
+func expected(s Server, committed time.Time) time.Time {
+	usual := committed.Add(s.Lag)
+	if s.Observed.Before(usual) {
+		return usual
+	}
+	seen := s.Observed.Sub(committed)
+	return s.Observed.Add(max(seen/recheckPart, recheckInterval))
+}
+
 func (g *Group) server(id cluster.ServerID) (Server, bool) {
 	for _, s := range g.Servers {
 		if s.ID == id && id != "" {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -172,3 +172,38 @@
 		t.Errorf("option %+v, %v", o, ok)
 	}
 }
+
+// TestWaitGrowsWithTheLagThatWasSeen looks at a replica whose statuses show it
+// later than its usual lag.
+func TestWaitGrowsWithTheLagThatWasSeen(t *testing.T) {
+	const lag = 10 * time.Millisecond
+	tests := []struct {
+		name string
+		// seen is the time from the commit to the last status.
+		seen time.Duration
+		want time.Duration
+		ok   bool
+	}{
+		{"not looked at since the usual lag", lag - 1, 0, true},
+		{"a little late", lag, recheckInterval, true},
+		{"late", 80 * time.Millisecond, 10 * time.Millisecond, true},
+		{"hopelessly late", time.Second, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := group(func(g *Group) {
+				g.Commits = NewHistory(10, 0).With(Sample{At: start.Add(-tt.seen), Position: at(200)})
+				g.Servers[1].Lag = lag
+				g.Servers[1].Observed = start
+			})
+			q := Query{Class: statement.ClassRead, FloorKnown: true, Floor: at(200), Arrived: start}
+			o, ok := Decide(q, g, start).Option("s2")
+			if ok != tt.ok || o.Overdue {
+				t.Fatalf("option %+v, %v", o, ok)
+			}
+			if tt.want > 0 && !o.NotBefore.Equal(start.Add(tt.want)) {
+				t.Errorf("looked at again after %v", o.NotBefore.Sub(start))
+			}
+		})
+	}
+}
