Take the lateness of timers off the stand-in's next statements

Cause: in a flood the stand-in's slots were held 3.3% longer than the statements asked for (0.943 of the slot time asked, 0.973 slept), because the runtime's timers fire up to a millisecond late.

The lateness of one statement, 5 ms at most, is taken off the next ones.

--- a/internal/standin/dbserver/execute.go
+++ b/internal/standin/dbserver/execute.go
@@ -194,7 +194,7 @@
 	if err := s.slots.Acquire(ctx, 1); err != nil {
 		return nil, err
 	}
-	if !sleep(ctx, p.workTime(args)+s.faultsNow().slow) {
+	if !s.timer.wait(ctx, p.workTime(args)+s.faultsNow().slow) {
 		s.slots.Release(1)
 		return nil, ctx.Err()
 	}
--- a/internal/standin/dbserver/server.go
+++ b/internal/standin/dbserver/server.go
@@ -20,6 +20,7 @@
 	engine *engine
 	locks  lockTable
 	slots  *semaphore.Weighted
+	timer  workTimer
 	faults faults
 
 	ctx    context.Context
--- a/internal/standin/dbserver/server_test.go
+++ b/internal/standin/dbserver/server_test.go
@@ -334,3 +334,21 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+func TestLatenessIsTakenOffTheNextStatements(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var w workTimer
+		w.late = 3 * time.Millisecond
+		took := func(d time.Duration) time.Duration {
+			begun := time.Now()
+			w.wait(t.Context(), d)
+			return time.Since(begun)
+		}
+		for i, want := range []time.Duration{0, 9 * time.Millisecond, 10 * time.Millisecond} {
+			asked := []time.Duration{2 * time.Millisecond, 10 * time.Millisecond, 10 * time.Millisecond}[i]
+			if got := took(asked); got != want {
+				t.Errorf("statement %d of %v took %v, want %v", i, asked, got, want)
+			}
+		}
+	})
+}
