Do not take a member that restarts during the start for an old one

Ruled out: the word of the others alone; when a whole fleet starts, each process would be the only stable one in its own view for up to a second.

Change: the rule holds for members that have been alive since they were found.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -93,7 +93,10 @@
 	EvidenceAt time.Time
 	// Stable is set when the member has been alive for stableAfter.
 	Stable bool
-	// toldStable is set when another process has told that it is.
+	// initial is set for a member that this process found while it started and
+	// that has been alive without a break since.
+	initial bool
+	// toldStable is set when another process has told that it is stable.
 	toldStable bool
 	// directAt is the time of the last direct contact.
 	directAt time.Time
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -64,7 +64,7 @@
 // changed.
 func (t *table) learnStable(r Report, now time.Time) bool {
 	e, ok := t.entries[r.Member.Key()]
-	if !ok || !r.Stable || e.toldStable || r.Member.Incarnation != e.Member.Incarnation {
+	if !ok || !r.Stable || !e.initial || e.toldStable || r.Member.Incarnation != e.Member.Incarnation {
 		return false
 	}
 	e.toldStable = true
@@ -124,6 +124,7 @@
 func (t *table) add(r Report, at, now time.Time) {
 	t.entries[r.Member.Key()] = &Entry{
 		Member: r.Member, State: r.State, Since: now, EvidenceAt: at, spread: t.spreads(),
+		initial: now.Sub(t.started) < stableAfter,
 	}
 }
 
@@ -131,7 +132,7 @@
 	e.Member = r.Member
 	e.EvidenceAt = at
 	e.Since = now
-	e.toldStable = false
+	e.initial = false
 	t.fire(e, eventRestarted, now)
 	if r.State != StateAlive {
 		t.fire(e, eventOf(r.State), now)
@@ -186,7 +187,7 @@
 	}
 	if State(next) == StateAlive && e.State == StateDead {
 		e.Since = now
-		e.toldStable = false
+		e.initial = false
 	}
 	if State(next) == StateSuspect {
 		e.doubtedAt = now
@@ -267,7 +268,7 @@
 // members that were found while this process started it takes the word of the
 // others, so that a process that joins an old fleet agrees with it at once.
 func (t *table) stable(e *Entry, now time.Time) bool {
-	if e.Since.Sub(t.started) < stableAfter {
+	if e.initial {
 		return e.toldStable || now.Sub(t.started) >= stableAfter
 	}
 	return now.Sub(e.Since) >= stableAfter
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -95,6 +95,24 @@
 	}
 }
 
+// A member that restarts while this process starts is not taken for one that
+// has been there all the time.
+func TestRestartDuringStartIsNotStable(t *testing.T) {
+	table := newTable(proxyNamed("self", 1), at(0))
+	other := proxyNamed("other", 1)
+	table.observe(Report{Member: other, State: StateAlive, Stable: true}, at(1))
+	if !table.entries[other.Key()].Stable {
+		t.Error("the word of the others does not count")
+	}
+	table.observe(Report{Member: proxyNamed("other", 2), State: StateAlive}, at(4.8))
+	for _, when := range []float64{5, 9.7, 9.9} {
+		table.tick(at(when))
+		if want := when > 9.8; table.entries[other.Key()].Stable != want {
+			t.Errorf("at %v s stable is %t", when, !want)
+		}
+	}
+}
+
 func TestPausedProcessHasToBeStableAnew(t *testing.T) {
 	table := newTable(proxyNamed("self", 1), at(0))
 	other := proxyNamed("other", 1)
