Free a server that is full of silent connections by claiming the group again

A connection that goes silent is closed by the home, but a server that does not notice keeps its place. After 16 silences in turn a primary of 16 places refused every new connection and the group took no writes any more. Found by the relay of the integration tests; backendtest shows the same.

A home that has no connection to a server which refuses one for lack of places now claims its group again, at most every 10 s: the claim of a higher epoch ends every connection of the old one. Nothing is cut on that server, as the home has no connection there; what runs on the group's other servers ends as after a move of the home. Ruled out: claiming while some connections work, since that cuts off their requests.

--- a/internal/backend/backendtest/conn.go
+++ b/internal/backend/backendtest/conn.go
@@ -16,6 +16,7 @@
 var (
 	errRefused = errors.New("connection refused")
 	errBroken  = errors.New("connection reset")
+	errFull    = errors.New("too many connections")
 )
 
 type dialer struct {
@@ -27,7 +28,11 @@
 func (d *dialer) Dial(ctx context.Context, s cluster.Server, _ cluster.GroupName, c backend.Claim) (backend.Conn, error) {
 	conn, err := d.open(ctx, s, c, false)
 	if err != nil {
-		return nil, errcode.Wrap(err, errcode.ConnectionLost, "dial", string(s.ID))
+		code := errcode.ConnectionLost
+		if errors.Is(err, errFull) {
+			code = errcode.Overloaded
+		}
+		return nil, errcode.Wrap(err, code, "dial", string(s.ID))
 	}
 	return &dataConn{conn: conn}, nil
 }
@@ -92,7 +97,7 @@
 	case !c.control && s.claim.Epoch > 0 && (c.claim.Epoch < s.claim.Epoch || c.claim.Epoch == s.claim.Epoch && c.claim.Home != s.claim.Home):
 		return errors.New("home epoch superseded")
 	case !c.control && s.dataConns() >= s.spec.Connections:
-		return errors.New("too many connections")
+		return errFull
 	}
 	s.conns[c] = true
 	if !c.control {
--- a/internal/home/events.go
+++ b/internal/home/events.go
@@ -15,4 +15,5 @@
 	eventReadmitted    = event.New(3505, zerolog.InfoLevel, "replica_readmitted", "A fresh connection to an ejected replica works; it gets reads again.")
 	eventControl       = event.New(3506, zerolog.DebugLevel, "control_connection_failed", "The control connection to a backend server failed and is opened anew.")
 	eventHandoffFailed = event.New(3507, zerolog.WarnLevel, "handoff_failed", "The present home of a group did not drain it in time; what it still ran is cut off by the claim.")
+	eventReclaimed     = event.New(3508, zerolog.WarnLevel, "group_reclaimed", "A backend server is full of connections that went silent; the group is claimed again, which ends them.")
 )
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -123,13 +123,18 @@
 		}
 		h.release(group)
 	}
+	h.begin(g)
+	return nil
+}
+
+// begin starts an owner. The caller holds the lock.
+func (h *Home) begin(g environment.Group) {
 	o := newOwner(h, g)
 	for id := range h.leaving {
 		o.setLeaving(id, true)
 	}
-	h.owners[group] = o
+	h.owners[g.Name] = o
 	o.start()
-	return nil
 }
 
 // Disown gives a group up: it takes no more requests, lets running ones finish
--- a/internal/home/metrics.go
+++ b/internal/home/metrics.go
@@ -18,6 +18,7 @@
 	statusCallsTotal  = metrics.NewCounter("rattan_home_status_calls_total")
 	ejectionsTotal    = metrics.NewCounter("rattan_home_ejections_total")
 	silencesTotal     = metrics.NewCounter("rattan_home_silent_connections_total")
+	reclaimsTotal     = metrics.NewCounter("rattan_home_reclaims_total")
 	rollbacksTotal    = metrics.NewCounter("rattan_home_rollbacks_total")
 	waitSeconds       = rankHistograms("rattan_home_wait_seconds")
 	requestSeconds    = rankHistograms("rattan_home_request_seconds")
--- a/internal/home/node.go
+++ b/internal/home/node.go
@@ -78,7 +78,11 @@
 }
 
 func (n *node) dial(ctx context.Context) (backend.Conn, error) {
-	return n.owner.home.dialer.Dial(ctx, n.server, n.owner.name, n.owner.backendClaim())
+	conn, err := n.owner.home.dialer.Dial(ctx, n.server, n.owner.name, n.owner.backendClaim())
+	if err != nil && n.lockedOut(err) {
+		n.owner.home.reclaim(n.owner, n)
+	}
+	return conn, err
 }
 
 // monitor keeps a control connection and reports the server's status until the node stops.
--- a/internal/home/owner.go
+++ b/internal/home/owner.go
@@ -64,6 +64,7 @@
 type owner struct {
 	home       *Home
 	name       cluster.GroupName
+	started    time.Time
 	dispatcher *rank.Dispatcher
 	budget     *rank.Budget
 	ctx        context.Context
@@ -117,7 +118,7 @@
 func newOwner(h *Home, g environment.Group) *owner {
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &owner{
-		home: h, name: g.Name, budget: rank.NewBudget(), ctx: ctx, cancel: cancel,
+		home: h, name: g.Name, started: time.Now(), budget: rank.NewBudget(), ctx: ctx, cancel: cancel,
 		spec: g, ranks: h.ranks, limits: h.limits,
 		nodes: make(map[cluster.ServerID]*node), view: newView(len(g.Servers)),
 		phase: chart.NewMachine(), changed: make(chan struct{}), sessions: newSessions(sessionLimit),
