State the failover gap on the programs and what silent connections need

scripts/failover-gap also records by how much each failure raised the term, so that a gap without a failover shows. The relay drops a silent connection at the server after 5 s, as a TCP keepalive does: without that the stand-in's places, those for control among them, were full after four silences in 12 s and the silent path never took a write again.

--- a/internal/integration/cut_test.go
+++ b/internal/integration/cut_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/rattancove/rattancove/internal/admin"
 	"github.com/rattancove/rattancove/internal/cluster"
 )
 
@@ -72,7 +73,9 @@
 	WaitMillis []int64 `json:"wait_ms"`
 	WaitP50    int64   `json:"wait_p50_ms"`
 	WaitWorst  int64   `json:"wait_worst_ms"`
-	Verdict    verdict `json:"verdict"`
+	// Terms is by how much each failure raised the term; 0 is no failover.
+	Terms   []cluster.Term `json:"terms"`
+	Verdict verdict        `json:"verdict"`
 }
 
 // TestCutFleet runs the programs with relays between them. Each group sees its
@@ -117,11 +120,13 @@
 	o := f.placeOrders(group, kind.name[:1], gapWriters)
 	report := &gapReport{Kind: kind.name}
 	for range failureCount(f.t) {
-		primary := f.settled(group)
+		before := f.settled(group)
+		primary := before.Primary
 		o.progress(5 * gapWriters)
 		begun := time.Now()
 		kind.inject(f, f.serverIndex(primary))
-		f.replaced(group, primary, kind)
+		after := f.replaced(group, primary, kind)
+		report.Terms = append(report.Terms, after.Term-before.Term)
 		o.progress(5 * gapWriters)
 		gap, wait := o.slowest(begun)
 		report.GapMillis = append(report.GapMillis, gap.Milliseconds())
@@ -137,38 +142,38 @@
 }
 
 // settled waits until a group has one primary that every server follows, and
-// returns it.
-func (f *fleet) settled(group int) cluster.ServerID {
+// returns its status.
+func (f *fleet) settled(group int) admin.GroupStatus {
 	f.t.Helper()
-	var primary cluster.ServerID
+	var g admin.GroupStatus
 	f.eventually("a settled group", func() bool {
-		g := f.group(0, group)
+		g = f.group(0, group)
 		if g.Unknown != "" || !g.Writable {
 			return false
 		}
-		primary = g.Primary
 		for _, s := range g.Servers {
-			follows := s.Role == cluster.RoleReplica || s.ID == primary && s.Role == cluster.RolePrimary
+			follows := s.Role == cluster.RoleReplica || s.ID == g.Primary && s.Role == cluster.RolePrimary
 			if !follows || !s.Reachable || s.Ejected != "" {
 				return false
 			}
 		}
 		return true
 	})
-	return primary
+	return g
 }
 
-// replaced waits until the failure is over.
-func (f *fleet) replaced(group int, old cluster.ServerID, kind failure) {
+// replaced waits until the failure is over and returns the group's status.
+func (f *fleet) replaced(group int, old cluster.ServerID, kind failure) admin.GroupStatus {
 	f.t.Helper()
 	if !kind.replaced {
 		time.Sleep(silenceTime)
-		return
 	}
-	f.eventually("another primary", func() bool {
-		g := f.group(0, group)
-		return g.Unknown == "" && g.Writable && g.Primary != old
+	var g admin.GroupStatus
+	f.eventually("a primary after the failure", func() bool {
+		g = f.group(0, group)
+		return g.Unknown == "" && g.Writable && (g.Primary != old || !kind.replaced)
 	})
+	return g
 }
 
 // slowest returns the longest time without an acknowledgement and the longest
--- a/internal/integration/relay_test.go
+++ b/internal/integration/relay_test.go
@@ -17,6 +17,9 @@
 	directions
 )
 
+// targetKeepalive is the time after which a server drops a silent connection.
+const targetKeepalive = 5 * time.Second
+
 // relay passes TCP connections on to a target. What a cut holds back is passed
 // on when the cut ends, as TCP sends lost segments again; the end of a
 // connection is held back in the same way. A new connection is accepted during
@@ -66,11 +69,13 @@
 // setDelay adds d to the time of every chunk.
 func (r *relay) setDelay(d time.Duration) { r.change(func() { r.delay = d }) }
 
-// silence makes the connections that are open now silent for good.
+// silence makes the connections that are open now silent for good. The target
+// finds out after its TCP keepalive.
 func (r *relay) silence() {
 	r.change(func() {
 		for c := range r.open {
 			c.silent = true
+			time.AfterFunc(targetKeepalive, func() { _ = c.far.Close() })
 		}
 	})
 }
