Set no expired timers where tests run in virtual time

internal/home crashed once under -race with SIGSEGV in runtime.maybeRunChan, below a select on a timer of 0 s in home.sleep (the first repeat of a read). Ruled out: the claim that frees silent connections, which is not on the stack.

home.sleep sets no timer for no time, and the queue's wait lasts at least 1 ns.

--- a/internal/home/node.go
+++ b/internal/home/node.go
@@ -179,7 +179,12 @@
 	}
 }
 
+// sleep waits for d or until ctx ends. It sets no timer for no time: a select
+// on a timer that has expired crashes the race detector in a synctest bubble.
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/internal/integration/cut_test.go
+++ b/internal/integration/cut_test.go
@@ -27,6 +27,9 @@
 	// silenceTime is how long a failure is looked at that needs no failover.
 	silenceTime = 3 * time.Second
 	peerDelay   = 20 * time.Millisecond
+	// targetKeepalive is the time after which a server drops a connection that
+	// a relay has silenced.
+	targetKeepalive = 5 * time.Second
 )
 
 // failure is a kind of failure of a primary.
--- a/internal/integration/relay_test.go
+++ b/internal/integration/relay_test.go
@@ -14,12 +14,8 @@
 const (
 	toTarget direction = iota
 	fromTarget
-	directions
 )
 
-// targetKeepalive is the time after which a server drops a silent connection.
-const targetKeepalive = 5 * time.Second
-
 // relay passes TCP connections on to a target. What a cut holds back is passed
 // on when the cut ends, as TCP sends lost segments again; the end of a
 // connection is held back in the same way. A new connection is accepted during
@@ -32,7 +28,7 @@
 	// changed is closed and replaced at every change.
 	changed chan struct{}
 	closed  bool
-	cut     [directions]bool
+	cut     [fromTarget + 1]bool
 	delay   time.Duration
 	open    map[*relayed]struct{}
 }
@@ -143,8 +139,7 @@
 func (r *relay) await(c *relayed, d direction) bool {
 	for {
 		r.mu.Lock()
-		held := r.cut[d] || c.silent
-		closed, changed, delay := r.closed, r.changed, r.delay
+		held, closed, changed, delay := r.cut[d] || c.silent, r.closed, r.changed, r.delay
 		r.mu.Unlock()
 		if closed || !held {
 			time.Sleep(delay)
--- a/internal/rank/dispatcher.go
+++ b/internal/rank/dispatcher.go
@@ -196,7 +196,7 @@
 		return
 	default:
 	}
-	wait := time.NewTimer(time.Until(w.deadline))
+	wait := time.NewTimer(max(time.Until(w.deadline), time.Nanosecond))
 	defer wait.Stop()
 	select {
 	case <-w.done:
