--- a/internal/home/node.go
+++ b/internal/home/node.go
@@ -78,7 +78,11 @@
 }
 
 func (n *node) dial(ctx context.Context) (backend.Conn, error) {
-	return n.owner.home.dialer.Dial(ctx, n.server, n.owner.name, n.owner.backendClaim())
+	conn, err := n.owner.home.dialer.Dial(ctx, n.server, n.owner.name, n.owner.backendClaim())
+	if err != nil && n.lockedOut(err) {
+		n.owner.home.reclaim(n.owner, n)
+	}
+	return conn, err
 }
 
 // monitor keeps a control connection and reports the server's status until the node stops.
@@ -175,7 +179,12 @@
 	}
 }
 
+// sleep waits for d or until ctx ends. It sets no timer for no time: a select
+// on a timer that has expired crashes the race detector in a synctest bubble.
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/internal/integration/relay_test.go
+++ b/internal/integration/relay_test.go
@@ -14,7 +14,6 @@
 const (
 	toTarget direction = iota
 	fromTarget
-	directions
 )
 
 // relay passes TCP connections on to a target. What a cut holds back is passed
@@ -29,7 +28,7 @@
 	// changed is closed and replaced at every change.
 	changed chan struct{}
 	closed  bool
-	cut     [directions]bool
+	cut     [fromTarget + 1]bool
 	delay   time.Duration
 	open    map[*relayed]struct{}
 }
@@ -66,11 +65,13 @@
 // setDelay adds d to the time of every chunk.
 func (r *relay) setDelay(d time.Duration) { r.change(func() { r.delay = d }) }
 
-// silence makes the connections that are open now silent for good.
+// silence makes the connections that are open now silent for good. The target
+// finds out after its TCP keepalive.
 func (r *relay) silence() {
 	r.change(func() {
 		for c := range r.open {
 			c.silent = true
+			time.AfterFunc(targetKeepalive, func() { _ = c.far.Close() })
 		}
 	})
 }
@@ -138,8 +139,7 @@
 func (r *relay) await(c *relayed, d direction) bool {
 	for {
 		r.mu.Lock()
-		held := r.cut[d] || c.silent
-		closed, changed, delay := r.closed, r.changed, r.delay
+		held, closed, changed, delay := r.cut[d] || c.silent, r.closed, r.changed, r.delay
 		r.mu.Unlock()
 		if closed || !held {
 			time.Sleep(delay)
