--- a/internal/environment/split_test.go
+++ b/internal/environment/split_test.go
@@ -4,7 +4,11 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"os"
+	"reflect"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -195,3 +199,56 @@
 		}
 	}
 }
+
+// mutate changes a text at some random places: it repeats, drops, moves,
+// indents and cuts lines and puts in signs of YAML.
+func mutate(r *rand.Rand, data []byte) []byte {
+	lines := strings.SplitAfter(string(data), "\n")
+	signs := []string{"'", `"`, "[", "]", "{", "}", "|", ">", "#", ": ", "- ", "---", "\t", "&a ", "*a", "!t ", "groups:\n", "  ", "%x\n", "\\"}
+	for range 1 + r.IntN(3) {
+		i := r.IntN(len(lines))
+		switch r.IntN(6) {
+		case 0:
+			lines = slices.Insert(lines, i, lines[r.IntN(len(lines))])
+		case 1:
+			lines = slices.Delete(lines, i, min(i+1+r.IntN(5), len(lines)-1))
+		case 2:
+			j := r.IntN(len(lines))
+			lines[i], lines[j] = lines[j], lines[i]
+		case 3:
+			lines[i] = strings.Repeat(" ", r.IntN(4)) + strings.TrimLeft(lines[i], " ")
+		case 4:
+			lines[i] = strings.TrimSuffix(lines[i], "\n")
+		default:
+			at := r.IntN(len(lines[i]) + 1)
+			lines[i] = lines[i][:at] + signs[r.IntN(len(signs))] + lines[i][at:]
+		}
+		lines = slices.DeleteFunc(lines, func(l string) bool { return l == "" })
+	}
+	return []byte(strings.Join(lines, ""))
+}
+
+// TestParserAgreesOnBrokenTextsSeeded compares both ways on mutated documents.
+func TestParserAgreesOnBrokenTextsSeeded(t *testing.T) {
+	seeds := 30
+	if n, err := strconv.Atoi(os.Getenv("RATTAN_SEEDS")); err == nil {
+		seeds = max(n, seeds)
+	}
+	p := NewParser()
+	valid, split := 0, 0
+	for seed := range uint64(seeds) {
+		data := mutate(rand.New(rand.NewPCG(seed, 0)), large())
+		want, wantErr := Parse(data)
+		got, gotErr := p.Parse(data)
+		if !reflect.DeepEqual(want, got) || fmt.Sprint(wantErr) != fmt.Sprint(gotErr) {
+			t.Errorf("seed %d: %v, want %v\n%s", seed, gotErr, wantErr, cmp.Diff(want, got))
+		}
+		if wantErr == nil {
+			valid++
+		}
+		if !Split(data).Whole() {
+			split++
+		}
+	}
+	t.Logf("%d texts, %d valid, %d in pieces", seeds, valid, split)
+}
