--- a/internal/proof/seeded_test.go
+++ b/internal/proof/seeded_test.go
@@ -20,10 +20,10 @@
 	stormShare   = 5
 	// partitionShare and the others are the same for the tests of their names.
 	partitionShare    = 10
-	majorityLossShare = 10
-	plannedStopShare  = 10
-	leavingShare      = 10
-	outageShare       = 10
+	majorityLossShare = 20
+	plannedStopShare  = 20
+	leavingShare      = 20
+	outageShare       = 20
 )
 
 // startTime is the time in which members become stable and homes claim.
@@ -130,6 +130,7 @@
 
 func playSeeds(t *testing.T, count int, m mix) {
 	t.Helper()
+	t.Parallel()
 	sum := &totals{counts: map[string]int{}}
 	t.Run("seeds", func(t *testing.T) {
 		for seed := range count {
