--- a/internal/proof/documents_test.go
+++ b/internal/proof/documents_test.go
@@ -14,6 +14,7 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/document"
 	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/member"
 	"github.com/rattancove/rattancove/internal/platform"
 	"github.com/rattancove/rattancove/internal/platform/platformclient"
@@ -109,19 +110,38 @@
 	})
 }
 
+// fetchDocument asks a peer for its document, or for what the one in force
+// here lacks of it.
 func (n *node) fetchDocument(ctx context.Context, address string, revision uint64) ([]byte, error) {
-	replies := make(chan []byte, 1)
+	held, base := n.documents.Current(), ""
+	if held != nil {
+		base = held.Version.Digest
+	}
+	replies := make(chan documentReply, 1)
 	err := n.fleet.net.call(ctx, n, address, func(_ context.Context, to *node) {
-		var data []byte
-		if held := to.documents.Current(); held != nil && held.Version.Revision >= revision {
-			data = held.Text.Bytes()
-		}
-		replies <- data
+		var reply documentReply
+		reply.current, reply.update, reply.updated = to.documents.UpdateFrom(base)
+		replies <- reply
 	})
 	if err != nil {
 		return nil, err
 	}
-	return <-replies, nil
+	reply := <-replies
+	switch {
+	case reply.current == nil || reply.current.Version.Revision < revision:
+		return nil, errcode.New(errcode.OldDocument, "document", address)
+	case held != nil && reply.updated:
+		return held.Apply(reply.update)
+	default:
+		return reply.current.Text.Bytes(), nil
+	}
+}
+
+// documentReply is the document of a peer, or what the asking process lacks of it.
+type documentReply struct {
+	current *rollout.InForce
+	update  rollout.Update
+	updated bool
 }
 
 // announceDocuments tells the peers of each new document at once.
