--- a/internal/home/sleep_test.go
+++ b/internal/delay/delay_test.go
@@ -1,4 +1,4 @@
-package home
+package delay
 
 import (
 	"context"
@@ -18,7 +18,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				for range 2000 {
-					sleep(ctx, 0)
+					Sleep(ctx, 0)
 				}
 			})
 		}
--- a/internal/home/eject.go
+++ b/internal/home/eject.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+
+	"github.com/rattancove/rattancove/internal/delay"
 )
 
 const (
@@ -40,7 +42,7 @@
 	retry.InitialInterval = readmitInitial
 	retry.MaxInterval = readmitMax
 	for n.ctx.Err() == nil {
-		sleep(n.ctx, retry.NextBackOff())
+		delay.Sleep(n.ctx, retry.NextBackOff())
 		if n.tryFresh() {
 			break
 		}
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rattancove/rattancove/internal/backend/backendtest"
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/environment"
 	"github.com/rattancove/rattancove/internal/statement"
 )
@@ -124,7 +125,7 @@
 }
 
 func (c *caller) Next(ctx context.Context) (*statement.Batch, error) {
-	sleep(ctx, c.pause)
+	delay.Sleep(ctx, c.pause)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if ctx.Err() != nil {
--- a/internal/home/node.go
+++ b/internal/home/node.go
@@ -8,6 +8,7 @@
 
 	"github.com/rattancove/rattancove/internal/backend"
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/pool"
 	"github.com/rattancove/rattancove/internal/rank"
 )
@@ -100,7 +101,7 @@
 			return
 		}
 		n.owner.observeFailure(n, err)
-		sleep(n.ctx, retry.NextBackOff())
+		delay.Sleep(n.ctx, retry.NextBackOff())
 	}
 }
 
@@ -147,7 +148,7 @@
 // proof was asked for since the last call began.
 func (n *node) pause(last report) error {
 	if spare := callSpacing - time.Since(last.begun); spare > 0 {
-		sleep(n.ctx, spare)
+		delay.Sleep(n.ctx, spare)
 	}
 	if n.owner.ticket.Load() > last.ticket {
 		return n.ctx.Err()
@@ -178,17 +179,3 @@
 	default:
 	}
 }
-
-// sleep waits for d or until ctx ends. It sets no timer for no time: a select
-// on a timer that has expired crashes the race detector in a synctest bubble.
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/home/observe.go
+++ b/internal/home/observe.go
@@ -7,6 +7,7 @@
 
 	"github.com/rattancove/rattancove/internal/backend"
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/rank"
 	"github.com/rattancove/rattancove/internal/route"
@@ -240,7 +241,7 @@
 		if won || err != nil {
 			return err
 		}
-		sleep(o.ctx, time.Duration(rand.Int64N(int64(claimRetryMax))))
+		delay.Sleep(o.ctx, time.Duration(rand.Int64N(int64(claimRetryMax))))
 	}
 }
 
--- a/internal/home/primary.go
+++ b/internal/home/primary.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/order"
 	"github.com/rattancove/rattancove/internal/rank"
@@ -34,14 +34,10 @@
 		}
 		retriesTotal.Inc()
 		_ = attempts.Fire(order.EventRetry)
-		sleep(ctx, jittered(time.Duration(r.attempt)*retryPause))
+		delay.Sleep(ctx, delay.Jitter(time.Duration(r.attempt)*retryPause))
 	}
 }
 
-func jittered(d time.Duration) time.Duration {
-	return d/2 + time.Duration(rand.Int64N(int64(d)))
-}
-
 func (o *owner) mayRepeatWrite(ctx context.Context, r *request, attempts *order.Attempts, err error) bool {
 	if r.conv.passed.Load() || ctx.Err() != nil || !attempts.MayRetry(time.Now()) {
 		return false
--- a/internal/home/read.go
+++ b/internal/home/read.go
@@ -7,6 +7,7 @@
 
 	"github.com/rattancove/rattancove/internal/backend"
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/order"
 	"github.com/rattancove/rattancove/internal/rank"
@@ -29,7 +30,7 @@
 			return result, err
 		}
 		retriesTotal.Inc()
-		sleep(ctx, time.Duration(r.attempt-1)*retryPause)
+		delay.Sleep(ctx, time.Duration(r.attempt-1)*retryPause)
 	}
 }
 
--- a/internal/home/transaction.go
+++ b/internal/home/transaction.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rattancove/rattancove/internal/backend"
+	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/order"
 	"github.com/rattancove/rattancove/internal/rank"
@@ -99,7 +100,7 @@
 	idle, cancel := context.WithTimeout(ctx, w.owner.idleTime())
 	defer cancel()
 	defer context.AfterFunc(w.owner.draining, func() {
-		sleep(idle, drainIdleTime)
+		delay.Sleep(idle, drainIdleTime)
 		cancel()
 	})()
 	batch, err := w.request.conv.Next(idle)
--- a/internal/member/loop.go
+++ b/internal/member/loop.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/platform"
 )
 
@@ -180,19 +181,12 @@
 func (l *Loop) jitter(d time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return d + time.Duration((l.cfg.Rand.Float64()-0.5)*0.4*float64(d))
+	return delay.Around(d, l.cfg.Rand.Float64())
 }
 
 // pause waits for about d and reports false when ctx ended.
 func (l *Loop) pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(l.jitter(d))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return delay.Sleep(ctx, l.jitter(d))
 }
 
 func host(address string) string {
--- a/internal/pgwire/front/server.go
+++ b/internal/pgwire/front/server.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
+	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/statement"
 )
@@ -122,20 +123,11 @@
 			return err
 		default:
 			eventAcceptFailed.Log(&s.logger).Err(err).Send()
-			pause(ctx, acceptRetry)
+			delay.Sleep(ctx, acceptRetry)
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // Ready reports whether the server takes new callers.
 func (s *Server) Ready() bool { return !s.draining.Load() && s.base.Err() == nil }
 
--- a/internal/platform/platformtest/faults.go
+++ b/internal/platform/platformtest/faults.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/rattancove/rattancove/internal/delay"
 )
 
 // ErrUnavailable is what a call returns while the service is down.
@@ -79,10 +81,10 @@
 		f.calls = map[string]int{}
 	}
 	f.calls[kind]++
-	delay := f.delay / 2
+	half := f.delay / 2
 	f.mu.Unlock()
-	if err := pause(ctx, delay); err != nil {
-		return err
+	if !delay.Sleep(ctx, half) {
+		return ctx.Err()
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -96,10 +98,10 @@
 // or a lost answer of a write, hides what happened.
 func (f *Faults) leave(ctx context.Context, write bool) error {
 	f.mu.Lock()
-	delay := f.delay / 2
+	half := f.delay / 2
 	f.mu.Unlock()
-	if err := pause(ctx, delay); err != nil {
-		return err
+	if !delay.Sleep(ctx, half) {
+		return ctx.Err()
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -131,17 +133,3 @@
 func (f *Faults) draw(rate float64) bool {
 	return f.random != nil && rate > 0 && f.random.Float64() < rate
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/proof/callers_test.go
+++ b/internal/proof/callers_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/session"
 	"github.com/rattancove/rattancove/internal/statement"
@@ -82,7 +83,7 @@
 
 // Next implements statement.Conversation.
 func (s *script) Next(ctx context.Context) (*statement.Batch, error) {
-	sleep(ctx, s.think)
+	delay.Sleep(ctx, s.think)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if ctx.Err() != nil {
--- a/internal/proof/contact_test.go
+++ b/internal/proof/contact_test.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/document"
 )
 
@@ -81,7 +82,7 @@
 			samples = samples[1:]
 		}
 		f.compare(samples[0], now)
-		sleep(f.ctx, sampleInterval)
+		delay.Sleep(f.ctx, sampleInterval)
 	}
 }
 
--- a/internal/proof/departures_test.go
+++ b/internal/proof/departures_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/rattancove/rattancove/internal/backend/backendtest"
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/platform"
 	"github.com/rattancove/rattancove/internal/settings"
@@ -184,16 +185,16 @@
 	n.unready.Store(time.Now().Add(balancerTime).UnixNano())
 	n.members.Leave()
 	n.announce()
-	sleep(n.ctx, settings.DefaultReadyDelay)
+	delay.Sleep(n.ctx, settings.DefaultReadyDelay)
 	n.closed.Store(true)
 	limited, cancel := context.WithTimeout(n.ctx, settings.DefaultDrainTimeout)
 	defer cancel()
 	for n.inFlight.Load() > 0 && limited.Err() == nil {
-		sleep(limited, drainPoll)
+		delay.Sleep(limited, drainPoll)
 	}
 	n.home.Close(limited)
 	for n.serving.Load() > 0 && limited.Err() == nil {
-		sleep(limited, drainPoll)
+		delay.Sleep(limited, drainPoll)
 	}
 	f.kill(n)
 }
--- a/internal/proof/documents_test.go
+++ b/internal/proof/documents_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/document"
 	"github.com/rattancove/rattancove/internal/environment"
 	"github.com/rattancove/rattancove/internal/errcode"
@@ -275,7 +276,7 @@
 func (o *operator) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		o.change()
-		sleep(ctx, changeInterval-time.Duration(time.Now().UnixNano()%int64(changeInterval)))
+		delay.Sleep(ctx, changeInterval-time.Duration(time.Now().UnixNano()%int64(changeInterval)))
 	}
 }
 
--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rattancove/rattancove/internal/backend/backendtest"
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/platform/platformtest"
 )
 
@@ -143,7 +144,7 @@
 				f.inject(ctx, chosen, random, last)
 			}
 		})
-		sleep(ctx, time.Duration(f.random.ExpFloat64()*float64(f.mix.spacing)))
+		delay.Sleep(ctx, time.Duration(f.random.ExpFloat64()*float64(f.mix.spacing)))
 	}
 	running.Wait()
 }
@@ -154,7 +155,7 @@
 	}
 	f.trace("begin %s for %v", chosen.name, last)
 	end := chosen.begin(f, random)
-	sleep(ctx, chosen.least+last)
+	delay.Sleep(ctx, chosen.least+last)
 	end()
 	f.trace("end %s", chosen.name)
 }
--- a/internal/proof/network_test.go
+++ b/internal/proof/network_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/failover"
 	"github.com/rattancove/rattancove/internal/member"
@@ -180,7 +181,7 @@
 		return statement.Result{}, errcode.New(errcode.NoHome, "dial peer", r.address)
 	}
 	if net.refuses(r.from.address, r.address) {
-		sleep(ctx, dialTime)
+		delay.Sleep(ctx, dialTime)
 		return statement.Result{}, errcode.New(errcode.NoHome, "dial peer", r.address)
 	}
 	homeCtx, stop := context.WithCancel(to.ctx)
@@ -286,7 +287,7 @@
 
 // send carries a frame from the peer and waits for what the caller says.
 func (c *call) send(ctx context.Context, f frame) reply {
-	sleep(ctx, peerDelay)
+	delay.Sleep(ctx, peerDelay)
 	if c.net.isCut(c.home, c.entry) {
 		<-ctx.Done()
 	}
@@ -315,16 +316,9 @@
 	if r.err != nil {
 		return nil, r.err
 	}
-	sleep(ctx, peerDelay)
+	delay.Sleep(ctx, peerDelay)
 	if c.net.isCut(c.entry, c.home) {
 		<-ctx.Done()
 	}
 	return r.batch, ctx.Err()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -13,6 +13,7 @@
 	"github.com/rattancove/rattancove/internal/admin"
 	"github.com/rattancove/rattancove/internal/backend"
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/failover"
 	"github.com/rattancove/rattancove/internal/gateway"
@@ -194,7 +195,7 @@
 	p.draining.Store(true)
 	p.process.Members.Leave()
 	p.process.Announce(ctx)
-	sleep(ctx, p.settings.Drain.ReadyDelay)
+	delay.Sleep(ctx, p.settings.Drain.ReadyDelay)
 	limited, cancel := context.WithTimeout(ctx, p.settings.Drain.Timeout)
 	defer cancel()
 	if err := p.front.Drain(limited); err != nil {
@@ -206,13 +207,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // groups names the groups of the document in force.
 func (p *Proxy) groups() []cluster.GroupName {
 	current := p.process.Documents.Current()
--- a/internal/rollout/watcher.go
+++ b/internal/rollout/watcher.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -11,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/document"
 	"github.com/rattancove/rattancove/internal/environment"
 	"github.com/rattancove/rattancove/internal/platform"
@@ -218,7 +218,7 @@
 	for {
 		w.lookOnce(ctx)
 		select {
-		case <-time.After(jitter(w.config.Poll)):
+		case <-time.After(delay.Jitter(w.config.Poll)):
 		case <-w.refresh:
 		case <-ctx.Done():
 			return ctx.Err()
@@ -264,22 +264,8 @@
 		w.state = w.state.Forget(now.Add(-peerRetention))
 		w.mu.Unlock()
 		w.observe(Tick{Now: now, Bounds: bounds})
-		if err := sleep(ctx, tickInterval); err != nil {
-			return err
+		if !delay.Sleep(ctx, tickInterval) {
+			return ctx.Err()
 		}
 	}
 }
-
-// jitter returns a random duration from half of d to one and a half of d.
-func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d+1) }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/standin/dbserver/session.go
+++ b/internal/standin/dbserver/session.go
@@ -310,18 +310,3 @@
 		c.server.locks.release(t)
 	}
 }
-
-// sleep waits for d and reports whether ctx still holds.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/dbserver/startup.go
+++ b/internal/standin/dbserver/startup.go
@@ -8,6 +8,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/pgwire/back"
 )
 
@@ -66,7 +67,7 @@
 	if c.hung() {
 		return false
 	}
-	if !sleep(c.ctx, s.cfg.ConnectDelay) {
+	if !delay.Sleep(c.ctx, s.cfg.ConnectDelay) {
 		return false
 	}
 	readOptions(params)
--- a/internal/standin/dbserver/worktime.go
+++ b/internal/standin/dbserver/worktime.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/rattancove/rattancove/internal/delay"
 )
 
 // maxLateness bounds the lateness that one timer hands on, so that a process
@@ -22,7 +24,7 @@
 func (w *workTimer) wait(ctx context.Context, d time.Duration) bool {
 	d = w.shorten(d)
 	begun := time.Now()
-	if !sleep(ctx, d) {
+	if !delay.Sleep(ctx, d) {
 		return false
 	}
 	w.mu.Lock()
--- a/internal/warden/watch.go
+++ b/internal/warden/watch.go
@@ -8,6 +8,7 @@
 
 	"github.com/rattancove/rattancove/internal/backend"
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/failover"
 )
 
@@ -155,10 +156,5 @@
 
 // pause waits for d plus or minus a fifth.
 func (w *watch) pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d + time.Duration((w.rand.Float64()-0.5)*0.4*float64(d)))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	delay.Sleep(ctx, delay.Around(d, w.rand.Float64()))
 }
