Cause faults from a scenario and report the service around them

The load tool could only send work. Scenarios now carry timed faults of stand-in servers and of the platform's stand-ins, and signals to processes whose ids the script passes. A phase may have a warm-up that is not measured, an uneven spread of callers over the proxies, and reports for each kind of work the longest time without an answer from the fault on, beside the longest before.

Refused connections go to the next proxy, as behind a balancer. Requests of a flood are cut off 2 s after their phase and counted as such, so that every phase has a bound. The limit of requests in flight holds for floods only: it failed urgent work of the base rate before. Errors are counted by cause.

--- a/cmd/rattan-load/main.go
+++ b/cmd/rattan-load/main.go
@@ -6,7 +6,6 @@
 	"context"
 	"os"
 
-	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
 	"github.com/rattancove/rattancove/internal/load"
@@ -23,54 +22,6 @@
 	}
 }
 
-func runCommand() *cli.Command {
-	return &cli.Command{
-		Name:      "run",
-		Usage:     "run a scenario and report what callers saw",
-		ArgsUsage: "SCENARIO",
-		Flags: []cli.Flag{
-			&cli.StringSliceFlag{Name: "proxy", Usage: "caller address of a proxy; repeat for each", Required: true},
-			&cli.StringSliceFlag{Name: "metrics", Usage: "metrics URL of a process; repeat for each"},
-			&cli.StringFlag{Name: "user", Usage: "database user; the profile's own when empty"},
-			&cli.StringFlag{Name: "password", Usage: "password of the user", Sources: cli.EnvVars("RATTAN_LOAD_PASSWORD")},
-			&cli.StringFlag{Name: "out", Usage: "write the report as JSON to this file"},
-			&cli.StringFlag{Name: "plot", Usage: "draw the report to this SVG or PNG file"},
-		},
-		Action: run,
-	}
-}
-
-func run(ctx context.Context, cmd *cli.Command) error {
-	scenario, err := load.ReadScenario(cmd.Args().First())
-	if err != nil {
-		return program.Usage(err)
-	}
-	profile, err := load.FindProfile(scenario.Profile)
-	if err != nil {
-		return program.Usage(err)
-	}
-	report, err := load.Run(ctx, load.Config{
-		Profile: profile, Phases: scenario.Phases, Work: scenario.Work, Seed: uint64(scenario.Seed), Slots: scenario.Slots,
-		Proxies: cmd.StringSlice("proxy"), Metrics: cmd.StringSlice("metrics"),
-		User: cmd.String("user"), Password: cmd.String("password"),
-	})
-	if err != nil {
-		return err
-	}
-	if err := report.Table(os.Stdout); err != nil {
-		return eris.Wrap(err, "print table")
-	}
-	if path := cmd.String("out"); path != "" {
-		if err := report.Write(path); err != nil {
-			return err
-		}
-	}
-	if path := cmd.String("plot"); path != "" {
-		return report.Plot(path)
-	}
-	return nil
-}
-
 func queryCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "query",
--- /dev/null
+++ b/cmd/rattan-load/run.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/rattancove/rattancove/internal/load"
+	"github.com/rattancove/rattancove/internal/program"
+)
+
+func runCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "run",
+		Usage:     "run a scenario and report what callers saw",
+		ArgsUsage: "SCENARIO",
+		Flags: append(faultFlags(),
+			&cli.StringSliceFlag{Name: "proxy", Usage: "caller address of a proxy; repeat for each", Required: true},
+			&cli.StringSliceFlag{Name: "metrics", Usage: "metrics URL of a process; repeat for each"},
+			&cli.StringFlag{Name: "user", Usage: "database user; the profile's own when empty"},
+			&cli.StringFlag{Name: "password", Usage: "password of the user", Sources: cli.EnvVars("RATTAN_LOAD_PASSWORD")},
+			&cli.DurationFlag{Name: "timeout", Usage: "longest time of the whole run; 0 for no limit"},
+			&cli.StringFlag{Name: "out", Usage: "write the report as JSON to this file"},
+			&cli.StringFlag{Name: "plot", Usage: "draw the report to this SVG or PNG file"},
+		),
+		Action: run,
+	}
+}
+
+// faultFlags name the targets of a scenario's faults.
+func faultFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringSliceFlag{Name: "server", Usage: "stand-in of a backend server as id=address; repeat for each"},
+		&cli.StringFlag{Name: "table", Usage: "address of the stand-in of the table service"},
+		&cli.StringFlag{Name: "objects", Usage: "URL of the stand-in of the object store"},
+		&cli.StringFlag{Name: "vms", Usage: "URL of the stand-in of the list of VMs"},
+		&cli.StringSliceFlag{Name: "process", Usage: "process that faults may signal as name=pid; repeat for each"},
+	}
+}
+
+func run(ctx context.Context, cmd *cli.Command) error {
+	config, err := runConfig(cmd)
+	if err != nil {
+		return program.Usage(err)
+	}
+	if limit := cmd.Duration("timeout"); limit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, limit)
+		defer cancel()
+	}
+	report, err := load.Run(ctx, config)
+	if err != nil {
+		return err
+	}
+	if err := report.Table(os.Stdout); err != nil {
+		return eris.Wrap(err, "print table")
+	}
+	if path := cmd.String("out"); path != "" {
+		if err := report.Write(path); err != nil {
+			return err
+		}
+	}
+	if path := cmd.String("plot"); path != "" {
+		return report.Plot(path)
+	}
+	return nil
+}
+
+func runConfig(cmd *cli.Command) (load.Config, error) {
+	scenario, err := load.ReadScenario(cmd.Args().First())
+	if err != nil {
+		return load.Config{}, err
+	}
+	profile, err := load.FindProfile(scenario.Profile)
+	if err != nil {
+		return load.Config{}, err
+	}
+	targets, err := faultTargets(cmd)
+	return load.Config{
+		Profile: profile, Phases: scenario.Phases, Work: scenario.Work, Seed: uint64(scenario.Seed), Slots: scenario.Slots,
+		Proxies: cmd.StringSlice("proxy"), Metrics: cmd.StringSlice("metrics"),
+		User: cmd.String("user"), Password: cmd.String("password"), Faults: targets,
+	}, err
+}
+
+func faultTargets(cmd *cli.Command) (load.FaultTargets, error) {
+	servers, err := pairs(cmd.StringSlice("server"))
+	if err != nil {
+		return load.FaultTargets{}, err
+	}
+	processes, err := pairs(cmd.StringSlice("process"))
+	if err != nil {
+		return load.FaultTargets{}, err
+	}
+	targets := load.FaultTargets{
+		Servers: servers, Table: cmd.String("table"), Processes: map[string]int{},
+		Services: map[string]string{"objects": cmd.String("objects"), "vms": cmd.String("vms")},
+	}
+	for name, text := range processes {
+		pid, err := strconv.Atoi(text)
+		if err != nil {
+			return load.FaultTargets{}, eris.Wrapf(err, "process %s", name)
+		}
+		targets.Processes[name] = pid
+	}
+	return targets, nil
+}
+
+// pairs reads texts of the form name=value.
+func pairs(texts []string) (map[string]string, error) {
+	out := map[string]string{}
+	for _, text := range texts {
+		name, value, ok := strings.Cut(text, "=")
+		if !ok || name == "" || value == "" {
+			return nil, fmt.Errorf("%q: want name=value", text)
+		}
+		out[name] = value
+	}
+	return out, nil
+}
--- a/internal/load/arrivals.go
+++ b/internal/load/arrivals.go
@@ -15,6 +15,8 @@
 	Proxy  int
 	Number int
 	Work   time.Duration
+	// Flood tells that the request belongs to a flood and not to the base rate.
+	Flood bool
 }
 
 // statements returns the number of statements that the request sends.
@@ -59,6 +61,9 @@
 		arrivals[i].Number = i
 		arrivals[i].Group = profile.Groups[place.IntN(len(profile.Groups))]
 		arrivals[i].Proxy = place.IntN(proxies)
+		if phase.Uneven > 0 && place.Float64() < phase.Uneven {
+			arrivals[i].Proxy = 0
+		}
 	}
 	return arrivals, nil
 }
@@ -87,9 +92,13 @@
 	if f.Work > 0 {
 		work.Mean = f.Work
 	}
-	return poisson(random, phase.Duration, f.Rate, func() (Kind, time.Duration) {
+	arrivals := poisson(random, phase.Duration, f.Rate, func() (Kind, time.Duration) {
 		return kind, work.draw(random)
-	}), nil
+	})
+	for i := range arrivals {
+		arrivals[i].Flood = true
+	}
+	return arrivals, nil
 }
 
 func pickKind(r *rand.Rand, kinds []Kind, only []string) Kind {
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/rotisserie/eris"
@@ -17,8 +19,11 @@
 	addresses []string
 	user      string
 	password  string
-	mu        sync.Mutex
-	idle      map[callerKey][]*pgconn.PgConn
+	// moved counts connections that were opened at another proxy than asked,
+	// because that one refused them.
+	moved atomic.Int64
+	mu    sync.Mutex
+	idle  map[callerKey][]*pgconn.PgConn
 }
 
 type callerKey struct {
@@ -42,7 +47,31 @@
 		return conn, nil
 	}
 	c.mu.Unlock()
-	return c.dial(ctx, key)
+	return c.connect(ctx, key)
+}
+
+// connect opens a connection to the proxy or, as a balancer would, to the next
+// one that accepts it. Nothing has been sent when a proxy refuses.
+func (c *callers) connect(ctx context.Context, key callerKey) (*pgconn.PgConn, error) {
+	var first error
+	for i := range c.addresses {
+		next := key
+		next.proxy = (key.proxy + i) % len(c.addresses)
+		conn, err := c.dial(ctx, next)
+		if err == nil {
+			if i > 0 {
+				c.moved.Add(1)
+			}
+			return conn, nil
+		}
+		if first == nil {
+			first = err
+		}
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			break
+		}
+	}
+	return nil, first
 }
 
 func (c *callers) dial(ctx context.Context, key callerKey) (*pgconn.PgConn, error) {
@@ -108,6 +137,12 @@
 	OutcomeNotRun  Outcome = "not_run"
 	OutcomeUnknown Outcome = "unknown"
 	OutcomeFailed  Outcome = "failed"
+	// OutcomeCut is a request of a flood that had no answer at the end of the
+	// phase's grace period.
+	OutcomeCut Outcome = "cut"
+	// OutcomeNotSent is a request of a flood for which the load generator had
+	// too many others in flight.
+	OutcomeNotSent Outcome = "not_sent"
 )
 
 // classify reads the outcome from the error's detail.
@@ -128,3 +163,18 @@
 		return OutcomeFailed
 	}
 }
+
+// causeOf names the cause of an error in a few words.
+func causeOf(err error) string {
+	var pgErr *pgconn.PgError
+	switch {
+	case errors.As(err, &pgErr):
+		return "SQLSTATE " + pgErr.Code
+	case errors.Is(err, context.DeadlineExceeded):
+		return "no answer in time"
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "connection refused"
+	default:
+		return "connection ended"
+	}
+}
--- a/internal/load/cost.go
+++ b/internal/load/cost.go
@@ -18,6 +18,8 @@
 	dialers = 50
 	// settleTime is the wait after opening connections before memory is read.
 	settleTime = 3 * time.Second
+	// controlUser is the user and database of calls that switch faults.
+	controlUser = "load"
 	// directOptions let a connection past the claim of a home at a stand-in.
 	directOptions = " options='-c rattancove.control=1'"
 )
--- /dev/null
+++ b/internal/load/fault.go
@@ -0,0 +1,247 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/rotisserie/eris"
+)
+
+// FaultAction is what a fault does to its target.
+type FaultAction string
+
+// Actions of faults.
+const (
+	// FaultCrash makes a backend server close everything for good.
+	FaultCrash FaultAction = "crash"
+	// FaultHang makes a backend server accept and not answer.
+	FaultHang FaultAction = "hang"
+	// FaultDown makes a backend server or a service refuse everything.
+	FaultDown FaultAction = "down"
+	// FaultSilence makes the open connections of a backend server silent.
+	FaultSilence FaultAction = "silence"
+	// FaultLag sets the time between receiving and replaying a log record.
+	FaultLag FaultAction = "lag"
+	// FaultSlow adds time to every statement or request.
+	FaultSlow FaultAction = "slow"
+	// FaultLoseAnswers loses the answers of the next changes.
+	FaultLoseAnswers FaultAction = "lose_answers"
+	// FaultKill, FaultPause and FaultTerminate signal a process.
+	FaultKill      FaultAction = "kill"
+	FaultPause     FaultAction = "pause"
+	FaultTerminate FaultAction = "terminate"
+)
+
+// faultTimeout bounds the call that switches a fault.
+const faultTimeout = 2 * time.Second
+
+// switchOn and switchOff are the values of faults that are switched.
+const (
+	switchOn  = "on"
+	switchOff = "off"
+)
+
+// Fault is a failure that a phase causes. It names backend servers, a service
+// of the platform or a process.
+type Fault struct {
+	// At is the time from the start of the phase.
+	At time.Duration `yaml:"at" json:"at" validate:"gte=0"`
+	// Until is when the fault ends; zero leaves it for the rest of the run.
+	Until  time.Duration `yaml:"until" json:"until,omitempty" validate:"gte=0"`
+	Action FaultAction   `yaml:"action" json:"action" validate:"required"`
+	// Value is the duration or the count of actions that need one.
+	Value string `yaml:"value" json:"value,omitempty"`
+	// Servers are ids of backend servers.
+	Servers []string `yaml:"servers" json:"servers,omitempty"`
+	// Platform is a service of the platform: table, objects or vms.
+	Platform string `yaml:"platform" json:"platform,omitempty" validate:"omitempty,oneof=table objects vms"`
+	// Process is the name of a process whose id the run was given.
+	Process string `yaml:"process" json:"process,omitempty"`
+	// Group is the database group whose service around the fault is reported.
+	Group string `yaml:"group" json:"group,omitempty"`
+}
+
+// FaultTargets tells where faults are switched.
+type FaultTargets struct {
+	// Servers are addresses of backend servers by id.
+	Servers map[string]string
+	// Table is the address of the table service.
+	Table string
+	// Services are URLs of the object store and the list of VMs.
+	Services map[string]string
+	// Processes are process ids by name. No other process is ever signalled.
+	Processes map[string]int
+}
+
+// String names the fault and its targets.
+func (f Fault) String() string {
+	text := string(f.Action)
+	if f.Value != "" {
+		text += " " + f.Value
+	}
+	target := strings.Join(f.Servers, ", ") + f.Platform + f.Process
+	return text + " of " + target
+}
+
+// actionsOf lists the actions that each sort of target knows.
+var actionsOf = map[string][]FaultAction{
+	"servers":  {FaultCrash, FaultHang, FaultDown, FaultSilence, FaultLag, FaultSlow, FaultLoseAnswers},
+	"platform": {FaultDown, FaultSlow, FaultLoseAnswers},
+	"process":  {FaultKill, FaultPause, FaultTerminate},
+}
+
+// reversible lists the actions that may have an end.
+var reversible = []FaultAction{FaultHang, FaultDown, FaultSlow, FaultPause}
+
+// check returns what is wrong with the fault in itself.
+func (f Fault) check() error {
+	var sorts []string
+	for sort, named := range map[string]bool{
+		"servers": len(f.Servers) > 0, "platform": f.Platform != "", "process": f.Process != "",
+	} {
+		if named {
+			sorts = append(sorts, sort)
+		}
+	}
+	if len(sorts) != 1 {
+		return fmt.Errorf("fault %s: give one of servers, platform and process", f.Action)
+	}
+	if !slices.Contains(actionsOf[sorts[0]], f.Action) {
+		return fmt.Errorf("fault %s: %s know %v", f.Action, sorts[0], actionsOf[sorts[0]])
+	}
+	if f.Until != 0 && (f.Until <= f.At || !slices.Contains(reversible, f.Action)) {
+		return fmt.Errorf("fault %s: until must follow at, and only %v end", f.Action, reversible)
+	}
+	return f.checkValue()
+}
+
+func (f Fault) checkValue() error {
+	switch f.Action {
+	case FaultLag, FaultSlow:
+		_, err := time.ParseDuration(f.Value)
+		return eris.Wrapf(err, "fault %s", f.Action)
+	case FaultLoseAnswers:
+		var n int
+		_, err := fmt.Sscanf(f.Value, "%d", &n)
+		return eris.Wrapf(err, "fault %s: count", f.Action)
+	default:
+		if f.Value != "" {
+			return fmt.Errorf("fault %s takes no value", f.Action)
+		}
+		return nil
+	}
+}
+
+// resolve returns an error when a target of the fault is not known.
+func (t FaultTargets) resolve(f Fault) error {
+	for _, id := range f.Servers {
+		if t.Servers[id] == "" {
+			return fmt.Errorf("fault %s: no address of backend server %s", f.Action, id)
+		}
+	}
+	if f.Platform == "table" && t.Table == "" || f.Platform != "" && f.Platform != "table" && t.Services[f.Platform] == "" {
+		return fmt.Errorf("fault %s: no address of the platform's %s", f.Action, f.Platform)
+	}
+	if f.Process != "" && t.Processes[f.Process] <= 1 {
+		return fmt.Errorf("fault %s: no process id for %s", f.Action, f.Process)
+	}
+	return nil
+}
+
+// begin causes the fault.
+func (t FaultTargets) begin(ctx context.Context, f Fault) error {
+	value := f.Value
+	if value == "" {
+		value = switchOn
+	}
+	return t.apply(ctx, f, value, beginSignals[f.Action])
+}
+
+// end undoes the fault.
+func (t FaultTargets) end(ctx context.Context, f Fault) error {
+	value := switchOff
+	if f.Action == FaultSlow {
+		value = "0s"
+	}
+	return t.apply(ctx, f, value, syscall.SIGCONT)
+}
+
+var beginSignals = map[FaultAction]syscall.Signal{
+	FaultKill: syscall.SIGKILL, FaultPause: syscall.SIGSTOP, FaultTerminate: syscall.SIGTERM,
+}
+
+func (t FaultTargets) apply(ctx context.Context, f Fault, value string, signal syscall.Signal) error {
+	ctx, cancel := context.WithTimeout(ctx, faultTimeout)
+	defer cancel()
+	switch {
+	case f.Process != "":
+		return signalProcess(t.Processes[f.Process], signal)
+	case f.Platform == "table":
+		return switchServer(ctx, t.Table, f.Action, value)
+	case f.Platform != "":
+		return switchService(ctx, t.Services[f.Platform], f.Action, value)
+	}
+	for _, id := range f.Servers {
+		if err := switchServer(ctx, t.Servers[id], f.Action, value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func signalProcess(pid int, signal syscall.Signal) error {
+	p, err := os.FindProcess(pid)
+	if err != nil {
+		return eris.Wrapf(err, "find process %d", pid)
+	}
+	return eris.Wrapf(p.Signal(signal), "signal process %d", pid)
+}
+
+// switchServer switches a fault of a stand-in that speaks the protocol of
+// backend servers.
+func switchServer(ctx context.Context, address string, action FaultAction, value string) error {
+	conn, err := pgconn.Connect(ctx, connString(address, controlUser, "", controlUser)+directOptions)
+	if err != nil {
+		return eris.Wrapf(err, "connect to stand-in %s", address)
+	}
+	defer func() { _ = conn.Close(ctx) }()
+	_, err = conn.Exec(ctx, fmt.Sprintf("SELECT rattan_fault('%s', '%s')", action, value)).ReadAll()
+	if action == FaultCrash {
+		return nil // the answer may be lost with the server
+	}
+	return eris.Wrapf(err, "switch %s of stand-in %s", action, address)
+}
+
+// switchService switches a fault of a stand-in that speaks HTTP.
+func switchService(ctx context.Context, base string, action FaultAction, value string) error {
+	form := url.Values{}
+	switch action {
+	case FaultDown:
+		form.Set("down", fmt.Sprint(value == switchOn))
+	case FaultSlow:
+		form.Set("slow", value)
+	default:
+		form.Set("lose", value)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, base+"/-/faults?"+form.Encode(), http.NoBody)
+	if err != nil {
+		return eris.Wrap(err, "make request")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return eris.Wrapf(err, "switch %s of stand-in %s", action, base)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return eris.Errorf("switch %s of stand-in %s: status %s", action, base, resp.Status)
+	}
+	return nil
+}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -54,3 +55,45 @@
 		t.Fatalf("got %s, want %s", got, want)
 	}
 }
+
+func TestUnevenArrivals(t *testing.T) {
+	profile, err := FindProfile("consorzio")
+	if err != nil {
+		t.Fatal(err)
+	}
+	arrivals, err := Arrivals(profile, Phase{Duration: 10 * time.Second, Rate: 1000, Uneven: 0.8}, 8, Work{Mean: time.Millisecond}, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := 0
+	for _, a := range arrivals {
+		if a.Proxy == 0 {
+			first++
+		}
+	}
+	// 0.8 and an eighth of the rest.
+	if share := float64(first) / float64(len(arrivals)); share < 0.80 || share > 0.85 {
+		t.Errorf("the first proxy got %.3f of the callers, want 0.825", share)
+	}
+}
+
+func TestWarmUpIsNotMeasured(t *testing.T) {
+	phase := Phase{Duration: time.Minute, WarmUp: 10 * time.Second}
+	p := newPhaseResult(phase, time.Now().Add(-20*time.Second))
+	kind := Kind{Name: "k"}
+	p.record(Arrival{At: 9 * time.Second, Kind: kind, Work: 5 * time.Second}, OutcomeDone, time.Second, nil)
+	p.record(Arrival{At: 11 * time.Second, Kind: kind, Work: 5 * time.Second}, OutcomeDone, time.Second, nil)
+	p.record(Arrival{At: 12 * time.Second, Kind: kind}, OutcomeFailed, time.Second, context.DeadlineExceeded)
+	p.finish(1, nil)
+	s := p.Kinds["k"]
+	// Both were done in the measured time, and only the later ones arrived in it.
+	if s.InTime != 2 || p.Busy != 0.2 {
+		t.Errorf("in time %d, busy %.2f, want 2 and 0.20", s.InTime, p.Busy)
+	}
+	if diff := cmp.Diff(map[Outcome]int{OutcomeDone: 1, OutcomeFailed: 1}, s.Outcomes); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(map[string]int{"no answer in time": 1}, s.Errors); diff != "" {
+		t.Error(diff)
+	}
+}
--- /dev/null
+++ b/internal/load/machine.go
@@ -0,0 +1,55 @@
+package load
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strings"
+)
+
+// commitLength is the number of digits of a commit that are shown.
+const commitLength = 12
+
+// machine describes the machine of the run.
+func machine() string {
+	text := fmt.Sprintf("%s/%s, %d cores", runtime.GOOS, runtime.GOARCH, runtime.NumCPU())
+	if kib := totalMemory(); kib > 0 {
+		text += fmt.Sprintf(", %d GiB", (kib+(1<<19))>>20)
+	}
+	return text
+}
+
+// totalMemory returns the memory of the machine in KiB, or 0 if it is not known.
+func totalMemory() (kib int64) {
+	f, err := os.Open("/proc/meminfo")
+	if err != nil {
+		return 0
+	}
+	defer f.Close()
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		if n, _ := fmt.Sscanf(lines.Text(), "MemTotal: %d kB", &kib); n == 1 {
+			return kib
+		}
+	}
+	return 0
+}
+
+// commit returns the commit that the program was built from.
+func commit() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	var revision, changed string
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			revision = s.Value[:min(len(s.Value), commitLength)]
+		case s.Key == "vcs.modified" && s.Value == "true":
+			changed = " with changes"
+		}
+	}
+	return strings.TrimSpace(revision + changed)
+}
--- a/internal/load/profile.go
+++ b/internal/load/profile.go
@@ -92,8 +92,18 @@
 	// Kinds restricts the base rate to the named kinds; empty means all.
 	Kinds  []string `yaml:"kinds" json:"kinds,omitempty"`
 	Floods []Flood  `yaml:"floods" json:"floods,omitempty" validate:"dive"`
+	// WarmUp is the first part of the duration, whose arrivals are sent and not
+	// measured.
+	WarmUp time.Duration `yaml:"warm_up" json:"warm_up,omitempty" validate:"gte=0,ltfield=Duration"`
+	// Uneven is the share of the callers that the first proxy gets; the others
+	// spread over all proxies.
+	Uneven float64 `yaml:"uneven" json:"uneven,omitempty" validate:"gte=0,lte=1"`
+	Faults []Fault `yaml:"faults" json:"faults,omitempty" validate:"dive"`
 }
 
+// Measured returns the length of the phase without its warm-up.
+func (p Phase) Measured() time.Duration { return p.Duration - p.WarmUp }
+
 // Flood adds requests of one rank beside the base rate.
 type Flood struct {
 	Rank string `yaml:"rank" json:"rank" validate:"required,oneof=urgent normal background"`
--- /dev/null
+++ b/internal/load/recovery.go
@@ -0,0 +1,116 @@
+package load
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Recovery is the service of one kind of work in a database group around a
+// fault.
+type Recovery struct {
+	Fault Fault  `json:"fault"`
+	Kind  string `json:"kind"`
+	Rank  string `json:"rank"`
+	// Usual is the longest time between two answers before the fault.
+	Usual time.Duration `json:"usual"`
+	// Gap is the longest time between two answers from the fault on.
+	Gap time.Duration `json:"gap"`
+	// Open tells that the gap had not ended when the phase did.
+	Open bool `json:"open"`
+	// Outcomes counts the requests that arrived after the fault.
+	Outcomes map[Outcome]int `json:"outcomes"`
+}
+
+// event is the end of one request. Times count from the start of the phase.
+type event struct {
+	kind    Kind
+	group   string
+	arrival time.Duration
+	end     time.Duration
+	outcome Outcome
+}
+
+// recoveries reports on every fault that names a database group.
+func recoveries(phase Phase, events []event) []Recovery {
+	slices.SortStableFunc(events, func(a, b event) int { return cmp.Compare(a.end, b.end) })
+	var out []Recovery
+	for _, f := range phase.Faults {
+		if f.Group == "" {
+			continue
+		}
+		for _, kind := range kindsOf(events, f.Group) {
+			out = append(out, recovery(f, kind, phase.Duration, events))
+		}
+	}
+	return out
+}
+
+// kindsOf returns the kinds of work of a group from the most urgent down.
+func kindsOf(events []event, group string) []Kind {
+	var kinds []Kind
+	for _, e := range events {
+		if e.group == group && !slices.Contains(kinds, e.kind) {
+			kinds = append(kinds, e.kind)
+		}
+	}
+	slices.SortFunc(kinds, func(a, b Kind) int {
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Name, b.Name))
+	})
+	return kinds
+}
+
+// recovery takes events in the order of their ends.
+func recovery(f Fault, kind Kind, length time.Duration, events []event) Recovery {
+	r := Recovery{Fault: f, Kind: kind.Name, Rank: kind.Rank.String(), Outcomes: map[Outcome]int{}}
+	before, after := time.Duration(0), f.At
+	for _, e := range events {
+		if e.group != f.Group || e.kind != kind {
+			continue
+		}
+		if e.arrival >= f.At {
+			r.Outcomes[e.outcome]++
+		}
+		switch {
+		case e.outcome != OutcomeDone || e.end > length:
+		case e.end < f.At:
+			r.Usual, before = max(r.Usual, e.end-before), e.end
+		default:
+			r.Gap, after = max(r.Gap, e.end-after), e.end
+		}
+	}
+	if tail := length - after; tail > r.Gap {
+		r.Gap, r.Open = tail, true
+	}
+	return r
+}
+
+// causeFaults causes the faults of a phase at their times and undoes those
+// that end. It returns the first error.
+func causeFaults(ctx context.Context, targets FaultTargets, start time.Time, faults []Fault) error {
+	type step struct {
+		at    time.Duration
+		cause func(context.Context, Fault) error
+		fault Fault
+	}
+	var steps []step
+	for _, f := range faults {
+		steps = append(steps, step{f.At, targets.begin, f})
+		if f.Until > 0 {
+			steps = append(steps, step{f.Until, targets.end, f})
+		}
+	}
+	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
+	for _, s := range steps {
+		if err := sleepUntil(ctx, start.Add(s.at)); err != nil {
+			return err
+		}
+		if err := s.cause(ctx, s.fault); err != nil {
+			return eris.Wrapf(err, "fault %s", s.fault)
+		}
+	}
+	return nil
+}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -12,19 +12,26 @@
 // Table prints one line for each phase and kind of work.
 func (r *Report) Table(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(w, "phase\tkind\trank\tdone/s\tdone\tnot run\tunknown\tfailed\tp50\tp95\tp99\tmax\n")
+	fmt.Fprintf(w, "phase\tkind\trank\tdone/s\tdone\tnot run\tunknown\tfailed\tcut\tnot sent\tp50\tp95\tp99\tmax\n")
 	for _, p := range r.Phases {
 		for _, name := range slices.Sorted(maps.Keys(p.Kinds)) {
 			s := p.Kinds[name]
-			fmt.Fprintf(w, "%s\t%s\t%s\t%.1f\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\n", p.Phase.Name, name, s.Rank,
-				float64(s.InTime)/p.Phase.Duration.Seconds(),
+			fmt.Fprintf(w, "%s\t%s\t%s\t%.1f\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\n", p.Phase.Name, name, s.Rank,
+				float64(s.InTime)/p.Phase.Measured().Seconds(),
 				s.Outcomes[OutcomeDone], s.Outcomes[OutcomeNotRun], s.Outcomes[OutcomeUnknown], s.Outcomes[OutcomeFailed],
+				s.Outcomes[OutcomeCut], s.Outcomes[OutcomeNotSent],
 				micros(s.P50), micros(s.P95), micros(s.P99), micros(s.Max))
 		}
 	}
 	for _, p := range r.Phases {
 		fmt.Fprintf(w, "%s: slots %.1f%% busy, reads by replicas %.1f%%, opens %.0f, refused late %.0f\n", p.Phase.Name, 100*p.Busy,
-			100*p.ReplicaShare(), p.Metrics["rattan_pool_opens_total"], p.Metrics["rattan_home_unknown_outcomes_total"])
+			100*p.ReplicaShare(), p.Opens(), p.Metrics["rattan_home_unknown_outcomes_total"])
+	}
+	for _, p := range r.Phases {
+		for _, x := range p.Recoveries {
+			fmt.Fprintf(w, "%s: %s in %s, %s (%s): longest gap %s, before the fault %s, open at the end %t, outcomes %v\n", p.Phase.Name,
+				x.Fault, x.Fault.Group, x.Kind, x.Rank, x.Gap.Round(time.Millisecond), x.Usual.Round(time.Millisecond), x.Open, x.Outcomes)
+		}
 	}
 	v := r.Verdict
 	fmt.Fprintf(w, "\norders %d: lost %d, doubled %d, ghosts %d, unresolved %d; reads of own writes %d: stale %d\n",
@@ -42,6 +49,19 @@
 	return replica / (replica + primary)
 }
 
+// Done returns the number of requests that were done.
+func (p *PhaseResult) Done() int {
+	n := 0
+	for _, s := range p.Kinds {
+		n += s.Outcomes[OutcomeDone]
+	}
+	return n
+}
+
+// Opens returns the number of connections to backend servers that were opened
+// after the warm-up.
+func (p *PhaseResult) Opens() float64 { return p.Metrics["rattan_pool_opens_total"] }
+
 // Compare prints the latencies and rates of two reports side by side.
 func Compare(out io.Writer, a, b *Report) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -20,9 +20,16 @@
 
 // Report is the result of a run.
 type Report struct {
-	Command string         `json:"command"`
-	Seed    uint64         `json:"seed"`
-	Machine string         `json:"machine"`
+	Command string `json:"command"`
+	Seed    uint64 `json:"seed"`
+	// Machine, Go and Commit tell where and with which build the run was made.
+	Machine string    `json:"machine"`
+	Go      string    `json:"go"`
+	Commit  string    `json:"commit"`
+	Started time.Time `json:"started"`
+	// Took is the time of the run from the first phase to the verdict.
+	Took    time.Duration  `json:"took"`
+	Proxies int            `json:"proxies"`
 	Profile string         `json:"profile"`
 	Work    Work           `json:"work"`
 	Phases  []*PhaseResult `json:"phases"`
@@ -32,7 +39,8 @@
 func newReport(config Config) *Report {
 	return &Report{
 		Command: strings.Join(os.Args, " "), Seed: config.Seed, Profile: config.Profile.Name, Work: config.Work,
-		Machine: runtime.GOOS + "/" + runtime.GOARCH + ", " + strings.TrimSpace(cores()),
+		Machine: machine(), Go: runtime.Version(), Commit: commit(),
+		Started: time.Now().UTC().Truncate(time.Second), Proxies: len(config.Proxies),
 	}
 }
 
@@ -42,13 +50,18 @@
 	Took    time.Duration      `json:"took"`
 	Kinds   map[string]*Series `json:"kinds"`
 	Metrics map[string]float64 `json:"metrics,omitempty"`
-	// Busy is the share of all slot time that was used by requests that were
-	// done before the end of the phase.
+	// Busy is the share of all slot time after the warm-up that was used by
+	// requests that were done before the end of the phase.
 	Busy float64 `json:"busy"`
+	// Moved counts caller connections that another proxy got because the one
+	// that they were meant for refused them.
+	Moved      int64      `json:"moved"`
+	Recoveries []Recovery `json:"recoveries,omitempty"`
 
-	mu    sync.Mutex
-	start time.Time
-	work  time.Duration
+	mu     sync.Mutex
+	start  time.Time
+	work   time.Duration
+	events []event
 }
 
 // Series is the outcome of one kind of work. Latencies are of requests that
@@ -56,7 +69,11 @@
 type Series struct {
 	Rank     string          `json:"rank"`
 	Outcomes map[Outcome]int `json:"outcomes"`
-	// InTime counts requests that were done before the end of the phase.
+	// Errors counts errors by their cause: the SQLSTATE that the proxy gave, or
+	// what happened to the connection.
+	Errors map[string]int `json:"errors,omitempty"`
+	// InTime counts requests that were done between the end of the warm-up and
+	// that of the phase.
 	InTime int   `json:"in_time"`
 	P50    int64 `json:"p50_us"`
 	P95    int64 `json:"p95_us"`
@@ -70,39 +87,50 @@
 	return &PhaseResult{Phase: phase, start: start, Kinds: map[string]*Series{}}
 }
 
-func (p *PhaseResult) record(kind Kind, outcome Outcome, latency time.Duration) {
+// record notes the end of a request: its latency and outcome if it arrived
+// after the warm-up, its work if it was done between warm-up and end.
+func (p *PhaseResult) record(a Arrival, outcome Outcome, latency time.Duration, cause error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.Kinds[kind.Name]
-	if s == nil {
-		s = &Series{
-			Rank: kind.Rank.String(), Outcomes: map[Outcome]int{},
-			histogram: hdrhistogram.New(1, maxLatencyMicros, significantFigures),
-		}
-		p.Kinds[kind.Name] = s
+	end := time.Since(p.start)
+	if len(p.Phase.Faults) > 0 {
+		p.events = append(p.events, event{a.Kind, a.Group, a.At, end, outcome})
+	}
+	s := p.series(a.Kind)
+	if outcome == OutcomeDone && end >= p.Phase.WarmUp && end <= p.Phase.Duration {
+		p.work += a.statements() * a.Work
+		s.InTime++
+	}
+	if a.At < p.Phase.WarmUp {
+		return
 	}
 	s.Outcomes[outcome]++
+	if cause != nil {
+		s.Errors[causeOf(cause)]++
+	}
 	if outcome == OutcomeDone {
 		_ = s.histogram.RecordValue(min(max(latency.Microseconds(), 1), maxLatencyMicros))
 	}
 }
 
-// addDone counts a request that was done before the end of the phase.
-func (p *PhaseResult) addDone(a Arrival) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if time.Since(p.start) > p.Phase.Duration {
-		return
+func (p *PhaseResult) series(kind Kind) *Series {
+	s := p.Kinds[kind.Name]
+	if s == nil {
+		s = &Series{
+			Rank: kind.Rank.String(), Outcomes: map[Outcome]int{}, Errors: map[string]int{},
+			histogram: hdrhistogram.New(1, maxLatencyMicros, significantFigures),
+		}
+		p.Kinds[kind.Name] = s
 	}
-	p.work += a.statements() * a.Work
-	p.Kinds[a.Kind.Name].InTime++
+	return s
 }
 
 func (p *PhaseResult) finish(slots int, metrics map[string]float64) {
 	p.Took = time.Since(p.start)
 	p.Metrics = metrics
+	p.Recoveries = recoveries(p.Phase, p.events)
 	if slots > 0 {
-		p.Busy = p.work.Seconds() / (p.Phase.Duration.Seconds() * float64(slots))
+		p.Busy = p.work.Seconds() / (p.Phase.Measured().Seconds() * float64(slots))
 	}
 	for _, s := range p.Kinds {
 		s.P50 = s.histogram.ValueAtQuantile(50)
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"strconv"
 	"sync"
@@ -13,8 +14,11 @@
 )
 
 const (
-	// maxInFlight bounds the requests of a run that wait for an answer.
+	// maxInFlight bounds the requests of floods that wait for an answer.
 	maxInFlight = 4000
+	// floodGrace is how long after the end of a phase requests of its floods
+	// may still be answered.
+	floodGrace = 2 * time.Second
 	// requestTimeout bounds one request.
 	requestTimeout = 15 * time.Second
 	// setupTimeout bounds the creation of the tables.
@@ -37,6 +41,8 @@
 	// Slots is the number of slots of all backend servers together.
 	Slots int
 	Seed  uint64
+	// Faults tells where the faults of the phases are switched.
+	Faults FaultTargets
 }
 
 // Run carries out the phases in turn and judges the data at the end.
@@ -47,6 +53,9 @@
 		slots:   make(chan struct{}, maxInFlight),
 	}
 	defer r.callers.close()
+	if err := config.resolveFaults(); err != nil {
+		return nil, err
+	}
 	if err := r.setUp(ctx); err != nil {
 		return nil, err
 	}
@@ -66,9 +75,22 @@
 		return nil, err
 	}
 	report.Verdict = r.ledger.judge(found)
+	report.Took = time.Since(report.Started)
 	return report, nil
 }
 
+// resolveFaults checks that every fault of the run has a known target.
+func (c Config) resolveFaults() error {
+	for _, phase := range c.Phases {
+		for _, f := range phase.Faults {
+			if err := c.Faults.resolve(f); err != nil {
+				return eris.Wrapf(err, "phase %s", phase.Name)
+			}
+		}
+	}
+	return nil
+}
+
 type run struct {
 	config  Config
 	ledger  *ledger
@@ -100,30 +122,67 @@
 	if err != nil {
 		return nil, err
 	}
-	before := scrape(ctx, r.config.Metrics)
 	start := time.Now()
 	result := newPhaseResult(phase, start)
+	moved := r.callers.moved.Load()
+	before := r.scrapeAt(ctx, start.Add(phase.WarmUp))
+	faults := make(chan error, 1)
+	go func() { faults <- causeFaults(ctx, r.config.Faults, start, phase.Faults) }()
+	if err := r.send(ctx, result, arrivals, index); err != nil {
+		return nil, err
+	}
+	if err := <-faults; err != nil {
+		return nil, eris.Wrapf(err, "phase %s", phase.Name)
+	}
+	result.Moved = r.callers.moved.Load() - moved
+	result.finish(r.config.Slots, metricsDelta(<-before, scrape(ctx, r.config.Metrics)))
+	return result, nil
+}
+
+// scrapeAt reads the metrics at the given time.
+func (r *run) scrapeAt(ctx context.Context, at time.Time) <-chan map[string]float64 {
+	out := make(chan map[string]float64, 1)
+	go func() {
+		_ = sleepUntil(ctx, at)
+		out <- scrape(ctx, r.config.Metrics)
+	}()
+	return out
+}
+
+// send sends the requests of a phase at their times and waits for their ends.
+func (r *run) send(ctx context.Context, result *PhaseResult, arrivals []Arrival, index int) error {
+	floods, cancel := context.WithDeadline(ctx, result.start.Add(result.Phase.Duration+floodGrace))
+	defer cancel()
 	var wait sync.WaitGroup
 	for _, a := range arrivals {
-		if err := sleepUntil(ctx, start.Add(a.At)); err != nil {
-			return nil, err
+		if err := sleepUntil(ctx, result.start.Add(a.At)); err != nil {
+			return err
 		}
-		select {
-		case r.slots <- struct{}{}:
-		default:
-			result.record(a.Kind, OutcomeFailed, 0)
+		if a.Flood && !r.acquire() {
+			result.record(a, OutcomeNotSent, 0, nil)
 			continue
 		}
-		wait.Add(1)
-		go func() {
-			defer wait.Done()
+		wait.Go(func() {
+			if !a.Flood {
+				r.request(ctx, result, a, index)
+				return
+			}
 			defer func() { <-r.slots }()
-			r.request(ctx, result, start.Add(a.At), a, index)
-		}()
+			r.request(floods, result, a, index)
+		})
 	}
 	wait.Wait()
-	result.finish(r.config.Slots, metricsDelta(before, scrape(ctx, r.config.Metrics)))
-	return result, nil
+	return nil
+}
+
+// acquire takes a place among the requests of floods in flight.
+func (r *run) acquire() bool {
+	select {
+	case r.slots <- struct{}{}:
+		return true
+	default:
+		return false
+	}
 }
 
 func sleepUntil(ctx context.Context, t time.Time) error {
@@ -139,9 +198,10 @@
 	}
 }
 
-func (r *run) request(ctx context.Context, result *PhaseResult, intended time.Time, a Arrival, phase int) {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+func (r *run) request(phaseCtx context.Context, result *PhaseResult, a Arrival, phase int) {
+	ctx, cancel := context.WithTimeout(phaseCtx, requestTimeout)
 	defer cancel()
+	intended := result.start.Add(a.At)
 	var err error
 	switch a.Kind.Action {
 	case ActionOrder:
@@ -154,10 +214,10 @@
 		intended, err = r.readOwn(ctx, a, intended)
 	}
 	outcome := classify(err)
-	result.record(a.Kind, outcome, time.Since(intended))
-	if outcome == OutcomeDone {
-		result.addDone(a)
+	if outcome == OutcomeFailed && errors.Is(phaseCtx.Err(), context.DeadlineExceeded) {
+		outcome = OutcomeCut
 	}
+	result.record(a, outcome, time.Since(intended), err)
 }
 
 func (r *run) placeOrder(ctx context.Context, a Arrival, phase int) error {
@@ -207,8 +267,7 @@
 func (r *run) findOrders(ctx context.Context) (map[string]int, error) {
 	found := map[string]int{}
 	for _, group := range r.config.Profile.Groups {
-		rows, err := r.callers.exec(ctx, callerKey{0, group, ""},
-			"/*rattancove.freshness='latest'*/ SELECT id FROM load_orders")
+		rows, err := r.readOrders(ctx, group)
 		if err != nil {
 			return nil, eris.Wrapf(err, "read orders of group %s", group)
 		}
@@ -218,3 +277,17 @@
 	}
 	return found, nil
 }
+
+// readOrders asks one proxy after the other, since some may have been killed.
+func (r *run) readOrders(ctx context.Context, group string) (rows [][][]byte, err error) {
+	for proxy := range r.config.Proxies {
+		attempt, cancel := context.WithTimeout(ctx, requestTimeout)
+		rows, err = r.callers.exec(attempt, callerKey{proxy, group, ""},
+			"/*rattancove.freshness='latest'*/ SELECT id FROM load_orders")
+		cancel()
+		if err == nil {
+			break
+		}
+	}
+	return rows, err
+}
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"fmt"
 	"os"
 
 	"github.com/rotisserie/eris"
@@ -27,5 +28,22 @@
 	var s Scenario
 	source, faults := strictyaml.Decode(data, &s)
 	faults = append(faults, source.Validate(strictyaml.NewValidator(), &s)...)
+	faults = append(faults, checkFaults(source, s.Phases)...)
 	return &s, eris.Wrapf(faults.Err(), "scenario %s", path)
 }
+
+func checkFaults(source *strictyaml.Source, phases []Phase) strictyaml.Faults {
+	var out strictyaml.Faults
+	for i, phase := range phases {
+		for j, f := range phase.Faults {
+			path := fmt.Sprintf("phases[%d].faults[%d]", i, j)
+			if err := f.check(); err != nil {
+				out = append(out, source.Fault(path, "%s", err))
+			}
+			if max(f.At, f.Until) > phase.Duration {
+				out = append(out, source.Fault(path, "begins or ends after the phase"))
+			}
+		}
+	}
+	return out
+}
--- a/internal/load/scrape.go
+++ b/internal/load/scrape.go
@@ -3,9 +3,7 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"net/http"
-	"runtime"
 	"strconv"
 	"strings"
 	"time"
@@ -59,5 +57,3 @@
 	}
 	return delta
 }
-
-func cores() string { return fmt.Sprintf("%d cores", runtime.NumCPU()) }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -173,9 +173,20 @@
 	done
 }
 
+# fleet_stop ends what fleet_start started, with SIGKILL after FLEET_STOP_TIME
+# seconds.
 fleet_stop() {
-	local pid name i
-	for ((i = ${#FLEET_PIDS[@]} - 1; i >= 0; i--)); do kill -TERM "${FLEET_PIDS[i]}" 2>/dev/null || true; done
-	for pid in "${FLEET_PIDS[@]}"; do wait "$pid" 2>/dev/null || true; done
+	local pid i deadline=$((SECONDS + ${FLEET_STOP_TIME:-15}))
+	for ((i = ${#FLEET_PIDS[@]} - 1; i >= 0; i--)); do
+		kill -TERM "${FLEET_PIDS[i]}" 2>/dev/null || true
+		kill -CONT "${FLEET_PIDS[i]}" 2>/dev/null || true
+	done
+	for pid in "${FLEET_PIDS[@]}"; do
+		while kill -0 "$pid" 2>/dev/null; do
+			((SECONDS < deadline)) || kill -KILL "$pid" 2>/dev/null || true
+			sleep 0.05
+		done
+		wait "$pid" 2>/dev/null || true
+	done
 	FLEET_PIDS=()
 }
