--- a/cmd/rattan-load/main.go
+++ b/cmd/rattan-load/main.go
@@ -41,21 +41,6 @@
 	}
 }
 
-func reportCommand() *cli.Command {
-	return &cli.Command{
-		Name:      "report",
-		Usage:     "print a stored report",
-		ArgsUsage: "FILE",
-		Action: func(_ context.Context, cmd *cli.Command) error {
-			report, err := load.ReadReport(cmd.Args().First())
-			if err != nil {
-				return err
-			}
-			return report.Table(os.Stdout)
-		},
-	}
-}
-
 func compareCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "compare",
--- /dev/null
+++ b/cmd/rattan-load/report.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/rattancove/rattancove/internal/benchpage"
+	"github.com/rattancove/rattancove/internal/load"
+)
+
+func reportCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "report",
+		Usage:     "print a stored report, or write the page of measurements from the reports of the standard set",
+		ArgsUsage: "FILE",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "set", Usage: "directory with the reports of the standard set"},
+			&cli.StringFlag{Name: "page", Value: "docs/BENCH.md", Usage: "page to write"},
+			&cli.StringFlag{Name: "notes", Value: "docs/bench-notes.md", Usage: "Markdown that follows the figures"},
+			&cli.StringFlag{Name: "command", Value: "make bench", Usage: "command that the page names"},
+		},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			if dir := cmd.String("set"); dir != "" {
+				return writePage(dir, cmd.String("page"), cmd.String("notes"), cmd.String("command"))
+			}
+			report, err := load.ReadReport(cmd.Args().First())
+			if err != nil {
+				return err
+			}
+			return report.Table(os.Stdout)
+		},
+	}
+}
+
+func writePage(dir, path, notesPath, command string) error {
+	set, err := benchpage.ReadSet(dir)
+	if err != nil {
+		return err
+	}
+	notes, err := os.ReadFile(notesPath)
+	if err != nil {
+		return eris.Wrap(err, "read notes")
+	}
+	reports, err := filepath.Rel(filepath.Dir(path), dir)
+	if err != nil {
+		return eris.Wrap(err, "find reports from the page")
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return eris.Wrap(err, "create page")
+	}
+	defer f.Close()
+	err = set.Write(f, benchpage.Options{Command: command, Reports: filepath.ToSlash(reports), Notes: string(notes)})
+	if err != nil {
+		return err
+	}
+	return eris.Wrap(f.Close(), "close page")
+}
--- a/internal/load/fault.go
+++ b/internal/load/fault.go
@@ -43,6 +43,9 @@
 // faultTimeout bounds the call that switches a fault.
 const faultTimeout = 2 * time.Second
 
+// faultRetry is the pause before another try to reach a stand-in.
+const faultRetry = 50 * time.Millisecond
+
 // switchOn and switchOff are the values of faults that are switched.
 const (
 	switchOn  = "on"
@@ -208,7 +211,7 @@
 // switchServer switches a fault of a stand-in that speaks the protocol of
 // backend servers.
 func switchServer(ctx context.Context, address string, action FaultAction, value string) error {
-	conn, err := pgconn.Connect(ctx, connString(address, controlUser, "", controlUser)+directOptions)
+	conn, err := connectForControl(ctx, address)
 	if err != nil {
 		return eris.Wrapf(err, "connect to stand-in %s", address)
 	}
@@ -220,6 +223,17 @@
 	return eris.Wrapf(err, "switch %s of stand-in %s", action, address)
 }
 
+// connectForControl tries again while ctx lasts, since all control connections
+// of a stand-in may be in use.
+func connectForControl(ctx context.Context, address string) (*pgconn.PgConn, error) {
+	for {
+		conn, err := pgconn.Connect(ctx, connString(address, controlUser, "", controlUser)+directOptions)
+		if err == nil || sleepUntil(ctx, time.Now().Add(faultRetry)) != nil {
+			return conn, err
+		}
+	}
+}
+
 // switchService switches a fault of a stand-in that speaks HTTP.
 func switchService(ctx context.Context, base string, action FaultAction, value string) error {
 	form := url.Values{}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -49,6 +49,25 @@
 	return replica / (replica + primary)
 }
 
+// Phase returns the phase of the given name, or nil.
+func (r *Report) Phase(name string) *PhaseResult {
+	for _, p := range r.Phases {
+		if p.Phase.Name == name {
+			return p
+		}
+	}
+	return nil
+}
+
+// Rate returns how many requests of a kind were done per second.
+func (p *PhaseResult) Rate(kind string) float64 {
+	s := p.Kinds[kind]
+	if s == nil {
+		return 0
+	}
+	return float64(s.InTime) / p.Phase.Measured().Seconds()
+}
+
 // Done returns the number of requests that were done.
 func (p *PhaseResult) Done() int {
 	n := 0
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -30,6 +30,7 @@
 	// Took is the time of the run from the first phase to the verdict.
 	Took    time.Duration  `json:"took"`
 	Proxies int            `json:"proxies"`
+	Slots   int            `json:"slots"`
 	Profile string         `json:"profile"`
 	Work    Work           `json:"work"`
 	Phases  []*PhaseResult `json:"phases"`
@@ -40,7 +41,7 @@
 	return &Report{
 		Command: strings.Join(os.Args, " "), Seed: config.Seed, Profile: config.Profile.Name, Work: config.Work,
 		Machine: machine(), Go: runtime.Version(), Commit: commit(),
-		Started: time.Now().UTC().Truncate(time.Second), Proxies: len(config.Proxies),
+		Started: time.Now().UTC().Truncate(time.Second), Proxies: len(config.Proxies), Slots: config.Slots,
 	}
 }
 
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -10,6 +10,7 @@
 #   FLEET_LAG       replay lag of replicas
 #   FLEET_SHARING   home or static
 #   FLEET_PORT      first port of the range
+#   FLEET_CONTROL_CONNECTIONS  connections of a backend server kept for control
 #   FLEET_BOOTSTRAP yes to start proxies with the document, no to let
 #                   fleet_publish put the first one in force
 
@@ -119,7 +120,8 @@
 		address="127.0.0.1:$(fleet_backend_port $n)"
 		[[ $group == "$last" ]] || leader=""
 		fleet_spawn "$id" bin/rattan-standin backend --id "$id" --listen "$address" --group-leader "$leader" \
-			--slots "$slots" --connections "$connections" --lag "$FLEET_LAG" --log-level warn
+			--slots "$slots" --connections "$connections" \
+			--control-connections "${FLEET_CONTROL_CONNECTIONS:-4}" --lag "$FLEET_LAG" --log-level warn
 		[[ $group == "$last" ]] || leader="$id@$address"
 		last=$group
 		n=$((n + 1))
