--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -97,3 +97,11 @@
 		t.Error(diff)
 	}
 }
+
+func TestMetricsOfProcessesThatDied(t *testing.T) {
+	before := []map[string]float64{{"opens": 3}, {"opens": 40}, {}}
+	after := []map[string]float64{{"opens": 5}, {}, {"opens": 7}}
+	if diff := cmp.Diff(map[string]float64{"opens": 2}, metricsDelta(before, after)); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -138,16 +138,16 @@
 		return nil, eris.Wrapf(err, "phase %s", phase.Name)
 	}
 	result.Moved = r.callers.moved.Load() - moved
-	result.finish(r.config.Slots, metricsDelta(<-before, scrape(ctx, r.config.Metrics)))
+	result.finish(r.config.Slots, metricsDelta(<-before, scrapeEach(ctx, r.config.Metrics)))
 	return result, nil
 }
 
 // scrapeAt reads the metrics at the given time.
-func (r *run) scrapeAt(ctx context.Context, at time.Time) <-chan map[string]float64 {
-	out := make(chan map[string]float64, 1)
+func (r *run) scrapeAt(ctx context.Context, at time.Time) <-chan []map[string]float64 {
+	out := make(chan []map[string]float64, 1)
 	go func() {
 		_ = sleepUntil(ctx, at)
-		out <- scrape(ctx, r.config.Metrics)
+		out <- scrapeEach(ctx, r.config.Metrics)
 	}()
 	return out
 }
--- a/internal/load/scrape.go
+++ b/internal/load/scrape.go
@@ -6,22 +6,37 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
 const scrapeTimeout = 2 * time.Second
 
 // scrape sums the metrics of several processes by name, with and without
-// labels. A process that does
-// not answer is left out.
+// labels. A process that does not answer is left out.
 func scrape(ctx context.Context, urls []string) map[string]float64 {
 	sums := map[string]float64{}
-	for _, url := range urls {
-		scrapeOne(ctx, url, sums)
+	for _, one := range scrapeEach(ctx, urls) {
+		for name, value := range one {
+			sums[name] += value
+		}
 	}
 	return sums
 }
 
+// scrapeEach reads the metrics of several processes at once. A process that
+// does not answer has none.
+func scrapeEach(ctx context.Context, urls []string) []map[string]float64 {
+	out := make([]map[string]float64, len(urls))
+	var wait sync.WaitGroup
+	for i, url := range urls {
+		out[i] = map[string]float64{}
+		wait.Go(func() { scrapeOne(ctx, url, out[i]) })
+	}
+	wait.Wait()
+	return out
+}
+
 func scrapeOne(ctx context.Context, url string, sums map[string]float64) {
 	ctx, cancel := context.WithTimeout(ctx, scrapeTimeout)
 	defer cancel()
@@ -47,12 +62,18 @@
 	}
 }
 
-// metricsDelta returns what rose between two scrapes.
-func metricsDelta(before, after map[string]float64) map[string]float64 {
+// metricsDelta returns what rose between two scrapes. A process that answered
+// only one of them is left out: it died, or it began to count anew.
+func metricsDelta(before, after []map[string]float64) map[string]float64 {
 	delta := map[string]float64{}
-	for name, value := range after {
-		if d := value - before[name]; d != 0 {
-			delta[name] = d
+	for i := range after {
+		if len(before[i]) == 0 {
+			continue
+		}
+		for name, value := range after[i] {
+			if d := value - before[i][name]; d != 0 {
+				delta[name] += d
+			}
 		}
 	}
 	return delta
