--- a/cmd/rattan-load/run.go
+++ b/cmd/rattan-load/run.go
@@ -24,6 +24,7 @@
 			&cli.StringSliceFlag{Name: "metrics", Usage: "metrics URL of a process; repeat for each"},
 			&cli.StringFlag{Name: "user", Usage: "database user; the profile's own when empty"},
 			&cli.StringFlag{Name: "password", Usage: "password of the user", Sources: cli.EnvVars("RATTAN_LOAD_PASSWORD")},
+			&cli.StringFlag{Name: "commit", Usage: "commit under test, for the report; this program's own when empty"},
 			&cli.DurationFlag{Name: "timeout", Usage: "longest time of the whole run; 0 for no limit"},
 			&cli.StringFlag{Name: "out", Usage: "write the report as JSON to this file"},
 			&cli.StringFlag{Name: "plot", Usage: "draw the report to this SVG or PNG file"},
@@ -84,7 +85,7 @@
 	return load.Config{
 		Profile: profile, Phases: scenario.Phases, Work: scenario.Work, Seed: uint64(scenario.Seed), Slots: scenario.Slots,
 		Proxies: cmd.StringSlice("proxy"), Metrics: cmd.StringSlice("metrics"),
-		User: cmd.String("user"), Password: cmd.String("password"), Faults: targets,
+		User: cmd.String("user"), Password: cmd.String("password"), Commit: cmd.String("commit"), Faults: targets,
 	}, err
 }
 
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"encoding/json"
 	"os"
 	"runtime"
@@ -40,7 +41,7 @@
 func newReport(config Config) *Report {
 	return &Report{
 		Command: strings.Join(os.Args, " "), Seed: config.Seed, Profile: config.Profile.Name, Work: config.Work,
-		Machine: machine(), Go: runtime.Version(), Commit: commit(),
+		Machine: machine(), Go: runtime.Version(), Commit: cmp.Or(config.Commit, commit()),
 		Started: time.Now().UTC().Truncate(time.Second), Proxies: len(config.Proxies), Slots: config.Slots,
 	}
 }
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -18,7 +18,7 @@
 	maxInFlight = 4000
 	// floodGrace is how long after the end of a phase requests of its floods
 	// may still be answered.
-	floodGrace = time.Second
+	floodGrace = 500 * time.Millisecond
 	// requestTimeout bounds one request.
 	requestTimeout = 8 * time.Second
 	// setupTimeout bounds the creation of the tables.
@@ -41,6 +41,8 @@
 	// Slots is the number of slots of all backend servers together.
 	Slots int
 	Seed  uint64
+	// Commit names the commit under test; the program's own when empty.
+	Commit string
 	// Faults tells where the faults of the phases are switched.
 	Faults FaultTargets
 }
