--- a/internal/benchpage/measure.go
+++ b/internal/benchpage/measure.go
@@ -205,7 +205,13 @@
 	return p.Ranks[cluster.RankUrgent.String()].P99
 }
 
-func millis(us int64) string { return duration(time.Duration(us) * time.Microsecond) }
+// millis shows a latency in µs; 0 stands for none.
+func millis(us int64) string {
+	if us == 0 {
+		return "none"
+	}
+	return duration(time.Duration(us) * time.Microsecond)
+}
 
 func duration(d time.Duration) string {
 	if d < time.Second {
