--- a/cmd/rattan-load/main.go
+++ b/cmd/rattan-load/main.go
@@ -18,7 +18,7 @@
 	return &cli.Command{
 		Name:     "rattan-load",
 		Usage:    "drive a deployment with work and report what callers saw",
-		Commands: []*cli.Command{runCommand(), queryCommand(), costCommand(), reportCommand(), compareCommand(), traceCommand()},
+		Commands: []*cli.Command{runCommand(), queryCommand(), costCommand(), reportCommand(), compareCommand(), pageCommand(), traceCommand()},
 	}
 }
 
--- a/cmd/rattan-load/report.go
+++ b/cmd/rattan-load/report.go
@@ -15,18 +15,9 @@
 func reportCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "report",
-		Usage:     "print a stored report, or write the page of measurements from the reports of the standard set",
+		Usage:     "print a stored report",
 		ArgsUsage: "FILE",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "set", Usage: "directory with the reports of the standard set"},
-			&cli.StringFlag{Name: "page", Value: "docs/BENCH.md", Usage: "page to write"},
-			&cli.StringFlag{Name: "notes", Value: "docs/bench-notes.md", Usage: "Markdown that follows the figures"},
-			&cli.StringFlag{Name: "command", Value: "make bench", Usage: "command that the page names"},
-		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
-			if dir := cmd.String("set"); dir != "" {
-				return writePage(dir, cmd.String("page"), cmd.String("notes"), cmd.String("command"))
-			}
 			report, err := load.ReadReport(cmd.Args().First())
 			if err != nil {
 				return err
@@ -36,6 +27,22 @@
 	}
 }
 
+func pageCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "page",
+		Usage:     "write the page of measurements from a directory with the reports of the standard set",
+		ArgsUsage: "DIRECTORY",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "out", Value: "docs/BENCH.md", Usage: "page to write"},
+			&cli.StringFlag{Name: "notes", Value: "docs/bench-notes.md", Usage: "Markdown that follows the figures"},
+			&cli.StringFlag{Name: "command", Value: "make bench", Usage: "command that the page names"},
+		},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			return writePage(cmd.Args().First(), cmd.String("out"), cmd.String("notes"), cmd.String("command"))
+		},
+	}
+}
+
 func writePage(dir, path, notesPath, command string) error {
 	set, err := benchpage.ReadSet(dir)
 	if err != nil {
