--- a/internal/load/fault.go
+++ b/internal/load/fault.go
@@ -101,8 +101,9 @@
 	"process":  {FaultKill, FaultPause, FaultTerminate},
 }
 
-// reversible lists the actions that may have an end.
-var reversible = []FaultAction{FaultHang, FaultDown, FaultSlow, FaultPause}
+// reversible lists the actions that may have an end. A stand-in that hangs does
+// not answer the call that would end it.
+var reversible = []FaultAction{FaultDown, FaultSlow, FaultPause}
 
 // check returns what is wrong with the fault in itself.
 func (f Fault) check() error {
