--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -106,3 +106,17 @@
 		})
 	}
 }
+
+func TestRelayAtTheHopLimitRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(Config{Self: "p1", Members: &fakeMembers{home: "p2"}})
+		start := time.Now()
+		_, err := g.Run(t.Context(), &statement.Request{Group: "g", Hops: maxHops, Timeout: time.Minute}, noConversation{})
+		if !errcode.Is(err, errcode.Superseded) {
+			t.Errorf("error %v", err)
+		}
+		if took := time.Since(start); took != 0 {
+			t.Errorf("refused after %s", took)
+		}
+	})
+}
