Ask the next peer for a document while one is silent

Change: the next peer is asked after 250 ms, and at once when it offers the document meanwhile. TestSilentPeersDelayADocumentLittle fails without it.

--- a/internal/rollout/fetch.go
+++ b/internal/rollout/fetch.go
@@ -16,8 +16,10 @@
 	maxOffers = 3
 	// peerFetchTimeout bounds one fetch from a peer.
 	peerFetchTimeout = 2 * time.Second
-	firstFetchRetry  = 100 * time.Millisecond
-	maxFetchRetry    = 5 * time.Second
+	// nextPeerAfter is the time after which another peer is asked as well.
+	nextPeerAfter   = 250 * time.Millisecond
+	firstFetchRetry = 100 * time.Millisecond
+	maxFetchRetry   = 5 * time.Second
 )
 
 // fetch gets missing versions until ctx ends.
@@ -61,19 +63,8 @@
 
 // fetchOnce tries the peers that offered v and then the object store.
 func (w *Watcher) fetchOnce(ctx context.Context, v Version) error {
-	w.mu.Lock()
-	offers := w.offers[v]
-	delete(w.offers, v)
-	w.mu.Unlock()
-	for _, offer := range offers {
-		data, err := fetchFromPeer(ctx, offer, v)
-		if err != nil {
-			continue
-		}
-		peerFetches.Inc()
-		if err := w.install(v, data); err == nil {
-			return nil
-		}
+	if w.fetchFromPeers(ctx, v) {
+		return nil
 	}
 	var held environment.Text
 	if current := w.Current(); current != nil {
@@ -87,6 +78,60 @@
 	return w.install(v, data)
 }
 
+// takeOffers returns the peers that have offered v since the last call.
+func (w *Watcher) takeOffers(v Version) []Fetch {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	offers := w.offers[v]
+	delete(w.offers, v)
+	return offers
+}
+
+// fetchFromPeers reports whether one of the peers gave the version. The next
+// peer is asked at the same time when the one before has not answered soon, or
+// when it offers the version meanwhile.
+func (w *Watcher) fetchFromPeers(ctx context.Context, v Version) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	offers := w.takeOffers(v)
+	answers := make(chan []byte)
+	pending := 0
+	for len(offers) > 0 || pending > 0 {
+		var slow <-chan time.Time
+		if len(offers) > 0 {
+			offer := offers[0]
+			offers = offers[1:]
+			pending++
+			go func() {
+				data, err := fetchFromPeer(ctx, offer, v)
+				if err != nil {
+					data = nil
+				}
+				select {
+				case answers <- data:
+				case <-ctx.Done():
+				}
+			}()
+			slow = time.After(nextPeerAfter)
+		}
+		select {
+		case data := <-answers:
+			pending--
+			if data != nil && w.install(v, data) == nil {
+				peerFetches.Inc()
+				return true
+			}
+		case <-w.wake:
+			defer w.wakeFetch() // it may have been for a newer version
+			offers = append(offers, w.takeOffers(v)...)
+		case <-slow:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return false
+}
+
 func fetchFromPeer(ctx context.Context, offer Fetch, v Version) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerFetchTimeout)
 	defer cancel()
--- a/internal/rollout/watcher_test.go
+++ b/internal/rollout/watcher_test.go
@@ -120,6 +120,29 @@
 	})
 }
 
+// Peers that do not answer must not hold a document back until its bound.
+func TestSilentPeersDelayADocumentLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		f.publish(t, 1)
+		w := f.start(t, 4)
+		synctest.Wait()
+		f.setDown(true)
+		v := Version{Revision: 2, Digest: environment.Digest(text(t, 2))}
+		silent := func(ctx context.Context) ([]byte, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		w.Offer("entry-2", v, silent)
+		w.Offer("entry-3", v, silent)
+		w.Offer("entry-4", v, serve(text(t, 2)))
+		time.Sleep(time.Second)
+		if got := revision(w); got != 2 {
+			t.Errorf("revision %d a second after a peer offered 2", got)
+		}
+	})
+}
+
 func TestRefreshLooksAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet()
