--- a/cmd/rattan-warden/serve.go
+++ b/cmd/rattan-warden/serve.go
@@ -11,6 +11,7 @@
 	"github.com/rattancove/rattancove/internal/admin"
 	"github.com/rattancove/rattancove/internal/backend"
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/deployment"
 	"github.com/rattancove/rattancove/internal/environment"
 	"github.com/rattancove/rattancove/internal/failover"
@@ -64,10 +65,7 @@
 // leave tells the other members and gives them time to take over.
 func leave(ctx context.Context, members *member.Loop) {
 	members.Leave()
-	select {
-	case <-time.After(leaveDelay):
-	case <-ctx.Done():
-	}
+	delay.Sleep(ctx, leaveDelay)
 }
 
 // adminConfig lets operators look at the deployment while no proxy can be
--- a/cmd/rattanctl/document.go
+++ b/cmd/rattanctl/document.go
@@ -13,6 +13,7 @@
 
 	"github.com/rattancove/rattancove/internal/admin"
 	"github.com/rattancove/rattancove/internal/adminclient"
+	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/environment"
 	"github.com/rattancove/rattancove/internal/program"
 )
@@ -202,9 +203,7 @@
 			fmt.Fprintln(a.progress, text)
 			last = text
 		}
-		select {
-		case <-time.After(rolloutPoll):
-		case <-ctx.Done():
+		if !delay.Sleep(ctx, rolloutPoll) {
 			return answer, eris.Wrap(context.DeadlineExceeded, text)
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/statement"
 )
@@ -105,12 +106,7 @@
 			return result, a.final(err)
 		}
 		gatewayRetries.Inc()
-		select {
-		case <-ctx.Done():
-			return statement.Result{}, a.final(err)
-		case <-time.After(pause.NextBackOff()):
-		}
-		if time.Until(a.deadline) <= 0 {
+		if !delay.Sleep(ctx, pause.NextBackOff()) || time.Until(a.deadline) <= 0 {
 			return statement.Result{}, a.final(err)
 		}
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/rankmetric"
 )
 
 var (
@@ -13,14 +13,6 @@
 	gatewayRelays = metrics.NewCounter("rattan_gateway_relays_total")
 	// refusedTotal counts requests refused here because their home had advised
 	// to wait, probesTotal those sent to it all the same.
-	refusedTotal = rankCounters("rattan_gateway_refused_total")
+	refusedTotal = rankmetric.New("rattan_gateway_refused_total", metrics.NewCounter)
 	probesTotal  = metrics.NewCounter("rattan_gateway_probes_total")
 )
-
-func rankCounters(name string) [cluster.RankCount]*metrics.Counter {
-	var counters [cluster.RankCount]*metrics.Counter
-	for r := range cluster.Rank(cluster.RankCount) {
-		counters[r] = metrics.NewCounter(name + `{rank="` + r.String() + `"}`)
-	}
-	return counters
-}
--- a/internal/home/metrics.go
+++ b/internal/home/metrics.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/rankmetric"
 )
 
 var (
@@ -20,14 +20,6 @@
 	silencesTotal     = metrics.NewCounter("rattan_home_silent_connections_total")
 	reclaimsTotal     = metrics.NewCounter("rattan_home_reclaims_total")
 	rollbacksTotal    = metrics.NewCounter("rattan_home_rollbacks_total")
-	waitSeconds       = rankHistograms("rattan_home_wait_seconds")
-	requestSeconds    = rankHistograms("rattan_home_request_seconds")
+	waitSeconds       = rankmetric.New("rattan_home_wait_seconds", metrics.NewHistogram)
+	requestSeconds    = rankmetric.New("rattan_home_request_seconds", metrics.NewHistogram)
 )
-
-func rankHistograms(name string) [cluster.RankCount]*metrics.Histogram {
-	var hs [cluster.RankCount]*metrics.Histogram
-	for r := range cluster.Rank(cluster.RankCount) {
-		hs[r] = metrics.NewHistogram(name + `{rank="` + r.String() + `"}`)
-	}
-	return hs
-}
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/rattancove/rattancove/internal/delay"
 )
 
 const (
@@ -190,17 +192,12 @@
 	}
 }
 
+// sleepUntil waits until t and returns the error of ctx if that ends before.
 func sleepUntil(ctx context.Context, t time.Time) error {
-	d := time.Until(t)
-	if d <= 0 {
-		return ctx.Err()
-	}
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
+	if delay.Sleep(ctx, time.Until(t)) {
 		return nil
 	}
+	return ctx.Err()
 }
 
 func (r *run) request(phaseCtx context.Context, result *PhaseResult, a Arrival, phase int) {
--- a/internal/pgwire/front/config.go
+++ b/internal/pgwire/front/config.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"time"
@@ -87,14 +88,14 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.ServerVersion = orDefault(c.ServerVersion, DefaultServerVersion)
-	c.StartupTime = orDefault(c.StartupTime, DefaultStartupTime)
-	c.MaxUnauthorized = orDefault(c.MaxUnauthorized, DefaultMaxUnauthorized)
-	c.MessageTime = orDefault(c.MessageTime, DefaultMessageTime)
-	c.WriteTime = orDefault(c.WriteTime, DefaultWriteTime)
-	c.PreparedPerCaller = orDefault(c.PreparedPerCaller, DefaultPreparedPerCaller)
-	c.PreparedBytes = orDefault(c.PreparedBytes, DefaultPreparedBytes)
-	c.BufferBytes = orDefault(c.BufferBytes, DefaultBufferBytes)
+	c.ServerVersion = cmp.Or(c.ServerVersion, DefaultServerVersion)
+	c.StartupTime = cmp.Or(c.StartupTime, DefaultStartupTime)
+	c.MaxUnauthorized = cmp.Or(c.MaxUnauthorized, DefaultMaxUnauthorized)
+	c.MessageTime = cmp.Or(c.MessageTime, DefaultMessageTime)
+	c.WriteTime = cmp.Or(c.WriteTime, DefaultWriteTime)
+	c.PreparedPerCaller = cmp.Or(c.PreparedPerCaller, DefaultPreparedPerCaller)
+	c.PreparedBytes = cmp.Or(c.PreparedBytes, DefaultPreparedBytes)
+	c.BufferBytes = cmp.Or(c.BufferBytes, DefaultBufferBytes)
 	return c
 }
 
@@ -102,17 +103,9 @@
 // for limits where zero means no bound.
 func limits(d Directory) environment.Limits {
 	l := d.Limits()
-	l.MessageBytes = orDefault(l.MessageBytes, DefaultMessageBytes)
-	l.StatementTime = orDefault(l.StatementTime, DefaultStatementTime)
-	l.TransactionTime = orDefault(l.TransactionTime, DefaultTransactionTime)
-	l.IdleInTransaction = orDefault(l.IdleInTransaction, DefaultIdleInTransaction)
+	l.MessageBytes = cmp.Or(l.MessageBytes, DefaultMessageBytes)
+	l.StatementTime = cmp.Or(l.StatementTime, DefaultStatementTime)
+	l.TransactionTime = cmp.Or(l.TransactionTime, DefaultTransactionTime)
+	l.IdleInTransaction = cmp.Or(l.IdleInTransaction, DefaultIdleInTransaction)
 	return l
 }
-
-func orDefault[T comparable](v, fallback T) T {
-	var zero T
-	if v == zero {
-		return fallback
-	}
-	return v
-}
--- a/internal/pgwire/front/metrics.go
+++ b/internal/pgwire/front/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/rankmetric"
 )
 
 // outcomeServerError counts requests that the server answered with an error.
@@ -18,7 +19,7 @@
 	messagesRefused = metrics.NewCounter("rattan_front_messages_refused_total")
 	cancelRequests  = metrics.NewCounter("rattan_front_cancel_requests_total")
 	callersOpen     = metrics.NewCounter("rattan_front_callers")
-	requestSeconds  [cluster.RankCount]*metrics.Histogram
+	requestSeconds  = rankmetric.New("rattan_front_request_seconds", metrics.NewHistogram)
 	requestCounts   [cluster.RankCount]map[string]*metrics.Counter
 )
 
@@ -30,7 +31,6 @@
 		errcode.OutcomeUnknown.String(),
 	}
 	for r := range cluster.Rank(cluster.RankCount) {
-		requestSeconds[r] = metrics.NewHistogram(fmt.Sprintf("rattan_front_request_seconds{rank=%q}", r))
 		requestCounts[r] = make(map[string]*metrics.Counter)
 		for _, o := range outcomes {
 			name := fmt.Sprintf("rattan_front_requests_total{rank=%q,outcome=%q}", r, o)
--- a/internal/pool/open.go
+++ b/internal/pool/open.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/rattancove/rattancove/internal/delay"
 )
 
 // drainPoll is the interval at which Close looks for connections in use.
@@ -49,9 +51,9 @@
 		if len(p.inUse) == 0 {
 			p.failWaiters(eris.Wrap(err, "open connection"))
 		}
-		delay := p.backoff.NextBackOff()
+		pause := p.backoff.NextBackOff()
 		p.mu.Unlock()
-		p.sleep(delay)
+		delay.Sleep(p.ctx, pause)
 		return true
 	}
 	p.stats.Opens++
@@ -63,15 +65,6 @@
 	return true
 }
 
-func (p *Pool) sleep(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-p.ctx.Done():
-	}
-}
-
 func (p *Pool) reset(c *Conn) {
 	ctx, cancel := context.WithTimeout(p.ctx, p.config.ResetTimeout)
 	err := c.Reset(ctx)
@@ -163,9 +156,7 @@
 		if left == 0 {
 			return
 		}
-		select {
-		case <-time.After(drainPoll):
-		case <-ctx.Done():
+		if !delay.Sleep(ctx, drainPoll) {
 			p.closeInUse()
 			return
 		}
--- /dev/null
+++ b/internal/rankmetric/rankmetric.go
@@ -0,0 +1,13 @@
+// Package rankmetric registers metrics that are kept for each rank.
+package rankmetric
+
+import "github.com/rattancove/rattancove/internal/cluster"
+
+// New registers a metric for each rank, with the rank as its label.
+func New[M any](name string, register func(name string) M) [cluster.RankCount]M {
+	var all [cluster.RankCount]M
+	for r := range cluster.Rank(cluster.RankCount) {
+		all[r] = register(name + `{rank="` + r.String() + `"}`)
+	}
+	return all
+}
--- a/internal/rollout/fetch.go
+++ b/internal/rollout/fetch.go
@@ -99,19 +99,9 @@
 	for len(offers) > 0 || pending > 0 {
 		var slow <-chan time.Time
 		if len(offers) > 0 {
-			offer := offers[0]
+			go askPeer(ctx, offers[0], answers)
 			offers = offers[1:]
 			pending++
-			go func() {
-				data, err := fetchFromPeer(ctx, offer, v)
-				if err != nil {
-					data = nil
-				}
-				select {
-				case answers <- data:
-				case <-ctx.Done():
-				}
-			}()
 			slow = time.After(nextPeerAfter)
 		}
 		select {
@@ -132,17 +122,18 @@
 	return false
 }
 
-func fetchFromPeer(ctx context.Context, offer Fetch, v Version) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerFetchTimeout)
+// askPeer sends what a peer gives to answers, nil if it gives nothing in time.
+func askPeer(ctx context.Context, offer Fetch, answers chan<- []byte) {
+	limited, cancel := context.WithTimeout(ctx, peerFetchTimeout)
 	defer cancel()
-	data, err := offer(ctx)
+	data, err := offer(limited)
 	if err != nil {
-		return nil, err
+		data = nil
 	}
-	if environment.Digest(data) != v.Digest {
-		return nil, eris.Wrap(document.ErrDigest, "document of a peer")
+	select {
+	case answers <- data:
+	case <-ctx.Done():
 	}
-	return data, nil
 }
 
 // install checks the document and puts it in force unless a newer one is.
--- a/internal/standin/dbserver/follow.go
+++ b/internal/standin/dbserver/follow.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/pgwire/back"
 )
 
@@ -61,10 +62,7 @@
 			if err := s.followOnce(ctx, term, leader); err != nil {
 				eventFetchFailed.Log(&s.cfg.Log).Str("server", string(s.cfg.ID)).Str("leader", leader.Address).Err(err).Send()
 			}
-			select {
-			case <-time.After(fetchRetry):
-			case <-ctx.Done():
-			}
+			delay.Sleep(ctx, fetchRetry)
 		}
 	})
 }
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/rattancove/rattancove/internal/delay"
 )
 
 // FaultPath is where faults are switched over HTTP: PUT with the form values
@@ -71,9 +73,7 @@
 			return
 		}
 		down, slow := f.state()
-		select {
-		case <-time.After(slow):
-		case <-r.Context().Done():
+		if !delay.Sleep(r.Context(), slow) {
 			return
 		}
 		if down {
