--- a/cmd/rattanctl/command_test.go
+++ b/cmd/rattanctl/command_test.go
@@ -18,8 +18,8 @@
 	"github.com/rattancove/rattancove/internal/admin"
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/document"
-	"github.com/rattancove/rattancove/internal/platform/platformtest"
 	"github.com/rattancove/rattancove/internal/program"
+	"github.com/rattancove/rattancove/internal/provider/providertest"
 )
 
 const env = "cotopaxi-production"
@@ -28,7 +28,7 @@
 type fixture struct {
 	t       *testing.T
 	store   *document.Store
-	table   *platformtest.Table
+	table   *providertest.Table
 	url     string
 	keyFile string
 	dir     string
@@ -75,8 +75,8 @@
 }
 
 func newFixture(t *testing.T) *fixture {
-	f := &fixture{t: t, table: platformtest.NewTable(), dir: t.TempDir()}
-	f.store = document.NewStore(f.table, platformtest.NewObjects())
+	f := &fixture{t: t, table: providertest.NewTable(), dir: t.TempDir()}
+	f.store = document.NewStore(f.table, providertest.NewObjects())
 	f.keyFile = f.write("key", "ops-key\n")
 	keyPath := f.write("keys.yaml", "keys: [{name: ops, sha256: "+admin.HashKey("ops-key")+", rights: [admin]}]")
 	keys, err := admin.LoadKeys(keyPath, zerolog.Nop())
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -21,7 +21,7 @@
 
 	"github.com/rattancove/rattancove/internal/document"
 	"github.com/rattancove/rattancove/internal/environment"
-	"github.com/rattancove/rattancove/internal/platform/platformtest"
+	"github.com/rattancove/rattancove/internal/provider/providertest"
 	"github.com/rattancove/rattancove/internal/tlskeys"
 	"github.com/rattancove/rattancove/internal/tlskeys/tlstest"
 )
@@ -32,7 +32,7 @@
 type fixture struct {
 	t       *testing.T
 	server  *Server
-	table   *platformtest.Table
+	table   *providertest.Table
 	keyFile string
 	status  Status
 	log     bytes.Buffer
@@ -55,14 +55,14 @@
 `
 
 func newFixture(t *testing.T) *fixture {
-	f := &fixture{t: t, table: platformtest.NewTable(), keyFile: filepath.Join(t.TempDir(), "keys.yaml")}
+	f := &fixture{t: t, table: providertest.NewTable(), keyFile: filepath.Join(t.TempDir(), "keys.yaml")}
 	f.writeKeys(keyText)
 	keys, err := LoadKeys(f.keyFile, zerolog.New(&f.log))
 	if err != nil {
 		t.Fatal(err)
 	}
 	f.server = New(Config{
-		Environment: env, Status: f, Documents: document.NewStore(f.table, platformtest.NewObjects()), Explainer: f,
+		Environment: env, Status: f, Documents: document.NewStore(f.table, providertest.NewObjects()), Explainer: f,
 		Keys: keys, Ready: func() string { return "starting" }, Log: zerolog.New(&f.log),
 	})
 	f.status = Status{
--- a/internal/admin/errors.go
+++ b/internal/admin/errors.go
@@ -7,7 +7,7 @@
 
 	"github.com/rattancove/rattancove/internal/document"
 	"github.com/rattancove/rattancove/internal/environment"
-	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/provider"
 )
 
 // ErrorCode names a kind of error of the API.
@@ -80,7 +80,7 @@
 		return newError(CodeChangeWindow, err.Error())
 	case errors.As(err, &unknown):
 		return &Error{Code: CodeUnknownOutcome, Message: err.Error(), ChangeID: unknown.ChangeID}
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, provider.ErrNotFound):
 		return newError(CodeNotFound, "there is no such environment, revision or document")
 	default:
 		return newError(CodeUnavailable, "the platform's services did not answer")
--- a/internal/document/adapters_test.go
+++ b/internal/document/adapters_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/rattancove/rattancove/internal/platform/platformclient"
+	"github.com/rattancove/rattancove/internal/provider/providerclient"
 	"github.com/rattancove/rattancove/internal/settings"
 	"github.com/rattancove/rattancove/internal/standin/dbserver"
 	standin "github.com/rattancove/rattancove/internal/standin/platform"
@@ -32,7 +32,7 @@
 	t.Cleanup(server.Close)
 	objects := httptest.NewServer(standin.NewObjects().Handler())
 	t.Cleanup(objects.Close)
-	services, err := platformclient.Open(settings.Platform{
+	services, err := providerclient.Open(settings.Platform{
 		Timeout: 10 * time.Second,
 		Table:   settings.Table{Address: listener.Addr().String(), User: "u", Database: "d"},
 		Objects: settings.Objects{Endpoint: strings.TrimPrefix(objects.URL, "http://"), Bucket: "rattancove", AccessKey: "a", SecretKey: "s"},
--- a/internal/document/change.go
+++ b/internal/document/change.go
@@ -8,7 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/rattancove/rattancove/internal/environment"
-	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/provider"
 )
 
 const (
@@ -28,7 +28,7 @@
 		return Revision{}, err
 	}
 	current, version, err := s.pointer(ctx, c.Environment)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, provider.ErrNotFound) {
 		return Revision{}, err
 	}
 	if c.IfRevision != nil && *c.IfRevision != current.Revision {
@@ -69,7 +69,7 @@
 	if err != nil {
 		return Revision{}, err
 	}
-	writes := []platform.Write{
+	writes := []provider.Write{
 		{Key: pointerKey(r.Environment), IfVersion: version, Value: value},
 		{Key: historyKey(r.Environment, r.Revision), Value: value},
 		{Key: changeKey(r.Environment, r.ChangeID), Value: value},
@@ -81,7 +81,7 @@
 		switch {
 		case err == nil:
 			return r, nil
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, provider.ErrConflict):
 			return s.resolve(ctx, r)
 		default:
 			return Revision{}, &UnknownError{ChangeID: r.ChangeID, Cause: err}
@@ -97,11 +97,11 @@
 	if err == nil {
 		return decode(row.Value)
 	}
-	if !errors.Is(err, platform.ErrNotFound) {
+	if !errors.Is(err, provider.ErrNotFound) {
 		return Revision{}, &UnknownError{ChangeID: r.ChangeID, Cause: err}
 	}
 	winner, _, err := s.pointer(ctx, r.Environment)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, provider.ErrNotFound) {
 		return Revision{}, &UnknownError{ChangeID: r.ChangeID, Cause: err}
 	}
 	return Revision{}, &ConflictError{Winner: winner}
--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/rattancove/rattancove/internal/environment"
-	"github.com/rattancove/rattancove/internal/platform"
-	"github.com/rattancove/rattancove/internal/platform/platformtest"
+	"github.com/rattancove/rattancove/internal/provider"
+	"github.com/rattancove/rattancove/internal/provider/providertest"
 )
 
 const env = "cotopaxi-production"
@@ -31,12 +31,12 @@
 
 type fixture struct {
 	*Store
-	table   *platformtest.Table
-	objects *platformtest.Objects
+	table   *providertest.Table
+	objects *providertest.Objects
 }
 
 func newFixture() fixture {
-	table, objects := platformtest.NewTable(), platformtest.NewObjects()
+	table, objects := providertest.NewTable(), providertest.NewObjects()
 	return fixture{Store: NewStore(table, objects), table: table, objects: objects}
 }
 
@@ -234,7 +234,7 @@
 	if _, err := f.Bytes(context.Background(), env, r.Digest); !errors.Is(err, ErrDigest) {
 		t.Errorf("error is %v", err)
 	}
-	if _, err := f.Bytes(context.Background(), env, "none"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := f.Bytes(context.Background(), env, "none"); !errors.Is(err, provider.ErrNotFound) {
 		t.Errorf("error is %v", err)
 	}
 }
--- a/internal/document/pieces_test.go
+++ b/internal/document/pieces_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/rattancove/rattancove/internal/environment"
 	"github.com/rattancove/rattancove/internal/environment/environmenttest"
-	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/provider"
 )
 
 const largeGroups = 300
@@ -166,7 +166,7 @@
 	if !errors.As(err, &faults) || faults[0].Line < largeGroups {
 		t.Errorf("error is %v", err)
 	}
-	if _, err := f.Current(t.Context(), env); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := f.Current(t.Context(), env); !errors.Is(err, provider.ErrNotFound) {
 		t.Errorf("the environment has a document: %v", err)
 	}
 }
--- a/internal/document/register_test.go
+++ b/internal/document/register_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/provider"
 )
 
 const defaultSeeds = 20
@@ -119,7 +119,7 @@
 func (f fixture) step(t *testing.T, random *rand.Rand, operator, step int) porcupine.Operation {
 	begun := time.Now().UnixNano()
 	current, err := f.Current(t.Context(), env)
-	read := err == nil || errors.Is(err, platform.ErrNotFound)
+	read := err == nil || errors.Is(err, provider.ErrNotFound)
 	if !read || random.IntN(3) == 0 {
 		return porcupine.Operation{
 			ClientId: operator, Input: registerInput{read: true}, Call: begun, Return: time.Now().UnixNano(),
--- a/internal/document/store.go
+++ b/internal/document/store.go
@@ -10,25 +10,25 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/rattancove/rattancove/internal/environment"
-	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/provider"
 )
 
 // Store reads and changes the documents of all environments. It is safe for
 // concurrent use. It keeps the pieces of the documents used last, which never
 // change.
 type Store struct {
-	table   platform.Table
-	objects platform.Objects
+	table   provider.Table
+	objects provider.Objects
 	cache   pieceCache
 	parser  *environment.Parser
 }
 
 // NewStore returns a store on the platform's services.
-func NewStore(table platform.Table, objects platform.Objects) *Store {
+func NewStore(table provider.Table, objects provider.Objects) *Store {
 	return &Store{table: table, objects: objects, parser: environment.NewParser()}
 }
 
-// Current returns the revision in force, or platform.ErrNotFound.
+// Current returns the revision in force, or provider.ErrNotFound.
 func (s *Store) Current(ctx context.Context, env string) (Revision, error) {
 	r, _, err := s.pointer(ctx, env)
 	return r, err
@@ -51,7 +51,7 @@
 	return revisions, nil
 }
 
-// Revision returns one revision of an environment, or platform.ErrNotFound.
+// Revision returns one revision of an environment, or provider.ErrNotFound.
 func (s *Store) Revision(ctx context.Context, env string, revision uint64) (Revision, error) {
 	row, err := s.table.Get(ctx, historyKey(env, revision))
 	if err != nil {
@@ -93,7 +93,7 @@
 }
 
 // Document returns the revision in force with its document, or
-// platform.ErrNotFound.
+// provider.ErrNotFound.
 func (s *Store) Document(ctx context.Context, env string) (Revision, *environment.Document, error) {
 	r, err := s.Current(ctx, env)
 	if err != nil {
@@ -121,7 +121,7 @@
 		return Revision{}, nil, err
 	}
 	r, current, err := s.Document(ctx, env)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, provider.ErrNotFound) {
 		return Revision{}, environment.Diff(nil, next), nil
 	}
 	if err != nil {
@@ -210,7 +210,7 @@
 		return Revision{}, false, err
 	}
 	row, err := s.table.Get(ctx, changeKey(c.Environment, c.ID))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, provider.ErrNotFound) {
 		return Revision{}, false, nil
 	}
 	if err != nil {
--- a/internal/failover/store.go
+++ b/internal/failover/store.go
@@ -10,7 +10,7 @@
 
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/errcode"
-	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/provider"
 )
 
 const (
@@ -77,7 +77,7 @@
 // Store keeps intents and records in the table service. Its methods are safe
 // for concurrent use.
 type Store struct {
-	table platform.Table
+	table provider.Table
 
 	mu      sync.Mutex
 	seen    map[cluster.GroupName]seenIntent
@@ -94,7 +94,7 @@
 }
 
 // NewStore returns a Store on table.
-func NewStore(table platform.Table) *Store {
+func NewStore(table provider.Table) *Store {
 	return &Store{table: table, seen: map[cluster.GroupName]seenIntent{}, wake: make(chan struct{}, 1)}
 }
 
@@ -125,7 +125,7 @@
 	switch {
 	case err == nil:
 		result.Outcome = IntentGranted
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, provider.ErrConflict):
 		result.Outcome = IntentConflict
 	default:
 		result.Outcome = IntentUnreachable
@@ -226,7 +226,7 @@
 func (s *Store) read(ctx context.Context, group cluster.GroupName) (row, uint64, error) {
 	var value row
 	r, err := s.table.Get(ctx, Key(group))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, provider.ErrNotFound) {
 		return value, 0, nil
 	}
 	if err != nil {
@@ -244,7 +244,7 @@
 		return errcode.Wrap(err, errcode.Internal, "encode failover row", Key(group))
 	}
 	storeWrites.Inc()
-	err = s.table.Commit(ctx, platform.Write{Key: Key(group), IfVersion: version, Value: data})
+	err = s.table.Commit(ctx, provider.Write{Key: Key(group), IfVersion: version, Value: data})
 	if err != nil {
 		return errcode.Wrap(err, errcode.Unknown, "write failover row", Key(group))
 	}
--- a/internal/failover/store_test.go
+++ b/internal/failover/store_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/rattancove/rattancove/internal/cluster"
-	"github.com/rattancove/rattancove/internal/platform/platformtest"
+	"github.com/rattancove/rattancove/internal/provider/providertest"
 )
 
 func intent(holder string) Intent { return Intent{Term: 2, Holder: holder} }
@@ -14,20 +14,20 @@
 func TestAnnounce(t *testing.T) {
 	tests := []struct {
 		name    string
-		prepare func(t *testing.T, table *platformtest.Table, s *Store)
+		prepare func(t *testing.T, table *providertest.Table, s *Store)
 		want    IntentOutcome
 	}{
-		{"free", func(*testing.T, *platformtest.Table, *Store) {}, IntentGranted},
-		{"own again", func(t *testing.T, _ *platformtest.Table, s *Store) { s.Announce(t.Context(), "g", intent("a/1")) }, IntentGranted},
-		{"recent intent of another", func(t *testing.T, table *platformtest.Table, _ *Store) {
+		{"free", func(*testing.T, *providertest.Table, *Store) {}, IntentGranted},
+		{"own again", func(t *testing.T, _ *providertest.Table, s *Store) { s.Announce(t.Context(), "g", intent("a/1")) }, IntentGranted},
+		{"recent intent of another", func(t *testing.T, table *providertest.Table, _ *Store) {
 			NewStore(table).Announce(t.Context(), "g", intent("b/1"))
 		}, IntentConflict},
-		{"old intent of another", func(t *testing.T, table *platformtest.Table, s *Store) {
+		{"old intent of another", func(t *testing.T, table *providertest.Table, s *Store) {
 			NewStore(table).Announce(t.Context(), "g", intent("b/1"))
 			s.Announce(t.Context(), "g", intent("a/1"))
 			time.Sleep(intentFor)
 		}, IntentGranted},
-		{"finished intent of another", func(t *testing.T, table *platformtest.Table, _ *Store) {
+		{"finished intent of another", func(t *testing.T, table *providertest.Table, _ *Store) {
 			other := NewStore(table)
 			other.Announce(t.Context(), "g", intent("b/1"))
 			other.Keep(Record{Group: "g", Term: 2, Holder: "b/1"})
@@ -35,17 +35,17 @@
 				t.Fatal(err)
 			}
 		}, IntentGranted},
-		{"lost race", func(t *testing.T, table *platformtest.Table, _ *Store) {
+		{"lost race", func(t *testing.T, table *providertest.Table, _ *Store) {
 			table.BeforeNextWrite(func() { NewStore(table).Announce(t.Context(), "g", intent("b/1")) })
 		}, IntentConflict},
-		{"down", func(_ *testing.T, table *platformtest.Table, _ *Store) { table.SetDown(true) }, IntentUnreachable},
-		{"slow", func(_ *testing.T, table *platformtest.Table, _ *Store) { table.SetDelay(time.Minute) }, IntentUnreachable},
-		{"lost answer", func(_ *testing.T, table *platformtest.Table, _ *Store) { table.LoseAnswers(1) }, IntentUnreachable},
+		{"down", func(_ *testing.T, table *providertest.Table, _ *Store) { table.SetDown(true) }, IntentUnreachable},
+		{"slow", func(_ *testing.T, table *providertest.Table, _ *Store) { table.SetDelay(time.Minute) }, IntentUnreachable},
+		{"lost answer", func(_ *testing.T, table *providertest.Table, _ *Store) { table.LoseAnswers(1) }, IntentUnreachable},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				table := platformtest.NewTable()
+				table := providertest.NewTable()
 				store := NewStore(table)
 				tt.prepare(t, table, store)
 				began := time.Now()
@@ -64,7 +64,7 @@
 // granted a term and checks that no other holder is ever granted the same.
 func TestTermWithoutMajorityIsGrantedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
+		table := providertest.NewTable()
 		store := NewStore(table)
 		announce := func(holder string, term cluster.Term, withoutMajority bool) IntentResult {
 			return store.Announce(t.Context(), "g", Intent{Term: term, Holder: holder, WithoutMajority: withoutMajority})
@@ -94,7 +94,7 @@
 
 func TestRecordsOutlastAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
+		table := providertest.NewTable()
 		store := NewStore(table)
 		table.SetDown(true)
 		for i := range recordsKept + 5 {
@@ -120,7 +120,7 @@
 }
 
 func TestWaitingRecordsAreBounded(t *testing.T) {
-	store := NewStore(platformtest.NewTable())
+	store := NewStore(providertest.NewTable())
 	for i := range recordsWaiting + 10 {
 		store.Keep(Record{Group: "g", Position: positionAt(i)})
 	}
--- a/internal/member/lease.go
+++ b/internal/member/lease.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/rattancove/rattancove/internal/errcode"
-	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/provider"
 )
 
 const (
@@ -33,7 +33,7 @@
 
 // lease renews the row of one process. It is used by one goroutine.
 type lease struct {
-	table   platform.Table
+	table   provider.Table
 	self    Member
 	renewal uint64
 	version uint64
@@ -48,7 +48,7 @@
 	defer cancel()
 	l.renewal++
 	err := l.write(ctx, state)
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, provider.ErrConflict) {
 		return err
 	}
 	if err := l.adopt(ctx); err != nil {
@@ -64,7 +64,7 @@
 		return errcode.Wrap(err, errcode.Internal, "encode lease", l.key())
 	}
 	leaseWrites.Inc()
-	err = l.table.Commit(ctx, platform.Write{Key: l.key(), IfVersion: l.version, Value: data})
+	err = l.table.Commit(ctx, provider.Write{Key: l.key(), IfVersion: l.version, Value: data})
 	if err != nil {
 		return errcode.Wrap(err, errcode.Unknown, "renew lease", l.key())
 	}
@@ -77,7 +77,7 @@
 func (l *lease) adopt(ctx context.Context) error {
 	tableReads.Inc()
 	row, err := l.table.Get(ctx, l.key())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, provider.ErrNotFound) {
 		l.version = 0
 		return nil
 	}
@@ -99,13 +99,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
-	return l.table.Commit(ctx, platform.Write{Key: l.key(), IfVersion: l.version, Delete: true})
+	return l.table.Commit(ctx, provider.Write{Key: l.key(), IfVersion: l.version, Delete: true})
 }
 
 // leases follows the rows of the other processes. Whether a row is renewed is
 // judged by its version and this process's clock, not by the writer's clock.
 type leases struct {
-	table platform.Table
+	table provider.Table
 	seen  map[string]seenLease
 }
 
--- a/internal/member/lease_test.go
+++ b/internal/member/lease_test.go
@@ -6,44 +6,44 @@
 	"time"
 
 	"github.com/rattancove/rattancove/internal/errcode"
-	"github.com/rattancove/rattancove/internal/platform/platformtest"
+	"github.com/rattancove/rattancove/internal/provider/providertest"
 )
 
 func TestLeaseRenewal(t *testing.T) {
-	newLease := func(table *platformtest.Table, incarnation uint64) *lease {
+	newLease := func(table *providertest.Table, incarnation uint64) *lease {
 		return &lease{table: table, self: proxyNamed("p", incarnation)}
 	}
 	tests := []struct {
 		name string
-		do   func(t *testing.T, table *platformtest.Table) error
+		do   func(t *testing.T, table *providertest.Table) error
 		code errcode.Code
 	}{
-		{"again and again", func(t *testing.T, table *platformtest.Table) error {
+		{"again and again", func(t *testing.T, table *providertest.Table) error {
 			l := newLease(table, 1)
 			_ = l.renew(t.Context(), StateAlive)
 			return l.renew(t.Context(), StateAlive)
 		}, errcode.Code{}},
-		{"after a lost answer", func(t *testing.T, table *platformtest.Table) error {
+		{"after a lost answer", func(t *testing.T, table *providertest.Table) error {
 			l := newLease(table, 1)
 			table.LoseAnswers(1)
 			_ = l.renew(t.Context(), StateAlive)
 			return l.renew(t.Context(), StateAlive)
 		}, errcode.Code{}},
-		{"after an earlier incarnation", func(t *testing.T, table *platformtest.Table) error {
+		{"after an earlier incarnation", func(t *testing.T, table *providertest.Table) error {
 			_ = newLease(table, 1).renew(t.Context(), StateAlive)
 			return newLease(table, 2).renew(t.Context(), StateAlive)
 		}, errcode.Code{}},
-		{"after a later incarnation", func(t *testing.T, table *platformtest.Table) error {
+		{"after a later incarnation", func(t *testing.T, table *providertest.Table) error {
 			l := newLease(table, 1)
 			_ = l.renew(t.Context(), StateAlive)
 			_ = newLease(table, 2).renew(t.Context(), StateAlive)
 			return l.renew(t.Context(), StateAlive)
 		}, errcode.Superseded},
-		{"while the service is down", func(t *testing.T, table *platformtest.Table) error {
+		{"while the service is down", func(t *testing.T, table *providertest.Table) error {
 			table.SetDown(true)
 			return newLease(table, 1).renew(t.Context(), StateAlive)
 		}, errcode.Unknown},
-		{"after the row was removed", func(t *testing.T, table *platformtest.Table) error {
+		{"after the row was removed", func(t *testing.T, table *providertest.Table) error {
 			l := newLease(table, 1)
 			_ = l.renew(t.Context(), StateAlive)
 			other := newLease(table, 1)
@@ -54,7 +54,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			err := tt.do(t, platformtest.NewTable())
+			err := tt.do(t, providertest.NewTable())
 			if tt.code.Name == "" && err != nil || tt.code.Name != "" && !errcode.Is(err, tt.code) {
 				t.Errorf("error %v, want code %q", err, tt.code.Name)
 			}
@@ -64,7 +64,7 @@
 
 func TestListDropsUnrenewedLeases(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := platformtest.NewTable()
+		table := providertest.NewTable()
 		kept := &lease{table: table, self: proxyNamed("kept", 1)}
 		gone := &lease{table: table, self: proxyNamed("gone", 1)}
 		_ = gone.renew(t.Context(), StateAlive)
--- a/internal/member/loop.go
+++ b/internal/member/loop.go
@@ -12,7 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/rattancove/rattancove/internal/delay"
-	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/provider"
 )
 
 // Pinger sends one ping to the process at address and returns its reply.
@@ -26,9 +26,9 @@
 	// Seeds are addresses of processes to ask while no other member is known.
 	Seeds  []string
 	Pinger Pinger
-	Table  platform.Table
+	Table  provider.Table
 	// VMs may be nil when the platform has no list.
-	VMs platform.VMList
+	VMs provider.VMList
 	// Rand spreads the loop's calls over time. It is used under the loop's lock.
 	Rand *rand.Rand
 	Log  zerolog.Logger
--- a/internal/member/loop_test.go
+++ b/internal/member/loop_test.go
@@ -14,8 +14,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/rattancove/rattancove/internal/peer/peerpb"
-	"github.com/rattancove/rattancove/internal/platform"
-	"github.com/rattancove/rattancove/internal/platform/platformtest"
+	"github.com/rattancove/rattancove/internal/provider"
+	"github.com/rattancove/rattancove/internal/provider/providertest"
 )
 
 // testNet delivers pings between loops and counts their bytes.
@@ -24,8 +24,8 @@
 	loops map[string]*Loop
 	cuts  map[[2]string]bool
 	bytes map[string]int
-	table *platformtest.Table
-	vms   *platformtest.VMList
+	table *providertest.Table
+	vms   *providertest.VMList
 	stops map[string]context.CancelFunc
 	wg    sync.WaitGroup
 	ctx   context.Context
@@ -35,7 +35,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	n := &testNet{
 		loops: map[string]*Loop{}, cuts: map[[2]string]bool{}, bytes: map[string]int{},
-		table: platformtest.NewTable(), vms: &platformtest.VMList{}, stops: map[string]context.CancelFunc{}, ctx: ctx,
+		table: providertest.NewTable(), vms: &providertest.VMList{}, stops: map[string]context.CancelFunc{}, ctx: ctx,
 	}
 	return n, func() {
 		cancel()
@@ -232,7 +232,7 @@
 		defer stop()
 		startFleet(n, 4)
 		time.Sleep(10 * time.Second)
-		n.vms.Set(platform.VM{Address: "p3", Leaving: true}, platform.VM{Address: "10.0.0.7", Leaving: true})
+		n.vms.Set(provider.VM{Address: "p3", Leaving: true}, provider.VM{Address: "10.0.0.7", Leaving: true})
 		time.Sleep(4 * time.Second)
 		if got := n.states("p3"); got[StateLeaving] != 3 {
 			t.Errorf("p3: %v", got)
--- a/internal/platform/platformclient/doc.go
+++ /dev/null
@@ -1,3 +0,0 @@
-// Package platformclient opens the platform's services from the settings. Each
-// call has a deadline and is counted by service and kind.
-package platformclient
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -16,7 +16,7 @@
 	"github.com/rattancove/rattancove/internal/document"
 	"github.com/rattancove/rattancove/internal/member"
 	"github.com/rattancove/rattancove/internal/peer"
-	"github.com/rattancove/rattancove/internal/platform/platformclient"
+	"github.com/rattancove/rattancove/internal/provider/providerclient"
 	"github.com/rattancove/rattancove/internal/rollout"
 	"github.com/rattancove/rattancove/internal/settings"
 	"github.com/rattancove/rattancove/internal/telemetry"
@@ -30,7 +30,7 @@
 type Process struct {
 	Settings  settings.Common
 	Log       zerolog.Logger
-	Platform  *platformclient.Services
+	Platform  *providerclient.Services
 	Store     *document.Store
 	Members   *member.Loop
 	Documents *rollout.Watcher
@@ -66,7 +66,7 @@
 	if err := p.openPeers(); err != nil {
 		return nil, err
 	}
-	if p.Platform, err = platformclient.Open(s.Platform, log); err != nil {
+	if p.Platform, err = providerclient.Open(s.Platform, log); err != nil {
 		return nil, err
 	}
 	p.Store = document.NewStore(p.Platform.Table, p.Platform.Objects)
--- a/internal/proof/departures_test.go
+++ b/internal/proof/departures_test.go
@@ -11,7 +11,7 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/errcode"
-	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/provider"
 	"github.com/rattancove/rattancove/internal/settings"
 )
 
@@ -78,10 +78,10 @@
 	d := f.departures
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var vms []platform.VM
+	var vms []provider.VM
 	for _, notice := range d.notices {
 		if host, _, err := net.SplitHostPort(notice.address); err == nil {
-			vms = append(vms, platform.VM{Address: host, Leaving: true})
+			vms = append(vms, provider.VM{Address: host, Leaving: true})
 		}
 	}
 	f.vms.Set(vms...)
@@ -89,11 +89,11 @@
 
 // nodeVMs is the list of VMs as one process reaches it.
 type nodeVMs struct {
-	platform.VMList
+	provider.VMList
 	node *node
 }
 
-func (l *nodeVMs) VMs(ctx context.Context) ([]platform.VM, error) {
+func (l *nodeVMs) VMs(ctx context.Context) ([]provider.VM, error) {
 	if err := l.node.reachStore(ctx); err != nil {
 		return nil, err
 	}
--- a/internal/proof/documents_test.go
+++ b/internal/proof/documents_test.go
@@ -17,8 +17,8 @@
 	"github.com/rattancove/rattancove/internal/environment"
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/member"
-	"github.com/rattancove/rattancove/internal/platform"
-	"github.com/rattancove/rattancove/internal/platform/platformclient"
+	"github.com/rattancove/rattancove/internal/provider"
+	"github.com/rattancove/rattancove/internal/provider/providerclient"
 	"github.com/rattancove/rattancove/internal/rollout"
 	"github.com/rattancove/rattancove/internal/settings"
 )
@@ -59,7 +59,7 @@
 
 // nodeObjects is the object store as one process reaches it.
 type nodeObjects struct {
-	platform.Objects
+	provider.Objects
 	node *node
 }
 
@@ -71,8 +71,8 @@
 }
 
 func (n *node) openDocuments() {
-	table := platformclient.Table(&nodeTable{Table: n.fleet.table, node: n}, settings.DefaultPlatformTimeout)
-	objects := platformclient.Objects(&nodeObjects{Objects: n.fleet.objects, node: n}, settings.DefaultPlatformTimeout)
+	table := providerclient.Table(&nodeTable{Table: n.fleet.table, node: n}, settings.DefaultPlatformTimeout)
+	objects := providerclient.Objects(&nodeObjects{Objects: n.fleet.objects, node: n}, settings.DefaultPlatformTimeout)
 	n.documents = rollout.NewWatcher(rollout.Config{
 		Environment: environmentName, Poll: settings.DefaultDocumentPoll,
 		MaxUnknownAge: settings.DefaultDocumentMaxUnknownAge, Members: n.memberCount,
@@ -254,7 +254,7 @@
 
 // operatorTable spreads the calls of operators over time.
 type operatorTable struct {
-	platform.Table
+	provider.Table
 	operator *operator
 }
 
@@ -262,12 +262,12 @@
 	time.Sleep(time.Duration(t.operator.random.Int64N(int64(operatorDelay))))
 }
 
-func (t *operatorTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t *operatorTable) Get(ctx context.Context, key string) (provider.Row, error) {
 	t.pause()
 	return t.Table.Get(ctx, key)
 }
 
-func (t *operatorTable) Commit(ctx context.Context, writes ...platform.Write) error {
+func (t *operatorTable) Commit(ctx context.Context, writes ...provider.Write) error {
 	t.pause()
 	return t.Table.Commit(ctx, writes...)
 }
@@ -412,7 +412,7 @@
 }
 
 // wrapTable changes how the table service treats operators.
-func (s switches) wrapTable(t platform.Table) platform.Table {
+func (s switches) wrapTable(t provider.Table) provider.Table {
 	switch {
 	case s.conditions:
 		return unconditionalTable{t}
@@ -424,13 +424,13 @@
 }
 
 // unconditionalTable writes whatever the versions of the rows are.
-type unconditionalTable struct{ platform.Table }
+type unconditionalTable struct{ provider.Table }
 
-func (t unconditionalTable) Commit(ctx context.Context, writes ...platform.Write) error {
-	forced := make([]platform.Write, len(writes))
+func (t unconditionalTable) Commit(ctx context.Context, writes ...provider.Write) error {
+	forced := make([]provider.Write, len(writes))
 	for i, w := range writes {
 		row, err := t.Get(ctx, w.Key)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, provider.ErrNotFound) {
 			return err
 		}
 		w.IfVersion = row.Version
@@ -440,11 +440,11 @@
 }
 
 // forgetfulTable has no record of changes.
-type forgetfulTable struct{ platform.Table }
+type forgetfulTable struct{ provider.Table }
 
-func (t forgetfulTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t forgetfulTable) Get(ctx context.Context, key string) (provider.Row, error) {
 	if strings.HasPrefix(key, "change/") {
-		return platform.Row{}, platform.ErrNotFound
+		return provider.Row{}, provider.ErrNotFound
 	}
 	return t.Table.Get(ctx, key)
 }
--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -12,7 +12,7 @@
 	"github.com/rattancove/rattancove/internal/backend/backendtest"
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/delay"
-	"github.com/rattancove/rattancove/internal/platform/platformtest"
+	"github.com/rattancove/rattancove/internal/provider/providertest"
 )
 
 const (
@@ -381,12 +381,12 @@
 	return func() { g.LoseAnswers(id, 0) }
 }
 
-func (f *fleet) services() []*platformtest.Faults {
-	return []*platformtest.Faults{&f.table.Faults, &f.objects.Faults, &f.vms.Faults}
+func (f *fleet) services() []*providertest.Faults {
+	return []*providertest.Faults{&f.table.Faults, &f.objects.Faults, &f.vms.Faults}
 }
 
 // eachService makes a service of the platform fail and returns how that ends.
-func (f *fleet) eachService(begin, end func(*platformtest.Faults)) func() {
+func (f *fleet) eachService(begin, end func(*providertest.Faults)) func() {
 	f.platform.cut()
 	for _, s := range f.services() {
 		begin(s)
@@ -401,18 +401,18 @@
 
 func storeDown(f *fleet, _ *rand.Rand) func() {
 	return f.eachService(
-		func(s *platformtest.Faults) { s.SetDown(true) },
-		func(s *platformtest.Faults) { s.SetDown(false) })
+		func(s *providertest.Faults) { s.SetDown(true) },
+		func(s *providertest.Faults) { s.SetDown(false) })
 }
 
 func storeSlow(f *fleet, _ *rand.Rand) func() {
 	return f.eachService(
-		func(s *platformtest.Faults) { s.SetDelay(slowPlatform) },
-		func(s *platformtest.Faults) { s.SetDelay(platformDelay) })
+		func(s *providertest.Faults) { s.SetDelay(slowPlatform) },
+		func(s *providertest.Faults) { s.SetDelay(platformDelay) })
 }
 
 func storeLoses(f *fleet, r *rand.Rand) func() {
 	return f.eachService(
-		func(s *platformtest.Faults) { s.SetRandom(rand.New(rand.NewPCG(r.Uint64(), 5)), 0.1, 0.3) },
-		func(s *platformtest.Faults) { s.SetRandom(nil, 0, 0) })
+		func(s *providertest.Faults) { s.SetRandom(rand.New(rand.NewPCG(r.Uint64(), 5)), 0.1, 0.3) },
+		func(s *providertest.Faults) { s.SetRandom(nil, 0, 0) })
 }
--- a/internal/proof/fleet_test.go
+++ b/internal/proof/fleet_test.go
@@ -19,8 +19,8 @@
 	"github.com/rattancove/rattancove/internal/gateway"
 	"github.com/rattancove/rattancove/internal/home"
 	"github.com/rattancove/rattancove/internal/member"
-	"github.com/rattancove/rattancove/internal/platform"
-	"github.com/rattancove/rattancove/internal/platform/platformtest"
+	"github.com/rattancove/rattancove/internal/provider"
+	"github.com/rattancove/rattancove/internal/provider/providertest"
 	"github.com/rattancove/rattancove/internal/rollout"
 	"github.com/rattancove/rattancove/internal/statement"
 	"github.com/rattancove/rattancove/internal/warden"
@@ -48,12 +48,12 @@
 	doc    *environment.Document
 	groups map[cluster.GroupName]*backendtest.Group
 	names  []cluster.GroupName
-	table  *platformtest.Table
+	table  *providertest.Table
 	// objects holds the documents. platform is cut while it or table fails.
-	objects    *platformtest.Objects
+	objects    *providertest.Objects
 	platform   *contact
 	documents  *documents
-	vms        *platformtest.VMList
+	vms        *providertest.VMList
 	departures *departures
 	net        *network
 	ctx        context.Context
@@ -103,9 +103,9 @@
 
 func newFleet(t *testing.T, seed uint64, m mix, off switches) *fleet {
 	f := &fleet{
-		t: t, seed: seed, mix: m, off: off, random: rand.New(rand.NewPCG(seed, 11)), table: platformtest.NewTable(),
-		objects: platformtest.NewObjects(), platform: &contact{from: time.Now()}, documents: &documents{counts: map[string]int{}},
-		vms: &platformtest.VMList{}, departures: &departures{notices: map[cluster.ServerID]departure{}, counts: map[string]int{}},
+		t: t, seed: seed, mix: m, off: off, random: rand.New(rand.NewPCG(seed, 11)), table: providertest.NewTable(),
+		objects: providertest.NewObjects(), platform: &contact{from: time.Now()}, documents: &documents{counts: map[string]int{}},
+		vms: &providertest.VMList{}, departures: &departures{notices: map[cluster.ServerID]departure{}, counts: map[string]int{}},
 		net: newNetwork(), groups: map[cluster.GroupName]*backendtest.Group{}, commits: newCommitLog(),
 	}
 	f.ctx, f.stop = context.WithCancel(context.Background())
@@ -360,7 +360,7 @@
 
 // nodeTable is the table service as one process reaches it.
 type nodeTable struct {
-	platform.Table
+	provider.Table
 	node *node
 }
 
@@ -370,26 +370,26 @@
 		<-ctx.Done()
 	}
 	if n.stopped() {
-		return platformtest.ErrUnavailable
+		return providertest.ErrUnavailable
 	}
 	return ctx.Err()
 }
 
-func (t *nodeTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t *nodeTable) Get(ctx context.Context, key string) (provider.Row, error) {
 	if err := t.node.reachStore(ctx); err != nil {
-		return platform.Row{}, err
+		return provider.Row{}, err
 	}
 	return t.Table.Get(ctx, key)
 }
 
-func (t *nodeTable) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+func (t *nodeTable) List(ctx context.Context, prefix string) ([]provider.Row, error) {
 	if err := t.node.reachStore(ctx); err != nil {
 		return nil, err
 	}
 	return t.Table.List(ctx, prefix)
 }
 
-func (t *nodeTable) Commit(ctx context.Context, writes ...platform.Write) error {
+func (t *nodeTable) Commit(ctx context.Context, writes ...provider.Write) error {
 	if err := t.node.reachStore(ctx); err != nil {
 		return err
 	}
--- a/internal/proof/switches_test.go
+++ b/internal/proof/switches_test.go
@@ -8,7 +8,7 @@
 	"github.com/rattancove/rattancove/internal/backend"
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/errcode"
-	"github.com/rattancove/rattancove/internal/platform/platformtest"
+	"github.com/rattancove/rattancove/internal/provider/providertest"
 	"github.com/rattancove/rattancove/internal/statement"
 )
 
@@ -114,14 +114,14 @@
 
 func (c *trustingControl) Status(ctx context.Context) (cluster.ServerStatus, error) {
 	if c.Control == nil {
-		return c.remember(cluster.ServerStatus{}, platformtest.ErrUnavailable)
+		return c.remember(cluster.ServerStatus{}, providertest.ErrUnavailable)
 	}
 	return c.remember(c.Control.Status(ctx))
 }
 
 func (c *trustingControl) Claim(ctx context.Context, claim backend.Claim) (cluster.ServerStatus, error) {
 	if c.Control == nil {
-		return cluster.ServerStatus{}, platformtest.ErrUnavailable
+		return cluster.ServerStatus{}, providertest.ErrUnavailable
 	}
 	return c.Control.Claim(ctx, claim)
 }
--- a/internal/platform/pgtable/table.go
+++ b/internal/provider/pgtable/table.go
@@ -12,7 +12,7 @@
 	"github.com/jackc/pgx/v5/pgxpool"
 	"github.com/rotisserie/eris"
 
-	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/provider"
 	"github.com/rattancove/rattancove/internal/settings"
 	"github.com/rattancove/rattancove/internal/tlskeys"
 )
@@ -36,12 +36,12 @@
 	maxConnections = 2
 )
 
-// Table is a platform.Table. It owns a small pool of connections.
+// Table is a provider.Table. It owns a small pool of connections.
 type Table struct {
 	pool *pgxpool.Pool
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ provider.Table = (*Table)(nil)
 
 // Open prepares the pool and does not connect, so that a process starts while
 // the service is down. Keys may be nil for a connection without TLS.
@@ -89,24 +89,24 @@
 // Close ends all connections.
 func (t *Table) Close() { t.pool.Close() }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
-	row := platform.Row{Key: key}
+// Get implements provider.Table.
+func (t *Table) Get(ctx context.Context, key string) (provider.Row, error) {
+	row := provider.Row{Key: key}
 	err := t.withTable(ctx, func() error {
 		return t.pool.QueryRow(ctx, getSQL, key).Scan(&row.Version, &row.Value)
 	})
 	if errors.Is(err, pgx.ErrNoRows) {
-		return platform.Row{}, platform.ErrNotFound
+		return provider.Row{}, provider.ErrNotFound
 	}
 	if err != nil {
-		return platform.Row{}, eris.Wrap(err, "get row")
+		return provider.Row{}, eris.Wrap(err, "get row")
 	}
 	return row, nil
 }
 
-// List implements platform.Table.
-func (t *Table) List(ctx context.Context, prefix string) ([]platform.Row, error) {
-	var rows []platform.Row
+// List implements provider.Table.
+func (t *Table) List(ctx context.Context, prefix string) ([]provider.Row, error) {
+	var rows []provider.Row
 	err := t.withTable(ctx, func() error {
 		found, err := t.pool.Query(ctx, listSQL, prefix, int32(len([]rune(prefix))))
 		if err != nil {
@@ -118,35 +118,35 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "list rows")
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b provider.Row) int { return strings.Compare(a.Key, b.Key) })
 	return rows, nil
 }
 
-func scanRow(from pgx.CollectableRow) (platform.Row, error) {
-	var row platform.Row
+func scanRow(from pgx.CollectableRow) (provider.Row, error) {
+	var row provider.Row
 	err := from.Scan(&row.Key, &row.Version, &row.Value)
 	return row, err
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, writes ...platform.Write) error {
+// Commit implements provider.Table.
+func (t *Table) Commit(ctx context.Context, writes ...provider.Write) error {
 	ordered := slices.Clone(writes)
 	// One order for all writers rules out deadlocks.
-	slices.SortFunc(ordered, func(a, b platform.Write) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(ordered, func(a, b provider.Write) int { return cmp.Compare(a.Key, b.Key) })
 	err := t.withTable(ctx, func() error {
 		return pgx.BeginFunc(ctx, t.pool, func(tx pgx.Tx) error { return applyWrites(ctx, tx, ordered) })
 	})
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, platform.ErrConflict), hasCode(err, serializationFailure), hasCode(err, deadlockDetected):
-		return platform.ErrConflict
+	case errors.Is(err, provider.ErrConflict), hasCode(err, serializationFailure), hasCode(err, deadlockDetected):
+		return provider.ErrConflict
 	default:
 		return eris.Wrap(err, "commit rows")
 	}
 }
 
-func applyWrites(ctx context.Context, tx pgx.Tx, writes []platform.Write) error {
+func applyWrites(ctx context.Context, tx pgx.Tx, writes []provider.Write) error {
 	for _, w := range writes {
 		if err := applyWrite(ctx, tx, w); err != nil {
 			return err
@@ -155,7 +155,7 @@
 	return nil
 }
 
-func applyWrite(ctx context.Context, tx pgx.Tx, w platform.Write) error {
+func applyWrite(ctx context.Context, tx pgx.Tx, w provider.Write) error {
 	value := w.Value
 	if value == nil {
 		value = []byte{}
@@ -182,7 +182,7 @@
 		return err
 	}
 	if tag.RowsAffected() != 1 {
-		return platform.ErrConflict
+		return provider.ErrConflict
 	}
 	return nil
 }
--- a/internal/platform/pgtable/table_test.go
+++ b/internal/provider/pgtable/table_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/provider"
 	"github.com/rattancove/rattancove/internal/settings"
 	"github.com/rattancove/rattancove/internal/standin/dbserver"
 )
@@ -39,23 +39,23 @@
 
 func TestRows(t *testing.T) {
 	table, ctx := open(t), t.Context()
-	if _, err := table.Get(ctx, "a/1"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := table.Get(ctx, "a/1"); !errors.Is(err, provider.ErrNotFound) {
 		t.Fatalf("missing row: %v", err)
 	}
 	value := []byte("it's\x00\xff")
 	steps := []struct {
 		name   string
-		writes []platform.Write
+		writes []provider.Write
 		want   error
 	}{
-		{"insert two", []platform.Write{{Key: "a/2", Value: value}, {Key: "a/1", Value: value}}, nil},
-		{"insert a row that exists", []platform.Write{{Key: "b/1"}, {Key: "a/1"}}, platform.ErrConflict},
-		{"update", []platform.Write{{Key: "a/1", IfVersion: 1, Value: []byte("new")}}, nil},
-		{"update an old version", []platform.Write{{Key: "a/1", IfVersion: 1}}, platform.ErrConflict},
-		{"all or none", []platform.Write{{Key: "a/2", IfVersion: 1, Delete: true}, {Key: "a/3", IfVersion: 7}}, platform.ErrConflict},
-		{"delete", []platform.Write{{Key: "a/2", IfVersion: 1, Delete: true}}, nil},
-		{"require absence", []platform.Write{{Key: "a/1", Delete: true}}, platform.ErrConflict},
-		{"other prefix", []platform.Write{{Key: "ab"}}, nil},
+		{"insert two", []provider.Write{{Key: "a/2", Value: value}, {Key: "a/1", Value: value}}, nil},
+		{"insert a row that exists", []provider.Write{{Key: "b/1"}, {Key: "a/1"}}, provider.ErrConflict},
+		{"update", []provider.Write{{Key: "a/1", IfVersion: 1, Value: []byte("new")}}, nil},
+		{"update an old version", []provider.Write{{Key: "a/1", IfVersion: 1}}, provider.ErrConflict},
+		{"all or none", []provider.Write{{Key: "a/2", IfVersion: 1, Delete: true}, {Key: "a/3", IfVersion: 7}}, provider.ErrConflict},
+		{"delete", []provider.Write{{Key: "a/2", IfVersion: 1, Delete: true}}, nil},
+		{"require absence", []provider.Write{{Key: "a/1", Delete: true}}, provider.ErrConflict},
+		{"other prefix", []provider.Write{{Key: "ab"}}, nil},
 	}
 	for _, step := range steps {
 		if err := table.Commit(ctx, step.writes...); !errors.Is(err, step.want) {
@@ -66,24 +66,24 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff([]platform.Row{{Key: "a/1", Version: 2, Value: []byte("new")}}, rows); diff != "" {
+	if diff := cmp.Diff([]provider.Row{{Key: "a/1", Version: 2, Value: []byte("new")}}, rows); diff != "" {
 		t.Error(diff)
 	}
 }
 
 func TestOneOfManyWritersWins(t *testing.T) {
 	table := open(t)
-	if err := table.Commit(t.Context(), platform.Write{Key: "k"}); err != nil {
+	if err := table.Commit(t.Context(), provider.Write{Key: "k"}); err != nil {
 		t.Fatal(err)
 	}
 	var wins atomic.Int32
 	var wg sync.WaitGroup
 	for range 8 {
 		wg.Go(func() {
-			err := table.Commit(t.Context(), platform.Write{Key: "k", IfVersion: 1, Value: []byte("x")})
+			err := table.Commit(t.Context(), provider.Write{Key: "k", IfVersion: 1, Value: []byte("x")})
 			if err == nil {
 				wins.Add(1)
-			} else if !errors.Is(err, platform.ErrConflict) {
+			} else if !errors.Is(err, provider.ErrConflict) {
 				t.Error(err)
 			}
 		})
--- a/internal/platform/platform.go
+++ b/internal/provider/provider.go
@@ -1,4 +1,4 @@
-package platform
+package provider
 
 import (
 	"context"
--- a/internal/platform/platformclient/counted.go
+++ b/internal/provider/providerclient/counted.go
@@ -1,20 +1,20 @@
-package platformclient
+package providerclient
 
 import (
 	"context"
 	"time"
 
-	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/provider"
 )
 
 type countedTable struct {
-	inner             platform.Table
+	inner             provider.Table
 	timeout           time.Duration
 	get, list, commit *call
 }
 
 // Table bounds each call to inner by timeout and counts it.
-func Table(inner platform.Table, timeout time.Duration) platform.Table {
+func Table(inner provider.Table, timeout time.Duration) provider.Table {
 	const service = "table"
 	return &countedTable{
 		inner: inner, timeout: timeout,
@@ -22,7 +22,7 @@
 	}
 }
 
-func (t *countedTable) Get(ctx context.Context, key string) (row platform.Row, err error) {
+func (t *countedTable) Get(ctx context.Context, key string) (row provider.Row, err error) {
 	err = t.get.run(ctx, t.timeout, func(ctx context.Context) error {
 		row, err = t.inner.Get(ctx, key)
 		return err
@@ -30,7 +30,7 @@
 	return row, err
 }
 
-func (t *countedTable) List(ctx context.Context, prefix string) (rows []platform.Row, err error) {
+func (t *countedTable) List(ctx context.Context, prefix string) (rows []provider.Row, err error) {
 	err = t.list.run(ctx, t.timeout, func(ctx context.Context) error {
 		rows, err = t.inner.List(ctx, prefix)
 		return err
@@ -38,20 +38,20 @@
 	return rows, err
 }
 
-func (t *countedTable) Commit(ctx context.Context, writes ...platform.Write) error {
+func (t *countedTable) Commit(ctx context.Context, writes ...provider.Write) error {
 	return t.commit.run(ctx, t.timeout, func(ctx context.Context) error {
 		return t.inner.Commit(ctx, writes...)
 	})
 }
 
 type countedObjects struct {
-	inner    platform.Objects
+	inner    provider.Objects
 	timeout  time.Duration
 	get, put *call
 }
 
 // Objects bounds each call to inner by timeout and counts it.
-func Objects(inner platform.Objects, timeout time.Duration) platform.Objects {
+func Objects(inner provider.Objects, timeout time.Duration) provider.Objects {
 	const service = "objects"
 	return &countedObjects{inner: inner, timeout: timeout, get: newCall(service, "get"), put: newCall(service, "put")}
 }
@@ -71,17 +71,17 @@
 }
 
 type countedVMs struct {
-	inner   platform.VMList
+	inner   provider.VMList
 	timeout time.Duration
 	vms     *call
 }
 
 // VMList bounds each call to inner by timeout and counts it.
-func VMList(inner platform.VMList, timeout time.Duration) platform.VMList {
+func VMList(inner provider.VMList, timeout time.Duration) provider.VMList {
 	return &countedVMs{inner: inner, timeout: timeout, vms: newCall("vms", "vms")}
 }
 
-func (l *countedVMs) VMs(ctx context.Context) (vms []platform.VM, err error) {
+func (l *countedVMs) VMs(ctx context.Context) (vms []provider.VM, err error) {
 	err = l.vms.run(ctx, l.timeout, func(ctx context.Context) error {
 		vms, err = l.inner.VMs(ctx)
 		return err
--- a/internal/platform/platformclient/metrics.go
+++ b/internal/provider/providerclient/metrics.go
@@ -1,4 +1,4 @@
-package platformclient
+package providerclient
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/provider"
 )
 
 // call counts one kind of call to one service.
@@ -36,7 +36,7 @@
 	err := do(ctx)
 	c.calls.Inc()
 	c.duration.UpdateDuration(start)
-	if err != nil && !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, provider.ErrConflict) && !errors.Is(err, provider.ErrNotFound) {
 		c.failures.Inc()
 	}
 	return err
--- a/internal/platform/platformclient/open.go
+++ b/internal/provider/providerclient/open.go
@@ -1,4 +1,4 @@
-package platformclient
+package providerclient
 
 import (
 	"context"
@@ -9,19 +9,19 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
-	"github.com/rattancove/rattancove/internal/platform"
-	"github.com/rattancove/rattancove/internal/platform/httpvms"
-	"github.com/rattancove/rattancove/internal/platform/pgtable"
-	"github.com/rattancove/rattancove/internal/platform/s3objects"
+	"github.com/rattancove/rattancove/internal/provider"
+	"github.com/rattancove/rattancove/internal/provider/httpvms"
+	"github.com/rattancove/rattancove/internal/provider/pgtable"
+	"github.com/rattancove/rattancove/internal/provider/s3objects"
 	"github.com/rattancove/rattancove/internal/settings"
 	"github.com/rattancove/rattancove/internal/tlskeys"
 )
 
 // Services are the platform's services. VMs is nil when the settings name no list.
 type Services struct {
-	Table   platform.Table
-	Objects platform.Objects
-	VMs     platform.VMList
+	Table   provider.Table
+	Objects provider.Objects
+	VMs     provider.VMList
 
 	table      *pgtable.Table
 	transports []*http.Transport
--- a/internal/platform/platformclient/open_test.go
+++ b/internal/provider/providerclient/open_test.go
@@ -1,4 +1,4 @@
-package platformclient
+package providerclient
 
 import (
 	"errors"
@@ -10,8 +10,8 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
-	"github.com/rattancove/rattancove/internal/platform"
-	"github.com/rattancove/rattancove/internal/platform/platformtest"
+	"github.com/rattancove/rattancove/internal/provider"
+	"github.com/rattancove/rattancove/internal/provider/providertest"
 	"github.com/rattancove/rattancove/internal/settings"
 	standin "github.com/rattancove/rattancove/internal/standin/platform"
 )
@@ -19,7 +19,7 @@
 func TestObjectsAndVMs(t *testing.T) {
 	objects := httptest.NewServer(standin.NewObjects().Handler())
 	defer objects.Close()
-	want := []platform.VM{{Address: "10.0.0.1"}, {Address: "10.0.0.2", Leaving: true}}
+	want := []provider.VM{{Address: "10.0.0.1"}, {Address: "10.0.0.2", Leaving: true}}
 	vms := httptest.NewServer(standin.NewVMs(want...).Handler())
 	defer vms.Close()
 	services, err := Open(settings.Platform{
@@ -37,7 +37,7 @@
 	defer services.Close()
 
 	ctx := t.Context()
-	if _, err := services.Objects.Get(ctx, "doc/x"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := services.Objects.Get(ctx, "doc/x"); !errors.Is(err, provider.ErrNotFound) {
 		t.Errorf("missing object: %v", err)
 	}
 	data := []byte("name: cotopaxi\n")
@@ -56,13 +56,13 @@
 }
 
 func TestEveryCallHasADeadline(t *testing.T) {
-	inner := platformtest.NewTable()
+	inner := providertest.NewTable()
 	inner.SetDelay(time.Hour)
 	table := Table(inner, time.Millisecond)
 	if _, err := table.Get(t.Context(), "k"); err == nil {
 		t.Error("a slow service answered")
 	}
-	if err := table.Commit(t.Context(), platform.Write{Key: "k"}); err == nil {
+	if err := table.Commit(t.Context(), provider.Write{Key: "k"}); err == nil {
 		t.Error("a slow service answered")
 	}
 }
--- a/internal/platform/platformtest/faults.go
+++ b/internal/provider/providertest/faults.go
@@ -1,4 +1,4 @@
-package platformtest
+package providertest
 
 import (
 	"context"
--- a/internal/platform/platformtest/objects.go
+++ b/internal/provider/providertest/objects.go
@@ -1,4 +1,4 @@
-package platformtest
+package providertest
 
 import (
 	"bytes"
@@ -6,22 +6,22 @@
 	"slices"
 	"sync"
 
-	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/provider"
 )
 
-// Objects is a platform.Objects in memory.
+// Objects is a provider.Objects in memory.
 type Objects struct {
 	Faults
 	mu   sync.Mutex
 	data map[string][]byte
 }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ provider.Objects = (*Objects)(nil)
 
 // NewObjects returns an empty object store.
 func NewObjects() *Objects { return &Objects{data: map[string][]byte{}} }
 
-// Put implements platform.Objects.
+// Put implements provider.Objects.
 func (o *Objects) Put(ctx context.Context, key string, data []byte) error {
 	if err := o.enter(ctx, "put"); err != nil {
 		return err
@@ -33,7 +33,7 @@
 	return o.leave(ctx, true)
 }
 
-// Get implements platform.Objects.
+// Get implements provider.Objects.
 func (o *Objects) Get(ctx context.Context, key string) ([]byte, error) {
 	if err := o.enter(ctx, "get"); err != nil {
 		return nil, err
@@ -45,29 +45,29 @@
 		return nil, err
 	}
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, provider.ErrNotFound
 	}
 	return bytes.Clone(data), nil
 }
 
-// VMList is a platform.VMList in memory.
+// VMList is a provider.VMList in memory.
 type VMList struct {
 	Faults
 	mu  sync.Mutex
-	vms []platform.VM
+	vms []provider.VM
 }
 
-var _ platform.VMList = (*VMList)(nil)
+var _ provider.VMList = (*VMList)(nil)
 
 // Set replaces the list.
-func (l *VMList) Set(vms ...platform.VM) {
+func (l *VMList) Set(vms ...provider.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.vms = slices.Clone(vms)
 }
 
-// VMs implements platform.VMList.
-func (l *VMList) VMs(ctx context.Context) ([]platform.VM, error) {
+// VMs implements provider.VMList.
+func (l *VMList) VMs(ctx context.Context) ([]provider.VM, error) {
 	if err := l.enter(ctx, "vms"); err != nil {
 		return nil, err
 	}
--- a/internal/platform/platformtest/table.go
+++ b/internal/provider/providertest/table.go
@@ -1,4 +1,4 @@
-package platformtest
+package providertest
 
 import (
 	"bytes"
@@ -7,40 +7,40 @@
 	"strings"
 	"sync"
 
-	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/provider"
 )
 
-// Table is a platform.Table in memory.
+// Table is a provider.Table in memory.
 type Table struct {
 	Faults
 	mu   sync.Mutex
-	rows map[string]platform.Row
+	rows map[string]provider.Row
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ provider.Table = (*Table)(nil)
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{rows: map[string]platform.Row{}} }
+func NewTable() *Table { return &Table{rows: map[string]provider.Row{}} }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements provider.Table.
+func (t *Table) Get(ctx context.Context, key string) (provider.Row, error) {
 	if err := t.enter(ctx, "get"); err != nil {
-		return platform.Row{}, err
+		return provider.Row{}, err
 	}
 	t.mu.Lock()
 	row, ok := t.rows[key]
 	t.mu.Unlock()
 	if err := t.leave(ctx, false); err != nil {
-		return platform.Row{}, err
+		return provider.Row{}, err
 	}
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return provider.Row{}, provider.ErrNotFound
 	}
 	return clone(row), nil
 }
 
-// List implements platform.Table.
-func (t *Table) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+// List implements provider.Table.
+func (t *Table) List(ctx context.Context, prefix string) ([]provider.Row, error) {
 	if err := t.enter(ctx, "list"); err != nil {
 		return nil, err
 	}
@@ -51,21 +51,21 @@
 	return rows, nil
 }
 
-func (t *Table) snapshot(prefix string) []platform.Row {
+func (t *Table) snapshot(prefix string) []provider.Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var rows []platform.Row
+	var rows []provider.Row
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, clone(row))
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b provider.Row) int { return strings.Compare(a.Key, b.Key) })
 	return rows
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, writes ...platform.Write) error {
+// Commit implements provider.Table.
+func (t *Table) Commit(ctx context.Context, writes ...provider.Write) error {
 	if err := t.enter(ctx, "commit"); err != nil {
 		return err
 	}
@@ -77,12 +77,12 @@
 	return result
 }
 
-func (t *Table) apply(writes []platform.Write) error {
+func (t *Table) apply(writes []provider.Write) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, w := range writes {
 		if t.rows[w.Key].Version != w.IfVersion {
-			return platform.ErrConflict
+			return provider.ErrConflict
 		}
 	}
 	for _, w := range writes {
@@ -90,12 +90,12 @@
 			delete(t.rows, w.Key)
 			continue
 		}
-		t.rows[w.Key] = platform.Row{Key: w.Key, Version: w.IfVersion + 1, Value: bytes.Clone(w.Value)}
+		t.rows[w.Key] = provider.Row{Key: w.Key, Version: w.IfVersion + 1, Value: bytes.Clone(w.Value)}
 	}
 	return nil
 }
 
-func clone(row platform.Row) platform.Row {
+func clone(row provider.Row) provider.Row {
 	row.Value = bytes.Clone(row.Value)
 	return row
 }
--- a/internal/platform/s3objects/objects.go
+++ b/internal/provider/s3objects/objects.go
@@ -11,7 +11,7 @@
 	"github.com/minio/minio-go/v7/pkg/credentials"
 	"github.com/rotisserie/eris"
 
-	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/provider"
 	"github.com/rattancove/rattancove/internal/settings"
 )
 
@@ -24,13 +24,13 @@
 	defaultRegion = "us-east-1"
 )
 
-// Objects is a platform.Objects.
+// Objects is a provider.Objects.
 type Objects struct {
 	client *minio.Client
 	bucket string
 }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ provider.Objects = (*Objects)(nil)
 
 // Open prepares a client and does not connect. The transport carries the TLS
 // configuration; it may be nil.
@@ -52,7 +52,7 @@
 	return &Objects{client: client, bucket: s.Bucket}, nil
 }
 
-// Put implements platform.Objects. It makes the bucket when it is missing.
+// Put implements provider.Objects. It makes the bucket when it is missing.
 func (o *Objects) Put(ctx context.Context, key string, data []byte) error {
 	err := o.put(ctx, key, data)
 	if minio.ToErrorResponse(err).Code == minio.NoSuchBucket {
@@ -72,7 +72,7 @@
 	return err
 }
 
-// Get implements platform.Objects.
+// Get implements provider.Objects.
 func (o *Objects) Get(ctx context.Context, key string) ([]byte, error) {
 	object, err := o.client.GetObject(ctx, o.bucket, key, minio.GetObjectOptions{})
 	if err != nil {
@@ -82,7 +82,7 @@
 	data, err := io.ReadAll(io.LimitReader(object, maxObjectBytes+1))
 	switch minio.ToErrorResponse(err).Code {
 	case minio.NoSuchKey, minio.NoSuchBucket:
-		return nil, platform.ErrNotFound
+		return nil, provider.ErrNotFound
 	}
 	if err != nil {
 		return nil, eris.Wrap(err, "read object")
--- a/internal/rollout/watcher.go
+++ b/internal/rollout/watcher.go
@@ -13,7 +13,7 @@
 	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/document"
 	"github.com/rattancove/rattancove/internal/environment"
-	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/provider"
 )
 
 const (
@@ -27,7 +27,7 @@
 
 // Source is where documents are kept; document.Store is one.
 type Source interface {
-	// Current returns the revision in force, or platform.ErrNotFound.
+	// Current returns the revision in force, or provider.ErrNotFound.
 	Current(ctx context.Context, env string) (document.Revision, error)
 	// Update returns the document of a digest. Pieces that held has are not
 	// fetched.
@@ -238,7 +238,7 @@
 func (w *Watcher) lookOnce(ctx context.Context) {
 	begun := time.Now()
 	r, err := w.source.Current(ctx, w.config.Environment)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, provider.ErrNotFound) {
 		lookFailures.Inc()
 		eventLookFailed.Log(&w.log).Err(err).Send()
 		return
--- a/internal/rollout/watcher_test.go
+++ b/internal/rollout/watcher_test.go
@@ -14,20 +14,20 @@
 
 	"github.com/rattancove/rattancove/internal/document"
 	"github.com/rattancove/rattancove/internal/environment"
-	"github.com/rattancove/rattancove/internal/platform"
-	"github.com/rattancove/rattancove/internal/platform/platformtest"
+	"github.com/rattancove/rattancove/internal/provider"
+	"github.com/rattancove/rattancove/internal/provider/providertest"
 )
 
 const env = "cotopaxi-production"
 
 type fleet struct {
-	table   *platformtest.Table
-	objects *platformtest.Objects
+	table   *providertest.Table
+	objects *providertest.Objects
 	store   *document.Store
 }
 
 func newFleet() *fleet {
-	f := &fleet{table: platformtest.NewTable(), objects: platformtest.NewObjects()}
+	f := &fleet{table: providertest.NewTable(), objects: providertest.NewObjects()}
 	f.store = document.NewStore(f.table, f.objects)
 	return f
 }
@@ -241,7 +241,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	write := platform.Write{Key: row.Key, IfVersion: row.Version, Value: old.Value}
+	write := provider.Write{Key: row.Key, IfVersion: row.Version, Value: old.Value}
 	if err := f.table.Commit(t.Context(), write); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -13,15 +13,15 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/rattancove/rattancove/internal/platform"
-	"github.com/rattancove/rattancove/internal/platform/httpvms"
-	"github.com/rattancove/rattancove/internal/platform/pgtable"
-	"github.com/rattancove/rattancove/internal/platform/s3objects"
+	"github.com/rattancove/rattancove/internal/provider"
+	"github.com/rattancove/rattancove/internal/provider/httpvms"
+	"github.com/rattancove/rattancove/internal/provider/pgtable"
+	"github.com/rattancove/rattancove/internal/provider/s3objects"
 	"github.com/rattancove/rattancove/internal/settings"
 	"github.com/rattancove/rattancove/internal/standin/dbserver"
 )
 
-func openTable(t *testing.T) (*dbserver.Server, platform.Table) {
+func openTable(t *testing.T) (*dbserver.Server, provider.Table) {
 	t.Helper()
 	s, err := dbserver.New(dbserver.Config{ID: "table", Primary: true})
 	if err != nil {
@@ -46,29 +46,29 @@
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	value := []byte{0, '\\', 'x', 0xff}
-	if err := table.Commit(ctx, platform.Write{Key: "a/1", Value: value}, platform.Write{Key: "a/2", Value: []byte("two")}); err != nil {
+	if err := table.Commit(ctx, provider.Write{Key: "a/1", Value: value}, provider.Write{Key: "a/2", Value: []byte("two")}); err != nil {
 		t.Fatal(err)
 	}
-	err := table.Commit(ctx, platform.Write{Key: "a/1", IfVersion: 1, Value: []byte("x")}, platform.Write{Key: "a/2", IfVersion: 9})
-	if !errors.Is(err, platform.ErrConflict) {
+	err := table.Commit(ctx, provider.Write{Key: "a/1", IfVersion: 1, Value: []byte("x")}, provider.Write{Key: "a/2", IfVersion: 9})
+	if !errors.Is(err, provider.ErrConflict) {
 		t.Errorf("stale write: %v", err)
 	}
-	if err := table.Commit(ctx, platform.Write{Key: "a/2", IfVersion: 1, Value: []byte("second")}); err != nil {
+	if err := table.Commit(ctx, provider.Write{Key: "a/2", IfVersion: 1, Value: []byte("second")}); err != nil {
 		t.Fatal(err)
 	}
 	rows, err := table.List(ctx, "a/")
-	want := []platform.Row{{Key: "a/1", Version: 1, Value: value}, {Key: "a/2", Version: 2, Value: []byte("second")}}
+	want := []provider.Row{{Key: "a/1", Version: 1, Value: value}, {Key: "a/2", Version: 2, Value: []byte("second")}}
 	if diff := cmp.Diff(want, rows); diff != "" || err != nil {
 		t.Errorf("%v %s", err, diff)
 	}
 	s.LoseAnswers(1)
-	if err := table.Commit(ctx, platform.Write{Key: "b", Value: []byte("kept")}); err == nil {
+	if err := table.Commit(ctx, provider.Write{Key: "b", Value: []byte("kept")}); err == nil {
 		t.Error("the answer was not lost")
 	}
 	if row, err := table.Get(ctx, "b"); err != nil || string(row.Value) != "kept" {
 		t.Errorf("the write behind the lost answer: %v %v", row, err)
 	}
-	if _, err := table.Get(ctx, "absent"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := table.Get(ctx, "absent"); !errors.Is(err, provider.ErrNotFound) {
 		t.Errorf("got %v", err)
 	}
 }
@@ -89,7 +89,7 @@
 	if err != nil || string(data) != "text" {
 		t.Errorf("%q %v", data, err)
 	}
-	if _, err := objects.Get(t.Context(), "documents/2"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := objects.Get(t.Context(), "documents/2"); !errors.Is(err, provider.ErrNotFound) {
 		t.Errorf("got %v", err)
 	}
 }
@@ -104,7 +104,7 @@
 }
 
 func TestVMsAndFaults(t *testing.T) {
-	server := httptest.NewServer(NewVMs(platform.VM{Address: "10.0.0.1"}).Handler())
+	server := httptest.NewServer(NewVMs(provider.VM{Address: "10.0.0.1"}).Handler())
 	defer server.Close()
 	list := httpvms.Open(server.URL, nil)
 	put := func(path, query, body string) error {
@@ -133,7 +133,7 @@
 		t.Error("the answer was not lost")
 	}
 	got, err := list.VMs(t.Context())
-	if diff := cmp.Diff([]platform.VM{{Address: "10.0.0.2", Leaving: true}}, got); diff != "" || err != nil {
+	if diff := cmp.Diff([]provider.VM{{Address: "10.0.0.2", Leaving: true}}, got); diff != "" || err != nil {
 		t.Errorf("%v %s", err, diff)
 	}
 }
--- a/internal/standin/platform/vms.go
+++ b/internal/standin/platform/vms.go
@@ -5,21 +5,21 @@
 	"net/http"
 	"sync"
 
-	"github.com/rattancove/rattancove/internal/platform"
+	"github.com/rattancove/rattancove/internal/provider"
 )
 
 // VMs serves the list of VMs: GET reads it, PUT replaces it.
 type VMs struct {
 	faults faults
 	mu     sync.Mutex
-	list   []platform.VM
+	list   []provider.VM
 }
 
 // NewVMs returns a list of the given VMs.
-func NewVMs(list ...platform.VM) *VMs { return &VMs{list: list} }
+func NewVMs(list ...provider.VM) *VMs { return &VMs{list: list} }
 
 // Set replaces the list.
-func (v *VMs) Set(list ...platform.VM) {
+func (v *VMs) Set(list ...provider.VM) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.list = list
@@ -35,12 +35,12 @@
 		defer v.mu.Unlock()
 		list := v.list
 		if list == nil {
-			list = []platform.VM{}
+			list = []provider.VM{}
 		}
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(list)
 	case http.MethodPut:
-		var list []platform.VM
+		var list []provider.VM
 		if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
--- a/internal/warden/fleet_test.go
+++ b/internal/warden/fleet_test.go
@@ -19,7 +19,7 @@
 	"github.com/rattancove/rattancove/internal/environment"
 	"github.com/rattancove/rattancove/internal/failover"
 	"github.com/rattancove/rattancove/internal/member"
-	"github.com/rattancove/rattancove/internal/platform/platformtest"
+	"github.com/rattancove/rattancove/internal/provider/providertest"
 	"github.com/rattancove/rattancove/internal/statement"
 )
 
@@ -32,7 +32,7 @@
 	group   *backendtest.Group
 	servers []cluster.Server
 	doc     *environment.Document
-	table   *platformtest.Table
+	table   *providertest.Table
 	view    *staticMembers
 	ctx     context.Context
 	stop    context.CancelFunc
@@ -53,7 +53,7 @@
 }
 
 func newFleet(t *testing.T, seed uint64) *fleet {
-	f := &fleet{t: t, seed: seed, name: cluster.GroupName(fmt.Sprintf("group_%d", seed)), table: platformtest.NewTable(), cancels: map[string]context.CancelFunc{}, byID: map[string]*Warden{}}
+	f := &fleet{t: t, seed: seed, name: cluster.GroupName(fmt.Sprintf("group_%d", seed)), table: providertest.NewTable(), cancels: map[string]context.CancelFunc{}, byID: map[string]*Warden{}}
 	g := environment.Group{Name: f.name}
 	for i := range 3 {
 		s := environment.Server{
