Return row versions from a commit to the table service

A platform may number versions for the whole store instead of for each row; a lease that guessed its next version would then lose every second renewal.

--- a/internal/document/change.go
+++ b/internal/document/change.go
@@ -77,7 +77,7 @@
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	attempt := func() (Revision, error) {
-		err := s.table.Commit(ctx, writes...)
+		_, err := s.table.Commit(ctx, writes...)
 		switch {
 		case err == nil:
 			return r, nil
--- a/internal/failover/store.go
+++ b/internal/failover/store.go
@@ -244,7 +244,7 @@
 		return errcode.Wrap(err, errcode.Internal, "encode failover row", Key(group))
 	}
 	storeWrites.Inc()
-	err = s.table.Commit(ctx, provider.Write{Key: Key(group), IfVersion: version, Value: data})
+	_, err = s.table.Commit(ctx, provider.Write{Key: Key(group), IfVersion: version, Value: data})
 	if err != nil {
 		return errcode.Wrap(err, errcode.Unknown, "write failover row", Key(group))
 	}
--- a/internal/member/lease.go
+++ b/internal/member/lease.go
@@ -64,11 +64,11 @@
 		return errcode.Wrap(err, errcode.Internal, "encode lease", l.key())
 	}
 	leaseWrites.Inc()
-	err = l.table.Commit(ctx, provider.Write{Key: l.key(), IfVersion: l.version, Value: data})
+	versions, err := l.table.Commit(ctx, provider.Write{Key: l.key(), IfVersion: l.version, Value: data})
 	if err != nil {
 		return errcode.Wrap(err, errcode.Unknown, "renew lease", l.key())
 	}
-	l.version++
+	l.version = versions[0]
 	return nil
 }
 
@@ -99,7 +99,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
-	return l.table.Commit(ctx, provider.Write{Key: l.key(), IfVersion: l.version, Delete: true})
+	_, err := l.table.Commit(ctx, provider.Write{Key: l.key(), IfVersion: l.version, Delete: true})
+	return err
 }
 
 // leases follows the rows of the other processes. Whether a row is renewed is
--- a/internal/proof/documents_test.go
+++ b/internal/proof/documents_test.go
@@ -267,7 +267,7 @@
 	return t.Table.Get(ctx, key)
 }
 
-func (t *operatorTable) Commit(ctx context.Context, writes ...provider.Write) error {
+func (t *operatorTable) Commit(ctx context.Context, writes ...provider.Write) ([]uint64, error) {
 	t.pause()
 	return t.Table.Commit(ctx, writes...)
 }
@@ -426,12 +426,12 @@
 // unconditionalTable writes whatever the versions of the rows are.
 type unconditionalTable struct{ provider.Table }
 
-func (t unconditionalTable) Commit(ctx context.Context, writes ...provider.Write) error {
+func (t unconditionalTable) Commit(ctx context.Context, writes ...provider.Write) ([]uint64, error) {
 	forced := make([]provider.Write, len(writes))
 	for i, w := range writes {
 		row, err := t.Get(ctx, w.Key)
 		if err != nil && !errors.Is(err, provider.ErrNotFound) {
-			return err
+			return nil, err
 		}
 		w.IfVersion = row.Version
 		forced[i] = w
--- a/internal/proof/fleet_test.go
+++ b/internal/proof/fleet_test.go
@@ -389,9 +389,9 @@
 	return t.Table.List(ctx, prefix)
 }
 
-func (t *nodeTable) Commit(ctx context.Context, writes ...provider.Write) error {
+func (t *nodeTable) Commit(ctx context.Context, writes ...provider.Write) ([]uint64, error) {
 	if err := t.node.reachStore(ctx); err != nil {
-		return err
+		return nil, err
 	}
 	return t.Table.Commit(ctx, writes...)
 }
--- a/internal/provider/pgtable/table.go
+++ b/internal/provider/pgtable/table.go
@@ -129,7 +129,7 @@
 }
 
 // Commit implements provider.Table.
-func (t *Table) Commit(ctx context.Context, writes ...provider.Write) error {
+func (t *Table) Commit(ctx context.Context, writes ...provider.Write) ([]uint64, error) {
 	ordered := slices.Clone(writes)
 	// One order for all writers rules out deadlocks.
 	slices.SortFunc(ordered, func(a, b provider.Write) int { return cmp.Compare(a.Key, b.Key) })
@@ -138,11 +138,11 @@
 	})
 	switch {
 	case err == nil:
-		return nil
+		return provider.NextVersions(writes), nil
 	case errors.Is(err, provider.ErrConflict), hasCode(err, serializationFailure), hasCode(err, deadlockDetected):
-		return provider.ErrConflict
+		return nil, provider.ErrConflict
 	default:
-		return eris.Wrap(err, "commit rows")
+		return nil, eris.Wrap(err, "commit rows")
 	}
 }
 
--- a/internal/provider/pgtable/table_test.go
+++ b/internal/provider/pgtable/table_test.go
@@ -58,7 +58,7 @@
 		{"other prefix", []provider.Write{{Key: "ab"}}, nil},
 	}
 	for _, step := range steps {
-		if err := table.Commit(ctx, step.writes...); !errors.Is(err, step.want) {
+		if _, err := table.Commit(ctx, step.writes...); !errors.Is(err, step.want) {
 			t.Fatalf("%s: %v", step.name, err)
 		}
 	}
@@ -73,14 +73,14 @@
 
 func TestOneOfManyWritersWins(t *testing.T) {
 	table := open(t)
-	if err := table.Commit(t.Context(), provider.Write{Key: "k"}); err != nil {
+	if _, err := table.Commit(t.Context(), provider.Write{Key: "k"}); err != nil {
 		t.Fatal(err)
 	}
 	var wins atomic.Int32
 	var wg sync.WaitGroup
 	for range 8 {
 		wg.Go(func() {
-			err := table.Commit(t.Context(), provider.Write{Key: "k", IfVersion: 1, Value: []byte("x")})
+			_, err := table.Commit(t.Context(), provider.Write{Key: "k", IfVersion: 1, Value: []byte("x")})
 			if err == nil {
 				wins.Add(1)
 			} else if !errors.Is(err, provider.ErrConflict) {
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -14,7 +14,7 @@
 // Row is one versioned row of the table service.
 type Row struct {
 	Key string
-	// Version is 1 after the first write and rises by one with each write.
+	// Version is not zero and rises with each write of the row.
 	Version uint64
 	Value   []byte
 }
@@ -30,14 +30,27 @@
 	Delete bool
 }
 
+// NextVersions returns the versions after a commit in a service that counts
+// the writes of each row.
+func NextVersions(writes []Write) []uint64 {
+	versions := make([]uint64, len(writes))
+	for i, w := range writes {
+		if !w.Delete {
+			versions[i] = w.IfVersion + 1
+		}
+	}
+	return versions
+}
+
 // Table is the transactional table service.
 type Table interface {
 	// Get returns one row, or ErrNotFound.
 	Get(ctx context.Context, key string) (Row, error)
 	// List returns the rows whose keys start with prefix, ordered by key.
 	List(ctx context.Context, prefix string) ([]Row, error)
-	// Commit applies all writes, or none and returns ErrConflict.
-	Commit(ctx context.Context, writes ...Write) error
+	// Commit applies all writes, or none and returns ErrConflict. It returns
+	// the versions that the rows have now, in the order of the writes.
+	Commit(ctx context.Context, writes ...Write) ([]uint64, error)
 }
 
 // Objects is the object store.
--- a/internal/provider/providerclient/counted.go
+++ b/internal/provider/providerclient/counted.go
@@ -38,10 +38,14 @@
 	return rows, err
 }
 
-func (t *countedTable) Commit(ctx context.Context, writes ...provider.Write) error {
-	return t.commit.run(ctx, t.timeout, func(ctx context.Context) error {
-		return t.inner.Commit(ctx, writes...)
+func (t *countedTable) Commit(ctx context.Context, writes ...provider.Write) ([]uint64, error) {
+	var versions []uint64
+	err := t.commit.run(ctx, t.timeout, func(ctx context.Context) error {
+		var err error
+		versions, err = t.inner.Commit(ctx, writes...)
+		return err
 	})
+	return versions, err
 }
 
 type countedObjects struct {
--- a/internal/provider/providerclient/open_test.go
+++ b/internal/provider/providerclient/open_test.go
@@ -62,7 +62,7 @@
 	if _, err := table.Get(t.Context(), "k"); err == nil {
 		t.Error("a slow service answered")
 	}
-	if err := table.Commit(t.Context(), provider.Write{Key: "k"}); err == nil {
+	if _, err := table.Commit(t.Context(), provider.Write{Key: "k"}); err == nil {
 		t.Error("a slow service answered")
 	}
 }
--- a/internal/provider/providertest/table.go
+++ b/internal/provider/providertest/table.go
@@ -65,16 +65,19 @@
 }
 
 // Commit implements provider.Table.
-func (t *Table) Commit(ctx context.Context, writes ...provider.Write) error {
+func (t *Table) Commit(ctx context.Context, writes ...provider.Write) ([]uint64, error) {
 	if err := t.enter(ctx, "commit"); err != nil {
-		return err
+		return nil, err
 	}
 	t.runBefore()
 	result := t.apply(writes)
 	if err := t.leave(ctx, true); err != nil {
-		return err
+		return nil, err
+	}
+	if result != nil {
+		return nil, result
 	}
-	return result
+	return provider.NextVersions(writes), nil
 }
 
 func (t *Table) apply(writes []provider.Write) error {
--- a/internal/rollout/watcher_test.go
+++ b/internal/rollout/watcher_test.go
@@ -242,7 +242,7 @@
 		t.Fatal(err)
 	}
 	write := provider.Write{Key: row.Key, IfVersion: row.Version, Value: old.Value}
-	if err := f.table.Commit(t.Context(), write); err != nil {
+	if _, err := f.table.Commit(t.Context(), write); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -46,14 +46,14 @@
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	value := []byte{0, '\\', 'x', 0xff}
-	if err := table.Commit(ctx, provider.Write{Key: "a/1", Value: value}, provider.Write{Key: "a/2", Value: []byte("two")}); err != nil {
+	if _, err := table.Commit(ctx, provider.Write{Key: "a/1", Value: value}, provider.Write{Key: "a/2", Value: []byte("two")}); err != nil {
 		t.Fatal(err)
 	}
-	err := table.Commit(ctx, provider.Write{Key: "a/1", IfVersion: 1, Value: []byte("x")}, provider.Write{Key: "a/2", IfVersion: 9})
+	_, err := table.Commit(ctx, provider.Write{Key: "a/1", IfVersion: 1, Value: []byte("x")}, provider.Write{Key: "a/2", IfVersion: 9})
 	if !errors.Is(err, provider.ErrConflict) {
 		t.Errorf("stale write: %v", err)
 	}
-	if err := table.Commit(ctx, provider.Write{Key: "a/2", IfVersion: 1, Value: []byte("second")}); err != nil {
+	if _, err := table.Commit(ctx, provider.Write{Key: "a/2", IfVersion: 1, Value: []byte("second")}); err != nil {
 		t.Fatal(err)
 	}
 	rows, err := table.List(ctx, "a/")
@@ -62,7 +62,7 @@
 		t.Errorf("%v %s", err, diff)
 	}
 	s.LoseAnswers(1)
-	if err := table.Commit(ctx, provider.Write{Key: "b", Value: []byte("kept")}); err == nil {
+	if _, err := table.Commit(ctx, provider.Write{Key: "b", Value: []byte("kept")}); err == nil {
 		t.Error("the answer was not lost")
 	}
 	if row, err := table.Get(ctx, "b"); err != nil || string(row.Value) != "kept" {
