Rely on granted terms instead of a status for each primary read

The holder of the duty to promote is the only one that ends a term, so it now grants terms for a second at most, within its own lease, and takes them back before a promotion. Homes fall back to the proof where no grant stands.

--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -71,6 +71,8 @@
 	version uint64
 	expiry  time.Duration
 	changed chan struct{}
+	// other is another process that was seen to hold the lease.
+	other string
 
 	// seen is the row of another holder and the time of its first sight. It is
 	// used by Run alone.
@@ -82,13 +84,14 @@
 // New returns a Lease that is not held.
 func New(config Config) *Lease {
 	if config.Clock == nil {
-		config.Clock = bootTime
+		config.Clock = BootTime
 	}
 	return &Lease{config: config, life: time.Now().UnixNano(), changed: make(chan struct{})}
 }
 
-// bootTime counts the time of a suspension, which the runtime's clock leaves out.
-func bootTime() time.Duration {
+// BootTime is a steady clock that counts the time of a suspension, which the
+// runtime's clock leaves out.
+func BootTime() time.Duration {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
 		panic(err) // the clock id is a constant that every kernel knows
@@ -107,6 +110,26 @@
 	return l.token, l.token != 0 && l.config.Clock() < l.expiry
 }
 
+// Left returns the time for which this process holds the lease for sure.
+func (l *Lease) Left() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.token == 0 {
+		return 0
+	}
+	return max(l.expiry-l.config.Clock(), 0)
+}
+
+// Known returns the holder that was seen last; empty while none is known.
+func (l *Lease) Known() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.token != 0 {
+		return l.config.Holder
+	}
+	return l.other
+}
+
 // Changed returns a channel that is closed when the lease is taken or lost.
 func (l *Lease) Changed() <-chan struct{} {
 	l.mu.Lock()
@@ -183,6 +206,7 @@
 func (l *Lease) lose(holder string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.other = holder
 	if l.token == 0 {
 		return
 	}
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -26,6 +26,7 @@
 var (
 	sessionsOpen   = metrics.NewCounter("rattan_caller_sessions_open")
 	sessionsTotal  = metrics.NewCounter("rattan_caller_sessions_total")
+	grantFailures  = metrics.NewCounter("rattan_edge_grant_failures_total")
 	refusedCallers = metrics.NewCounter("rattan_caller_sessions_refused_total")
 )
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -14,6 +14,7 @@
 	"github.com/rattancove/rattancove/internal/catalog"
 	"github.com/rattancove/rattancove/internal/duty"
 	"github.com/rattancove/rattancove/internal/gateway"
+	"github.com/rattancove/rattancove/internal/grant"
 	"github.com/rattancove/rattancove/internal/home"
 	"github.com/rattancove/rattancove/internal/member"
 	"github.com/rattancove/rattancove/internal/peer"
@@ -41,6 +42,10 @@
 	callers    *callers
 	lease      *duty.Lease
 	succession *succession.Controller
+	// grants are the terms that this process may rely on, issuer those that it
+	// lets others rely on while it holds the lease.
+	grants *grant.Book
+	issuer *grant.Issuer
 	// stopping is set when a planned stop begins.
 	stopping atomic.Bool
 }
@@ -53,8 +58,9 @@
 	e.statements = peer.NewRegistry(adapters.Dial)
 	e.control = peer.NewRegistry(adapters.Dial)
 	e.members = member.New(e.memberConfig())
+	e.grants, e.issuer = grant.NewBook(duty.BootTime), grant.NewIssuer(duty.BootTime)
 	e.home = home.New(home.Config{
-		ID: config.ID, Unclaimed: true, ExactClasses: true, Log: &e.log,
+		ID: config.ID, Unclaimed: true, ExactClasses: true, Terms: e.grants, Log: &e.log,
 	}, adapters.Servers)
 	e.gateway = gateway.New(gateway.Config{Self: config.ID, Local: e.home, Members: view{e}})
 	e.callers = newCallers(e)
@@ -63,7 +69,7 @@
 	})
 	e.succession = succession.New(succession.Config{
 		Dialer: adapters.Control, Promoter: adapters.Promoter, Lease: e.lease, Groups: e.successionGroups,
-		Changed: e.tracker.Changed, Witnesses: e.askWitnesses, Log: &e.log,
+		Changed: e.tracker.Changed, Witnesses: e.askWitnesses, Grants: e.issuer, Revoke: e.revoke, Log: &e.log,
 	})
 	var err error
 	e.server, err = peer.NewServer(e.handlers(), &e.log)
@@ -96,6 +102,7 @@
 	group.Go(func() error { return e.members.Run(groupCtx) })
 	group.Go(func() error { return e.keepHomes(groupCtx) })
 	group.Go(func() error { return e.lease.Run(groupCtx) })
+	group.Go(func() error { return e.keepGrants(groupCtx) })
 	group.Go(func() error { return e.succession.Run(groupCtx) })
 	eventStarted.Log(&e.log).Str("callers", e.config.CallersListen).Str("peers", e.config.PeerListen).
 		Str("failure_domain", e.config.FailureDomain).Int64("memory_limit", e.config.MemoryLimit).Send()
--- /dev/null
+++ b/internal/edge/grants.go
@@ -0,0 +1,96 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/delay"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/grant"
+	"github.com/rattancove/rattancove/internal/member"
+	"github.com/rattancove/rattancove/internal/peer/peerpb"
+)
+
+const (
+	// grantInterval is the time between two requests for grants: two may be lost
+	// before one runs out.
+	grantInterval = grant.Time * 3 / 10
+	// grantTimeout bounds one request.
+	grantTimeout = grant.Time / 4
+)
+
+// keepGrants asks the holder of the duty to promote for the terms of the groups
+// that this process is home to.
+func (e *Edge) keepGrants(ctx context.Context) error {
+	for delay.Sleep(ctx, grantInterval) {
+		groups := e.owned()
+		if len(groups) == 0 {
+			continue
+		}
+		asked := e.grants.Now()
+		reply, err := e.askGrants(ctx, groups)
+		if err != nil {
+			grantFailures.Inc()
+			continue // the homes prove the term by the servers meanwhile
+		}
+		for _, g := range reply.GetGrants() {
+			e.grants.Take(cluster.GroupName(g.GetGroup()), cluster.Term(g.GetTerm()), asked, time.Duration(g.GetValidNanos()))
+		}
+	}
+	return nil
+}
+
+func (e *Edge) askGrants(ctx context.Context, groups []string) (*peerpb.GrantReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+	request := &peerpb.GrantRequest{Proxy: string(e.config.ID), Groups: groups}
+	holder := e.lease.Known()
+	if holder == string(e.config.ID) {
+		return e.handleGrant(ctx, request)
+	}
+	entry, ok := e.members.Snapshot().Find(member.Key{Role: member.RoleProxy, ID: holder})
+	if !ok {
+		return nil, errcode.New(errcode.NoHome, "ask for grants", holder)
+	}
+	return e.control.Client(entry.Member.Address).Grant(ctx, request)
+}
+
+// owned names the groups whose home this process is in its view.
+func (e *Edge) owned() []string {
+	var groups []string
+	for _, g := range e.tracker.State().Document().Groups {
+		if (view{e}).HomeOf(g.Name) == e.config.ID {
+			groups = append(groups, string(g.Name))
+		}
+	}
+	return groups
+}
+
+func (e *Edge) handleGrant(_ context.Context, in *peerpb.GrantRequest) (*peerpb.GrantReply, error) {
+	left := e.lease.Left()
+	if left <= 0 {
+		return nil, errcode.New(errcode.NoHome, "grant", string(e.config.ID))
+	}
+	reply := &peerpb.GrantReply{}
+	for _, group := range in.GetGroups() {
+		term, valid, ok := e.issuer.Issue(cluster.ProxyID(in.GetProxy()), cluster.GroupName(group), left)
+		if ok {
+			reply.Grants = append(reply.Grants, &peerpb.TermGrant{Group: group, Term: uint64(term), ValidNanos: int64(valid)})
+		}
+	}
+	return reply, nil
+}
+
+// revoke makes a process give up its grants of a group.
+func (e *Edge) revoke(ctx context.Context, proxy cluster.ProxyID, group cluster.GroupName) error {
+	if proxy == e.config.ID {
+		e.grants.GiveUp(group)
+		return nil
+	}
+	entry, ok := e.members.Snapshot().Find(member.Key{Role: member.RoleProxy, ID: string(proxy)})
+	if !ok {
+		return errcode.New(errcode.NoHome, "revoke grant", string(proxy))
+	}
+	return e.control.Client(entry.Member.Address).Revoke(ctx, group)
+}
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -33,6 +33,9 @@
 	// Unclaimed is set where servers know no homes: nothing is claimed, and
 	// another proxy may run requests of the same group at any time.
 	Unclaimed bool
+	// Terms tells which terms stand without asking the servers; nil when that
+	// has to be proven by them each time.
+	Terms Terms
 	// ExactClasses is set where the protocol itself tells reads from writes, so
 	// that a read needs no guard against writing.
 	ExactClasses bool
@@ -40,6 +43,12 @@
 	Log *zerolog.Logger
 }
 
+// Terms tells whether the term of a group stands at this moment, that is,
+// whether no primary of a later term can have acknowledged a write.
+type Terms interface {
+	Stands(group cluster.GroupName, term cluster.Term) bool
+}
+
 // Home runs the requests of the groups that this proxy owns. It is safe for
 // concurrent use.
 type Home struct {
--- /dev/null
+++ b/internal/home/learn.go
@@ -0,0 +1,40 @@
+package home
+
+import (
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/route"
+)
+
+// learnSpacing is the least time between two changes of the routing state that
+// answers cause. Replicas are behind by several milliseconds anyway.
+const learnSpacing = 10 * time.Millisecond
+
+// learn takes up the position that a server stated with an answer to an
+// exchange that began at a time. It replaces most status calls.
+func (o *owner) learn(w *work, at cluster.Position, begun time.Time) {
+	if o.home.config.Terms == nil || !at.Known() || !o.stands() {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	id := w.node.server.ID
+	r, ok := o.view.reports[id]
+	if !ok || !r.known || r.status.Term != o.view.term || w.group.Term != o.view.term {
+		return
+	}
+	if r.status.Replayed.Less(at) {
+		r.status.Replayed = at
+		r.status.Received = cluster.MaxPosition(r.status.Received, at)
+		r.begun = begun
+		o.view.reports[id] = r
+	}
+	if id == o.view.primary {
+		o.history = o.history.With(route.Sample{At: begun, Position: at})
+	}
+	if now := time.Now(); now.Sub(o.learned) >= learnSpacing {
+		o.learned = now
+		o.rebuild()
+	}
+}
--- a/internal/home/node.go
+++ b/internal/home/node.go
@@ -19,12 +19,16 @@
 	reservedConnections = 4
 	// statusInterval is the time between two status calls when nothing waits for one.
 	statusInterval = 200 * time.Millisecond
+	// grantedInterval replaces statusInterval while the term needs no proof:
+	// positions are learned from answers then, and a status only shows whether
+	// an unused server works.
+	grantedInterval = 700 * time.Millisecond
 	// idleAfter is the time without requests after which a group is idle, and
 	// idleInterval the time between two status calls of an idle group.
 	idleAfter    = 5 * time.Second
 	idleInterval = 2 * time.Second
 	// searchInterval is the time between two status calls while no primary is reachable.
-	searchInterval = 20 * time.Millisecond
+	searchInterval = 40 * time.Millisecond
 	// ackInterval is the time between two status calls while writes wait for replication.
 	ackInterval = 2 * time.Millisecond
 	// callSpacing is the least time between the beginnings of two status calls.
@@ -154,6 +158,9 @@
 		return n.ctx.Err()
 	}
 	interval := statusInterval
+	if n.owner.stands() {
+		interval = grantedInterval
+	}
 	if n.owner.idle() {
 		interval = idleInterval
 	}
--- a/internal/home/owner.go
+++ b/internal/home/owner.go
@@ -110,6 +110,8 @@
 	highWater cluster.Position
 	// fallback is a floor for sessions that are not remembered.
 	fallback cluster.Position
+	// learned is when answers last changed the routing state.
+	learned time.Time
 	// termCtx ends when the learned term or primary changes.
 	termCtx    context.Context
 	termCancel context.CancelFunc
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -64,7 +64,7 @@
 	if err := o.awaitServing(ctx, r); err != nil {
 		return statement.Result{}, err
 	}
-	if o.needsProof(r) {
+	if o.needsProof(r) && !o.stands() {
 		r.ticket = o.draw()
 	}
 	if req.First.Class == statement.ClassRead || req.First.Class == statement.ClassBeginReadOnly {
@@ -105,6 +105,12 @@
 	return !read || !r.FloorExact || r.Freshness.Mode == statement.FreshnessLatest
 }
 
+// stands reports whether the present term is known to stand without a proof.
+func (o *owner) stands() bool {
+	terms := o.home.config.Terms
+	return terms != nil && terms.Stands(o.name, o.group.Load().Term)
+}
+
 // ackPolicy returns when the writes of a request are acknowledged.
 func (o *owner) ackPolicy(r *request) environment.AckPolicy {
 	o.mu.Lock()
@@ -116,10 +122,16 @@
 // request arrived. The ticket is drawn late when only the choice of the
 // primary made the proof necessary.
 func (o *owner) gate(r *request, term cluster.Term) func(context.Context) error {
-	if r.ticket == 0 {
+	if r.ticket == 0 && !o.stands() {
 		r.ticket = o.draw()
 	}
 	return func(ctx context.Context) error {
+		if terms := o.home.config.Terms; terms != nil && terms.Stands(o.name, term) {
+			return nil
+		}
+		if r.ticket == 0 {
+			r.ticket = o.draw()
+		}
 		err := o.await(ctx, func() (bool, error) {
 			if o.view.term != term {
 				return false, errTermChanged
--- a/internal/home/work.go
+++ b/internal/home/work.go
@@ -167,12 +167,14 @@
 		silence := time.AfterFunc(patience, func() { w.suspect(stop) })
 		defer silence.Stop()
 	}
+	begun := time.Now()
 	answer, err := w.conn.Exchange(runCtx, x, w.request.conv)
 	if err != nil {
 		w.broken = true
 		return answer, w.explain(err, context.Cause(runCtx))
 	}
 	w.open = answer.Tx != backend.TxIdle
+	w.owner.learn(w, answer.Position, begun)
 	if answer.Refusal != nil {
 		return answer, answer.Refusal
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -79,6 +79,17 @@
 	return reply.GetFailovers(), err
 }
 
+// Grant asks the peer, as the holder of the duty to promote, for terms.
+func (c *Client) Grant(ctx context.Context, in *peerpb.GrantRequest) (*peerpb.GrantReply, error) {
+	return call(ctx, c, "grant", in, peerpb.DRPCPeerClient.Grant)
+}
+
+// Revoke makes the peer give up its grants of a group.
+func (c *Client) Revoke(ctx context.Context, group cluster.GroupName) error {
+	_, err := call(ctx, c, "revoke", &peerpb.RevokeRequest{Group: string(group)}, peerpb.DRPCPeerClient.Revoke)
+	return err
+}
+
 func call[In, Out any](
 	ctx context.Context, c *Client, step string, in *In,
 	method func(peerpb.DRPCPeerClient, context.Context, *In) (*Out, error),
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -34,6 +34,9 @@
 	GroupStatus func(ctx context.Context, group cluster.GroupName) ([]byte, error)
 	Explain     func(context.Context, *peerpb.ExplainRequest) (*peerpb.ExplainReply, error)
 	Failovers   func(context.Context, *peerpb.FailoversRequest) (*peerpb.FailoversReply, error)
+	Grant       func(context.Context, *peerpb.GrantRequest) (*peerpb.GrantReply, error)
+	// Revoke returns once no grant of the group is relied on here.
+	Revoke func(group cluster.GroupName)
 }
 
 // Server serves the calls of peers.
@@ -132,6 +135,23 @@
 	return s.handlers.Failovers(ctx, in)
 }
 
+// Grant implements peerpb.DRPCPeerServer.
+func (s *Server) Grant(ctx context.Context, in *peerpb.GrantRequest) (*peerpb.GrantReply, error) {
+	if s.handlers.Grant == nil {
+		return s.DRPCPeerUnimplementedServer.Grant(ctx, in)
+	}
+	return s.handlers.Grant(ctx, in)
+}
+
+// Revoke implements peerpb.DRPCPeerServer.
+func (s *Server) Revoke(ctx context.Context, in *peerpb.RevokeRequest) (*peerpb.RevokeReply, error) {
+	if s.handlers.Revoke == nil {
+		return s.DRPCPeerUnimplementedServer.Revoke(ctx, in)
+	}
+	s.handlers.Revoke(cluster.GroupName(in.GetGroup()))
+	return &peerpb.RevokeReply{}, nil
+}
+
 // Run implements peerpb.DRPCPeerServer.
 func (s *Server) Run(stream peerpb.DRPCPeer_RunStream) error {
 	if s.handlers.Runner == nil {
--- a/internal/succession/controller.go
+++ b/internal/succession/controller.go
@@ -11,8 +11,14 @@
 	"github.com/rattancove/rattancove/internal/backend"
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/duty"
+	"github.com/rattancove/rattancove/internal/grant"
 )
 
+// uncertainTime is how long a call without an answer, this process's or an
+// earlier holder's, may still make the platform promote a server. No term is
+// granted meanwhile.
+const uncertainTime = 5 * time.Second
+
 // idleInterval is the time between two looks at the groups and the lease.
 const idleInterval = 500 * time.Millisecond
 
@@ -55,6 +61,10 @@
 	Groups func() []Group
 	// Changed returns a channel that is closed when the groups change.
 	Changed func() <-chan struct{}
+	// Grants accounts for the processes that rely on a term, and Revoke makes one
+	// of them give up its grants of a group.
+	Grants *grant.Issuer
+	Revoke func(ctx context.Context, proxy cluster.ProxyID, group cluster.GroupName) error
 	// Witnesses asks other processes whether they reach a server.
 	Witnesses func(ctx context.Context, group cluster.GroupName, s cluster.Server) Testimony
 	Log       *zerolog.Logger
@@ -142,6 +152,9 @@
 	if errors.Is(err, ErrNotRunning) {
 		l.view.Refused = a.Server
 	}
+	if err != nil && l.view.Refused == "" {
+		l.uncertainUntil = time.Now().Add(uncertainTime)
+	}
 	l.view.Asked = false
 	l.mu.Unlock()
 	eventPromotionAsked.Log(config.Log).Str("group", string(l.name)).Str("server", string(a.Server)).
--- a/internal/succession/decide.go
+++ b/internal/succession/decide.go
@@ -339,7 +339,7 @@
 		}
 	}
 	switch {
-	case best.ID == "" || oldWorks:
+	case best.ID == "" || oldWorks || v.Relied:
 		return "", false
 	case missing > 0 && (!oldAt.Known() || bestAt.Less(oldAt)):
 		return "", false // a server that cannot be asked may hold more
--- a/internal/succession/loop.go
+++ b/internal/succession/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rattancove/rattancove/internal/cluster"
@@ -23,7 +24,9 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	news       chan struct{}
-	work       sync.WaitGroup
+	// revoking is set while processes are asked to give up their grants.
+	revoking atomic.Bool
+	work     sync.WaitGroup
 
 	// mu guards what the watches and the calls write.
 	mu      sync.Mutex
@@ -31,6 +34,10 @@
 	view    View
 	watches map[cluster.ServerID]*watch
 
+	// uncertainUntil is the time until which an earlier call for a promotion may
+	// take effect.
+	uncertainUntil time.Time
+
 	// state belongs to the loop's own goroutine.
 	state State
 }
@@ -39,13 +46,17 @@
 	l := &groupLoop{
 		controller: c, name: g.Name, news: make(chan struct{}, 1), state: NewState(time.Now()),
 		view:    View{Servers: map[cluster.ServerID]Observation{}},
-		watches: map[cluster.ServerID]*watch{},
+		watches: map[cluster.ServerID]*watch{}, uncertainUntil: time.Now().Add(uncertainTime),
 	}
 	l.ctx, l.cancel = context.WithCancel(ctx)
 	return l
 }
 
-func (l *groupLoop) stop() { l.cancel() }
+// stop ends the loop. Grants end with the lease.
+func (l *groupLoop) stop() {
+	l.cancel()
+	l.controller.config.Grants.Block(l.name)
+}
 
 // update takes up the servers of the catalog.
 func (l *groupLoop) update(g Group) {
@@ -101,15 +112,63 @@
 	before := l.state
 	view := l.view
 	view.Servers = maps.Clone(l.view.Servers)
+	view.Relied = l.controller.config.Grants.InForce(l.name)
 	state, actions := Decide(l.group, view, l.state, time.Now())
 	l.state = state
+	term, grantable := l.grantable()
 	l.mu.Unlock()
 	l.logPhase(before)
+	l.setGrants(term, grantable)
 	for _, a := range actions {
 		l.start(a)
 	}
 }
 
+// grantable returns the present term if nothing can end it without this
+// process. The caller holds the lock.
+func (l *groupLoop) grantable() (cluster.Term, bool) {
+	_, o, ok := primary(l.group, l.view)
+	ok = ok && l.state.Phase == PhaseWatching && o.Failures == 0 && o.Status.Term >= maxTerm(l.view)
+	return o.Status.Term, ok && time.Now().After(l.uncertainUntil)
+}
+
+// setGrants allows grants of a term or blocks them. Before a replacement, the
+// processes that have one are asked to give it up.
+func (l *groupLoop) setGrants(term cluster.Term, allowed bool) {
+	grants := l.controller.config.Grants
+	if allowed {
+		grants.Allow(l.name, term)
+		return
+	}
+	holders := grants.Block(l.name)
+	if l.state.Phase != PhasePausing || l.revoking.Swap(true) {
+		return
+	}
+	l.work.Go(func() {
+		defer l.revoking.Store(false)
+		l.revoke(holders)
+	})
+}
+
+// revoke asks processes to give up their grants.
+func (l *groupLoop) revoke(holders []cluster.ProxyID) {
+	ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, proxy := range holders {
+		calls.Go(func() {
+			err := l.controller.config.Revoke(ctx, proxy, l.name)
+			if err == nil {
+				l.controller.config.Grants.GivenUp(proxy, l.name)
+			}
+			eventRevoked.Log(l.controller.config.Log).Str("group", string(l.name)).
+				Str("proxy", string(proxy)).AnErr("error", err).Send()
+			l.wake()
+		})
+	}
+	calls.Wait()
+}
+
 func (l *groupLoop) logPhase(before State) {
 	if before.Phase == l.state.Phase {
 		return
--- a/internal/succession/types.go
+++ b/internal/succession/types.go
@@ -100,6 +100,8 @@
 	Refused cluster.ServerID
 	// Asked is set while a call for a promotion runs.
 	Asked bool
+	// Relied is set while some process may rely on the present term.
+	Relied bool
 }
 
 // State is what the controller remembers between two decisions.
--- a/internal/succession/watch.go
+++ b/internal/succession/watch.go
@@ -14,8 +14,8 @@
 	// the wait behind a full queue of slow statements.
 	callTimeout = 800 * time.Millisecond
 	// primaryInterval and replicaInterval are the times between two looks.
-	primaryInterval = 300 * time.Millisecond
-	replicaInterval = 600 * time.Millisecond
+	primaryInterval = 400 * time.Millisecond
+	replicaInterval = time.Second
 	// failingInterval is the time between two fresh connections to a server that
 	// does not answer, and busyInterval between two looks during an attempt.
 	failingInterval = 150 * time.Millisecond
