Spread homes, let a stand-in serve, decide routes without allocations

Groups are now placed evenly, a decision judges one server without allocating, and 16 waiting requests are examined. - Callers that came before the configuration were told that their database is unknown. They now wait for it, up to a second. - A home that could not be reached was tried again until the view of the members changed.

--- a/internal/catalog/tracker.go
+++ b/internal/catalog/tracker.go
@@ -66,6 +66,20 @@
 	return r, ok
 }
 
+// Groups names the groups of the configuration in force.
+func (t *Tracker) Groups() []cluster.GroupName {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.configuration == nil {
+		return nil
+	}
+	names := make([]cluster.GroupName, 0, len(t.configuration.Groups))
+	for _, g := range t.configuration.Groups {
+		names = append(names, g.Name)
+	}
+	return names
+}
+
 // Versions returns the version of the configuration, and the store's version
 // of the servers. Both are zero while nothing is known.
 func (t *Tracker) Versions() (configuration, servers uint64) {
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -74,6 +74,11 @@
 		refusedCallers.Inc()
 		return // the caller said nothing that could be answered
 	}
+	if !c.edge.awaitCatalog(ctx) {
+		refusedCallers.Inc()
+		eventNoCatalog.Log(&c.edge.log).Str("database", database).Send()
+		return // the caller may come again; whether the database exists is unknown
+	}
 	if _, ok := c.edge.tracker.Route(database); !ok {
 		c.refuse(wire, database)
 		return
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/rattancove/rattancove/internal/catalog"
+	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/duty"
 	"github.com/rattancove/rattancove/internal/gateway"
 	"github.com/rattancove/rattancove/internal/grant"
@@ -22,6 +23,10 @@
 	"github.com/rattancove/rattancove/internal/telemetry"
 )
 
+// catalogWait bounds how long a caller waits for the first configuration. A
+// caller gives up after two seconds.
+const catalogWait = time.Second
+
 // Edge is the process of one entry VM.
 type Edge struct {
 	config   Config
@@ -42,6 +47,9 @@
 	callers    *callers
 	lease      *duty.Lease
 	succession *succession.Controller
+	places     places
+	// lives ends requests at processes that have fallen silent.
+	lives *gateway.Lifetimes
 	// grants are the terms that this process may rely on, issuer those that it
 	// lets others rely on while it holds the lease.
 	grants *grant.Book
@@ -55,6 +63,8 @@
 	e := &Edge{config: config, adapters: adapters, log: log, started: time.Now()}
 	e.tracker = catalog.NewTracker(&e.log)
 	e.follower = catalog.NewFollower(adapters.Source, e.tracker, &e.log)
+	e.places.avoided = map[cluster.ProxyID]time.Time{}
+	e.lives = gateway.NewLifetimes(member.StateDead, member.StateSuspect)
 	e.statements = peer.NewRegistry(adapters.Dial)
 	e.control = peer.NewRegistry(adapters.Dial)
 	e.members = member.New(e.memberConfig())
@@ -62,7 +72,7 @@
 	e.home = home.New(home.Config{
 		ID: config.ID, Unclaimed: true, ExactClasses: true, Terms: e.grants, Log: &e.log,
 	}, adapters.Servers)
-	e.gateway = gateway.New(gateway.Config{Self: config.ID, Local: e.home, Members: view{e}})
+	e.gateway = gateway.New(gateway.Config{Self: config.ID, Local: e.home, Members: view{e}, Substitute: e.substitute})
 	e.callers = newCallers(e)
 	e.lease = duty.New(duty.Config{
 		Holder: string(config.ID), Key: "duty/promotion", Table: adapters.Table, Order: e.dutyOrder, Log: &e.log,
@@ -158,6 +168,23 @@
 	})
 }
 
+// awaitCatalog waits for the first configuration and reports whether there is one.
+func (e *Edge) awaitCatalog(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, catalogWait)
+	defer cancel()
+	for {
+		changed := e.tracker.Changed()
+		if configuration, _ := e.tracker.Versions(); configuration > 0 {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // ready reports whether new callers should come here.
 func (e *Edge) ready() bool {
 	configuration, servers := e.tracker.Versions()
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -16,5 +16,6 @@
 	eventOwnFailed       = event.New(7106, zerolog.WarnLevel, "own_failed", "This process should be the home of a group and could not begin.")
 	eventImportFailed    = event.New(7107, zerolog.WarnLevel, "catalog_import_failed", "The catalog of a peer could not be taken up.")
 	eventAnnounceFailed  = event.New(7108, zerolog.InfoLevel, "announce_failed", "A peer could not be told of the planned stop at once; it learns it from others.")
+	eventNoCatalog       = event.New(7110, zerolog.WarnLevel, "no_catalog", "A caller was turned away because neither the store nor a peer has told the configuration yet.")
 	eventReloaded        = event.New(7109, zerolog.InfoLevel, "settings_reloaded", "The settings were read again.")
 )
--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -56,12 +56,12 @@
 	return e.control.Client(entry.Member.Address).Grant(ctx, request)
 }
 
-// owned names the groups whose home this process is in its view.
+// owned names the groups that this process is home to, or stands in for.
 func (e *Edge) owned() []string {
 	var groups []string
-	for _, g := range e.tracker.State().Document().Groups {
-		if (view{e}).HomeOf(g.Name) == e.config.ID {
-			groups = append(groups, string(g.Name))
+	for _, name := range e.tracker.Groups() {
+		if e.homeOf(name) == e.config.ID || e.home.Idle(name) > 0 {
+			groups = append(groups, string(name))
 		}
 	}
 	return groups
--- a/internal/edge/homes.go
+++ b/internal/edge/homes.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rattancove/rattancove/internal/cluster"
@@ -15,22 +16,76 @@
 	// homeInterval is the longest time between two looks at which groups this
 	// process should own.
 	homeInterval = 500 * time.Millisecond
-	// foreignTime is how long a group is kept whose home should be another
-	// process: the views of the others agree within one round of pings, and
-	// what it holds open is taken from the few connections of the servers.
+	// foreignTime is how long a group without requests is kept whose home should
+	// be another process: the views of the others agree within one round of pings,
+	// and what it holds open is taken from the few connections of the servers.
 	foreignTime = time.Second
+	// avoidTime is how long a process that could not be reached is passed over:
+	// by then pings tell whether it lives.
+	avoidTime = time.Second
 )
 
 // view implements gateway.Members over the view of the members.
 type view struct{ edge *Edge }
 
-// HomeOf implements gateway.Members.
-func (v view) HomeOf(group cluster.GroupName) cluster.ProxyID {
-	m, ok := v.edge.members.Snapshot().HomeOf(group)
-	if !ok {
+// places caches where the groups are placed.
+type places struct {
+	mu       sync.Mutex
+	snapshot *member.Snapshot
+	version  uint64
+	placed   map[cluster.GroupName][]member.Member
+	// avoided holds the proxies that could not be reached, until a time.
+	avoided map[cluster.ProxyID]time.Time
+}
+
+// place returns the home of a group and the proxy that stands in for it.
+func (e *Edge) place(group cluster.GroupName) []member.Member {
+	snapshot := e.members.Snapshot()
+	version, _ := e.tracker.Versions()
+	p := &e.places
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.snapshot != snapshot || p.version != version {
+		p.snapshot, p.version = snapshot, version
+		p.placed = snapshot.Place(e.tracker.Groups())
+	}
+	return p.placed[group]
+}
+
+// home returns the process that should be the home of a group; empty when none
+// is known.
+func (e *Edge) homeOf(group cluster.GroupName) cluster.ProxyID {
+	placed := e.place(group)
+	if len(placed) == 0 {
 		return ""
 	}
-	return cluster.ProxyID(m.ID)
+	return cluster.ProxyID(placed[0].ID)
+}
+
+// HomeOf implements gateway.Members: a home that could not be reached just now
+// is passed over.
+func (v view) HomeOf(group cluster.GroupName) cluster.ProxyID {
+	placed := v.edge.place(group)
+	p := &v.edge.places
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range placed {
+		if id := cluster.ProxyID(m.ID); time.Now().After(p.avoided[id]) {
+			return id
+		}
+	}
+	return v.edge.config.ID
+}
+
+// substitute names the process that stands in for a home that cannot be
+// reached, which is passed over for a while.
+func (e *Edge) substitute(group cluster.GroupName, failed cluster.ProxyID) cluster.ProxyID {
+	if failed != e.config.ID {
+		e.places.mu.Lock()
+		e.places.avoided[failed] = time.Now().Add(avoidTime)
+		e.places.mu.Unlock()
+	}
+	return view{e}.HomeOf(group)
 }
 
 // Relay implements gateway.Members.
@@ -53,15 +108,15 @@
 	if !ok {
 		return nil
 	}
-	return v.edge.statements.Client(entry.Member.Address)
+	return v.edge.lives.Bind(id, v.edge.statements.Client(entry.Member.Address))
 }
 
 // keepHomes owns the groups whose home this process is in its view, gives up
 // the others, and passes the catalog on to the homes.
 func (e *Edge) keepHomes(ctx context.Context) error {
-	foreign := map[cluster.GroupName]time.Time{}
 	for ctx.Err() == nil {
 		members, changed := e.members.Changed(), e.tracker.Changed()
+		e.lives.Update(e.members.Snapshot())
 		expiry := e.tracker.Expire(time.Now())
 		if expiry == 0 || expiry > homeInterval {
 			expiry = homeInterval
@@ -74,7 +129,7 @@
 			for _, s := range g.Servers {
 				e.home.SetLeaving(s.ID, draining[s.ID])
 			}
-			e.assign(g.Name, foreign)
+			e.assign(g.Name)
 		}
 		timer := time.NewTimer(expiry)
 		select {
@@ -88,20 +143,16 @@
 	return nil
 }
 
-// assign owns a group or gives it up.
-func (e *Edge) assign(group cluster.GroupName, foreign map[cluster.GroupName]time.Time) {
-	if (view{e}).HomeOf(group) == e.config.ID {
-		delete(foreign, group)
-		if err := e.home.Own(group); err != nil {
-			eventOwnFailed.Log(&e.log).Str("group", string(group)).Err(err).Send()
+// assign owns a group, or gives it up once nobody takes this process for its
+// home any more.
+func (e *Edge) assign(group cluster.GroupName) {
+	if e.homeOf(group) != e.config.ID {
+		if e.home.Idle(group) >= foreignTime {
+			e.home.Disown(group)
 		}
 		return
 	}
-	since, ok := foreign[group]
-	switch {
-	case !ok:
-		foreign[group] = time.Now()
-	case time.Since(since) >= foreignTime:
-		e.home.Disown(group)
+	if err := e.home.Own(group); err != nil {
+		eventOwnFailed.Log(&e.log).Str("group", string(group)).Err(err).Send()
 	}
 }
--- a/internal/edge/succession.go
+++ b/internal/edge/succession.go
@@ -76,15 +76,15 @@
 
 // witnesses returns the members to ask, the home of the group first.
 func (e *Edge) witnesses(group cluster.GroupName) []member.Member {
-	home, _ := e.members.Snapshot().HomeOf(group)
+	home := string(e.homeOf(group))
 	members := slices.DeleteFunc(e.members.Snapshot().Alive(member.RoleProxy), func(m member.Member) bool {
 		return m.ID == string(e.config.ID)
 	})
 	slices.SortStableFunc(members, func(a, b member.Member) int {
 		switch {
-		case a.ID == home.ID && b.ID != home.ID:
+		case a.ID == home && b.ID != home:
 			return -1
-		case b.ID == home.ID && a.ID != home.ID:
+		case b.ID == home && a.ID != home:
 			return 1
 		}
 		return 0
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,9 @@
 	// Local runs requests of the groups that this proxy owns.
 	Local   statement.Runner
 	Members Members
+	// Substitute names the proxy that stands in for a home that cannot be
+	// reached. It is nil where homes are claimed and only they may run requests.
+	Substitute func(group cluster.GroupName, failed cluster.ProxyID) cluster.ProxyID
 }
 
 // Gateway implements statement.Runner for every group of the environment.
@@ -90,6 +93,8 @@
 	deadline time.Time
 	// redirect is the home that the last refusal named.
 	redirect cluster.ProxyID
+	// home is the proxy of the last attempt.
+	home cluster.ProxyID
 	// relay is set after the direct way to the home failed.
 	relay bool
 	// unknown is the error of an attempt that may have run.
@@ -127,6 +132,7 @@
 		home = a.gateway.config.Members.HomeOf(a.req.Group)
 	}
 	a.redirect = ""
+	a.home = home
 	if home == "" {
 		return statement.Result{}, errcode.New(errcode.NoHome, "find home", string(a.req.Group))
 	}
@@ -183,6 +189,10 @@
 		a.redirect = cluster.ProxyID(e.Peer)
 		return true
 	case errcode.NoHome.Name, errcode.ConnectionLost.Name:
+		if substitute := a.gateway.config.Substitute; substitute != nil {
+			a.redirect = substitute(a.req.Group, a.home)
+			return true
+		}
 		a.relay = true
 		return true
 	case errcode.NoPrimary.Name, errcode.Draining.Name:
--- a/internal/proxy/lifetimes.go
+++ b/internal/gateway/lifetimes.go
@@ -1,8 +1,9 @@
-package proxy
+package gateway
 
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 
 	"github.com/rattancove/rattancove/internal/cluster"
@@ -12,9 +13,11 @@
 
 var errMemberDead = errors.New("the proxy has died in the view of the members")
 
-// lifetimes ends requests at proxies that have died without a word: their
+// Lifetimes ends requests at proxies that have died without a word: their
 // connections stay open and silent. It is safe for concurrent use.
-type lifetimes struct {
+type Lifetimes struct {
+	ended []member.State
+
 	mu    sync.Mutex
 	lives map[cluster.ProxyID]life
 }
@@ -24,10 +27,13 @@
 	end context.CancelCauseFunc
 }
 
-func newLifetimes() *lifetimes { return &lifetimes{lives: map[cluster.ProxyID]life{}} }
+// NewLifetimes returns a Lifetimes in which a proxy's life ends with the given states.
+func NewLifetimes(ended ...member.State) *Lifetimes {
+	return &Lifetimes{ended: ended, lives: map[cluster.ProxyID]life{}}
+}
 
 // of returns a context that ends when the proxy dies.
-func (l *lifetimes) of(id cluster.ProxyID) context.Context {
+func (l *Lifetimes) of(id cluster.ProxyID) context.Context {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	current, ok := l.lives[id]
@@ -38,14 +44,14 @@
 	return current.ctx
 }
 
-// update ends the lives of proxies that are dead or unknown in the view. A
+// Update ends the lives of proxies that are unknown or in an ended state in the view. A
 // proxy that comes back begins a new life.
-func (l *lifetimes) update(view *member.Snapshot) {
+func (l *Lifetimes) Update(view *member.Snapshot) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, current := range l.lives {
 		e, ok := view.Find(member.Key{Role: member.RoleProxy, ID: string(id)})
-		if ok && e.State != member.StateDead {
+		if ok && !slices.Contains(l.ended, e.State) {
 			continue
 		}
 		current.end(errMemberDead)
@@ -53,6 +59,11 @@
 	}
 }
 
+// Bind returns a runner that runs requests by next for as long as the proxy lives.
+func (l *Lifetimes) Bind(id cluster.ProxyID, next statement.Runner) statement.Runner {
+	return boundRunner{next: next, life: l.of(id)}
+}
+
 // boundRunner runs requests at a proxy for as long as it lives.
 type boundRunner struct {
 	next statement.Runner
--- a/internal/proxy/lifetimes_test.go
+++ b/internal/gateway/lifetimes_test.go
@@ -1,4 +1,4 @@
-package proxy
+package gateway
 
 import (
 	"context"
@@ -24,20 +24,20 @@
 
 func TestRequestAtSilentProxyEndsWithItsDeath(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := newLifetimes()
+		l := NewLifetimes(member.StateDead)
 		ended := make(chan error, 1)
 		go func() {
 			_, err := boundRunner{next: silentRunner{}, life: l.of("p2")}.Run(t.Context(), &statement.Request{}, nil)
 			ended <- err
 		}()
 		for _, state := range []member.State{member.StateAlive, member.StateSuspect, member.StateLeaving} {
-			l.update(view(state))
+			l.Update(view(state))
 			synctest.Wait()
 			if len(ended) != 0 {
 				t.Fatalf("the request ended while the proxy was %s", state)
 			}
 		}
-		l.update(view(member.StateDead))
+		l.Update(view(member.StateDead))
 		if err := <-ended; !errors.Is(err, errMemberDead) {
 			t.Fatalf("got %v", err)
 		}
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -152,6 +152,22 @@
 	o.start()
 }
 
+// Idle returns the time since the last request of an owned group; zero for a
+// group that is not owned.
+func (h *Home) Idle(group cluster.GroupName) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	o, ok := h.owners[group]
+	if !ok {
+		return 0
+	}
+	last := time.Unix(0, o.lastRequest.Load())
+	if last.Before(o.started) {
+		last = o.started
+	}
+	return time.Since(last)
+}
+
 // Disown gives a group up: it takes no more requests, lets running ones finish
 // within the drain time and closes the connections. It returns at once.
 func (h *Home) Disown(group cluster.GroupName) {
@@ -222,11 +238,17 @@
 	if h.closed {
 		return nil, errcode.New(errcode.Draining, "home", string(h.config.ID))
 	}
-	o, ok := h.owners[group]
-	if !ok {
+	if o, ok := h.owners[group]; ok {
+		return o, nil
+	}
+	g, ok := h.groups[group]
+	if !ok || !h.config.Unclaimed {
 		return nil, errcode.New(errcode.NoHome, "home", string(group))
 	}
-	return o, nil
+	// Another process takes this one for the home, or for the one that stands in
+	// while the home cannot be reached. Nothing has to be claimed for that.
+	h.begin(g)
+	return h.owners[group], nil
 }
 
 // Close gives all groups up and waits until their goroutines have ended. Work
--- a/internal/home/node.go
+++ b/internal/home/node.go
@@ -28,7 +28,7 @@
 	idleAfter    = 5 * time.Second
 	idleInterval = 2 * time.Second
 	// searchInterval is the time between two status calls while no primary is reachable.
-	searchInterval = 40 * time.Millisecond
+	searchInterval = 20 * time.Millisecond
 	// ackInterval is the time between two status calls while writes wait for replication.
 	ackInterval = 2 * time.Millisecond
 	// callSpacing is the least time between the beginnings of two status calls.
@@ -36,6 +36,10 @@
 	callSpacing = time.Millisecond
 	// callTimeout bounds one call on a control connection and its opening.
 	callTimeout = 500 * time.Millisecond
+	// unusedTime is how long connections beyond the slots stay open without use
+	// where no claim ends those of an earlier home: a few times the length of a
+	// transaction with pauses.
+	unusedTime = 2 * time.Second
 	// redialInitial and redialMax bound the wait before a control connection is opened anew.
 	redialInitial = 20 * time.Millisecond
 	redialMax     = 500 * time.Millisecond
@@ -70,7 +74,11 @@
 	n := &node{owner: o, server: s, kick: make(chan struct{}, 1)}
 	n.pins = newPins(limit - s.Slots)
 	n.ctx, n.stop = context.WithCancel(o.ctx)
-	n.pool = pool.New(pool.Config{Limit: limit, Dial: n.dial})
+	config := pool.Config{Limit: limit, Dial: n.dial}
+	if o.home.config.Unclaimed {
+		config.IdleTime, config.KeepIdle = unusedTime, s.Slots
+	}
+	n.pool = pool.New(config)
 	o.workers.Go(n.monitor)
 	return n
 }
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -34,6 +34,8 @@
 	ticket uint64
 	// failed names servers on which the request has failed.
 	failed []cluster.ServerID
+	// ack tells when the writes of the request are acknowledged.
+	ack environment.AckPolicy
 	// attempt counts attempts from 1.
 	attempt int
 	// refused is set when a replica refused the request as a write.
@@ -46,6 +48,9 @@
 		arrived: time.Now(),
 	}
 	r.deadline = r.arrived.Add(orDefault(req.Timeout, defaultTimeout))
+	o.mu.Lock()
+	r.ack = o.ranks.Policy(r.rank).Ack
+	o.mu.Unlock()
 	return r
 }
 
@@ -98,7 +103,7 @@
 // needsProof reports whether the request needs a majority's word that this
 // owner and its primary are the present ones.
 func (o *owner) needsProof(r *request) bool {
-	if r.First.Class == statement.ClassWrite && o.ackPolicy(r) == environment.AckServer {
+	if r.First.Class == statement.ClassWrite && r.ack == environment.AckServer {
 		return false
 	}
 	read := r.First.Class == statement.ClassRead || r.First.Class == statement.ClassBeginReadOnly
@@ -111,13 +116,6 @@
 	return terms != nil && terms.Stands(o.name, o.group.Load().Term)
 }
 
-// ackPolicy returns when the writes of a request are acknowledged.
-func (o *owner) ackPolicy(r *request) environment.AckPolicy {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.ranks.Policy(r.rank).Ack
-}
-
 // gate waits for the proof that the owner and the term stood after the
 // request arrived. The ticket is drawn late when only the choice of the
 // primary made the proof necessary.
@@ -209,7 +207,7 @@
 		Rank: r.rank, Lane: lane, Bytes: len(r.First.Messages), Deadline: r.deadline,
 		Eligible: func(id cluster.ServerID, now time.Time) rank.Verdict {
 			group := o.group.Load()
-			verdict, position := o.judge(q, group, id, now)
+			verdict, position := o.judge(&q, group, id, now)
 			if verdict.OK {
 				chosen, need = group, position
 			}
@@ -228,24 +226,18 @@
 
 // judge applies the routing decision to one server with a free slot. The second
 // result is the position that the server's data must have reached.
-func (o *owner) judge(q route.Query, group *route.Group, id cluster.ServerID, now time.Time) (rank.Verdict, cluster.Position) {
-	d := route.Decide(q, group, now)
-	var next time.Time
-	for _, option := range d.Options {
-		if option.Overdue {
-			o.refresh()
-		}
-		if option.NotBefore.After(now) {
-			if next.IsZero() || option.NotBefore.Before(next) {
-				next = option.NotBefore
-			}
-			continue
-		}
-		if option.Server == id {
-			return rank.Verdict{OK: true, Reason: string(option.Reason)}, option.Need
-		}
+func (o *owner) judge(q *route.Query, group *route.Group, id cluster.ServerID, now time.Time) (rank.Verdict, cluster.Position) {
+	option, ok := route.Judge(q, group, id, now)
+	if !ok {
+		return rank.Verdict{}, cluster.Position{}
+	}
+	if option.Overdue {
+		o.refresh()
+	}
+	if option.NotBefore.After(now) {
+		return rank.Verdict{RetryAt: option.NotBefore}, cluster.Position{}
 	}
-	return rank.Verdict{RetryAt: next}, cluster.Position{}
+	return rank.Verdict{OK: true, Reason: string(option.Reason)}, option.Need
 }
 
 // patience is the time after which an attempt that can be repeated is given
--- a/internal/home/work.go
+++ b/internal/home/work.go
@@ -287,7 +287,7 @@
 // position of an earlier term is that of a replaced primary: the present log
 // need not have it, however far it has come.
 func (o *owner) awaitAck(ctx context.Context, r *request, term cluster.Term, p cluster.Position) (cluster.Position, error) {
-	if o.ackPolicy(r) == environment.AckServer {
+	if r.ack == environment.AckServer {
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		o.acknowledged(r.Session, p)
--- /dev/null
+++ b/internal/member/placement.go
@@ -0,0 +1,65 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+// Place returns the proxies that should be the homes of groups, for each group
+// the home first and then the one that stands in for it. It is meant for homes
+// that claim nothing, so that moving one costs little: members in doubt get
+// none, and unstable ones do as long as most members are unstable.
+//
+// The groups are spread evenly: each goes to the member of its highest
+// rendezvous weight among those that have fewer groups than their share.
+func (s *Snapshot) Place(groups []cluster.GroupName) map[cluster.GroupName][]Member {
+	if s.alone {
+		return nil
+	}
+	candidates := s.placeable()
+	if len(candidates) == 0 {
+		return nil
+	}
+	ordered := slices.Sorted(slices.Values(groups))
+	limit := (len(ordered) + len(candidates) - 1) / len(candidates)
+	load := map[Key]int{}
+	placed := make(map[cluster.GroupName][]Member, len(ordered))
+	for _, group := range ordered {
+		slices.SortFunc(candidates, func(a, b Member) int { return compareWeights(group, b, a) })
+		home := slices.IndexFunc(candidates, func(m Member) bool { return load[m.Key()] < limit })
+		load[candidates[home].Key()]++
+		placed[group] = []Member{candidates[home]}
+		if len(candidates) > 1 {
+			placed[group] = append(placed[group], candidates[(home+1)%len(candidates)])
+		}
+	}
+	return placed
+}
+
+// placeable returns the members that may get groups.
+func (s *Snapshot) placeable() []Member {
+	var usable, alive, stable []Member
+	for _, e := range s.entries {
+		if e.Member.Role != RoleProxy || !e.usable() {
+			continue
+		}
+		usable = append(usable, e.Member)
+		if e.State == StateAlive {
+			alive = append(alive, e.Member)
+		}
+		if e.State == StateAlive && e.Stable {
+			stable = append(stable, e.Member)
+		}
+	}
+	switch {
+	case 2*len(stable) >= len(alive) && len(stable) > 0:
+		return stable
+	case len(alive) > 0:
+		return alive
+	default:
+		slices.SortFunc(usable, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+		return usable
+	}
+}
--- a/internal/pool/open.go
+++ b/internal/pool/open.go
@@ -95,6 +95,23 @@
 	}
 }
 
+// trimIdle closes connections that were not needed for IdleTime.
+func (p *Pool) trimIdle() {
+	for delay.Sleep(p.ctx, p.config.IdleTime/2) {
+		p.trim(time.Now())
+	}
+}
+
+func (p *Pool) trim(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > p.config.KeepIdle && now.Sub(p.idle[0].idleSince) >= p.config.IdleTime {
+		oldest := p.idle[0]
+		p.idle = p.idle[1:]
+		p.drop(oldest)
+	}
+}
+
 func (p *Pool) probeOldest() {
 	for _, c := range p.takeIdle(p.config.ProbeAfter) {
 		p.probe(c)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -23,7 +23,7 @@
 	defaultProbeTimeout = 500 * time.Millisecond
 	defaultProbeAfter   = 15 * time.Second
 	initialBackoff      = 20 * time.Millisecond
-	maxBackoff          = 2 * time.Second
+	maxBackoff          = 250 * time.Millisecond
 )
 
 // Config describes a Pool.
@@ -37,6 +37,11 @@
 	ResetTimeout time.Duration
 	// ProbeTimeout bounds the probe of an idle connection.
 	ProbeTimeout time.Duration
+	// IdleTime is how long connections beyond KeepIdle stay open without use;
+	// zero keeps them. A process that dies leaves its connections at the servers
+	// for a while, where they take the places of its successor's.
+	IdleTime time.Duration
+	KeepIdle int
 	// ProbeAfter is the idle time after which a connection is probed.
 	ProbeAfter time.Duration
 }
@@ -111,6 +116,9 @@
 		inUse: make(map[*Conn]struct{}), backoff: newBackoff(),
 	}
 	p.workers.Go(p.probeIdle)
+	if p.config.IdleTime > 0 {
+		p.workers.Go(p.trimIdle)
+	}
 	return p
 }
 
--- a/internal/proxy/homes.go
+++ b/internal/proxy/homes.go
@@ -30,7 +30,7 @@
 			recheck = false
 		}
 		changed := p.process.Members.Changed()
-		p.lives.update(p.process.Members.Snapshot())
+		p.lives.Update(p.process.Members.Snapshot())
 		p.assignHomes()
 		select {
 		case <-ctx.Done():
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/gateway"
 	"github.com/rattancove/rattancove/internal/member"
 	"github.com/rattancove/rattancove/internal/peer"
 	"github.com/rattancove/rattancove/internal/settings"
@@ -17,7 +18,7 @@
 	sharing settings.Sharing
 	members *member.Loop
 	peers   *peer.Registry
-	lives   *lifetimes
+	lives   *gateway.Lifetimes
 }
 
 // members returns the view of the members that routing uses.
@@ -61,5 +62,5 @@
 	if !ok {
 		return nil
 	}
-	return boundRunner{next: h.peers.Client(e.Member.Address), life: h.lives.of(id)}
+	return h.lives.Bind(id, h.peers.Client(e.Member.Address))
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -44,7 +44,7 @@
 	home     *home.Home
 	gateway  *gateway.Gateway
 	front    *front.Server
-	lives    *lifetimes
+	lives    *gateway.Lifetimes
 	// foreign holds the owned groups whose home should be another proxy, with
 	// the time since when.
 	foreign map[cluster.GroupName]time.Time
@@ -98,7 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{settings: s, process: common, foreign: map[cluster.GroupName]time.Time{}, lives: newLifetimes()}
+	p := &Proxy{settings: s, process: common, foreign: map[cluster.GroupName]time.Time{}, lives: gateway.NewLifetimes(member.StateDead)}
 	p.failovers = failover.NewStore(common.Platform.Table)
 	if p.dialer, err = common.Dialer(); err != nil {
 		return nil, err
--- a/internal/rank/dispatcher.go
+++ b/internal/rank/dispatcher.go
@@ -35,7 +35,7 @@
 
 const (
 	// scanLimit is the most waiting requests of one lane that are examined for one free slot.
-	scanLimit = 64
+	scanLimit = 16
 	// floorWindow is the time over which a floor share is kept.
 	floorWindow = 250 * time.Millisecond
 	// costWeight is the weight of the newest observation in cost and pace averages.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -121,6 +121,44 @@
 	return Option{}, false
 }
 
+// Judge decides on one server alone, as Decide does for all of them. The
+// second result is false when the server may not run the request. It allocates
+// nothing, because it is asked for each waiting request and each free slot.
+func Judge(q *Query, g *Group, id cluster.ServerID, now time.Time) (Option, bool) {
+	if id != g.Primary {
+		if !replicaAllowed(q.Class) || q.PrimaryOnly || !q.FloorKnown {
+			return Option{}, false
+		}
+		s, ok := g.server(id)
+		if !ok {
+			return Option{}, false
+		}
+		return judgeReplica(*q, g, s, now)
+	}
+	primary, ok := g.server(id)
+	if !ok || !primary.Reachable {
+		return Option{}, false
+	}
+	if !replicaAllowed(q.Class) || q.PrimaryOnly || !q.FloorKnown {
+		return primaryOption(*q, primary, now), true
+	}
+	others := g.anyReplica(q, now)
+	if primary.Leaving && others {
+		return Option{}, false
+	}
+	return overflow(*q, g, primary, others, now), true
+}
+
+// anyReplica reports whether some replica may run the request.
+func (g *Group) anyReplica(q *Query, now time.Time) bool {
+	for i := range g.Servers {
+		if _, ok := judgeReplica(*q, g, g.Servers[i], now); ok {
+			return true
+		}
+	}
+	return false
+}
+
 // Decide lists the servers that may run q at now or soon after.
 func Decide(q Query, g *Group, now time.Time) Decision {
 	if !replicaAllowed(q.Class) || q.PrimaryOnly || !q.FloorKnown {
@@ -134,7 +172,7 @@
 	}
 	primary, ok := g.server(g.Primary)
 	if ok && primary.Reachable && (!primary.Leaving || len(options) == 0) {
-		options = append(options, overflow(q, g, primary, options, now))
+		options = append(options, overflow(q, g, primary, len(options) > 0, now))
 	}
 	if len(options) == 0 {
 		return Decision{Reason: ReasonNoServer}
@@ -152,6 +190,11 @@
 		return Decision{Reason: ReasonNoPrimary}
 	}
 	primary, _ := g.server(g.Primary)
+	return Decision{Options: []Option{primaryOption(q, primary, now)}}
+}
+
+// primaryOption offers the primary to a request that needs it.
+func primaryOption(q Query, primary Server, now time.Time) Option {
 	reason := ReasonWrite
 	switch {
 	case q.PrimaryOnly:
@@ -159,14 +202,14 @@
 	case replicaAllowed(q.Class) && !q.FloorKnown:
 		reason = ReasonUnknownFloor
 	}
-	return Decision{Options: []Option{{Server: g.Primary, NotBefore: now, Wait: primary.Wait, Reason: reason}}}
+	return Option{Server: primary.ID, NotBefore: now, Wait: primary.Wait, Reason: reason}
 }
 
 // overflow offers the primary to a read, at once when no replica suits and
 // otherwise after the read has waited out its patience.
-func overflow(q Query, g *Group, primary Server, replicas []Option, now time.Time) Option {
+func overflow(q Query, g *Group, primary Server, replicas bool, now time.Time) Option {
 	o := Option{Server: primary.ID, NotBefore: now, Wait: primary.Wait, Reason: ReasonStale}
-	if len(replicas) == 0 {
+	if !replicas {
 		return o
 	}
 	o.NotBefore = q.Arrived.Add(g.Patience)
