Do not refuse work for good by a past cost; promote on a quorum of final logs

The average cost of their rank rose above the deadline of its requests, all of them were refused before they ran, and nothing was observed any more.

--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -60,3 +60,14 @@
 	// Servers holds the entries by id.
 	Servers map[cluster.ServerID]Server
 }
+
+// SyncReplicas returns the number of replicas that store a write of a group
+// before it is acknowledged; zero for an unknown group.
+func (c *Configuration) SyncReplicas(group cluster.GroupName) int {
+	for _, g := range c.Groups {
+		if g.Name == group {
+			return g.SyncReplicas
+		}
+	}
+	return 0
+}
--- a/internal/edge/succession.go
+++ b/internal/edge/succession.go
@@ -24,7 +24,7 @@
 	document := state.Document()
 	groups := make([]succession.Group, 0, len(document.Groups))
 	for _, g := range document.Groups {
-		group := succession.Group{Name: g.Name}
+		group := succession.Group{Name: g.Name, SyncReplicas: state.Configuration.SyncReplicas(g.Name)}
 		for _, s := range g.Servers {
 			entry := state.Servers[s.ID]
 			group.Servers = append(group.Servers, succession.Server{
--- a/internal/rank/dispatcher.go
+++ b/internal/rank/dispatcher.go
@@ -40,6 +40,9 @@
 	floorWindow = 250 * time.Millisecond
 	// costWeight is the weight of the newest observation in cost and pace averages.
 	costWeight = 0.1
+	// costFor is how long an observed cost counts when requests are refused for
+	// it: without new observations it would refuse them for good.
+	costFor = 500 * time.Millisecond
 	// defaultQueue and defaultMaxWait bound a rank whose document entry is zero.
 	defaultQueue   = 1000
 	defaultMaxWait = 10 * time.Second
@@ -90,6 +93,8 @@
 	servers []*server
 	queues  [cluster.RankCount][laneCount]queue
 	cost    [cluster.RankCount]average
+	// costAt is when the cost of a rank was last observed.
+	costAt  [cluster.RankCount]time.Time
 	bytes   int64
 	primary cluster.ServerID
 	// readSlots is the number of the primary's slots that reads may take.
--- a/internal/rank/queue.go
+++ b/internal/rank/queue.go
@@ -96,7 +96,7 @@
 	if now.Add(expected).After(w.deadline) {
 		return overloaded("wait too long", expected-w.deadline.Sub(now)+expected/drainPart)
 	}
-	if !r.Deadline.IsZero() && now.Add(d.cost[r.Rank].duration()).After(r.Deadline) {
+	if !r.Deadline.IsZero() && now.Add(d.expectedCost(r.Rank, now)).After(r.Deadline) {
 		return errcode.New(errcode.DeadlinePassed, "admit", "")
 	}
 	return nil
@@ -137,6 +137,15 @@
 	return d.expectedWait(r, lane)
 }
 
+// expectedCost returns the slot time that a statement of a rank will probably
+// take; zero when it was not observed of late.
+func (d *Dispatcher) expectedCost(r cluster.Rank, now time.Time) time.Duration {
+	if now.Sub(d.costAt[r]) > costFor {
+		return 0
+	}
+	return d.cost[r].duration()
+}
+
 // Cost returns the average slot time of a rank's statements.
 func (d *Dispatcher) Cost(r cluster.Rank) time.Duration {
 	d.mu.Lock()
--- a/internal/rank/schedule.go
+++ b/internal/rank/schedule.go
@@ -49,6 +49,16 @@
 	// owed is set when the grant was made to keep the rank's floor.
 	owed     bool
 	released bool
+	// failed is set when the statement was not carried out.
+	failed bool
+}
+
+// Fail notes that the statement was not carried out, so that the time until
+// its release says nothing about the cost of statements.
+func (g *Grant) Fail() {
+	g.dispatcher.mu.Lock()
+	defer g.dispatcher.mu.Unlock()
+	g.failed = true
 }
 
 // Release ends the grant and charges the slot time to the rank. Further calls do nothing.
@@ -63,8 +73,14 @@
 	now := time.Now()
 	d.accrue(now)
 	used := now.Sub(g.started).Seconds()
-	d.cost[g.rank].add(used)
-	d.meanCost.add(used)
+	if !g.failed {
+		if now.Sub(d.costAt[g.rank]) > costFor {
+			d.cost[g.rank].known = false
+		}
+		d.cost[g.rank].add(used)
+		d.costAt[g.rank] = now
+		d.meanCost.add(used)
+	}
 	if !d.chargeByCount {
 		d.charge(g.server, g.rank, used-g.estimate, g.owed)
 	}
@@ -292,7 +308,7 @@
 	if d.config.Policy == PolicyStatic || deadline.IsZero() {
 		return false
 	}
-	if !now.Add(d.cost[w.request.Rank].duration()).After(deadline) {
+	if !now.Add(d.expectedCost(w.request.Rank, now)).After(deadline) {
 		return false
 	}
 	d.remove(w)
--- a/internal/succession/decide.go
+++ b/internal/succession/decide.go
@@ -313,41 +313,59 @@
 
 // elect returns the server to promote once nothing more can be acknowledged
 // and its log provably has every acknowledged write.
+//
+// A write is acknowledged once its primary and SyncReplicas others have it, so
+// that as many servers may be missing among those whose logs are final.
 func elect(g Group, v View, s State) (cluster.ServerID, bool) {
-	var best, fit Server
-	var bestAt, fitAt, oldAt cluster.Position
-	missing, oldWorks := 0, false
+	logs := finalLogs(g, v, s)
+	missing := len(g.Servers) - len(logs)
+	if v.Relied || oldWorks(g, v, s) || missing > max(g.SyncReplicas, 1) {
+		return "", false
+	}
+	var top cluster.Position
+	for _, l := range logs {
+		top = cluster.MaxPosition(top, l.at)
+	}
+	var leaving cluster.ServerID
+	for _, l := range logs {
+		switch {
+		case l.server.ID == s.Old || l.at.Less(top):
+		case !l.server.Leaving && l.server.ID != v.Refused:
+			return l.server.ID, true
+		default:
+			leaving = l.server.ID
+		}
+	}
+	return leaving, leaving != ""
+}
+
+// finalLog is the end of a log that nothing more is added to.
+type finalLog struct {
+	server Server
+	at     cluster.Position
+}
+
+// finalLogs returns the logs of the paused replicas and of an old primary that
+// has stepped down.
+func finalLogs(g Group, v View, s State) []finalLog {
+	var logs []finalLog
 	for _, r := range g.Servers {
 		o := v.Servers[r.ID]
-		if r.ID == s.Old {
-			oldWorks = o.answers(r) && o.Status.Role == cluster.RolePrimary
-			if steppedDown(g, v, s) {
-				oldAt = o.Status.Received
-			}
-			continue
-		}
-		if !paused(r, o, s) {
-			missing++
-			continue
-		}
-		if best.ID == "" || bestAt.Less(o.Status.Received) {
-			best, bestAt = r, o.Status.Received
-		}
-		better := fit.ID == "" || fitAt.Less(o.Status.Received)
-		if !r.Leaving && r.ID != v.Refused && better {
-			fit, fitAt = r, o.Status.Received
+		if paused(r, o, s) || r.ID == s.Old && steppedDown(g, v, s) {
+			logs = append(logs, finalLog{server: r, at: o.Status.Received})
 		}
 	}
-	switch {
-	case best.ID == "" || oldWorks || v.Relied:
-		return "", false
-	case missing > 0 && (!oldAt.Known() || bestAt.Less(oldAt)):
-		return "", false // a server that cannot be asked may hold more
-	case fit.ID != "" && !fitAt.Less(bestAt):
-		return fit.ID, true
-	default:
-		return best.ID, true
+	return logs
+}
+
+// oldWorks reports whether the old primary still takes writes.
+func oldWorks(g Group, v View, s State) bool {
+	for _, r := range g.Servers {
+		if o := v.Servers[r.ID]; r.ID == s.Old {
+			return o.answers(r) && o.Status.Role == cluster.RolePrimary
+		}
 	}
+	return false
 }
 
 func decidePromoting(g Group, v View, s State, now time.Time) (State, []Action) {
--- a/internal/succession/types.go
+++ b/internal/succession/types.go
@@ -64,6 +64,9 @@
 type Group struct {
 	Name    cluster.GroupName
 	Servers []Server
+	// SyncReplicas is the number of replicas that store a write before the
+	// primary acknowledges it.
+	SyncReplicas int
 }
 
 // Observation is what is known of one server.
