--- /dev/null
+++ b/internal/caller/session_test.go
@@ -0,0 +1,265 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/catalog"
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// scriptWire reads statements from a channel and notes the answers.
+type scriptWire struct {
+	statements chan *Statement
+	answers    []string
+}
+
+func (w *scriptWire) Read() (*Statement, error) {
+	s, ok := <-w.statements
+	if !ok {
+		return nil, io.EOF
+	}
+	return s, nil
+}
+
+func (w *scriptWire) Forward(s *Statement, name string) []byte { return []byte(s.Text + name) }
+
+func (w *scriptWire) Definition(s *Statement, name string) []byte {
+	return []byte(name + "=" + s.Shape)
+}
+
+func (w *scriptWire) note(text string, after State) error {
+	w.answers = append(w.answers, text+" "+[]string{"I", "T", "E"}[after])
+	return nil
+}
+
+func (w *scriptWire) Answer(data []byte, after State) error { return w.note(string(data), after) }
+
+func (w *scriptWire) Done(after State) error { return w.note("done", after) }
+
+func (w *scriptWire) Fail(e *errcode.Error, after State) error { return w.note(e.Code.Name, after) }
+
+// fakeHome answers each batch with its text and notes what it got.
+type fakeHome struct {
+	seen []string
+	// fails holds the error for a batch by its text.
+	fails map[string]error
+	floor cluster.Position
+}
+
+func (h *fakeHome) note(b *statement.Batch, settings []statement.Setting) error {
+	h.seen = append(h.seen, fmt.Sprintf("%d %s %v", b.Class, b.Messages, settings))
+	return h.fails[string(b.Messages)]
+}
+
+func (h *fakeHome) Run(ctx context.Context, req *statement.Request, conv statement.Conversation) (statement.Result, error) {
+	h.floor = req.Floor
+	settings := req.Settings
+	batch := &req.First
+	open := batch.Class == statement.ClassBegin || batch.Class == statement.ClassBeginReadOnly
+	result := statement.Result{Position: cluster.Position{Term: 1, Offset: 7}}
+	for {
+		if err := h.note(batch, settings); err != nil {
+			return statement.Result{}, err
+		}
+		if err := conv.Answer(ctx, batch.Messages); err != nil {
+			return result, err
+		}
+		if !open || string(batch.Messages) == "COMMIT" {
+			return result, nil
+		}
+		next, err := conv.Next(ctx)
+		if errors.Is(err, io.EOF) {
+			h.seen = append(h.seen, "left")
+			return statement.Result{}, nil
+		}
+		if err != nil {
+			return statement.Result{}, err
+		}
+		batch = next
+		if next.Settings != nil {
+			settings = next.Settings
+		}
+	}
+}
+
+type oneRoute struct{}
+
+func (oneRoute) Route(database string) (catalog.Route, bool) {
+	return catalog.Route{Database: database, Group: "g"}, database == "db"
+}
+
+// play runs statements in a session and returns the answers.
+func play(t *testing.T, home *fakeHome, database string, statements ...*Statement) []string {
+	t.Helper()
+	log := zerolog.Nop()
+	w := &scriptWire{statements: make(chan *Statement)}
+	s := New(Config{Routes: oneRoute{}, Runner: home, Log: &log}, w, database, nil)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.Serve(t.Context())
+	}()
+	for i, next := range statements {
+		next.ID = fmt.Sprint("r", i)
+		w.statements <- next
+		synctest.Wait()
+	}
+	close(w.statements)
+	<-ended
+	return w.answers
+}
+
+func read(item string) *Statement { return &Statement{Kind: KindRead, Text: item} }
+
+func write(item string) *Statement { return &Statement{Kind: KindWrite, Text: item} }
+
+func only(kind Kind) *Statement {
+	return &Statement{Kind: kind, Text: map[Kind]string{KindCommit: "COMMIT"}[kind]}
+}
+
+func TestSessions(t *testing.T) {
+	lost := errcode.New(errcode.ConnectionLost, "exchange", "s1")
+	unknown := errcode.New(errcode.Unknown, "exchange", "s1")
+	set := &Statement{Kind: KindSet, Name: "a", Value: "1"}
+	prepare := &Statement{Kind: KindPrepare, Name: "q", Shape: "shape", Writes: true}
+	name := newPrepared(prepare).serverName
+	class := func(c statement.Class, text string) string { return fmt.Sprintf("%d %s []", c, text) }
+	tests := []struct {
+		name       string
+		database   string
+		statements []*Statement
+		fails      map[string]error
+		answers    []string
+		seen       []string
+	}{
+		{
+			name: "a transaction opens with its first statement", statements: []*Statement{only(KindBegin), read("x"), write("y"), only(KindCommit)},
+			answers: []string{"done T", "x T", "y T", "COMMIT I"},
+			seen:    []string{class(statement.ClassBegin, "x"), class(statement.ClassWrite, "y"), class(statement.ClassCommit, "COMMIT")},
+		},
+		{
+			name: "a commit without writes changes nothing", statements: []*Statement{only(KindBegin), read("x"), only(KindCommit)},
+			answers: []string{"done T", "x T", "COMMIT I"},
+			seen:    []string{class(statement.ClassBegin, "x"), class(statement.ClassRead, "COMMIT")},
+		},
+		{
+			name: "an empty transaction is committed at a server", statements: []*Statement{only(KindBeginReadOnly), only(KindCommit)},
+			answers: []string{"done T", "COMMIT I"}, seen: []string{class(statement.ClassBeginReadOnly, "COMMIT")},
+		},
+		{
+			name: "a rollback is answered here", statements: []*Statement{only(KindBegin), write("y"), only(KindRollback), read("x")},
+			answers: []string{"done T", "y T", "done I", "x I"},
+			seen:    []string{class(statement.ClassBegin, "y"), "left", class(statement.ClassRead, "x")},
+		},
+		{
+			name: "a failed transaction stays failed until it ends", statements: []*Statement{only(KindBegin), write("y"), read("x"), only(KindCommit)},
+			fails:   map[string]error{"y": lost},
+			answers: []string{"done T", "connection_lost E", "malformed E", "rolled_back I"},
+			seen:    []string{class(statement.ClassBegin, "y")},
+		},
+		{
+			name: "an unknown commit says so", statements: []*Statement{only(KindBegin), write("y"), only(KindCommit)},
+			fails:   map[string]error{"COMMIT": unknown},
+			answers: []string{"done T", "y T", "outcome_unknown I"},
+			seen:    []string{class(statement.ClassBegin, "y"), class(statement.ClassCommit, "COMMIT")},
+		},
+		{
+			name: "settings inside a transaction reach the server", statements: []*Statement{only(KindBegin), read("x"), set, read("z"), only(KindCommit)},
+			answers: []string{"done T", "x T", "done T", "z T", "COMMIT I"},
+			seen: []string{
+				class(statement.ClassBegin, "x"), fmt.Sprintf("%d z [{a 1}]", statement.ClassRead),
+				fmt.Sprintf("%d COMMIT [{a 1}]", statement.ClassRead),
+			},
+		},
+		{
+			name:       "prepared statements are renamed and keep their class",
+			statements: []*Statement{prepare, {Kind: KindExecute, Name: "q", Text: "i "}, {Kind: KindDeallocate, Name: "q"}, {Kind: KindExecute, Name: "q", Text: "i "}},
+			answers:    []string{"done I", "i " + name + " I", "done I", "unknown_statement I"},
+			seen:       []string{class(statement.ClassWrite, "i "+name)},
+		},
+		{
+			name: "a database without a route", database: "other", statements: []*Statement{read("x")},
+			answers: []string{"unknown_database I"},
+		},
+		{
+			name: "a second begin fails the transaction", statements: []*Statement{only(KindBegin), read("x"), only(KindBegin), only(KindRollback)},
+			answers: []string{"done T", "x T", "malformed E", "done I"}, seen: []string{class(statement.ClassBegin, "x"), "left"},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				home := &fakeHome{fails: tt.fails}
+				database := tt.database
+				if database == "" {
+					database = "db"
+				}
+				if diff := cmp.Diff(tt.answers, play(t, home, database, tt.statements...)); diff != "" {
+					t.Errorf("answers (-want +got):\n%s", diff)
+				}
+				if diff := cmp.Diff(tt.seen, home.seen); diff != "" {
+					t.Errorf("at the home (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
+func TestWriteRaisesTheFloorOfTheSession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		home := &fakeHome{}
+		play(t, home, "db", write("y"), read("x"))
+		if want := (cluster.Position{Term: 1, Offset: 7}); home.floor != want {
+			t.Errorf("floor %v, want %v", home.floor, want)
+		}
+	})
+}
+
+// TestIdleSessionEndsInADrain checks that a drain closes an idle session and
+// leaves one inside a transaction to finish.
+func TestIdleSessionEndsInADrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := zerolog.Nop()
+		draining := make(chan struct{})
+		serve := func(first ...*Statement) (*scriptWire, chan struct{}) {
+			w := &scriptWire{statements: make(chan *Statement)}
+			ended := make(chan struct{})
+			s := New(Config{Routes: oneRoute{}, Runner: &fakeHome{}, Log: &log}, w, "db", draining)
+			go func() {
+				defer close(ended)
+				s.Serve(t.Context())
+			}()
+			for _, next := range first {
+				w.statements <- next
+			}
+			return w, ended
+		}
+		idleWire, idle := serve()
+		openWire, open := serve(only(KindBegin), write("y"))
+		synctest.Wait()
+		close(draining)
+		<-idle
+		select {
+		case <-open:
+			t.Fatal("the open transaction was cut off")
+		default:
+		}
+		openWire.statements <- only(KindCommit)
+		<-open
+		if want := []string{"done T", "y T", "COMMIT I"}; !cmp.Equal(want, openWire.answers) {
+			t.Errorf("answers %v", openWire.answers)
+		}
+		close(idleWire.statements)
+		close(openWire.statements)
+	})
+}
--- /dev/null
+++ b/internal/catalog/tracker_test.go
@@ -0,0 +1,174 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+func newTracker() *Tracker {
+	log := zerolog.Nop()
+	return NewTracker(&log)
+}
+
+func configuration(version uint64, databases ...string) *Configuration {
+	c := &Configuration{Version: version, Groups: []Group{{Name: "g", Connections: 16, SyncReplicas: 1}}}
+	for _, d := range databases {
+		c.Routes = append(c.Routes, Route{Database: d, Group: "g"})
+	}
+	return c
+}
+
+func TestConfigurationNeverFalls(t *testing.T) {
+	tracker := newTracker()
+	for _, step := range []struct {
+		version uint64
+		origin  Origin
+		want    uint64
+	}{{3, OriginStore, 3}, {7, OriginPeer, 7}, {5, OriginStore, 7}, {7, OriginStore, 7}, {9, OriginStore, 9}, {8, OriginPeer, 9}} {
+		tracker.SetConfiguration(configuration(step.version), step.origin)
+		if got, _ := tracker.Versions(); got != step.want {
+			t.Errorf("version %d from %s leaves %d in force, want %d", step.version, step.origin, got, step.want)
+		}
+	}
+}
+
+func TestDroppedRouteIsGone(t *testing.T) {
+	tracker := newTracker()
+	tracker.SetConfiguration(configuration(1, "a", "b"), OriginStore)
+	tracker.SetConfiguration(configuration(2, "b"), OriginStore)
+	if _, ok := tracker.Route("a"); ok {
+		t.Error("a dropped route is served")
+	}
+	if _, ok := tracker.Route("b"); !ok {
+		t.Error("a kept route is gone")
+	}
+}
+
+// TestLapsedEntriesSurviveADisturbance lets entries vanish: one returns within
+// the time that the platform states, the other does not.
+func TestLapsedEntriesSurviveADisturbance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newTracker()
+		s1, s2 := Server{ID: "s1", Group: "g"}, Server{ID: "s2", Group: "g"}
+		tracker.SetServers([]Server{s1, s2}, 10, OriginStore)
+		tracker.Change(map[cluster.ServerID]*Server{"s1": nil, "s2": nil}, 11)
+		time.Sleep(2 * time.Second)
+		tracker.Expire(time.Now())
+		if n := len(tracker.State().Servers); n != 2 {
+			t.Fatalf("%d servers left while their entries may return", n)
+		}
+		tracker.Change(map[cluster.ServerID]*Server{"s1": &s1}, 12)
+		time.Sleep(2 * time.Second)
+		tracker.Expire(time.Now())
+		servers := tracker.State().Servers
+		if _, ok := servers["s1"]; !ok || len(servers) != 1 {
+			t.Errorf("servers %v, want s1 alone", servers)
+		}
+	})
+}
+
+func TestPeerStateDoesNotReplaceNewer(t *testing.T) {
+	old, fresh := newTracker(), newTracker()
+	old.SetConfiguration(configuration(3, "a"), OriginStore)
+	old.SetServers([]Server{{ID: "s1", Group: "g", Draining: true}}, 10, OriginStore)
+	fresh.SetConfiguration(configuration(4, "b"), OriginStore)
+	fresh.SetServers([]Server{{ID: "s2", Group: "g"}}, 20, OriginStore)
+	exchange := func(from, to *Tracker) {
+		data, err := from.Export()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := to.Import(data); err != nil {
+			t.Fatal(err)
+		}
+	}
+	exchange(old, fresh)
+	if _, ok := fresh.State().Servers["s1"]; ok || fresh.State().Configuration.Version != 4 {
+		t.Error("the state of a peer that is behind was taken up")
+	}
+	exchange(fresh, old)
+	if _, ok := old.State().Servers["s2"]; !ok || old.State().Configuration.Version != 4 {
+		t.Error("the state of a peer that is ahead was not taken up")
+	}
+	if err := fresh.Import([]byte("{")); err == nil {
+		t.Error("broken state of a peer was taken up")
+	}
+}
+
+// feed is a store whose calls follow a script.
+type feed struct {
+	mu     sync.Mutex
+	loads  int
+	script []func() (News, error)
+}
+
+func (f *feed) Load(context.Context, Topic) (News, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loads++
+	return News{Configuration: configuration(uint64(f.loads)), Version: uint64(10 * f.loads)}, nil
+}
+
+func (f *feed) Changes(ctx context.Context, _ Topic, after uint64, _ time.Duration) (News, error) {
+	f.mu.Lock()
+	if len(f.script) == 0 {
+		f.mu.Unlock()
+		<-ctx.Done()
+		return News{}, ctx.Err()
+	}
+	next := f.script[0]
+	f.script = f.script[1:]
+	f.mu.Unlock()
+	news, err := next()
+	if news.Version == 0 {
+		news.Version = after
+	}
+	return news, err
+}
+
+// TestFollowerOutlivesTheStoresTroubles passes an outage, a history that is
+// gone and a silent connection.
+func TestFollowerOutlivesTheStoresTroubles(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := zerolog.Nop()
+		down := func() (News, error) { return News{}, errors.New("store call: 503") }
+		f := &feed{script: []func() (News, error){
+			down, down,
+			func() (News, error) { return News{Configuration: configuration(7), Version: 30}, nil },
+			func() (News, error) { return News{}, ErrHistoryGone },
+		}}
+		tracker := newTracker()
+		follower := NewFollower(f, tracker, &log)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = follower.Run(ctx, TopicConfiguration)
+		}()
+		time.Sleep(50 * time.Millisecond)
+		if !follower.Failing() {
+			t.Error("an outage is not noticed")
+		}
+		time.Sleep(2 * time.Second)
+		f.mu.Lock()
+		loads := f.loads
+		f.mu.Unlock()
+		if version, _ := tracker.Versions(); version != 7 || loads != 2 {
+			t.Errorf("version %d after %d complete reads, want 7 after 2", version, loads)
+		}
+		time.Sleep(feedWait + feedSlack + time.Second) // the feed is silent
+		if !follower.Failing() {
+			t.Error("a silent feed is not noticed")
+		}
+		cancel()
+		<-done
+	})
+}
--- /dev/null
+++ b/internal/duty/lease_test.go
@@ -0,0 +1,148 @@
+package duty
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/provider/providertest"
+)
+
+// process is a holder whose machine can be suspended.
+type process struct {
+	lease *Lease
+	stop  context.CancelFunc
+}
+
+func start(t *testing.T, table *providertest.Table, name string, order int, begun time.Time) *process {
+	log := zerolog.Nop()
+	p := &process{}
+	p.lease = New(Config{
+		Holder: name, Key: "duty", Table: table, Order: func() int { return order }, Log: &log,
+		Clock: func() time.Duration { return time.Since(begun) },
+	})
+	ctx, stop := context.WithCancel(t.Context())
+	p.stop = stop
+	go func() { _ = p.lease.Run(ctx) }()
+	return p
+}
+
+func TestAnotherTakesOverWithAHigherToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, begun := providertest.NewTable(), time.Now()
+		first := start(t, table, "a", 0, begun)
+		time.Sleep(time.Second)
+		token, held := first.lease.Held()
+		if !held {
+			t.Fatal("nobody holds the lease")
+		}
+		second := start(t, table, "b", 1, begun)
+		defer second.stop()
+		time.Sleep(10 * time.Second)
+		if _, held := second.lease.Held(); held {
+			t.Fatal("two processes hold the lease")
+		}
+		if again, _ := first.lease.Held(); again != token {
+			t.Errorf("the token changed from %d to %d by renewals", token, again)
+		}
+		first.stop() // dies without a word
+		time.Sleep(timeToLive + 2*watchMost)
+		next, held := second.lease.Held()
+		if !held || next <= token {
+			t.Errorf("token %d after %d, held %v", next, token, held)
+		}
+	})
+}
+
+func TestReleaseHandsOverAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, begun := providertest.NewTable(), time.Now()
+		first := start(t, table, "a", 0, begun)
+		defer first.stop()
+		time.Sleep(time.Second)
+		second := start(t, table, "b", 0, begun)
+		defer second.stop()
+		time.Sleep(time.Second)
+		first.lease.Release(t.Context())
+		time.Sleep(2 * watchInterval)
+		if _, held := second.lease.Held(); !held {
+			t.Error("the lease was not taken after its release")
+		}
+		if _, held := first.lease.Held(); held {
+			t.Error("the process that stops holds the lease")
+		}
+	})
+}
+
+// TestSeededNeverTwoHolders runs three processes against a table that is down,
+// slow and loses answers, and checks at every moment that at most one holds the
+// lease and that tokens rise from holder to holder.
+func TestSeededNeverTwoHolders(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				table, begun := providertest.NewTable(), time.Now()
+				processes := make([]*process, 3)
+				for i := range processes {
+					processes[i] = start(t, table, fmt.Sprint("p", i), i, begun)
+				}
+				var highest Token
+				last, changes := -1, 0
+				for range 3000 {
+					time.Sleep(20 * time.Millisecond)
+					disturb(random, table)
+					if random.IntN(200) == 0 {
+						i := random.IntN(len(processes))
+						processes[i].stop()
+						processes[i] = start(t, table, fmt.Sprint("p", i), i, begun)
+						if last == i {
+							last = -1
+						}
+					}
+					holders := 0
+					for i, p := range processes {
+						token, held := p.lease.Held()
+						if !held {
+							continue
+						}
+						holders++
+						if token < highest || token == highest && last != i && last != -1 {
+							t.Fatalf("process %d holds token %d after %d", i, token, highest)
+						}
+						if last != i {
+							changes++
+						}
+						highest, last = token, i
+					}
+					if holders > 1 {
+						t.Fatalf("%d processes hold the lease", holders)
+					}
+				}
+				table.SetDown(false)
+				for _, p := range processes {
+					p.stop()
+				}
+				if changes == 0 {
+					t.Error("nobody ever held the lease")
+				}
+			})
+		})
+	}
+}
+
+func disturb(random *rand.Rand, table *providertest.Table) {
+	switch random.IntN(150) {
+	case 0:
+		table.SetDown(true)
+	case 1, 2, 3:
+		table.SetDown(false)
+	case 4, 5:
+		table.LoseAnswers(1)
+	}
+}
--- /dev/null
+++ b/internal/member/placement_test.go
@@ -0,0 +1,82 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+func entries(n int, edit func(i int, e *Entry)) *Snapshot {
+	var list []Entry
+	for i := range n {
+		e := Entry{Member: Member{ID: fmt.Sprintf("p%02d", i), Role: RoleProxy}, State: StateAlive, Stable: true}
+		if edit != nil {
+			edit(i, &e)
+		}
+		list = append(list, e)
+	}
+	return NewSnapshot(list)
+}
+
+func groupNames(n int) []cluster.GroupName {
+	var names []cluster.GroupName
+	for i := range n {
+		names = append(names, cluster.GroupName(fmt.Sprintf("group-%d", i)))
+	}
+	return names
+}
+
+func TestPlacementIsEven(t *testing.T) {
+	for _, tt := range []struct{ groups, members, most int }{{3, 7, 1}, {8, 78, 1}, {8, 5, 2}, {3, 1, 3}} {
+		load := map[string]int{}
+		placed := entries(tt.members, nil).Place(groupNames(tt.groups))
+		for group, members := range placed {
+			load[members[0].ID]++
+			if tt.members > 1 && (len(members) < 2 || members[0].ID == members[1].ID) {
+				t.Errorf("%s has no process that stands in: %v", group, members)
+			}
+		}
+		for id, n := range load {
+			if n > tt.most {
+				t.Errorf("%d groups on %d members: %s has %d", tt.groups, tt.members, id, n)
+			}
+		}
+	}
+}
+
+func TestPlacementPassesOverMembersInDoubt(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		edit func(i int, e *Entry)
+		may  func(i int) bool
+	}{
+		{"suspects get nothing", func(i int, e *Entry) {
+			if i < 4 {
+				e.State = StateSuspect
+			}
+		}, func(i int) bool { return i >= 4 }},
+		{"some unstable ones get nothing", func(i int, e *Entry) { e.Stable = i >= 3 }, func(i int) bool { return i >= 3 }},
+		{"most are unstable, all get groups", func(i int, e *Entry) { e.Stable = i == 0 }, func(int) bool { return true }},
+		{"leaving ones get nothing", func(i int, e *Entry) {
+			if i != 6 {
+				e.State = StateLeaving
+			}
+		}, func(i int) bool { return i == 6 }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			homes := map[string]bool{}
+			for _, members := range entries(7, tt.edit).Place(groupNames(7)) {
+				homes[members[0].ID] = true
+			}
+			for i := range 7 {
+				if id := fmt.Sprintf("p%02d", i); homes[id] && !tt.may(i) {
+					t.Errorf("%s has a group", id)
+				}
+			}
+			if tt.name == "most are unstable, all get groups" && len(homes) != 7 {
+				t.Errorf("%d homes for 7 groups", len(homes))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/succession/decide_test.go
@@ -0,0 +1,215 @@
+package succession
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+var start = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+// scene builds the view of a group of three servers, of which s1 is the primary
+// of term 1 at position 1.100.
+type scene struct {
+	group Group
+	view  View
+	state State
+	now   time.Time
+}
+
+func newScene(servers ...cluster.ServerID) *scene {
+	s := &scene{group: Group{Name: "g", SyncReplicas: 1}, now: start, state: NewState(start)}
+	s.view.Servers = map[cluster.ServerID]Observation{}
+	for _, id := range servers {
+		s.group.Servers = append(s.group.Servers, Server{Server: cluster.Server{ID: id}, Started: 1})
+		s.sees(id, cluster.RoleReplica, 1, 100, 0)
+	}
+	s.sees(servers[0], cluster.RolePrimary, 1, 100, 0)
+	return s
+}
+
+func (s *scene) sees(id cluster.ServerID, role cluster.Role, term cluster.Term, at uint64, paused cluster.Term) {
+	s.view.Servers[id] = Observation{
+		At: s.now, Started: 1,
+		Status: cluster.ServerStatus{
+			Server: id, Role: role, Term: term, PausedAt: paused, Received: cluster.Position{Term: 1, Offset: at},
+		},
+	}
+}
+
+// fails makes a server stop answering.
+func (s *scene) fails(id cluster.ServerID) {
+	o := s.view.Servers[id]
+	if o.Failures == 0 {
+		o.FailingSince = s.now
+	}
+	o.Failures += 2
+	s.view.Servers[id] = o
+}
+
+func (s *scene) leaving(id cluster.ServerID) {
+	for i := range s.group.Servers {
+		if s.group.Servers[i].ID == id {
+			s.group.Servers[i].Leaving = true
+		}
+	}
+}
+
+// decide moves the time on and decides.
+func (s *scene) decide(after time.Duration) []Action {
+	s.now = s.now.Add(after)
+	var actions []Action
+	s.state, actions = Decide(s.group, s.view, s.state, s.now)
+	return actions
+}
+
+// confirmDead brings the group to the pausing phase after its primary died.
+func (s *scene) confirmDead(t *testing.T) []Action {
+	t.Helper()
+	s.fails("s1")
+	s.decide(0)
+	s.now = s.now.Add(detectAfter)
+	s.view.Testimony = Testimony{At: s.now, Miss: 2}
+	actions := s.decide(time.Millisecond)
+	if s.state.Phase != PhasePausing {
+		t.Fatalf("phase %s after the primary was confirmed dead", s.state.Phase)
+	}
+	return actions
+}
+
+func (s *scene) expect(t *testing.T, phase Phase, chosen cluster.ServerID) {
+	t.Helper()
+	if s.state.Phase != phase || s.state.Chosen != chosen {
+		t.Errorf("phase %s, chosen %q, want %s, %q", s.state.Phase, s.state.Chosen, phase, chosen)
+	}
+}
+
+func TestDeadPrimaryIsReplacedByTheHighestPausedReplica(t *testing.T) {
+	s := newScene("s1", "s2", "s3")
+	if actions := s.confirmDead(t); len(actions) != 2 || actions[0].Kind != ActPause || actions[0].Term != 2 {
+		t.Fatalf("actions %v, want a pause of both replicas above every term", actions)
+	}
+	s.now = s.now.Add(time.Millisecond)
+	s.sees("s2", cluster.RoleReplica, 1, 100, 2)
+	if s.decide(time.Millisecond); s.state.Phase != PhasePausing {
+		t.Fatal("elected while a replica receives")
+	}
+	s.sees("s3", cluster.RoleReplica, 1, 104, 2)
+	actions := s.decide(time.Millisecond)
+	s.expect(t, PhasePromoting, "s3")
+	if len(actions) != 1 || actions[0].Kind != ActPromote || actions[0].Server != "s3" {
+		t.Errorf("actions %v", actions)
+	}
+	if again := s.decide(time.Second); len(again) != 0 {
+		t.Errorf("asked again within the time that a promotion takes: %v", again)
+	}
+	s.sees("s3", cluster.RolePrimary, 2, 104, 0)
+	repairs := s.decide(time.Millisecond)
+	s.expect(t, PhaseWatching, "s3")
+	if len(repairs) != 1 || repairs[0].Kind != ActResume || repairs[0].Server != "s2" {
+		t.Errorf("repairs %v, want s2 to receive again", repairs)
+	}
+}
+
+func TestNothingIsElectedWhileAnAcknowledgedWriteMayBeElsewhere(t *testing.T) {
+	tests := []struct {
+		name  string
+		scene func(s *scene)
+		phase Phase
+		want  cluster.ServerID
+	}{
+		{"all replicas paused", func(*scene) {}, PhasePromoting, "s2"},
+		{"a replica is missing beside the primary", func(s *scene) { s.fails("s3") }, PhasePausing, ""},
+		{"a restart undid the pause", func(s *scene) {
+			o := s.view.Servers["s3"]
+			o.Started = 0 // the status is that of an earlier life
+			s.view.Servers["s3"] = o
+		}, PhasePausing, ""},
+		{"a process relies on the term", func(s *scene) { s.view.Relied = true }, PhasePausing, ""},
+		{"the highest replica leaves, another has as much", func(s *scene) { s.leaving("s2") }, PhasePromoting, "s3"},
+		{"only the leaving replica has everything", func(s *scene) {
+			s.leaving("s2")
+			s.sees("s2", cluster.RoleReplica, 1, 120, 2)
+		}, PhasePromoting, "s2"},
+		{"the platform refused the first", func(s *scene) { s.view.Refused = "s2" }, PhasePromoting, "s3"},
+		{"the old primary works again", func(s *scene) { s.sees("s1", cluster.RolePrimary, 1, 130, 0) }, PhaseWatching, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newScene("s1", "s2", "s3")
+			s.confirmDead(t)
+			s.now = s.now.Add(time.Millisecond)
+			s.sees("s2", cluster.RoleReplica, 1, 110, 2)
+			s.sees("s3", cluster.RoleReplica, 1, 110, 2)
+			tt.scene(s)
+			s.decide(time.Millisecond)
+			s.expect(t, tt.phase, tt.want)
+		})
+	}
+}
+
+func TestPrimaryThatOthersReachIsKept(t *testing.T) {
+	s := newScene("s1", "s2", "s3")
+	s.fails("s1")
+	s.decide(0)
+	for range 20 {
+		s.fails("s1")
+		s.view.Testimony = Testimony{At: s.now, Reach: 3, Miss: 1}
+		s.decide(100 * time.Millisecond)
+	}
+	s.expect(t, PhaseSuspecting, "")
+}
+
+func TestLeavingPrimaryStepsDownAfterItsReplicasArePaused(t *testing.T) {
+	s := newScene("s1", "s2", "s3")
+	s.leaving("s1")
+	for _, a := range s.decide(time.Millisecond) {
+		if a.Kind != ActPause {
+			t.Fatalf("%v before the replicas were paused", a)
+		}
+	}
+	s.now = s.now.Add(time.Millisecond)
+	s.sees("s2", cluster.RoleReplica, 1, 100, 2)
+	s.sees("s3", cluster.RoleReplica, 1, 101, 2)
+	actions := s.decide(stepInterval)
+	if len(actions) != 1 || actions[0].Kind != ActStepDown || actions[0].Server != "s1" {
+		t.Fatalf("actions %v, want the primary to step down", actions)
+	}
+	s.sees("s1", cluster.RoleReplica, 2, 101, 0)
+	s.decide(time.Millisecond)
+	s.expect(t, PhasePromoting, "s3")
+}
+
+func TestReplicaBehindAnOldPrimaryIsNotPromoted(t *testing.T) {
+	s := newScene("s1", "s2", "s3")
+	s.leaving("s1")
+	s.decide(time.Millisecond)
+	s.now = s.now.Add(time.Millisecond)
+	s.sees("s2", cluster.RoleReplica, 1, 100, 2)
+	s.fails("s3") // may hold what s2 lacks
+	s.sees("s1", cluster.RoleReplica, 2, 105, 0)
+	s.decide(time.Millisecond)
+	s.expect(t, PhasePausing, "")
+}
+
+func TestEarlierPrimaryIsMadeToStepDown(t *testing.T) {
+	s := newScene("s1", "s2", "s3")
+	s.sees("s2", cluster.RolePrimary, 3, 140, 0)
+	actions := s.decide(time.Millisecond)
+	if len(actions) != 1 || actions[0] != (Action{Kind: ActStepDown, Server: "s1", Term: 3}) {
+		t.Errorf("actions %v", actions)
+	}
+}
+
+func TestStalledReplicationReplacesThePrimary(t *testing.T) {
+	s := newScene("s1", "s2", "s3")
+	s.sees("s1", cluster.RolePrimary, 1, 150, 0)
+	s.decide(time.Millisecond)
+	s.decide(stallAfter - time.Millisecond)
+	s.expect(t, PhaseWatching, "")
+	s.decide(time.Millisecond)
+	if s.state.Phase != PhasePausing || s.state.Cause != CauseStalled {
+		t.Errorf("phase %s for %q", s.state.Phase, s.state.Cause)
+	}
+}
