Hand over only on a lease that lasts, elect by what the servers have in common

An acknowledged write is on its primary and a replica, so the position that so many servers share is what counts. - 101 connections were reset over the servers' caps after the restart, where every process stood in as a home. It asks the placed home again instead, and a home takes five eighths of the connections. The feed is held for 15 s instead of 8, and only the first few processes in line look at the duty's lease: fewer store calls.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// feedWait is how long the store may hold a call of the feed open. Each
-	// process makes two such calls; 8 s keep a fleet of 100 below 25 calls a second.
-	feedWait = 8 * time.Second
+	// feedWait is how long the store may hold a call of the feed open: less than
+	// the 20 s for which it keeps its history. Each process makes two such calls,
+	// which are 13 a second for a fleet of 100.
+	feedWait = 15 * time.Second
 	// feedSlack is the time beyond feedWait after which a call has failed.
 	feedSlack = 2 * time.Second
 	// loadTimeout bounds one complete read; the slowest store answers in about
--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -24,9 +24,11 @@
 	// margin covers the differences between the clocks of two machines.
 	margin = 100 * time.Millisecond
 	// watchInterval is the time between two looks of the process that is next in
-	// line; each further one waits as much longer, up to watchMost.
+	// line; each further one waits as much longer. Those beyond watchers look
+	// every watchMost only, so that a large fleet asks no more than a small one.
 	watchInterval = 700 * time.Millisecond
-	watchMost     = 5 * time.Second
+	watchMost     = 10 * time.Second
+	watchers      = 4
 	// callTimeout bounds one call of the table service.
 	callTimeout = time.Second
 	// releaseTimeout bounds giving the lease up at a planned stop.
@@ -154,7 +156,7 @@
 	token, version, released := l.token, l.version, l.released
 	l.mu.Unlock()
 	if released {
-		return watchMost
+		return watchMost // a process that stops does not watch either
 	}
 	if token != 0 {
 		err := l.write(ctx, row{Holder: l.config.Holder, Life: l.life, Token: token}, version)
@@ -169,7 +171,11 @@
 	if _, held := l.Held(); held {
 		return renewInterval
 	}
-	return min(watchInterval*time.Duration(1+l.config.Order()), watchMost)
+	order := l.config.Order()
+	if order > watchers {
+		return watchMost
+	}
+	return watchInterval * time.Duration(max(order, 1))
 }
 
 // write renews or takes the lease.
--- a/internal/edge/homes.go
+++ b/internal/edge/homes.go
@@ -19,7 +19,7 @@
 	// foreignTime is how long a group without requests is kept whose home should
 	// be another process: the views of the others agree within one round of pings,
 	// and what it holds open is taken from the few connections of the servers.
-	foreignTime = time.Second
+	foreignTime = 400 * time.Millisecond
 	// avoidTime is how long a process that could not be reached is passed over:
 	// by then pings tell whether it lives.
 	avoidTime = time.Second
@@ -74,7 +74,10 @@
 			return id
 		}
 	}
-	return v.edge.config.ID
+	if len(placed) == 0 {
+		return ""
+	}
+	return cluster.ProxyID(placed[0].ID)
 }
 
 // substitute names the process that stands in for a home that cannot be
--- a/internal/home/node.go
+++ b/internal/home/node.go
@@ -36,6 +36,10 @@
 	callSpacing = time.Millisecond
 	// callTimeout bounds one call on a control connection and its opening.
 	callTimeout = 500 * time.Millisecond
+	// unclaimedShare is the part of a server's connections that one home may
+	// take where nothing is claimed: beside those that an earlier home left open
+	// there must be places for as many as usual.
+	unclaimedShare = 0.625
 	// unusedTime is how long connections beyond the slots stay open without use
 	// where no claim ends those of an earlier home: a few times the length of a
 	// transaction with pauses.
@@ -87,6 +91,9 @@
 	if c.Policy == rank.PolicyStatic {
 		return max(s.Connections/max(c.Proxies, 1), 1)
 	}
+	if c.Unclaimed {
+		return max(int(unclaimedShare*float64(s.Connections)), 1)
+	}
 	return max(s.Connections-reservedConnections, s.Connections/2, 1)
 }
 
--- a/internal/pages/pages_test.go
+++ b/internal/pages/pages_test.go
@@ -15,12 +15,14 @@
 	"github.com/rs/zerolog"
 
 	_ "github.com/rattancove/rattancove/internal/admin"
+	_ "github.com/rattancove/rattancove/internal/edge"
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/event"
 	_ "github.com/rattancove/rattancove/internal/proxy"
 	_ "github.com/rattancove/rattancove/internal/standin/dbserver"
 	"github.com/rattancove/rattancove/internal/statechart"
 	_ "github.com/rattancove/rattancove/internal/warden"
+	_ "github.com/rattancove/rattancove/platform/catalog"
 )
 
 const root = "../.."
@@ -55,16 +57,18 @@
 // sources calls visit with each file of the programs, tests left out.
 func sources(t *testing.T, visit func(text string)) {
 	t.Helper()
-	err := filepath.WalkDir(filepath.Join(root, "internal"), func(path string, _ fs.DirEntry, err error) error {
-		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+	for _, folder := range []string{"internal", "platform"} {
+		err := filepath.WalkDir(filepath.Join(root, folder), func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			data, err := os.ReadFile(path)
+			visit(string(data))
 			return err
+		})
+		if err != nil {
+			t.Fatal(err)
 		}
-		data, err := os.ReadFile(path)
-		visit(string(data))
-		return err
-	})
-	if err != nil {
-		t.Fatal(err)
 	}
 }
 
@@ -105,6 +109,7 @@
 		"group failover":     "failover/group_failover.yaml",
 		"document rollout":   "rollout/charts/document_rollout.yaml",
 		"member":             "member/member.yaml",
+		"group succession":   "succession/group_succession.yaml",
 	} {
 		chart, err := statechart.Load(os.DirFS(filepath.Join(root, "internal")), file)
 		if err != nil {
--- a/internal/succession/controller.go
+++ b/internal/succession/controller.go
@@ -48,6 +48,7 @@
 // Lease tells whether this process may act.
 type Lease interface {
 	Held() (duty.Token, bool)
+	Left() time.Duration
 	Holder() string
 	Changed() <-chan struct{}
 }
--- a/internal/succession/decide.go
+++ b/internal/succession/decide.go
@@ -1,6 +1,7 @@
 package succession
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rattancove/rattancove/internal/cluster"
@@ -31,6 +32,10 @@
 	promotionTime = 3 * time.Second
 	// postponeFor is the pause before another try to hand over from a leaving primary.
 	postponeFor = 500 * time.Millisecond
+	// handOverLease is the least time that the lease must hold before a primary
+	// that works is made to step down: a hand-over takes half a second until the
+	// platform is asked.
+	handOverLease = time.Second
 	// handOverTime bounds an attempt to hand over from a primary that still works.
 	handOverTime = 1500 * time.Millisecond
 )
@@ -93,7 +98,7 @@
 		return CauseNoPrimary, now
 	case o.Failures > 0:
 		return CauseUnreachable, o.FailingSince
-	case p.Leaving && hasSuccessor(g, v, p.ID) && !now.Before(s.PostponedUntil):
+	case p.Leaving && hasSuccessor(g, v, p.ID) && !now.Before(s.PostponedUntil) && v.LeaseLeft >= handOverLease:
 		return CauseLeaving, now
 	case !s.StalledSince.IsZero() && now.Sub(s.StalledSince) >= stallAfter:
 		return CauseStalled, s.StalledSince
@@ -312,31 +317,37 @@
 }
 
 // elect returns the server to promote once nothing more can be acknowledged
-// and its log provably has every acknowledged write.
-//
-// A write is acknowledged once its primary and SyncReplicas others have it, so
-// that as many servers may be missing among those whose logs are final.
+// and its log provably has every acknowledged write. A leaving server and the
+// one to be replaced are taken only where no other will do.
 func elect(g Group, v View, s State) (cluster.ServerID, bool) {
 	logs := finalLogs(g, v, s)
-	missing := len(g.Servers) - len(logs)
-	if v.Relied || oldWorks(g, v, s) || missing > max(g.SyncReplicas, 1) {
+	safe, ok := safePosition(logs, len(g.Servers), max(g.SyncReplicas, 1))
+	if !ok || v.Relied || oldWorks(g, v, s) {
 		return "", false
 	}
-	var top cluster.Position
-	for _, l := range logs {
-		top = cluster.MaxPosition(top, l.at)
-	}
-	var leaving cluster.ServerID
+	var fallback cluster.ServerID
 	for _, l := range logs {
 		switch {
-		case l.server.ID == s.Old || l.at.Less(top):
-		case !l.server.Leaving && l.server.ID != v.Refused:
+		case l.at.Less(safe):
+		case l.server.ID != s.Old && !l.server.Leaving && l.server.ID != v.Refused:
 			return l.server.ID, true
-		default:
-			leaving = l.server.ID
+		case fallback == "" && l.server.ID != s.Old:
+			fallback = l.server.ID
 		}
 	}
-	return leaving, leaving != ""
+	return fallback, fallback != ""
+}
+
+// safePosition returns a position that is not below any acknowledged write. Such
+// a write is on its primary and copies others, so that at least 1 + copies -
+// missing of the servers whose logs are final have it. logs are ordered from the
+// highest position down. The second result is false when too few are final.
+func safePosition(logs []finalLog, size, copies int) (cluster.Position, bool) {
+	holders := 1 + copies - (size - len(logs))
+	if holders < 1 || len(logs) == 0 {
+		return cluster.Position{}, false
+	}
+	return logs[min(holders, len(logs))-1].at, true
 }
 
 // finalLog is the end of a log that nothing more is added to.
@@ -346,7 +357,7 @@
 }
 
 // finalLogs returns the logs of the paused replicas and of an old primary that
-// has stepped down.
+// has stepped down, the highest first.
 func finalLogs(g Group, v View, s State) []finalLog {
 	var logs []finalLog
 	for _, r := range g.Servers {
@@ -355,6 +366,7 @@
 			logs = append(logs, finalLog{server: r, at: o.Status.Received})
 		}
 	}
+	slices.SortStableFunc(logs, func(a, b finalLog) int { return b.at.Compare(a.at) })
 	return logs
 }
 
--- a/internal/succession/decide_test.go
+++ b/internal/succession/decide_test.go
@@ -21,6 +21,7 @@
 func newScene(servers ...cluster.ServerID) *scene {
 	s := &scene{group: Group{Name: "g", SyncReplicas: 1}, now: start, state: NewState(start)}
 	s.view.Servers = map[cluster.ServerID]Observation{}
+	s.view.LeaseLeft = time.Minute
 	for _, id := range servers {
 		s.group.Servers = append(s.group.Servers, Server{Server: cluster.Server{ID: id}, Started: 1})
 		s.sees(id, cluster.RoleReplica, 1, 100, 0)
@@ -132,6 +133,9 @@
 			s.leaving("s2")
 			s.sees("s2", cluster.RoleReplica, 1, 120, 2)
 		}, PhasePromoting, "s2"},
+		{"the old primary is back as a replica with a tail of its own", func(s *scene) {
+			s.sees("s1", cluster.RoleReplica, 2, 130, 2)
+		}, PhasePromoting, "s2"},
 		{"the platform refused the first", func(s *scene) { s.view.Refused = "s2" }, PhasePromoting, "s3"},
 		{"the old primary works again", func(s *scene) { s.sees("s1", cluster.RolePrimary, 1, 130, 0) }, PhaseWatching, ""},
 	}
@@ -193,6 +197,49 @@
 	s.expect(t, PhasePausing, "")
 }
 
+// TestTailOfALeavingPrimaryDoesNotBlockItsReplacement replays a primary that
+// stepped down with records that no replica has received: nobody was told of
+// them, and no paused replica will ever have them.
+func TestTailOfALeavingPrimaryDoesNotBlockItsReplacement(t *testing.T) {
+	s := newScene("s1", "s2", "s3")
+	s.leaving("s1")
+	s.decide(time.Millisecond)
+	s.now = s.now.Add(time.Millisecond)
+	s.sees("s2", cluster.RoleReplica, 1, 100, 2)
+	s.sees("s3", cluster.RoleReplica, 1, 101, 2)
+	s.sees("s1", cluster.RoleReplica, 2, 105, 0)
+	s.decide(time.Millisecond)
+	s.expect(t, PhasePromoting, "s3")
+}
+
+// TestUnknownOldPrimaryThatLeavesIsNotPromotedAgain replays a holder that takes
+// over after its predecessor has made the leaving primary step down.
+func TestUnknownOldPrimaryThatLeavesIsNotPromotedAgain(t *testing.T) {
+	s := newScene("s1", "s2", "s3")
+	s.leaving("s1")
+	s.sees("s1", cluster.RoleReplica, 2, 105, 2)
+	s.decide(0)
+	s.decide(detectAfter)
+	s.now = s.now.Add(time.Millisecond)
+	s.sees("s1", cluster.RoleReplica, 2, 105, 3)
+	s.sees("s2", cluster.RoleReplica, 1, 101, 3)
+	s.sees("s3", cluster.RoleReplica, 1, 100, 3)
+	s.decide(stepInterval)
+	s.expect(t, PhasePromoting, "s2")
+}
+
+// TestWorkingPrimaryIsKeptWhileTheLeaseRunsOut replays a holder that the store
+// turns away: it could not ask for the promotion any more.
+func TestWorkingPrimaryIsKeptWhileTheLeaseRunsOut(t *testing.T) {
+	s := newScene("s1", "s2", "s3")
+	s.leaving("s1")
+	s.view.LeaseLeft = handOverLease - time.Millisecond
+	if actions := s.decide(time.Millisecond); len(actions) > 0 {
+		t.Errorf("actions %v", actions)
+	}
+	s.expect(t, PhaseWatching, "")
+}
+
 func TestEarlierPrimaryIsMadeToStepDown(t *testing.T) {
 	s := newScene("s1", "s2", "s3")
 	s.sees("s2", cluster.RolePrimary, 3, 140, 0)
--- a/internal/succession/loop.go
+++ b/internal/succession/loop.go
@@ -112,6 +112,7 @@
 	before := l.state
 	view := l.view
 	view.Servers = maps.Clone(l.view.Servers)
+	view.LeaseLeft = l.controller.config.Lease.Left()
 	view.Relied = l.controller.config.Grants.InForce(l.name)
 	state, actions := Decide(l.group, view, l.state, time.Now())
 	l.state = state
--- a/internal/succession/types.go
+++ b/internal/succession/types.go
@@ -103,6 +103,8 @@
 	Refused cluster.ServerID
 	// Asked is set while a call for a promotion runs.
 	Asked bool
+	// LeaseLeft is the time for which this process may act for sure.
+	LeaseLeft time.Duration
 	// Relied is set while some process may rely on the present term.
 	Relied bool
 }
