--- a/internal/member/ping.go
+++ b/internal/member/ping.go
@@ -9,6 +9,9 @@
 const (
 	// pingInterval is the time between two rounds of pings.
 	pingInterval = time.Second
+	// aloneInterval is the time between two rounds of a process that has just
+	// started and has not heard from another: it serves nothing meanwhile.
+	aloneInterval = 100 * time.Millisecond
 	// pingTimeout bounds one ping.
 	pingTimeout = 500 * time.Millisecond
 	// retryInterval is the time after which a member that did not answer is
@@ -59,7 +62,7 @@
 			return nil
 		case <-round.C:
 			targets = l.targets()
-			round.Reset(l.jitter(pingInterval))
+			round.Reset(l.jitter(l.roundInterval()))
 		case <-ticker.C:
 			targets = l.tick()
 		}
@@ -69,6 +72,14 @@
 	}
 }
 
+// roundInterval returns the time between two rounds of pings.
+func (l *Loop) roundInterval() time.Duration {
+	if l.Snapshot().alone {
+		return aloneInterval
+	}
+	return pingInterval
+}
+
 // tick applies the passing of time and returns the suspects that this process
 // has not yet tried itself, and others to ask about those that it has.
 func (l *Loop) tick() []target {
--- /dev/null
+++ b/internal/member/start_test.go
@@ -0,0 +1,62 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"math/rand/v2"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/provider/providertest"
+)
+
+// lateSeed answers pings from a time on, like a VM that starts a little later.
+type lateSeed struct {
+	up    time.Time
+	pings atomic.Int32
+}
+
+// Ping implements Pinger.
+func (s *lateSeed) Ping(_ context.Context, address string, _ News) (News, error) {
+	s.pings.Add(1)
+	if time.Now().Before(s.up) {
+		return News{}, errors.New("connection refused")
+	}
+	other := Member{ID: "p2", Role: RoleProxy, Address: address, Incarnation: 1}
+	return News{From: Report{Member: other, State: StateAlive}}, nil
+}
+
+// TestStartingProcessFindsOthersSoon starts a process a little before its only
+// seed: it must not wait for a whole round of pings to find it.
+func TestStartingProcessFindsOthersSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		seed := &lateSeed{up: time.Now().Add(250 * time.Millisecond)}
+		loop := New(Config{
+			Self: Member{ID: "p1", Role: RoleProxy, Address: "a:1", Incarnation: 1}, Seeds: []string{"b:1"},
+			Pinger: seed, Table: providertest.NewTable(), Rand: rand.New(rand.NewPCG(1, 1)), Log: zerolog.Nop(),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = loop.Run(ctx)
+		}()
+		time.Sleep(250*time.Millisecond + 2*aloneInterval)
+		synctest.Wait()
+		if got := len(loop.Snapshot().Alive(RoleProxy)); got != 2 {
+			t.Errorf("%d members known, want 2", got)
+		}
+		before := seed.pings.Load()
+		time.Sleep(10 * pingInterval)
+		if n := seed.pings.Load() - before; n > 15 {
+			t.Errorf("%d pings in 10 rounds after it found the other", n)
+		}
+		cancel()
+		<-done
+	})
+}
