--- a/internal/gateway/lifetimes.go
+++ b/internal/gateway/lifetimes.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"slices"
 	"sync"
 
@@ -11,7 +11,7 @@
 	"github.com/rattancove/rattancove/internal/statement"
 )
 
-var errMemberDead = errors.New("the proxy has died in the view of the members")
+var errMemberDead = fmt.Errorf("%w in the view of the members", statement.ErrRunnerGone)
 
 // Lifetimes ends requests at proxies that have died without a word: their
 // connections stay open and silent. It is safe for concurrent use.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -147,6 +147,10 @@
 		return statement.Result{}, r.broken(err)
 	}
 	release := context.AfterFunc(ctx, func() {
+		if errors.Is(context.Cause(ctx), statement.ErrRunnerGone) {
+			stop()
+			return
+		}
 		// A cancel is a frame of its own, so that the home can answer it.
 		_ = stream.Send(&peerpb.ToHome{RequestId: r.req.ID, Cancel: true})
 		time.AfterFunc(cancelGrace, stop)
@@ -194,6 +198,9 @@
 func (r *remoteRun) next(ctx context.Context) error {
 	r.mayWrite = false
 	batch, err := r.conv.Next(ctx)
+	if errors.Is(err, statement.ErrRunnerGone) {
+		return r.broken(err) // nothing that could commit is with the peer
+	}
 	if err != nil {
 		sendErr := r.send(&peerpb.ToHome{CallerLeft: true})
 		if errors.Is(err, io.EOF) && sendErr == nil {
--- /dev/null
+++ b/internal/peer/gone_test.go
@@ -0,0 +1,70 @@
+package peer
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// waitingCaller asks for nothing more inside a transaction.
+type waitingCaller struct{ callerEnd }
+
+// Next implements statement.Conversation.
+func (c *waitingCaller) Next(ctx context.Context) (*statement.Batch, error) {
+	<-ctx.Done()
+	return nil, context.Cause(ctx)
+}
+
+// TestGonePeerEndsARequestAtOnce lets a peer fall silent while it runs a
+// request, and while it waits for the caller's next statement.
+func TestGonePeerEndsARequestAtOnce(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		class statement.Class
+		asks  bool
+		want  errcode.Code
+	}{
+		{"read", statement.ClassRead, false, errcode.ConnectionLost},
+		{"write", statement.ClassWrite, false, errcode.Unknown},
+		{"open transaction", statement.ClassBegin, true, errcode.ConnectionLost},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var dials atomic.Int32
+				silent := make(chan struct{})
+				runner := runnerFunc(func(ctx context.Context, _ *statement.Request, conv statement.Conversation) (statement.Result, error) {
+					if tt.asks {
+						_, err := conv.Next(ctx)
+						return statement.Result{}, err
+					}
+					<-silent
+					return statement.Result{}, nil
+				})
+				client, stop := pair(t, runner, &dials, nil)
+				ctx, cancel := context.WithCancelCause(t.Context())
+				go func() {
+					time.Sleep(time.Second)
+					cancel(statement.ErrRunnerGone)
+				}()
+				request := fullRequest()
+				request.First.Class = tt.class
+				begun := time.Now()
+				_, err := client.Run(ctx, request, &waitingCaller{})
+				if !errcode.Is(err, tt.want) {
+					t.Errorf("error %v, want %s", err, tt.want.Name)
+				}
+				if took := time.Since(begun); took > 1100*time.Millisecond {
+					t.Errorf("ended after %v", took)
+				}
+				close(silent)
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rattancove/rattancove/internal/cluster"
@@ -129,6 +130,10 @@
 	Answer(ctx context.Context, data []byte) error
 }
 
+// ErrRunnerGone is the cause of the end of a request whose home has died or
+// fallen silent: no answer can be waited for.
+var ErrRunnerGone = errors.New("the process that runs the request is gone")
+
 // Runner runs requests: the home itself, or the way to it over a peer.
 //
 // An error is an *errcode.Error when the request was refused or its outcome
