Run the whole process on a stand-in of the users' platform

The stand-in keeps the store's rows and feed, database groups that speak the line protocol and replicate, and the promotion call in memory. Tests without the kit write and read through two processes while a primary dies or leaves, the store is away or forgets its history, and start one while it is away.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 include tools/versions.env
 PROGRAMS := rattan-proxy rattan-warden rattanctl rattan-load rattan-standin
 
-.PHONY: build test lint fmt demo bench slopes soak proto tools
+.PHONY: build test quick lint fmt demo demo-platform bench slopes soak proto tools
 
 build:
 	mkdir -p bin
@@ -39,6 +39,17 @@
 demo: build
 	bash scripts/demo
 
+# The process of an entry VM on stand-ins of the users' platform: orders and reads
+# through two of them while a primary dies and the store is away.
+demo-platform:
+	go test -count=1 -v -run TestDeploymentServesThroughFailures ./cmd/rattan-edge
+
+# A short check between rounds: lint and the tests of the packages that changed.
+CHANGED = $(shell git diff --name-only HEAD -- '*.go' | xargs -r -n1 dirname | sort -u | sed 's|^|./|')
+quick: tools
+	.bin/golangci-lint run ./...
+	$(if $(CHANGED),go test -count=1 -timeout 5m $(CHANGED))
+
 bench: build
 	bash scripts/bench
 
--- /dev/null
+++ b/cmd/rattan-edge/edge_test.go
@@ -0,0 +1,296 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/standin/userplatform"
+	"github.com/rattancove/rattancove/platform/settings"
+)
+
+// patience bounds each wait of these tests; nothing asserts on elapsed time.
+const patience = time.Minute
+
+// deployment is a store, a group and some processes on loopback.
+type deployment struct {
+	t        *testing.T
+	store    *userplatform.Store
+	group    *userplatform.Group
+	storeURL string
+	cloudURL string
+	fronts   []string
+	readies  []string
+}
+
+func deploy(t *testing.T, processes int) *deployment {
+	t.Helper()
+	d := &deployment{t: t, store: userplatform.NewStore()}
+	var err error
+	if d.group, err = userplatform.NewGroup("orders", 3, d.store); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.group.Close)
+	store, cloud := httptest.NewServer(d.store), httptest.NewServer(d.group)
+	t.Cleanup(func() { store.CloseClientConnections(); store.Close(); cloud.Close() })
+	d.storeURL, d.cloudURL = store.Listener.Addr().String(), cloud.Listener.Addr().String()
+	d.configure(1, "shop")
+	peers := addresses(t, processes)
+	for i := range processes {
+		d.start(i, peers)
+	}
+	return d
+}
+
+// configure puts a configuration into the store that has the given databases.
+func (d *deployment) configure(version int, databases ...string) {
+	var routes []map[string]any
+	for _, name := range databases {
+		routes = append(routes, map[string]any{
+			"name": name, "host": name, "type": "primary", "timeout_ms": 20000, "goal_ms": 100, "priority": 0, "service": "orders",
+		})
+	}
+	d.store.Put("op", "config", map[string]any{
+		"version": version, "routes": routes, "limits": map[string]any{"tx_idle_ms": 20000},
+		"services": []map[string]any{{"name": "orders", "max_conns": 32, "sync_replicas": 1}},
+	})
+}
+
+// addresses returns free loopback addresses.
+func addresses(t *testing.T, n int) []string {
+	t.Helper()
+	var list []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		list = append(list, l.Addr().String())
+		defer func() { _ = l.Close() }()
+	}
+	return list
+}
+
+// start runs one process in this one, as main does.
+func (d *deployment) start(i int, peers []string) {
+	d.t.Helper()
+	own := addresses(d.t, 3)
+	_, port, _ := net.SplitHostPort(own[2])
+	path := filepath.Join(d.t.TempDir(), "local.conf")
+	lines := []string{
+		fmt.Sprintf("node=front-%d", i), "zone=z1", "ip=127.0.0.1", "listen.front=" + own[0], "listen.ready=" + own[1],
+		"listen.control=" + peers[i], "port_range=" + port + "," + port, "seeds=" + strings.Join(peers, ","),
+		"limits.ram_mb=512", "limits.max_fds=4096", "heartbeat_ms=1000", "bounds.grace_s=6",
+		"platform.addr=" + d.storeURL, "cloud.addr=" + d.cloudURL,
+	}
+	if err := os.WriteFile(path, []byte(strings.Join(lines, "\n")), 0o600); err != nil {
+		d.t.Fatal(err)
+	}
+	config, err := settings.Load(path)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- serve(ctx, config, path, zerolog.Nop()) }()
+	d.t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			d.t.Errorf("process %d ended with %v", i, err)
+		}
+	})
+	d.fronts, d.readies = append(d.fronts, own[0]), append(d.readies, own[1])
+}
+
+// awaitReady waits until a process is ready, or until it is not.
+func (d *deployment) awaitReady(i int, want bool) {
+	d.t.Helper()
+	d.eventually("readiness", func() error {
+		answer, err := http.Get("http://" + d.readies[i] + "/ready")
+		if err != nil {
+			return err
+		}
+		_ = answer.Body.Close()
+		if ready := answer.StatusCode == http.StatusOK; ready != want {
+			return fmt.Errorf("ready is %v", ready)
+		}
+		return nil
+	})
+}
+
+// eventually repeats f until it succeeds.
+func (d *deployment) eventually(what string, f func() error) {
+	d.t.Helper()
+	deadline := time.Now().Add(patience)
+	for {
+		err := f()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			d.t.Fatalf("%s: %v", what, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// caller is a session with one process.
+type caller struct {
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func (d *deployment) connect(i int, database string) (*caller, error) {
+	conn, err := net.Dial("tcp", d.fronts[i])
+	if err != nil {
+		return nil, err
+	}
+	c := &caller{conn: conn, reader: bufio.NewReader(conn)}
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	answer, err := c.say("STARTUP " + database + " test")
+	if err == nil && !strings.HasPrefix(answer, "READY I") {
+		err = fmt.Errorf("start-up: %s", answer)
+	}
+	if err != nil {
+		_ = conn.Close()
+	}
+	return c, err
+}
+
+// say sends a line and returns the answer up to READY in one string.
+func (c *caller) say(line string) (string, error) {
+	if _, err := fmt.Fprint(c.conn, line+"\r\n"); err != nil {
+		return "", err
+	}
+	var answer []string
+	for {
+		line, err := c.reader.ReadString('\n')
+		if err != nil {
+			return strings.Join(answer, "|"), err
+		}
+		answer = append(answer, strings.TrimSpace(line))
+		if strings.HasPrefix(line, "READY") || strings.HasPrefix(line, "ERROR NODB") {
+			return strings.Join(answer, "|"), nil
+		}
+	}
+}
+
+// do runs statements in a session of its own until one fails.
+func (d *deployment) do(i int, texts ...string) (last string, err error) {
+	c, err := d.connect(i, "shop")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = c.conn.Close() }()
+	for n, text := range texts {
+		last, err = c.say(fmt.Sprintf("QUERY q%d %s", n, text))
+		if err == nil && strings.Contains(last, "ERROR") {
+			err = fmt.Errorf("%s: %s", text, last)
+		}
+		if err != nil {
+			return last, err
+		}
+	}
+	return last, nil
+}
+
+func (d *deployment) mustRead(i int, item, want string) {
+	d.t.Helper()
+	d.eventually("read "+item, func() error {
+		answer, err := d.do(i, "READ "+item)
+		if err == nil && !strings.HasPrefix(answer, "DATAROW "+want+"|COMPLETE q0") {
+			d.t.Fatalf("read %s: %s, want %s", item, answer, want)
+		}
+		return err
+	})
+}
+
+// TestDeploymentServesThroughFailures writes through one process and reads
+// through another while the primary dies, another one leaves and the store is
+// away.
+func TestDeploymentServesThroughFailures(t *testing.T) {
+	d := deploy(t, 2)
+	d.awaitReady(0, true)
+	d.awaitReady(1, true)
+	d.eventually("first order", func() error { _, err := d.do(0, "WRITE crate one"); return err })
+	d.mustRead(1, "crate", "one")
+
+	answer, err := d.do(1, "SET colour green", "PARSE p WRITE shape", "BEGIN", "READ crate", "EXECUTE p crate two", "COMMIT")
+	if err != nil || !strings.HasSuffix(answer, "READY I -") {
+		t.Fatalf("transaction: %s %v", answer, err)
+	}
+	d.mustRead(0, "crate", "two")
+
+	d.store.Forget()
+	d.configure(5, "shop", "depot")
+	d.eventually("a new route", func() error { _, err := d.connect(0, "depot"); return err })
+	if _, err := d.connect(1, "unknown"); err == nil || !strings.Contains(err.Error(), "NODB") {
+		t.Errorf("unknown database: %v", err)
+	}
+
+	dead := d.group.Primary()
+	d.group.Kill(dead)
+	d.eventually("an order after the primary died", func() error { _, err := d.do(0, "WRITE crate three"); return err })
+	d.mustRead(1, "crate", "three")
+
+	d.store.SetDown(true)
+	if _, err := d.do(0, "WRITE crate four"); err != nil {
+		t.Errorf("an order while the store is away: %v", err)
+	}
+	d.mustRead(1, "crate", "four")
+	d.store.SetDown(false)
+
+	promotions, tokens := d.group.Promotions()
+	if promotions != 1 || d.group.Primary() == dead {
+		t.Errorf("%d promotions with tokens %v, primary %s", promotions, tokens, d.group.Primary())
+	}
+}
+
+// TestLeavingPrimaryIsReplaced hands over from a primary that drains, without
+// losing what was acknowledged.
+func TestLeavingPrimaryIsReplaced(t *testing.T) {
+	d := deploy(t, 1)
+	d.awaitReady(0, true)
+	d.eventually("first order", func() error { _, err := d.do(0, "WRITE crate one"); return err })
+	old := d.group.Primary()
+	d.group.Drain(old)
+	d.eventually("another primary", func() error {
+		if p := d.group.Primary(); p == old || p == "" {
+			return fmt.Errorf("primary %q", p)
+		}
+		return nil
+	})
+	d.mustRead(0, "crate", "one")
+	d.eventually("an order at the new primary", func() error { _, err := d.do(0, "WRITE crate two"); return err })
+	d.mustRead(0, "crate", "two")
+}
+
+// TestProcessIsNotReadyWithoutAConfiguration starts while the store is away.
+func TestProcessIsNotReadyWithoutAConfiguration(t *testing.T) {
+	d := &deployment{t: t, store: userplatform.NewStore()}
+	var err error
+	if d.group, err = userplatform.NewGroup("orders", 3, d.store); err != nil {
+		t.Fatal(err)
+	}
+	defer d.group.Close()
+	store, cloud := httptest.NewServer(d.store), httptest.NewServer(d.group)
+	t.Cleanup(func() { store.CloseClientConnections(); store.Close(); cloud.Close() })
+	d.storeURL, d.cloudURL = store.Listener.Addr().String(), cloud.Listener.Addr().String()
+	d.store.SetDown(true)
+	d.start(0, addresses(t, 1))
+	d.awaitReady(0, false)
+	d.configure(3, "shop")
+	d.store.SetDown(false)
+	d.awaitReady(0, true)
+	d.eventually("an order", func() error { _, err := d.do(0, "WRITE crate one"); return err })
+}
--- a/internal/member/start_test.go
+++ b/internal/member/start_test.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"math/rand/v2"
-
 	"github.com/rs/zerolog"
 
 	"github.com/rattancove/rattancove/internal/provider/providertest"
