Prepare a statement under the freshness and session of its text

It went out without session, freshness and floor, and a replica that lacked a table which the session had made refused it. The same batch also used up the order id that was set for the next request.

--- a/internal/pgwire/front/batch.go
+++ b/internal/pgwire/front/batch.go
@@ -36,6 +36,9 @@
 	asked []byte
 	// executed holds the texts that the batch runs, in order.
 	executed []*sqlclass.Analysis
+	// prepared holds the texts that the batch parses or describes. They tell the
+	// options of a batch that runs nothing.
+	prepared []*sqlclass.Analysis
 	// unknownText is set when the batch runs a text that is not known, such
 	// as that of a portal of an earlier batch.
 	unknownText bool
@@ -54,6 +57,9 @@
 	definition *definition
 }
 
+// runs reports whether the batch runs a text, and not only prepares some.
+func (b *batch) runs() bool { return len(b.executed) > 0 || b.unknownText }
+
 // forward adds a message whose answer goes to the caller.
 func (b *batch) forward(message []byte) {
 	b.Messages = append(b.Messages, message...)
--- a/internal/pgwire/front/collect.go
+++ b/internal/pgwire/front/collect.go
@@ -190,6 +190,7 @@
 		return nil
 	}
 	b.unnamedParsed = true
+	b.prepared = append(b.prepared, &d.analysis)
 	b.forward(d.parse)
 	return nil
 }
@@ -276,6 +277,9 @@
 		b.answer(c.describeLocal(d)...)
 		return nil
 	}
+	if d != nil {
+		b.prepared = append(b.prepared, &d.analysis)
+	}
 	describe := pgproto3.Describe{ObjectType: objectStatement, Name: serverName}
 	rewritten, err := describe.Encode(nil)
 	if err != nil {
--- a/internal/pgwire/front/fake_test.go
+++ b/internal/pgwire/front/fake_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -95,6 +96,13 @@
 	}
 }
 
+// allRequests returns the requests so far in their order.
+func (f *fakeRunner) allRequests() []*statement.Request {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.requests)
+}
+
 func (f *fakeRunner) lastRequest() *statement.Request {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/pgwire/front/options.go
+++ b/internal/pgwire/front/options.go
@@ -154,6 +154,9 @@
 	if err := c.applyHints(&o, b); err != nil {
 		return o, err
 	}
+	if !b.runs() {
+		return o, nil // the order comes with the batch that runs it
+	}
 	if o.orderID == "" {
 		o.orderID = c.orderID
 	}
@@ -176,7 +179,11 @@
 }
 
 func (c *caller) applyHints(o *statementOptions, b *batch) error {
-	for _, a := range b.executed {
+	texts := b.executed
+	if !b.runs() {
+		texts = b.prepared // a server may refuse a text for data that it lacks
+	}
+	for _, a := range texts {
 		if a.Hints.Malformed {
 			return invalidOption("comment", "", nil)
 		}
@@ -184,6 +191,9 @@
 			o.traceParent = a.Hints.TraceParent
 		}
 		for _, h := range a.Hints.Keys {
+			if h.Key == OptionOrderID && !b.runs() {
+				continue
+			}
 			if err := c.applyHint(o, h); err != nil {
 				return err
 			}
