--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -28,6 +28,8 @@
 	// patience bounds every wait for the fleet.
 	patience = time.Minute
 	lookTime = 50 * time.Millisecond
+	// usualLag is the lag of replicas in a fleet.
+	usualLag = 20 * time.Millisecond
 )
 
 // The ports of a fleet lie below the range from which the system takes the
@@ -55,14 +57,22 @@
 	// relays stand before peers and servers; it is empty without relays.
 	relays map[string]*relay
 
+	// lag is the time after which replicas show what they have received.
+	lag time.Duration
+
 	mu        *sync.Mutex
 	processes map[string]*exec.Cmd
 }
 
 // startFleet builds the programs and starts every process without a document.
 func startFleet(t *testing.T, groups int, relayed bool) *fleet {
+	return startLaggingFleet(t, groups, relayed, usualLag)
+}
+
+// startLaggingFleet is startFleet with replicas that are behind by a time.
+func startLaggingFleet(t *testing.T, groups int, relayed bool, lag time.Duration) *fleet {
 	f := &fleet{
-		t: t, dir: t.TempDir(), mu: &sync.Mutex{}, processes: map[string]*exec.Cmd{},
+		t: t, lag: lag, dir: t.TempDir(), mu: &sync.Mutex{}, processes: map[string]*exec.Cmd{},
 		serverListens: make([]string, groups*groupServers), relays: map[string]*relay{},
 	}
 	f.ca = tlstest.NewAuthority(t, f.dir)
@@ -192,7 +202,7 @@
 		f.t.Fatal(err)
 	}
 	f.spawn(serverID(i), "rattan-standin", "backend", "--id", serverID(i), "--listen", f.serverListens[i],
-		"--group-leader", leader, "--lag", "20ms", "--log-level", "warn", "--dir", state)
+		"--group-leader", leader, "--lag", f.lag.String(), "--log-level", "warn", "--dir", state)
 }
 
 func (f *fleet) common(i int, listen, advertise string) string {
--- /dev/null
+++ b/internal/integration/prepare_test.go
@@ -0,0 +1,106 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+)
+
+const (
+	// preparedReads is the number of reads in each mode; RATTAN_READS sets another.
+	preparedReads = 48
+	// preparedSessions is the number of sessions that use one table.
+	preparedSessions = 12
+	// preparedLag is longer than a session takes from its write to its read.
+	preparedLag = 300 * time.Millisecond
+)
+
+// TestNewTableIsSeenInEveryMode makes tables, writes a row in named sessions
+// through one proxy and reads it through another while replicas are behind. pgx
+// prepares the statements in a batch of their own in its default mode.
+func TestNewTableIsSeenInEveryMode(t *testing.T) {
+	f := startLaggingFleet(t, 1, false, preparedLag)
+	f.eventually("administration API", func() bool { code, _ := f.rattanctl(0, "status"); return code == 0 })
+	f.eventually("all members known", func() bool { return len(f.status(0).Members) == proxyCount+wardenCount })
+	f.expect(0, "in force on every member", "doc", "promote", "--file", f.write("1.yaml", f.document(2000)),
+		"--to", environment, "--why", "test", "--yes", "--wait")
+	f.createTable(0)
+	reads := preparedReads
+	if n, err := strconv.Atoi(os.Getenv("RATTAN_READS")); err == nil {
+		reads = n
+	}
+	for name, mode := range map[string]pgx.QueryExecMode{
+		"cache_statement": pgx.QueryExecModeCacheStatement, "exec": pgx.QueryExecModeExec, "simple": pgx.QueryExecModeSimpleProtocol,
+	} {
+		t.Run(name, func(t *testing.T) {
+			var failed, stale int
+			for round := range reads / preparedSessions {
+				bad, old := f.with(t).readNewTable(fmt.Sprintf("t_%s_%d", name, round), mode)
+				failed, stale = failed+bad, stale+old
+			}
+			t.Logf("%d reads, %d failed, %d stale", reads, failed, stale)
+			if failed > 0 || stale > 0 {
+				t.Errorf("%d of %d reads failed, %d were stale", failed, reads, stale)
+			}
+		})
+	}
+}
+
+// readNewTable makes a table and lets sessions write to it and read from it.
+func (f *fleet) readNewTable(table string, mode pgx.QueryExecMode) (failed, stale int) {
+	f.t.Helper()
+	if err := f.execute(f.t.Context(), 0, 0, "CREATE TABLE "+table+" (id TEXT)"); err != nil {
+		f.t.Fatalf("create %s: %v", table, err)
+	}
+	var mu sync.Mutex
+	var sessions sync.WaitGroup
+	for i := range preparedSessions {
+		sessions.Go(func() {
+			seen, err := f.writeAndRead(i, table, mode)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				failed++
+				f.t.Logf("%s: %v", table, err)
+			} else if !seen {
+				stale++
+			}
+		})
+	}
+	sessions.Wait()
+	return failed, stale
+}
+
+// writeAndRead writes a row in a session through one proxy and reports whether
+// the session sees it through another.
+func (f *fleet) writeAndRead(session int, table string, mode pgx.QueryExecMode) (bool, error) {
+	ctx, cancel := context.WithTimeout(f.t.Context(), statementTimeout)
+	defer cancel()
+	hint := fmt.Sprintf("/*rattancove.session='s-%s-%d'*/ ", table, session)
+	id := strconv.Itoa(session)
+	writer, err := f.connect(ctx, session%proxyCount, 0)
+	if err != nil {
+		return false, err
+	}
+	defer writer.Close(ctx)
+	if _, err := writer.Exec(ctx, hint+"INSERT INTO "+table+" VALUES ($1)", mode, id); err != nil {
+		return false, err
+	}
+	reader, err := f.connect(ctx, (session+1)%proxyCount, 0)
+	if err != nil {
+		return false, err
+	}
+	defer reader.Close(ctx)
+	rows, err := reader.Query(ctx, hint+"SELECT id FROM "+table+" WHERE id = $1", mode, id)
+	if err != nil {
+		return false, err
+	}
+	found, err := pgx.CollectRows(rows, pgx.RowTo[string])
+	return len(found) == 1, err
+}
