Bound the sessions of a process by its descriptors; drop what nothing uses

A process that stops or has too many sessions refuses the next one with an error instead of closing without a word. The relay by a third process, the heartbeat setting and the busy mark of a session had no use left.

--- a/internal/caller/conversation.go
+++ b/internal/caller/conversation.go
@@ -31,7 +31,6 @@
 		s.state = StateOpen
 	}
 	c.pending = nil
-	s.busy.Store(s.state != StateIdle)
 	c.writeErr = s.wire.Answer(data, s.state)
 	return c.writeErr
 }
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -57,8 +56,6 @@
 	state State
 	// begun is the statement that began a transaction which no server knows yet.
 	begun *Statement
-	// busy is set while a statement waits for its answer or a transaction is open.
-	busy atomic.Bool
 	// draining is closed when the proxy stops.
 	draining <-chan struct{}
 }
@@ -71,9 +68,6 @@
 	}
 }
 
-// Busy reports whether the session owes an answer or has a transaction open.
-func (s *Session) Busy() bool { return s.busy.Load() }
-
 // Serve runs the caller's statements until the caller leaves, ctx ends or the
 // proxy drains while the session is idle.
 func (s *Session) Serve(ctx context.Context) {
@@ -85,7 +79,6 @@
 		if next == nil || s.handle(ctx, next) != nil {
 			return
 		}
-		s.busy.Store(s.state != StateIdle)
 	}
 }
 
@@ -98,7 +91,6 @@
 			cancel(errLeft)
 			return
 		}
-		s.busy.Store(true)
 		select {
 		case s.statements <- next:
 		case <-ctx.Done():
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -17,6 +17,9 @@
 const (
 	// startupTime bounds the wait for a caller's first message.
 	startupTime = 2 * time.Second
+	// sessionShare is the part of the descriptors that sessions may take; the
+	// rest is for peers, backend servers and the store.
+	sessionShare = 0.6
 	// acceptPause is the wait after an accept has failed, for lack of descriptors.
 	acceptPause = 20 * time.Millisecond
 	// drainPoll is the interval at which a drain looks for sessions that are left.
@@ -80,13 +83,14 @@
 		return // the caller may come again; whether the database exists is unknown
 	}
 	if _, ok := c.edge.tracker.Route(database); !ok {
-		c.refuse(wire, database)
+		c.refuse(wire, database, errcode.New(errcode.UnknownDatabase, "start-up", database))
 		return
 	}
 	session := caller.New(caller.Config{
 		Routes: c.edge.tracker, Runner: c.edge.gateway, Log: &c.edge.log,
 	}, wire, database, c.idle)
-	if !c.add(conn, session) {
+	if err := c.add(conn, session); err != nil {
+		c.refuse(wire, database, err)
 		return
 	}
 	defer c.remove(conn)
@@ -95,26 +99,31 @@
 	}
 }
 
-func (c *callers) refuse(wire CallerConn, database string) {
+// refuse answers a start-up with an error.
+func (c *callers) refuse(wire CallerConn, database string, refusal *errcode.Error) {
 	refusedCallers.Inc()
 	version, _ := c.edge.tracker.Versions()
-	eventUnknownDatabase.Log(&c.edge.log).Str("database", database).Uint64("version", version).Send()
-	if err := wire.Refuse(errcode.New(errcode.UnknownDatabase, "start-up", database)); err != nil {
+	eventCallerRefused.Log(&c.edge.log).Str("database", database).Uint64("version", version).
+		Str("code", refusal.Code.Name).Send()
+	if err := wire.Refuse(refusal); err != nil {
 		eventAcceptFailed.Log(&c.edge.log).Str("database", database).Err(err).Send()
 	}
 }
 
-// add counts a session in, unless the process stops.
-func (c *callers) add(conn net.Conn, s *caller.Session) bool {
+// add counts a session in, unless the process stops or has too many.
+func (c *callers) add(conn net.Conn, s *caller.Session) *errcode.Error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.stopped {
-		return false
+	switch {
+	case c.stopped:
+		return errcode.New(errcode.Draining, "start-up", "")
+	case len(c.sessions) >= int(sessionShare*float64(c.edge.config.MaxDescriptors)):
+		return errcode.New(errcode.TooManyCallers, "start-up", "")
 	}
 	sessionsTotal.Inc()
 	sessionsOpen.Inc()
 	c.sessions[conn] = s
-	return true
+	return nil
 }
 
 func (c *callers) remove(conn net.Conn) {
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -29,10 +29,9 @@
 	StoreAddress  string
 	PromotionAddr string
 	// MemoryLimit is the memory in bytes above which the process is killed.
-	MemoryLimit    int64
+	MemoryLimit int64
+	// MaxDescriptors is the number of open files and sockets that the process may have.
 	MaxDescriptors int
-	// Heartbeat is the interval at which backend servers renew their entries.
-	Heartbeat time.Duration
 	// StopTime is the time from a request to stop until the process is killed.
 	StopTime time.Duration
 	LogLevel string
--- a/internal/edge/homes.go
+++ b/internal/edge/homes.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -52,7 +50,7 @@
 	return p.placed[group]
 }
 
-// home returns the process that should be the home of a group; empty when none
+// homeOf returns the process that should be the home of a group; empty when none
 // is known.
 func (e *Edge) homeOf(group cluster.GroupName) cluster.ProxyID {
 	placed := e.place(group)
@@ -91,19 +89,9 @@
 	return view{e}.HomeOf(group)
 }
 
-// Relay implements gateway.Members.
-func (v view) Relay(exclude ...cluster.ProxyID) cluster.ProxyID {
-	var ids []cluster.ProxyID
-	for _, m := range v.edge.members.Snapshot().Alive(member.RoleProxy) {
-		if id := cluster.ProxyID(m.ID); !slices.Contains(exclude, id) {
-			ids = append(ids, id)
-		}
-	}
-	if len(ids) == 0 {
-		return ""
-	}
-	return ids[rand.IntN(len(ids))]
-}
+// Relay implements gateway.Members. A home that cannot be reached is replaced
+// by its stand-in, so that no request goes by a third process.
+func (view) Relay(...cluster.ProxyID) cluster.ProxyID { return "" }
 
 // Runner implements gateway.Members.
 func (v view) Runner(id cluster.ProxyID) statement.Runner {
