Tell a new owner of a group which of its servers leave

The servers that leave were marked before the owner had its nodes, so that the marks were lost until the next look at the catalog, up to 0.5 s later. The catalog's marks are set before the document, so that no owner can begin between the two. Ruled out: the routing decision, which passes over marked servers.

--- a/internal/edge/homes.go
+++ b/internal/edge/homes.go
@@ -5,7 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/rattancove/rattancove/internal/catalog"
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/environment"
 	"github.com/rattancove/rattancove/internal/member"
 	"github.com/rattancove/rattancove/internal/statement"
 )
@@ -114,12 +116,9 @@
 		}
 		state := e.tracker.State()
 		document := state.Document()
+		e.markLeaving(state, document)
 		e.home.SetDocument(document)
-		draining := state.Draining()
 		for _, g := range document.Groups {
-			for _, s := range g.Servers {
-				e.home.SetLeaving(s.ID, draining[s.ID])
-			}
 			e.assign(g.Name)
 		}
 		timer := time.NewTimer(expiry)
@@ -134,6 +133,16 @@
 	return nil
 }
 
+// markLeaving tells the homes which servers leave, before they can use them.
+func (e *Edge) markLeaving(state catalog.State, document *environment.Document) {
+	draining := state.Draining()
+	for _, g := range document.Groups {
+		for _, s := range g.Servers {
+			e.home.SetLeaving(s.ID, draining[s.ID])
+		}
+	}
+}
+
 // assign owns a group, or gives it up once nobody takes this process for its
 // home any more.
 func (e *Edge) assign(group cluster.GroupName) {
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -145,11 +145,11 @@
 // begin starts an owner. The caller holds the lock.
 func (h *Home) begin(g environment.Group) {
 	o := newOwner(h, g)
-	for id := range h.leaving {
-		o.setLeaving(id, true)
-	}
 	h.owners[g.Name] = o
 	o.start()
+	for id := range h.leaving {
+		o.setLeaving(id, true) // its nodes exist now, and nobody has asked it yet
+	}
 }
 
 // Idle returns the time since the last request of an owned group; zero for a
