Grant no term while a promotion is pending; keep the pause of opening above bound

The old primary answered again before that took effect, was taken for the promoted one because no old term was known, and its term was granted; a home relied on it while the new primary acknowledged writes. The promoted primary must have a term above every one that was known, and no term is granted to others while a call may still take effect, also after it was answered (succession.TestOldPrimaryThatReturnsIsNotThe- PromotedOne fails with the old comparison).

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -23,7 +23,7 @@
 	defaultProbeTimeout = 500 * time.Millisecond
 	defaultProbeAfter   = 15 * time.Second
 	initialBackoff      = 20 * time.Millisecond
-	maxBackoff          = 250 * time.Millisecond
+	maxBackoff          = 500 * time.Millisecond
 )
 
 // Config describes a Pool.
--- a/internal/succession/controller.go
+++ b/internal/succession/controller.go
@@ -14,9 +14,8 @@
 	"github.com/rattancove/rattancove/internal/grant"
 )
 
-// uncertainTime is how long a call without an answer, this process's or an
-// earlier holder's, may still make the platform promote a server. No term is
-// granted meanwhile.
+// uncertainTime is how long after a call, this process's or an earlier holder's,
+// the platform may still promote the server. No other term is granted meanwhile.
 const uncertainTime = 5 * time.Second
 
 // idleInterval is the time between two looks at the groups and the lease.
@@ -153,9 +152,6 @@
 	if errors.Is(err, ErrNotRunning) {
 		l.view.Refused = a.Server
 	}
-	if err != nil && l.view.Refused == "" {
-		l.uncertainUntil = time.Now().Add(uncertainTime)
-	}
 	l.view.Asked = false
 	l.mu.Unlock()
 	eventPromotionAsked.Log(config.Log).Str("group", string(l.name)).Str("server", string(a.Server)).
--- a/internal/succession/decide.go
+++ b/internal/succession/decide.go
@@ -234,6 +234,10 @@
 	s.Cause, s.Began = cause, now
 	s.Term = max(maxTerm(v), s.Term) + 1
 	s.Chosen, s.Old, s.OldAt = "", "", 0
+	s.KnownTerm = 0
+	for _, o := range v.Servers {
+		s.KnownTerm = max(s.KnownTerm, o.Status.Term)
+	}
 	if p, o, ok := primary(g, v); ok {
 		s.Old, s.OldAt = p.ID, o.Status.Term
 	}
@@ -244,7 +248,7 @@
 	if replaced(g, v, s) {
 		return s.fire(eventRecovered, now), nil
 	}
-	if s.Cause == CauseUnreachable && oldIsBack(g, v, s) {
+	if (s.Cause == CauseUnreachable || s.Cause == CauseNoPrimary) && primaryIsBack(g, v, s) {
 		return s.fire(eventRecovered, now), nil
 	}
 	if chosen, ok := elect(g, v, s); ok {
@@ -265,13 +269,14 @@
 // replaced reports whether a primary of a later term exists already.
 func replaced(g Group, v View, s State) bool {
 	_, o, ok := primary(g, v)
-	return ok && o.Failures == 0 && o.Status.Term > s.OldAt && o.At.After(s.Began) && s.OldAt > 0
+	return ok && o.Failures == 0 && o.Status.Term > s.KnownTerm && o.At.After(s.Began)
 }
 
-// oldIsBack reports whether the primary that was taken for dead answers.
-func oldIsBack(g Group, v View, s State) bool {
+// primaryIsBack reports whether the primary that was taken for dead, or was not
+// known, answers.
+func primaryIsBack(g Group, v View, s State) bool {
 	p, o, ok := primary(g, v)
-	return ok && p.ID == s.Old && o.Failures == 0 && o.At.After(s.Began)
+	return ok && (p.ID == s.Old || s.Old == "") && o.Failures == 0 && o.At.After(s.Began)
 }
 
 // pauseRest returns the actions that stop every write of the old primary: the
@@ -383,7 +388,8 @@
 func decidePromoting(g Group, v View, s State, now time.Time) (State, []Action) {
 	for _, r := range g.Servers {
 		o := v.Servers[r.ID]
-		if o.answers(r) && o.At.After(s.Since) && o.Status.Role == cluster.RolePrimary && o.Status.Term > s.OldAt {
+		// An old primary that answers again is not the one that was asked for.
+		if o.answers(r) && o.At.After(s.Since) && o.Status.Role == cluster.RolePrimary && o.Status.Term > s.KnownTerm {
 			return s.fire(eventPromoted, now), nil
 		}
 	}
@@ -399,3 +405,18 @@
 	s.NextStep = now.Add(promotionTime)
 	return s, []Action{{Kind: ActPromote, Server: s.Chosen, Term: s.Term}}
 }
+
+// grantable returns the present term if nothing but a decision of this process
+// can end it: a promotion that the platform was asked for may still take effect.
+func grantable(g Group, v View, s State, now time.Time) (cluster.Term, bool) {
+	p, o, ok := primary(g, v)
+	if !ok || s.Phase != PhaseWatching || o.Failures > 0 || o.Status.Term < maxTerm(v) {
+		return 0, false
+	}
+	for asked, until := range v.Pending {
+		if asked != p.ID && now.Before(until) {
+			return 0, false
+		}
+	}
+	return o.Status.Term, true
+}
--- a/internal/succession/decide_test.go
+++ b/internal/succession/decide_test.go
@@ -260,3 +260,38 @@
 		t.Errorf("phase %s for %q", s.state.Phase, s.state.Cause)
 	}
 }
+
+// TestOldPrimaryThatReturnsIsNotThePromotedOne lets the old primary, which this
+// process never reached, answer while the platform carries the promotion out:
+// its term must not be granted, since the promotion is still to come.
+func TestOldPrimaryThatReturnsIsNotThePromotedOne(t *testing.T) {
+	s := newScene("s1", "s2", "s3")
+	s.sees("s2", cluster.RoleReplica, 2, 100, 0)
+	s.sees("s3", cluster.RoleReplica, 2, 100, 0)
+	delete(s.view.Servers, "s1")
+	s.decide(0)
+	s.decide(detectAfter)
+	s.now = s.now.Add(time.Millisecond)
+	s.sees("s2", cluster.RoleReplica, 2, 100, 3)
+	s.sees("s3", cluster.RoleReplica, 2, 100, 3)
+	s.decide(stepInterval)
+	s.expect(t, PhasePromoting, "s2")
+	s.view.Pending = map[cluster.ServerID]time.Time{"s2": s.now.Add(uncertainTime)}
+
+	s.now = s.now.Add(time.Millisecond)
+	s.sees("s1", cluster.RolePrimary, 2, 110, 0)
+	s.decide(time.Millisecond)
+	s.expect(t, PhasePromoting, "s2")
+	watching := NewState(s.now)
+	if term, ok := grantable(s.group, s.view, watching, s.now); ok {
+		t.Errorf("term %d is granted while a promotion is pending", term)
+	}
+
+	s.sees("s2", cluster.RolePrimary, 3, 100, 0)
+	s.sees("s3", cluster.RoleReplica, 3, 100, 0)
+	s.decide(time.Millisecond)
+	s.expect(t, PhaseWatching, "s2")
+	if term, ok := grantable(s.group, s.view, s.state, s.now); !ok || term != 3 {
+		t.Errorf("term %d, %v after the promotion, want 3", term, ok)
+	}
+}
--- a/internal/succession/loop.go
+++ b/internal/succession/loop.go
@@ -34,8 +34,8 @@
 	view    View
 	watches map[cluster.ServerID]*watch
 
-	// uncertainUntil is the time until which an earlier call for a promotion may
-	// take effect.
+	// uncertainUntil is the time until which a call of an earlier holder of the
+	// duty may take effect.
 	uncertainUntil time.Time
 
 	// state belongs to the loop's own goroutine.
@@ -45,7 +45,7 @@
 func newGroupLoop(ctx context.Context, c *Controller, g Group) *groupLoop {
 	l := &groupLoop{
 		controller: c, name: g.Name, news: make(chan struct{}, 1), state: NewState(time.Now()),
-		view:    View{Servers: map[cluster.ServerID]Observation{}},
+		view:    View{Servers: map[cluster.ServerID]Observation{}, Pending: map[cluster.ServerID]time.Time{}},
 		watches: map[cluster.ServerID]*watch{}, uncertainUntil: time.Now().Add(uncertainTime),
 	}
 	l.ctx, l.cancel = context.WithCancel(ctx)
@@ -111,28 +111,22 @@
 	l.mu.Lock()
 	before := l.state
 	view := l.view
-	view.Servers = maps.Clone(l.view.Servers)
+	view.Servers, view.Pending = maps.Clone(l.view.Servers), maps.Clone(l.view.Pending)
 	view.LeaseLeft = l.controller.config.Lease.Left()
 	view.Relied = l.controller.config.Grants.InForce(l.name)
 	state, actions := Decide(l.group, view, l.state, time.Now())
 	l.state = state
-	term, grantable := l.grantable()
+	now := time.Now()
+	term, allowed := grantable(l.group, view, l.state, now)
+	allowed = allowed && now.After(l.uncertainUntil)
 	l.mu.Unlock()
 	l.logPhase(before)
-	l.setGrants(term, grantable)
+	l.setGrants(term, allowed)
 	for _, a := range actions {
 		l.start(a)
 	}
 }
 
-// grantable returns the present term if nothing can end it without this
-// process. The caller holds the lock.
-func (l *groupLoop) grantable() (cluster.Term, bool) {
-	_, o, ok := primary(l.group, l.view)
-	ok = ok && l.state.Phase == PhaseWatching && o.Failures == 0 && o.Status.Term >= maxTerm(l.view)
-	return o.Status.Term, ok && time.Now().After(l.uncertainUntil)
-}
-
 // setGrants allows grants of a term or blocks them. Before a replacement, the
 // processes that have one are asked to give it up.
 func (l *groupLoop) setGrants(term cluster.Term, allowed bool) {
@@ -189,6 +183,7 @@
 	case ActPromote:
 		l.mu.Lock()
 		l.view.Asked = true
+		l.view.Pending[a.Server] = time.Now().Add(uncertainTime)
 		l.mu.Unlock()
 		l.work.Go(func() { l.promote(a) })
 	default:
--- a/internal/succession/types.go
+++ b/internal/succession/types.go
@@ -103,6 +103,9 @@
 	Refused cluster.ServerID
 	// Asked is set while a call for a promotion runs.
 	Asked bool
+	// Pending holds the servers that the platform was asked to promote, and until
+	// when that may take effect.
+	Pending map[cluster.ServerID]time.Time
 	// LeaseLeft is the time for which this process may act for sure.
 	LeaseLeft time.Duration
 	// Relied is set while some process may rely on the present term.
@@ -122,9 +125,12 @@
 	// Began is when the attempt began.
 	Began time.Time
 	// Old is the primary to replace, Chosen its successor.
-	Old    cluster.ServerID
-	OldAt  cluster.Term
-	Chosen cluster.ServerID
+	// KnownTerm is the highest term that any server had when the attempt began;
+	// the primary that it brings has a higher one.
+	KnownTerm cluster.Term
+	Old       cluster.ServerID
+	OldAt     cluster.Term
+	Chosen    cluster.ServerID
 	// PostponedUntil bounds how soon a leaving primary is replaced again.
 	PostponedUntil time.Time
 	// NextStep is the earliest time to repeat the actions of the phase.
