--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -23,6 +23,10 @@
 	"github.com/rattancove/rattancove/internal/telemetry"
 )
 
+// aloneInterval is the time between two rounds of pings of a process that has
+// just started alone: it serves nothing before it has heard from another.
+const aloneInterval = 100 * time.Millisecond
+
 // catalogWait bounds how long a caller waits for the first configuration. A
 // caller gives up after two seconds.
 const catalogWait = time.Second
@@ -92,7 +96,7 @@
 			ID: string(e.config.ID), Role: member.RoleProxy, Address: e.config.PeerListen,
 			FailureDomain: e.config.FailureDomain, Incarnation: uint64(e.started.UnixNano()),
 		},
-		Seeds: e.config.Seeds, Pinger: pinger{e}, Table: e.adapters.Table,
+		Seeds: e.config.Seeds, Pinger: pinger{e}, AloneInterval: aloneInterval, Table: e.adapters.Table,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: e.log,
 	}
 }
--- a/internal/member/loop.go
+++ b/internal/member/loop.go
@@ -26,7 +26,10 @@
 	// Seeds are addresses of processes to ask while no other member is known.
 	Seeds  []string
 	Pinger Pinger
-	Table  provider.Table
+	// AloneInterval is the time between two rounds of pings of a process that has
+	// just started and has not heard from another; zero takes that of all others.
+	AloneInterval time.Duration
+	Table         provider.Table
 	// VMs may be nil when the platform has no list.
 	VMs provider.VMList
 	// Rand spreads the loop's calls over time. It is used under the loop's lock.
--- a/internal/member/ping.go
+++ b/internal/member/ping.go
@@ -9,9 +9,6 @@
 const (
 	// pingInterval is the time between two rounds of pings.
 	pingInterval = time.Second
-	// aloneInterval is the time between two rounds of a process that has just
-	// started and has not heard from another: it serves nothing meanwhile.
-	aloneInterval = 100 * time.Millisecond
 	// pingTimeout bounds one ping.
 	pingTimeout = 500 * time.Millisecond
 	// retryInterval is the time after which a member that did not answer is
@@ -74,8 +71,8 @@
 
 // roundInterval returns the time between two rounds of pings.
 func (l *Loop) roundInterval() time.Duration {
-	if l.Snapshot().alone {
-		return aloneInterval
+	if l.cfg.AloneInterval > 0 && l.Snapshot().alone {
+		return l.cfg.AloneInterval
 	}
 	return pingInterval
 }
--- a/internal/member/start_test.go
+++ b/internal/member/start_test.go
@@ -14,6 +14,9 @@
 	"github.com/rattancove/rattancove/internal/provider/providertest"
 )
 
+// aloneInterval is the interval of the process under test.
+const aloneInterval = 100 * time.Millisecond
+
 // lateSeed answers pings from a time on, like a VM that starts a little later.
 type lateSeed struct {
 	up    time.Time
@@ -37,7 +40,7 @@
 		seed := &lateSeed{up: time.Now().Add(250 * time.Millisecond)}
 		loop := New(Config{
 			Self: Member{ID: "p1", Role: RoleProxy, Address: "a:1", Incarnation: 1}, Seeds: []string{"b:1"},
-			Pinger: seed, Table: providertest.NewTable(), Rand: rand.New(rand.NewPCG(1, 1)), Log: zerolog.Nop(),
+			Pinger: seed, AloneInterval: aloneInterval, Table: providertest.NewTable(), Rand: rand.New(rand.NewPCG(1, 1)), Log: zerolog.Nop(),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
