Tell of leaving servers at once and read the list of VMs every second

Change: the list is read every second in small fleets (still at most 100 reads a second at any size), and whoever waits for a change of the view hears of it.

--- a/internal/member/loop_test.go
+++ b/internal/member/loop_test.go
@@ -243,6 +243,25 @@
 	})
 }
 
+// TestLeavingServerIsToldAtOnce lists a backend server as leaving, which is no
+// member: whoever waits for changes hears of it, within a part of the 5 s after
+// which the server gets no new work.
+func TestLeavingServerIsToldAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, stop := newTestNet(t)
+		defer stop()
+		startFleet(n, 4)
+		time.Sleep(10 * time.Second)
+		changed := n.loops["p0:1"].Changed()
+		n.vms.Set(provider.VM{Address: "10.0.0.7", Leaving: true})
+		select {
+		case <-changed:
+		case <-time.After(1500 * time.Millisecond):
+			t.Error("a leaving server was not told in time")
+		}
+	})
+}
+
 // TestTrafficAtScale counts the bytes of a quiet large fleet.
 func TestTrafficAtScale(t *testing.T) {
 	const size, seconds, limit = 80, 30, 5000
--- a/internal/member/sources.go
+++ b/internal/member/sources.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -21,8 +22,10 @@
 	// listSpacing is the time that the fleet leaves between two lists by
 	// different members: it bounds the lists at three a second at any size.
 	listSpacing = 320 * time.Millisecond
-	// vmInterval is the shortest time between two reads of the list of VMs.
-	vmInterval = 2 * time.Second
+	// vmInterval is the shortest time between two reads of the list of VMs: a
+	// leaving server gets no new work 5 s after its notice, of which the list may
+	// lag by one and the hand-over from a leaving primary takes up to two.
+	vmInterval = time.Second
 	// vmSpacing is the time that the fleet leaves between two reads of the
 	// list of VMs by different members.
 	vmSpacing = 10 * time.Millisecond
@@ -140,8 +143,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	told := !maps.Equal(l.leaving, leaving) // of backend servers, too
 	l.leaving = leaving
-	l.publish(l.markLeaving(time.Now()))
+	l.publish(l.markLeaving(time.Now()) || told)
 	return nil
 }
 
