Let a few processes follow the store for the others of their failure domain

Ruled out: longer feeds alone (a feed ends at each change anyway, and the store's history is 20 s); news by pings alone (up to three rounds of a second; kept as the second way, it covers a delegate that is cut off and does not know it).

Change: in fleets of more than ten, two delegates of each failure domain follow the store; the others ask one of them, which holds the question until it knows more (catalog.Subscriber). While no delegate answers, or none hears from the store, a process follows the store itself. Lists of servers carry the version of the newest change, which is equal in processes that know the same, so that nothing is fetched twice. Lease rows are renewed at three a second for the whole fleet; the row of the duty is looked at every 30 s beyond the watchers and at once when the known holder gives no grant.

Small sites (at most ten processes) work as before.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -46,8 +46,8 @@
 	Configuration *Configuration
 	// Servers holds the entries by id; nil for one that has vanished.
 	Servers map[cluster.ServerID]*Server
-	// Version is the store's version that the news are complete up to.
-	Version uint64
+	// Covered is how much of the store's history the news reflect.
+	Covered Coverage
 }
 
 // Source reads the store.
@@ -59,18 +59,27 @@
 	Changes(ctx context.Context, topic Topic, after uint64, wait time.Duration) (News, error)
 }
 
-// Follower keeps a Tracker up to date.
+// Delegation tells whether other processes follow the store for this one.
+type Delegation interface {
+	// Active returns a channel that is closed when this process has to follow the
+	// store itself; nil while it has to.
+	Active() <-chan struct{}
+}
+
+// Follower keeps a Tracker up to date from the store.
 type Follower struct {
-	source  Source
-	tracker *Tracker
-	log     *zerolog.Logger
+	source     Source
+	tracker    *Tracker
+	delegation Delegation
+	log        *zerolog.Logger
 	// failing counts the topics whose last call failed.
 	failing [2]atomic.Bool
 }
 
-// NewFollower returns a Follower.
-func NewFollower(source Source, tracker *Tracker, log *zerolog.Logger) *Follower {
-	return &Follower{source: source, tracker: tracker, log: log}
+// NewFollower returns a Follower. delegation is nil where each process follows
+// the store itself.
+func NewFollower(source Source, tracker *Tracker, delegation Delegation, log *zerolog.Logger) *Follower {
+	return &Follower{source: source, tracker: tracker, delegation: delegation, log: log}
 }
 
 // Failing reports whether the store does not answer this process.
@@ -84,6 +93,10 @@
 	retry.InitialInterval, retry.MaxInterval = retryFirst, retryMost
 	var version uint64
 	for ctx.Err() == nil {
+		if f.awaitTurn(ctx) {
+			version = 0 // other processes have told more meanwhile
+			continue
+		}
 		news, complete, err := f.read(ctx, topic, version)
 		if err != nil {
 			if errors.Is(err, ErrHistoryGone) {
@@ -97,12 +110,29 @@
 		}
 		f.note(ctx, topic, nil)
 		retry.Reset()
-		version = news.Version
+		version = news.Covered.Complete
 		f.apply(topic, news, complete)
 	}
 	return nil
 }
 
+// awaitTurn waits while other processes follow the store for this one, and
+// reports whether there was anything to wait for.
+func (f *Follower) awaitTurn(ctx context.Context) bool {
+	if f.delegation == nil {
+		return false
+	}
+	ended := f.delegation.Active()
+	if ended == nil {
+		return false
+	}
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+	return true
+}
+
 // read loads a topic at first and waits for changes afterwards.
 func (f *Follower) read(ctx context.Context, topic Topic, version uint64) (news News, complete bool, err error) {
 	if version == 0 {
@@ -128,9 +158,9 @@
 				servers = append(servers, *s)
 			}
 		}
-		f.tracker.SetServers(servers, news.Version, OriginStore)
+		f.tracker.SetServers(servers, news.Covered, OriginStore)
 	default:
-		f.tracker.Change(news.Servers, news.Version)
+		f.tracker.Change(news.Servers, news.Covered)
 	}
 }
 
--- a/internal/catalog/tracker.go
+++ b/internal/catalog/tracker.go
@@ -36,11 +36,13 @@
 	configuration *Configuration
 	routes        map[string]Route
 	servers       map[cluster.ServerID]Server
-	// serversVersion is the store's version up to which servers is complete.
-	serversVersion uint64
+	// covered tells how much of the store's history servers reflects.
+	covered Coverage
 	// vanished holds the time at which the entry of a server was missed first.
 	vanished map[cluster.ServerID]time.Time
 	changed  chan struct{}
+	// encoded caches Export; nil after a change.
+	encoded []byte
 }
 
 // NewTracker returns a Tracker without a state.
@@ -81,14 +83,22 @@
 }
 
 // Versions returns the version of the configuration, and the store's version
-// of the servers. Both are zero while nothing is known.
+// of the newest change of the servers that is known. Both are zero while nothing
+// is known.
 func (t *Tracker) Versions() (configuration, servers uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.configuration != nil {
 		configuration = t.configuration.Version
 	}
-	return configuration, t.serversVersion
+	return configuration, t.covered.Latest
+}
+
+// Complete reports whether a configuration and the list of servers are known.
+func (t *Tracker) Complete() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.configuration != nil && t.covered.Complete > 0
 }
 
 // State returns the present state. It must not be changed.
@@ -120,15 +130,15 @@
 	t.signal()
 }
 
-// SetServers replaces the entries by the complete list as of a version of the
-// store. Servers that are missing stay for vanishedFor.
-func (t *Tracker) SetServers(servers []Server, version uint64, origin Origin) {
+// SetServers replaces the entries by a complete list, unless it covers less of
+// the store's history than the present one. Servers that are missing stay for
+// vanishedFor.
+func (t *Tracker) SetServers(servers []Server, covers Coverage, origin Origin) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if version < t.serversVersion {
+	if !t.advance(covers) {
 		return
 	}
-	t.serversVersion = version
 	listed := make(map[cluster.ServerID]bool, len(servers))
 	for _, s := range servers {
 		listed[s.ID] = true
@@ -144,13 +154,12 @@
 
 // Change applies what the store's feed tells of single entries: a nil entry
 // has vanished.
-func (t *Tracker) Change(entries map[cluster.ServerID]*Server, version uint64) {
+func (t *Tracker) Change(entries map[cluster.ServerID]*Server, covers Coverage) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if version < t.serversVersion {
+	if !t.advance(covers) || len(entries) == 0 {
 		return
 	}
-	t.serversVersion = version
 	for id, s := range entries {
 		if s == nil {
 			t.miss(id, OriginStore)
@@ -161,6 +170,18 @@
 	t.signal()
 }
 
+// advance extends what is covered and reports false for news that cover less
+// than what is known. A change that an older list does not show, because it
+// removed an entry, is known all the same. The caller holds the lock.
+func (t *Tracker) advance(covers Coverage) bool {
+	t.covered.Latest = max(t.covered.Latest, covers.Latest)
+	if covers.Complete < t.covered.Complete {
+		return false
+	}
+	t.covered.Complete = covers.Complete
+	return true
+}
+
 // Expire removes the servers that have been missing for too long and returns
 // the time until the next one has; zero when none is missing.
 func (t *Tracker) Expire(now time.Time) time.Duration {
@@ -191,7 +212,7 @@
 	t.servers[s.ID] = s
 	eventServer.Log(t.log).Str("server", string(s.ID)).Str("group", string(s.Group)).Str("address", s.Address).
 		Bool("draining", s.Draining).Bool("primary", s.Primary).Int64("started", s.Started).
-		Uint64("store_version", t.serversVersion).Str("origin", string(origin)).Send()
+		Uint64("store_version", t.covered.Complete).Str("origin", string(origin)).Send()
 }
 
 // miss notes that the entry of a server is gone. The caller holds the lock.
@@ -203,7 +224,7 @@
 		return
 	}
 	t.vanished[id] = time.Now()
-	eventServerMissing.Log(t.log).Str("server", string(id)).Uint64("store_version", t.serversVersion).
+	eventServerMissing.Log(t.log).Str("server", string(id)).Uint64("store_version", t.covered.Complete).
 		Str("origin", string(origin)).Send()
 }
 
@@ -211,23 +232,25 @@
 func (t *Tracker) signal() {
 	close(t.changed)
 	t.changed = make(chan struct{})
+	t.encoded = nil
 }
 
 // exported is the state as peers exchange it.
 type exported struct {
-	Configuration  *Configuration
-	Servers        []Server
-	ServersVersion uint64
+	Configuration *Configuration
+	Servers       []Server
+	Covered       Coverage
 }
 
-// Export returns the state for a peer; nil while there is no configuration.
+// Export returns the state for a peer; nil while there is no configuration. The
+// result must not be changed.
 func (t *Tracker) Export() ([]byte, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.configuration == nil {
-		return nil, nil
+	if t.configuration == nil || t.encoded != nil {
+		return t.encoded, nil
 	}
-	out := exported{Configuration: t.configuration, ServersVersion: t.serversVersion}
+	out := exported{Configuration: t.configuration, Covered: t.covered}
 	for id, s := range t.servers {
 		if _, missing := t.vanished[id]; !missing {
 			out.Servers = append(out.Servers, s)
@@ -235,7 +258,11 @@
 	}
 	slices.SortFunc(out.Servers, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
 	data, err := json.Marshal(out)
-	return data, eris.Wrap(err, "encode catalog")
+	if err != nil {
+		return nil, eris.Wrap(err, "encode catalog")
+	}
+	t.encoded = data
+	return data, nil
 }
 
 // Import takes up what Export returned at a peer.
@@ -245,8 +272,6 @@
 		return eris.Wrap(err, "decode catalog of a peer")
 	}
 	t.SetConfiguration(in.Configuration, OriginPeer)
-	if _, have := t.Versions(); in.ServersVersion > have {
-		t.SetServers(in.Servers, in.ServersVersion, OriginPeer)
-	}
+	t.SetServers(in.Servers, in.Covered, OriginPeer)
 	return nil
 }
--- a/internal/catalog/tracker_test.go
+++ b/internal/catalog/tracker_test.go
@@ -58,14 +58,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		tracker := newTracker()
 		s1, s2 := Server{ID: "s1", Group: "g"}, Server{ID: "s2", Group: "g"}
-		tracker.SetServers([]Server{s1, s2}, 10, OriginStore)
-		tracker.Change(map[cluster.ServerID]*Server{"s1": nil, "s2": nil}, 11)
+		tracker.SetServers([]Server{s1, s2}, upTo(10), OriginStore)
+		tracker.Change(map[cluster.ServerID]*Server{"s1": nil, "s2": nil}, upTo(11))
 		time.Sleep(2 * time.Second)
 		tracker.Expire(time.Now())
 		if n := len(tracker.State().Servers); n != 2 {
 			t.Fatalf("%d servers left while their entries may return", n)
 		}
-		tracker.Change(map[cluster.ServerID]*Server{"s1": &s1}, 12)
+		tracker.Change(map[cluster.ServerID]*Server{"s1": &s1}, upTo(12))
 		time.Sleep(2 * time.Second)
 		tracker.Expire(time.Now())
 		servers := tracker.State().Servers
@@ -78,9 +78,9 @@
 func TestPeerStateDoesNotReplaceNewer(t *testing.T) {
 	old, fresh := newTracker(), newTracker()
 	old.SetConfiguration(configuration(3, "a"), OriginStore)
-	old.SetServers([]Server{{ID: "s1", Group: "g", Draining: true}}, 10, OriginStore)
+	old.SetServers([]Server{{ID: "s1", Group: "g", Draining: true}}, upTo(10), OriginStore)
 	fresh.SetConfiguration(configuration(4, "b"), OriginStore)
-	fresh.SetServers([]Server{{ID: "s2", Group: "g"}}, 20, OriginStore)
+	fresh.SetServers([]Server{{ID: "s2", Group: "g"}}, upTo(20), OriginStore)
 	exchange := func(from, to *Tracker) {
 		data, err := from.Export()
 		if err != nil {
@@ -103,6 +103,9 @@
 	}
 }
 
+// upTo covers everything up to a version, which changed something.
+func upTo(version uint64) Coverage { return Coverage{Complete: version, Latest: version} }
+
 // feed is a store whose calls follow a script.
 type feed struct {
 	mu     sync.Mutex
@@ -114,7 +117,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.loads++
-	return News{Configuration: configuration(uint64(f.loads)), Version: uint64(10 * f.loads)}, nil
+	return News{Configuration: configuration(uint64(f.loads)), Covered: upTo(uint64(10 * f.loads))}, nil
 }
 
 func (f *feed) Changes(ctx context.Context, _ Topic, after uint64, _ time.Duration) (News, error) {
@@ -128,8 +131,8 @@
 	f.script = f.script[1:]
 	f.mu.Unlock()
 	news, err := next()
-	if news.Version == 0 {
-		news.Version = after
+	if news.Covered == (Coverage{}) {
+		news.Covered = upTo(after)
 	}
 	return news, err
 }
@@ -142,11 +145,11 @@
 		down := func() (News, error) { return News{}, errors.New("store call: 503") }
 		f := &feed{script: []func() (News, error){
 			down, down,
-			func() (News, error) { return News{Configuration: configuration(7), Version: 30}, nil },
+			func() (News, error) { return News{Configuration: configuration(7), Covered: upTo(30)}, nil },
 			func() (News, error) { return News{}, ErrHistoryGone },
 		}}
 		tracker := newTracker()
-		follower := NewFollower(f, tracker, &log)
+		follower := NewFollower(f, tracker, nil, &log)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -71,3 +71,12 @@
 	}
 	return 0
 }
+
+// Coverage tells how much of the store's history a list of servers reflects.
+type Coverage struct {
+	// Complete is the store's version up to which every change is in the list.
+	Complete uint64
+	// Latest is the version of the newest change that is known to be in it. It is
+	// the same for all processes once they know the same changes.
+	Latest uint64
+}
--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -27,8 +27,10 @@
 	// line; each further one waits as much longer. Those beyond watchers look
 	// every watchMost only, so that a large fleet asks no more than a small one.
 	watchInterval = 700 * time.Millisecond
-	watchMost     = 10 * time.Second
+	watchMost     = 30 * time.Second
 	watchers      = 4
+	// checkSpacing is the least time between two looks that Check causes.
+	checkSpacing = time.Second
 	// callTimeout bounds one call of the table service.
 	callTimeout = time.Second
 	// releaseTimeout bounds giving the lease up at a planned stop.
@@ -73,6 +75,8 @@
 	version uint64
 	expiry  time.Duration
 	changed chan struct{}
+	// check asks for a look at the row at once.
+	check chan struct{}
 	// other is another process that was seen to hold the lease.
 	other string
 
@@ -88,7 +92,7 @@
 	if config.Clock == nil {
 		config.Clock = BootTime
 	}
-	return &Lease{config: config, life: time.Now().UnixNano(), changed: make(chan struct{})}
+	return &Lease{config: config, life: time.Now().UnixNano(), changed: make(chan struct{}), check: make(chan struct{}, 1)}
 }
 
 // BootTime is a steady clock that counts the time of a suspension, which the
@@ -142,12 +146,35 @@
 // Run keeps or watches the lease until ctx ends.
 func (l *Lease) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		wait := l.step(ctx)
-		delay.Sleep(ctx, delay.Jitter(wait))
+		l.pause(ctx, delay.Jitter(l.step(ctx)))
 	}
 	return nil
 }
 
+// pause waits for d, or until Check asks for a look, but for checkSpacing at least.
+func (l *Lease) pause(ctx context.Context, d time.Duration) {
+	delay.Sleep(ctx, min(d, checkSpacing))
+	if d <= checkSpacing {
+		return
+	}
+	timer := time.NewTimer(d - checkSpacing)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-l.check:
+	case <-timer.C:
+	}
+}
+
+// Check makes a process that looks at the row seldom look at it soon. It is
+// called when the holder that was seen last does not answer as such.
+func (l *Lease) Check() {
+	select {
+	case l.check <- struct{}{}:
+	default:
+	}
+}
+
 // step renews the lease or looks at it, and returns the time until the next step.
 func (l *Lease) step(ctx context.Context) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/duty/lease_test.go
+++ b/internal/duty/lease_test.go
@@ -59,6 +59,31 @@
 	})
 }
 
+// TestCheckFindsAnotherHolder lets the holder change while a process looks at the
+// row seldom: it finds the new one soon after it is told to look.
+func TestCheckFindsAnotherHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, begun := providertest.NewTable(), time.Now()
+		first := start(t, table, "a", 0, begun)
+		time.Sleep(time.Second)
+		second := start(t, table, "b", 1, begun)
+		defer second.stop()
+		seldom := start(t, table, "c", watchers+1, begun)
+		defer seldom.stop()
+		time.Sleep(2 * time.Second)
+		first.stop()
+		time.Sleep(timeToLive + 3*watchInterval)
+		if known := seldom.lease.Known(); known != "a" {
+			t.Fatalf("%q is known as the holder without a look", known)
+		}
+		seldom.lease.Check()
+		time.Sleep(checkSpacing)
+		if known := seldom.lease.Known(); known != "b" {
+			t.Errorf("%q is known as the holder, want b", known)
+		}
+	})
+}
+
 func TestReleaseHandsOverAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table, begun := providertest.NewTable(), time.Now()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -38,9 +38,11 @@
 	log      zerolog.Logger
 	started  time.Time
 
-	tracker  *catalog.Tracker
-	follower *catalog.Follower
-	members  *member.Loop
+	tracker *catalog.Tracker
+	// subscriber hears the catalog from other processes, follower from the store.
+	subscriber *catalog.Subscriber
+	follower   *catalog.Follower
+	members    *member.Loop
 	// statements and control carry requests and everything else to peers, so
 	// that neither waits for connections of the other.
 	statements *peer.Registry
@@ -60,13 +62,16 @@
 	issuer *grant.Issuer
 	// stopping is set when a planned stop begins.
 	stopping atomic.Bool
+	// importing is set while the catalog of a peer is on its way.
+	importing atomic.Bool
 }
 
 // New assembles a process. It connects to nothing.
 func New(config Config, adapters Adapters, log zerolog.Logger) (*Edge, error) {
 	e := &Edge{config: config, adapters: adapters, log: log, started: time.Now()}
 	e.tracker = catalog.NewTracker(&e.log)
-	e.follower = catalog.NewFollower(adapters.Source, e.tracker, &e.log)
+	e.subscriber = catalog.NewSubscriber(e.tracker, upstreams{e}, &e.log)
+	e.follower = catalog.NewFollower(adapters.Source, e.tracker, e.subscriber, &e.log)
 	e.places.avoided = map[cluster.ProxyID]time.Time{}
 	e.lives = gateway.NewLifetimes(member.StateDead, member.StateSuspect)
 	e.statements = peer.NewRegistry(adapters.Dial)
@@ -113,6 +118,7 @@
 	}
 	group.Go(func() error { return e.follower.Run(groupCtx, catalog.TopicConfiguration) })
 	group.Go(func() error { return e.follower.Run(groupCtx, catalog.TopicServers) })
+	group.Go(func() error { return e.subscriber.Run(groupCtx) })
 	group.Go(func() error { return e.members.Run(groupCtx) })
 	group.Go(func() error { return e.keepHomes(groupCtx) })
 	group.Go(func() error { return e.lease.Run(groupCtx) })
@@ -191,6 +197,5 @@
 
 // ready reports whether new callers should come here.
 func (e *Edge) ready() bool {
-	configuration, servers := e.tracker.Versions()
-	return configuration > 0 && servers > 0 && !e.stopping.Load()
+	return e.tracker.Complete() && !e.stopping.Load()
 }
--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -32,7 +32,8 @@
 		reply, err := e.askGrants(ctx, groups)
 		if err != nil {
 			grantFailures.Inc()
-			continue // the homes prove the term by the servers meanwhile
+			e.lease.Check() // another process may hold the duty now
+			continue        // the homes prove the term by the servers meanwhile
 		}
 		for _, g := range reply.GetGrants() {
 			e.grants.Take(cluster.GroupName(g.GetGroup()), cluster.Term(g.GetTerm()), asked, time.Duration(g.GetValidNanos()))
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -5,6 +5,10 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rattancove/rattancove/internal/catalog"
+	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/member"
 	"github.com/rattancove/rattancove/internal/peer"
 	"github.com/rattancove/rattancove/internal/peer/peerpb"
@@ -18,6 +22,11 @@
 	announceTimeout = 500 * time.Millisecond
 	// importTimeout bounds the transfer of a catalog from a peer.
 	importTimeout = time.Second
+	// awaitMost bounds how long a peer's question for news is held.
+	awaitMost = 5 * time.Second
+	// delegatesPerDomain is the number of processes of a failure domain that follow
+	// the store for the others there: one of them may fail at any time.
+	delegatesPerDomain = 2
 )
 
 func (e *Edge) handlers() peer.Handlers {
@@ -54,7 +63,7 @@
 }
 
 // versions tells the version of the configuration as the revision, and the
-// store's version of the servers as the digest.
+// store's version of the newest change of the servers as the digest.
 func (e *Edge) versions() []*peerpb.DocumentVersion {
 	configuration, servers := e.tracker.Versions()
 	if configuration == 0 {
@@ -65,11 +74,12 @@
 	}}
 }
 
-// offer takes up the catalog of a peer that knows more, where the store does
-// not answer this process.
+// offer takes up the catalog of a peer that knows more, where this process does
+// not hear from the store itself: a follower of the store that is cut off does
+// not know that it is.
 func (e *Edge) offer(address string, versions []*peerpb.DocumentVersion) {
 	configuration, servers := e.tracker.Versions()
-	if configuration > 0 && !e.follower.Failing() {
+	if configuration > 0 && e.hearsStore() {
 		return
 	}
 	for _, v := range versions {
@@ -77,14 +87,18 @@
 		if err != nil || v.GetEnvironment() != catalogName {
 			continue
 		}
-		if v.GetRevision() > configuration || theirs > servers {
+		if (v.GetRevision() > configuration || theirs > servers) && e.importing.CompareAndSwap(false, true) {
 			go e.importFrom(address)
 			return
 		}
 	}
 }
 
+// hearsStore reports whether this process follows the store itself and gets answers.
+func (e *Edge) hearsStore() bool { return e.subscriber.Active() == nil && !e.follower.Failing() }
+
 func (e *Edge) importFrom(address string) {
+	defer e.importing.Store(false)
 	ctx, cancel := context.WithTimeout(context.Background(), importTimeout)
 	defer cancel()
 	reply, err := e.control.Client(address).Document(ctx, &peerpb.DocumentRequest{Environment: catalogName})
@@ -96,11 +110,59 @@
 	}
 }
 
-func (e *Edge) handleCatalog(context.Context, *peerpb.DocumentRequest) (*peerpb.DocumentReply, error) {
-	data, err := e.tracker.Export()
+// handleCatalog answers with the catalog; where the peer asks to wait for news,
+// only if this process hears from the store itself.
+func (e *Edge) handleCatalog(ctx context.Context, in *peerpb.DocumentRequest) (*peerpb.DocumentReply, error) {
+	if in.GetWaitNanos() == 0 {
+		data, err := e.tracker.Export()
+		return &peerpb.DocumentReply{Document: data}, err
+	}
+	servers, err := strconv.ParseUint(in.GetBaseDigest(), 10, 64)
+	if err != nil {
+		return nil, errcode.Wrap(err, errcode.Protocol, "await catalog", in.GetBaseDigest())
+	}
+	if !e.hearsStore() {
+		return nil, catalog.ErrNotFollowing
+	}
+	data, err := e.tracker.AwaitNews(ctx, in.GetAtLeastRevision(), servers, min(time.Duration(in.GetWaitNanos()), awaitMost))
+	if err == nil && data == nil && !e.hearsStore() {
+		err = catalog.ErrNotFollowing
+	}
 	return &peerpb.DocumentReply{Document: data}, err
 }
 
+// upstreams implements catalog.Peers by the delegates of this failure domain.
+type upstreams struct{ edge *Edge }
+
+// Upstreams implements catalog.Peers. Each process asks the delegates in an order
+// of its own, so that they have about as many to answer.
+func (u upstreams) Upstreams() []string {
+	e := u.edge
+	delegates := e.members.Snapshot().Delegates(e.config.FailureDomain, delegatesPerDomain)
+	addresses := make([]string, 0, len(delegates))
+	for _, d := range delegates {
+		if d.ID == string(e.config.ID) {
+			return nil
+		}
+		addresses = append(addresses, d.Address)
+	}
+	if len(addresses) == 0 {
+		return nil
+	}
+	first := int(xxhash.Sum64String(string(e.config.ID)) % uint64(len(addresses)))
+	return append(addresses[first:], addresses[:first]...)
+}
+
+// Await implements catalog.Peers.
+func (u upstreams) Await(ctx context.Context, address string, wait time.Duration) ([]byte, error) {
+	configuration, servers := u.edge.tracker.Versions()
+	reply, err := u.edge.control.Client(address).Document(ctx, &peerpb.DocumentRequest{
+		Environment: catalogName, AtLeastRevision: configuration, BaseDigest: strconv.FormatUint(servers, 10),
+		WaitNanos: int64(wait),
+	})
+	return reply.GetDocument(), err
+}
+
 // announce tells the other processes at once of this one's state.
 func (e *Edge) announce(ctx context.Context) {
 	self, ok := e.members.Snapshot().Find(member.Key{Role: member.RoleProxy, ID: string(e.config.ID)})
--- a/internal/member/lease.go
+++ b/internal/member/lease.go
@@ -14,8 +14,9 @@
 const (
 	// keyPrefix precedes the keys of all lease rows.
 	keyPrefix = "member/"
-	// leaseExpiry is the age at which an unrenewed lease no longer counts.
-	leaseExpiry = 30 * time.Second
+	// leaseLives is the number of intervals of renewal after which a lease that was
+	// not renewed counts no longer.
+	leaseLives = 3
 	// tableTimeout bounds one call of the table service.
 	tableTimeout = 2 * time.Second
 )
@@ -115,9 +116,9 @@
 	at      time.Time
 }
 
-// list returns the members whose leases were renewed within leaseExpiry, as
-// far as this process can tell.
-func (l *leases) list(ctx context.Context) ([]leaseValue, error) {
+// list returns the members whose leases were renewed within expiry, as far as
+// this process can tell.
+func (l *leases) list(ctx context.Context, expiry time.Duration) ([]leaseValue, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	tableReads.Inc()
@@ -135,7 +136,7 @@
 		}
 		seen[row.Key] = last
 		var value leaseValue
-		if json.Unmarshal(row.Value, &value) == nil && now.Sub(last.at) < leaseExpiry {
+		if json.Unmarshal(row.Value, &value) == nil && now.Sub(last.at) < expiry {
 			current = append(current, value)
 		}
 	}
--- a/internal/member/lease_test.go
+++ b/internal/member/lease_test.go
@@ -71,7 +71,7 @@
 		rows := &leases{table: table, seen: map[string]seenLease{}}
 		for _, want := range []int{2, 2, 2, 1} {
 			_ = kept.renew(t.Context(), StateAlive)
-			values, err := rows.list(t.Context())
+			values, err := rows.list(t.Context(), leaseLives*leaseInterval)
 			if err != nil || len(values) != want {
 				t.Errorf("%d leases, error %v, want %d", len(values), err, want)
 			}
--- a/internal/member/placement.go
+++ b/internal/member/placement.go
@@ -63,3 +63,30 @@
 		return usable
 	}
 }
+
+// Delegates returns the proxies that act for all proxies of a failure domain, up
+// to n of them: the stable ones of the highest rendezvous weights, or any living
+// ones while too few are stable. There are none in small views, and while this
+// process has not heard from another one.
+func (s *Snapshot) Delegates(domain string, n int) []Member {
+	if s.alone || len(s.Alive(RoleProxy)) <= fullMeshMembers {
+		return nil
+	}
+	var alive, stable []Member
+	for _, e := range s.entries {
+		if e.Member.Role != RoleProxy || e.Member.FailureDomain != domain || e.State != StateAlive {
+			continue
+		}
+		alive = append(alive, e.Member)
+		if e.Stable {
+			stable = append(stable, e.Member)
+		}
+	}
+	chosen := alive
+	if len(stable) >= n {
+		chosen = stable
+	}
+	group := cluster.GroupName(domain)
+	slices.SortFunc(chosen, func(a, b Member) int { return compareWeights(group, b, a) })
+	return chosen[:min(n, len(chosen))]
+}
--- a/internal/member/sources.go
+++ b/internal/member/sources.go
@@ -13,8 +13,12 @@
 )
 
 const (
-	// leaseInterval is the time between two renewals of the lease.
+	// leaseInterval is the shortest time between two renewals of the lease.
 	leaseInterval = 10 * time.Second
+	// leaseSpacing is the time that the fleet leaves between two renewals by
+	// different members: it bounds the renewals at three a second at any size. A
+	// lease only lets newcomers find members that their seeds do not know.
+	leaseSpacing = 320 * time.Millisecond
 	// leaseRetry is the time after which a failed renewal is tried again.
 	leaseRetry = 3 * time.Second
 	// listInterval is the shortest time between two lists of the lease rows.
@@ -52,7 +56,7 @@
 		l.mu.Lock()
 		state := l.state
 		l.mu.Unlock()
-		wait := leaseInterval
+		wait := l.interval(leaseInterval, leaseSpacing)
 		err := row.renew(ctx, state)
 		if err != nil && ctx.Err() == nil {
 			leaseErrors.Inc()
@@ -86,7 +90,7 @@
 	rows := &leases{table: l.cfg.Table, seen: map[string]seenLease{}}
 	var failed outage
 	for {
-		values, err := rows.list(ctx)
+		values, err := rows.list(ctx, leaseLives*l.interval(leaseInterval, leaseSpacing))
 		failed.note(&l.cfg.Log, eventListFailed, err)
 		l.discover(values)
 		wait := l.interval(listInterval, listSpacing)
