Do not spend a request's whole time on dialing a peer beyond a partition

Change: 250 ms, several times a round trip between far regions. peer.TestUnreachablePeerLeavesTimeForAnother fails with the old bound.

--- a/internal/peer/gone_test.go
+++ b/internal/peer/gone_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -68,3 +69,22 @@
 		})
 	}
 }
+
+// TestUnreachablePeerLeavesTimeForAnother runs a request at a peer beyond a
+// partition, where opening a connection gets no answer.
+func TestUnreachablePeerLeavesTimeForAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := NewClient("gone", func(ctx context.Context, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		began := time.Now()
+		_, err := client.Run(t.Context(), &statement.Request{ID: "q", Timeout: time.Second}, nil)
+		if !errcode.Is(err, errcode.NoHome) {
+			t.Errorf("error %v, want one that allows another process", err)
+		}
+		if took := time.Since(began); took > 300*time.Millisecond {
+			t.Errorf("given up after %v of the second that the request has", took)
+		}
+	})
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -21,8 +21,10 @@
 	maxConnsPerPeer = 512
 	// maxIdlePerPeer bounds the idle connections kept to one peer.
 	maxIdlePerPeer = 256
-	// dialTimeout bounds the opening of a connection to a peer.
-	dialTimeout = time.Second
+	// dialTimeout bounds the opening of a connection to a peer: a kernel accepts it
+	// within one round trip, which takes 100 ms between far regions. A peer beyond
+	// a partition must leave a request the time to go to another one.
+	dialTimeout = 250 * time.Millisecond
 	// softCancelGrace bounds the wait for a running send when a call is cancelled.
 	softCancelGrace = 5 * time.Millisecond
 	// idleConnLifetime bounds how long an idle connection is kept.
