Serve requests that can still meet their objective first

Cause: the queues of the home were served in order of arrival, so that a load beyond the slots made every request late instead of some.

Ruled out: newest first (starves what could wait), a longer or shorter queue (the wait at the front stays at the bound), charging by worth (ranks do that).

Change: a request carries its route's latency objective to the home. Within a rank those that can meet it go first; others wait behind them and are refused at once when the pace at which such requests are served leaves no hope.

--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -232,7 +232,7 @@
 	request := &statement.Request{
 		ID: first.ID, Group: route.Group, Rank: route.Rank, Freshness: route.Freshness,
 		Floor: floor.Position, FloorExact: floor.Exact, Settings: s.settings,
-		Timeout: route.Timeout, First: *batch,
+		Timeout: route.Timeout, Objective: route.Objective, First: *batch,
 	}
 	c := &conversation{session: s, pending: first, opened: s.begun != nil}
 	c.readOnly = c.opened && s.begun.Kind == KindBeginReadOnly
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -71,7 +72,10 @@
 		propagation.TraceContext{}.Inject(ctx, carrier)
 		req.TraceParent = carrier["traceparent"]
 	}
-	a := &attempt{gateway: g, req: req, conv: &trackedConversation{Conversation: conv}, deadline: time.Now().Add(req.Timeout)}
+	now := time.Now()
+	a := &attempt{
+		gateway: g, req: req, conv: &trackedConversation{Conversation: conv}, started: now, deadline: now.Add(req.Timeout),
+	}
 	result, err := a.runUntilDone(ctx)
 	span.SetAttributes(
 		attribute.String("rattancove.group", string(req.Group)),
@@ -90,6 +94,7 @@
 	gateway  *Gateway
 	req      *statement.Request
 	conv     *trackedConversation
+	started  time.Time
 	deadline time.Time
 	// redirect is the home that the last refusal named.
 	redirect cluster.ProxyID
@@ -138,6 +143,10 @@
 	}
 	attemptReq := *a.req
 	attemptReq.Timeout = time.Until(a.deadline)
+	if a.req.Objective != 0 {
+		// Zero would mean that there is no objective.
+		attemptReq.Objective = cmp.Or(a.req.Objective-time.Since(a.started), -1)
+	}
 	if home == a.gateway.config.Self {
 		return a.gateway.config.Local.Run(ctx, &attemptReq, a.conv)
 	}
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -29,6 +29,8 @@
 	conv     *conversation
 	arrived  time.Time
 	deadline time.Time
+	// objective is when the answer should be there; zero when it does not matter.
+	objective time.Time
 	// ticket was drawn after the request arrived. A proof for it shows what
 	// held at some time after the arrival.
 	ticket uint64
@@ -48,6 +50,9 @@
 		arrived: time.Now(),
 	}
 	r.deadline = r.arrived.Add(orDefault(req.Timeout, defaultTimeout))
+	if req.Objective != 0 {
+		r.objective = r.arrived.Add(req.Objective)
+	}
 	o.mu.Lock()
 	r.ack = o.ranks.Policy(r.rank).Ack
 	o.mu.Unlock()
@@ -204,7 +209,7 @@
 	var chosen *route.Group
 	var need cluster.Position
 	grant, err := o.dispatcher.Acquire(ctx, rank.Request{
-		Rank: r.rank, Lane: lane, Bytes: len(r.First.Messages), Deadline: r.deadline,
+		Rank: r.rank, Lane: lane, Bytes: len(r.First.Messages), Objective: r.objective, Deadline: r.deadline,
 		Eligible: func(id cluster.ServerID, now time.Time) rank.Verdict {
 			group := o.group.Load()
 			verdict, position := o.judge(&q, group, id, now)
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -68,9 +68,9 @@
 		Floor:         positionToProto(r.Floor),
 		FloorExact:    r.FloorExact,
 		OrderId:       r.OrderID,
-		TimeoutNanos:  int64(r.Timeout),
-		TraceParent:   r.TraceParent,
-		Hops:          uint32(r.Hops),
+		TimeoutNanos:  int64(r.Timeout), ObjectiveNanos: int64(r.Objective),
+		TraceParent: r.TraceParent,
+		Hops:        uint32(r.Hops),
 	}
 	open.Settings = settingsToProto(r.Settings)
 	return open
@@ -91,6 +91,7 @@
 		FloorExact:  open.GetFloorExact(),
 		OrderID:     open.GetOrderId(),
 		Timeout:     time.Duration(open.GetTimeoutNanos()),
+		Objective:   time.Duration(open.GetObjectiveNanos()),
 		TraceParent: open.GetTraceParent(),
 		Hops:        int(open.GetHops()),
 		First:       batchFromProto(batch),
--- a/internal/rank/dispatcher.go
+++ b/internal/rank/dispatcher.go
@@ -43,6 +43,15 @@
 	// costFor is how long an observed cost counts when requests are refused for
 	// it: without new observations it would refuse them for good.
 	costFor = 500 * time.Millisecond
+	// objectiveCosts is how many times the average slot time must be left before a
+	// request's objective when it gets a slot: statements differ, and the answer
+	// has to travel.
+	objectiveCosts = 2
+	// objectiveWaits is how many times the estimated wait must be left before the
+	// objective when a request joins those that can meet theirs: a queue drains
+	// unevenly, and a request that is postponed later has waited in vain. Of 1 to 2
+	// it did best over the load patterns of the tests.
+	objectiveWaits = 1.5
 	// defaultQueue and defaultMaxWait bound a rank whose document entry is zero.
 	defaultQueue   = 1000
 	defaultMaxWait = 10 * time.Second
@@ -67,6 +76,8 @@
 	Lane Lane
 	// Bytes is the memory that the request holds while it waits.
 	Bytes int
+	// Objective is when the answer should be there; zero means no objective.
+	Objective time.Time
 	// Deadline is when the caller gives up; zero means no deadline.
 	Deadline time.Time
 	// Pinned names the server of the open transaction that the statement
@@ -244,7 +255,7 @@
 		refusedTotal[r.Rank].Inc()
 		return nil, err
 	}
-	d.insert(w)
+	d.insert(w, now)
 	d.dispatch(now)
 	return w, nil
 }
--- a/internal/rank/queue.go
+++ b/internal/rank/queue.go
@@ -17,9 +17,11 @@
 	deadline time.Time
 	element  *list.Element
 	queue    *queue
-	done     chan struct{}
-	grant    *Grant
-	err      error
+	// overdue is set once the request cannot be carried out within its objective.
+	overdue bool
+	done    chan struct{}
+	grant   *Grant
+	err     error
 }
 
 func (w *waiter) fail(err error) {
@@ -32,23 +34,60 @@
 	close(w.done)
 }
 
-// queue is a list of waiters in order of arrival with the pace at which it drains.
+// queue holds waiters in order of arrival, with the pace at which it drains.
+// Those that can still meet their objectives go first: where more work arrives
+// than the servers can do, one queue in order of arrival would make every request
+// late.
 type queue struct {
-	waiters list.List
+	timely, overdue list.List
 	// pace is the average time in seconds between two grants while requests wait.
 	pace average
 	// lastGrant is when the queue was last served while requests waited; zero after it was empty.
 	lastGrant time.Time
+	// overduePace and overdueSince are pace and lastGrant of overdue requests, with
+	// the time at which the first of them began to wait.
+	overduePace  average
+	overdueSince time.Time
 }
 
-func (q *queue) len() int { return q.waiters.Len() }
+func (q *queue) len() int { return q.timely.Len() + q.overdue.Len() }
 
-func (q *queue) push(w *waiter) {
+func (q *queue) push(w *waiter, now time.Time) {
 	w.queue = q
-	w.element = q.waiters.PushBack(w)
+	if w.overdue {
+		q.pushOverdue(w, now)
+		return
+	}
+	w.element = q.timely.PushBack(w)
+}
+
+func (q *queue) pushOverdue(w *waiter, now time.Time) {
+	if q.overdue.Len() == 0 {
+		q.overdueSince = now
+	}
+	w.overdue = true
+	w.element = q.overdue.PushBack(w)
+}
+
+// postpone moves a waiter behind those that can meet their objectives.
+func (q *queue) postpone(w *waiter, now time.Time) {
+	q.timely.Remove(w.element)
+	q.pushOverdue(w, now)
+}
+
+func (q *queue) remove(w *waiter) {
+	if w.overdue {
+		q.overdue.Remove(w.element)
+	} else {
+		q.timely.Remove(w.element)
+	}
+	if q.len() == 0 {
+		q.lastGrant = time.Time{}
+	}
 }
 
-func (q *queue) granted(now time.Time) {
+// granted notes that a waiter, which was removed, got a slot.
+func (q *queue) granted(w *waiter, now time.Time) {
 	if !q.lastGrant.IsZero() {
 		q.pace.add(now.Sub(q.lastGrant).Seconds())
 	}
@@ -56,6 +95,25 @@
 	if q.len() == 0 {
 		q.lastGrant = time.Time{}
 	}
+	if w.overdue {
+		q.overduePace.add(now.Sub(q.overdueSince).Seconds())
+		q.overdueSince = now
+	}
+}
+
+// timelyWait estimates the wait of a request that joins the timely ones.
+func (q *queue) timelyWait() time.Duration {
+	return time.Duration(q.timely.Len()) * q.pace.duration()
+}
+
+// overdueWait estimates the wait of a request that joins the overdue ones: by
+// the pace at which they were served, or by the time for which none was.
+func (q *queue) overdueWait(now time.Time) time.Duration {
+	if q.overdue.Len() == 0 {
+		return q.timelyWait()
+	}
+	pace := max(q.overduePace.duration(), q.pace.duration(), now.Sub(q.overdueSince))
+	return time.Duration(q.overdue.Len()) * pace
 }
 
 // average is an exponentially weighted moving average.
@@ -87,6 +145,10 @@
 		return nil
 	}
 	expected := d.expectedWait(r.Rank, r.Lane)
+	if d.missesObjective(w, time.Duration(objectiveWaits*float64(d.queues[r.Rank][r.Lane].timelyWait())), now) {
+		w.overdue = true
+		expected = max(expected, d.queues[r.Rank][r.Lane].overdueWait(now))
+	}
 	if d.queued(r.Rank) >= d.queueLimit(r.Rank) || d.bytes+int64(r.Bytes) > d.config.QueueBytes {
 		return overloaded("queue full", expected)
 	}
@@ -153,20 +215,28 @@
 	return d.cost[r].duration()
 }
 
-func (d *Dispatcher) insert(w *waiter) {
+// missesObjective reports whether a request that waits for a time from now on
+// would end after its objective, with room for a statement that takes longer than
+// usual.
+func (d *Dispatcher) missesObjective(w *waiter, wait time.Duration, now time.Time) bool {
+	objective := w.request.Objective
+	if objective.IsZero() || d.config.Policy == PolicyStatic {
+		return false
+	}
+	return now.Add(wait + objectiveCosts*d.expectedCost(w.request.Rank, now)).After(objective)
+}
+
+func (d *Dispatcher) insert(w *waiter, now time.Time) {
 	if w.request.Pinned != "" {
-		d.server(w.request.Pinned).pinned.push(w)
+		d.server(w.request.Pinned).pinned.push(w, now)
 		return
 	}
-	d.queues[w.request.Rank][w.request.Lane].push(w)
+	d.queues[w.request.Rank][w.request.Lane].push(w, now)
 	d.bytes += int64(w.request.Bytes)
 }
 
 func (d *Dispatcher) remove(w *waiter) {
-	w.queue.waiters.Remove(w.element)
-	if w.queue.len() == 0 {
-		w.queue.lastGrant = time.Time{}
-	}
+	w.queue.remove(w)
 	if w.request.Pinned == "" {
 		d.bytes -= int64(w.request.Bytes)
 	}
@@ -187,8 +257,10 @@
 }
 
 func appendWaiters(all []*waiter, q *queue) []*waiter {
-	for e := q.waiters.Front(); e != nil; e = e.Next() {
-		all = append(all, e.Value.(*waiter))
+	for _, waiters := range []*list.List{&q.timely, &q.overdue} {
+		for e := waiters.Front(); e != nil; e = e.Next() {
+			all = append(all, e.Value.(*waiter))
+		}
 	}
 	return all
 }
--- a/internal/rank/schedule.go
+++ b/internal/rank/schedule.go
@@ -194,7 +194,7 @@
 	if s.free() <= 0 {
 		return false
 	}
-	if e := s.pinned.waiters.Front(); e != nil {
+	if e := s.pinned.timely.Front(); e != nil {
 		d.grant(e.Value.(*waiter), s, "open transaction", false, now)
 		return true
 	}
@@ -271,29 +271,49 @@
 }
 
 // first finds the first waiting request of a rank that the server may run now.
-// Requests that can run nowhere else come first.
+// Requests that can run nowhere else come first, and those that can still meet
+// their objectives.
 func (d *Dispatcher) first(s *server, r cluster.Rank, now time.Time, retryAt *time.Time) (*waiter, string) {
-	for lane := range laneCount {
-		if !d.serves(s, lane) {
-			continue
-		}
-		scanned := 0
-		for e := d.queues[r][lane].waiters.Front(); e != nil && scanned < scanLimit; scanned++ {
-			w := e.Value.(*waiter)
-			e = e.Next()
-			if d.dropLate(w, now) {
+	for _, overdue := range []bool{false, true} {
+		for lane := range laneCount {
+			if !d.serves(s, lane) {
 				continue
 			}
-			verdict := w.request.Eligible(s.id, now)
-			if verdict.OK {
-				return w, verdict.Reason
+			if w, reason := d.firstOf(&d.queues[r][lane], overdue, s, now, retryAt); w != nil {
+				return w, reason
 			}
-			noteRetry(retryAt, verdict.RetryAt)
 		}
 	}
 	return nil, ""
 }
 
+// firstOf finds the first request of one queue that the server may run now.
+func (d *Dispatcher) firstOf(q *queue, overdue bool, s *server, now time.Time, retryAt *time.Time) (*waiter, string) {
+	waiters := &q.timely
+	if overdue {
+		waiters = &q.overdue
+	}
+	scanned := 0
+	for e := waiters.Front(); e != nil && scanned < scanLimit; {
+		w := e.Value.(*waiter)
+		e = e.Next()
+		if d.dropLate(w, now) {
+			continue
+		}
+		if !overdue && d.missesObjective(w, 0, now) {
+			q.postpone(w, now)
+			continue
+		}
+		scanned++
+		verdict := w.request.Eligible(s.id, now)
+		if verdict.OK {
+			return w, verdict.Reason
+		}
+		noteRetry(retryAt, verdict.RetryAt)
+	}
+	return nil, ""
+}
+
 // serves reports whether a server may run requests of a lane now.
 func (d *Dispatcher) serves(s *server, lane Lane) bool {
 	if lane == LanePrimary {
@@ -329,7 +349,7 @@
 func (d *Dispatcher) grant(w *waiter, s *server, reason string, owed bool, now time.Time) {
 	r := w.request.Rank
 	d.remove(w)
-	w.queue.granted(now)
+	w.queue.granted(w, now)
 	g := &Grant{
 		Server: s.id, Reason: reason, Waited: now.Sub(w.arrived),
 		dispatcher: d, server: s, rank: r, lane: w.request.Lane, started: now,
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -98,6 +98,9 @@
 	Settings []Setting
 	// Timeout bounds the request from its arrival at the home.
 	Timeout time.Duration
+	// Objective is the time from the arrival in which the answer should be there;
+	// zero when there is none. Less than zero means that it is over.
+	Objective time.Duration
 	// TraceParent is the W3C trace context of the previous hop.
 	TraceParent string
 	// Hops counts the proxies that passed the request on.
