Add a fault soak of the process of an entry VM

The process of the users' platform was proved by its parts and on the users' bench only. The soak starts it as separate processes behind loopback relays, with stand-ins of the store and of two groups of servers, and injects faults from outside: signals, relays that cut one way, delay, reset, silence or reset again and again, a store that is away, slow, stale, forgetful, or carries writes out late or without an answer, servers that die, lag, leave or are isolated, promotion calls that get lost, configurations in series. It checks from what callers and servers see: fresh reads by kind of route, exactly once, acknowledged means kept, refused means not run, whole transactions, own settings, configurations that never revert and are in force in time, one holder, planned work that cuts nothing off, service back within 12 s.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 include tools/versions.env
 PROGRAMS := rattan-proxy rattan-warden rattanctl rattan-load rattan-standin
 
-.PHONY: build test quick lint fmt demo demo-platform bench slopes soak proto tools
+.PHONY: build test quick lint fmt demo demo-platform bench slopes soak soak-faults proto tools
 
 build:
 	mkdir -p bin
@@ -59,3 +59,11 @@
 SEEDS ?= 200
 soak:
 	RATTAN_SEEDS=$(SEEDS) go test -race -count=1 -timeout 60m -run Seeded ./internal/...
+
+# Faults from outside on the programs of the users' platform. FIRST and COUNT are
+# the seeds; the logs of a failed run are kept in soak-logs/.
+FIRST ?= 100
+COUNT ?= 50
+soak-faults:
+	RATTAN_SOAK_FIRST=$(FIRST) RATTAN_SOAK_SEEDS=$(COUNT) RATTAN_SOAK_KEEP=$(CURDIR)/soak-logs \
+		go test -count=1 -timeout 120m -run TestFaultSoak -v ./internal/integration
--- a/cmd/rattan-edge/main.go
+++ b/cmd/rattan-edge/main.go
@@ -56,6 +56,7 @@
 			&cli.StringFlag{Name: "settings", Usage: "settings file of the platform", Value: settings.Path()},
 			&cli.StringFlag{Name: "log-level", Usage: "least level of log lines", Value: "info"},
 			&cli.IntFlag{Name: "metrics-port", Usage: "port of the metrics on this VM's address; the first free one of the settings if zero"},
+			&cli.StringFlag{Name: "advertise", Usage: "address by which other processes reach this one, where it is not the one that it listens on"},
 			&cli.BoolFlag{Name: "check", Usage: "validate the settings, print them and exit"},
 		},
 		Action: run,
@@ -67,7 +68,7 @@
 	if err != nil {
 		return program.Usage(err)
 	}
-	config.LogLevel = cmd.String("log-level")
+	config.LogLevel, config.PeerAdvertise = cmd.String("log-level"), cmd.String("advertise")
 	if port := cmd.Int("metrics-port"); port > 0 {
 		host, _, err := net.SplitHostPort(config.MetricsListen)
 		if err != nil {
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -24,6 +24,9 @@
 	ReadyListen   string
 	PeerListen    string
 	MetricsListen string
+	// PeerAdvertise is the address by which other processes reach PeerListen, where
+	// that is another one; empty if not.
+	PeerAdvertise string
 	// Seeds are the peer addresses of some other processes, which may be down.
 	Seeds         []string
 	StoreAddress  string
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -98,7 +99,7 @@
 func (e *Edge) memberConfig() member.Config {
 	return member.Config{
 		Self: member.Member{
-			ID: string(e.config.ID), Role: member.RoleProxy, Address: e.config.PeerListen,
+			ID: string(e.config.ID), Role: member.RoleProxy, Address: cmp.Or(e.config.PeerAdvertise, e.config.PeerListen),
 			FailureDomain: e.config.FailureDomain, Incarnation: uint64(e.started.UnixNano()),
 		},
 		Seeds: e.config.Seeds, Pinger: pinger{e}, AloneInterval: aloneInterval, Table: e.adapters.Table,
--- a/internal/integration/relay_test.go
+++ b/internal/integration/relay_test.go
@@ -76,6 +76,20 @@
 	})
 }
 
+// reset ends the connections that are open now without an orderly close.
+func (r *relay) reset() {
+	r.change(func() {
+		for c := range r.open {
+			for _, conn := range []net.Conn{c.near, c.far} {
+				if tcp, ok := conn.(*net.TCPConn); ok {
+					_ = tcp.SetLinger(0)
+				}
+			}
+			c.end()
+		}
+	})
+}
+
 func (r *relay) change(apply func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -105,7 +119,10 @@
 		if err != nil {
 			return
 		}
-		far, err := net.Dial("tcp", r.target)
+		r.mu.Lock()
+		target := r.target
+		r.mu.Unlock()
+		far, err := net.Dial("tcp", target)
 		if err != nil {
 			_ = near.Close()
 			continue
--- /dev/null
+++ b/internal/integration/soak_fleet_test.go
@@ -0,0 +1,340 @@
+package integration
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/standin/userplatform"
+)
+
+const (
+	soakGroups  = 2
+	soakServers = 3
+	// soakFirstPort and the next ports lie below those that the system gives to
+	// outgoing connections, so that a process finds its ports free when it starts
+	// again.
+	soakFirstPort = 20100
+	soakLastPort  = 32000
+	// recoveryBound is the time in which service is back once all faults are over.
+	recoveryBound = 12 * time.Second
+	// configBound is the time in which a configuration is in force at a process
+	// that nothing disturbs, and calmTime the time for which that must be so before.
+	configBound = 3 * time.Second
+	calmTime    = 4 * time.Second
+	// stopTime is the time from the request to stop until a process is killed.
+	stopTime = 6 * time.Second
+)
+
+var soakPort atomic.Int32
+
+// soak is one seeded run: processes of entry VMs behind relays, stand-ins of the
+// store and of the backend servers, and callers.
+type soak struct {
+	t       *testing.T
+	seed    uint64
+	dir     string
+	begun   time.Time
+	store   *userplatform.Store
+	groups  []*userplatform.Group
+	edges   []*soakEdge
+	ledger  *ledger
+	planned bool
+
+	mu      sync.Mutex
+	version int
+	// configured is when version was acknowledged.
+	configured time.Time
+	// servers holds the relay before each backend server.
+	servers map[string]*relay
+	// storeTroubled is when the store last misbehaved, also at single processes.
+	storeTroubled time.Time
+}
+
+// soakEdge is one process and the relays around it.
+type soakEdge struct {
+	soak *soak
+	name string
+	// callers, ready and peers are the addresses that the process listens on.
+	callers, ready, peers string
+	settings              string
+	// peerRelay is before the process, storeRelay and promotionRelay behind it.
+	peerRelay, storeRelay, promotionRelay *relay
+	inRotation                            atomic.Bool
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// ended is closed when the process has ended.
+	ended chan struct{}
+	// life counts the starts, and troubled is when something was last done to the
+	// process or its connections.
+	life     int
+	troubled time.Time
+	// claimed is set while a fault stops or pauses the process.
+	claimed bool
+}
+
+func newSoak(t *testing.T, seed uint64, program string, edges int) *soak {
+	s := &soak{
+		t: t, seed: seed, dir: t.TempDir(), begun: time.Now(), store: userplatform.NewStore(),
+		servers: map[string]*relay{},
+	}
+	s.ledger = newLedger(s)
+	for i := range soakGroups {
+		group, err := userplatform.NewGroup(fmt.Sprintf("group%d", i), soakServers, s.store)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(group.Close)
+		s.groups = append(s.groups, group)
+		for _, id := range group.IDs() {
+			s.relayServer(group, id)
+			group.SetLag(id, time.Duration(rand.Int64N(int64(usualReplicaLag))))
+		}
+	}
+	store, promotions := httptest.NewServer(s.store), httptest.NewServer(http.HandlerFunc(s.promote))
+	t.Cleanup(func() { store.CloseClientConnections(); store.Close(); promotions.Close() })
+	s.configure()
+	for i := range edges {
+		e := &soakEdge{
+			soak: s, name: fmt.Sprintf("front-%d", i), callers: soakAddress(t), ready: soakAddress(t), peers: soakAddress(t),
+		}
+		e.peerRelay = startRelay(t, e.peers)
+		e.storeRelay, e.promotionRelay = startRelay(t, store.Listener.Addr().String()), startRelay(t, promotions.Listener.Addr().String())
+		s.edges = append(s.edges, e)
+	}
+	for _, e := range s.edges {
+		e.writeSettings()
+		e.start(program)
+	}
+	t.Cleanup(s.stop)
+	return s
+}
+
+// soakAddress returns a free address of this machine.
+func soakAddress(t *testing.T) string {
+	t.Helper()
+	for {
+		port := soakFirstPort + (os.Getpid()%64*128+int(soakPort.Add(1)))%(soakLastPort-soakFirstPort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
+	}
+}
+
+// relayServer puts a relay before a server, or leads the present one to it.
+func (s *soak) relayServer(group *userplatform.Group, id string) {
+	group.Advertise(id, func(listening string) string {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		r, ok := s.servers[id]
+		if !ok {
+			r = startRelay(s.t, listening)
+			s.servers[id] = r
+		}
+		r.change(func() { r.target = listening })
+		return r.address()
+	})
+}
+
+// promote passes a call on to the group that it is about.
+func (s *soak) promote(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	var call struct {
+		Service string `json:"service"`
+	}
+	_ = json.Unmarshal(body, &call) // the group refuses what cannot be read
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	for _, g := range s.groups {
+		if g.Name == call.Service {
+			g.ServeHTTP(w, r)
+			return
+		}
+	}
+	http.Error(w, "unknown service", http.StatusBadRequest)
+}
+
+// versionDatabase names the database that a version of the configuration adds;
+// the second version after it drops it again.
+func versionDatabase(version int) string { return fmt.Sprintf("version-%d", version) }
+
+// configure puts the next version of the configuration into the store.
+func (s *soak) configure() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	var routes []map[string]any
+	route := func(host, service, kind string, priority, staleness int) {
+		routes = append(routes, map[string]any{
+			"name": host, "host": host, "service": service, "type": kind, "priority": priority,
+			"timeout_ms": 1000, "goal_ms": 200, "max_staleness_ms": staleness,
+		})
+	}
+	var services []map[string]any
+	for _, g := range s.groups {
+		route(g.Name+"-orders", g.Name, "primary", 0, 0)
+		route(g.Name+"-stock", g.Name, "read_your_writes", 1, int(stockStaleness.Milliseconds()))
+		route(g.Name+"-browse", g.Name, "bounded", 2, int(browseStaleness.Milliseconds()))
+		services = append(services, map[string]any{"name": g.Name, "max_conns": 40, "sync_replicas": 1})
+	}
+	route(versionDatabase(s.version-1), s.groups[0].Name, "primary", 0, 0)
+	route(versionDatabase(s.version), s.groups[0].Name, "primary", 0, 0)
+	s.store.Put("op", "config", map[string]any{
+		"version": s.version, "routes": routes, "services": services, "limits": map[string]any{"tx_idle_ms": 3000},
+	})
+	s.configured = time.Now()
+	return s.version
+}
+
+func (s *soak) seedAddresses() string {
+	var list []string
+	for _, e := range s.edges[:min(3, len(s.edges))] {
+		list = append(list, e.peerRelay.address())
+	}
+	return strings.Join(list, ",")
+}
+
+func (e *soakEdge) writeSettings() {
+	_, port, _ := net.SplitHostPort(soakAddress(e.soak.t))
+	lines := []string{
+		"node=" + e.name, "zone=z1", "ip=127.0.0.1", "listen.front=" + e.callers, "listen.ready=" + e.ready,
+		"listen.control=" + e.peers, "port_range=" + port + "," + port, "seeds=" + e.soak.seedAddresses(),
+		"limits.ram_mb=284", "limits.max_fds=4096", "heartbeat_ms=1000",
+		fmt.Sprintf("bounds.grace_s=%d", int(stopTime.Seconds())),
+		"platform.addr=" + e.storeRelay.address(), "cloud.addr=" + e.promotionRelay.address(),
+	}
+	e.settings = filepath.Join(e.soak.dir, e.name+".conf")
+	if err := os.WriteFile(e.settings, []byte(strings.Join(lines, "\n")), 0o600); err != nil {
+		e.soak.t.Fatal(err)
+	}
+}
+
+// start starts the process; its log is kept beside the settings.
+func (e *soakEdge) start(program string) {
+	log, err := os.OpenFile(filepath.Join(e.soak.dir, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		e.soak.t.Error(err)
+		return
+	}
+	defer log.Close()
+	cmd := exec.Command(program, "--settings", e.settings, "--advertise", e.peerRelay.address())
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		e.soak.t.Error(err)
+		return
+	}
+	ended := make(chan struct{})
+	e.mu.Lock()
+	e.cmd, e.ended, e.life, e.troubled = cmd, ended, e.life+1, time.Now()
+	e.mu.Unlock()
+	go func() {
+		_ = cmd.Wait() // how it ended is told by its log
+		close(ended)
+	}()
+}
+
+// signal sends a signal to the process that runs now.
+func (e *soakEdge) signal(sig syscall.Signal) (ended <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.troubled = time.Now()
+	_ = e.cmd.Process.Signal(sig) // it may have ended
+	return e.ended
+}
+
+// claim reserves the process for a fault that stops it.
+func (e *soakEdge) claim() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.claimed {
+		return false
+	}
+	e.claimed = true
+	return true
+}
+
+func (e *soakEdge) release() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.claimed = false
+}
+
+// trouble notes that something is done to the process.
+func (e *soakEdge) trouble() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.troubled = time.Now()
+}
+
+// state returns the present life and since when nothing has been done to it.
+func (e *soakEdge) state() (life int, calm time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.life, time.Since(e.troubled)
+}
+
+// watchReady takes the process out of the rotation after two failed looks.
+func (e *soakEdge) watchReady(stop <-chan struct{}) {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	misses := 0
+	for {
+		answer, err := client.Get("http://" + e.ready + "/ready")
+		misses++
+		if err == nil {
+			_ = answer.Body.Close()
+			if answer.StatusCode == http.StatusOK {
+				misses = 0
+			}
+		}
+		e.inRotation.Store(misses < 2)
+		select {
+		case <-stop:
+			return
+		case <-time.After(250 * time.Millisecond):
+		}
+	}
+}
+
+// anyEdge picks a process in the rotation, or any if there is none.
+func (s *soak) anyEdge(r *rand.Rand) *soakEdge {
+	first := r.IntN(len(s.edges))
+	for i := range s.edges {
+		if e := s.edges[(first+i)%len(s.edges)]; e.inRotation.Load() {
+			return e
+		}
+	}
+	return s.edges[first]
+}
+
+// stop ends the processes of this run and keeps the logs of a failed one.
+func (s *soak) stop() {
+	for _, e := range s.edges {
+		ended := e.signal(syscall.SIGCONT)
+		e.signal(syscall.SIGKILL)
+		<-ended
+	}
+	keep := os.Getenv(soakKeepEnv)
+	if !s.t.Failed() || keep == "" {
+		return
+	}
+	target := filepath.Join(keep, fmt.Sprintf("seed-%d-%d", s.seed, time.Now().Unix()))
+	if err := os.CopyFS(target, os.DirFS(s.dir)); err != nil {
+		s.t.Logf("logs not kept: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/integration/soak_test.go
@@ -0,0 +1,494 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/standin/userplatform"
+)
+
+const (
+	// soakSeedsEnv is the number of seeds, soakFirstEnv the first of them,
+	// soakTimeEnv how long faults come, soakEdgesEnv the number of processes and
+	// soakKeepEnv the directory for the logs of failed runs.
+	soakSeedsEnv = "RATTAN_SOAK_SEEDS"
+	soakFirstEnv = "RATTAN_SOAK_FIRST"
+	soakTimeEnv  = "RATTAN_SOAK_TIME"
+	soakEdgesEnv = "RATTAN_SOAK_PROCESSES"
+	soakKeepEnv  = "RATTAN_SOAK_KEEP"
+
+	soakSeeds     = 2
+	soakTime      = 10 * time.Second
+	soakProcesses = 5
+	soakCallers   = 18
+	// faultSpacing is the mean time between the beginnings of two faults and
+	// faultTime the longest that one lasts, so that faults overlap.
+	faultSpacing = 400 * time.Millisecond
+	faultTime    = 4 * time.Second
+	// usualReplicaLag is the longest lag of a replica that nothing is done to.
+	usualReplicaLag = 150 * time.Millisecond
+	// flakyTime is the longest pause between two resets of flaky connections.
+	flakyTime = 120 * time.Millisecond
+	// restartTime is the longest pause before a process is started again.
+	restartTime = 1500 * time.Millisecond
+)
+
+// soakCases are seeds that have failed, with the cause.
+var soakCases = []struct {
+	seed  uint64
+	cause string
+}{}
+
+// soakFault begins a fault from outside and returns what ends it; nil if nothing
+// is left to end.
+type soakFault struct {
+	name    string
+	planned bool
+	begin   func(s *soak, r *rand.Rand, program string) (end func())
+}
+
+var soakFaults = []soakFault{
+	{"kill process", false, killEdge},
+	{"pause process", false, pauseEdge},
+	{"stop process in order", true, stopEdge},
+	{"reload settings", true, hangupEdge},
+	{"new configuration", true, changeConfiguration},
+	{"quick configurations", true, changeQuickly},
+	{"relay to process", false, disturbPeers},
+	{"store of a process", false, disturbStore},
+	{"store", false, misbehaveStore},
+	{"promotion calls", false, disturbPromotions},
+	{"relay to server", false, disturbServer},
+	{"flaky connections to server", false, flakyServer},
+	{"flaky connections to process", false, flakyPeer},
+	{"kill server", false, crashServer},
+	{"kill primary", false, crashPrimary},
+	{"isolate primary", false, isolatePrimary},
+	{"lagging replicas", false, lagReplicas},
+	{"leaving server", true, leaveServer},
+}
+
+// TestFaultSoak runs the process of an entry VM as separate processes, injects
+// faults from outside and checks the promises from what callers and servers see.
+func TestFaultSoak(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "rattan-edge")
+	if out, err := exec.Command("go", "build", "-o", program, "../../cmd/rattan-edge").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	first := uint64(fromEnv(soakFirstEnv, 0))
+	var seeds []uint64
+	for i := range fromEnv(soakSeedsEnv, soakSeeds) {
+		seeds = append(seeds, first+uint64(i))
+	}
+	for _, c := range soakCases {
+		seeds = append(seeds, c.seed)
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { runSoak(t, seed, program) })
+	}
+}
+
+func fromEnv(name string, fallback int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return n
+	}
+	return fallback
+}
+
+// runSoak plays one seed. Every third one has planned work only.
+func runSoak(t *testing.T, seed uint64, program string) {
+	s := newSoak(t, seed, program, fromEnv(soakEdgesEnv, soakProcesses))
+	s.planned = seed%3 == 2
+	random := rand.New(rand.NewPCG(seed, 5))
+	ctx, cancel := context.WithCancel(t.Context())
+	var work sync.WaitGroup
+	for _, e := range s.edges {
+		work.Go(func() { e.watchReady(ctx.Done()) })
+	}
+	s.awaitService("at the start")
+	for i := range soakCallers {
+		c := &soakCaller{
+			soak: s, name: fmt.Sprintf("c%d", i), kind: []string{"orders", "stock", "browse"}[i%3],
+			group: s.groups[i/3%soakGroups].Name, random: rand.New(rand.NewPCG(seed, uint64(100+i))),
+		}
+		work.Go(func() { c.run(ctx) })
+	}
+	for _, e := range s.edges {
+		work.Go(func() { e.probeVersions(ctx) })
+	}
+	s.injectFaults(random, program)
+	s.awaitService("after the faults")
+	cancel()
+	work.Wait()
+	s.check()
+}
+
+// injectFaults begins faults at random times and ends them all.
+func (s *soak) injectFaults(r *rand.Rand, program string) {
+	var pending sync.WaitGroup
+	stop := make(chan struct{})
+	end := time.Now().Add(time.Duration(fromEnv(soakTimeEnv, int(soakTime.Seconds()))) * time.Second)
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(r.ExpFloat64() * float64(faultSpacing)))
+		fault := soakFaults[r.IntN(len(soakFaults))]
+		for s.planned && !fault.planned {
+			fault = soakFaults[r.IntN(len(soakFaults))]
+		}
+		s.ledger.count("fault: " + fault.name)
+		s.note("begin %s", fault.name)
+		heal := fault.begin(s, r, program)
+		if heal == nil {
+			continue
+		}
+		lasts := time.Duration(r.Int64N(int64(faultTime)))
+		pending.Go(func() {
+			select {
+			case <-time.After(lasts):
+			case <-stop:
+			}
+			heal()
+			s.note("end %s", fault.name)
+		})
+	}
+	close(stop)
+	pending.Wait()
+	s.note("healed")
+}
+
+func (s *soak) note(format string, args ...any) {
+	if os.Getenv("RATTAN_TEST_LOG") != "" {
+		fmt.Fprintf(os.Stderr, "%.2f seed %d: %s\n", time.Since(s.begun).Seconds(), s.seed, fmt.Sprintf(format, args...))
+	}
+}
+
+// awaitService waits until each process serves a write of each group.
+func (s *soak) awaitService(when string) {
+	begun := time.Now()
+	var waiting sync.WaitGroup
+	for _, e := range s.edges {
+		for _, g := range s.groups {
+			waiting.Go(func() {
+				c := &soakCaller{
+					soak: s, name: fmt.Sprintf("after-%d-%s-%s", begun.UnixNano(), e.name, g.Name), kind: "orders", group: g.Name,
+					random: rand.New(rand.NewPCG(s.seed, 9)),
+				}
+				c.renew()
+				for !c.writeAt(e) {
+					if time.Since(begun) > recoveryBound {
+						s.ledger.violate("service is back", "%s writes nothing to %s %s", e.name, g.Name, when)
+						return
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+			})
+		}
+	}
+	waiting.Wait()
+	s.note("served %s after %v", when, time.Since(begun))
+}
+
+// writeAt makes one write at a process.
+func (c *soakCaller) writeAt(e *soakEdge) bool {
+	conn := &soakCaller{soak: c.soak, name: c.name, kind: c.kind, group: c.group, random: c.random, single: c.single, first: c.first, items: c.items, ids: c.ids}
+	defer func() {
+		c.single, c.first, c.items, c.ids = conn.single, conn.first, conn.items, conn.ids
+		conn.close()
+	}()
+	if !conn.connectTo(e) {
+		return false
+	}
+	before := c.single
+	return conn.write() == nil && conn.single == before && before.fates[len(before.fates)-1] == fateAcknowledged
+}
+
+// check ends the run: what callers were told against the logs of the servers.
+func (s *soak) check() {
+	committed := map[string]int{}
+	for _, g := range s.groups {
+		for data, n := range g.Committed() {
+			committed[data] += n
+		}
+		if _, tokens := g.Promotions(); !slices.IsSortedFunc(tokens, func(a, b string) int {
+			x, _ := strconv.ParseUint(a, 10, 64)
+			y, _ := strconv.ParseUint(b, 10, 64)
+			return int(x) - int(y)
+		}) {
+			s.ledger.violate("one holder", "fencing tokens of %s: %v", g.Name, tokens)
+		}
+	}
+	s.ledger.checkCommitted(committed)
+	for i, v := range s.ledger.violations {
+		if i < 10 {
+			s.t.Errorf("seed %d: %s", s.seed, v)
+		}
+	}
+	var counts []string
+	for what, n := range s.ledger.counts {
+		counts = append(counts, fmt.Sprintf("%s %d", what, n))
+	}
+	slices.Sort(counts)
+	s.t.Logf("seed %d: %d violations; %s", s.seed, len(s.ledger.violations), strings.Join(counts, ", "))
+}
+
+func (s *soak) oneEdge(r *rand.Rand) *soakEdge { return s.edges[r.IntN(len(s.edges))] }
+
+// again starts a process that has ended, after a pause.
+func (e *soakEdge) again(r *rand.Rand, program string, ended <-chan struct{}) func() {
+	wait := time.Duration(r.Int64N(int64(restartTime)))
+	return func() {
+		<-ended
+		time.Sleep(wait)
+		e.start(program)
+	}
+}
+
+func killEdge(s *soak, r *rand.Rand, program string) func() {
+	e := s.oneEdge(r)
+	if !e.claim() {
+		return nil
+	}
+	ended := e.signal(syscall.SIGKILL)
+	restart := e.again(r, program, ended)
+	go func() { restart(); e.release() }()
+	return nil
+}
+
+func pauseEdge(s *soak, r *rand.Rand, _ string) func() {
+	e := s.oneEdge(r)
+	if !e.claim() {
+		return nil
+	}
+	e.signal(syscall.SIGSTOP)
+	return func() { e.signal(syscall.SIGCONT); e.release() }
+}
+
+// stopEdge stops a process in order and kills it when its time is over.
+func stopEdge(s *soak, r *rand.Rand, program string) func() {
+	e := s.oneEdge(r)
+	if !e.claim() {
+		return nil
+	}
+	ended := e.signal(syscall.SIGTERM)
+	restart := e.again(r, program, ended)
+	return func() {
+		select {
+		case <-ended:
+		case <-time.After(stopTime):
+			s.ledger.count("processes killed after their stop time")
+			e.signal(syscall.SIGKILL)
+		}
+		restart()
+		e.release()
+	}
+}
+
+func hangupEdge(s *soak, r *rand.Rand, _ string) func() {
+	s.oneEdge(r).signal(syscall.SIGHUP)
+	return nil
+}
+
+func changeConfiguration(s *soak, _ *rand.Rand, _ string) func() {
+	s.configure()
+	return nil
+}
+
+func changeQuickly(s *soak, r *rand.Rand, _ string) func() {
+	for range 3 + r.IntN(5) {
+		s.configure()
+		time.Sleep(time.Duration(r.Int64N(int64(100 * time.Millisecond))))
+	}
+	return nil
+}
+
+// disturb does something to the connections through a relay.
+func disturb(r *rand.Rand, l *relay) (end func()) {
+	switch r.IntN(6) {
+	case 0:
+		l.setCut(toTarget)
+	case 1:
+		l.setCut(fromTarget)
+	case 2:
+		l.setCut(toTarget, fromTarget)
+	case 3:
+		l.setDelay(time.Duration(r.Int64N(int64(200 * time.Millisecond))))
+	case 4:
+		l.reset()
+		return nil
+	default:
+		l.silence()
+		return nil
+	}
+	return func() {
+		l.setCut()
+		l.setDelay(0)
+	}
+}
+
+func disturbPeers(s *soak, r *rand.Rand, _ string) func() {
+	s.troubleAll()
+	end := disturb(r, s.oneEdge(r).peerRelay)
+	return func() {
+		if end != nil {
+			end()
+		}
+		s.troubleAll()
+	}
+}
+
+// troubleAll notes a fault that may be felt by every process.
+func (s *soak) troubleAll() {
+	for _, e := range s.edges {
+		e.trouble()
+	}
+}
+
+func (s *soak) troubleStore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storeTroubled = time.Now()
+}
+
+func disturbStore(s *soak, r *rand.Rand, _ string) func() {
+	e := s.oneEdge(r)
+	e.trouble()
+	end := disturb(r, e.storeRelay)
+	return func() {
+		if end != nil {
+			end()
+		}
+		e.trouble()
+	}
+}
+
+func misbehaveStore(s *soak, r *rand.Rand, _ string) func() {
+	s.troubleStore()
+	switch r.IntN(6) {
+	case 0:
+		s.store.SetFaults(userplatform.Faults{Stale: true})
+		time.Sleep(time.Duration(r.Int64N(int64(200 * time.Millisecond))))
+		s.configure()
+		time.Sleep(time.Duration(r.Int64N(int64(200 * time.Millisecond))))
+		s.store.Forget()
+	case 1:
+		s.store.SetFaults(userplatform.Faults{Down: true})
+	case 2:
+		s.store.SetFaults(userplatform.Faults{Delay: time.Duration(r.Int64N(int64(500 * time.Millisecond)))})
+	case 3:
+		s.store.SetFaults(userplatform.Faults{Lost: 0.4})
+	case 4:
+		s.store.SetFaults(userplatform.Faults{Lost: 0.4, Late: time.Duration(r.Int64N(int64(4 * time.Second)))})
+	default:
+		s.store.Forget()
+	}
+	return func() {
+		s.store.SetFaults(userplatform.Faults{})
+		s.troubleStore()
+	}
+}
+
+func disturbPromotions(s *soak, r *rand.Rand, _ string) func() {
+	return disturb(r, s.oneEdge(r).promotionRelay)
+}
+
+func (s *soak) oneServer(r *rand.Rand) (*userplatform.Group, string) {
+	g := s.groups[r.IntN(len(s.groups))]
+	ids := g.IDs()
+	return g, ids[r.IntN(len(ids))]
+}
+
+func disturbServer(s *soak, r *rand.Rand, _ string) func() {
+	_, id := s.oneServer(r)
+	s.mu.Lock()
+	l := s.servers[id]
+	s.mu.Unlock()
+	return disturb(r, l)
+}
+
+// flaky resets the connections through a relay again and again.
+func flaky(r *rand.Rand, l *relay) (end func()) {
+	stop, done := make(chan struct{}), make(chan struct{})
+	random := rand.New(rand.NewPCG(r.Uint64(), 3))
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Duration(random.Int64N(int64(flakyTime)))):
+				l.reset()
+			}
+		}
+	}()
+	return func() { close(stop); <-done }
+}
+
+func flakyServer(s *soak, r *rand.Rand, _ string) func() {
+	_, id := s.oneServer(r)
+	s.mu.Lock()
+	l := s.servers[id]
+	s.mu.Unlock()
+	return flaky(r, l)
+}
+
+func flakyPeer(s *soak, r *rand.Rand, _ string) func() {
+	s.troubleAll()
+	end := flaky(r, s.oneEdge(r).peerRelay)
+	return func() { end(); s.troubleAll() }
+}
+
+func (s *soak) killServer(g *userplatform.Group, id string) func() {
+	g.Kill(id)
+	return func() {
+		started, err := g.Restart(id)
+		if err != nil {
+			s.t.Error(err)
+		}
+		if started {
+			s.relayServer(g, id)
+		}
+	}
+}
+
+func crashServer(s *soak, r *rand.Rand, _ string) func() {
+	g, id := s.oneServer(r)
+	return s.killServer(g, id)
+}
+
+func crashPrimary(s *soak, r *rand.Rand, _ string) func() {
+	g, _ := s.oneServer(r)
+	return s.killServer(g, g.Primary())
+}
+
+func isolatePrimary(s *soak, r *rand.Rand, _ string) func() {
+	g, _ := s.oneServer(r)
+	id := g.Primary()
+	g.Isolate(id, true)
+	return func() { g.Isolate(id, false) }
+}
+
+func lagReplicas(s *soak, r *rand.Rand, _ string) func() {
+	g, id := s.oneServer(r)
+	g.SetLag(id, time.Duration(r.Int64N(int64(3*time.Second))))
+	return func() { g.SetLag(id, usualReplicaLag/2) }
+}
+
+// leaveServer announces that a server leaves, and replaces it.
+func leaveServer(s *soak, r *rand.Rand, _ string) func() {
+	g, id := s.oneServer(r)
+	g.Drain(id)
+	return func() {
+		time.Sleep(faultTime) // it goes on serving after the notice
+		s.killServer(g, id)()
+	}
+}
--- a/internal/standin/userplatform/session.go
+++ b/internal/standin/userplatform/session.go
@@ -12,6 +12,9 @@
 // commitTime bounds the wait of a commit for a replica.
 const commitTime = 2 * time.Second
 
+// SettingItem begins the names of items that hold the session's settings.
+const SettingItem = "setting:"
+
 // session is one connection to a server.
 type session struct {
 	server   *Server
@@ -21,17 +24,25 @@
 	term     uint64
 	writes   []record
 	prepared map[string]string
+	settings map[string]string
 }
 
-func (s *Server) accept() {
+func (s *Server) accept(l net.Listener) {
 	for {
-		conn, err := s.listener.Accept()
+		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
 		s.group.mu.Lock()
-		s.conns[conn] = true
+		up := s.up && s.listener == l
+		if up {
+			s.conns[conn] = true
+		}
 		s.group.mu.Unlock()
+		if !up {
+			_ = conn.Close()
+			return
+		}
 		go s.serve(conn)
 	}
 }
@@ -44,7 +55,7 @@
 		s.group.mu.Unlock()
 	}()
 	reader := bufio.NewReader(conn)
-	c := &session{server: s, prepared: map[string]string{}}
+	c := &session{server: s, prepared: map[string]string{}, settings: map[string]string{}}
 	for {
 		line, err := reader.ReadString('\n')
 		if err != nil {
@@ -75,21 +86,34 @@
 	}
 }
 
-// position is the end of the server's log.
+// position is what the server shows of its log.
 func (s *Server) position() string {
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
-	return s.at()
+	return end(s.shown())
 }
 
-func (s *Server) at() string {
-	if len(s.log) == 0 {
+// end is the position of the last record.
+func end(log []record) string {
+	if len(log) == 0 {
 		return "1.0"
 	}
-	last := s.log[len(s.log)-1]
+	last := log[len(log)-1]
 	return fmt.Sprintf("%d.%d", last.term, last.number)
 }
 
+// shown is the part of the log that reads see. The group's lock is held.
+func (s *Server) shown() []record {
+	if s.primary || s.lag == 0 {
+		return s.log
+	}
+	n := 0
+	for n < len(s.log) && time.Since(s.arrivals[n]) >= s.lag {
+		n++
+	}
+	return s.log[:n]
+}
+
 // run carries out one statement and returns its answer up to READY.
 func (c *session) run(id, text string) string {
 	if position, rest, ok := strings.Cut(strings.TrimPrefix(text, "AFTER "), " "); ok && strings.HasPrefix(text, "AFTER ") {
@@ -100,7 +124,13 @@
 	}
 	verb, rest, _ := strings.Cut(text, " ")
 	switch verb {
-	case "SET", "DISCARD":
+	case "SET":
+		name, value, _ := strings.Cut(rest, " ")
+		c.settings[name] = value
+		return "COMPLETE -\r\n"
+	case "DISCARD":
+		clear(c.settings)
+		clear(c.prepared)
 		return "COMPLETE -\r\n"
 	case "PARSE":
 		name, shape, _ := strings.Cut(rest, " ")
@@ -142,7 +172,7 @@
 	defer g.mu.Unlock()
 	var term, number, haveTerm, have uint64
 	_, _ = fmt.Sscanf(position, "%d.%d", &term, &number)
-	_, _ = fmt.Sscanf(c.server.at(), "%d.%d", &haveTerm, &have)
+	_, _ = fmt.Sscanf(end(c.server.shown()), "%d.%d", &haveTerm, &have)
 	return haveTerm < term || haveTerm == term && have < number
 }
 
@@ -164,8 +194,11 @@
 	if c.open && !c.readOnly && !c.leads() {
 		return c.fail("READONLY")
 	}
+	if name, ok := strings.CutPrefix(item, SettingItem); ok {
+		return "DATAROW " + c.settings[name] + "\r\nCOMPLETE " + id + "\r\n"
+	}
 	data := ""
-	for _, r := range c.server.log {
+	for _, r := range c.server.shown() {
 		if r.item == item {
 			data = r.data
 		}
@@ -214,8 +247,13 @@
 	for _, w := range writes {
 		w.term, w.number = s.term, uint64(len(s.log)+1)
 		s.log = append(s.log, w)
+		s.arrivals = append(s.arrivals, time.Now())
 	}
+	last := s.log[len(s.log)-1]
 	for !g.replicate(s) {
+		if !s.has(last) {
+			return "ERROR TIMEOUT " + s.ID + "\r\n" // replaced and rolled back
+		}
 		changed := g.changed
 		g.mu.Unlock()
 		select {
@@ -234,14 +272,32 @@
 func (g *Group) replicate(primary *Server) bool {
 	received := false
 	for _, r := range g.servers {
-		if r != primary && r.up && !r.primary && r.paused == 0 && r.term <= primary.term && primary.primary {
-			r.log, r.term = append([]record(nil), primary.log...), primary.term
+		if r != primary && !r.primary && r.paused == 0 && r.term <= primary.term && primary.primary && g.linked(r, primary) {
+			r.receive(primary)
 			received = true
 		}
 	}
 	return received
 }
 
+// receive makes a replica's log the same as the primary's.
+func (s *Server) receive(primary *Server) {
+	common := 0
+	for common < min(len(s.log), len(primary.log)) && s.log[common] == primary.log[common] {
+		common++
+	}
+	s.log, s.arrivals = append(s.log[:common:common], primary.log[common:]...), s.arrivals[:common:common]
+	for range primary.log[common:] {
+		s.arrivals = append(s.arrivals, time.Now())
+	}
+	s.term = primary.term
+}
+
+// has reports whether a record of the server's own is still in its log.
+func (s *Server) has(r record) bool {
+	return uint64(len(s.log)) >= r.number && s.log[r.number-1] == r
+}
+
 // control carries out a status or replication call.
 func (s *Server) control(verb, argument string) string {
 	g := s.group
@@ -255,9 +311,10 @@
 		s.paused = 0
 	case verb == "STEPDOWN" && s.primary && term > s.term:
 		s.primary = false
-		s.enter("ready")
+		s.enter(s.state)
 	}
+	g.replicateAll()
 	g.signal()
 	role := map[bool]string{true: "primary", false: "replica"}[s.primary]
-	return fmt.Sprintf("DATAROW %s %d %s %d 0 0 1\r\nCOMPLETE -\r\n", role, s.term, s.at(), s.paused)
+	return fmt.Sprintf("DATAROW %s %d %s %d 0 0 1\r\nCOMPLETE -\r\n", role, s.term, end(s.log), s.paused)
 }
--- a/internal/standin/userplatform/store.go
+++ b/internal/standin/userplatform/store.go
@@ -1,8 +1,10 @@
 package userplatform
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -29,8 +31,25 @@
 	history []Row
 	version uint64
 	changed chan struct{}
-	down    bool
+	faults  Faults
 	begun   time.Time
+	// staleRows and staleVersion are what complete reads show during Faults.Stale.
+	staleRows    map[rowID]Row
+	staleVersion uint64
+}
+
+// Faults tells how the store misbehaves.
+type Faults struct {
+	// Down makes every call fail with 503.
+	Down bool
+	// Delay holds every answer back.
+	Delay time.Duration
+	// Lost is the share of transactions that are carried out and not answered,
+	// Late after which time they are carried out, if their conditions still hold.
+	Lost float64
+	Late time.Duration
+	// Stale makes complete reads show the rows of the time at which this began.
+	Stale bool
 }
 
 // NewStore returns an empty Store.
@@ -39,10 +58,16 @@
 }
 
 // SetDown makes every call fail with 503, or ends that.
-func (s *Store) SetDown(down bool) {
+func (s *Store) SetDown(down bool) { s.SetFaults(Faults{Down: down}) }
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.down = down
+	if f.Stale && !s.faults.Stale {
+		s.staleRows, s.staleVersion = maps.Clone(s.rows), s.version
+	}
+	s.faults = f
 	s.signal()
 }
 
@@ -96,9 +121,10 @@
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	down := s.down
+	faults := s.faults
 	s.mu.Unlock()
-	if down {
+	time.Sleep(faults.Delay)
+	if faults.Down {
 		http.Error(w, `{"error":"try later"}`, http.StatusServiceUnavailable)
 		return
 	}
@@ -108,17 +134,31 @@
 	case "GET /rows-feed":
 		s.feed(w, r)
 	case "POST /rows-tx":
-		s.transact(w, r)
+		s.transact(w, r, faults)
 	default:
 		http.NotFound(w, r)
 	}
 }
 
+// lose carries a transaction out after a time and breaks the connection.
+func (s *Store) lose(tx transaction, late time.Duration) {
+	time.AfterFunc(late, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.commit(tx)
+	})
+	panic(http.ErrAbortHandler)
+}
+
 func (s *Store) answer(w http.ResponseWriter, status int, rows []Row) {
+	s.answerAt(w, status, rows, s.version)
+}
+
+func (s *Store) answerAt(w http.ResponseWriter, status int, rows []Row, version uint64) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(map[string]any{
-		"rows": rows, "ver": s.version, "more_pages": false, "now_ms": time.Since(s.begun).Milliseconds(),
+		"rows": rows, "ver": version, "more_pages": false, "now_ms": time.Since(s.begun).Milliseconds(),
 	})
 }
 
@@ -127,14 +167,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	rows := []Row{}
-	for _, row := range s.rows {
+	all, version := s.rows, s.version
+	if s.faults.Stale {
+		all, version = s.staleRows, s.staleVersion
+	}
+	for _, row := range all {
 		if row.Table == q.Get("table") && row.Part == q.Get("part") && row.Key >= q.Get("from") &&
 			(q.Get("to") == "" || row.Key < q.Get("to")) {
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b Row) int { return map[bool]int{true: -1, false: 1}[a.Key < b.Key] })
-	s.answer(w, http.StatusOK, rows)
+	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+	s.answerAt(w, http.StatusOK, rows, version)
 }
 
 func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
@@ -146,8 +190,8 @@
 		s.mu.Lock()
 		changed := s.changed
 		rows, gone := s.since(q.Get("table"), after)
-		if gone || len(rows) > 0 || s.down {
-			status := map[bool]int{true: http.StatusGone, false: http.StatusOK}[gone || s.down]
+		if gone || len(rows) > 0 || s.faults.Down {
+			status := map[bool]int{true: http.StatusGone, false: http.StatusOK}[gone || s.faults.Down]
 			s.answer(w, status, rows)
 			s.mu.Unlock()
 			return
@@ -179,22 +223,36 @@
 	return slices.Collect(maps.Values(latest)), gone
 }
 
-func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
-	var tx struct {
-		Precondition []Row `json:"precondition"`
-		Puts         []Row `json:"puts"`
-		Deletes      []Row `json:"deletes"`
-	}
+// transaction is the body of a conditional write.
+type transaction struct {
+	Precondition []Row `json:"precondition"`
+	Puts         []Row `json:"puts"`
+	Deletes      []Row `json:"deletes"`
+}
+
+func (s *Store) transact(w http.ResponseWriter, r *http.Request, faults Faults) {
+	var tx transaction
 	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if rand.Float64() < faults.Lost {
+		s.lose(tx, faults.Late)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.commit(tx) {
+		s.answer(w, http.StatusPreconditionFailed, []Row{})
+		return
+	}
+	s.answer(w, http.StatusOK, nil)
+}
+
+// commit carries a transaction out if its conditions hold. The caller holds the lock.
+func (s *Store) commit(tx transaction) bool {
 	for _, c := range tx.Precondition {
 		if s.rows[rowID{c.Table, c.Part, c.Key}].Ver != c.Ver {
-			s.answer(w, http.StatusPreconditionFailed, []Row{})
-			return
+			return false
 		}
 	}
 	s.version++
@@ -206,5 +264,5 @@
 		s.set(d)
 	}
 	s.signal()
-	s.answer(w, http.StatusOK, nil)
+	return true
 }
