Judge servers by the outcomes of their requests, in a package of its own

Cause: a replica was ejected after two failures in a row and came back as soon as a fresh connection worked, 200 ms later. A server that fails four requests in ten, or all while it says that it is well, went in and out five times a second, and one that fails one in five was never found.

Ruled out: health answers (false either way); ejecting the primary (its replacement is succession's matter); counting refusals as busy (another home of the group may fill the slots).

One replica always stays. The soak isolates primaries for as long as a replacement takes and kills a primary beside a replica that lacks its last writes.

--- a/internal/home/eject.go
+++ b/internal/home/eject.go
@@ -4,54 +4,40 @@
 	"context"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
-
 	"github.com/rattancove/rattancove/internal/delay"
 )
 
-const (
-	// ejectAfter is the number of failures in a row after which a replica is ejected.
-	ejectAfter = 2
-	// readmitInitial and readmitMax bound the wait between two attempts to readmit a replica.
-	readmitInitial = 200 * time.Millisecond
-	readmitMax     = 5 * time.Second
-)
-
-// noteFailure counts a failed exchange and ejects a replica that keeps
-// failing, unless it is the last one that gets reads.
+// noteFailure counts a failed exchange and ejects a replica that fails too
+// often, unless it is the last one that gets reads.
 func (o *owner) noteFailure(n *node) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	n.failures++
-	if n.failures < ejectAfter || n.ejected || n.server.ID == o.view.primary {
-		return
-	}
-	if o.group.Load().Replicas() <= 1 {
+	now := time.Now()
+	if !n.judge.Failed(now) || n.server.ID == o.view.primary || o.group.Load().Replicas() <= 1 {
 		return
 	}
-	n.ejected = true
+	pause := n.judge.Eject(now)
 	ejectionsTotal.Inc()
-	eventEjected.Log(o.home.log).Str("server", string(n.server.ID)).Send()
+	eventEjected.Log(o.home.log).Str("group", string(o.name)).Str("server", string(n.server.ID)).Dur("for", pause).Send()
 	o.rebuild()
-	o.workers.Go(func() { o.readmit(n) })
+	o.workers.Go(func() { o.readmit(n, pause) })
 }
 
-// readmit opens fresh connections to an ejected replica until one works.
-func (o *owner) readmit(n *node) {
-	retry := backoff.NewExponentialBackOff()
-	retry.InitialInterval = readmitInitial
-	retry.MaxInterval = readmitMax
+// readmit waits until the ejection is over and a fresh connection works.
+func (o *owner) readmit(n *node, pause time.Duration) {
 	for n.ctx.Err() == nil {
-		delay.Sleep(n.ctx, retry.NextBackOff())
+		delay.Sleep(n.ctx, pause)
 		if n.tryFresh() {
 			break
 		}
+		o.mu.Lock()
+		pause = n.judge.Extend(time.Now())
+		o.mu.Unlock()
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	n.ejected = false
-	n.failures = 0
-	eventReadmitted.Log(o.home.log).Str("server", string(n.server.ID)).Send()
+	n.judge.Readmit(time.Now())
+	eventReadmitted.Log(o.home.log).Str("group", string(o.name)).Str("server", string(n.server.ID)).Send()
 	o.rebuild()
 }
 
--- a/internal/home/events.go
+++ b/internal/home/events.go
@@ -11,7 +11,7 @@
 	eventSuperseded    = event.New(3501, zerolog.WarnLevel, "group_superseded", "Another proxy claimed a database group; this proxy serves it no longer.")
 	eventReleased      = event.New(3502, zerolog.InfoLevel, "group_released", "This proxy gave a database group up and closed its connections.")
 	eventPrimary       = event.New(3503, zerolog.InfoLevel, "primary_learned", "A majority of a database group holds a new term with this primary.")
-	eventEjected       = event.New(3504, zerolog.WarnLevel, "replica_ejected", "A replica failed reads and gets none until a fresh connection works.")
+	eventEjected       = event.New(3504, zerolog.WarnLevel, "replica_ejected", "A replica failed reads and gets none for a time, and until a fresh connection works.")
 	eventReadmitted    = event.New(3505, zerolog.InfoLevel, "replica_readmitted", "A fresh connection to an ejected replica works; it gets reads again.")
 	eventControl       = event.New(3506, zerolog.DebugLevel, "control_connection_failed", "The control connection to a backend server failed and is opened anew.")
 	eventHandoffFailed = event.New(3507, zerolog.WarnLevel, "handoff_failed", "The present home of a group did not drain it in time; what it still ran is cut off by the claim.")
--- a/internal/home/node.go
+++ b/internal/home/node.go
@@ -9,6 +9,7 @@
 	"github.com/rattancove/rattancove/internal/backend"
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/delay"
+	"github.com/rattancove/rattancove/internal/outlier"
 	"github.com/rattancove/rattancove/internal/pool"
 	"github.com/rattancove/rattancove/internal/rank"
 )
@@ -65,11 +66,11 @@
 
 	// The owner's lock guards the fields below.
 
-	failing  bool
-	ejected  bool
-	leaving  bool
-	failures int
-	lag      lagEstimate
+	failing bool
+	leaving bool
+	// judge follows the outcomes of requests at the server.
+	judge outlier.Judge
+	lag   lagEstimate
 }
 
 // startNode starts a node. The caller holds the owner's lock.
--- a/internal/home/observe.go
+++ b/internal/home/observe.go
@@ -100,7 +100,7 @@
 	return route.Server{
 		ID: n.server.ID, Term: r.status.Term, Replayed: r.status.Replayed, Observed: r.begun,
 		Lag: n.lag.value, Wait: o.dispatcher.ExpectedWait(cluster.RankNormal, lane),
-		Ejected: n.ejected, Leaving: n.leaving, Reachable: r.known && !n.failing,
+		Ejected: n.judge.Ejected(), Leaving: n.leaving, Reachable: r.known && !n.failing,
 		Diverged: o.view.lineage.retention(r.status.Replayed, o.view.term) == lost,
 	}
 }
--- a/internal/home/status.go
+++ b/internal/home/status.go
@@ -112,7 +112,7 @@
 	s := ServerStatus{
 		Server: n.server.ID, Role: r.status.Role, Term: r.status.Term,
 		Received: r.status.Received.String(), Replayed: r.status.Replayed.String(),
-		Lag: n.lag.value, Reachable: r.known && !n.failing, Ejected: n.ejected, Leaving: n.leaving,
+		Lag: n.lag.value, Reachable: r.known && !n.failing, Ejected: n.judge.Ejected(), Leaving: n.leaving,
 		Pool: n.pool.Stats(),
 	}
 	if r.known {
--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -38,6 +38,8 @@
 	faultTime    = 4 * time.Second
 	// usualReplicaLag is the longest lag of a replica that nothing is done to.
 	usualReplicaLag = 150 * time.Millisecond
+	// isolationTime is what a replacement takes at least.
+	isolationTime = 4 * time.Second
 	// flakyTime is the longest pause between two resets of flaky connections.
 	flakyTime = 120 * time.Millisecond
 	// restartTime is the longest pause before a process is started again.
@@ -75,6 +77,7 @@
 	{"kill server", false, crashServer},
 	{"kill primary", false, crashPrimary},
 	{"isolate primary", false, isolatePrimary},
+	{"primary dies beside a replica without its last writes", false, crashBesideLaggard},
 	{"lagging replicas", false, lagReplicas},
 	{"leaving server", true, leaveServer},
 }
@@ -470,11 +473,32 @@
 	return s.killServer(g, g.Primary())
 }
 
+// isolatePrimary cuts a primary off from its replicas for long enough that it is
+// replaced while processes still reach it.
 func isolatePrimary(s *soak, r *rand.Rand, _ string) func() {
 	g, _ := s.oneServer(r)
 	id := g.Primary()
 	g.Isolate(id, true)
-	return func() { g.Isolate(id, false) }
+	return func() {
+		time.Sleep(isolationTime)
+		g.Isolate(id, false)
+	}
+}
+
+// crashBesideLaggard kills a primary at the moment at which a replica that lacks
+// its last writes comes back.
+func crashBesideLaggard(s *soak, r *rand.Rand, program string) func() {
+	g, id := s.oneServer(r)
+	if id == g.Primary() {
+		return crashPrimary(s, r, program)
+	}
+	g.Isolate(id, true)
+	return func() {
+		restart := s.killServer(g, g.Primary())
+		g.Isolate(id, false)
+		time.Sleep(isolationTime)
+		restart()
+	}
 }
 
 func lagReplicas(s *soak, r *rand.Rand, _ string) func() {
