Take up changed settings while running; log each repeated attempt

Cause: SIGHUP only reported, a silent change of the settings file was not seen, and a request that was tried again left a line only if it failed in the end.

Change: the file is looked at every two seconds and read after SIGHUP; seeds and limits (stop time, memory, descriptors) are in force at once, what needs another start is named, broken settings leave the present ones. Events 3509 (attempt_failed, at the home) and 2210 (request_rerouted, at the entry process) carry the request's id, the reason, the server or home, and the time left.

--- a/cmd/rattan-edge/edge_test.go
+++ b/cmd/rattan-edge/edge_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -31,11 +33,13 @@
 	cloudURL string
 	fronts   []string
 	readies  []string
+	settings []string
+	log      zerolog.Logger
 }
 
 func deploy(t *testing.T, processes int) *deployment {
 	t.Helper()
-	d := &deployment{t: t, store: userplatform.NewStore()}
+	d := &deployment{t: t, store: userplatform.NewStore(), log: zerolog.Nop()}
 	var err error
 	if d.group, err = userplatform.NewGroup("orders", 3, d.store); err != nil {
 		t.Fatal(err)
@@ -102,14 +106,14 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- serve(ctx, config, path, zerolog.Nop()) }()
+	go func() { done <- serve(ctx, config, path, d.log) }()
 	d.t.Cleanup(func() {
 		cancel()
 		if err := <-done; err != nil {
 			d.t.Errorf("process %d ended with %v", i, err)
 		}
 	})
-	d.fronts, d.readies = append(d.fronts, own[0]), append(d.readies, own[1])
+	d.fronts, d.readies, d.settings = append(d.fronts, own[0]), append(d.readies, own[1]), append(d.settings, path)
 }
 
 // awaitReady waits until a process is ready, or until it is not.
@@ -277,7 +281,7 @@
 
 // TestProcessIsNotReadyWithoutAConfiguration starts while the store is away.
 func TestProcessIsNotReadyWithoutAConfiguration(t *testing.T) {
-	d := &deployment{t: t, store: userplatform.NewStore()}
+	d := &deployment{t: t, store: userplatform.NewStore(), log: zerolog.Nop()}
 	var err error
 	if d.group, err = userplatform.NewGroup("orders", 3, d.store); err != nil {
 		t.Fatal(err)
@@ -294,3 +298,52 @@
 	d.awaitReady(0, true)
 	d.eventually("an order", func() error { _, err := d.do(0, "WRITE crate one"); return err })
 }
+
+// collectedLog collects what a process logs.
+type collectedLog struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *collectedLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *collectedLog) has(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.text.String(), text)
+}
+
+// TestSettingsAreTakenUpWithoutASignal changes the settings file of a running
+// process, and breaks it.
+func TestSettingsAreTakenUpWithoutASignal(t *testing.T) {
+	lines := &collectedLog{}
+	d := &deployment{t: t, storeURL: "127.0.0.1:1", cloudURL: "127.0.0.1:1", log: zerolog.New(lines)}
+	d.start(0, addresses(t, 1))
+	data, err := os.ReadFile(d.settings[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := strings.Replace(string(data), "bounds.grace_s=6", "bounds.grace_s=11", 1)
+	if err := os.WriteFile(d.settings[0], []byte(changed), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	d.eventually("the changed stop time", func() error {
+		if !lines.has(`"applied":["stop_time"]`) {
+			return errors.New("not logged")
+		}
+		return nil
+	})
+	if err := os.WriteFile(d.settings[0], []byte("node="), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	d.eventually("the broken settings", func() error {
+		if !lines.has("settings_unreadable") {
+			return errors.New("not logged")
+		}
+		return nil
+	})
+}
--- a/cmd/rattan-edge/main.go
+++ b/cmd/rattan-edge/main.go
@@ -39,6 +39,9 @@
 	logLines = 2000
 	// logPoll is how often waiting lines are written.
 	logPoll = 20 * time.Millisecond
+	// settingsInterval is how often the settings file is looked at: it may change
+	// without a signal, and nothing of it is urgent.
+	settingsInterval = 2 * time.Second
 	// memoryPart is the part of the memory limit that the runtime may fill with
 	// its heap before it collects harder; the rest is for stacks and the kernel.
 	memoryPart = 0.6
@@ -80,7 +83,7 @@
 		fmt.Printf("%+v\n", *config)
 		return nil
 	}
-	debug.SetMemoryLimit(int64(memoryPart * float64(config.MemoryLimit)))
+	debug.SetMemoryLimit(heapLimit(config))
 	writer := diode.NewWriter(os.Stdout, logLines, logPoll, reportDropped(os.Stderr))
 	defer func() { _ = writer.Close() }()
 	log, err := telemetry.NewLogger(telemetry.LogConfig{
@@ -112,18 +115,54 @@
 	if err != nil {
 		return err
 	}
+	watching, stop := context.WithCancel(ctx)
+	defer stop()
+	go watchSettings(watching, path, process)
+	return process.Run(ctx)
+}
+
+// watchSettings reads the settings again after SIGHUP and when their file has changed.
+func watchSettings(ctx context.Context, path string, process *edge.Edge) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
-	go func() {
-		for range hangups {
-			next, err := settings.Load(path)
-			process.Reload(next, err)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	seen := stamp(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		case <-ticker.C:
+			if stamp(path) == seen {
+				continue
+			}
 		}
-	}()
-	return process.Run(ctx)
+		seen = stamp(path)
+		next, err := settings.Load(path)
+		debug.SetMemoryLimit(heapLimit(process.Reload(next, err)))
+	}
+}
+
+// fileStamp tells two states of a file apart.
+type fileStamp struct {
+	size     int64
+	modified time.Time
+}
+
+// stamp returns the zero value for a file that cannot be looked at, which the
+// next reading reports.
+func stamp(path string) fileStamp {
+	info, err := os.Stat(path)
+	if err != nil {
+		return fileStamp{}
+	}
+	return fileStamp{info.Size(), info.ModTime()}
 }
 
+func heapLimit(c *edge.Config) int64 { return int64(memoryPart * float64(c.MemoryLimit)) }
+
 func dialNetwork(ctx context.Context, _, address string) (net.Conn, error) {
 	return wire.Dial(ctx, address)
 }
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -117,7 +117,7 @@
 	switch {
 	case c.stopped:
 		return errcode.New(errcode.Draining, "start-up", "")
-	case len(c.sessions) >= int(sessionShare*float64(c.edge.config.MaxDescriptors)):
+	case len(c.sessions) >= int(sessionShare*float64(c.edge.settings.Load().MaxDescriptors)):
 		return errcode.New(errcode.TooManyCallers, "start-up", "")
 	}
 	sessionsTotal.Inc()
--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -17,17 +17,18 @@
 
 // drain carries out the order of a planned stop.
 func (e *Edge) drain(ctx context.Context) {
-	eventDraining.Log(&e.log).Dur("stop_time", e.config.StopTime).Send()
-	deadline := time.Now().Add(e.config.StopTime - time.Duration(lastPart*float64(e.config.StopTime)))
+	stopTime := e.settings.Load().StopTime
+	eventDraining.Log(&e.log).Dur("stop_time", stopTime).Send()
+	deadline := time.Now().Add(stopTime - time.Duration(lastPart*float64(stopTime)))
 	e.stopping.Store(true)
 	e.lease.Release(ctx)
 	e.members.Leave()
 	e.announce(ctx)
-	delay.Sleep(ctx, min(notReadyTime, e.config.StopTime/2))
+	delay.Sleep(ctx, min(notReadyTime, stopTime/2))
 	e.callers.stopIdle()
 	limited, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	transactions, cut := context.WithDeadline(limited, time.Now().Add(e.config.StopTime/2-notReadyTime))
+	transactions, cut := context.WithDeadline(limited, time.Now().Add(stopTime/2-notReadyTime))
 	defer cut()
 	e.callers.wait(transactions)
 	e.home.Close(limited)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -61,6 +61,8 @@
 	// lets others rely on while it holds the lease.
 	grants *grant.Book
 	issuer *grant.Issuer
+	// settings are those in force; config is what the process started with.
+	settings atomic.Pointer[Config]
 	// stopping is set when a planned stop begins.
 	stopping atomic.Bool
 	// importing is set while the catalog of a peer is on its way.
@@ -70,6 +72,7 @@
 // New assembles a process. It connects to nothing.
 func New(config Config, adapters Adapters, log zerolog.Logger) (*Edge, error) {
 	e := &Edge{config: config, adapters: adapters, log: log, started: time.Now()}
+	e.settings.Store(&config)
 	e.tracker = catalog.NewTracker(&e.log)
 	e.subscriber = catalog.NewSubscriber(e.tracker, upstreams{e}, &e.log)
 	e.follower = catalog.NewFollower(adapters.Source, e.tracker, e.subscriber, &e.log)
@@ -82,7 +85,7 @@
 	e.home = home.New(home.Config{
 		ID: config.ID, Unclaimed: true, ExactClasses: true, Terms: e.grants, Log: &e.log,
 	}, adapters.Servers)
-	e.gateway = gateway.New(gateway.Config{Self: config.ID, Local: e.home, Members: view{e}, Substitute: e.substitute})
+	e.gateway = gateway.New(gateway.Config{Self: config.ID, Local: e.home, Members: view{e}, Substitute: e.substitute, Log: &e.log})
 	e.callers = newCallers(e)
 	e.lease = duty.New(duty.Config{
 		Holder: string(config.ID), Key: "duty/promotion", Table: adapters.Table, Order: e.dutyOrder, Log: &e.log,
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -17,5 +17,6 @@
 	eventImportFailed   = event.New(7107, zerolog.WarnLevel, "catalog_import_failed", "The catalog of a peer could not be taken up.")
 	eventAnnounceFailed = event.New(7108, zerolog.InfoLevel, "announce_failed", "A peer could not be told of the planned stop at once; it learns it from others.")
 	eventNoCatalog      = event.New(7110, zerolog.WarnLevel, "no_catalog", "A caller was turned away because neither the store nor a peer has told the configuration yet.")
-	eventReloaded       = event.New(7109, zerolog.InfoLevel, "settings_reloaded", "The settings were read again.")
+	eventReloaded       = event.New(7109, zerolog.InfoLevel, "settings_reloaded", "The settings were read again; what needs another start is named.")
+	eventReloadFailed   = event.New(7111, zerolog.WarnLevel, "settings_unreadable", "The changed settings cannot be used; the previous ones stay in force.")
 )
--- /dev/null
+++ b/internal/gateway/events.go
@@ -0,0 +1,10 @@
+package gateway
+
+import (
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/event"
+)
+
+var eventRerouted = event.New(2210, zerolog.InfoLevel, "request_rerouted",
+	"An attempt at the home of a group failed before anything was passed on; the request is sent again, to the home that is named next if there is one.")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
@@ -48,6 +49,8 @@
 	// Substitute names the proxy that stands in for a home that cannot be
 	// reached. It is nil where homes are claimed and only they may run requests.
 	Substitute func(group cluster.GroupName, failed cluster.ProxyID) cluster.ProxyID
+	// Log receives events; nil discards them.
+	Log *zerolog.Logger
 }
 
 // Gateway implements statement.Runner for every group of the environment.
@@ -57,7 +60,13 @@
 }
 
 // New returns a Gateway.
-func New(config Config) *Gateway { return &Gateway{config: config, refusals: newRefusals()} }
+func New(config Config) *Gateway {
+	if config.Log == nil {
+		nop := zerolog.Nop()
+		config.Log = &nop
+	}
+	return &Gateway{config: config, refusals: newRefusals()}
+}
 
 // Run implements statement.Runner.
 func (g *Gateway) Run(ctx context.Context, req *statement.Request, conv statement.Conversation) (statement.Result, error) {
@@ -116,12 +125,21 @@
 			return result, a.final(err)
 		}
 		gatewayRetries.Inc()
+		a.logRetry(err)
 		if !delay.Sleep(ctx, pause.NextBackOff()) || time.Until(a.deadline) <= 0 {
 			return statement.Result{}, a.final(err)
 		}
 	}
 }
 
+// logRetry tells why a request is sent again, and from where.
+func (a *attempt) logRetry(err error) {
+	e := errcode.From(err)
+	eventRerouted.Log(a.gateway.config.Log).Str("request", a.req.ID).Str("group", string(a.req.Group)).
+		Str("home", string(a.home)).Str("next", string(a.redirect)).Str("code", e.Code.Name).Str("step", e.Step).
+		Dur("after", time.Since(a.started)).Send()
+}
+
 // final returns the error to report: once an attempt may have run, a later
 // refusal does not prove that the request was not run.
 func (a *attempt) final(err error) error {
--- a/internal/home/events.go
+++ b/internal/home/events.go
@@ -16,4 +16,5 @@
 	eventControl       = event.New(3506, zerolog.DebugLevel, "control_connection_failed", "The control connection to a backend server failed and is opened anew.")
 	eventHandoffFailed = event.New(3507, zerolog.WarnLevel, "handoff_failed", "The present home of a group did not drain it in time; what it still ran is cut off by the claim.")
 	eventReclaimed     = event.New(3508, zerolog.WarnLevel, "group_reclaimed", "A backend server is full of connections that went silent; the group is claimed again, which ends them.")
+	eventRetried       = event.New(3509, zerolog.InfoLevel, "attempt_failed", "An attempt of a request failed at a backend server and the home makes another one.")
 )
--- a/internal/home/primary.go
+++ b/internal/home/primary.go
@@ -32,7 +32,7 @@
 			}
 			return result, attempts.Error(err)
 		}
-		retriesTotal.Inc()
+		o.noteRetry(r, result.Server, err)
 		_ = attempts.Fire(order.EventRetry)
 		delay.Sleep(ctx, delay.Jitter(time.Duration(r.attempt)*retryPause))
 	}
--- a/internal/home/read.go
+++ b/internal/home/read.go
@@ -29,11 +29,20 @@
 		if r.attempt == maxReadAttempts || !o.mayRepeatRead(r, err) {
 			return result, err
 		}
-		retriesTotal.Inc()
+		o.noteRetry(r, result.Server, err)
 		delay.Sleep(ctx, time.Duration(r.attempt-1)*retryPause)
 	}
 }
 
+// noteRetry tells why a request is tried again.
+func (o *owner) noteRetry(r *request, server cluster.ServerID, err error) {
+	retriesTotal.Inc()
+	e := errcode.From(err)
+	eventRetried.Log(o.home.log).Str("request", r.ID).Str("group", string(o.name)).Str("server", string(server)).
+		Int("attempt", r.attempt).Str("code", e.Code.Name).Str("step", e.Step).Dur("after", time.Since(r.arrived)).
+		Dur("left", time.Until(r.deadline)).Send()
+}
+
 func (o *owner) mayRepeatRead(r *request, err error) bool {
 	if r.conv.passed.Load() || !time.Now().Before(r.deadline) {
 		return false
--- a/internal/member/loop.go
+++ b/internal/member/loop.go
@@ -49,6 +49,7 @@
 	leaving  map[string]bool
 	failures map[Key]int
 	queue    []Key
+	seeds    []string
 	// ticked is the time of the last tick.
 	ticked time.Time
 }
@@ -58,7 +59,7 @@
 	now := time.Now()
 	l := &Loop{
 		cfg: cfg, table: newTable(cfg.Self, now), state: StateAlive, ticked: now,
-		changed: make(chan struct{}), leaving: map[string]bool{}, failures: map[Key]int{},
+		changed: make(chan struct{}), leaving: map[string]bool{}, failures: map[Key]int{}, seeds: cfg.Seeds,
 	}
 	l.table.alone = slices.ContainsFunc(cfg.Seeds, func(address string) bool { return address != cfg.Self.Address })
 	l.snapshot = l.table.snapshot()
@@ -76,6 +77,13 @@
 	return g.Wait()
 }
 
+// SetSeeds replaces the addresses to ask while no other member is known.
+func (l *Loop) SetSeeds(seeds []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seeds = seeds
+}
+
 // Snapshot returns the current view.
 func (l *Loop) Snapshot() *Snapshot {
 	l.mu.Lock()
--- a/internal/member/ping.go
+++ b/internal/member/ping.go
@@ -148,7 +148,7 @@
 
 func (l *Loop) seedTargets() []target {
 	var targets []target
-	for _, address := range l.cfg.Seeds {
+	for _, address := range l.seeds {
 		if address != l.cfg.Self.Address {
 			targets = append(targets, target{address: address})
 		}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -104,7 +104,7 @@
 		return nil, err
 	}
 	p.home = home.New(p.homeConfig(), p.dialer)
-	p.gateway = gateway.New(gateway.Config{Self: s.ID, Local: p.home, Members: p.members()})
+	p.gateway = gateway.New(gateway.Config{Self: s.ID, Local: p.home, Members: p.members(), Log: &p.process.Log})
 	config, err := p.frontConfig()
 	if err != nil {
 		return nil, err
