Notice a change of the settings between their reading and the first look

Cause: the first state of the settings file was noted by the goroutine that watches it, after the file had been read, so that a change in between was never seen.

Change: the state is noted before the file is read.

--- a/cmd/rattan-edge/edge_test.go
+++ b/cmd/rattan-edge/edge_test.go
@@ -18,7 +18,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rattancove/rattancove/internal/standin/userplatform"
-	"github.com/rattancove/rattancove/platform/settings"
 )
 
 // patience bounds each wait of these tests; nothing asserts on elapsed time.
@@ -100,13 +99,13 @@
 	if err := os.WriteFile(path, []byte(strings.Join(lines, "\n")), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
-	config, err := settings.Load(path)
+	file, err := readSettings(path)
 	if err != nil {
 		d.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- serve(ctx, config, path, d.log) }()
+	go func() { done <- serve(ctx, file, d.log) }()
 	d.t.Cleanup(func() {
 		cancel()
 		if err := <-done; err != nil {
--- a/cmd/rattan-edge/main.go
+++ b/cmd/rattan-edge/main.go
@@ -67,10 +67,11 @@
 }
 
 func run(ctx context.Context, cmd *cli.Command) error {
-	config, err := settings.Load(cmd.String("settings"))
+	file, err := readSettings(cmd.String("settings"))
 	if err != nil {
 		return program.Usage(err)
 	}
+	config := file.config
 	config.LogLevel, config.PeerAdvertise = cmd.String("log-level"), cmd.String("advertise")
 	if port := cmd.Int("metrics-port"); port > 0 {
 		host, _, err := net.SplitHostPort(config.MetricsListen)
@@ -92,7 +93,7 @@
 	if err != nil {
 		return program.Usage(err)
 	}
-	return serve(ctx, config, cmd.String("settings"), log)
+	return serve(ctx, file, log)
 }
 
 // reportDropped tells how many log lines were dropped.
@@ -100,7 +101,8 @@
 	return func(missed int) { _, _ = fmt.Fprintf(out, "%d log lines dropped\n", missed) }
 }
 
-func serve(ctx context.Context, config *edge.Config, path string, log zerolog.Logger) error {
+func serve(ctx context.Context, file settingsFile, log zerolog.Logger) error {
+	config := file.config
 	client := store.New(config.StoreAddress, dialNetwork)
 	servers := back.New(wire.Dial)
 	process, err := edge.New(*config, edge.Adapters{
@@ -117,31 +119,46 @@
 	}
 	watching, stop := context.WithCancel(ctx)
 	defer stop()
-	go watchSettings(watching, path, process)
+	go file.watch(watching, process)
 	return process.Run(ctx)
 }
 
-// watchSettings reads the settings again after SIGHUP and when their file has changed.
-func watchSettings(ctx context.Context, path string, process *edge.Edge) {
+// settingsFile is the settings as they were read from a file.
+type settingsFile struct {
+	path   string
+	config *edge.Config
+	// seen is the state of the file before it was read, so that a change during
+	// the reading is noticed.
+	seen fileStamp
+}
+
+func readSettings(path string) (settingsFile, error) {
+	f := settingsFile{path: path, seen: stamp(path)}
+	var err error
+	f.config, err = settings.Load(path)
+	return f, err
+}
+
+// watch reads the settings again after SIGHUP and when their file has changed.
+func (f settingsFile) watch(ctx context.Context, process *edge.Edge) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
-	seen := stamp(path)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangups:
 		case <-ticker.C:
-			if stamp(path) == seen {
+			if stamp(f.path) == f.seen {
 				continue
 			}
 		}
-		seen = stamp(path)
-		next, err := settings.Load(path)
-		debug.SetMemoryLimit(heapLimit(process.Reload(next, err)))
+		next, err := readSettings(f.path)
+		f.seen = next.seen
+		debug.SetMemoryLimit(heapLimit(process.Reload(next.config, err)))
 	}
 }
 
