Replace a primary sooner when its VM says that it does not run

Cause: every failed primary was watched for 0.8 s, which tells a dead server from lost packets and reset connections. A VM that refuses fresh connections is neither.

Ruled out: a shorter time for all (a dark server looks like a path with losses); the entry in the store (it lapses after three heartbeats).

Change: two refused connections in a row, with the other processes asked, count after 0.25 s. succession.TestServerThatDoesNotRunIsReplacedSooner fails without it.

--- a/internal/succession/decide.go
+++ b/internal/succession/decide.go
@@ -12,6 +12,9 @@
 	// outlasts a reset connection and a few lost packets, and leaves most of the
 	// recovery bound of 12 s to the promotion itself.
 	detectAfter = 800 * time.Millisecond
+	// refusedAfter is how long it takes instead where the VM itself says that the
+	// server does not run, which no lost packet and no reset connection does.
+	refusedAfter = 250 * time.Millisecond
 	// failuresToSuspect is the number of failed fresh connections in a row.
 	failuresToSuspect = 2
 	// aloneAfter is how long a primary must fail where no other process could be asked.
@@ -219,7 +222,11 @@
 		return waited >= detectAfter
 	}
 	_, o, ok := primary(g, v)
-	if !ok || o.Failures < failuresToSuspect || waited < detectAfter {
+	needed := detectAfter
+	if o.Refused >= failuresToSuspect {
+		needed = refusedAfter
+	}
+	if !ok || o.Failures < failuresToSuspect || waited < needed {
 		return false
 	}
 	t := v.Testimony
--- a/internal/succession/decide_test.go
+++ b/internal/succession/decide_test.go
@@ -295,3 +295,36 @@
 		t.Errorf("term %d, %v after the promotion, want 3", term, ok)
 	}
 }
+
+// TestServerThatDoesNotRunIsReplacedSooner refuses fresh connections, which only
+// the VM of a server that does not run can do. One refusal, or a process that
+// others reach, is not enough.
+func TestServerThatDoesNotRunIsReplacedSooner(t *testing.T) {
+	for name, tt := range map[string]struct {
+		refused   int
+		testimony Testimony
+		want      Phase
+	}{
+		"refused twice, nobody reaches it": {2, Testimony{Miss: 2}, PhasePausing},
+		"refused once, then silent":        {1, Testimony{Miss: 2}, PhaseSuspecting},
+		"others reach it":                  {2, Testimony{Reach: 2, Miss: 1}, PhaseSuspecting},
+		"nobody was asked":                 {2, Testimony{}, PhaseSuspecting},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScene("s1", "s2", "s3")
+			s.fails("s1")
+			o := s.view.Servers["s1"]
+			o.Refused = tt.refused
+			s.view.Servers["s1"] = o
+			s.decide(0)
+			s.now = s.now.Add(refusedAfter)
+			s.view.Testimony = tt.testimony
+			if tt.testimony != (Testimony{}) {
+				s.view.Testimony.At = s.now
+			}
+			if s.decide(time.Millisecond); s.state.Phase != tt.want {
+				t.Errorf("phase %s, want %s", s.state.Phase, tt.want)
+			}
+		})
+	}
+}
--- a/internal/succession/types.go
+++ b/internal/succession/types.go
@@ -80,6 +80,9 @@
 	// first of which began at FailingSince.
 	Failures     int
 	FailingSince time.Time
+	// Refused counts the last of them in which the VM answered that nothing
+	// listens there: the server does not run.
+	Refused int
 }
 
 // known reports whether the server has ever answered in its present life.
--- a/internal/succession/watch.go
+++ b/internal/succession/watch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 	"time"
 
 	"github.com/rattancove/rattancove/internal/backend"
@@ -154,7 +156,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if o, ok := l.view.Servers[w.server.ID]; ok && l.watches[w.server.ID] == w {
-		o.Failures, o.FailingSince = 0, time.Time{}
+		o.Failures, o.FailingSince, o.Refused = 0, time.Time{}, 0
 		l.view.Servers[w.server.ID] = o
 	}
 }
@@ -178,6 +180,10 @@
 			Str("server", string(w.server.ID)).AnErr("error", err).Send()
 	}
 	o.Failures++
+	o.Refused++
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		o.Refused = 0
+	}
 	l.view.Servers[w.server.ID] = o
 	l.wake()
 }
