Read changes of servers in groups; replay servers that are away in a burst

Change: calls for changes of servers begin 300 ms apart at least; the configuration is read as before. catalog.TestChangesOfServersAreReadInGroups: 200 changes in two seconds took 200 calls, now 7 at most.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -18,6 +18,10 @@
 	// the 20 s for which it keeps its history. Each process makes two such calls,
 	// which are 13 a second for a fleet of 100.
 	feedWait = 15 * time.Second
+	// serversSpacing is the least time between the beginnings of two calls for
+	// changes of servers: those of a restart or a release come in groups, and
+	// nothing that they tell is urgent below a second.
+	serversSpacing = 300 * time.Millisecond
 	// feedSlack is the time beyond feedWait after which a call has failed.
 	feedSlack = 2 * time.Second
 	// loadTimeout bounds one complete read; the slowest store answers in about
@@ -97,6 +101,7 @@
 			version = 0 // other processes have told more meanwhile
 			continue
 		}
+		begun := time.Now()
 		news, complete, err := f.read(ctx, topic, version)
 		if err != nil {
 			if errors.Is(err, ErrHistoryGone) {
@@ -112,6 +117,9 @@
 		retry.Reset()
 		version = news.Covered.Complete
 		f.apply(topic, news, complete)
+		if topic == TopicServers && !complete {
+			delay.Sleep(ctx, serversSpacing-time.Since(begun))
+		}
 	}
 	return nil
 }
--- a/internal/catalog/tracker_test.go
+++ b/internal/catalog/tracker_test.go
@@ -175,3 +175,30 @@
 		<-done
 	})
 }
+
+// TestChangesOfServersAreReadInGroups changes entries every ten milliseconds for
+// two seconds.
+func TestChangesOfServersAreReadInGroups(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := zerolog.Nop()
+		f := &feed{}
+		calls := 0
+		for i := range 200 {
+			f.script = append(f.script, func() (News, error) {
+				time.Sleep(10 * time.Millisecond)
+				calls++
+				id := cluster.ServerID("s1")
+				return News{Servers: map[cluster.ServerID]*Server{id: {ID: id, Started: int64(i)}}, Covered: upTo(uint64(20 + i))}, nil
+			})
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var work sync.WaitGroup
+		work.Go(func() { _ = NewFollower(f, newTracker(), nil, &log).Run(ctx, TopicServers) })
+		time.Sleep(2 * time.Second)
+		cancel()
+		work.Wait()
+		if most := int(2*time.Second/serversSpacing) + 1; calls > most {
+			t.Errorf("%d calls in two seconds, want %d at most", calls, most)
+		}
+	})
+}
--- a/internal/rank/patterns_test.go
+++ b/internal/rank/patterns_test.go
@@ -29,6 +29,10 @@
 	// costs are multiplied by slow from a third of the time to two thirds.
 	slow float64
 	time time.Duration
+	// begin and end change the servers after a third and after half of the time.
+	begin, end func(d *Dispatcher)
+	// lane is that of all requests.
+	lane Lane
 }
 
 // tally counts how the requests of a pattern ended.
@@ -52,8 +56,19 @@
 		defer d.Close()
 		d.SetServers([]cluster.Server{{ID: "s", Slots: p.slots}})
 		d.SetPrimary("s", p.slots)
+		if p.lane == LaneRead {
+			d.SetServers([]cluster.Server{{ID: "s", Slots: p.slots}, {ID: "s2", Slots: p.slots}})
+		}
 		begun := time.Now()
 		var callers sync.WaitGroup
+		if p.begin != nil {
+			callers.Go(func() {
+				time.Sleep(p.time / 3)
+				p.begin(d)
+				time.Sleep(p.time / 6)
+				p.end(d)
+			})
+		}
 		for i, k := range p.kinds {
 			callers.Go(func() {
 				random := rand.New(rand.NewPCG(7, uint64(i)))
@@ -63,7 +78,7 @@
 					if at := time.Since(begun); at > p.time/3 && at < 2*p.time/3 && p.slow > 0 {
 						cost = time.Duration(float64(cost) * p.slow)
 					}
-					callers.Go(func() { sum.ask(t, d, k, cost, objectives) })
+					callers.Go(func() { sum.ask(t, d, k, p.lane, cost, objectives) })
 				}
 			})
 		}
@@ -73,11 +88,11 @@
 }
 
 // ask makes one request and repeats it after a refusal, as callers do.
-func (s *tally) ask(t *testing.T, d *Dispatcher, k kind, cost time.Duration, objectives bool) {
+func (s *tally) ask(t *testing.T, d *Dispatcher, k kind, lane Lane, cost time.Duration, objectives bool) {
 	started := time.Now()
 	for range 1 + patternRetries {
 		tried := time.Now()
-		r := Request{Rank: k.rank, Lane: LanePrimary, Deadline: tried.Add(k.timeout), Eligible: anywhere}
+		r := Request{Rank: k.rank, Lane: lane, Deadline: tried.Add(k.timeout), Eligible: anywhere}
 		if objectives {
 			r.Objective = tried.Add(k.objective)
 		}
@@ -137,6 +152,40 @@
 	return kind{"menus", cluster.RankBackground, rate, 55 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second, 0.45, 0.2}
 }
 
+// TestServersAwayInABurst replays a primary that is replaced and a server that is
+// gone for two seconds while a burst comes: what waited meanwhile must not make
+// what comes afterwards late.
+func TestServersAwayInABurst(t *testing.T) {
+	both := []cluster.Server{{ID: "s", Slots: 6}, {ID: "s2", Slots: 6}}
+	for name, p := range map[string]pattern{
+		"primary replaced": {
+			slots: 6, kinds: []kind{orders(60), confirmations(100), menus(30)},
+			begin: func(d *Dispatcher) { d.SetServers([]cluster.Server{{ID: "s", Slots: 0}}) },
+			end:   func(d *Dispatcher) { d.SetServers([]cluster.Server{{ID: "s", Slots: 6}}) },
+		},
+		"one server gone": {
+			slots: 6, lane: LaneRead, kinds: []kind{orders(60), confirmations(220), menus(40)},
+			begin: func(d *Dispatcher) { d.SetServers(both[:1]) },
+			end:   func(d *Dispatcher) { d.SetServers(both) },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p.time = 12 * time.Second
+			before, after := p.play(t, false), p.play(t, true)
+			t.Logf("worth %.3f -> %.3f, confirmations in time %d -> %d of %d", before.earned/before.owed, after.earned/after.owed,
+				before.inTime["confirmations"], after.inTime["confirmations"], after.asked["confirmations"])
+			if after.earned < 0.99*before.earned {
+				t.Errorf("worth %.1f, %.1f in order of arrival", after.earned, before.earned)
+			}
+			// The servers are away for a sixth of the time; outside of it and of the
+			// objectives of what then waits, everything can be served.
+			if least := 0.75 * float64(after.asked["confirmations"]); float64(after.inTime["confirmations"]) < least {
+				t.Errorf("%d confirmations in time, want %.0f", after.inTime["confirmations"], least)
+			}
+		})
+	}
+}
+
 // TestLoadPatterns replays loads beyond what the slots can do and compares them
 // with scheduling in order of arrival. Of the slot time that more urgent work
 // leaves, three quarters must go to requests that end in time.
