Do not take the end of a server's connection for that of the caller

The caller's connection ended without an answer instead of with INDOUBT, and the request left no log line.

Ruled out: a drain (the process was in rotation), the relay (it passed the end on).

Change: statement.CallerLeft, which an io.EOF inside another error is not; used by sessions, homes and the count of requests of the PostgreSQL interface. caller.TestServerThatClosesItsConnectionIsNotTheCallerLeaving gave no answer at all before.

--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"slices"
 	"time"
 
@@ -256,7 +255,7 @@
 	}
 	e := errcode.From(err)
 	s.knowledge.Fail(e.Code.Outcome)
-	if ctx.Err() != nil || c.writeErr != nil || errors.Is(err, io.EOF) {
+	if ctx.Err() != nil || c.writeErr != nil || statement.CallerLeft(err) {
 		return errLeft
 	}
 	s.logFailure(c, request, started, e)
--- a/internal/caller/session_test.go
+++ b/internal/caller/session_test.go
@@ -263,3 +263,18 @@
 		close(openWire.statements)
 	})
 }
+
+// TestServerThatClosesItsConnectionIsNotTheCallerLeaving ends a server's
+// connection in order while a write is with it: the caller is told so and goes on.
+func TestServerThatClosesItsConnectionIsNotTheCallerLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		home := &fakeHome{fails: map[string]error{"WRITE a": errcode.Wrap(io.EOF, errcode.Unknown, "exchange", "s1")}}
+		got := play(t, home, "db",
+			&Statement{Kind: KindWrite, ID: "1", Text: "WRITE a"},
+			&Statement{Kind: KindRead, ID: "2", Text: "READ a"},
+		)
+		if diff := cmp.Diff([]string{errcode.Unknown.Name + " I", "READ a I"}, got); diff != "" {
+			t.Errorf("answers (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/home/transaction.go
+++ b/internal/home/transaction.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"time"
 
 	"github.com/rattancove/rattancove/internal/backend"
@@ -75,7 +74,7 @@
 	w.grant.Release()
 	for {
 		batch, err := w.next(ctx)
-		if errors.Is(err, io.EOF) {
+		if statement.CallerLeft(err) {
 			w.end(true)
 			return w.result, nil
 		}
@@ -108,7 +107,7 @@
 	switch {
 	case err == nil:
 		return batch, nil
-	case errors.Is(err, io.EOF):
+	case statement.CallerLeft(err):
 		return nil, err
 	case w.owner.draining.Err() != nil:
 		return nil, errcode.Wrap(err, errcode.Draining, "wait for caller", string(w.owner.home.config.ID))
--- a/internal/pgwire/front/request.go
+++ b/internal/pgwire/front/request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -244,7 +243,7 @@
 func count(rank cluster.Rank, v *conversation, err error, took time.Duration) {
 	outcome := errcode.OutcomeDone.String()
 	switch {
-	case err != nil && !errors.Is(err, io.EOF):
+	case err != nil && !statement.CallerLeft(err):
 		outcome = outcomeOf(err).String()
 	case v.failed:
 		outcome = outcomeServerError
