Let SIGHUP do no harm while a process stops

Change: settings are watched until the process has drained, and SIGHUP is ignored after that. TestHangupDuringAStopDoesNotEndIt ends the test process ("signal: hangup") without the change.

--- a/cmd/rattan-edge/edge_test.go
+++ b/cmd/rattan-edge/edge_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -34,6 +35,8 @@
 	readies  []string
 	settings []string
 	log      zerolog.Logger
+	// stop asks the process that was started last to stop.
+	stop func()
 }
 
 func deploy(t *testing.T, processes int) *deployment {
@@ -104,6 +107,7 @@
 		d.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	d.stop = cancel
 	done := make(chan error, 1)
 	go func() { done <- serve(ctx, file, d.log) }()
 	d.t.Cleanup(func() {
@@ -346,3 +350,27 @@
 		return nil
 	})
 }
+
+// TestHangupDuringAStopDoesNotEndIt sends SIGHUP to a process that drains: it
+// would end this one.
+func TestHangupDuringAStopDoesNotEndIt(t *testing.T) {
+	lines := &collectedLog{}
+	d := &deployment{t: t, storeURL: "127.0.0.1:1", cloudURL: "127.0.0.1:1", log: zerolog.New(lines)}
+	d.start(0, addresses(t, 1))
+	logged := func(name string) func() error {
+		return func() error {
+			if !lines.has(name) {
+				return fmt.Errorf("%s is not logged", name)
+			}
+			return nil
+		}
+	}
+	d.eventually("the start", logged("edge_started"))
+	d.stop()
+	d.eventually("the drain", logged("edge_draining"))
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	d.eventually("the settings read in the drain", logged("settings_reloaded"))
+	d.eventually("the end", logged("edge_stopped"))
+}
--- a/cmd/rattan-edge/main.go
+++ b/cmd/rattan-edge/main.go
@@ -117,7 +117,8 @@
 	if err != nil {
 		return err
 	}
-	watching, stop := context.WithCancel(ctx)
+	// A drain goes on after ctx has ended, and SIGHUP must not end it.
+	watching, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go file.watch(watching, process)
 	return process.Run(ctx)
@@ -143,7 +144,7 @@
 func (f settingsFile) watch(ctx context.Context, process *edge.Edge) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+	defer signal.Ignore(syscall.SIGHUP)
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	for {
