Notice at once that the store is back; log replicas that fall behind

After a call that failed the follower went straight into a call that the store holds for 15 s, and only its end showed that the store answers.

Change: the first call after a failure is held for 100 ms only. Events 3510 and 3511 tell when a replica's data is older than a second and when it is fresh again.

Tests: catalog.TestFollowerKnowsThatTheStoreIsBack fails without the change; home.TestReplicaThatFallsBehindIsLogged.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -22,6 +22,9 @@
 	// changes of servers: those of a restart or a release come in groups, and
 	// nothing that they tell is urgent below a second.
 	serversSpacing = 300 * time.Millisecond
+	// returnWait replaces feedWait after a call that failed: whether the store
+	// answers again must not be known only at the next change.
+	returnWait = 100 * time.Millisecond
 	// feedSlack is the time beyond feedWait after which a call has failed.
 	feedSlack = 2 * time.Second
 	// loadTimeout bounds one complete read; the slowest store answers in about
@@ -149,9 +152,13 @@
 		news, err = f.source.Load(ctx, topic)
 		return news, true, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, feedWait+feedSlack)
+	wait := feedWait
+	if f.failing[topic].Load() {
+		wait = returnWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+feedSlack)
 	defer cancel()
-	news, err = f.source.Changes(ctx, topic, version, feedWait)
+	news, err = f.source.Changes(ctx, topic, version, wait)
 	return news, false, err
 }
 
--- a/internal/catalog/tracker_test.go
+++ b/internal/catalog/tracker_test.go
@@ -202,3 +202,58 @@
 		}
 	})
 }
+
+// quietFeed is a store in which nothing changes; it is down while down is set.
+type quietFeed struct {
+	mu   sync.Mutex
+	down bool
+}
+
+func (f *quietFeed) set(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+func (f *quietFeed) Load(ctx context.Context, topic Topic) (News, error) {
+	return f.Changes(ctx, topic, 0, 0)
+}
+
+func (f *quietFeed) Changes(ctx context.Context, _ Topic, _ uint64, wait time.Duration) (News, error) {
+	f.mu.Lock()
+	down := f.down
+	f.mu.Unlock()
+	if down {
+		return News{}, errors.New("store call: 503")
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+	return News{Covered: upTo(10)}, ctx.Err()
+}
+
+// TestFollowerKnowsThatTheStoreIsBack ends an outage after which nothing changes.
+func TestFollowerKnowsThatTheStoreIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := zerolog.Nop()
+		f := &quietFeed{}
+		follower := NewFollower(f, newTracker(), nil, &log)
+		ctx, cancel := context.WithCancel(t.Context())
+		var work sync.WaitGroup
+		work.Go(func() { _ = follower.Run(ctx, TopicConfiguration) })
+		time.Sleep(time.Second)
+		f.set(true)
+		time.Sleep(feedWait + time.Second)
+		if !follower.Failing() {
+			t.Error("the outage is not noticed")
+		}
+		f.set(false)
+		time.Sleep(retryMost + retryMost/2 + returnWait + time.Millisecond)
+		if follower.Failing() {
+			t.Error("the end of the outage is not noticed")
+		}
+		cancel()
+		work.Wait()
+	})
+}
--- a/internal/home/events.go
+++ b/internal/home/events.go
@@ -17,4 +17,6 @@
 	eventHandoffFailed = event.New(3507, zerolog.WarnLevel, "handoff_failed", "The present home of a group did not drain it in time; what it still ran is cut off by the claim.")
 	eventReclaimed     = event.New(3508, zerolog.WarnLevel, "group_reclaimed", "A backend server is full of connections that went silent; the group is claimed again, which ends them.")
 	eventRetried       = event.New(3509, zerolog.InfoLevel, "attempt_failed", "An attempt of a request failed at a backend server and the home makes another one.")
+	eventBehind        = event.New(3510, zerolog.WarnLevel, "replica_behind", "A replica shows old data; reads that do not accept it go to other servers, the primary at last.")
+	eventCaughtUp      = event.New(3511, zerolog.InfoLevel, "replica_caught_up", "A replica that was behind shows fresh data again.")
 )
--- a/internal/home/lag.go
+++ b/internal/home/lag.go
@@ -52,3 +52,32 @@
 	}
 	l.value += time.Duration(lagWeight * float64(nearest-l.value))
 }
+
+const (
+	// behindAfter is the age of a replica's data above which a line tells that it
+	// is behind, and caughtUpBelow the age below which one tells that it is not any
+	// more: routes accept data of one to some seconds.
+	behindAfter   = time.Second
+	caughtUpBelow = 500 * time.Millisecond
+)
+
+// noteAge logs when a replica falls behind and when it has caught up. The caller
+// holds the lock.
+func (o *owner) noteAge(n *node, replayed cluster.Position, now time.Time) {
+	age := time.Duration(0)
+	next := cluster.Position{Term: replayed.Term, Offset: replayed.Offset + 1}
+	if committed, ok := o.commits.Reached(next); ok && replayed.Known() {
+		age = now.Sub(committed)
+	}
+	behind := n.server.ID != o.view.primary && (age > behindAfter || n.behind && age > caughtUpBelow)
+	if behind == n.behind {
+		return
+	}
+	n.behind = behind
+	kind := eventCaughtUp
+	if behind {
+		kind = eventBehind
+	}
+	kind.Log(o.home.log).Str("group", string(o.name)).Str("server", string(n.server.ID)).Dur("age", age).
+		Str("replayed", replayed.String()).Str("primary", string(o.view.primary)).Uint64("term", uint64(o.view.term)).Send()
+}
--- a/internal/home/lag_test.go
+++ b/internal/home/lag_test.go
@@ -1,9 +1,13 @@
 package home
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/route"
 	"github.com/rattancove/rattancove/internal/statement"
@@ -69,3 +73,35 @@
 		}
 	})
 }
+
+// TestReplicaThatFallsBehindIsLogged stops and resumes the replay of a replica
+// while writes go on.
+func TestReplicaThatFallsBehindIsLogged(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, b *bench) {
+		var out bytes.Buffer
+		log := zerolog.New(&out)
+		h := New(Config{ID: "p1", Log: &log}, b.group.Dialer("p1"))
+		b.adopt(h)
+		write := func(times int) {
+			for range times {
+				b.mustWrite(h, "s", "put k v")
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		count := func(name string) int { return strings.Count(out.String(), name) }
+		write(10)
+		if count("replica_behind") != 0 {
+			t.Errorf("behind at its usual lag:\n%s", out.String())
+		}
+		b.group.SetReplayLag("s2", time.Hour)
+		write(30)
+		if count("replica_behind") != 1 || count("replica_caught_up") != 0 {
+			t.Errorf("%d lines, want one for s2:\n%s", count("replica_behind"), out.String())
+		}
+		b.group.SetReplayLag("s2", replayLag)
+		write(30)
+		if count("replica_behind") != 1 || count("replica_caught_up") != 1 {
+			t.Errorf("want one line more for the end:\n%s", out.String())
+		}
+	})
+}
--- a/internal/home/node.go
+++ b/internal/home/node.go
@@ -71,6 +71,8 @@
 	// judge follows the outcomes of requests at the server.
 	judge outlier.Judge
 	lag   lagEstimate
+	// behind is set while the replica's data is old.
+	behind bool
 }
 
 // startNode starts a node. The caller holds the owner's lock.
--- a/internal/home/observe.go
+++ b/internal/home/observe.go
@@ -28,6 +28,7 @@
 	if o.view.observe(n.server.ID, r) {
 		o.primaryChanged()
 	}
+	o.noteAge(n, r.status.Replayed, r.answered)
 	o.checkClaim(r.status)
 	o.sample()
 	o.rebuild()
