Split the soak and the election of a successor into files of one job

Functions were moved, not changed: the soak's faults, ledger and probes of versions have files of their own, and succession's election of a server.

--- /dev/null
+++ b/internal/integration/soak_versions_test.go
@@ -0,0 +1,69 @@
+package integration
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"time"
+)
+
+// probeVersions checks that a process never goes back to an older configuration
+// and puts a new one in force in time while it and the store are calm.
+func (e *soakEdge) probeVersions(ctx context.Context) {
+	seen, seenLife := 0, 0
+	for ctx.Err() == nil {
+		pause(ctx, 100*time.Millisecond)
+		life, calm := e.state()
+		if life != seenLife {
+			seen, seenLife = 0, life
+		}
+		s := e.soak
+		s.mu.Lock()
+		newest, at, troubled := s.version, s.configured, s.storeTroubled
+		s.mu.Unlock()
+		for version := newest; version >= max(seen-2, 1); version-- {
+			served, known := e.serves(versionDatabase(version))
+			if now, _ := e.state(); !known || now != life {
+				break
+			}
+			late := version == newest && time.Since(at) > configBound && calm > calmTime+configBound && time.Since(troubled) > calmTime+configBound
+			switch {
+			case served && version < seen-1:
+				s.ledger.violate("configurations never revert", "%s serves version %d again after %d", e.name, version, seen)
+			case served:
+				seen = max(seen, version)
+			case version == seen:
+				s.mu.Lock()
+				dropped := s.version >= version+2
+				s.mu.Unlock()
+				if !dropped {
+					s.ledger.violate("configurations never revert", "%s does not serve version %d, which it has served", e.name, version)
+				}
+			case late && e.inRotation.Load():
+				s.ledger.violate("configurations in force in time", "%s does not serve version %d after %v", e.name, version, time.Since(at))
+			}
+		}
+	}
+}
+
+// serves reports whether the process has a database; known is false if it does not say.
+func (e *soakEdge) serves(database string) (served, known bool) {
+	conn, err := net.DialTimeout("tcp", e.callers, time.Second)
+	if err != nil {
+		return false, false
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
+	if _, err := io.WriteString(conn, "STARTUP "+database+" probe\r\n"); err != nil {
+		return false, false
+	}
+	answer, err := bufio.NewReader(conn).ReadString('\n')
+	if err != nil {
+		return false, false
+	}
+	served, refused := strings.HasPrefix(answer, "READY"), strings.HasPrefix(answer, "ERROR NODB")
+	return served, cmp.Or(served, refused)
+}
--- a/internal/succession/decide.go
+++ b/internal/succession/decide.go
@@ -1,7 +1,6 @@
 package succession
 
 import (
-	"slices"
 	"time"
 
 	"github.com/rattancove/rattancove/internal/cluster"
@@ -328,70 +327,6 @@
 	return false
 }
 
-// elect returns the server to promote once nothing more can be acknowledged
-// and its log provably has every acknowledged write. A leaving server and the
-// one to be replaced are taken only where no other will do.
-func elect(g Group, v View, s State) (cluster.ServerID, bool) {
-	logs := finalLogs(g, v, s)
-	safe, ok := safePosition(logs, len(g.Servers), max(g.SyncReplicas, 1))
-	if !ok || v.Relied || oldWorks(g, v, s) {
-		return "", false
-	}
-	var fallback cluster.ServerID
-	for _, l := range logs {
-		switch {
-		case l.at.Less(safe):
-		case l.server.ID != s.Old && !l.server.Leaving && l.server.ID != v.Refused:
-			return l.server.ID, true
-		case fallback == "" && l.server.ID != s.Old:
-			fallback = l.server.ID
-		}
-	}
-	return fallback, fallback != ""
-}
-
-// safePosition returns a position that is not below any acknowledged write. Such
-// a write is on its primary and copies others, so that at least 1 + copies -
-// missing of the servers whose logs are final have it. logs are ordered from the
-// highest position down. The second result is false when too few are final.
-func safePosition(logs []finalLog, size, copies int) (cluster.Position, bool) {
-	holders := 1 + copies - (size - len(logs))
-	if holders < 1 || len(logs) == 0 {
-		return cluster.Position{}, false
-	}
-	return logs[min(holders, len(logs))-1].at, true
-}
-
-// finalLog is the end of a log that nothing more is added to.
-type finalLog struct {
-	server Server
-	at     cluster.Position
-}
-
-// finalLogs returns the logs of the paused replicas and of an old primary that
-// has stepped down, the highest first.
-func finalLogs(g Group, v View, s State) []finalLog {
-	var logs []finalLog
-	for _, r := range g.Servers {
-		o := v.Servers[r.ID]
-		if paused(r, o, s) || r.ID == s.Old && steppedDown(g, v, s) {
-			logs = append(logs, finalLog{server: r, at: o.Status.Received})
-		}
-	}
-	slices.SortStableFunc(logs, func(a, b finalLog) int { return b.at.Compare(a.at) })
-	return logs
-}
-
-// oldWorks reports whether the old primary still takes writes.
-func oldWorks(g Group, v View, s State) bool {
-	for _, r := range g.Servers {
-		if o := v.Servers[r.ID]; r.ID == s.Old {
-			return o.answers(r) && o.Status.Role == cluster.RolePrimary
-		}
-	}
-	return false
-}
-
 func decidePromoting(g Group, v View, s State, now time.Time) (State, []Action) {
 	for _, r := range g.Servers {
 		o := v.Servers[r.ID]
