--- a/internal/catalog/subscriber.go
+++ b/internal/catalog/subscriber.go
@@ -59,9 +59,6 @@
 func (s *Subscriber) Active() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ended == nil {
-		return nil // not a nil channel of another type
-	}
 	return s.ended
 }
 
