Do not resume replicas while a promotion may still take effect

Meanwhile the old primary came back, the holder of the duty was stopped in order, and the next holder saw a primary with paused replicas and resumed them. The primary acknowledged a write through one of them 48 ms before the promotion took effect and discarded it. The same holder could do so after its own call had timed out.

Ruled out: the election (both logs ended at 1/565; 1/566 came after it).

Change: a replica that was paused for an attempt above the primary's term stays paused while this process's own call for another server may take effect, and for 5 s after it has taken over the duty. Writes of such a group wait that long. succession.TestReplicasStayPausedWhileAPromotionMayTakeEffect fails without it.

Left: within those 5 s a new holder may elect another server than the earlier one asked for, if that one has gone meanwhile.

--- a/internal/standin/userplatform/group.go
+++ b/internal/standin/userplatform/group.go
@@ -173,8 +173,8 @@
 	}
 	s.listener, s.up, s.paused, s.conns, s.born = l, true, 0, map[net.Conn]bool{}, time.Now().UnixMilli()
 	s.advertised = l.Addr().String()
-	if leader := g.leader(); leader != nil && leader != s && leader.term > s.term {
-		s.primary = false
+	if leader := g.leader(); s.primary && leader != nil && leader != s && leader.term > s.term {
+		s.follow()
 	}
 	go s.accept(l)
 	s.enter(stateReady)
@@ -229,14 +229,20 @@
 	leader := g.leader()
 	for _, s := range g.servers {
 		if leader != nil && s != leader && s.up && s.primary && s.term < leader.term && g.linked(s, leader) {
-			s.primary = false
-			s.enter(s.state)
+			s.follow()
 		}
 	}
 	g.replicateAll()
 	g.signal()
 }
 
+// follow makes a primary a replica. It shows all that it has committed.
+func (s *Server) follow() {
+	s.primary = false
+	s.arrivals = make([]time.Time, len(s.log))
+	s.enter(s.state)
+}
+
 // linked reports whether two servers reach each other.
 func (g *Group) linked(a, b *Server) bool { return a.up && b.up && !a.isolated && !b.isolated }
 
--- a/internal/standin/userplatform/session.go
+++ b/internal/standin/userplatform/session.go
@@ -310,8 +310,7 @@
 	case verb == "RESUME":
 		s.paused = 0
 	case verb == "STEPDOWN" && s.primary && term > s.term:
-		s.primary = false
-		s.enter(s.state)
+		s.follow()
 	}
 	g.replicateAll()
 	g.signal()
--- a/internal/succession/decide.go
+++ b/internal/succession/decide.go
@@ -179,7 +179,7 @@
 		case r.ID == p.ID || !at.answers(r):
 		case at.Status.Role == cluster.RolePrimary:
 			actions = append(actions, Action{Kind: ActStepDown, Server: r.ID, Term: o.Status.Term})
-		case at.Status.PausedAt > 0:
+		case at.Status.PausedAt > 0 && mayResume(v, p.ID, o.Status.Term, at.Status.PausedAt, now):
 			actions = append(actions, Action{Kind: ActResume, Server: r.ID})
 		}
 	}
@@ -189,6 +189,22 @@
 	return s, actions
 }
 
+// mayResume reports whether a replica may receive again from a primary. One that
+// was paused for an attempt which has not come to its end may not: the platform may
+// still promote a server of that attempt, and would discard what the present primary
+// could acknowledge until then.
+func mayResume(v View, primary cluster.ServerID, term, pausedAt cluster.Term, now time.Time) bool {
+	if term >= pausedAt {
+		return true
+	}
+	for asked, until := range v.Pending {
+		if asked != primary && now.Before(until) {
+			return false
+		}
+	}
+	return !v.Unsettled
+}
+
 func decideSuspecting(g Group, v View, s State, now time.Time) (State, []Action) {
 	cause, since := diagnose(g, v, s, now)
 	if cause == CauseNone {
--- a/internal/succession/decide_test.go
+++ b/internal/succession/decide_test.go
@@ -328,3 +328,42 @@
 		})
 	}
 }
+
+// TestReplicasStayPausedWhileAPromotionMayTakeEffect lets a primary come back while
+// a call for another server is under way: by this process, and by an earlier holder
+// of the duty. What the primary acknowledged would be lost with the promotion.
+func TestReplicasStayPausedWhileAPromotionMayTakeEffect(t *testing.T) {
+	resumes := func(actions []Action) bool {
+		for _, a := range actions {
+			if a.Kind == ActResume {
+				return true
+			}
+		}
+		return false
+	}
+	for name, tt := range map[string]struct {
+		pending   cluster.ServerID
+		unsettled bool
+		term      cluster.Term
+		want      bool
+	}{
+		"nothing is under way":                      {"", false, 1, true},
+		"own call for another server":               {"s2", false, 1, false},
+		"own call for the primary itself":           {"s1", false, 1, true},
+		"an earlier holder may have asked":          {"", true, 1, false},
+		"the attempt has come to its end, its term": {"s2", true, 2, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScene("s1", "s2", "s3")
+			s.sees("s1", cluster.RolePrimary, tt.term, 100, 0)
+			s.sees("s3", cluster.RoleReplica, 1, 100, 2)
+			s.view.Unsettled = tt.unsettled
+			if tt.pending != "" {
+				s.view.Pending = map[cluster.ServerID]time.Time{tt.pending: s.now.Add(uncertainTime)}
+			}
+			if got := resumes(s.decide(time.Millisecond)); got != tt.want {
+				t.Errorf("resumed: %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/succession/loop.go
+++ b/internal/succession/loop.go
@@ -113,6 +113,7 @@
 	view := l.view
 	view.Servers, view.Pending = maps.Clone(l.view.Servers), maps.Clone(l.view.Pending)
 	view.LeaseLeft = l.controller.config.Lease.Left()
+	view.Unsettled = time.Now().Before(l.uncertainUntil)
 	view.Relied = l.controller.config.Grants.InForce(l.name)
 	state, actions := Decide(l.group, view, l.state, time.Now())
 	l.state = state
--- a/internal/succession/types.go
+++ b/internal/succession/types.go
@@ -109,6 +109,9 @@
 	// Pending holds the servers that the platform was asked to promote, and until
 	// when that may take effect.
 	Pending map[cluster.ServerID]time.Time
+	// Unsettled is set while a call of an earlier holder of the duty may still take
+	// effect.
+	Unsettled bool
 	// LeaseLeft is the time for which this process may act for sure.
 	LeaseLeft time.Duration
 	// Relied is set while some process may rely on the present term.
