Handle SIGHUP from the first instruction of main

Change: SIGHUP is registered before anything else in main. The soak starts a process again that has ended without being asked to, counts it, and takes it for a fault if the process was up for more than 0.2 s. Only the few milliseconds before main are left, which no program can handle.

--- a/cmd/rattan-edge/edge_test.go
+++ b/cmd/rattan-edge/edge_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -351,8 +352,7 @@
 	})
 }
 
-// TestHangupDuringAStopDoesNotEndIt sends SIGHUP to a process that drains: it
-// would end this one.
+// TestHangupDuringAStopDoesNotEndIt sends SIGHUP to a process that drains.
 func TestHangupDuringAStopDoesNotEndIt(t *testing.T) {
 	lines := &collectedLog{}
 	d := &deployment{t: t, storeURL: "127.0.0.1:1", cloudURL: "127.0.0.1:1", log: zerolog.New(lines)}
@@ -366,6 +366,7 @@
 		}
 	}
 	d.eventually("the start", logged("edge_started"))
+	signal.Notify(hangups, syscall.SIGHUP) // as main does
 	d.stop()
 	d.eventually("the drain", logged("edge_draining"))
 	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
--- a/cmd/rattan-edge/main.go
+++ b/cmd/rattan-edge/main.go
@@ -49,7 +49,14 @@
 	tableName = "rattancove"
 )
 
-func main() { os.Exit(program.Run(command())) }
+// hangups carries SIGHUP. It is registered before anything else, because the
+// signal ends a process that does not handle it yet.
+var hangups = make(chan os.Signal, 1)
+
+func main() {
+	signal.Notify(hangups, syscall.SIGHUP)
+	os.Exit(program.Run(command()))
+}
 
 func command() *cli.Command {
 	return &cli.Command{
@@ -142,9 +149,6 @@
 
 // watch reads the settings again after SIGHUP and when their file has changed.
 func (f settingsFile) watch(ctx context.Context, process *edge.Edge) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Ignore(syscall.SIGHUP)
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/integration/soak_fleet_test.go
+++ b/internal/integration/soak_fleet_test.go
@@ -36,6 +36,9 @@
 	// that nothing disturbs, and calmTime the time for which that must be so before.
 	configBound = 3 * time.Second
 	calmTime    = 4 * time.Second
+	// startTime is the time in which a process may still be ended by a signal that it
+	// cannot handle yet, and the pause before it is started again.
+	startTime = 200 * time.Millisecond
 	// stopTime is the time from the request to stop until a process is killed.
 	stopTime = 6 * time.Second
 )
@@ -54,6 +57,8 @@
 	edges   []*soakEdge
 	ledger  *ledger
 	planned bool
+	// stopping is set when the run ends its processes.
+	stopping atomic.Bool
 
 	mu      sync.Mutex
 	version int
@@ -243,12 +248,31 @@
 	e.mu.Lock()
 	e.cmd, e.ended, e.life, e.troubled = cmd, ended, e.life+1, time.Now()
 	e.mu.Unlock()
+	started := time.Now()
 	go func() {
 		_ = cmd.Wait() // how it ended is told by its log
 		close(ended)
+		e.supervise(program, cmd, started)
 	}()
 }
 
+// supervise starts a process again that has ended without being asked to, as the
+// platform does.
+func (e *soakEdge) supervise(program string, ended *exec.Cmd, started time.Time) {
+	e.mu.Lock()
+	own := !e.claimed && !e.soak.stopping.Load() && e.cmd == ended
+	e.mu.Unlock()
+	if !own {
+		return
+	}
+	e.soak.ledger.count("processes that ended by themselves")
+	if time.Since(started) > startTime {
+		e.soak.ledger.violate("processes go on", "%s ended by itself after %v", e.name, time.Since(started))
+	}
+	time.Sleep(startTime)
+	e.start(program)
+}
+
 // signal sends a signal to the process that runs now.
 func (e *soakEdge) signal(sig syscall.Signal) (ended <-chan struct{}) {
 	e.mu.Lock()
@@ -324,6 +348,7 @@
 
 // stop ends the processes of this run and keeps the logs of a failed one.
 func (s *soak) stop() {
+	s.stopping.Store(true)
 	for _, e := range s.edges {
 		ended := e.signal(syscall.SIGCONT)
 		e.signal(syscall.SIGKILL)
