Count a primary whose entry has lapsed when its successor is elected

A write is on its primary and one other of three servers; of two it would be on any.

Change: the catalogue remembers that the primary of a group went without a successor, and the election counts it as a server that is missing. A process that has started since takes a group without any primary, whose servers have one term, for such a one.

Tests: succession.TestPrimaryWhoseEntryHasLapsedIsCounted ("promoting with one final log of two" before), TestDeadPrimaryThatWasNeverSeenIsReplaced (a listed primary is not counted twice), catalog.TestLapsedPrimaryIsRememberedUntilAnotherLeads. In the scenes of the other tests the entry of the primary now says so, as the users' do.

--- a/internal/catalog/tracker.go
+++ b/internal/catalog/tracker.go
@@ -38,6 +38,9 @@
 	servers       map[cluster.ServerID]Server
 	// covered tells how much of the store's history servers reflects.
 	covered Coverage
+	// lostPrimary names the groups whose primary went without a successor: its entry
+	// lapsed, and none has said since that it leads the group.
+	lostPrimary map[cluster.GroupName]bool
 	// vanished holds the time at which the entry of a server was missed first.
 	vanished map[cluster.ServerID]time.Time
 	changed  chan struct{}
@@ -49,7 +52,7 @@
 func NewTracker(log *zerolog.Logger) *Tracker {
 	return &Tracker{
 		log: log, servers: map[cluster.ServerID]Server{}, vanished: map[cluster.ServerID]time.Time{},
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), lostPrimary: map[cluster.GroupName]bool{},
 	}
 }
 
@@ -105,7 +108,7 @@
 func (t *Tracker) State() State {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return State{Configuration: t.configuration, Servers: maps.Clone(t.servers)}
+	return State{Configuration: t.configuration, Servers: maps.Clone(t.servers), LostPrimary: maps.Clone(t.lostPrimary)}
 }
 
 // SetConfiguration puts a configuration in force unless it is older than the
@@ -194,6 +197,9 @@
 			next = cmp.Or(min(next, left), left)
 			continue
 		}
+		if gone := t.servers[id]; gone.Primary {
+			t.lostPrimary[gone.Group] = true
+		}
 		delete(t.vanished, id)
 		delete(t.servers, id)
 		eventServerGone.Log(t.log).Str("server", string(id)).Dur("missing_for", now.Sub(since)).Send()
@@ -205,6 +211,9 @@
 // put records an entry. The caller holds the lock.
 func (t *Tracker) put(s Server, origin Origin) {
 	delete(t.vanished, s.ID)
+	if s.Primary {
+		delete(t.lostPrimary, s.Group)
+	}
 	old, known := t.servers[s.ID]
 	if known && old == s {
 		return
--- a/internal/catalog/tracker_test.go
+++ b/internal/catalog/tracker_test.go
@@ -257,3 +257,25 @@
 		work.Wait()
 	})
 }
+
+// TestLapsedPrimaryIsRememberedUntilAnotherLeads lets the entries of a primary and
+// of a replica lapse, and another server take over.
+func TestLapsedPrimaryIsRememberedUntilAnotherLeads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newTracker()
+		primary, replica := Server{ID: "s1", Group: "g", Primary: true}, Server{ID: "s2", Group: "g"}
+		other := Server{ID: "s3", Group: "h"}
+		tracker.SetServers([]Server{primary, replica, other}, upTo(10), OriginStore)
+		tracker.Change(map[cluster.ServerID]*Server{"s1": nil, "s3": nil}, upTo(11))
+		time.Sleep(vanishedFor)
+		tracker.Expire(time.Now())
+		if lost := tracker.State().LostPrimary; !lost["g"] || lost["h"] {
+			t.Errorf("lost primaries %v, want that of g", lost)
+		}
+		replica.Primary = true
+		tracker.Change(map[cluster.ServerID]*Server{"s2": &replica}, upTo(12))
+		if lost := tracker.State().LostPrimary; lost["g"] {
+			t.Error("the primary still counts as lost after another server leads")
+		}
+	})
+}
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -59,6 +59,8 @@
 	Configuration *Configuration
 	// Servers holds the entries by id.
 	Servers map[cluster.ServerID]Server
+	// LostPrimary names the groups whose primary's entry has lapsed without a successor.
+	LostPrimary map[cluster.GroupName]bool
 }
 
 // SyncReplicas returns the number of replicas that store a write of a group
--- a/internal/edge/succession.go
+++ b/internal/edge/succession.go
@@ -24,11 +24,13 @@
 	document := state.Document()
 	groups := make([]succession.Group, 0, len(document.Groups))
 	for _, g := range document.Groups {
-		group := succession.Group{Name: g.Name, SyncReplicas: state.Configuration.SyncReplicas(g.Name)}
+		group := succession.Group{
+			Name: g.Name, SyncReplicas: state.Configuration.SyncReplicas(g.Name), LostPrimary: state.LostPrimary[g.Name],
+		}
 		for _, s := range g.Servers {
 			entry := state.Servers[s.ID]
 			group.Servers = append(group.Servers, succession.Server{
-				Server: s.Cluster(), Leaving: entry.Draining, Started: entry.Started,
+				Server: s.Cluster(), Leaving: entry.Draining, Started: entry.Started, Primary: entry.Primary,
 			})
 		}
 		groups = append(groups, group)
--- a/internal/succession/decide_test.go
+++ b/internal/succession/decide_test.go
@@ -27,6 +27,7 @@
 		s.sees(id, cluster.RoleReplica, 1, 100, 0)
 	}
 	s.sees(servers[0], cluster.RolePrimary, 1, 100, 0)
+	s.group.Servers[0].Primary = true
 	return s
 }
 
@@ -367,3 +368,42 @@
 		})
 	}
 }
+
+// TestPrimaryWhoseEntryHasLapsedIsCounted replaces a primary that the store does not
+// list any more. One of its two replicas may lack its last writes, so that both must
+// be paused.
+func TestPrimaryWhoseEntryHasLapsedIsCounted(t *testing.T) {
+	s := newScene("s1", "s2", "s3")
+	s.fails("s1")
+	s.decide(0)
+	s.group.Servers, s.group.LostPrimary = s.group.Servers[1:], true
+	delete(s.view.Servers, "s1")
+	s.now = s.now.Add(detectAfter)
+	s.decide(0)
+	s.decide(detectAfter)
+	s.now = s.now.Add(time.Millisecond)
+	s.sees("s2", cluster.RoleReplica, 1, 90, s.state.Term)
+	if s.decide(10 * time.Millisecond); s.state.Phase != PhasePausing {
+		t.Fatalf("phase %s with one final log of two", s.state.Phase)
+	}
+	s.sees("s3", cluster.RoleReplica, 1, 100, s.state.Term)
+	s.sees("s2", cluster.RoleReplica, 1, 90, s.state.Term)
+	if s.decide(10 * time.Millisecond); s.state.Phase != PhasePromoting || s.state.Chosen != "s3" {
+		t.Errorf("phase %s, chosen %q, want the promotion of s3", s.state.Phase, s.state.Chosen)
+	}
+}
+
+// TestDeadPrimaryThatWasNeverSeenIsReplaced lets a new holder of the duty find a
+// listed primary that does not answer: it is counted once.
+func TestDeadPrimaryThatWasNeverSeenIsReplaced(t *testing.T) {
+	s := newScene("s1", "s2", "s3")
+	s.view.Servers["s1"] = Observation{Failures: 2, FailingSince: s.now}
+	s.decide(0)
+	s.decide(detectAfter)
+	s.now = s.now.Add(time.Millisecond)
+	s.sees("s2", cluster.RoleReplica, 1, 100, s.state.Term)
+	s.sees("s3", cluster.RoleReplica, 1, 90, s.state.Term)
+	if s.decide(10 * time.Millisecond); s.state.Chosen != "s2" {
+		t.Errorf("phase %s, chosen %q, want the promotion of s2", s.state.Phase, s.state.Chosen)
+	}
+}
--- a/internal/succession/elect.go
+++ b/internal/succession/elect.go
@@ -11,7 +11,11 @@
 // one to be replaced are taken only where no other will do.
 func elect(g Group, v View, s State) (cluster.ServerID, bool) {
 	logs := finalLogs(g, v, s)
-	safe, ok := safePosition(logs, len(g.Servers), max(g.SyncReplicas, 1))
+	size := len(g.Servers)
+	if !listsPrimary(g, v, s) {
+		size++ // its entry has lapsed, and what it held is as unknown as before
+	}
+	safe, ok := safePosition(logs, size, max(g.SyncReplicas, 1))
 	if !ok || v.Relied || oldWorks(g, v, s) {
 		return "", false
 	}
@@ -28,6 +32,26 @@
 	return fallback, fallback != ""
 }
 
+// listsPrimary reports whether the primary to replace is among the servers of the
+// group: the one that was seen as such, one that has not been seen and whose entry
+// says so, or one that has stepped down, which has a term of its own.
+func listsPrimary(g Group, v View, s State) bool {
+	if g.LostPrimary {
+		return false
+	}
+	var terms []cluster.Term
+	for _, r := range g.Servers {
+		o := v.Servers[r.ID]
+		if r.ID == s.Old || r.Primary && !o.known(r) || o.known(r) && o.Status.Role == cluster.RolePrimary {
+			return true
+		}
+		if o.known(r) {
+			terms = append(terms, o.Status.Term)
+		}
+	}
+	return len(slices.Compact(slices.Sorted(slices.Values(terms)))) > 1
+}
+
 // safePosition returns a position that is not below any acknowledged write. Such
 // a write is on its primary and copies others, so that at least 1 + copies -
 // missing of the servers whose logs are final have it. logs are ordered from the
--- a/internal/succession/types.go
+++ b/internal/succession/types.go
@@ -58,6 +58,8 @@
 	Leaving bool
 	// Started tells two lives of one id apart.
 	Started int64
+	// Primary is set where the server's entry says that it was the primary.
+	Primary bool
 }
 
 // Group is a database group as the catalog has it.
@@ -67,6 +69,9 @@
 	// SyncReplicas is the number of replicas that store a write before the
 	// primary acknowledges it.
 	SyncReplicas int
+	// LostPrimary is set where the primary's entry has lapsed, so that it is not
+	// among Servers, and no other server has led the group since.
+	LostPrimary bool
 }
 
 // Observation is what is known of one server.
