Do not count a replaced primary as lost

Change: a lapsed primary is lost only if no other entry of its group says that it leads; a primary that is listed, or that stepped down, is not counted twice. catalog.TestReplacedPrimaryThatLapsesIsNotLost and succession.TestListedPrimaryIsNotCountedTwice fail without it.

--- a/internal/catalog/tracker.go
+++ b/internal/catalog/tracker.go
@@ -197,17 +197,29 @@
 			next = cmp.Or(min(next, left), left)
 			continue
 		}
-		if gone := t.servers[id]; gone.Primary {
-			t.lostPrimary[gone.Group] = true
-		}
+		gone := t.servers[id]
 		delete(t.vanished, id)
 		delete(t.servers, id)
+		if gone.Primary && !t.led(gone.Group) {
+			t.lostPrimary[gone.Group] = true
+		}
 		eventServerGone.Log(t.log).Str("server", string(id)).Dur("missing_for", now.Sub(since)).Send()
 		t.signal()
 	}
 	return next
 }
 
+// led reports whether the entry of some server says that it leads the group. The
+// caller holds the lock.
+func (t *Tracker) led(group cluster.GroupName) bool {
+	for _, s := range t.servers {
+		if s.Group == group && s.Primary {
+			return true
+		}
+	}
+	return false
+}
+
 // put records an entry. The caller holds the lock.
 func (t *Tracker) put(s Server, origin Origin) {
 	delete(t.vanished, s.ID)
--- a/internal/catalog/tracker_test.go
+++ b/internal/catalog/tracker_test.go
@@ -279,3 +279,20 @@
 		}
 	})
 }
+
+// TestReplacedPrimaryThatLapsesIsNotLost lets the entry of a primary lapse after
+// another server has said that it leads the group.
+func TestReplacedPrimaryThatLapsesIsNotLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newTracker()
+		old, next := Server{ID: "s1", Group: "g", Primary: true}, Server{ID: "s2", Group: "g", Primary: true}
+		tracker.SetServers([]Server{old, {ID: "s2", Group: "g"}}, upTo(10), OriginStore)
+		tracker.Change(map[cluster.ServerID]*Server{"s1": nil}, upTo(11))
+		tracker.Change(map[cluster.ServerID]*Server{"s2": &next}, upTo(12))
+		time.Sleep(vanishedFor)
+		tracker.Expire(time.Now())
+		if lost := tracker.State().LostPrimary; lost["g"] {
+			t.Error("a primary that was replaced counts as lost")
+		}
+	})
+}
--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -56,6 +56,7 @@
 	{143, "SIGHUP ended a process that was stopping"},
 	{422, "SIGHUP ended a process that was starting"},
 	{442, "a primary whose entry had lapsed was not counted when its successor was elected"},
+	{507, "a primary that was replaced and lapsed counted as lost, so that no server was elected"},
 	{321, "the stand-in hid what a primary had committed once it followed another one"},
 	{337, "a new holder of the duty resumed replicas while a promotion that the earlier one had asked for was on its way"},
 }
--- a/internal/succession/decide_test.go
+++ b/internal/succession/decide_test.go
@@ -407,3 +407,18 @@
 		t.Errorf("phase %s, chosen %q, want the promotion of s2", s.state.Phase, s.state.Chosen)
 	}
 }
+
+// TestListedPrimaryIsNotCountedTwice replaces a leaving primary of a group that has
+// lost another one before.
+func TestListedPrimaryIsNotCountedTwice(t *testing.T) {
+	s := newScene("s1", "s2", "s3")
+	s.group.LostPrimary = true
+	s.leaving("s1")
+	s.decide(time.Millisecond)
+	s.now = s.now.Add(time.Millisecond)
+	s.sees("s2", cluster.RoleReplica, 1, 100, 2)
+	s.sees("s3", cluster.RoleReplica, 1, 101, 2)
+	s.sees("s1", cluster.RoleReplica, 2, 105, 0)
+	s.decide(time.Millisecond)
+	s.expect(t, PhasePromoting, "s3")
+}
--- a/internal/succession/elect.go
+++ b/internal/succession/elect.go
@@ -36,9 +36,6 @@
 // group: the one that was seen as such, one that has not been seen and whose entry
 // says so, or one that has stepped down, which has a term of its own.
 func listsPrimary(g Group, v View, s State) bool {
-	if g.LostPrimary {
-		return false
-	}
 	var terms []cluster.Term
 	for _, r := range g.Servers {
 		o := v.Servers[r.ID]
@@ -49,7 +46,7 @@
 			terms = append(terms, o.Status.Term)
 		}
 	}
-	return len(slices.Compact(slices.Sorted(slices.Values(terms)))) > 1
+	return !g.LostPrimary && len(slices.Compact(slices.Sorted(slices.Values(terms)))) > 1
 }
 
 // safePosition returns a position that is not below any acknowledged write. Such
