--- a/internal/home/lag_test.go
+++ b/internal/home/lag_test.go
@@ -1,8 +1,8 @@
 package home
 
 import (
-	"bytes"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -74,12 +74,30 @@
 	})
 }
 
+// logText collects log lines that goroutines of a home write.
+type logText struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *logText) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *logText) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
 // TestReplicaThatFallsBehindIsLogged stops and resumes the replay of a replica
 // while writes go on.
 func TestReplicaThatFallsBehindIsLogged(t *testing.T) {
 	inBubble(t, nil, func(t *testing.T, b *bench) {
-		var out bytes.Buffer
-		log := zerolog.New(&out)
+		out := &logText{}
+		log := zerolog.New(out)
 		h := New(Config{ID: "p1", Log: &log}, b.group.Dialer("p1"))
 		b.adopt(h)
 		write := func(times int) {
