Keep the tracker's methods in its own file

Tracker.AwaitNews stood beside the subscriber that calls it over the network; it was moved, not changed.

--- a/internal/catalog/subscriber.go
+++ b/internal/catalog/subscriber.go
@@ -119,23 +119,3 @@
 	s.ended = nil
 	eventDelegationEnded.Log(s.log).Send()
 }
-
-// AwaitNews waits until the tracker knows more than a process with the given
-// versions, for up to wait, and returns what it knows; nil if that is no more.
-func (t *Tracker) AwaitNews(ctx context.Context, configuration, servers uint64, wait time.Duration) ([]byte, error) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		changed := t.Changed()
-		if c, s := t.Versions(); c > configuration || s > servers {
-			return t.Export()
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return nil, nil
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-	}
-}
--- a/internal/catalog/tracker.go
+++ b/internal/catalog/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -286,6 +287,26 @@
 	return data, nil
 }
 
+// AwaitNews waits until the tracker knows more than a process with the given
+// versions, for up to wait, and returns what it knows; nil if that is no more.
+func (t *Tracker) AwaitNews(ctx context.Context, configuration, servers uint64, wait time.Duration) ([]byte, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		changed := t.Changed()
+		if c, s := t.Versions(); c > configuration || s > servers {
+			return t.Export()
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
 // Import takes up what Export returned at a peer.
 func (t *Tracker) Import(data []byte) error {
 	var in exported
