--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 include tools/versions.env
 PROGRAMS := rattan-proxy rattan-warden rattanctl rattan-load rattan-standin
 
-.PHONY: build test quick lint fmt demo demo-platform bench slopes soak soak-faults proto tools
+.PHONY: build test quick lint fmt demo demo-platform bench slopes soak soak-faults model proto tools
 
 build:
 	mkdir -p bin
@@ -61,6 +61,11 @@
 soak:
 	RATTAN_SEEDS=$(SEEDS) go test -race -count=1 -timeout 60m -run Seeded ./internal/...
 
+# Searches STATES states of each case of the model of a promotion.
+STATES ?= 400000
+model:
+	RATTAN_MODEL_STATES=$(STATES) go test -count=1 -timeout 60m -run 'TestModel$$' -v ./internal/succession
+
 # Runs TestFaultSoak, which injects faults at rattan-edge processes from outside, with
 # COUNT seeds from FIRST on. The logs of failed runs are kept in soak-logs/.
 FIRST ?= 100
--- a/internal/catalog/tracker.go
+++ b/internal/catalog/tracker.go
@@ -39,9 +39,6 @@
 	servers       map[cluster.ServerID]Server
 	// coverage states how much of the store's history servers reflects.
 	coverage Coverage
-	// lostPrimary holds the groups that lost their primary without a successor: its
-	// entry expired, and no server's entry has claimed the role of primary since.
-	lostPrimary map[cluster.GroupName]bool
 	// missingSince holds the time at which the entry of a server was first missing.
 	missingSince map[cluster.ServerID]time.Time
 	changed      chan struct{}
@@ -53,7 +50,7 @@
 func NewTracker(log *zerolog.Logger) *Tracker {
 	return &Tracker{
 		log: log, servers: map[cluster.ServerID]Server{}, missingSince: map[cluster.ServerID]time.Time{},
-		changed: make(chan struct{}), lostPrimary: map[cluster.GroupName]bool{},
+		changed: make(chan struct{}),
 	}
 }
 
@@ -109,7 +106,7 @@
 func (t *Tracker) State() State {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return State{Configuration: t.configuration, Servers: maps.Clone(t.servers), LostPrimary: maps.Clone(t.lostPrimary)}
+	return State{Configuration: t.configuration, Servers: maps.Clone(t.servers)}
 }
 
 // SetConfiguration activates a configuration unless it is as old as or older than
@@ -200,35 +197,17 @@
 			next = cmp.Or(min(next, remaining), remaining)
 			continue
 		}
-		gone := t.servers[id]
 		delete(t.missingSince, id)
 		delete(t.servers, id)
-		if gone.Primary && !t.hasPrimary(gone.Group) {
-			t.lostPrimary[gone.Group] = true
-		}
 		eventServerGone.Log(t.log).Str("server", string(id)).Dur("missing_for", now.Sub(since)).Send()
 		t.notify()
 	}
 	return next
 }
 
-// hasPrimary reports whether a server's entry claims the role of the group's
-// primary. The caller holds the lock.
-func (t *Tracker) hasPrimary(group cluster.GroupName) bool {
-	for _, s := range t.servers {
-		if s.Group == group && s.Primary {
-			return true
-		}
-	}
-	return false
-}
-
 // upsert adds or replaces an entry. The caller holds the lock.
 func (t *Tracker) upsert(s Server, origin Origin) {
 	delete(t.missingSince, s.ID)
-	if s.Primary {
-		delete(t.lostPrimary, s.Group)
-	}
 	old, known := t.servers[s.ID]
 	if known && old == s {
 		return
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -60,8 +60,6 @@
 	Configuration *Configuration
 	// Servers holds the entries by id.
 	Servers map[cluster.ServerID]Server
-	// LostPrimary holds the groups whose primary's entry expired without a successor.
-	LostPrimary map[cluster.GroupName]bool
 }
 
 // SyncReplicas returns the number of replicas that must store a write of a group
--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -85,11 +85,9 @@
 	// is not this one.
 	otherHolder string
 
-	// seenVersion is the version of another holder's row, and seenSince the time at
-	// which it was first read. They are used by Run only.
-	seenVersion uint64
-	seenSince   time.Duration
-	released    bool
+	// watch is used by Run only.
+	watch    Watch
+	released bool
 }
 
 // New returns a Lease that this process does not hold yet.
@@ -228,7 +226,7 @@
 	if token == 0 {
 		token = Token(versions[0])
 	}
-	l.recordHeld(token, versions[0], sentAt+leaseTTL-clockMargin)
+	l.recordHeld(token, versions[0], ExpiryOf(sentAt))
 	return nil
 }
 
@@ -282,11 +280,7 @@
 		return l.renewOwn(ctx, value, current.Version)
 	}
 	l.recordNotHeld(value.Holder)
-	if current.Version != l.seenVersion {
-		l.seenVersion, l.seenSince = current.Version, l.config.Clock()
-		return nil
-	}
-	if l.config.Clock()-l.seenSince < leaseTTL+clockMargin {
+	if !l.watch.Expired(current.Version, l.config.Clock()) {
 		return nil
 	}
 	return l.acquire(ctx, current.Version)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -92,7 +92,7 @@
 		Holder: string(config.ID), Key: "duty/promotion", Table: adapters.Table, CandidateIndex: e.candidateIndex, Log: &e.log,
 	})
 	e.succession = succession.New(succession.Config{
-		Dialer: adapters.Control, Promoter: adapters.Promoter, Lease: e.lease, Groups: e.successionGroups,
+		Dialer: adapters.Control, Promoter: adapters.Promoter, Lease: e.lease, Table: adapters.Table, Groups: e.successionGroups,
 		Changed: e.tracker.Changed, QueryObservers: e.queryObservers, Grants: e.issuer, Revoke: e.revokeGrants, Log: &e.log,
 	})
 	var err error
--- a/internal/edge/succession.go
+++ b/internal/edge/succession.go
@@ -24,13 +24,11 @@
 	document := state.Document()
 	groups := make([]succession.Group, 0, len(document.Groups))
 	for _, g := range document.Groups {
-		group := succession.Group{
-			Name: g.Name, SyncReplicas: state.Configuration.SyncReplicas(g.Name), LostPrimary: state.LostPrimary[g.Name],
-		}
+		group := succession.Group{Name: g.Name, SyncReplicas: state.Configuration.SyncReplicas(g.Name)}
 		for _, s := range g.Servers {
 			entry := state.Servers[s.ID]
 			group.Servers = append(group.Servers, succession.Server{
-				Server: s.Cluster(), Leaving: entry.Draining, StartTime: entry.Started, Primary: entry.Primary,
+				Server: s.Cluster(), Leaving: entry.Draining, StartTime: entry.Started,
 			})
 		}
 		groups = append(groups, group)
--- a/internal/succession/controller.go
+++ b/internal/succession/controller.go
@@ -12,12 +12,18 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/duty"
 	"github.com/rattancove/rattancove/internal/grant"
+	"github.com/rattancove/rattancove/internal/provider"
 )
 
-// maxPromotionDelay is how long after a promotion call, by this process or an
-// earlier lease holder, the platform may still promote the server. No other term
-// is granted during this time.
-const maxPromotionDelay = 5 * time.Second
+const (
+	// maxPromotionDelay is how long after a promotion call the platform may still
+	// promote the server.
+	maxPromotionDelay = 5 * time.Second
+	// maxPriorPromotionDelay is how long after the record of an earlier lease holder's
+	// promotion was read the promotion may still take effect. The earlier holder may
+	// have been suspended before it made the call.
+	maxPriorPromotionDelay = 2 * maxPromotionDelay
+)
 
 // pollInterval is the interval between checks of the groups and the lease.
 const pollInterval = 500 * time.Millisecond
@@ -60,6 +66,8 @@
 	Lease    Lease
 	// Groups returns the groups listed in the catalog.
 	Groups func() []Group
+	// Table keeps the records of the groups.
+	Table provider.Table
 	// Changed returns a channel that is closed when the groups change.
 	Changed func() <-chan struct{}
 	// Grants tracks the processes that hold grants of a term, and Revoke asks one
@@ -73,24 +81,28 @@
 
 // Controller manages the primaries of all groups while this process holds the lease.
 type Controller struct {
-	config     Config
-	groups     map[cluster.GroupName]*groupLoop
+	config  Config
+	records *recordStore
+	groups  map[cluster.GroupName]*groupLoop
+	// token is that of the lease under which groups was created.
+	token      duty.Token
 	goroutines sync.WaitGroup
 }
 
 // New returns a Controller.
 func New(config Config) *Controller {
-	return &Controller{config: config, groups: map[cluster.GroupName]*groupLoop{}}
+	return &Controller{config: config, records: newRecordStore(config.Table, config.Log), groups: map[cluster.GroupName]*groupLoop{}}
 }
 
 // Run manages the groups whenever the lease is held, until ctx is done.
 func (c *Controller) Run(ctx context.Context) error {
 	defer c.goroutines.Wait()
 	defer c.stopLoops()
+	c.goroutines.Go(func() { c.records.run(ctx) })
 	for ctx.Err() == nil {
 		leased, changed := c.config.Lease.Changed(), c.config.Changed()
-		if _, held := c.config.Lease.Held(); held {
-			c.update(ctx)
+		if token, held := c.config.Lease.Held(); held {
+			c.update(ctx, token)
 		} else {
 			c.stopLoops()
 		}
@@ -107,13 +119,18 @@
 }
 
 // update starts, updates and stops group loops to match the catalog.
-func (c *Controller) update(ctx context.Context) {
+func (c *Controller) update(ctx context.Context, token duty.Token) {
+	if token != c.token {
+		c.stopLoops()
+		c.records.reset()
+		c.token = token
+	}
 	wanted := map[cluster.GroupName]bool{}
 	for _, g := range c.config.Groups() {
 		wanted[g.Name] = true
 		loop, ok := c.groups[g.Name]
 		if !ok {
-			loop = newGroupLoop(ctx, c, g)
+			loop = newGroupLoop(ctx, c, g, token)
 			c.groups[g.Name] = loop
 			c.goroutines.Go(loop.run)
 		}
@@ -134,32 +151,6 @@
 	}
 }
 
-// promote requests a promotion from the platform, provided that this process
-// still holds the lease immediately before the call.
-func (l *groupLoop) promote(a Action) {
-	config := l.controller.config
-	ctx, cancel := context.WithTimeout(l.ctx, promotionTimeout)
-	defer cancel()
-	token, held := config.Lease.Held()
-	if !held {
-		eventPromotionSkipped.Log(config.Log).Str("group", string(l.name)).Str("server", string(a.Server)).Send()
-		return
-	}
-	err := config.Promoter.Promote(ctx, Promotion{
-		Group: l.name, Server: a.Server, Holder: config.Lease.Holder(), Token: token,
-	})
-	l.mu.Lock()
-	l.view.PromotionRefused = ""
-	if errors.Is(err, ErrNotRunning) {
-		l.view.PromotionRefused = a.Server
-	}
-	l.view.PromotionInFlight = false
-	l.mu.Unlock()
-	eventPromotionRequested.Log(config.Log).Str("group", string(l.name)).Str("server", string(a.Server)).
-		Uint64("token", uint64(token)).AnErr("error", err).Send()
-	l.wake()
-}
-
 // queryObservers asks other processes whether they can reach the current primary.
 func (l *groupLoop) queryObservers() {
 	l.mu.Lock()
--- a/internal/succession/decide.go
+++ b/internal/succession/decide.go
@@ -45,6 +45,7 @@
 // Decide returns the next state of a group and the actions to execute now.
 func Decide(g Group, v View, s State, now time.Time) (State, []Action) {
 	s = s.updateStall(g, v, now)
+	s.Membership = s.update(g, v, now)
 	for {
 		next, actions := decidePhase(g, v, s, now)
 		if len(actions) > 0 || next.Phase == s.Phase {
@@ -91,6 +92,15 @@
 	return term
 }
 
+// maxServerTerm returns the highest term of any server, which a pause does not raise.
+func maxServerTerm(v View) cluster.Term {
+	var term cluster.Term
+	for _, o := range v.Servers {
+		term = max(term, o.Status.Term)
+	}
+	return term
+}
+
 // diagnose returns why the group needs a new primary, or CauseNone, and since when.
 func diagnose(g Group, v View, s State, now time.Time) (Cause, time.Time) {
 	p, o, ok := primary(g, v)
@@ -101,7 +111,7 @@
 		return CauseNoPrimary, now
 	case o.ConsecutiveFailures > 0:
 		return CauseUnreachable, o.FailingSince
-	case p.Leaving && hasSuccessor(g, v, p.ID) && !now.Before(s.PostponedUntil) && v.LeaseRemaining >= minSwitchoverLease:
+	case p.Leaving && s.settled() && hasSuccessor(g, v, p.ID) && !now.Before(s.PostponedUntil) && v.LeaseRemaining >= minSwitchoverLease:
 		return CauseLeaving, now
 	case !s.StalledSince.IsZero() && now.Sub(s.StalledSince) >= stallTimeout:
 		return CauseStalled, s.StalledSince
@@ -199,12 +209,18 @@
 	if term >= pausedAt {
 		return true
 	}
+	return !otherPromotionPossible(v, primary, now)
+}
+
+// otherPromotionPossible reports whether a requested promotion of a server other than
+// id may still take effect.
+func otherPromotionPossible(v View, id cluster.ServerID, now time.Time) bool {
 	for promoted, until := range v.PendingPromotions {
-		if promoted != primary && now.Before(until) {
-			return false
+		if promoted != id && now.Before(until) {
+			return true
 		}
 	}
-	return !v.PriorPromotionPossible
+	return v.PriorPromotionPossible
 }
 
 func decideSuspecting(g Group, v View, s State, now time.Time) (State, []Action) {
@@ -258,10 +274,7 @@
 	s.Cause, s.AttemptStart = cause, now
 	s.AttemptTerm = max(maxTerm(v), s.AttemptTerm) + 1
 	s.Candidate, s.OldPrimary, s.OldTerm = "", "", 0
-	s.MaxTermAtStart = 0
-	for _, o := range v.Servers {
-		s.MaxTermAtStart = max(s.MaxTermAtStart, o.Status.Term)
-	}
+	s.MaxTermAtStart = maxServerTerm(v)
 	if p, o, ok := primary(g, v); ok {
 		s.OldPrimary, s.OldTerm = p.ID, o.Status.Term
 	}
@@ -275,7 +288,8 @@
 	if (s.Cause == CauseUnreachable || s.Cause == CauseNoPrimary) && oldPrimaryRecovered(g, v, s) {
 		return s.fire(eventRecovered, now), nil
 	}
-	if candidate, ok := elect(g, v, s); ok {
+	s.Membership = s.abandon(now)
+	if candidate, ok := elect(g, v, s, now); ok {
 		s.Candidate = candidate
 		return s.fire(eventElected, now), nil
 	}
@@ -359,7 +373,7 @@
 		s.AttemptStart = now
 		return s.fire(eventFailed, now), nil
 	}
-	if v.PromotionInFlight || now.Before(s.NextRetry) {
+	if v.PromotionInFlight || now.Before(s.NextRetry) && !v.PromotionNotSent {
 		return s, nil
 	}
 	// Allow the platform time to complete the promotion before repeating the call.
@@ -374,10 +388,8 @@
 	if !ok || s.Phase != PhaseWatching || o.ConsecutiveFailures > 0 || o.Status.Term < maxTerm(v) {
 		return 0, false
 	}
-	for promoted, until := range v.PendingPromotions {
-		if promoted != p.ID && now.Before(until) {
-			return 0, false
-		}
+	if otherPromotionPossible(v, p.ID, now) {
+		return 0, false
 	}
 	return o.Status.Term, true
 }
--- a/internal/succession/decide_test.go
+++ b/internal/succession/decide_test.go
@@ -27,10 +27,18 @@
 		s.observe(id, cluster.RoleReplica, 1, 100, 0)
 	}
 	s.observe(servers[0], cluster.RolePrimary, 1, 100, 0)
-	s.group.Servers[0].Primary = true
+	s.state.Membership = membershipOf(s.group)
 	return s
 }
 
+// membershipOf returns the membership of a group whose listed servers have all
+// acknowledged writes.
+func membershipOf(g Group) Membership {
+	m := Membership{}.update(g, View{PriorPromotionPossible: true}, testStart)
+	m.Known = true
+	return m
+}
+
 func (s *fixture) observe(id cluster.ServerID, role cluster.Role, term cluster.Term, at uint64, paused cluster.Term) {
 	s.view.Servers[id] = Observation{
 		RequestedAt: s.now, StartTime: 1,
@@ -375,7 +383,7 @@
 	s := newFixture("s1", "s2", "s3")
 	s.fail("s1")
 	s.decide(0)
-	s.group.Servers, s.group.LostPrimary = s.group.Servers[1:], true
+	s.group.Servers = s.group.Servers[1:]
 	delete(s.view.Servers, "s1")
 	s.now = s.now.Add(detectionTime)
 	s.decide(0)
@@ -406,18 +414,3 @@
 		t.Errorf("phase %s, candidate %q, want the promotion of s2", s.state.Phase, s.state.Candidate)
 	}
 }
-
-// A leaving primary is replaced in a group that lost an earlier primary. The listed
-// primary must not be counted a second time as the lost one.
-func TestListedPrimaryIsNotCountedTwice(t *testing.T) {
-	s := newFixture("s1", "s2", "s3")
-	s.group.LostPrimary = true
-	s.markLeaving("s1")
-	s.decide(time.Millisecond)
-	s.now = s.now.Add(time.Millisecond)
-	s.observe("s2", cluster.RoleReplica, 1, 100, 2)
-	s.observe("s3", cluster.RoleReplica, 1, 101, 2)
-	s.observe("s1", cluster.RoleReplica, 2, 105, 0)
-	s.decide(time.Millisecond)
-	s.expect(t, PhasePromoting, "s3")
-}
--- a/internal/succession/doc.go
+++ b/internal/succession/doc.go
@@ -11,8 +11,10 @@
 // every known one, so that no further write can be acknowledged; the highest
 // received position among them is then final. As many servers may be unavailable
 // as replicas store each write. If more are, one of them may hold the only copy of
-// an acknowledged write, and the promotion waits until it responds or its catalog
-// entry expires. The promoted server must have every write that may have been
+// an acknowledged write, and the promotion waits until it responds, for abandonAfter
+// if it is no longer listed. Which servers these are is told by the Membership of the
+// group, not by the catalog. A Record in the table service keeps it for the next lease
+// holder, and names the server that is about to be promoted. The promoted server must have every write that may have been
 // acknowledged, judged by the final positions of the available servers. The
 // received position of a leaving replica counts, but it is promoted only if no
 // other server can be.
--- a/internal/succession/elect.go
+++ b/internal/succession/elect.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/rattancove/rattancove/internal/cluster"
 )
@@ -9,50 +10,31 @@
 // elect returns the server to promote, once no further write can be acknowledged
 // and a server is known to have every acknowledged write. A leaving server, or one
 // that the platform refused to promote, is elected only if no other is eligible. The
-// old primary is never elected.
-func elect(g Group, v View, s State) (cluster.ServerID, bool) {
-	logs := finalLogs(g, v, s)
-	size := len(g.Servers)
-	if !listsPrimary(g, v, s) {
-		size++ // the primary's catalog entry has expired, but it may still hold acknowledged writes
-	}
-	safe, ok := safePosition(logs, size, max(g.SyncReplicas, 1))
-	if !ok || v.GrantsInForce || oldPrimaryWritable(g, v, s) {
+// old primary is elected only if it has stepped down and no other server is eligible
+// within switchoverTimeout. While a promotion requested earlier may take effect, no
+// other server is elected: the promotion would discard what that server acknowledges.
+func elect(g Group, v View, s State, now time.Time) (cluster.ServerID, bool) {
+	logs := finalLogs(g, v, s, now)
+	safe, ok := safePosition(logs, s.size(g), max(g.SyncReplicas, 1))
+	if !ok || v.GrantsInForce || v.PromotionInFlight || oldPrimaryWritable(g, v, s) {
 		return "", false
 	}
 	var fallback cluster.ServerID
 	for _, log := range logs {
+		id := log.server.ID
+		returning := id == s.OldPrimary
 		switch {
-		case log.end.Less(safe):
-		case log.server.ID != s.OldPrimary && !log.server.Leaving && log.server.ID != v.PromotionRefused:
-			return log.server.ID, true
-		case fallback == "" && log.server.ID != s.OldPrimary:
-			fallback = log.server.ID
+		case log.end.Less(safe) || otherPromotionPossible(v, id, now):
+		case returning && (s.Cause != CauseLeaving || now.Sub(s.AttemptStart) <= switchoverTimeout):
+		case !returning && !log.server.Leaving && id != v.PromotionRefused:
+			return id, true
+		case fallback == "" || fallback == s.OldPrimary:
+			fallback = id
 		}
 	}
 	return fallback, fallback != ""
 }
 
-// listsPrimary reports whether the primary to replace is among the listed servers of
-// the group. That is so in three cases:
-//   - a server was observed as the primary;
-//   - a server has not been observed, but its catalog entry marks it as the primary;
-//   - no primary is known to be lost, and the terms of the servers differ: one of them
-//     is a primary that has stepped down.
-func listsPrimary(g Group, v View, s State) bool {
-	var terms []cluster.Term
-	for _, r := range g.Servers {
-		o := v.Servers[r.ID]
-		if r.ID == s.OldPrimary || r.Primary && !o.known(r) || o.known(r) && o.Status.Role == cluster.RolePrimary {
-			return true
-		}
-		if o.known(r) {
-			terms = append(terms, o.Status.Term)
-		}
-	}
-	return !g.LostPrimary && len(slices.Compact(slices.Sorted(slices.Values(terms)))) > 1
-}
-
 // safePosition returns a position that is not below any acknowledged write. An
 // acknowledged write is stored on the primary and on syncReplicas replicas, so at
 // least 1 + syncReplicas - missing of the servers with final logs have it, where
@@ -74,10 +56,13 @@
 
 // finalLogs returns the logs of the paused replicas and of an old primary that
 // has stepped down, sorted by descending position.
-func finalLogs(g Group, v View, s State) []finalLog {
+func finalLogs(g Group, v View, s State, now time.Time) []finalLog {
 	var logs []finalLog
 	for _, r := range g.Servers {
 		o := v.Servers[r.ID]
+		if o.lostRecords() || promotedSince(r, o, v, now) {
+			continue
+		}
 		if pausedForAttempt(r, o, s) || r.ID == s.OldPrimary && oldPrimarySteppedDown(g, v, s) {
 			logs = append(logs, finalLog{server: r, end: o.Status.Received})
 		}
@@ -86,6 +71,14 @@
 	return logs
 }
 
+// promotedSince reports whether a server may have been promoted since it was observed,
+// by a call that can no longer take effect. While the call can, no other server is
+// elected, and the server's own log may count for it.
+func promotedSince(r Server, o Observation, v View, now time.Time) bool {
+	until, ok := v.PendingPromotions[r.ID]
+	return ok && !now.Before(until) && !o.RequestedAt.After(until)
+}
+
 // oldPrimaryWritable reports whether the old primary still accepts writes.
 func oldPrimaryWritable(g Group, v View, s State) bool {
 	for _, r := range g.Servers {
--- a/internal/succession/loop.go
+++ b/internal/succession/loop.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/duty"
 )
 
 const (
@@ -21,32 +22,42 @@
 type groupLoop struct {
 	controller *Controller
 	name       cluster.GroupName
-	ctx        context.Context
-	cancel     context.CancelFunc
-	wakeups    chan struct{}
+	// token is that of the lease under which the loop runs.
+	token   duty.Token
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wakeups chan struct{}
 	// revoking is set while processes are asked to release their grants.
 	revoking   atomic.Bool
 	goroutines sync.WaitGroup
 
-	// mu guards the fields that monitors and calls write.
+	// mu guards the following fields.
 	mu       sync.Mutex
 	group    Group
 	view     View
 	monitors map[cluster.ServerID]*serverMonitor
 
-	// priorPromotionUntil is the time until which a promotion requested by an
-	// earlier lease holder may take effect.
-	priorPromotionUntil time.Time
-
 	// state is written only by the loop's own goroutine, under mu.
 	state State
+	// readRecord is the group's record, just read, which the next decision adopts.
+	readRecord *Record
+	// promoting is the server whose promotion may still take effect, by a call of this
+	// process or an earlier lease holder.
+	promoting cluster.ServerID
+	// recordRead is set while savedRecord is known to be the group's record in the
+	// table service, and recordSyncing while it is read or written in the background.
+	recordRead, recordSyncing bool
+	savedRecord               Record
+
+	// recordBusy holds a token while the record is read or written.
+	recordBusy chan struct{}
 }
 
-func newGroupLoop(ctx context.Context, c *Controller, g Group) *groupLoop {
+func newGroupLoop(ctx context.Context, c *Controller, g Group, token duty.Token) *groupLoop {
 	l := &groupLoop{
-		controller: c, name: g.Name, wakeups: make(chan struct{}, 1), state: NewState(time.Now()),
+		controller: c, name: g.Name, token: token, wakeups: make(chan struct{}, 1), recordBusy: make(chan struct{}, 1), state: NewState(time.Now()),
 		view:     View{Servers: map[cluster.ServerID]Observation{}, PendingPromotions: map[cluster.ServerID]time.Time{}},
-		monitors: map[cluster.ServerID]*serverMonitor{}, priorPromotionUntil: time.Now().Add(maxPromotionDelay),
+		monitors: map[cluster.ServerID]*serverMonitor{},
 	}
 	l.ctx, l.cancel = context.WithCancel(ctx)
 	return l
@@ -110,17 +121,18 @@
 func (l *groupLoop) decide() {
 	l.mu.Lock()
 	previous := l.state
+	l.adoptRecord()
 	view := l.view
 	view.Servers, view.PendingPromotions = maps.Clone(l.view.Servers), maps.Clone(l.view.PendingPromotions)
 	view.LeaseRemaining = l.controller.config.Lease.Remaining()
-	view.PriorPromotionPossible = time.Now().Before(l.priorPromotionUntil)
+	view.PriorPromotionPossible = !l.recordRead
 	view.GrantsInForce = l.controller.config.Grants.Outstanding(l.name)
 	state, actions := Decide(l.group, view, l.state, time.Now())
 	l.state = state
 	now := time.Now()
 	term, allowed := grantableTerm(l.group, view, l.state, now)
-	allowed = allowed && now.After(l.priorPromotionUntil)
 	l.mu.Unlock()
+	l.saveRecord(now)
 	l.logPhaseChange(previous)
 	l.updateGrants(term, allowed)
 	for _, a := range actions {
@@ -166,6 +178,9 @@
 }
 
 func (l *groupLoop) logPhaseChange(previous State) {
+	if len(l.state.abandoned) > 0 && len(previous.abandoned) == 0 {
+		eventMembersAbandoned.Log(l.controller.config.Log).Str("group", string(l.name)).Interface("members", l.state.abandoned).Send()
+	}
 	if previous.Phase == l.state.Phase {
 		return
 	}
@@ -183,8 +198,7 @@
 		l.goroutines.Go(l.queryObservers)
 	case ActionPromote:
 		l.mu.Lock()
-		l.view.PromotionInFlight = true
-		l.view.PendingPromotions[a.Server] = time.Now().Add(maxPromotionDelay)
+		l.view.PromotionInFlight, l.view.PromotionNotSent = true, false
 		l.mu.Unlock()
 		l.goroutines.Go(func() { l.promote(a) })
 	default:
--- /dev/null
+++ b/internal/succession/model_events_test.go
@@ -0,0 +1,282 @@
+package succession
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/grant"
+)
+
+// modelEvent is an event of the model: its kind and up to two arguments.
+type modelEvent struct{ kind, a, b uint8 }
+
+// Kinds of events. For those of a process, a is the process.
+const (
+	eventWrite uint8 = iota
+	eventReplicate
+	eventCall
+	eventCrash
+	eventRestart
+	eventRebirth
+	eventLapse
+	eventReturn
+	eventCut
+	eventCutStore
+	eventFreeze
+	eventThaw
+	eventLeave
+	eventCheckLease
+	eventSend
+	eventPromote
+	eventGrant
+	eventRevoke
+	eventTick
+	modelEventCount
+)
+
+var modelEventNames = [modelEventCount]string{
+	"s%[1]d appends a write", "s%[1]d sends its log to s%[2]d", "p%[1]d calls s%[2]d", "s%[1]d crashes",
+	"s%[1]d restarts with its log", "s%[1]d restarts without data", "the entry of s%[1]d lapses", "the entry of s%[1]d returns",
+	"p%[1]d is cut off from s%[2]d", "p%[1]d is cut off from the table service", "p%[1]d is suspended", "p%[1]d wakes",
+	"s%[1]d is leaving", "p%[1]d checks its lease", "p%[1]d sends the promotion call", "the platform promotes s%[1]d",
+	"p%[1]d gets a grant from p%[2]d", "p%[1]d revokes the grant of p%[2]d", "time passes",
+}
+
+func (e modelEvent) String() string {
+	return fmt.Sprintf(modelEventNames[e.kind]+"%.[3]0s", e.a, e.b, "")
+}
+
+// modelEvents holds every event that may be possible in some state.
+var modelEvents = func() []modelEvent {
+	var all []modelEvent
+	add := func(kind uint8, as, bs int) {
+		for a := range as {
+			for b := range bs {
+				all = append(all, modelEvent{kind, uint8(a), uint8(b)})
+			}
+		}
+	}
+	for _, kind := range []uint8{eventWrite, eventCrash, eventRestart, eventRebirth, eventLapse, eventReturn, eventLeave, eventPromote} {
+		add(kind, modelServers, 1)
+	}
+	for _, kind := range []uint8{eventCutStore, eventFreeze, eventThaw, eventCheckLease, eventSend} {
+		add(kind, modelProcesses, 1)
+	}
+	add(eventReplicate, modelServers, modelServers)
+	add(eventCall, modelProcesses, modelServers)
+	add(eventCut, modelProcesses, modelServers)
+	add(eventGrant, modelProcesses, modelProcesses)
+	add(eventRevoke, modelProcesses, modelProcesses)
+	add(eventTick, 1, 1)
+	return all
+}()
+
+// mayApply reports without a copy of the world that an event is impossible.
+func (w *modelWorld) mayApply(e modelEvent) bool {
+	l := w.left
+	switch e.kind {
+	case eventWrite:
+		return l.writes > 0 && w.servers[e.a].primary
+	case eventReplicate:
+		return e.a != e.b && w.servers[e.a].primary && !w.servers[e.b].primary
+	case eventCrash:
+		return l.crashes > 0
+	case eventRestart:
+		return l.restarts > 0
+	case eventRebirth:
+		return l.rebirths > 0
+	case eventLapse:
+		return l.lapses > 0
+	case eventReturn:
+		return l.returns > 0
+	case eventLeave:
+		return l.leaving > 0
+	case eventPromote:
+		return len(w.calls) > 0
+	case eventTick:
+		return l.ticks > 0
+	case eventCut:
+		return l.cuts > 0
+	case eventCutStore:
+		return l.storeCuts > 0
+	case eventFreeze:
+		return l.freezes > 0
+	case eventThaw:
+		return w.processes[e.a].frozen
+	case eventCheckLease, eventSend:
+		return w.processes[e.a].stage != stageNone
+	case eventGrant:
+		return l.grants > 0
+	case eventRevoke:
+		return w.now < w.processes[e.a].grantExpiry[e.b]
+	}
+	return w.processes[e.a].token != 0
+}
+
+// must applies events that are possible.
+func (w *modelWorld) must(events ...modelEvent) {
+	for _, e := range events {
+		if !w.apply(e) {
+			panic(fmt.Sprintf("impossible event: %v", e))
+		}
+	}
+}
+
+// apply executes an event and reports whether it is possible in this state.
+func (w *modelWorld) apply(e modelEvent) bool {
+	possible := false
+	switch e.kind {
+	case eventTick:
+		possible = w.tick()
+	case eventWrite, eventReplicate, eventCrash, eventRestart, eventRebirth, eventLapse, eventReturn, eventLeave, eventPromote:
+		possible = w.applyToServer(e)
+	case eventThaw:
+		p := w.processes[e.a]
+		possible = p.frozen
+		p.frozen = false
+	default:
+		p := w.processes[e.a]
+		possible = !p.frozen && w.applyToProcess(e, p)
+	}
+	for _, p := range w.processes {
+		w.progress(p)
+	}
+	w.now += modelStep
+	return possible
+}
+
+func spend(budget *int, possible bool) bool {
+	if !possible || *budget == 0 {
+		return false
+	}
+	*budget--
+	return true
+}
+
+// refused passes the platform's refusal of a call on to the process that sent it.
+func (p *modelProcess) refused(c modelCall) {
+	if p.token == c.token {
+		p.view.PromotionRefused = serverID(c.server)
+		delete(p.view.PendingPromotions, serverID(c.server))
+	}
+}
+
+func (w *modelWorld) applyToProcess(e modelEvent, p *modelProcess) bool {
+	switch e.kind {
+	case eventCall:
+		if p.token == 0 {
+			return false
+		}
+		w.callServer(p, int(e.b))
+	case eventCut:
+		if !spend(&w.left.cuts, !p.cut[e.b]) {
+			return false
+		}
+		p.cut[e.b] = true
+	case eventFreeze:
+		if !spend(&w.left.freezes, p.stage != stageNone) {
+			return false
+		}
+		p.frozen, p.late = true, p.stage == stageSend
+	case eventCutStore:
+		if !spend(&w.left.storeCuts, p.token != 0 && !p.storeCut) {
+			return false
+		}
+		p.storeCut = true
+	default:
+		return w.applyToPromotion(e, p)
+	}
+	return true
+}
+
+func (w *modelWorld) applyToPromotion(e modelEvent, p *modelProcess) bool {
+	switch e.kind {
+	case eventCheckLease:
+		if p.stage != stageCheck {
+			return false
+		}
+		w.checkLease(p)
+	case eventSend:
+		return w.send(p)
+	case eventGrant:
+		return w.left.grants > 0 && w.grant(p, w.processes[e.b])
+	case eventRevoke:
+		other := w.processes[e.b]
+		if p.token == 0 || p.state.Phase != PhasePausing || w.now >= p.grantExpiry[e.b] || other.frozen {
+			return false
+		}
+		other.grants.Revoke("g")
+		other.revokedAt = w.now
+		p.issuer.RecordRevoked(processID(other), "g")
+		p.grantExpiry[e.b], other.heldUntil = 0, 0
+		w.decide(p)
+	}
+	return true
+}
+
+// send sends a promotion call. A process that was suspended after its check sends it
+// late.
+func (w *modelWorld) send(p *modelProcess) bool {
+	if p.stage != stageSend {
+		return false
+	}
+	p.stage = stageNone
+	if p.view.PendingPromotions != nil {
+		p.view.PendingPromotions[serverID(p.candidate)] = w.time().Add(maxPromotionDelay)
+	}
+	token := p.callToken
+	if token < w.highestToken && !p.late {
+		w.fail("token %d is sent after token %d", token, w.highestToken)
+	}
+	w.highestToken = max(w.highestToken, token)
+	w.calls = append(slices.Clip(w.calls), modelCall{server: p.candidate, token: token, sentAt: w.now, sender: p.index})
+	if !w.servers[p.candidate].alive {
+		w.refuseCalls(p.candidate)
+	}
+	w.decide(p)
+	return true
+}
+
+func processID(p *modelProcess) cluster.ProxyID { return cluster.ProxyID(fmt.Sprintf("p%d", p.index)) }
+
+// grant gives process p a grant from the lease holder.
+func (w *modelWorld) grant(p, holder *modelProcess) bool {
+	if holder.frozen || !w.leaseHeld(holder) {
+		return false
+	}
+	requestedAt := p.grants.Now()
+	term, duration, ok := holder.issuer.Issue(processID(p), "g", holder.expiry-w.now)
+	if !ok {
+		return false
+	}
+	p.grants.Add("g", term, requestedAt, duration)
+	if p.heldTerm, p.heldUntil = term, requestedAt+duration; requestedAt <= p.revokedAt {
+		p.heldUntil = 0
+	}
+	w.left.grants--
+	holder.grantExpiry[p.index] = w.now + min(duration, grant.MaxDuration)
+	return true
+}
+
+// tick lets time pass. Calls do not stay unexecuted for longer than
+// modelMaxCallDelay.
+func (w *modelWorld) tick() bool {
+	if !spend(&w.left.ticks, true) {
+		return false
+	}
+	w.now += modelTick
+	for _, c := range w.calls {
+		if w.now-c.sentAt > modelMaxCallDelay {
+			return false
+		}
+	}
+	for _, p := range w.processes {
+		w.pollLease(p)
+		if !p.frozen {
+			w.decide(p)
+			w.progress(p)
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/succession/model_process_test.go
@@ -0,0 +1,206 @@
+package succession
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/duty"
+	"github.com/rattancove/rattancove/internal/grant"
+)
+
+// modelCall is a promotion call that the platform has not carried out yet.
+type modelCall struct {
+	server int
+	token  duty.Token
+	sentAt time.Duration
+	sender int
+}
+
+// promotionStage is the progress of a promotion at a process.
+type promotionStage int
+
+const (
+	stageNone promotionStage = iota
+	stageRecord
+	stageCheck
+	stageSend
+)
+
+// modelProcess mirrors what a groupLoop does around the decisions.
+type modelProcess struct {
+	index  int
+	token  duty.Token // zero while the process does not hold the lease
+	expiry time.Duration
+	// version is that of the lease row when the process last wrote it.
+	version uint64
+	watch   duty.Watch
+	frozen  bool
+	cut     [modelServers]bool
+	// storeCut is set while the process cannot reach the table service.
+	storeCut bool
+
+	group     Group
+	view      View
+	state     State
+	commands  [modelServers]*Action
+	stage     promotionStage
+	candidate int
+	// callToken is the token of the promotion in progress, and late is set if the process
+	// was suspended after its last check of the lease.
+	callToken duty.Token
+	late      bool
+	promoting cluster.ServerID
+
+	recordRead    bool
+	saved         Record
+	recordVersion uint64
+
+	issuer  *grant.Issuer
+	allowed bool
+	// allowedTerm is the term that the issuer may grant while allowed is set.
+	allowedTerm cluster.Term
+	grants      *grant.HeldGrants
+	// grantExpiry mirrors when the grants in force at each process end.
+	grantExpiry [modelProcesses]time.Duration
+	heldTerm    cluster.Term
+	heldUntil   time.Duration
+	revokedAt   time.Duration
+}
+
+// decide runs the decisions of the process as groupLoop.decide does.
+func (w *modelWorld) decide(p *modelProcess) {
+	if p.token == 0 {
+		return
+	}
+	if !w.leaseHeld(p) {
+		p.token = 0
+		p.issuer.Block("g")
+		p.allowed = false
+		return
+	}
+	now := w.time()
+	view := p.view
+	view.LeaseRemaining = p.expiry - w.now
+	view.PriorPromotionPossible = !p.recordRead && !w.disabled.recordFirst
+	view.GrantsInForce = p.issuer.Outstanding("g") && !w.disabled.grantsWait
+	view.PromotionInFlight = p.stage != stageNone
+	view.ObserverReport = ObserverReport{QueriedAt: now, Unreachable: 2}
+	if w.disabled.pendingCalls {
+		view.PendingPromotions = nil
+	}
+	state, actions := Decide(p.group, view, p.state, now)
+	if w.disabled.members {
+		state.Members, state.Known = state.listed, true
+	}
+	if w.disabled.startTimes {
+		state.Members = newestRuns(state.Members)
+	}
+	p.state = state
+	term, allowed := grantableTerm(p.group, view, p.state, now)
+	if p.allowed, p.allowedTerm = allowed, term; allowed {
+		p.issuer.Allow("g", term)
+	} else {
+		p.issuer.Block("g")
+	}
+	if p.stage == stageNone && !now.Before(p.view.PendingPromotions[p.promoting]) {
+		p.promoting = ""
+	}
+	for _, a := range actions {
+		w.execute(p, a)
+	}
+}
+
+func (w *modelWorld) execute(p *modelProcess, a Action) {
+	switch a.Kind {
+	case ActionQueryObservers:
+	case ActionPromote:
+		p.candidate, p.promoting, p.callToken, p.late = serverIndex(a.Server), a.Server, p.token, false
+		p.stage, p.view.PromotionNotSent = stageRecord, false
+		if w.disabled.recordFirst {
+			p.stage = stageCheck
+		}
+	default:
+		p.commands[serverIndex(a.Server)] = &a
+	}
+}
+
+func serverIndex(id cluster.ServerID) int { return int(id[1] - '0') }
+
+// callServer makes the call that a serverMonitor would make next.
+func (w *modelWorld) callServer(p *modelProcess, i int) {
+	listed := slices.IndexFunc(p.group.Servers, func(s Server) bool { return s.ID == serverID(i) })
+	if listed < 0 {
+		return
+	}
+	command := p.commands[i]
+	p.commands[i] = nil
+	s, id := &w.servers[i], serverID(i)
+	o := p.view.Servers[id]
+	if !s.alive || p.cut[i] {
+		if o.ConsecutiveFailures == 0 {
+			o.FailingSince = w.time()
+		}
+		o.ConsecutiveFailures = 2
+		o.ConsecutiveRefusals = 2
+		if p.cut[i] {
+			o.ConsecutiveRefusals = 0
+		}
+		p.view.Servers[id] = o
+		w.decide(p)
+		return
+	}
+	if command != nil {
+		s.obey(*command)
+	}
+	role := cluster.RoleReplica
+	if s.primary {
+		role = cluster.RolePrimary
+	}
+	status := cluster.ServerStatus{Server: id, Role: role, Term: s.term, PausedAt: s.paused, Received: s.position()}
+	startTime := p.group.Servers[listed].StartTime
+	if w.disabled.startTimes {
+		p.view.Servers[id] = Observation{Status: status, RequestedAt: w.time(), StartTime: startTime, MaxReceived: status.Received}
+	} else {
+		p.view.Servers[id] = o.next(status, w.time(), startTime)
+	}
+	w.decide(p)
+}
+
+// readRecord and writeRecord are syncRecord in two steps.
+func (w *modelWorld) readRecord(p *modelProcess) {
+	p.recordRead, p.saved, p.recordVersion = true, w.record, w.recordVersion
+	p.state.Membership = p.state.merge(w.record)
+	if r := w.record; r.Promoting != "" && r.Token != p.token {
+		p.view.PendingPromotions[r.Promoting] = w.time().Add(maxPriorPromotionDelay)
+		if p.promoting == "" {
+			p.promoting = r.Promoting
+		}
+	}
+	w.decide(p)
+}
+
+func (w *modelWorld) wantedRecord(p *modelProcess) Record {
+	r := Record{Promoting: p.promoting, Token: p.token}
+	if w.disabled.recordFirst {
+		r.Promoting = ""
+	}
+	if p.state.Known {
+		r.Members = p.state.Members
+	}
+	return r
+}
+
+func (w *modelWorld) writeRecord(p *modelProcess) {
+	if w.recordVersion != p.recordVersion {
+		p.recordRead = false
+	} else if wanted := w.wantedRecord(p); !wanted.sameAs(p.saved) {
+		w.version++
+		w.record, w.recordVersion = wanted, w.version
+		p.saved, p.recordVersion = wanted, w.version
+	}
+	if p.stage == stageRecord && p.recordRead {
+		p.stage = stageCheck
+	}
+	w.decide(p)
+}
--- /dev/null
+++ b/internal/succession/model_test.go
@@ -0,0 +1,255 @@
+package succession
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+const (
+	// modelStatesEnv sets the number of states that are searched in each case.
+	modelStatesEnv     = "RATTAN_MODEL_STATES"
+	defaultModelStates = 10000
+	maxModelDepth      = 40
+)
+
+// modelCase is a world with the faults that may happen in it.
+type modelCase struct {
+	name string
+	left modelFaults
+	// prepare brings the world into its initial state.
+	prepare func(w *modelWorld)
+}
+
+var modelCases = []modelCase{
+	{"crash of the primary", modelFaults{writes: 2, crashes: 1, restarts: 1, ticks: 3}, nil},
+	{"entries lapse", modelFaults{writes: 1, crashes: 1, lapses: 2, ticks: 3}, nil},
+	{"the lease is taken over", modelFaults{writes: 1, crashes: 1, lapses: 1, storeCuts: 1, ticks: 6}, nil},
+	{"the primary's entry has lapsed, a replica is behind in term", modelFaults{crashes: 1, lapses: 1, ticks: 2}, lapsedPrimary},
+	{"replica restarts without data", modelFaults{crashes: 1, rebirths: 1, ticks: 2}, unevenReplicas},
+	{"the holder is suspended before or after its check", modelFaults{writes: 1, freezes: 1, ticks: 6}, electedServer},
+	{"a call is in transit when the lease is taken over", modelFaults{writes: 1, ticks: 1}, callOfEarlierHolder},
+	{"a call is in transit when its server leaves", modelFaults{writes: 1, restarts: 1, ticks: 2}, callToLeavingServer},
+	{"primary leaves", modelFaults{writes: 1, leaving: 1, crashes: 1, lapses: 1, ticks: 3}, nil},
+	{"grants across a promotion", modelFaults{writes: 1, grants: 1, ticks: 2}, grantInForce},
+}
+
+// lapsedPrimary is the state after s0 was promoted to term 2, which s2 has not seen yet,
+// acknowledged a write with s1 and crashed. Its entry has lapsed when p1 takes the lease.
+func lapsedPrimary(w *modelWorld) {
+	w.servers[0].term, w.servers[1].term, w.promotedTerm = 2, 2, 2
+	w.left.writes, w.left.crashes, w.left.lapses, w.left.storeCuts = 1, w.left.crashes+1, w.left.lapses+1, 1
+	w.must(modelEvent{eventWrite, 0, 0}, modelEvent{eventReplicate, 0, 1}, modelEvent{eventCutStore, 0, 0},
+		modelEvent{eventCrash, 0, 0}, modelEvent{eventLapse, 0, 0})
+	w.handOver()
+}
+
+// handOver lets time pass until p1 takes the lease from p0, which cannot renew it.
+func (w *modelWorld) handOver() {
+	for range 3 {
+		w.left.ticks++
+		w.must(modelEvent{eventTick, 0, 0})
+	}
+	if w.processes[1].token == 0 {
+		panic("p1 does not hold the lease")
+	}
+}
+
+// unevenReplicas is the state after s0 has acknowledged a write with s1 and crashed, and
+// its failover has begun.
+func unevenReplicas(w *modelWorld) {
+	w.left.writes, w.left.crashes = 1, w.left.crashes+1
+	w.must(modelEvent{eventWrite, 0, 0}, modelEvent{eventReplicate, 0, 1}, modelEvent{eventCrash, 0, 0})
+	w.beginFailover()
+}
+
+// beginFailover brings p0 to the pausing phase.
+func (w *modelWorld) beginFailover() {
+	w.left.ticks++
+	w.must(modelEvent{eventCall, 0, 0}, modelEvent{eventTick, 0, 0})
+	if w.processes[0].state.Phase != PhasePausing {
+		panic("no failover")
+	}
+}
+
+// pauseReplicas lets p0 pause both replicas.
+func (w *modelWorld) pauseReplicas() {
+	w.must(modelEvent{eventCall, 0, 1}, modelEvent{eventCall, 0, 2})
+}
+
+// electedServer is the state in which p0 is about to request the promotion of s1, since it
+// cannot reach s0.
+func electedServer(w *modelWorld) {
+	w.processes[0].cut[0] = true
+	w.beginFailover()
+	w.pauseReplicas()
+	if w.processes[0].stage == stageNone {
+		panic("no promotion")
+	}
+}
+
+// callOfEarlierHolder is the state in which p1 has taken the lease while the promotion
+// call of p0, which cannot reach s0, is in transit.
+func callOfEarlierHolder(w *modelWorld) {
+	w.left.storeCuts = 1
+	w.processes[0].cut[0] = true
+	w.beginFailover()
+	w.pauseReplicas()
+	w.must(modelEvent{eventCutStore, 0, 0})
+	w.handOver()
+}
+
+// callToLeavingServer is the state in which p0 has got no response to its call to promote
+// s1, which has announced since that it leaves. s0 has crashed.
+func callToLeavingServer(w *modelWorld) {
+	w.left.crashes, w.left.leaving = 1, 1
+	w.must(modelEvent{eventCrash, 0, 0})
+	w.beginFailover()
+	w.pauseReplicas()
+	w.must(modelEvent{eventLeave, 1, 0})
+	w.passTime(4)
+}
+
+// passTime lets time pass.
+func (w *modelWorld) passTime(ticks int) {
+	for range ticks {
+		w.left.ticks++
+		w.must(modelEvent{eventTick, 0, 0})
+	}
+}
+
+// grantInForce is the state in which p1 has a grant and p0 has lost sight of s0.
+func grantInForce(w *modelWorld) {
+	w.left.grants++
+	w.must(modelEvent{eventGrant, 1, 0})
+	w.processes[0].cut[0] = true
+	w.beginFailover()
+}
+
+// modelNode is a reached state: the event that led to it and the node before.
+type modelNode struct {
+	parent int32
+	depth  uint8
+	event  modelEvent
+	world  *modelWorld // nil once its successors are known
+}
+
+// modelSearch is a breadth-first search.
+type modelSearch struct {
+	nodes []modelNode
+	seen  map[uint64]struct{}
+}
+
+func (m *modelSearch) path(n int32, last modelEvent) []modelEvent {
+	events := []modelEvent{last}
+	for ; n > 0; n = m.nodes[n].parent {
+		events = append(events, m.nodes[n].event)
+	}
+	slices.Reverse(events)
+	return events
+}
+
+// run returns the shortest sequence of events that violates a property, nil if none is
+// reached within depth events and maxStates states.
+func (m *modelSearch) run(c modelCase, disabled modelDisabled, depth, maxStates int) (events []modelEvent, violation string) {
+	first := newModelWorld(c.left, disabled)
+	if c.prepare != nil {
+		c.prepare(first)
+	}
+	m.nodes, m.seen = []modelNode{{parent: -1, world: first}}, map[uint64]struct{}{first.hash(): {}}
+	for n := 0; n < len(m.nodes) && int(m.nodes[n].depth) < depth && len(m.nodes) < maxStates; n++ {
+		from := m.nodes[n].world
+		m.nodes[n].world = nil
+		for _, e := range modelEvents {
+			if !from.mayApply(e) {
+				continue
+			}
+			w := from.clone()
+			if !w.apply(e) {
+				continue
+			}
+			if w.violation != "" {
+				return m.path(int32(n), e), w.violation
+			}
+			h := w.hash()
+			if _, ok := m.seen[h]; !ok {
+				m.seen[h] = struct{}{}
+				m.nodes = append(m.nodes, modelNode{parent: int32(n), depth: m.nodes[n].depth + 1, event: e, world: w})
+			}
+		}
+	}
+	return nil, ""
+}
+
+// depth returns the depth to which all states were reached.
+func (m *modelSearch) depth() int {
+	last := int(m.nodes[len(m.nodes)-1].depth)
+	for _, n := range m.nodes {
+		if n.world != nil {
+			return min(last, int(n.depth))
+		}
+	}
+	return last
+}
+
+func explain(events []modelEvent, violation string) string {
+	var b strings.Builder
+	for i, e := range events {
+		fmt.Fprintf(&b, "%2d. %s\n", i+1, e)
+	}
+	return b.String() + "    " + violation
+}
+
+// TestModel searches all interleavings of each case for a lost write, two primaries that
+// acknowledge, a falling token and a grant that outlives its term. RATTAN_MODEL_STATES
+// sets the number of states of each case.
+func TestModel(t *testing.T) {
+	for _, c := range modelCases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var m modelSearch
+			events, violation := m.run(c, modelDisabled{}, maxModelDepth, modelStates())
+			t.Logf("%d states, all sequences of up to %d events", len(m.nodes), m.depth())
+			if violation != "" {
+				t.Errorf("%s\n%s", violation, explain(events, violation))
+			}
+		})
+	}
+}
+
+// TestModelFindsMissingMechanisms leaves out one mechanism at a time. The search must find
+// a violation, and not by chance: without a fault the mechanism is for, there is none.
+func TestModelFindsMissingMechanisms(t *testing.T) {
+	for _, tt := range []struct {
+		mechanism, foundIn string
+		disabled           modelDisabled
+	}{
+		{"servers that are no longer listed count", "the primary's entry has lapsed, a replica is behind in term", modelDisabled{members: true}},
+		{"a restarted server is another member", "replica restarts without data", modelDisabled{startTimes: true}},
+		{"the lease is checked before the call", "the holder is suspended before or after its check", modelDisabled{leaseCheck: true}},
+		{"the record names a promotion first", "a call is in transit when the lease is taken over", modelDisabled{recordFirst: true}},
+		{"pending calls bind the choice", "a call is in transit when its server leaves", modelDisabled{pendingCalls: true}},
+		{"grants end before an election", "grants across a promotion", modelDisabled{grantsWait: true}},
+	} {
+		t.Run(tt.mechanism, func(t *testing.T) {
+			t.Parallel()
+			c := modelCases[slices.IndexFunc(modelCases, func(c modelCase) bool { return c.name == tt.foundIn })]
+			var m modelSearch
+			events, violation := m.run(c, tt.disabled, maxModelDepth, modelStates())
+			if violation == "" {
+				t.Errorf("no violation in %d states, all sequences of up to %d events", len(m.nodes), m.depth())
+			}
+			t.Logf("%d states:\n%s", len(m.nodes), explain(events, violation))
+		})
+	}
+}
+
+func modelStates() int {
+	if n, err := strconv.Atoi(os.Getenv(modelStatesEnv)); err == nil {
+		return n
+	}
+	return defaultModelStates
+}
--- /dev/null
+++ b/internal/succession/model_world_test.go
@@ -0,0 +1,233 @@
+package succession
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/duty"
+	"github.com/rattancove/rattancove/internal/grant"
+)
+
+const (
+	modelServers   = 3
+	modelProcesses = 2
+	// modelTick is the time that a tick event takes, modelStep that of any other event.
+	modelTick = 900 * time.Millisecond
+	modelStep = time.Millisecond
+	// modelMaxCallDelay is the longest time from the sending of a promotion call until it
+	// takes effect.
+	modelMaxCallDelay = maxPromotionDelay
+)
+
+// modelFaults is a budget of the events that do not repeat freely.
+type modelFaults struct {
+	writes, crashes, restarts, rebirths, lapses, returns, cuts, storeCuts, freezes, leaving, grants, ticks int
+}
+
+// modelDisabled names a mechanism that the model leaves out.
+type modelDisabled struct {
+	members, startTimes, grantsWait, leaseCheck, pendingCalls, recordFirst bool
+}
+
+// modelWorld is a group of servers, the processes that may hold the promotion lease,
+// the table service and the platform's promotion call.
+type modelWorld struct {
+	now       time.Duration
+	disabled  modelDisabled
+	left      modelFaults
+	servers   [modelServers]modelServer
+	processes [modelProcesses]*modelProcess
+
+	// version is the table service's counter.
+	version       uint64
+	leaseHolder   int
+	leaseToken    duty.Token
+	leaseVersion  uint64
+	record        Record
+	recordVersion uint64
+
+	calls []modelCall
+	// acknowledged holds the writes that callers were told of, newestAck the highest term
+	// that acknowledged one, and promotedTerm that of the last promotion.
+	acknowledged []logEntry
+	newestAck    cluster.Term
+	promotedTerm cluster.Term
+	highestToken duty.Token
+	violation    string
+}
+
+var modelStart = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+func (w *modelWorld) time() time.Time { return modelStart.Add(w.now) }
+
+func serverID(i int) cluster.ServerID { return cluster.ServerID(fmt.Sprintf("s%d", i)) }
+
+// newModelWorld returns a group of which s0 is the primary, and in which process 0
+// holds the lease and knows the status of all servers.
+func newModelWorld(left modelFaults, disabled modelDisabled) *modelWorld {
+	w := &modelWorld{left: left, disabled: disabled, version: 1, now: time.Minute}
+	for i := range w.servers {
+		w.servers[i] = modelServer{alive: true, primary: i == 0, term: 1, start: 1, listed: true, log: []logEntry{{1, 1}}}
+	}
+	w.acknowledged, w.newestAck, w.promotedTerm = []logEntry{{1, 1}}, 1, 1
+	for i := range w.processes {
+		w.processes[i] = &modelProcess{index: i}
+		w.processes[i].rebuildGrants(w)
+	}
+	p := w.processes[0]
+	w.acquire(p)
+	w.progress(p)
+	for range 2 {
+		for i := range w.servers {
+			w.now += modelStep
+			w.callServer(p, i)
+		}
+	}
+	w.progress(p)
+	w.processes[1].watch.Expired(w.leaseVersion, w.now)
+	return w
+}
+
+// progress takes the steps of a process that wait for nothing but the table service.
+func (w *modelWorld) progress(p *modelProcess) {
+	for p.token != 0 && !p.frozen {
+		switch changed := !slices.Equal(p.group.Servers, w.catalog().Servers); {
+		case changed:
+			w.refresh(p)
+		case !p.recordRead && !p.storeCut:
+			w.readRecord(p)
+		case p.recordRead && !p.storeCut && (p.stage == stageRecord || !w.wantedRecord(p).sameAs(p.saved)):
+			w.writeRecord(p)
+		case p.stage == stageCheck && w.left.freezes == 0:
+			w.checkLease(p)
+		case p.stage == stageSend && w.left.freezes == 0:
+			w.send(p)
+		default:
+			return
+		}
+	}
+}
+
+// newestRuns keeps the last run of each server.
+func newestRuns(members []Member) []Member {
+	var newest []Member
+	for i, m := range members {
+		if i+1 == len(members) || members[i+1].ID != m.ID {
+			newest = append(newest, m)
+		}
+	}
+	return newest
+}
+
+// checkLease is the check immediately before a promotion call.
+func (w *modelWorld) checkLease(p *modelProcess) {
+	p.stage = stageSend
+	if (p.token != p.callToken || !w.leaseHeld(p)) && !w.disabled.leaseCheck {
+		p.stage, p.view.PromotionNotSent = stageNone, true
+	}
+}
+
+// pollLease renews the lease of a process or reads its row, which happens at least once
+// a second.
+func (w *modelWorld) pollLease(p *modelProcess) {
+	switch {
+	case p.frozen || p.storeCut:
+	case p.token != 0 && w.leaseVersion == p.version:
+		w.version++
+		w.leaseVersion = w.version
+		p.version, p.expiry = w.version, duty.ExpiryOf(w.now)
+	case p.token == 0 && p.watch.Expired(w.leaseVersion, w.now):
+		w.acquire(p)
+	}
+}
+
+// clone returns an independent copy. Slices are never modified in place.
+func (w *modelWorld) clone() *modelWorld {
+	c := *w
+	for i, p := range w.processes {
+		q := *p
+		q.view.Servers, q.view.PendingPromotions = maps.Clone(p.view.Servers), maps.Clone(p.view.PendingPromotions)
+		q.rebuildGrants(&c)
+		c.processes[i] = &q
+	}
+	return &c
+}
+
+// rebuildGrants gives a process an Issuer and a HeldGrants in the state that the
+// process mirrors.
+func (p *modelProcess) rebuildGrants(w *modelWorld) {
+	clock := func() time.Duration { return w.now }
+	p.issuer, p.grants = grant.NewIssuer(clock), grant.NewHeldGrants(clock)
+	for i, expiry := range p.grantExpiry {
+		if w.now < expiry {
+			p.issuer.Allow("g", 1)
+			p.issuer.Issue(processID(w.processes[i]), "g", expiry-w.now)
+		}
+	}
+	if p.issuer.Block("g"); p.allowed {
+		p.issuer.Allow("g", p.allowedTerm)
+	}
+	if p.revokedAt > 0 {
+		now := w.now
+		w.now = p.revokedAt
+		p.grants.Revoke("g")
+		w.now = now
+	}
+	if w.now < p.heldUntil {
+		p.grants.Add("g", p.heldTerm, w.now, p.heldUntil-w.now)
+	}
+}
+
+// catalog returns the group as the catalog lists it.
+func (w *modelWorld) catalog() Group {
+	g := Group{Name: "g", SyncReplicas: 1}
+	for i, s := range w.servers {
+		if s.listed {
+			g.Servers = append(g.Servers, Server{Server: cluster.Server{ID: serverID(i)}, StartTime: s.start, Leaving: s.leaving})
+		}
+	}
+	return g
+}
+
+// refresh passes the catalog on to a process.
+func (w *modelWorld) refresh(p *modelProcess) {
+	p.group = w.catalog()
+	for id := range p.view.Servers {
+		if !slices.ContainsFunc(p.group.Servers, func(s Server) bool { return s.ID == id }) {
+			delete(p.view.Servers, id)
+		}
+	}
+	w.decide(p)
+}
+
+func (w *modelWorld) leaseHeld(p *modelProcess) bool { return p.token != 0 && w.now < p.expiry }
+
+// acquire gives a process the lease and starts its decisions anew.
+func (w *modelWorld) acquire(p *modelProcess) {
+	w.version++
+	w.leaseHolder, w.leaseVersion, w.leaseToken = p.index, w.version, duty.Token(w.version)
+	p.token, p.version, p.expiry = w.leaseToken, w.version, duty.ExpiryOf(w.now)
+	p.state, p.stage, p.promoting, p.recordRead = NewState(w.time()), stageNone, "", false
+	p.commands, p.saved, p.recordVersion = [modelServers]*Action{}, Record{}, 0
+	p.view = View{Servers: map[cluster.ServerID]Observation{}, PendingPromotions: map[cluster.ServerID]time.Time{}}
+	w.refresh(p)
+}
+
+// fail records a violation.
+func (w *modelWorld) fail(format string, args ...any) {
+	if w.violation == "" {
+		w.violation = fmt.Sprintf(format, args...)
+	}
+}
+
+func formatLog(log []logEntry) string {
+	var b strings.Builder
+	for _, e := range log {
+		fmt.Fprintf(&b, " %d.%d", e.term, e.offset)
+	}
+	return "[" + strings.TrimSpace(b.String()) + "]"
+}
--- a/internal/succession/monitor.go
+++ b/internal/succession/monitor.go
@@ -147,7 +147,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.monitors[m.server.ID] == m {
-		l.view.Servers[m.server.ID] = Observation{Status: status, RequestedAt: start, StartTime: m.server.StartTime}
+		l.view.Servers[m.server.ID] = l.view.Servers[m.server.ID].next(status, start, m.server.StartTime)
 		l.wake()
 	}
 }
--- /dev/null
+++ b/internal/succession/promotion.go
@@ -0,0 +1,187 @@
+package succession
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/delay"
+)
+
+// recordRetryDelay is the delay before a record is read or written again.
+const recordRetryDelay = 200 * time.Millisecond
+
+var (
+	errLeaseLost     = errors.New("the promotion lease is not held")
+	errRecordChanged = errors.New("the group's record was changed by another process")
+)
+
+// promote requests a promotion from the platform. The group's record names the server
+// first, so that the next lease holder knows of a call that may still take effect. The
+// lease is checked immediately before the call, which ends with the lease.
+func (l *groupLoop) promote(a Action) {
+	config := l.controller.config
+	ctx, cancel := context.WithTimeout(l.ctx, min(promotionTimeout, config.Lease.Remaining()))
+	defer cancel()
+	l.setPromoting(a.Server)
+	err := l.syncRecord(ctx)
+	switch {
+	case err != nil:
+	case !l.recordSaved():
+		err = errRecordChanged
+	case !l.leaseHeld():
+		err = errLeaseLost
+	}
+	if err != nil {
+		eventPromotionSkipped.Log(config.Log).Str("group", string(l.name)).Str("server", string(a.Server)).AnErr("error", err).Send()
+		delay.Sleep(l.ctx, recordRetryDelay)
+		l.finishPromotion(a.Server, false, err)
+		return
+	}
+	l.mu.Lock()
+	earlier := l.view.PendingPromotions[a.Server]
+	l.view.PendingPromotions[a.Server] = time.Now().Add(maxPromotionDelay)
+	l.mu.Unlock()
+	err = config.Promoter.Promote(ctx, Promotion{
+		Group: l.name, Server: a.Server, Holder: config.Lease.Holder(), Token: l.token,
+	})
+	if errors.Is(err, ErrNotRunning) {
+		l.mu.Lock()
+		l.view.PendingPromotions[a.Server] = earlier // the platform has not accepted this call
+		l.mu.Unlock()
+	}
+	l.finishPromotion(a.Server, true, err)
+	eventPromotionRequested.Log(config.Log).Str("group", string(l.name)).Str("server", string(a.Server)).
+		Uint64("token", uint64(l.token)).AnErr("error", err).Send()
+}
+
+// leaseHeld reports whether this process still holds the lease of this loop.
+func (l *groupLoop) leaseHeld() bool {
+	token, held := l.controller.config.Lease.Held()
+	return held && token == l.token
+}
+
+func (l *groupLoop) setPromoting(id cluster.ServerID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.promoting = id
+}
+
+// finishPromotion records the outcome of a promotion.
+func (l *groupLoop) finishPromotion(id cluster.ServerID, sent bool, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.view.PromotionInFlight, l.view.PromotionNotSent, l.view.PromotionRefused = false, !sent, ""
+	if errors.Is(err, ErrNotRunning) {
+		l.view.PromotionRefused = id
+	}
+	l.wake()
+}
+
+// saveRecord writes the group's record in the background if it has changed.
+func (l *groupLoop) saveRecord(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.view.PromotionInFlight && !now.Before(l.view.PendingPromotions[l.promoting]) {
+		l.promoting = ""
+	}
+	if l.recordSyncing || l.recordRead && l.wantedRecord().sameAs(l.savedRecord) {
+		return
+	}
+	l.recordSyncing = true
+	l.goroutines.Go(func() {
+		err := l.syncRecord(l.ctx)
+		if err != nil && l.ctx.Err() == nil {
+			eventRecordFailed.Log(l.controller.config.Log).Str("group", string(l.name)).Err(err).Send()
+			delay.Sleep(l.ctx, recordRetryDelay)
+		}
+		l.mu.Lock()
+		l.recordSyncing = false
+		l.mu.Unlock()
+		l.wake()
+	})
+}
+
+// wantedRecord returns the record that the next lease holder should find. The caller
+// holds mu.
+func (l *groupLoop) wantedRecord() Record {
+	r := Record{Promoting: l.promoting}
+	if l.state.Known {
+		r.Members = l.state.Members
+	}
+	return r
+}
+
+// recordSaved reports whether the group's record is up to date in the table service.
+func (l *groupLoop) recordSaved() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.recordRead && l.wantedRecord().sameAs(l.savedRecord)
+}
+
+// syncRecord reads the group's record if it is not known, and otherwise writes it if it
+// has changed.
+func (l *groupLoop) syncRecord(ctx context.Context) error {
+	select {
+	case l.recordBusy <- struct{}{}:
+		defer func() { <-l.recordBusy }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	l.mu.Lock()
+	known, wanted := l.recordRead, l.wantedRecord()
+	unchanged := wanted.sameAs(l.savedRecord)
+	l.mu.Unlock()
+	if !known {
+		return l.fetchRecord(ctx)
+	}
+	if unchanged {
+		return nil
+	}
+	if !l.leaseHeld() {
+		return eris.Wrap(errLeaseLost, "write record of group")
+	}
+	wanted.Token = l.token
+	err := l.controller.records.save(ctx, l.name, wanted)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.recordRead = false // the write may have taken effect, or another process has written
+		return err
+	}
+	l.savedRecord = wanted
+	return nil
+}
+
+// fetchRecord reads the group's record for the next decision.
+func (l *groupLoop) fetchRecord(ctx context.Context) error {
+	r, err := l.controller.records.read(ctx, l.name)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.readRecord = &r
+	l.wake()
+	return nil
+}
+
+// adoptRecord merges the record that was read last into the state. The caller holds mu
+// and is the loop's own goroutine.
+func (l *groupLoop) adoptRecord() {
+	r := l.readRecord
+	if r == nil {
+		return
+	}
+	l.readRecord, l.recordRead, l.savedRecord = nil, true, *r
+	l.state.Membership = l.state.merge(*r)
+	if r.Promoting != "" && r.Token != l.token {
+		l.view.PendingPromotions[r.Promoting] = time.Now().Add(maxPriorPromotionDelay)
+		if l.promoting == "" {
+			l.promoting = r.Promoting
+		}
+	}
+}
--- a/internal/succession/types.go
+++ b/internal/succession/types.go
@@ -58,8 +58,6 @@
 	Leaving bool
 	// StartTime distinguishes successive runs of a server with the same ID.
 	StartTime int64
-	// Primary is set if the server's catalog entry marks it as the primary.
-	Primary bool
 }
 
 // Group is a database group as listed in the catalog.
@@ -69,9 +67,6 @@
 	// SyncReplicas is the number of replicas that must store a write before the
 	// primary acknowledges it.
 	SyncReplicas int
-	// LostPrimary is set if the primary's catalog entry has expired, so that it is
-	// not among Servers, and no other server has been primary since.
-	LostPrimary bool
 }
 
 // Observation is the last known state of one server.
@@ -89,8 +84,26 @@
 	// ConsecutiveRefusals counts the most recent of them in which the VM refused
 	// the connection: the server is not running.
 	ConsecutiveRefusals int
+	// MaxReceived is the highest position that this server process has reported at
+	// its present term.
+	MaxReceived cluster.Position
 }
 
+// next returns the observation that follows o when the server process started at
+// startTime reports status.
+func (o Observation) next(status cluster.ServerStatus, requestedAt time.Time, startTime int64) Observation {
+	highest := status.Received
+	if o.StartTime == startTime && o.Status.Term == status.Term {
+		highest = cluster.MaxPosition(highest, o.MaxReceived)
+	}
+	return Observation{Status: status, RequestedAt: requestedAt, StartTime: startTime, MaxReceived: highest}
+}
+
+// lostRecords reports whether the log is shorter than the server has reported before
+// at the same term: it has restarted without its data, and its catalog entry does not
+// say so yet.
+func (o Observation) lostRecords() bool { return o.Status.Received.Less(o.MaxReceived) }
+
 // known reports whether the server has responded since its last start.
 func (o Observation) known(s Server) bool {
 	return !o.RequestedAt.IsZero() && o.StartTime == s.StartTime
@@ -114,11 +127,15 @@
 	PromotionRefused cluster.ServerID
 	// PromotionInFlight is set while a promotion call to the platform is in progress.
 	PromotionInFlight bool
-	// PendingPromotions maps servers that the platform was asked to promote to the
-	// time until which the promotion may take effect.
+	// PromotionNotSent is set if the last promotion was given up before the platform
+	// was asked.
+	PromotionNotSent bool
+	// PendingPromotions maps servers that the platform was asked to promote, by this
+	// process or an earlier lease holder, to the time until which the promotion may
+	// take effect.
 	PendingPromotions map[cluster.ServerID]time.Time
-	// PriorPromotionPossible is set while a promotion requested by an earlier lease
-	// holder may still take effect.
+	// PriorPromotionPossible is set while the group's record has not been read: an
+	// earlier lease holder may have requested the promotion of any server.
 	PriorPromotionPossible bool
 	// LeaseRemaining is the time for which this process is certain to hold the lease.
 	LeaseRemaining time.Duration
@@ -152,6 +169,8 @@
 	// replicas, the most advanced of which has stayed at StalledPosition.
 	StalledSince    time.Time
 	StalledPosition cluster.Position
+	// Membership tells which servers may hold acknowledged writes.
+	Membership
 }
 
 // NewState returns the initial state of a group.
