Give up a silent feed when a peer knows a newer version

The process took itself for connected until its poll ended, 17 s later, and did not heed the newer version in the pings of its peers.

Change: a process that follows the store expects what a peer knows within 0.5 s; after that it fetches the catalog from that peer and replaces its connection. The sum is 1 s to the next ping, 0.5 s, and 1 s at most for the transfer, below the 3 s of the strictest deployment.

--- a/internal/catalog/events.go
+++ b/internal/catalog/events.go
@@ -16,5 +16,6 @@
 	eventStoreRegained        = event.New(2306, zerolog.InfoLevel, "store_regained", "The store answers this process again.")
 	eventStoreDelegated       = event.New(2307, zerolog.InfoLevel, "store_delegated", "Another process follows the store for this one.")
 	eventDelegationEnded      = event.New(2308, zerolog.InfoLevel, "store_delegation_ended", "This process follows the store itself.")
+	eventFeedSilent           = event.New(2310, zerolog.WarnLevel, "store_feed_silent", "Another process knows a change that the store's feed has not delivered to this one; its connection is taken for silent and replaced.")
 	eventUpstreamFailed       = event.New(2309, zerolog.WarnLevel, "store_upstream_failed", "A process that follows the store for this one did not answer, or cannot reach the store.")
 )
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,11 @@
 	// second.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
+	// maxFeedLag is the time within which the feed has to deliver a change that another
+	// process knows already; it is above minServersInterval. A change is active within
+	// 3 s although the feed is silent: a second until the next ping of a process that
+	// knows it, maxFeedLag, and a second at most for the transfer from that process.
+	maxFeedLag = 500 * time.Millisecond
 )
 
 // ErrHistoryExpired reports that the store no longer keeps the requested changes.
@@ -82,6 +88,12 @@
 	log        *zerolog.Logger
 	// unreachable is set for each topic whose last call failed.
 	unreachable [2]atomic.Bool
+	// expecting is set while a change that another process knows is expected.
+	expecting atomic.Bool
+
+	mu sync.Mutex
+	// cancels ends the poll of a topic that is in progress.
+	cancels [2]context.CancelFunc
 }
 
 // NewFollower returns a Follower. delegation is nil if each process follows the
@@ -95,6 +107,48 @@
 	return f.unreachable[TopicConfiguration].Load() || f.unreachable[TopicServers].Load()
 }
 
+// Expect waits up to maxFeedLag until the tracker has versions that another process
+// knows already, and reports whether it does. If not, the connections to the store are
+// taken for silent: the polls in progress end and are repeated on new ones. Expect
+// returns true at once while another change is expected.
+func (f *Follower) Expect(ctx context.Context, configuration, servers uint64) bool {
+	if !f.expecting.CompareAndSwap(false, true) {
+		return true
+	}
+	defer f.expecting.Store(false)
+	timer := time.NewTimer(maxFeedLag)
+	defer timer.Stop()
+	for {
+		changed := f.tracker.Changed()
+		c, s := f.tracker.Versions()
+		if c >= configuration && s >= servers {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return true
+		case <-timer.C:
+			f.abandonPoll(TopicConfiguration, c, configuration)
+			f.abandonPoll(TopicServers, s, servers)
+			return false
+		}
+	}
+}
+
+// abandonPoll ends the poll of a topic if its version is below that of another process.
+func (f *Follower) abandonPoll(topic Topic, version, known uint64) {
+	if version >= known {
+		return
+	}
+	eventFeedSilent.Log(f.log).Uint8("topic", uint8(topic)).Uint64("version", version).Uint64("known_by_peer", known).Send()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if cancel := f.cancels[topic]; cancel != nil {
+		cancel()
+	}
+}
+
 // Run follows a topic until ctx ends.
 func (f *Follower) Run(ctx context.Context, topic Topic) error {
 	retry := backoff.NewExponentialBackOff()
@@ -160,6 +214,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+feedGrace)
 	defer cancel()
+	f.mu.Lock()
+	f.cancels[topic] = cancel
+	f.mu.Unlock()
 	update, err = f.source.Changes(ctx, topic, version, wait)
 	return update, false, err
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -76,24 +76,26 @@
 	}}
 }
 
-// fetchIfNewer fetches the catalog of a peer that has a newer one, unless this
-// process follows the store itself with success. A delegate that is cut off from
-// the store does not notice it, so those that rely on it learn of newer versions
-// from pings.
+// fetchIfNewer fetches the catalog of a peer that has a newer one. A process that
+// follows the store itself gives the store a moment to deliver the change first: its
+// connection may have gone silent without an error.
 func (e *Edge) fetchIfNewer(address string, versions []*peerpb.DocumentVersion) {
 	configuration, servers := e.tracker.Versions()
-	if configuration > 0 && e.followsStore() {
-		return
-	}
 	for _, v := range versions {
 		offered, err := strconv.ParseUint(v.GetDigest(), 10, 64)
 		if err != nil || v.GetEnvironment() != catalogName {
 			continue
 		}
-		if (v.GetRevision() > configuration || offered > servers) && e.fetchingCatalog.CompareAndSwap(false, true) {
-			go e.fetchCatalog(address)
-			return
+		if v.GetRevision() <= configuration && offered <= servers {
+			continue
 		}
+		go func() {
+			if configuration > 0 && e.followsStore() && e.follower.Expect(context.Background(), v.GetRevision(), offered) {
+				return
+			}
+			e.fetchCatalog(address)
+		}()
+		return
 	}
 }
 
@@ -104,6 +106,9 @@
 }
 
 func (e *Edge) fetchCatalog(address string) {
+	if !e.fetchingCatalog.CompareAndSwap(false, true) {
+		return
+	}
 	defer e.fetchingCatalog.Store(false)
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
