Choose again when a replica leaves while its connection opens

A mark as leaving in that time was not heeded, so that work was sent to the replica whenever the connection opened.

Ruled out: the loop that passes marks on does not block (Own and Disown return at once); the list of VMs is read again 4.3 s after the notice at the latest: 1 s until it shows the VM, 2 s for a read that hangs, 1.3 s to the next.

Change: the mark is checked again once the connection is open, and another server is chosen.

Test: home.TestReplicaThatLeavesWhileARequestConnectsGetsNoWork, which failed before ("read at s3; want it at the primary").

--- a/internal/home/attempt.go
+++ b/internal/home/attempt.go
@@ -61,8 +61,25 @@
 	required cluster.Position
 }
 
-// beginAttempt acquires a slot and a connection.
+// beginAttempt acquires a slot and a connection. It starts again if the chosen replica
+// was marked as leaving in the meantime, since a new connection may take long.
 func (o *owner) beginAttempt(ctx context.Context, r *request, lane rank.Lane) (*attempt, error) {
+	for {
+		att, err := o.beginAttemptOnce(ctx, r, lane)
+		if err != nil || att.onPrimary() || !o.isLeaving(att.node) {
+			return att, err
+		}
+		att.end(false)
+	}
+}
+
+func (o *owner) isLeaving(n *node) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return n.leaving
+}
+
+func (o *owner) beginAttemptOnce(ctx context.Context, r *request, lane rank.Lane) (*attempt, error) {
 	att, err := o.selectServer(ctx, r, lane)
 	if err != nil {
 		return nil, err
--- a/internal/home/leaving_test.go
+++ b/internal/home/leaving_test.go
@@ -1,7 +1,9 @@
 package home
 
 import (
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/rattancove/rattancove/internal/cluster"
 )
@@ -24,3 +26,31 @@
 		}
 	})
 }
+
+// A read waits for a connection to a replica, which does not accept one for a while.
+// Meanwhile both replicas are marked as leaving. The read must not be sent there once
+// the connection is open.
+func TestReplicaThatLeavesWhileARequestConnectsGetsNoWork(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, b *testBench) {
+		h := b.home("p1")
+		b.mustWrite(h, "s", "put k v1")
+		time.Sleep(time.Second)
+		for _, id := range []cluster.ServerID{"s2", "s3"} {
+			b.group.Suspend(id)
+		}
+		var reads sync.WaitGroup
+		for range 2 {
+			reads.Go(func() {
+				if _, r, err := b.read(h, "s", "k"); err != nil || !r.Primary {
+					t.Errorf("read at %s, %v; want it at the primary", r.Server, err)
+				}
+			})
+		}
+		time.Sleep(20 * time.Millisecond)
+		for _, id := range []cluster.ServerID{"s2", "s3"} {
+			h.SetLeaving(id, true)
+			b.group.Resume(id)
+		}
+		reads.Wait()
+	})
+}
