--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -12,6 +12,7 @@
 
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/delay"
+	"github.com/rattancove/rattancove/internal/panics"
 )
 
 const (
@@ -160,7 +161,7 @@
 			continue
 		}
 		start := time.Now()
-		update, complete, err := f.read(ctx, topic, version)
+		update, complete, err := f.readAndApply(ctx, topic, version)
 		if err != nil {
 			if errors.Is(err, ErrHistoryExpired) {
 				eventHistoryExpired.Log(f.log).Uint64("after", version).Send()
@@ -174,7 +175,6 @@
 		f.recordResult(ctx, topic, nil)
 		retry.Reset()
 		version = update.Coverage.Complete
-		f.apply(topic, update, complete)
 		if topic == TopicServers && !complete {
 			delay.Sleep(ctx, minServersInterval-time.Since(start))
 		}
@@ -182,6 +182,27 @@
 	return nil
 }
 
+// readAndApply makes one read and applies its result. A panic on an odd entry counts as
+// a failed read.
+func (f *Follower) readAndApply(ctx context.Context, topic Topic, version uint64) (update Update, complete bool, err error) {
+	err = panics.Recover(func() (err error) {
+		if update, complete, err = f.read(ctx, topic, version); err == nil {
+			f.apply(topic, update, complete)
+		}
+		return err
+	})
+	logPanic(f.log, err)
+	return update, complete, err
+}
+
+// logPanic logs an error that was a panic with its stack.
+func logPanic(log *zerolog.Logger, err error) {
+	var panicked *panics.Error
+	if errors.As(err, &panicked) {
+		eventReadPanicked.Log(log).Interface("reason", panicked.Reason).Bytes("stack", panicked.Stack).Send()
+	}
+}
+
 // awaitDelegationEnd waits while other processes follow the store for this one.
 // It returns false if there was no delegation.
 func (f *Follower) awaitDelegationEnd(ctx context.Context) bool {
--- a/internal/catalog/tracker.go
+++ b/internal/catalog/tracker.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/panics"
 )
 
 // missingGrace is the time for which a server stays in the catalog while its
@@ -292,6 +293,12 @@
 
 // Import merges the state that Export returned at a peer.
 func (t *Tracker) Import(data []byte) error {
+	err := panics.Recover(func() error { return t.importState(data) })
+	logPanic(t.log, err)
+	return err
+}
+
+func (t *Tracker) importState(data []byte) error {
 	var in exportedState
 	if err := json.Unmarshal(data, &in); err != nil {
 		return eris.Wrap(err, "decode catalog of a peer")
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -12,6 +12,7 @@
 	"github.com/rattancove/rattancove/internal/caller"
 	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/panics"
 )
 
 const (
@@ -63,7 +64,16 @@
 			delay.Sleep(ctx, acceptRetryDelay)
 			continue
 		}
-		go c.serveConn(ctx, conn)
+		go c.confine(ctx, conn)
+	}
+}
+
+// confine serves a connection so that a panic ends it alone.
+func (c *callers) confine(ctx context.Context, conn net.Conn) {
+	err := panics.Recover(func() error { c.serveConn(ctx, conn); return nil })
+	var panicked *panics.Error
+	if errors.As(err, &panicked) {
+		eventCallerPanicked.Log(&c.edge.log).Interface("reason", panicked.Reason).Bytes("stack", panicked.Stack).Send()
 	}
 }
 
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -17,6 +17,7 @@
 	eventCatalogFetchFailed  = event.New(7107, zerolog.WarnLevel, "catalog_import_failed", "The catalog of a peer could not be fetched or imported.")
 	eventAnnounceFailed      = event.New(7108, zerolog.InfoLevel, "announce_failed", "A peer could not be notified of the planned stop directly; it learns of it from other members.")
 	eventNoCatalog           = event.New(7110, zerolog.WarnLevel, "no_catalog", "A caller was disconnected because no configuration has been received from the store or a peer yet.")
+	eventCallerPanicked      = event.New(7112, zerolog.ErrorLevel, "caller_panicked", "A panic closed one caller connection; report it with the stack.")
 	eventReloaded            = event.New(7109, zerolog.InfoLevel, "settings_reloaded", "The settings were reloaded; after_restart names the changed settings that take effect at the next start.")
 	eventReloadFailed        = event.New(7111, zerolog.WarnLevel, "settings_unreadable", "The changed settings are invalid or cannot be read; the previous ones stay in force.")
 )
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -56,7 +56,7 @@
 	if err := peerpb.DRPCRegisterPeer(mux, s); err != nil {
 		return nil, errcode.Wrap(err, errcode.Internal, "register", "peer")
 	}
-	s.server = drpcserver.NewWithOptions(mux, drpcserver.Options{
+	s.server = drpcserver.NewWithOptions(confinedHandler{mux, log}, drpcserver.Options{
 		Manager: managerOptions(),
 		Log:     func(err error) { eventPeerCallFailed.Log(log).Err(err).Send() },
 	})
--- a/internal/succession/records_test.go
+++ b/internal/succession/records_test.go
@@ -19,6 +19,7 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/duty"
 	"github.com/rattancove/rattancove/internal/grant"
+	"github.com/rattancove/rattancove/internal/oddinput"
 	"github.com/rattancove/rattancove/internal/provider"
 	"github.com/rattancove/rattancove/internal/provider/providertest"
 )
@@ -367,3 +368,19 @@
 		work.Wait()
 	})
 }
+
+func TestOddRecordsAreTreatedAsNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := zerolog.Nop()
+		valid, _ := json.Marshal(Record{Members: allMembers, Promoting: "s1", Token: 3})
+		for _, text := range oddinput.Documents(string(valid)) {
+			table := providertest.NewTable()
+			if _, err := table.Commit(t.Context(), provider.Write{Key: recordKeyPrefix + "g", Value: []byte(text)}); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := newRecordStore(table, &log).read(t.Context(), "g"); err != nil {
+				t.Errorf("%v: %.100s", err, text)
+			}
+		}
+	})
+}
