Elect among the servers that are there when no other log can turn up

Waiting helps only for a server that may return: an earlier run of a listed server does not.

Change: if each member is a server with a final log or an earlier run of one, the longest log is elected. A returned old primary may be elected if no other server is eligible.

Tests: succession.TestServersThatAllStartedAgainAreNotWaitedFor failed before; a case of the model with a replica without data and a primary that returns.

--- a/internal/succession/membership.go
+++ b/internal/succession/membership.go
@@ -53,6 +53,21 @@
 	return max(len(m.Members), 1+2*max(g.SyncReplicas, 1))
 }
 
+// noneCanReturn reports whether each member is a server with a final log, or an earlier
+// run of one. No other log can turn up then: what a server lost when it started again
+// is not waited for.
+func (m Membership) noneCanReturn(logs []finalLog) bool {
+	if !m.Known || len(logs) == 0 {
+		return false
+	}
+	for _, member := range m.Members {
+		if !slices.ContainsFunc(logs, func(l finalLog) bool { return l.server.ID == member.ID }) {
+			return false
+		}
+	}
+	return true
+}
+
 // merge adds the members of a record.
 func (m Membership) merge(r Record) Membership {
 	m.Members = unionOfMembers(m.Members, r.Members)
--- a/internal/succession/membership_test.go
+++ b/internal/succession/membership_test.go
@@ -256,3 +256,24 @@
 	s.decide(time.Millisecond)
 	s.expect(t, PhasePromoting, "s3")
 }
+
+// All servers have started again during a failover, and none of them is missing. Waiting
+// for their earlier runs would keep the group without a primary.
+func TestServersThatAllStartedAgainAreNotWaitedFor(t *testing.T) {
+	s := newFixture("s1", "s2", "s3")
+	s.failPrimary(t)
+	for _, id := range []cluster.ServerID{"s1", "s2", "s3"} {
+		s.restart(id, 2)
+	}
+	s.decide(time.Second)
+	s.now = s.now.Add(time.Millisecond)
+	s.observeRun("s2", 2, 90, s.state.AttemptTerm)
+	s.observeRun("s3", 2, 95, s.state.AttemptTerm)
+	s.decide(time.Second)
+	s.expect(t, PhasePausing, "")
+	s.observeRun("s1", 2, 100, s.state.AttemptTerm)
+	s.decide(time.Second)
+	if s.state.Phase != PhasePromoting {
+		t.Errorf("phase %s with the logs of all servers", s.state.Phase)
+	}
+}
--- a/internal/succession/model_test.go
+++ b/internal/succession/model_test.go
@@ -30,6 +30,7 @@
 	{"the lease is taken over", modelFaults{writes: 1, crashes: 1, lapses: 1, storeCuts: 1, ticks: 6}, nil},
 	{"the primary's entry has lapsed, a replica is behind in term", modelFaults{crashes: 1, lapses: 1, ticks: 2}, lapsedPrimary},
 	{"replica restarts without data", modelFaults{crashes: 1, rebirths: 1, ticks: 2}, unevenReplicas},
+	{"replica without data, primary returns", modelFaults{crashes: 2, rebirths: 1, restarts: 1, ticks: 3}, unevenReplicas},
 	{"the holder is suspended before or after its check", modelFaults{writes: 1, freezes: 1, ticks: 6}, electedServer},
 	{"a call is in transit when the lease is taken over", modelFaults{writes: 1, ticks: 1}, callOfEarlierHolder},
 	{"a call is in transit when its server leaves", modelFaults{writes: 1, restarts: 1, ticks: 2}, callToLeavingServer},
