Count the silence of a primary from its first call, and dial faster

The call that got no response (0.8 s) did not count, and each dial took 0.8 s, of which two must fail.

Change: a failure counts from the start of the call that got no response; a dial is limited to 0.4 s, since a running server accepts connections at once. Other processes are asked as before. By the sums of the time limits: 2.45 s at most from silence to the call, 3.5 s before.

Tests: succession.TestSilentPrimaryIsReplaced failed before (promoted []), TestSlowPrimaryIsKept.

--- a/internal/backend/backendtest/group.go
+++ b/internal/backend/backendtest/group.go
@@ -180,6 +180,18 @@
 	return g.servers[id].status()
 }
 
+// PrimaryUntil returns the time until which a server was last the primary: now while it
+// is, and zero if it never was.
+func (g *Group) PrimaryUntil(id cluster.ServerID) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.servers[id]
+	if s.role == cluster.RolePrimary {
+		return time.Now()
+	}
+	return s.primaryUntil
+}
+
 // Usage counts the connections and statements of one server.
 type Usage struct {
 	// Opens is the total number of data connections opened.
--- a/internal/backend/backendtest/server.go
+++ b/internal/backend/backendtest/server.go
@@ -26,6 +26,8 @@
 	sealHolder string
 	leader     cluster.ServerID
 	log        []logRecord
+	// primaryUntil is the time at which the server was last sealed as the primary.
+	primaryUntil time.Time
 	// termStart is the position at which the server became primary.
 	termStart cluster.Position
 	replayLag time.Duration
@@ -145,6 +147,9 @@
 	if term == s.term {
 		return true
 	}
+	if s.role == cluster.RolePrimary {
+		s.primaryUntil = time.Now()
+	}
 	s.term, s.sealHolder, s.role, s.leader = term, holder, cluster.RoleSealed, ""
 	s.rollbackAll()
 	return true
@@ -165,6 +170,9 @@
 	if term < s.term || (term == s.term && s.role == cluster.RolePrimary) {
 		return false
 	}
+	if s.role == cluster.RolePrimary {
+		s.primaryUntil = time.Now()
+	}
 	if term > s.term {
 		s.sealHolder = ""
 		s.rollbackAll()
--- a/internal/succession/monitor.go
+++ b/internal/succession/monitor.go
@@ -12,9 +12,12 @@
 )
 
 const (
-	// callTimeout limits one call or the connection attempt for it. It is above the
-	// time that a call waits behind a full queue of slow statements.
+	// callTimeout limits one call. It is above the time that a call waits behind a full
+	// queue of slow statements.
 	callTimeout = 800 * time.Millisecond
+	// dialTimeout limits a connection attempt. A server that is running accepts
+	// connections at once, however long its statements wait.
+	dialTimeout = 400 * time.Millisecond
 	// primaryPollInterval and replicaPollInterval are the intervals between status
 	// calls in the watching phase.
 	primaryPollInterval = 400 * time.Millisecond
@@ -87,14 +90,15 @@
 
 // poll makes one call and returns the delay until the next one. If the existing
 // connection fails, the call is retried immediately on a new connection; only a
-// failure on a new connection is recorded.
+// failure on a new connection is recorded, with the start of the first call, since the
+// server has not responded from then on.
 func (m *serverMonitor) poll(call replicationCall) time.Duration {
+	start := time.Now()
 	if m.conn != nil {
 		if m.callOnce(call) {
 			return m.interval()
 		}
 	}
-	start := time.Now()
 	err := m.dial()
 	if err == nil && m.callOnce(call) {
 		return m.interval()
@@ -106,7 +110,7 @@
 }
 
 func (m *serverMonitor) dial() error {
-	ctx, cancel := context.WithTimeout(m.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(m.ctx, dialTimeout)
 	defer cancel()
 	conn, err := m.loop.controller.config.Dialer.DialReplication(ctx, m.server.Server, m.loop.name)
 	if err != nil {
