Measure the idle time of a group on the monotonic clock

The time of the last request was kept as Unix time. A step of the time of day made a group in use idle, so that a process which served it in place of its home released it, or not idle for as long as the step, so that it was not granted terms. Found by reading for clock steps; the virtual time of the tests cannot step, so the rest is covered by the tests of idle homes.

Also a test that a member whose incarnation is lower after a restart, because its clock stepped back, is still known to the others: member.TestMemberThatRestartsAfterItsClockSteppedBackIsKnown (it passed at once).

--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -162,11 +162,7 @@
 	if !ok {
 		return 0
 	}
-	last := time.Unix(0, o.lastRequestNanos.Load())
-	if last.Before(o.started) {
-		last = o.started
-	}
-	return time.Since(last)
+	return o.sinceLastRequest()
 }
 
 // Disown releases a group: it accepts no more requests, lets running ones
--- a/internal/home/owner.go
+++ b/internal/home/owner.go
@@ -81,7 +81,8 @@
 
 	// proofSeq is the number of the newest proof or status request; see startProof.
 	proofSeq atomic.Uint64
-	// lastRequestNanos is the time of the last request in Unix nanoseconds.
+	// lastRequestNanos is the time from started to the last request in nanoseconds. It
+	// does not depend on the time of day, which may be set.
 	lastRequestNanos atomic.Int64
 	// pendingAcks is the number of writes that wait for replication.
 	pendingAcks atomic.Int32
@@ -260,7 +261,13 @@
 
 // isIdle reports whether the group has had no request for idleThreshold.
 func (o *owner) isIdle() bool {
-	return time.Since(time.Unix(0, o.lastRequestNanos.Load())) > idleThreshold
+	return o.lastRequestNanos.Load() == 0 || o.sinceLastRequest() > idleThreshold
+}
+
+// sinceLastRequest returns the time since the last request, or since the start without
+// one.
+func (o *owner) sinceLastRequest() time.Duration {
+	return time.Since(o.started) - time.Duration(o.lastRequestNanos.Load())
 }
 
 // recordRequest records the time of a request. The first one of an idle group
@@ -269,7 +276,7 @@
 	if o.isIdle() {
 		o.requestStatus()
 	}
-	o.lastRequestNanos.Store(time.Now().UnixNano())
+	o.lastRequestNanos.Store(max(int64(time.Since(o.started)), 1))
 }
 
 // admit registers a request, unless the owner no longer serves or has reached
--- a/internal/member/membership_test.go
+++ b/internal/member/membership_test.go
@@ -331,3 +331,27 @@
 		}
 	})
 }
+
+// The time of day of a machine steps back between two starts of its process, so that the
+// incarnation of the second start is below that of the first. The others must not ignore
+// it as an old report.
+func TestMemberThatRestartsAfterItsClockSteppedBackIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, stop := newTestNet(t)
+		defer stop()
+		startFleet(n, 4)
+		time.Sleep(15 * time.Second)
+		n.kill("p2")
+		time.Sleep(time.Minute)
+		const earlier = 0
+		restarted := n.start("p2", earlier, "p0:1", "p1:1", "p3:1")
+		time.Sleep(10 * time.Second)
+		if counts := n.states("p2"); counts[StateAlive] != 3 {
+			t.Errorf("states of the restarted member at the others: %v, want alive at 3", counts)
+		}
+		home, _ := restarted.Snapshot().HomeOf("g")
+		if other, _ := n.members["p0:1"].Snapshot().HomeOf("g"); other.ID != home.ID {
+			t.Errorf("the home is %s for p0 and %s for the restarted member", other.ID, home.ID)
+		}
+	})
+}
