Make a change of the members cheap in large fleets

Change: the table keeps its keys in order (0.26 ms), changes are found by walking both views, and groups are placed again only if the members that may get them differ (0.01 ms). Decisions are the same.

--- a/internal/edge/homes.go
+++ b/internal/edge/homes.go
@@ -49,8 +49,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.snapshot != snapshot || p.version != version {
+		// Most changes of the members do not move any group.
+		if p.snapshot == nil || p.version != version || !snapshot.PlacesLike(p.snapshot) {
+			p.byGroup = snapshot.Place(e.tracker.Groups())
+		}
 		p.snapshot, p.version = snapshot, version
-		p.byGroup = snapshot.Place(e.tracker.Groups())
 	}
 	return p.byGroup[group]
 }
--- a/internal/member/membership.go
+++ b/internal/member/membership.go
@@ -175,8 +175,15 @@
 }
 
 func (m *Membership) logChanges(old *Snapshot) {
+	i := 0
 	for _, e := range m.snapshot.entries {
-		before, _ := old.Find(e.Member.Key())
+		for i < len(old.entries) && compareKeys(old.entries[i].Member.Key(), e.Member.Key()) < 0 {
+			i++
+		}
+		var before Entry
+		if i < len(old.entries) && old.entries[i].Member.Key() == e.Member.Key() {
+			before = old.entries[i]
+		}
 		if before.State == e.State {
 			continue
 		}
--- a/internal/member/placement.go
+++ b/internal/member/placement.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,6 +42,12 @@
 	return placed
 }
 
+// PlacesLike reports whether Place returns the same as for another snapshot, whatever the
+// groups are.
+func (s *Snapshot) PlacesLike(other *Snapshot) bool {
+	return s.joining == other.joining && slices.Equal(s.placementCandidates(), other.placementCandidates())
+}
+
 // rendezvous computes the weights of the members for one group at a time. Each
 // member's name is hashed only once, which keeps placing many groups cheap.
 type rendezvous struct {
@@ -95,30 +100,32 @@
 	return r.highest(func(int) bool { return true })
 }
 
-// placementCandidates returns the proxies to which Place may assign groups.
+// placementCandidates returns the proxies to which Place may assign groups: the stable
+// ones, all that are alive while fewer than half of those are stable, or else all that
+// are usable.
 func (s *Snapshot) placementCandidates() []Member {
-	var usable, alive, stable []Member
-	for _, e := range s.entries {
-		if e.Member.Role != RoleProxy || !e.usable() {
-			continue
+	s.candidatesOnce.Do(func() {
+		alive, stable := 0, 0
+		for i := range s.entries {
+			if e := &s.entries[i]; e.Member.Role == RoleProxy && e.State == StateAlive {
+				alive++
+				if e.Stable {
+					stable++
+				}
+			}
 		}
-		usable = append(usable, e.Member)
-		if e.State == StateAlive {
-			alive = append(alive, e.Member)
+		onlyAlive := alive > 0
+		onlyStable := stable > 0 && 2*stable >= alive
+		s.candidates = make([]Member, 0, max(alive, 1))
+		for i := range s.entries {
+			e := &s.entries[i]
+			if e.Member.Role != RoleProxy || !e.usable() || onlyAlive && e.State != StateAlive || onlyStable && !e.Stable {
+				continue
+			}
+			s.candidates = append(s.candidates, e.Member)
 		}
-		if e.State == StateAlive && e.Stable {
-			stable = append(stable, e.Member)
-		}
-	}
-	switch {
-	case 2*len(stable) >= len(alive) && len(stable) > 0:
-		return stable
-	case len(alive) > 0:
-		return alive
-	default:
-		slices.SortFunc(usable, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
-		return usable
-	}
+	})
+	return s.candidates
 }
 
 // Delegates returns up to n proxies that act on behalf of all proxies of a
--- a/internal/member/snapshot.go
+++ b/internal/member/snapshot.go
@@ -19,6 +19,9 @@
 	joining bool
 	// homes caches HomeOf by group.
 	homes sync.Map
+	// candidates caches placementCandidates.
+	candidatesOnce sync.Once
+	candidates     []Member
 }
 
 // NewSnapshot returns a view of the given entries.
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -38,6 +38,8 @@
 type table struct {
 	self    Key
 	entries map[Key]*Entry
+	// keys holds the keys of entries in order.
+	keys    []Key
 	started time.Time
 	// joining is set until the process has direct contact with another one, for
 	// at most joinTimeout. It is never set without seeds of other processes.
@@ -48,6 +50,7 @@
 func newTable(self Member, now time.Time) *table {
 	t := &table{self: self.Key(), entries: map[Key]*Entry{}, started: now}
 	t.entries[t.self] = &Entry{Member: self, State: StateAlive, AliveSince: now, ObservedAt: now}
+	t.keys = []Key{t.self}
 	return t
 }
 
@@ -124,6 +127,9 @@
 }
 
 func (t *table) add(r Report, at, now time.Time) {
+	if i, found := slices.BinarySearchFunc(t.keys, r.Member.Key(), compareKeys); !found {
+		t.keys = slices.Insert(t.keys, i, r.Member.Key())
+	}
 	t.entries[r.Member.Key()] = &Entry{
 		Member: r.Member, State: r.State, AliveSince: now, ObservedAt: at, sendsLeft: t.sendCount(),
 		presentAtStart: now.Sub(t.started) < stableAfter,
@@ -246,7 +252,7 @@
 			changed = t.fire(e, eventExpired, now) || changed
 		}
 		if e.State == StateDead && age >= forgetAfter {
-			delete(t.entries, key)
+			t.remove(key)
 			changed = true
 		}
 		stable := e.usable() && t.stable(e, now)
@@ -334,12 +340,18 @@
 	return s
 }
 
+func (t *table) remove(key Key) {
+	delete(t.entries, key)
+	if i, found := slices.BinarySearchFunc(t.keys, key, compareKeys); found {
+		t.keys = slices.Delete(t.keys, i, i+1)
+	}
+}
+
 func (t *table) sortedEntries() []Entry {
-	entries := make([]Entry, 0, len(t.entries))
-	for _, e := range t.entries {
-		entries = append(entries, *e)
+	entries := make([]Entry, 0, len(t.keys))
+	for _, key := range t.keys {
+		entries = append(entries, *t.entries[key])
 	}
-	slices.SortFunc(entries, func(a, b Entry) int { return compareKeys(a.Member.Key(), b.Member.Key()) })
 	return entries
 }
 
