Bring a crashed primary back as a replica in the stand-in of the users' platform

Ruled out: a grant or a majority of the homes (the two servers that were left had term 1). Tried and not taken: replicas stay paused while a listed server may be an earlier primary; after an ordinary crash that would hold writes back until its entry lapses.

--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -58,6 +58,7 @@
 	{422, "SIGHUP terminated a process during its start"},
 	{442, "a primary whose entry had lapsed was not counted in the election of its successor"},
 	{507, "a replaced primary whose entry had lapsed was counted as lost, so that no server was elected"},
+	{601, "the stand-in brought a crashed primary back as one although another server had been promoted"},
 	{321, "the stand-in hid the commits of a former primary once it followed another server"},
 	{337, "a new holder of the promotion lease resumed replicas while a promotion call of the previous holder was in transit"},
 }
--- a/internal/standin/userplatform/group.go
+++ b/internal/standin/userplatform/group.go
@@ -54,7 +54,9 @@
 	changed        chan struct{}
 	servers        []*Server
 	promotionCount int
-	fencingTokens  []string
+	// promotedTerm is the term of the last promotion.
+	promotedTerm  uint64
+	fencingTokens []string
 }
 
 // NewGroup starts a group of the given size and publishes its servers' entries in
@@ -165,8 +167,8 @@
 }
 
 // Restart starts a killed server with its log and a new address. A former primary
-// remains one unless there is a primary of a higher term. Restart reports whether
-// the server was stopped.
+// remains one unless another server was promoted meanwhile. Restart reports whether the
+// server was stopped.
 func (g *Group) Restart(id string) (bool, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -180,7 +182,7 @@
 	}
 	s.listener, s.running, s.pausedTerm, s.conns, s.startedMillis = l, true, 0, map[net.Conn]bool{}, time.Now().UnixMilli()
 	s.advertisedAddress = l.Addr().String()
-	if primary := g.currentPrimary(); s.primary && primary != nil && primary != s && primary.term > s.term {
+	if s.primary && s.term < g.promotedTerm {
 		s.demote()
 	}
 	go s.acceptConnections(l)
@@ -337,6 +339,7 @@
 	}
 	target.primary, target.term, target.pausedTerm = true, term+1, 0
 	g.promotionCount++
+	g.promotedTerm = target.term
 	for _, s := range g.servers {
 		if s != target && !s.primary && g.connected(s, target) {
 			s.pausedTerm = 0
