--- a/internal/member/scale_test.go
+++ b/internal/member/scale_test.go
@@ -11,25 +11,36 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 )
 
-func benchTable(n int) *table {
+// fleetSize is the number of members of a large fleet.
+const fleetSize = 300
+
+// fleetMember returns the i-th member of a fleet in six failure domains.
+func fleetMember(i int) Member {
+	return Member{
+		ID: fmt.Sprintf("front-%d", i), Role: RoleProxy, Address: fmt.Sprintf("10.0.%d.%d:8782", i/250, i%250),
+		FailureDomain: fmt.Sprintf("d%d", i%6), Incarnation: 1,
+	}
+}
+
+// fleetTable returns the view that member 0 has of n members.
+func fleetTable(n int) *table {
 	now := time.Now()
-	t := newTable(Member{ID: "p0", Role: RoleProxy, Address: "p0:1", FailureDomain: "d0", Incarnation: 1}, now)
+	t := newTable(fleetMember(0), now)
 	for i := 1; i < n; i++ {
-		m := Member{ID: fmt.Sprintf("front-latacunga-%d", i), Role: RoleProxy, Address: fmt.Sprintf("10.0.%d.%d:8782", i/250, i%250), FailureDomain: fmt.Sprintf("d%d", i%6), Incarnation: 1}
-		t.observe(Report{Member: m, State: StateAlive, Stable: true}, now)
+		t.observe(Report{Member: fleetMember(i), State: StateAlive, Stable: true}, now)
 	}
 	return t
 }
 
 func BenchmarkSnapshot(b *testing.B) {
-	t := benchTable(300)
+	t := fleetTable(fleetSize)
 	for b.Loop() {
 		t.snapshot()
 	}
 }
 
 func BenchmarkPlaceFleet(b *testing.B) {
-	s := benchTable(300).snapshot()
+	s := fleetTable(fleetSize).snapshot()
 	var groups []cluster.GroupName
 	for i := range 20 {
 		groups = append(groups, cluster.GroupName(fmt.Sprintf("group%d", i)))
@@ -40,23 +51,14 @@
 }
 
 func BenchmarkDelegates(b *testing.B) {
-	s := benchTable(300).snapshot()
+	s := fleetTable(fleetSize).snapshot()
 	for b.Loop() {
 		s.Delegates("d1", 2)
 	}
 }
 
-func BenchmarkFindAll(b *testing.B) {
-	s := benchTable(300).snapshot()
-	for b.Loop() {
-		for _, e := range s.entries {
-			s.Find(e.Member.Key())
-		}
-	}
-}
-
 func BenchmarkPlacesLike(b *testing.B) {
-	t := benchTable(300)
+	t := fleetTable(fleetSize)
 	s, other := t.snapshot(), t.snapshot()
 	for b.Loop() {
 		if !s.PlacesLike(other) {
@@ -67,35 +69,46 @@
 
 // The order of entries is kept while members come, go and are forgotten.
 func TestSnapshotIsOrdered(t *testing.T) {
-	table := benchTable(300)
-	for i := 1; i < 300; i += 7 {
-		table.remove(Key{RoleProxy, fmt.Sprintf("front-latacunga-%d", i)})
+	table := fleetTable(fleetSize)
+	for i := 1; i < fleetSize; i += 7 {
+		table.remove(fleetMember(i).Key())
 	}
 	table.observe(Report{Member: Member{ID: "a", Role: RoleProxy, Incarnation: 1}, State: StateAlive}, time.Now())
 	entries := table.snapshot().entries
-	if len(entries) != len(table.entries) || !slices.IsSortedFunc(entries, func(a, b Entry) int { return compareKeys(a.Member.Key(), b.Member.Key()) }) {
-		t.Errorf("%d entries of %d, in order: %v", len(entries), len(table.entries), false)
+	if len(entries) != len(table.entries) {
+		t.Errorf("%d entries, want %d", len(entries), len(table.entries))
+	}
+	if !slices.IsSortedFunc(entries, func(a, b Entry) int { return compareKeys(a.Member.Key(), b.Member.Key()) }) {
+		t.Error("the entries are not in the order of their keys")
 	}
 }
 
-// A snapshot places like another one exactly if Place returns the same.
+// Groups keep their places while PlacesLike reports that nothing moved. It must not miss a
+// change that moves one.
 func TestPlacesLike(t *testing.T) {
 	groups := []cluster.GroupName{"g1", "g2", "g3"}
-	table := benchTable(20)
+	table := fleetTable(20)
 	before := table.snapshot()
-	suspect := Key{RoleProxy, "front-latacunga-3"}
-	for name, change := range map[string]func(){
-		"no change":      func() {},
-		"one is suspect": func() { table.markSuspect(suspect, time.Now()) },
-		"one is gone":    func() { table.remove(Key{RoleProxy, "front-latacunga-5"}) },
-		"one has started": func() {
-			table.observe(Report{Member: Member{ID: "z", Role: RoleProxy, Incarnation: 1}, State: StateAlive}, time.Now())
-		},
+	for _, tt := range []struct {
+		name   string
+		change func()
+		same   bool
+	}{
+		{"no change", func() {}, true},
+		{"one has started and is not stable yet", func() {
+			table.observe(Report{Member: fleetMember(20), State: StateAlive}, time.Now())
+		}, true},
+		{"one is suspect", func() { table.markSuspect(fleetMember(3).Key(), time.Now()) }, false},
+		{"one is gone", func() { table.remove(fleetMember(5).Key()) }, false},
 	} {
-		change()
+		tt.change()
 		after := table.snapshot()
-		if same := cmp.Equal(before.Place(groups), after.Place(groups)); after.PlacesLike(before) && !same {
-			t.Errorf("%s: groups are placed differently although PlacesLike reports the same", name)
+		if got := after.PlacesLike(before); got != tt.same {
+			t.Errorf("%s: PlacesLike reports %v, want %v", tt.name, got, tt.same)
+		}
+		if after.PlacesLike(before) && !cmp.Equal(before.Place(groups), after.Place(groups)) {
+			t.Errorf("%s: groups moved although PlacesLike reports the same", tt.name)
 		}
+		before = after
 	}
 }
--- a/internal/succession/elect.go
+++ b/internal/succession/elect.go
@@ -10,9 +10,10 @@
 // elect returns the server to promote, once no further write can be acknowledged
 // and a server is known to have every acknowledged write. A leaving server, or one
 // that the platform refused to promote, is elected only if no other is eligible. The
-// old primary is elected only if it is a replica now and no other server is eligible,
-// within switchoverTimeout if it is leaving. While a promotion requested earlier may take effect, no
-// other server is elected: the promotion would discard what that server acknowledges.
+// old primary is elected only if it is a replica now and no other server is eligible; if
+// it is leaving, only after switchoverTimeout. While a promotion that was requested
+// earlier may take effect, no other server is elected: the promotion would discard what
+// that server acknowledges.
 func elect(g Group, v View, s State, now time.Time) (cluster.ServerID, bool) {
 	logs := finalLogs(g, v, s, now)
 	safe, ok := safePosition(logs, s.size(g), max(g.SyncReplicas, 1))
@@ -25,11 +26,11 @@
 	var fallback cluster.ServerID
 	for _, log := range logs {
 		id := log.server.ID
-		returning := id == s.OldPrimary
+		isOldPrimary := id == s.OldPrimary
 		switch {
 		case log.end.Less(safe) || otherPromotionPossible(v, id, now):
-		case returning && s.Cause == CauseLeaving && now.Sub(s.AttemptStart) <= switchoverTimeout:
-		case !returning && !log.server.Leaving && id != v.PromotionRefused:
+		case isOldPrimary && s.Cause == CauseLeaving && now.Sub(s.AttemptStart) <= switchoverTimeout:
+		case !isOldPrimary && !log.server.Leaving && id != v.PromotionRefused:
 			return id, true
 		case fallback == "" || fallback == s.OldPrimary:
 			fallback = id
--- a/internal/succession/membership.go
+++ b/internal/succession/membership.go
@@ -92,7 +92,8 @@
 	return m
 }
 
-// abandon removes the members that have not been listed for abandonAfter.
+// abandon removes the members that are not listed once the list has not changed for
+// abandonAfter.
 func (m Membership) abandon(now time.Time) Membership {
 	if !m.settled() && now.Sub(m.listedSince) >= abandonAfter {
 		m.abandoned = slices.DeleteFunc(slices.Clone(m.Members), func(member Member) bool {
--- a/internal/succession/model_servers_test.go
+++ b/internal/succession/model_servers_test.go
@@ -115,7 +115,6 @@
 		if from.term < w.promotedTerm {
 			w.fail("two primaries acknowledge: write %d.%d at term %d after the promotion to term %d", entry.term, entry.offset, from.term, w.promotedTerm)
 		}
-		w.newestAck = max(w.newestAck, from.term)
 		w.checkGrants(from.term)
 	}
 	return true
--- a/internal/succession/model_test.go
+++ b/internal/succession/model_test.go
@@ -27,6 +27,8 @@
 var modelCases = []modelCase{
 	{"crash of the primary", modelFaults{writes: 2, crashes: 1, restarts: 1, ticks: 3}, nil},
 	{"entries lapse", modelFaults{writes: 1, crashes: 1, lapses: 2, ticks: 3}, nil},
+	{"the entry of a primary lapses and returns", modelFaults{writes: 1, crashes: 1, lapses: 1, returns: 1, ticks: 3}, nil},
+	{"the holder is cut off from a server", modelFaults{writes: 1, cuts: 1, crashes: 1, ticks: 3}, nil},
 	{"the lease is taken over", modelFaults{writes: 1, crashes: 1, lapses: 1, storeCuts: 1, ticks: 6}, nil},
 	{"the primary's entry has lapsed, a replica is behind in term", modelFaults{crashes: 1, lapses: 1, ticks: 2}, lapsedPrimary},
 	{"replica restarts without data", modelFaults{crashes: 1, rebirths: 1, ticks: 2}, unevenReplicas},
--- a/internal/succession/model_world_test.go
+++ b/internal/succession/model_world_test.go
@@ -51,10 +51,9 @@
 	recordVersion uint64
 
 	calls []modelCall
-	// acknowledged holds the writes that callers were told of, newestAck the highest term
-	// that acknowledged one, and promotedTerm that of the last promotion.
+	// acknowledged holds the writes that callers were told of, and promotedTerm is the term
+	// of the last promotion.
 	acknowledged []logEntry
-	newestAck    cluster.Term
 	promotedTerm cluster.Term
 	highestToken duty.Token
 	violation    string
@@ -73,7 +72,7 @@
 	for i := range w.servers {
 		w.servers[i] = modelServer{alive: true, primary: i == 0, term: 1, start: 1, listed: true, log: []logEntry{{1, 1}}}
 	}
-	w.acknowledged, w.newestAck, w.promotedTerm = []logEntry{{1, 1}}, 1, 1
+	w.acknowledged, w.promotedTerm = []logEntry{{1, 1}}, 1
 	for i := range w.processes {
 		w.processes[i] = &modelProcess{index: i}
 		w.processes[i].rebuildGrants(w)
--- a/internal/succession/promotion.go
+++ b/internal/succession/promotion.go
@@ -19,23 +19,14 @@
 	errRecordChanged = errors.New("the group's record was changed by another process")
 )
 
-// promote requests a promotion from the platform. The group's record names the server
+// promote requests a promotion from the platform and records the outcome. The group's record names the server
 // first, so that the next lease holder knows of a call that may still take effect. The
 // lease is checked immediately before the call, which ends with the lease.
 func (l *groupLoop) promote(a Action) {
 	config := l.controller.config
 	ctx, cancel := context.WithTimeout(l.ctx, min(promotionTimeout, config.Lease.Remaining()))
 	defer cancel()
-	l.setPromoting(a.Server)
-	err := l.syncRecord(ctx)
-	switch {
-	case err != nil:
-	case !l.recordSaved():
-		err = errRecordChanged
-	case !l.leaseHeld():
-		err = errLeaseLost
-	}
-	if err != nil {
+	if err := l.announcePromotion(ctx, a.Server); err != nil {
 		eventPromotionSkipped.Log(config.Log).Str("group", string(l.name)).Str("server", string(a.Server)).AnErr("error", err).Send()
 		delay.Sleep(l.ctx, recordRetryDelay)
 		l.finishPromotion(a.Server, false, err)
@@ -45,7 +36,7 @@
 	earlier := l.view.PendingPromotions[a.Server]
 	l.view.PendingPromotions[a.Server] = time.Now().Add(maxPromotionDelay)
 	l.mu.Unlock()
-	err = config.Promoter.Promote(ctx, Promotion{
+	err := config.Promoter.Promote(ctx, Promotion{
 		Group: l.name, Server: a.Server, Holder: config.Lease.Holder(), Token: l.token,
 	})
 	if errors.Is(err, ErrNotRunning) {
@@ -58,6 +49,21 @@
 		Uint64("token", uint64(l.token)).AnErr("error", err).Send()
 }
 
+// announcePromotion names the server in the group's record, and checks the lease.
+func (l *groupLoop) announcePromotion(ctx context.Context, id cluster.ServerID) error {
+	l.setPromoting(id)
+	err := l.syncRecord(ctx)
+	switch {
+	case err != nil:
+		return err
+	case !l.recordSaved():
+		return errRecordChanged
+	case !l.leaseHeld():
+		return errLeaseLost
+	}
+	return nil
+}
+
 // leaseHeld reports whether this process still holds the lease of this loop.
 func (l *groupLoop) leaseHeld() bool {
 	token, held := l.controller.config.Lease.Held()
