--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,31 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# TROUBLE=0 leaves out the odd entry.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/rattan-edge ] && [ -x target/review/standin ] || { echo "build first: see review/build.sh" >&2; exit 2; }
+dir=$(mktemp -d) || exit 2
+pids=()
+cleanup() {
+	for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null; done
+	wait 2>/dev/null
+	rm -rf "$dir"
+}
+trap cleanup EXIT
+trouble=true
+[ "${TROUBLE:-1}" = 0 ] && trouble=false
+target/review/standin -dir "$dir" -record review/4/record.txt -trouble="$trouble" &
+standin=$!
+pids+=("$standin")
+for _ in $(seq 100); do
+	[ -f "$dir/front-1.conf" ] && break
+	sleep 0.1
+done
+[ -f "$dir/front-1.conf" ] || exit 2
+for i in 0 1; do
+	RATTANCOVE_BOOT="$dir/front-$i.conf" target/rattan-edge --metrics-port 9464 >"$dir/front-$i.log" 2>&1 &
+	pids+=("$!")
+done
+wait "$standin"
+status=$?
+[ -n "${KEEP_LOGS:-}" ] && cp "$dir"/*.log "$KEEP_LOGS"/
+exit "$status"
