--- a/review/4/run.sh
+++ b/review/5/run.sh
@@ -13,19 +13,20 @@
 trap cleanup EXIT
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-target/review/standin -dir "$dir" -record review/4/record.txt -trouble="$trouble" &
+target/review/standin -dir "$dir" -record review/5/record.txt -trouble="$trouble" &
 standin=$!
-pids+=("$standin")
+pids=("$standin")
 for _ in $(seq 100); do
-	[ -f "$dir/front-1.conf" ] && break
+	[ -f "$dir/deployed" ] && break
 	sleep 0.1
 done
-[ -f "$dir/front-1.conf" ] || exit 2
+[ -f "$dir/deployed" ] || exit 2
 for i in 0 1; do
 	RATTANCOVE_BOOT="$dir/front-$i.conf" target/rattan-edge --metrics-port 9464 >"$dir/front-$i.log" 2>&1 &
 	pids+=("$!")
 done
 wait "$standin"
 status=$?
+pids=("${pids[@]:1}")
 [ -n "${KEEP_LOGS:-}" ] && cp "$dir"/*.log "$KEEP_LOGS"/
 exit "$status"
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -197,7 +197,7 @@
 			return err
 		}
 	}
-	return nil
+	return os.WriteFile(filepath.Join(dir, "deployed"), nil, 0o600)
 }
 
 func (s *scenario) awaitReady() error {
