Resume a paused replica only if no earlier primary can use it

Cause: after a promotion, repair resumed each paused replica that the holder reached, if the new primary's term had reached that of the pause. A replica that the new primary could not reach received from the old one again, which needs one replica to acknowledge.

The model gets servers that are cut off from the others; with the earlier decisions it finds 'two primaries acknowledge' after six events. TestReplacedPrimaryGetsNoReplicaBack failed before in three of its cases.

Change: a replica of an earlier term than the primary's is resumed only if each other listed server has been observed as a replica since it started. Paused replicas are polled as often as during a failover, so that one that follows the new primary by itself is known at once.

One test demanded the fault: TestFailedPrimaryIsReplacedByTheHighestPausedReplica wanted a replica of the earlier term resumed while the failed primary was listed and had last been seen as a primary. It now wants the replica resumed once it follows.

--- a/internal/succession/decide.go
+++ b/internal/succession/decide.go
@@ -191,7 +191,7 @@
 		case r.ID == p.ID || !observed.reachable(r):
 		case observed.Status.Role == cluster.RolePrimary:
 			actions = append(actions, Action{Kind: ActionStepDown, Server: r.ID, Term: o.Status.Term})
-		case observed.Status.PausedAt > 0 && mayResume(v, p.ID, o.Status.Term, observed.Status.PausedAt, now):
+		case observed.Status.PausedAt > 0 && mayResume(g, v, r, now):
 			actions = append(actions, Action{Kind: ActionResume, Server: r.ID})
 		}
 	}
@@ -201,15 +201,28 @@
 	return s, actions
 }
 
-// mayResume reports whether a paused replica may resume replication from the
-// primary: its term must have reached that of the pause, or the attempt that paused the
-// replica must no longer be able to promote another server. Such a promotion would
-// discard the writes that the current primary acknowledged in the meantime.
-func mayResume(v View, primary cluster.ServerID, term, pausedAt cluster.Term, now time.Time) bool {
-	if term >= pausedAt {
-		return true
-	}
-	return !otherPromotionPossible(v, primary, now)
+// mayResume reports whether a paused replica may resume replication. What it receives then
+// must come from the current primary and must not be discarded: it follows that primary or
+// can receive from no earlier one, which would acknowledge writes with it, and the attempt
+// that paused it can no longer promote another server.
+func mayResume(g Group, v View, replica Server, now time.Time) bool {
+	p, leading, _ := primary(g, v)
+	paused := v.Servers[replica.ID].Status
+	if paused.Term < leading.Status.Term && earlierPrimaryPossible(g, v, p.ID) {
+		return false
+	}
+	return leading.Status.Term >= paused.PausedAt || !otherPromotionPossible(v, p.ID, now)
+}
+
+// earlierPrimaryPossible reports whether a listed server other than current may still be
+// primary at an earlier term, which it is until it has been observed as a replica.
+func earlierPrimaryPossible(g Group, v View, current cluster.ServerID) bool {
+	for _, s := range g.Servers {
+		if o := v.Servers[s.ID]; s.ID != current && (!o.known(s) || o.Status.Role == cluster.RolePrimary) {
+			return true
+		}
+	}
+	return false
 }
 
 // otherPromotionPossible reports whether a requested promotion of a server other than
--- a/internal/succession/decide_test.go
+++ b/internal/succession/decide_test.go
@@ -115,6 +115,7 @@
 		t.Errorf("promotion requested again before promotionTimeout: %v", repeated)
 	}
 	s.observe("s3", cluster.RolePrimary, 2, 104, 0)
+	s.observe("s2", cluster.RoleReplica, 2, 104, 2)
 	repairs := s.decide(time.Millisecond)
 	s.expect(t, PhaseWatching, "s3")
 	if len(repairs) != 1 || repairs[0].Kind != ActionResume || repairs[0].Server != "s2" {
@@ -122,6 +123,39 @@
 	}
 }
 
+// A replica that cannot reach the new primary, but still reaches the replaced one, must
+// stay paused: the replaced primary would go on acknowledging writes with it, which the
+// promotion has discarded.
+func TestReplacedPrimaryGetsNoReplicaBack(t *testing.T) {
+	for name, tt := range map[string]struct {
+		setup func(s *fixture)
+		want  int
+	}{
+		"the replaced primary does not respond":      {func(s *fixture) { s.fail("s1") }, 0},
+		"it has not responded since it was started":  {func(s *fixture) { s.restart("s1", 2) }, 0},
+		"it never responded to this process":         {func(s *fixture) { delete(s.view.Servers, "s1") }, 0},
+		"it has become a replica":                    {func(s *fixture) { s.observe("s1", cluster.RoleReplica, 1, 100, 0) }, 1},
+		"it is no longer listed":                     {func(s *fixture) { s.delist("s1") }, 1},
+		"the paused replica follows the new primary": {func(s *fixture) { s.observe("s3", cluster.RoleReplica, 2, 100, 2) }, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newFixture("s1", "s2", "s3")
+			s.observe("s2", cluster.RolePrimary, 2, 100, 0)
+			s.observe("s3", cluster.RoleReplica, 1, 100, 2)
+			tt.setup(s)
+			resumed := 0
+			for _, a := range s.decide(time.Millisecond) {
+				if a.Kind == ActionResume {
+					resumed++
+				}
+			}
+			if resumed != tt.want {
+				t.Errorf("%d replicas resumed, want %d", resumed, tt.want)
+			}
+		})
+	}
+}
+
 func TestNothingIsElectedWhileAnAcknowledgedWriteMayBeElsewhere(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/internal/succession/model_events_test.go
+++ b/internal/succession/model_events_test.go
@@ -26,6 +26,7 @@
 	eventFreeze
 	eventThaw
 	eventLeave
+	eventIsolate
 	eventCheckLease
 	eventSend
 	eventPromote
@@ -39,7 +40,7 @@
 	"s%[1]d appends a write", "s%[1]d sends its log to s%[2]d", "p%[1]d calls s%[2]d", "s%[1]d crashes",
 	"s%[1]d restarts with its log", "s%[1]d restarts without data", "the entry of s%[1]d lapses", "the entry of s%[1]d returns",
 	"p%[1]d is cut off from s%[2]d", "p%[1]d is cut off from the table service", "p%[1]d is suspended", "p%[1]d wakes",
-	"s%[1]d is leaving", "p%[1]d checks its lease", "p%[1]d sends the promotion call", "the platform promotes s%[1]d",
+	"s%[1]d is leaving", "s%[1]d is cut off from the other servers", "p%[1]d checks its lease", "p%[1]d sends the promotion call", "the platform promotes s%[1]d",
 	"p%[1]d gets a grant from p%[2]d", "p%[1]d revokes the grant of p%[2]d", "time passes",
 }
 
@@ -57,7 +58,7 @@
 			}
 		}
 	}
-	for _, kind := range []uint8{eventWrite, eventCrash, eventRestart, eventRebirth, eventLapse, eventReturn, eventLeave, eventPromote} {
+	for _, kind := range []uint8{eventWrite, eventCrash, eventRestart, eventRebirth, eventLapse, eventReturn, eventLeave, eventIsolate, eventPromote} {
 		add(kind, modelServers, 1)
 	}
 	for _, kind := range []uint8{eventCutStore, eventFreeze, eventThaw, eventCheckLease, eventSend} {
@@ -92,6 +93,8 @@
 		return l.returns > 0
 	case eventLeave:
 		return l.leaving > 0
+	case eventIsolate:
+		return l.isolations > 0
 	case eventPromote:
 		return len(w.calls) > 0
 	case eventTick:
@@ -129,7 +132,7 @@
 	switch e.kind {
 	case eventTick:
 		possible = w.tick()
-	case eventWrite, eventReplicate, eventCrash, eventRestart, eventRebirth, eventLapse, eventReturn, eventLeave, eventPromote:
+	case eventWrite, eventReplicate, eventCrash, eventRestart, eventRebirth, eventLapse, eventReturn, eventLeave, eventIsolate, eventPromote:
 		possible = w.applyToServer(e)
 	case eventThaw:
 		p := w.processes[e.a]
--- a/internal/succession/model_hash_test.go
+++ b/internal/succession/model_hash_test.go
@@ -24,9 +24,9 @@
 func (w *modelWorld) hash() uint64 {
 	e := &stateEncoder{now: w.now}
 	l := w.left
-	e.ints(l.writes, l.crashes, l.restarts, l.rebirths, l.lapses, l.returns, l.cuts, l.storeCuts, l.freezes, l.leaving, l.grants, l.ticks)
+	e.ints(l.writes, l.crashes, l.restarts, l.rebirths, l.lapses, l.returns, l.cuts, l.storeCuts, l.freezes, l.leaving, l.isolations, l.grants, l.ticks)
 	for _, s := range w.servers {
-		e.bools(s.alive, s.primary, s.leaving, s.listed)
+		e.bools(s.alive, s.primary, s.leaving, s.listed, s.isolated)
 		e.ints(int(s.term), int(s.paused), int(s.start))
 		e.log(s.log)
 	}
--- a/internal/succession/model_servers_test.go
+++ b/internal/succession/model_servers_test.go
@@ -18,6 +18,8 @@
 	log            []logEntry
 	start          int64
 	leaving        bool
+	// isolated is set while the server cannot reach the other servers.
+	isolated bool
 	// listed is set while the server's entry is in the catalog.
 	listed bool
 }
@@ -91,6 +93,11 @@
 			return false
 		}
 		s.leaving = true
+	case eventIsolate:
+		if !spend(&w.left.isolations, !s.isolated) {
+			return false
+		}
+		s.isolated = true
 	case eventPromote:
 		return w.promote(int(e.a))
 	}
@@ -100,7 +107,7 @@
 // replicate copies the log of a primary to a replica and acknowledges the primary's
 // writes, as SyncReplicas of one demands.
 func (w *modelWorld) replicate(from, to *modelServer) bool {
-	if !from.alive || !from.primary || !to.alive || to.primary || to.paused > 0 || to.term > from.term {
+	if !from.alive || !from.primary || !to.alive || to.primary || to.paused > 0 || to.term > from.term || from.isolated || to.isolated {
 		return false
 	}
 	if to.term == from.term && slices.Equal(to.log, from.log) && w.isAcknowledged(from.log) {
@@ -174,7 +181,7 @@
 			continue
 		}
 		for j := range w.servers {
-			if r := &w.servers[j]; r.alive && !r.primary && r.term < p.term {
+			if r := &w.servers[j]; r.alive && !r.primary && r.term < p.term && !r.isolated && !p.isolated {
 				r.follow(p)
 			}
 		}
--- a/internal/succession/model_test.go
+++ b/internal/succession/model_test.go
@@ -37,6 +37,7 @@
 	{"a call is in transit when the lease is taken over", modelFaults{writes: 1, ticks: 1}, callOfEarlierHolder},
 	{"a call is in transit when its server leaves", modelFaults{writes: 1, restarts: 1, ticks: 2}, callToLeavingServer},
 	{"primary leaves", modelFaults{writes: 1, leaving: 1, crashes: 1, lapses: 1, ticks: 3}, nil},
+	{"the promoted server is cut off from the others", modelFaults{writes: 1, isolations: 1, ticks: 2}, requestedPromotion},
 	{"grants across a promotion", modelFaults{writes: 1, grants: 1, ticks: 2}, grantInForce},
 }
 
@@ -83,6 +84,17 @@
 	w.must(modelEvent{eventCall, 0, 1}, modelEvent{eventCall, 0, 2})
 }
 
+// requestedPromotion is the state in which p0, which cannot reach s0, has requested the
+// promotion of s1.
+func requestedPromotion(w *modelWorld) {
+	w.processes[0].cut[0] = true
+	w.beginFailover()
+	w.pauseReplicas()
+	if len(w.calls) == 0 {
+		panic("no promotion")
+	}
+}
+
 // electedServer is the state in which p0 is about to request the promotion of s1, since it
 // cannot reach s0.
 func electedServer(w *modelWorld) {
--- a/internal/succession/model_world_test.go
+++ b/internal/succession/model_world_test.go
@@ -25,7 +25,7 @@
 
 // modelFaults is a budget of the events that do not repeat freely.
 type modelFaults struct {
-	writes, crashes, restarts, rebirths, lapses, returns, cuts, storeCuts, freezes, leaving, grants, ticks int
+	writes, crashes, restarts, rebirths, lapses, returns, cuts, storeCuts, freezes, leaving, isolations, grants, ticks int
 }
 
 // modelDisabled names a mechanism that the model leaves out.
--- a/internal/succession/monitor.go
+++ b/internal/succession/monitor.go
@@ -23,7 +23,8 @@
 	primaryPollInterval = 400 * time.Millisecond
 	replicaPollInterval = time.Second
 	// redialInterval is the interval between new connections to an unreachable
-	// server, and attemptPollInterval between status calls outside the watching phase.
+	// server, and attemptPollInterval between status calls outside the watching phase
+	// and to a paused replica.
 	redialInterval      = 150 * time.Millisecond
 	attemptPollInterval = 60 * time.Millisecond
 )
@@ -200,10 +201,11 @@
 	l := m.loop
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	status := l.view.Servers[m.server.ID].Status
 	switch {
-	case l.state.Phase != PhaseWatching:
+	case l.state.Phase != PhaseWatching || status.PausedAt > 0:
 		return attemptPollInterval
-	case l.view.Servers[m.server.ID].Status.Role == cluster.RolePrimary:
+	case status.Role == cluster.RolePrimary:
 		return primaryPollInterval
 	default:
 		return replicaPollInterval
