Step a leaving primary down first and promote a server with its whole log

What callers saw: the primary of each database was replaced eleven seconds after other servers of it.

Cause: a switchover was decided like a failover, replicas paused first, and needed the final logs of enough members. Servers that had ended were members without one, so no server was ever elected, and the primary had stepped down. A replica that crashed at that moment had the effect of one that had ended.

Evidence: event 4401 now tells the status after each command. It shows the pause of a server that has ended with a failure, the step-down at 2/220 with all replicas at 2/218, and nothing until 4408 (group_members_abandoned). The model gets servers that join, entries without a server, records in transit after a step-down, and goes on without faults from one in 40 of its states, in which a group with a server that stays must get a primary that stays. On the decisions before these changes it finds the loss of case 1, the hanging of cases 3, 4 and 5 and that of a crashing replica.

Change: a leaving primary steps down while its replicas go on receiving. Its log has every write that it acknowledged, so any log as long is safe, whatever the members are. The server with one is paused and promoted. If none gets there in switchoverTimeout, the final logs of the members decide as before, with the log of the old primary known even after it has left; members that left in the same way are then not waited for. A switchover begins only if it can be expected to end: a server that stays is level with the primary and no earlier promotion may take effect. Events 4409 and 4410 name what is waited for.

A deep run of the model (150,000 states) finds two losses that are older: a replica restarts, which ends its pause, while the call of a promotion is in transit and the old primary is back or its records are under way.

--- a/internal/succession/decide.go
+++ b/internal/succession/decide.go
@@ -38,7 +38,8 @@
 	// minSwitchoverLease is the remaining lease time required to step down a working
 	// primary: a switchover takes half a second until the platform is asked.
 	minSwitchoverLease = time.Second
-	// switchoverTimeout limits a switchover while the old primary has not stepped down.
+	// switchoverTimeout limits the wait of a switchover until the old primary has stepped
+	// down and a replica has its whole log.
 	switchoverTimeout = 1500 * time.Millisecond
 )
 
@@ -46,6 +47,8 @@
 func Decide(g Group, v View, s State, now time.Time) (State, []Action) {
 	s = s.updateStall(g, v, now)
 	s.Membership = s.update(g, v, now)
+	s = s.updateOldLog(g, v)
+	s.Blocker, s.Wait = "", Wait{}
 	for {
 		next, actions := decidePhase(g, v, s, now)
 		if len(actions) > 0 || next.Phase == s.Phase {
@@ -111,7 +114,7 @@
 		return CauseNoPrimary, now
 	case o.ConsecutiveFailures > 0:
 		return CauseUnreachable, o.FailingSince
-	case p.Leaving && s.settled() && hasSuccessor(g, v, p.ID) && !now.Before(s.PostponedUntil) && v.LeaseRemaining >= minSwitchoverLease:
+	case p.Leaving && switchoverBlocker(g, v, s, now) == "":
 		return CauseLeaving, now
 	case !s.StalledSince.IsZero() && now.Sub(s.StalledSince) >= stallTimeout:
 		return CauseStalled, s.StalledSince
@@ -168,6 +171,9 @@
 	cause, since := diagnose(g, v, s, now)
 	switch cause {
 	case CauseNone:
+		if p, _, ok := primary(g, v); ok && p.Leaving {
+			s.Blocker = switchoverBlocker(g, v, s, now)
+		}
 		return repair(g, v, s, now)
 	case CauseLeaving:
 		s = s.beginAttempt(g, v, cause, now)
@@ -286,7 +292,7 @@
 func (s State) beginAttempt(g Group, v View, cause Cause, now time.Time) State {
 	s.Cause, s.AttemptStart = cause, now
 	s.AttemptTerm = max(maxTerm(v), s.AttemptTerm) + 1
-	s.Candidate, s.OldPrimary, s.OldTerm = "", "", 0
+	s.Candidate, s.OldPrimary, s.OldTerm, s.OldLogEnd = "", "", 0, cluster.Position{}
 	s.MaxTermAtStart = maxServerTerm(v)
 	if p, o, ok := primary(g, v); ok {
 		s.OldPrimary, s.OldTerm = p.ID, o.Status.Term
@@ -301,20 +307,22 @@
 	if (s.Cause == CauseUnreachable || s.Cause == CauseNoPrimary) && oldPrimaryRecovered(g, v, s) {
 		return s.fire(eventRecovered, now), nil
 	}
-	s.Membership = s.abandon(now)
+	s.Membership = s.abandon(departedPrimary(g, s), now)
 	if candidate, ok := elect(g, v, s, now); ok {
 		s.Candidate = candidate
 		return s.fire(eventElected, now), nil
 	}
-	if s.Cause == CauseLeaving && now.Sub(s.AttemptStart) > switchoverTimeout && !oldPrimarySteppedDown(g, v, s) {
+	s.Wait = waitOf(g, v, s, now)
+	if s.Cause == CauseLeaving && !s.awaitsReplicas(now) && !s.OldLogEnd.Known() {
 		s.PostponedUntil = now.Add(switchoverRetryDelay)
 		return s.fire(eventPostponed, now), nil
 	}
-	if now.Before(s.NextRetry) {
+	actions := fence(g, v, s, now)
+	if len(actions) == 0 || now.Before(s.NextRetry) && actions[0].Kind == s.Step {
 		return s, nil
 	}
-	s.NextRetry = now.Add(stepRetryInterval)
-	return s, fenceOldPrimary(g, v, s)
+	s.Step, s.NextRetry = actions[0].Kind, now.Add(stepRetryInterval)
+	return s, actions
 }
 
 // newerPrimaryElected reports whether a primary with a term above those known at
@@ -331,48 +339,6 @@
 	return ok && (p.ID == s.OldPrimary || s.OldPrimary == "") && o.ConsecutiveFailures == 0 && o.RequestedAt.After(s.AttemptStart)
 }
 
-// fenceOldPrimary returns the actions that prevent further acknowledged writes. The
-// replicas are paused first, so that the old primary cannot have any more writes
-// acknowledged by the time it steps down.
-func fenceOldPrimary(g Group, v View, s State) []Action {
-	var actions []Action
-	pending := 0
-	for _, r := range g.Servers {
-		o := v.Servers[r.ID]
-		if !o.reachable(r) || o.Status.Role == cluster.RolePrimary || pausedForAttempt(r, o, s) {
-			continue
-		}
-		pending++
-		actions = append(actions, Action{Kind: ActionPause, Server: r.ID, Term: s.AttemptTerm})
-	}
-	if pending > 0 {
-		return actions
-	}
-	for _, r := range g.Servers {
-		if o := v.Servers[r.ID]; o.reachable(r) && o.Status.Role == cluster.RolePrimary {
-			actions = append(actions, Action{Kind: ActionStepDown, Server: r.ID, Term: s.AttemptTerm})
-		}
-	}
-	return actions
-}
-
-// pausedForAttempt reports whether a replica has been paused for the attempt and
-// has not been restarted since, which would have ended the pause.
-func pausedForAttempt(r Server, o Observation, s State) bool {
-	return o.reachable(r) && o.RequestedAt.After(s.AttemptStart) && o.Status.PausedAt >= s.AttemptTerm
-}
-
-// oldPrimarySteppedDown reports whether the old primary no longer accepts writes.
-func oldPrimarySteppedDown(g Group, v View, s State) bool {
-	for _, r := range g.Servers {
-		if r.ID == s.OldPrimary {
-			o := v.Servers[r.ID]
-			return o.reachable(r) && o.RequestedAt.After(s.AttemptStart) && o.Status.Role == cluster.RoleReplica
-		}
-	}
-	return false
-}
-
 func decidePromoting(g Group, v View, s State, now time.Time) (State, []Action) {
 	for _, r := range g.Servers {
 		o := v.Servers[r.ID]
--- a/internal/succession/doc.go
+++ b/internal/succession/doc.go
@@ -6,10 +6,14 @@
 // to take; its phases are those of group_succession.yaml. A Controller monitors
 // the servers and executes the actions.
 //
-// A primary acknowledges a write once the required number of replicas, at least
-// one, has received it. Before a promotion the replicas are paused at a term above
-// every known one, so that no further write can be acknowledged; the highest
-// received position among them is then final. As many servers may be unavailable
+// A leaving primary is replaced by a switchover: it steps down while its replicas go on
+// receiving, and one that has its whole log is promoted. Nothing else matters then, neither
+// servers that are gone nor ones that have just joined.
+//
+// A failed primary may not respond. A primary acknowledges a write once the required
+// number of replicas, at least one, has received it. Before a promotion the replicas are
+// paused at a term above every known one, so that no further write can be acknowledged;
+// the highest received position among them is then final. As many servers may be unavailable
 // as replicas store each write. If more are, one of them may hold the only copy of
 // an acknowledged write, and the promotion waits until it responds, for abandonAfter
 // if it is no longer listed. Which servers these are is told by the Membership of the
--- a/internal/succession/elect.go
+++ b/internal/succession/elect.go
@@ -7,6 +7,11 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 )
 
+// A write is known to be in a log in one of two ways. Once the old primary has stepped
+// down, its log has all writes that it acknowledged, and so does each log that is as long;
+// it does not matter which servers the group has or had. Otherwise, as each acknowledged
+// write is stored on 1 + SyncReplicas members, the final logs of enough members tell.
+
 // elect returns the server to promote, once no further write can be acknowledged
 // and a server is known to have every acknowledged write. A leaving server, or one
 // that the platform refused to promote, is elected only if no other is eligible. The
@@ -16,10 +21,7 @@
 // that server acknowledges.
 func elect(g Group, v View, s State, now time.Time) (cluster.ServerID, bool) {
 	logs := finalLogs(g, v, s, now)
-	safe, ok := safePosition(logs, s.size(g), max(g.SyncReplicas, 1))
-	if !ok && s.noneCanReturn(logs) {
-		safe, ok = logs[0].end, true
-	}
+	safe, ok := safeEnd(g, v, s, logs, now)
 	if !ok || v.GrantsInForce || v.PromotionInFlight || oldPrimaryWritable(g, v, s) {
 		return "", false
 	}
@@ -28,8 +30,8 @@
 		id := log.server.ID
 		isOldPrimary := id == s.OldPrimary
 		switch {
-		case log.end.Less(safe) || otherPromotionPossible(v, id, now):
-		case isOldPrimary && s.Cause == CauseLeaving && now.Sub(s.AttemptStart) <= switchoverTimeout:
+		case log.end.Less(safe) || log.left || otherPromotionPossible(v, id, now):
+		case s.awaitsReplicas(now) && (isOldPrimary || log.server.Leaving):
 		case !isOldPrimary && !log.server.Leaving && id != v.PromotionRefused:
 			return id, true
 		case fallback == "" || fallback == s.OldPrimary:
@@ -39,6 +41,35 @@
 	return fallback, fallback != ""
 }
 
+// safeEnd returns a position that is not below any acknowledged write, if one is known.
+func safeEnd(g Group, v View, s State, logs []finalLog, now time.Time) (cluster.Position, bool) {
+	covered := oldLogIsLast(g, v, s, now)
+	if covered && s.awaitsReplicas(now) {
+		return s.OldLogEnd, true
+	}
+	if shared, ok := safePosition(logs, s.size(g), max(g.SyncReplicas, 1)); ok {
+		return shared, true
+	}
+	if s.noneCanReturn(logs) {
+		return logs[0].end, true
+	}
+	return s.OldLogEnd, covered
+}
+
+// oldLogIsLast reports whether the old primary has stepped down and no server can have
+// acknowledged writes after it.
+func oldLogIsLast(g Group, v View, s State, now time.Time) bool {
+	if !s.OldLogEnd.Known() || maxServerTerm(v) > s.OldTerm {
+		return false
+	}
+	for _, r := range g.Servers {
+		if promotedSince(r, v.Servers[r.ID], v, now) {
+			return false
+		}
+	}
+	return true
+}
+
 // safePosition returns a position that is not below any acknowledged write. An
 // acknowledged write is stored on the primary and on syncReplicas replicas, so at
 // least 1 + syncReplicas - missing of the servers with final logs have it, where
@@ -56,10 +87,12 @@
 type finalLog struct {
 	server Server
 	end    cluster.Position
+	// left is set if the server is no longer listed.
+	left bool
 }
 
 // finalLogs returns the logs of the paused replicas and of an old primary that
-// has stepped down, sorted by descending position.
+// has stepped down, even if it has left since, sorted by descending position.
 func finalLogs(g Group, v View, s State, now time.Time) []finalLog {
 	var logs []finalLog
 	for _, r := range g.Servers {
@@ -71,6 +104,9 @@
 			logs = append(logs, finalLog{server: r, end: o.Status.Received})
 		}
 	}
+	if departedPrimary(g, s) != "" && oldLogIsLast(g, v, s, now) {
+		logs = append(logs, finalLog{server: Server{Server: cluster.Server{ID: s.OldPrimary}}, end: s.OldLogEnd, left: true})
+	}
 	slices.SortStableFunc(logs, func(a, b finalLog) int { return b.end.Compare(a.end) })
 	return logs
 }
--- a/internal/succession/events.go
+++ b/internal/succession/events.go
@@ -15,5 +15,7 @@
 	eventRecordUnreadable   = event.New(4406, zerolog.ErrorLevel, "group_record_unreadable", "The record of a group in the table service cannot be decoded; the group is treated as one without a record.")
 	eventRecordFailed       = event.New(4407, zerolog.WarnLevel, "group_record_failed", "The record of a group could not be read or written; it is tried again. Without it, no server of the group is promoted.")
 	eventMembersAbandoned   = event.New(4408, zerolog.ErrorLevel, "group_members_abandoned", "Servers that may hold the only copy of acknowledged writes have not returned; the failover continues without them.")
+	eventSwitchoverBlocked  = event.New(4409, zerolog.WarnLevel, "switchover_blocked", "A leaving primary is not replaced yet, for the given reason.")
+	eventElectionWaits      = event.New(4410, zerolog.WarnLevel, "election_waits", "A failover or switchover elects no server yet: what it waits for, and which servers.")
 	eventServerUnreachable  = event.New(4404, zerolog.WarnLevel, "server_unreachable", "A backend server does not respond on a new connection.")
 )
--- a/internal/succession/loop.go
+++ b/internal/succession/loop.go
@@ -181,6 +181,13 @@
 	if len(l.state.abandoned) > 0 && len(previous.abandoned) == 0 {
 		eventMembersAbandoned.Log(l.controller.config.Log).Str("group", string(l.name)).Interface("members", l.state.abandoned).Send()
 	}
+	if blocker := l.state.Blocker; blocker != previous.Blocker && blocker != "" {
+		eventSwitchoverBlocked.Log(l.controller.config.Log).Str("group", string(l.name)).Str("reason", string(blocker)).Send()
+	}
+	if wait := l.state.Wait; wait != previous.Wait && wait.Reason != "" {
+		eventElectionWaits.Log(l.controller.config.Log).Str("group", string(l.name)).Str("cause", string(l.state.Cause)).
+			Str("reason", wait.Reason).Str("servers", wait.Servers).Send()
+	}
 	if previous.Phase == l.state.Phase {
 		return
 	}
--- a/internal/succession/membership.go
+++ b/internal/succession/membership.go
@@ -36,6 +36,8 @@
 	// listed holds the listed servers, which have not changed since listedSince.
 	listed      []Member
 	listedSince time.Time
+	// departing holds the members that were listed as leaving.
+	departing []Member
 	// abandoned holds the members that abandon has removed.
 	abandoned []Member
 }
@@ -81,6 +83,11 @@
 	for _, s := range g.Servers {
 		listed = append(listed, Member{ID: s.ID, StartTime: s.StartTime})
 	}
+	for _, s := range g.Servers {
+		if member := (Member{ID: s.ID, StartTime: s.StartTime}); s.Leaving && !slices.Contains(m.departing, member) {
+			m.departing = unionOfMembers(m.departing, []Member{member})
+		}
+	}
 	slices.SortFunc(listed, compareMembers)
 	if !slices.Equal(listed, m.listed) {
 		m.listed, m.listedSince = listed, now
@@ -88,19 +95,27 @@
 	}
 	if !m.settled() && !v.PriorPromotionPossible && listedHaveAll(g, v, m.listedSince) {
 		m.Members, m.Known, m.abandoned = m.listed, true, nil
+		m.departing = slices.DeleteFunc(slices.Clone(m.departing), func(member Member) bool { return !slices.Contains(listed, member) })
 	}
 	return m
 }
 
 // abandon removes the members that are not listed once the list has not changed for
-// abandonAfter.
-func (m Membership) abandon(now time.Time) Membership {
-	if !m.settled() && now.Sub(m.listedSince) >= abandonAfter {
-		m.abandoned = slices.DeleteFunc(slices.Clone(m.Members), func(member Member) bool {
-			return slices.Contains(m.listed, member)
-		})
-		m.Members, m.Known = m.listed, true
+// abandonAfter. Those that were listed as leaving do not return, so they are removed at
+// once if the old primary, whose log is known, has left as well.
+func (m Membership) abandon(departedPrimary cluster.ServerID, now time.Time) Membership {
+	if m.settled() {
+		return m
+	}
+	expired := now.Sub(m.listedSince) >= abandonAfter
+	left := func(member Member) bool {
+		return !slices.Contains(m.listed, member) && (expired || departedPrimary != "" && member.ID != departedPrimary && slices.Contains(m.departing, member))
+	}
+	if !expired && !slices.ContainsFunc(m.Members, left) {
+		return m
 	}
+	m.abandoned = slices.DeleteFunc(slices.Clone(m.Members), func(member Member) bool { return !left(member) })
+	m.Members, m.Known = slices.DeleteFunc(slices.Clone(m.Members), left), m.Known || expired
 	return m
 }
 
--- a/internal/succession/model_test.go
+++ b/internal/succession/model_test.go
@@ -38,6 +38,10 @@
 	{"a call is in transit when its server leaves", modelFaults{writes: 1, restarts: 1, ticks: 2}, callToLeavingServer},
 	{"primary leaves", modelFaults{writes: 1, leaving: 1, crashes: 1, lapses: 1, ticks: 3}, nil},
 	{"the promoted server is cut off from the others", modelFaults{writes: 1, isolations: 1, ticks: 2}, requestedPromotion},
+	{"a server joins while the primary is replaced", modelFaults{writes: 1, leaving: 1, joins: 1, returns: 1, ticks: 1}, nil},
+	{"replicas leave before the primary", modelFaults{leaving: 1, lapses: 1, ticks: 1}, departingReplicas},
+	{"an entry names no server", modelFaults{writes: 1, leaving: 1, oddEntries: 1, ticks: 1}, nil},
+	{"a replica crashes while the primary is replaced", modelFaults{writes: 1, leaving: 1, crashes: 1, ticks: 1}, nil},
 	{"grants across a promotion", modelFaults{writes: 1, grants: 1, ticks: 2}, grantInForce},
 }
 
@@ -95,6 +99,14 @@
 	}
 }
 
+// departingReplicas is the state after s3 has joined and s1, which was leaving, has ended.
+// Its entry is still listed.
+func departingReplicas(w *modelWorld) {
+	w.left.joins, w.left.returns, w.left.leaving, w.left.crashes = 1, 1, w.left.leaving+1, 1
+	w.must(modelEvent{eventJoin, 3, 0}, modelEvent{eventReturn, 3, 0}, modelEvent{eventReplicate, 0, 3},
+		modelEvent{eventCall, 0, 3}, modelEvent{eventLeave, 1, 0}, modelEvent{eventCrash, 1, 0})
+}
+
 // electedServer is the state in which p0 is about to request the promotion of s1, since it
 // cannot reach s0.
 func electedServer(w *modelWorld) {
@@ -192,6 +204,11 @@
 			h := w.hash()
 			if _, ok := m.seen[h]; !ok {
 				m.seen[h] = struct{}{}
+				if len(m.nodes)%modelCalmSample == 0 {
+					if violation := w.violationInCalm(); violation != "" {
+						return m.path(int32(n), e), violation
+					}
+				}
 				m.nodes = append(m.nodes, modelNode{parent: int32(n), depth: m.nodes[n].depth + 1, event: e, world: w})
 			}
 		}
--- a/internal/succession/monitor.go
+++ b/internal/succession/monitor.go
@@ -64,8 +64,7 @@
 		case <-m.ctx.Done():
 		case a := <-m.commands:
 			interval = m.poll(actionCall(a))
-			eventReplicationCommand.Log(m.loop.controller.config.Log).Str("group", string(m.loop.name)).
-				Str("server", string(m.server.ID)).Uint8("action", uint8(a.Kind)).Uint64("term", uint64(a.Term)).Send()
+			m.logCommand(a)
 		case <-timer.C:
 			interval = m.poll(backend.Replication.Status)
 		}
@@ -73,6 +72,17 @@
 	}
 }
 
+// logCommand logs an action with the status that the server has reported last.
+func (m *serverMonitor) logCommand(a Action) {
+	m.loop.mu.Lock()
+	o := m.loop.view.Servers[m.server.ID]
+	m.loop.mu.Unlock()
+	eventReplicationCommand.Log(m.loop.controller.config.Log).Str("group", string(m.loop.name)).Str("server", string(m.server.ID)).
+		Stringer("action", a.Kind).Uint64("term", uint64(a.Term)).Str("role", string(o.Status.Role)).
+		Uint64("server_term", uint64(o.Status.Term)).Stringer("received", o.Status.Received).
+		Uint64("paused_at", uint64(o.Status.PausedAt)).Int("failures", o.ConsecutiveFailures).Send()
+}
+
 // replicationCall is a call on a replication connection.
 type replicationCall func(backend.Replication, context.Context) (cluster.ServerStatus, error)
 
@@ -203,7 +213,7 @@
 	defer l.mu.Unlock()
 	status := l.view.Servers[m.server.ID].Status
 	switch {
-	case l.state.Phase != PhaseWatching || status.PausedAt > 0:
+	case l.state.Phase != PhaseWatching || status.PausedAt > 0 || l.state.Blocker != "":
 		return attemptPollInterval
 	case status.Role == cluster.RolePrimary:
 		return primaryPollInterval
--- a/internal/succession/types.go
+++ b/internal/succession/types.go
@@ -161,6 +161,15 @@
 	OldPrimary cluster.ServerID
 	OldTerm    cluster.Term
 	Candidate  cluster.ServerID
+	// OldLogEnd is the end of the old primary's log, observed after it has stepped down;
+	// unknown before. No write that it acknowledged lies beyond it.
+	OldLogEnd cluster.Position
+	// Step is the kind of the last action of the pausing phase.
+	Step ActionKind
+	// Blocker tells why the leaving primary is not replaced yet, and Wait what the attempt
+	// waits for before a server is elected.
+	Blocker blocker
+	Wait    Wait
 	// PostponedUntil is the earliest time of another switchover from a leaving primary.
 	PostponedUntil time.Time
 	// NextRetry is the earliest time to repeat the actions of the phase.
@@ -201,6 +210,11 @@
 	ActionQueryObservers
 )
 
+var actionNames = [...]string{"pause", "resume", "step_down", "promote", "query_observers"}
+
+// String returns the name of the kind, as it is logged.
+func (k ActionKind) String() string { return actionNames[k] }
+
 // Action is a step for the Controller to execute.
 type Action struct {
 	Kind   ActionKind
