End the note of a promotion once it has taken effect

What callers saw: the server that was promoted in place of a leaving primary left within 5 s as well.

Cause: a promotion call counts as one that may take effect for 5 s, and no other server is elected meanwhile. The note stayed after the server had reported itself as the primary of the new term, so that the leaving primary alone could be elected, by a call that made a new note.

Evidence: event 4402 for the leaving server every 2.6 s. TestRecordForgetsAPromotionThatHasTakenEffect failed before: the record still named the promoted server 3 s after its promotion.

Change: a note has the highest term from before the call and whether the platform accepted it. It ends once its server is primary above that term, unless an earlier call to the server had no response.

The model shared the spare capacity of the list of acknowledged writes between states; it is clipped like the other lists.

--- a/internal/succession/decide.go
+++ b/internal/succession/decide.go
@@ -231,17 +231,6 @@
 	return false
 }
 
-// otherPromotionPossible reports whether a requested promotion of a server other than
-// id may still take effect.
-func otherPromotionPossible(v View, id cluster.ServerID, now time.Time) bool {
-	for promoted, until := range v.PendingPromotions {
-		if promoted != id && now.Before(until) {
-			return true
-		}
-	}
-	return v.PriorPromotionPossible
-}
-
 func decideSuspecting(g Group, v View, s State, now time.Time) (State, []Action) {
 	cause, since := diagnose(g, v, s, now)
 	if cause == CauseNone {
--- a/internal/succession/elect.go
+++ b/internal/succession/elect.go
@@ -111,14 +111,6 @@
 	return logs
 }
 
-// promotedSince reports whether a server may have been promoted since it was observed,
-// by a call that can no longer take effect. While the call can, no other server is
-// elected, and the server's own log may count for it.
-func promotedSince(r Server, o Observation, v View, now time.Time) bool {
-	until, ok := v.PendingPromotions[r.ID]
-	return ok && !now.Before(until) && !o.RequestedAt.After(until)
-}
-
 // oldPrimaryWritable reports whether the old primary still accepts writes.
 func oldPrimaryWritable(g Group, v View, s State) bool {
 	for _, r := range g.Servers {
--- a/internal/succession/loop.go
+++ b/internal/succession/loop.go
@@ -56,7 +56,7 @@
 func newGroupLoop(ctx context.Context, c *Controller, g Group, token duty.Token) *groupLoop {
 	l := &groupLoop{
 		controller: c, name: g.Name, token: token, wakeups: make(chan struct{}, 1), recordBusy: make(chan struct{}, 1), state: NewState(time.Now()),
-		view:     View{Servers: map[cluster.ServerID]Observation{}, PendingPromotions: map[cluster.ServerID]time.Time{}},
+		view:     View{Servers: map[cluster.ServerID]Observation{}, PendingPromotions: map[cluster.ServerID]PendingPromotion{}},
 		monitors: map[cluster.ServerID]*serverMonitor{},
 	}
 	l.ctx, l.cancel = context.WithCancel(ctx)
@@ -122,6 +122,7 @@
 	l.mu.Lock()
 	previous := l.state
 	l.adoptRecord()
+	l.view.endPromotions()
 	view := l.view
 	view.Servers, view.PendingPromotions = maps.Clone(l.view.Servers), maps.Clone(l.view.PendingPromotions)
 	view.LeaseRemaining = l.controller.config.Lease.Remaining()
--- a/internal/succession/model_events_test.go
+++ b/internal/succession/model_events_test.go
@@ -235,7 +235,8 @@
 	}
 	p.stage = stageNone
 	if p.view.PendingPromotions != nil {
-		p.view.PendingPromotions[serverID(p.candidate)] = w.time().Add(maxPromotionDelay)
+		id := serverID(p.candidate)
+		p.view.acceptPromotion(id, p.view.beginPromotion(id, w.time()), w.time())
 	}
 	token := p.callToken
 	if token < w.highestToken && !p.late {
--- a/internal/succession/model_hash_test.go
+++ b/internal/succession/model_hash_test.go
@@ -183,7 +183,9 @@
 	if o.ConsecutiveFailures > 0 {
 		e.timeAge(o.FailingSince)
 	}
-	if until, ok := v.PendingPromotions[id]; ok {
-		e.timeAge(until)
+	if p, ok := v.PendingPromotions[id]; ok {
+		e.timeAge(p.Until)
+		e.bools(p.Accepted)
+		e.ints(int(p.TermBefore))
 	}
 }
--- a/internal/succession/model_process_test.go
+++ b/internal/succession/model_process_test.go
@@ -80,6 +80,7 @@
 		return
 	}
 	now := w.time()
+	p.view.endPromotions()
 	view := p.view
 	view.LeaseRemaining = p.expiry - w.now
 	view.PriorPromotionPossible = !p.recordRead && !w.disabled.recordFirst
@@ -103,7 +104,7 @@
 	} else {
 		p.issuer.Block("g")
 	}
-	if p.stage == stageNone && !now.Before(p.view.PendingPromotions[p.promoting]) {
+	if p.stage == stageNone && !p.view.PendingPromotions[p.promoting].possible(now) {
 		p.promoting = ""
 	}
 	for _, a := range actions {
@@ -172,7 +173,7 @@
 	p.recordRead, p.saved, p.recordVersion = true, w.record, w.recordVersion
 	p.state.Membership = p.state.merge(w.record)
 	if r := w.record; r.Promoting != "" && r.Token != p.token {
-		p.view.PendingPromotions[r.Promoting] = w.time().Add(maxPriorPromotionDelay)
+		p.view.PendingPromotions[r.Promoting] = PendingPromotion{Until: w.time().Add(maxPriorPromotionDelay)}
 		if p.promoting == "" {
 			p.promoting = r.Promoting
 		}
--- a/internal/succession/model_servers_test.go
+++ b/internal/succession/model_servers_test.go
@@ -135,7 +135,7 @@
 		if entry.term != from.term || slices.Contains(w.acknowledged, entry) {
 			continue
 		}
-		w.acknowledged = append(w.acknowledged, entry)
+		w.acknowledged = append(slices.Clip(w.acknowledged), entry)
 		if from.term < w.promotedTerm {
 			w.fail("two primaries acknowledge: write %d.%d at term %d after the promotion to term %d", entry.term, entry.offset, from.term, w.promotedTerm)
 		}
--- a/internal/succession/model_test.go
+++ b/internal/succession/model_test.go
@@ -40,6 +40,7 @@
 	{"the promoted server is cut off from the others", modelFaults{writes: 1, isolations: 1, ticks: 2}, requestedPromotion},
 	{"a server joins while the primary is replaced", modelFaults{writes: 1, leaving: 1, joins: 1, returns: 1, ticks: 1}, nil},
 	{"replicas leave before the primary", modelFaults{leaving: 1, lapses: 1, ticks: 1}, departingReplicas},
+	{"a primary leaves soon after its promotion", modelFaults{writes: 1, leaving: 1, ticks: 1}, recentPromotion},
 	{"an entry names no server", modelFaults{writes: 1, leaving: 1, oddEntries: 1, ticks: 1}, nil},
 	{"a replica crashes while the primary is replaced", modelFaults{writes: 1, leaving: 1, crashes: 1, ticks: 1}, nil},
 	{"grants across a promotion", modelFaults{writes: 1, grants: 1, ticks: 2}, grantInForce},
@@ -107,6 +108,16 @@
 		modelEvent{eventCall, 0, 3}, modelEvent{eventLeave, 1, 0}, modelEvent{eventCrash, 1, 0})
 }
 
+// recentPromotion is the state after s0 has left and another server was promoted.
+func recentPromotion(w *modelWorld) {
+	w.left.leaving++
+	w.must(modelEvent{eventLeave, 0, 0})
+	for w.lastPrimary == 0 {
+		w.calmStep()
+	}
+	w.calmStep()
+}
+
 // electedServer is the state in which p0 is about to request the promotion of s1, since it
 // cannot reach s0.
 func electedServer(w *modelWorld) {
--- /dev/null
+++ b/internal/succession/pending_test.go
@@ -0,0 +1,81 @@
+package succession
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+)
+
+// promote lets the platform accept a call to promote s2, and s2 report that it is the
+// primary of term 2.
+func (s *fixture) promote(accepted bool) {
+	s.view.PendingPromotions = map[cluster.ServerID]PendingPromotion{}
+	earlier := s.view.beginPromotion("s2", s.now)
+	if accepted {
+		s.view.acceptPromotion("s2", earlier, s.now)
+	}
+	s.now = s.now.Add(time.Second)
+	s.observe("s1", cluster.RoleReplica, 2, 100, 0)
+	s.observe("s2", cluster.RolePrimary, 2, 100, 0)
+	s.observe("s3", cluster.RoleReplica, 2, 100, 0)
+	s.view.endPromotions()
+}
+
+// The promoted server leaves at once. A note that its promotion may still take effect would
+// allow no other server: the leaving one would be promoted again and again.
+func TestPrimaryThatLeavesSoonAfterItsPromotionIsReplaced(t *testing.T) {
+	s := newFixture("s1", "s2", "s3")
+	s.promote(true)
+	s.markLeaving("s2")
+	if actions := s.decide(time.Millisecond); len(actions) != 1 || actions[0].Kind != ActionStepDown {
+		t.Fatalf("actions %v, blocked by %q, want s2 to step down", actions, s.state.Blocker)
+	}
+	s.now = s.now.Add(time.Millisecond)
+	s.observe("s2", cluster.RoleReplica, 2, 101, 0)
+	s.observe("s3", cluster.RoleReplica, 2, 101, 3)
+	s.decide(time.Millisecond)
+	s.expect(t, PhasePromoting, "s3")
+}
+
+// A call without a response may promote the server later, also if an earlier one has.
+func TestPromotionWithoutAResponseStaysPossible(t *testing.T) {
+	s := newFixture("s1", "s2", "s3")
+	s.promote(false)
+	if !otherPromotionPossible(s.view, "s3", s.now) {
+		t.Error("the call can no longer take effect")
+	}
+	earlier := s.view.beginPromotion("s2", s.now)
+	s.view.acceptPromotion("s2", earlier, s.now)
+	s.observe("s2", cluster.RolePrimary, 3, 100, 0)
+	s.view.endPromotions()
+	if !otherPromotionPossible(s.view, "s3", s.now) {
+		t.Error("the earlier call can no longer take effect, since a later one was accepted")
+	}
+	if otherPromotionPossible(s.view, "s3", s.now.Add(maxPromotionDelay)) {
+		t.Error("the calls can take effect for ever")
+	}
+}
+
+// A group's primary is promoted, and reported at the term from before the call.
+func TestPromotionThatHasNotTakenEffectStaysPossible(t *testing.T) {
+	s := newFixture("s1", "s2", "s3")
+	s.view.PendingPromotions = map[cluster.ServerID]PendingPromotion{}
+	s.view.acceptPromotion("s1", s.view.beginPromotion("s1", s.now), s.now)
+	s.view.endPromotions()
+	if !otherPromotionPossible(s.view, "s2", s.now) {
+		t.Error("the promotion of s1 has ended at its old term")
+	}
+}
+
+// The next lease holder must not wait for a call that has taken effect.
+func TestRecordForgetsAPromotionThatHasTakenEffect(t *testing.T) {
+	runController(t, func(f *controllerFixture) {
+		time.Sleep(3 * time.Second)
+		f.servers.kill("s1")
+		time.Sleep(3 * time.Second)
+		if promoted, r := f.servers.promotions(), f.record(t); len(promoted) != 1 || r.Promoting != "" {
+			t.Errorf("promoted %v, record %+v", promoted, r)
+		}
+	})
+}
--- a/internal/succession/promotion.go
+++ b/internal/succession/promotion.go
@@ -33,17 +33,19 @@
 		return
 	}
 	l.mu.Lock()
-	earlier := l.view.PendingPromotions[a.Server]
-	l.view.PendingPromotions[a.Server] = time.Now().Add(maxPromotionDelay)
+	earlier := l.view.beginPromotion(a.Server, time.Now())
 	l.mu.Unlock()
 	err := config.Promoter.Promote(ctx, Promotion{
 		Group: l.name, Server: a.Server, Holder: config.Lease.Holder(), Token: l.token,
 	})
-	if errors.Is(err, ErrNotRunning) {
-		l.mu.Lock()
+	l.mu.Lock()
+	switch {
+	case err == nil:
+		l.view.acceptPromotion(a.Server, earlier, time.Now())
+	case errors.Is(err, ErrNotRunning):
 		l.view.PendingPromotions[a.Server] = earlier // the platform has not accepted this call
-		l.mu.Unlock()
 	}
+	l.mu.Unlock()
 	l.finishPromotion(a.Server, true, err)
 	eventPromotionRequested.Log(config.Log).Str("group", string(l.name)).Str("server", string(a.Server)).
 		Uint64("token", uint64(l.token)).AnErr("error", err).Send()
@@ -91,7 +93,7 @@
 func (l *groupLoop) saveRecord(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.view.PromotionInFlight && !now.Before(l.view.PendingPromotions[l.promoting]) {
+	if !l.view.PromotionInFlight && !l.view.PendingPromotions[l.promoting].possible(now) {
 		l.promoting = ""
 	}
 	if l.recordSyncing || l.recordRead && l.wantedRecord().sameAs(l.savedRecord) {
@@ -185,7 +187,7 @@
 	l.readRecord, l.recordRead, l.savedRecord = nil, true, *r
 	l.state.Membership = l.state.merge(*r)
 	if r.Promoting != "" && r.Token != l.token {
-		l.view.PendingPromotions[r.Promoting] = time.Now().Add(maxPriorPromotionDelay)
+		l.view.PendingPromotions[r.Promoting] = PendingPromotion{Until: time.Now().Add(maxPriorPromotionDelay)}
 		if l.promoting == "" {
 			l.promoting = r.Promoting
 		}
--- a/internal/succession/types.go
+++ b/internal/succession/types.go
@@ -130,10 +130,9 @@
 	// PromotionNotSent is set if the last promotion was given up before the platform
 	// was asked.
 	PromotionNotSent bool
-	// PendingPromotions maps servers that the platform was asked to promote, by this
-	// process or an earlier lease holder, to the time until which the promotion may
-	// take effect.
-	PendingPromotions map[cluster.ServerID]time.Time
+	// PendingPromotions holds the servers that the platform was asked to promote, by this
+	// process or an earlier lease holder.
+	PendingPromotions map[cluster.ServerID]PendingPromotion
 	// PriorPromotionPossible is set while the group's record has not been read: an
 	// earlier lease holder may have requested the promotion of any server.
 	PriorPromotionPossible bool
--- a/internal/succession/wait.go
+++ b/internal/succession/wait.go
@@ -47,8 +47,8 @@
 // pendingServers returns the servers whose promotion may still take effect.
 func pendingServers(v View, now time.Time) string {
 	var pending []string
-	for id, until := range v.PendingPromotions {
-		if now.Before(until) {
+	for id, p := range v.PendingPromotions {
+		if p.possible(now) {
 			pending = append(pending, string(id))
 		}
 	}
