--- a/internal/succession/decide.go
+++ b/internal/succession/decide.go
@@ -296,7 +296,7 @@
 	if (s.Cause == CauseUnreachable || s.Cause == CauseNoPrimary) && oldPrimaryRecovered(g, v, s) {
 		return s.fire(eventRecovered, now), nil
 	}
-	s.Membership = s.abandon(departedPrimary(g, s), now)
+	s.Membership = s.abandon(v, departedPrimary(g, s), now)
 	if candidate, ok := elect(g, v, s, now); ok {
 		s.Candidate = candidate
 		return s.fire(eventElected, now), nil
--- a/internal/succession/membership.go
+++ b/internal/succession/membership.go
@@ -9,8 +9,9 @@
 )
 
 // abandonAfter is the time for which a failover waits for servers that are no longer
-// listed and may hold the only copy of an acknowledged write. A primary that crashed
-// returns with its log; one that is still missing after this time is given up.
+// listed, or have never responded, and may hold the only copy of an acknowledged write. A
+// primary that crashed returns with its log; one that is still missing after this time is
+// given up.
 const abandonAfter = 30 * time.Second
 
 // Member is one run of a server. A server that has restarted may have lost its data
@@ -100,18 +101,18 @@
 	return m
 }
 
-// abandon removes the members that are not listed once the list has not changed for
-// abandonAfter. Those that were listed as leaving do not return, so they are removed at
+// abandon removes the members that are not listed, and the listed ones that have never
+// responded, once the list has not changed for abandonAfter. Those that were listed as leaving do not return, so they are removed at
 // once if the old primary, whose log is known, has left as well.
-func (m Membership) abandon(departedPrimary cluster.ServerID, now time.Time) Membership {
-	if m.settled() {
-		return m
-	}
+func (m Membership) abandon(v View, departedPrimary cluster.ServerID, now time.Time) Membership {
 	expired := now.Sub(m.listedSince) >= abandonAfter
 	left := func(member Member) bool {
-		return !slices.Contains(m.listed, member) && (expired || departedPrimary != "" && member.ID != departedPrimary && slices.Contains(m.departing, member))
+		if slices.Contains(m.listed, member) {
+			return expired && v.Servers[member.ID].RequestedAt.IsZero()
+		}
+		return expired || departedPrimary != "" && member.ID != departedPrimary && slices.Contains(m.departing, member)
 	}
-	if !expired && !slices.ContainsFunc(m.Members, left) {
+	if !slices.ContainsFunc(m.Members, left) && (m.Known || !expired) {
 		return m
 	}
 	m.abandoned = slices.DeleteFunc(slices.Clone(m.Members), func(member Member) bool { return !left(member) })
--- a/internal/succession/membership_test.go
+++ b/internal/succession/membership_test.go
@@ -168,6 +168,23 @@
 	}
 }
 
+// An entry of another writer names a server that does not exist. The primary fails: the
+// log of such a server must not be waited for as long as its entry is listed.
+func TestServerThatNeverRespondedIsAbandoned(t *testing.T) {
+	s := newFixture("s1", "s2", "s3", "s4")
+	delete(s.view.Servers, "s4")
+	s.decide(time.Millisecond)
+	s.now = s.now.Add(abandonAfter)
+	s.failPrimary(t)
+	s.observe("s2", cluster.RoleReplica, 1, 100, s.state.AttemptTerm)
+	s.observe("s3", cluster.RoleReplica, 1, 100, s.state.AttemptTerm)
+	s.decide(time.Millisecond)
+	s.expect(t, PhasePromoting, "s2")
+	if diff := cmp.Diff([]Member{{"s4", 1}}, s.state.abandoned); diff != "" {
+		t.Errorf("abandoned members (-want +got):\n%s", diff)
+	}
+}
+
 // A call without an answer may still promote its server. If another one were promoted,
 // what that server acknowledges would be lost with the late promotion.
 func TestNoOtherServerIsElectedWhileAPromotionMayTakeEffect(t *testing.T) {
