End transactions between statements in a planned stop, and answer what was read

What callers saw: around a SIGTERM a connection ended without an answer, although the statement had been passed on to the home at another process, and a server had run and ended it. The stopped process logged edge_drain_cut with one session.

Cause: a drain told sessions only while they had no transaction, and homes of its own process. A transaction whose home was elsewhere took statements until all connections were closed at nine tenths of the stop time.

Change: a drain has three stages. A session stops reading before it ends and answers what was read.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 include tools/versions.env
 PROGRAMS := rattan-proxy rattan-warden rattanctl rattan-load rattan-standin
 
-.PHONY: build test quick lint fmt demo demo-platform bench slopes soak soak-faults model proto tools
+.PHONY: build test quick lint fmt demo demo-platform bench slopes soak soak-faults soak-stops model proto tools
 
 build:
 	mkdir -p bin
@@ -73,3 +73,9 @@
 soak-faults:
 	RATTAN_SOAK_FIRST=$(FIRST) RATTAN_SOAK_SEEDS=$(COUNT) RATTAN_SOAK_KEEP=$(CURDIR)/soak-logs \
 		go test -count=1 -timeout 120m -run TestFaultSoak -v ./internal/integration
+
+# Runs TestPlannedStopSoak, which stops rattan-edge processes in order under callers that
+# use their connections until these end, with COUNT seeds from FIRST on.
+soak-stops:
+	RATTAN_STOP_FIRST=$(FIRST) RATTAN_STOP_SEEDS=$(COUNT) RATTAN_SOAK_KEEP=$(CURDIR)/soak-logs \
+		go test -count=1 -timeout 120m -run TestPlannedStopSoak -v ./internal/integration
--- a/internal/caller/conversation.go
+++ b/internal/caller/conversation.go
@@ -61,6 +61,11 @@
 		return next, nil
 	case <-ctx.Done():
 		return nil, context.Cause(ctx)
+	case <-c.session.drain.transactions:
+		if next := c.session.lastStatement(); next != nil {
+			return next, nil
+		}
+		return nil, io.EOF
 	}
 }
 
--- /dev/null
+++ b/internal/caller/drain.go
@@ -0,0 +1,42 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"sync"
+)
+
+// errStopping reports that the process stops and cannot wait for a statement any longer.
+var errStopping = errors.New("the process stops")
+
+// Drain ends the sessions of a process in three stages, so that each statement that has
+// been read is answered before its connection is closed.
+type Drain struct {
+	// idle is closed when sessions must end as soon as they are idle, and transactions when
+	// they must end as soon as no statement runs. statements is cancelled when statements
+	// that still run must end.
+	idle, transactions chan struct{}
+	statements         context.Context
+	endStatements      context.CancelCauseFunc
+
+	endIdle, endTransactions sync.Once
+}
+
+// NewDrain returns a Drain that has not begun.
+func NewDrain() *Drain {
+	d := &Drain{idle: make(chan struct{}), transactions: make(chan struct{})}
+	d.statements, d.endStatements = context.WithCancelCause(context.Background())
+	return d
+}
+
+// EndIdle ends the sessions that have no open transaction, each once its statement is
+// answered.
+func (d *Drain) EndIdle() { d.endIdle.Do(func() { close(d.idle) }) }
+
+// EndTransactions ends all sessions, each once its statement is answered. Open transactions
+// are rolled back.
+func (d *Drain) EndTransactions() { d.endTransactions.Do(func() { close(d.transactions) }) }
+
+// EndStatements ends the statements that still run. Their callers are told that the outcome
+// is unknown.
+func (d *Drain) EndStatements() { d.endStatements(errStopping) }
--- /dev/null
+++ b/internal/caller/drain_test.go
@@ -0,0 +1,115 @@
+package caller
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/statement"
+)
+
+// drainedSession is a session that is served while a drain goes on.
+type drainedSession struct {
+	conn  *scriptedConn
+	home  *fakeHome
+	drain *Drain
+	ended chan struct{}
+}
+
+func serveDrained(t *testing.T, runner func(*fakeHome) statement.Runner) *drainedSession {
+	log := zerolog.Nop()
+	d := &drainedSession{conn: newScriptedConn(), home: &fakeHome{}, drain: NewDrain(), ended: make(chan struct{})}
+	s := New(Config{Routes: singleRoute{}, Runner: runner(d.home), Log: &log}, d.conn, "db", d.drain)
+	go func() {
+		defer close(d.ended)
+		s.Serve(t.Context())
+	}()
+	return d
+}
+
+func (d *drainedSession) send(statements ...*Statement) {
+	for _, next := range statements {
+		d.conn.statements <- next
+		synctest.Wait()
+	}
+}
+
+func (d *drainedSession) expect(t *testing.T, answers ...string) {
+	t.Helper()
+	<-d.ended
+	if diff := cmp.Diff(answers, d.conn.answers); diff != "" {
+		t.Errorf("answers (-want +got):\n%s", diff)
+	}
+}
+
+// A transaction whose home is another process is told of a drain by nothing but its
+// session. It must not take statements until the connection is closed under one of them.
+func TestTransactionEndsBetweenStatementsInADrain(t *testing.T) {
+	for name, first := range map[string][]*Statement{
+		"open at a server":     {transactionStatement(KindBegin), write("y")},
+		"not at a server yet":  {transactionStatement(KindBegin)},
+		"failed, not ended":    {transactionStatement(KindBegin), write("y"), transactionStatement(KindBegin)},
+		"between transactions": {transactionStatement(KindBegin), write("y"), transactionStatement(KindCommit)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := serveDrained(t, func(h *fakeHome) statement.Runner { return h })
+				d.send(first...)
+				d.drain.EndIdle()
+				d.drain.EndTransactions()
+				<-d.ended
+				if len(d.conn.answers) != len(first) {
+					t.Errorf("answers %v", d.conn.answers)
+				}
+			})
+		})
+	}
+}
+
+// blockingHome runs a statement until it is released or its context ends.
+type blockingHome struct {
+	*fakeHome
+	release chan struct{}
+}
+
+func (h *blockingHome) Run(ctx context.Context, req *statement.Request, conv statement.Conversation) (statement.Result, error) {
+	select {
+	case <-h.release:
+		return h.fakeHome.Run(ctx, req, conv)
+	case <-ctx.Done():
+		return statement.Result{}, errcode.Wrap(ctx.Err(), errcode.ConnectionLost, "exchange", "s1")
+	}
+}
+
+// A statement that is sent before the last one is answered has been read when a drain ends
+// the session. It is answered as well.
+func TestStatementThatWasReadIsAnsweredInADrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		d := serveDrained(t, func(h *fakeHome) statement.Runner { return &blockingHome{h, release} })
+		d.send(read("x"), read("y"), read("z"))
+		d.drain.EndIdle()
+		d.drain.EndTransactions()
+		synctest.Wait()
+		close(release)
+		d.expect(t, "x I", "y I", "z I")
+	})
+}
+
+// A statement still runs when the process cannot wait any longer. Its caller is told so,
+// with a code that promises nothing, instead of finding the connection closed.
+func TestStatementThatOutlastsADrainIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := serveDrained(t, func(h *fakeHome) statement.Runner { return &blockingHome{h, nil} })
+		d.send(write("y"))
+		d.drain.EndIdle()
+		d.drain.EndTransactions()
+		synctest.Wait()
+		d.drain.EndStatements()
+		d.expect(t, errcode.Unknown.Name+" I")
+	})
+}
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -57,23 +58,25 @@
 	// pendingBegin is the statement that began a transaction which is not yet open
 	// at a server; nil otherwise.
 	pendingBegin *Statement
-	// draining is closed when the proxy starts to drain.
-	draining <-chan struct{}
+	drain        *Drain
+	// readingEnded is set once no more statements are read because of a drain.
+	readingEnded atomic.Bool
 }
 
 // New returns a session for a caller connected to a database.
-func New(config Config, conn Conn, database string, draining <-chan struct{}) *Session {
+func New(config Config, conn Conn, database string, drain *Drain) *Session {
 	return &Session{
-		config: config, conn: conn, database: database, draining: draining,
+		config: config, conn: conn, database: database, drain: drain,
 		statements: make(chan *Statement, readAhead), prepared: map[string]preparedStatement{},
 	}
 }
 
-// Serve runs the caller's statements until the caller disconnects, ctx ends or the
-// proxy drains while the session is idle.
+// Serve runs the caller's statements until the caller disconnects, ctx ends or a drain
+// ends the session.
 func (s *Session) Serve(ctx context.Context) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	defer context.AfterFunc(s.drain.statements, func() { cancel(errStopping) })()
 	go s.read(ctx, cancel)
 	for {
 		next := s.awaitStatement(ctx)
@@ -83,13 +86,16 @@
 	}
 }
 
-// read decodes statements until the caller disconnects, which cancels ctx.
+// read decodes statements until the caller disconnects, which cancels ctx, or reading is
+// ended.
 func (s *Session) read(ctx context.Context, cancel context.CancelCauseFunc) {
 	defer close(s.statements)
 	for {
 		next, err := s.conn.Read()
 		if err != nil {
-			cancel(errDisconnected)
+			if !s.readingEnded.Load() {
+				cancel(errDisconnected)
+			}
 			return
 		}
 		select {
@@ -103,29 +109,27 @@
 // awaitStatement waits for a statement while no transaction is open at a server. It
 // returns nil when the session must end.
 func (s *Session) awaitStatement(ctx context.Context) *Statement {
-	draining := s.draining
+	end := s.drain.idle
 	if s.state != StateIdle {
-		draining = nil
+		end = s.drain.transactions
 	}
 	select {
 	case next := <-s.statements:
 		return next
 	case <-ctx.Done():
 		return nil
-	case <-draining:
-		return s.pollStatement()
+	case <-end:
+		return s.lastStatement()
 	}
 }
 
-// pollStatement returns a statement that has already been read, or nil. A statement
-// that arrives just as a drain ends the idle session must still be answered.
-func (s *Session) pollStatement() *Statement {
-	select {
-	case next := <-s.statements:
-		return next
-	default:
-		return nil
+// lastStatement ends reading and returns a statement that has been read before, which must
+// still be answered, or nil.
+func (s *Session) lastStatement() *Statement {
+	if s.readingEnded.CompareAndSwap(false, true) {
+		s.conn.EndReading()
 	}
+	return <-s.statements
 }
 
 // handle runs one statement while no transaction is open at a server. An error
@@ -257,7 +261,9 @@
 	}
 	e := errcode.From(err)
 	s.consistency.RecordFailure(e.Code.Outcome)
-	if ctx.Err() != nil || c.writeErr != nil || statement.CallerDisconnected(err) {
+	if errors.Is(context.Cause(ctx), errStopping) {
+		e = errcode.Wrap(err, errcode.Unknown, "stop", "")
+	} else if ctx.Err() != nil || c.writeErr != nil || statement.CallerDisconnected(err) {
 		return errDisconnected
 	}
 	s.logFailure(c, request, started, e)
--- a/internal/caller/session_test.go
+++ b/internal/caller/session_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"testing"
 	"testing/synctest"
 
@@ -20,17 +21,28 @@
 // scriptedConn reads statements from a channel and records the answers.
 type scriptedConn struct {
 	statements chan *Statement
+	ended      chan struct{}
 	answers    []string
 }
 
+func newScriptedConn() *scriptedConn {
+	return &scriptedConn{statements: make(chan *Statement), ended: make(chan struct{})}
+}
+
 func (c *scriptedConn) Read() (*Statement, error) {
-	s, ok := <-c.statements
-	if !ok {
-		return nil, io.EOF
+	select {
+	case s, ok := <-c.statements:
+		if !ok {
+			return nil, io.EOF
+		}
+		return s, nil
+	case <-c.ended:
+		return nil, os.ErrDeadlineExceeded
 	}
-	return s, nil
 }
 
+func (c *scriptedConn) EndReading() { close(c.ended) }
+
 func (c *scriptedConn) Forward(s *Statement, name string) []byte { return []byte(s.Text + name) }
 
 func (c *scriptedConn) Definition(s *Statement, name string) []byte {
@@ -102,8 +114,8 @@
 func runStatements(t *testing.T, home *fakeHome, database string, statements ...*Statement) []string {
 	t.Helper()
 	log := zerolog.Nop()
-	conn := &scriptedConn{statements: make(chan *Statement)}
-	s := New(Config{Routes: singleRoute{}, Runner: home, Log: &log}, conn, database, nil)
+	conn := newScriptedConn()
+	s := New(Config{Routes: singleRoute{}, Runner: home, Log: &log}, conn, database, NewDrain())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -232,11 +244,11 @@
 func TestIdleSessionEndsInADrain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := zerolog.Nop()
-		draining := make(chan struct{})
+		drain := NewDrain()
 		serve := func(first ...*Statement) (*scriptedConn, chan struct{}) {
-			conn := &scriptedConn{statements: make(chan *Statement)}
+			conn := newScriptedConn()
 			ended := make(chan struct{})
-			s := New(Config{Routes: singleRoute{}, Runner: &fakeHome{}, Log: &log}, conn, "db", draining)
+			s := New(Config{Routes: singleRoute{}, Runner: &fakeHome{}, Log: &log}, conn, "db", drain)
 			go func() {
 				defer close(ended)
 				s.Serve(t.Context())
@@ -249,7 +261,7 @@
 		idleConn, idle := serve()
 		openConn, open := serve(transactionStatement(KindBegin), write("y"))
 		synctest.Wait()
-		close(draining)
+		drain.EndIdle()
 		<-idle
 		select {
 		case <-open:
--- a/internal/caller/statement.go
+++ b/internal/caller/statement.go
@@ -56,6 +56,9 @@
 	// Read returns the next statement. It returns io.EOF when the caller has
 	// disconnected.
 	Read() (*Statement, error)
+	// EndReading makes Read fail once it has returned the statements that were received as a
+	// whole. It may be called while another goroutine reads.
+	EndReading()
 	// Forward encodes a statement for a backend server; name replaces the name of a
 	// prepared statement.
 	Forward(s *Statement, name string) []byte
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -37,9 +37,8 @@
 
 // callers serves caller connections, each in a goroutine that owns it.
 type callers struct {
-	edge *Edge
-	// draining is closed when a drain starts and idle sessions must end.
-	draining chan struct{}
+	edge  *Edge
+	drain *caller.Drain
 
 	mu           sync.Mutex
 	sessions     map[net.Conn]*caller.Session
@@ -47,7 +46,7 @@
 }
 
 func newCallers(e *Edge) *callers {
-	return &callers{edge: e, draining: make(chan struct{}), sessions: map[net.Conn]*caller.Session{}}
+	return &callers{edge: e, drain: caller.NewDrain(), sessions: map[net.Conn]*caller.Session{}}
 }
 
 // serve accepts callers until ctx ends.
@@ -93,31 +92,34 @@
 		return // no answer: whether the database exists is unknown, and the caller may retry
 	}
 	if _, ok := c.edge.tracker.Route(database); !ok {
-		c.refuse(callerConn, database, errcode.New(errcode.UnknownDatabase, "start-up", database))
+		c.refuse(conn, callerConn, database, errcode.New(errcode.UnknownDatabase, "start-up", database))
 		return
 	}
 	session := caller.New(caller.Config{
 		Routes: c.edge.tracker, Runner: c.edge.gateway, Log: &c.edge.log,
-	}, callerConn, database, c.draining)
+	}, callerConn, database, c.drain)
 	if err := c.add(conn, session); err != nil {
-		c.refuse(callerConn, database, err)
+		c.refuse(conn, callerConn, database, err)
 		return
 	}
 	defer c.remove(conn)
 	if callerConn.Accept() == nil {
 		session.Serve(ctx)
+		closeAfterAnswer(conn)
 	}
 }
 
 // refuse answers a caller's start-up message with an error.
-func (c *callers) refuse(callerConn CallerConn, database string, refusal *errcode.Error) {
+func (c *callers) refuse(conn net.Conn, callerConn CallerConn, database string, refusal *errcode.Error) {
 	sessionsRefused.Inc()
 	version, _ := c.edge.tracker.Versions()
 	eventCallerRefused.Log(&c.edge.log).Str("database", database).Uint64("version", version).
 		Str("code", refusal.Code.Name).Send()
 	if err := callerConn.Refuse(refusal); err != nil {
 		eventAcceptFailed.Log(&c.edge.log).Str("database", database).Err(err).Send()
+		return
 	}
+	closeAfterAnswer(conn)
 }
 
 // add registers a session. It refuses one when the process is draining or has
@@ -148,10 +150,8 @@
 func (c *callers) startDrain() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.drainStarted {
-		c.drainStarted = true
-		close(c.draining)
-	}
+	c.drainStarted = true
+	c.drain.EndIdle()
 }
 
 // awaitSessions waits until all sessions have ended or ctx ends, and returns the
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -10,7 +10,7 @@
 	eventStarted             = event.New(7100, zerolog.InfoLevel, "edge_started", "The process of an entry VM has started.")
 	eventStopped             = event.New(7101, zerolog.InfoLevel, "edge_stopped", "The process of an entry VM has shut down gracefully.")
 	eventDraining            = event.New(7102, zerolog.InfoLevel, "edge_draining", "The process was asked to stop: it reports not ready and drains its callers.")
-	eventDrainDeadlinePassed = event.New(7103, zerolog.WarnLevel, "edge_drain_cut", "The drain deadline passed with sessions or peer requests still open; they are closed.")
+	eventDrainDeadlinePassed = event.New(7103, zerolog.WarnLevel, "edge_drain_cut", "The drain deadline passed with sessions or peer requests still open. The statements of callers that still run are ended and answered; event 2200 names each.")
 	eventAcceptFailed        = event.New(7104, zerolog.WarnLevel, "accept_failed", "Accepting a caller connection, or answering its start-up message, failed.")
 	eventCallerRefused       = event.New(7105, zerolog.InfoLevel, "caller_refused", "A caller was refused at start-up: the configuration has no route to its database, the process is draining, or it has too many sessions.")
 	eventOwnFailed           = event.New(7106, zerolog.WarnLevel, "own_failed", "This process should be the home of a group but failed to take it over.")
--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -215,6 +215,11 @@
 		}
 	}
 	s.history.checkCommitted(committed)
+	s.report()
+}
+
+// report fails the test if there are violations, and logs the counts.
+func (s *soak) report() {
 	for i, v := range s.history.violations {
 		if i < 10 {
 			s.t.Errorf("seed %d: %s", s.seed, v)
--- a/internal/standin/userplatform/group.go
+++ b/internal/standin/userplatform/group.go
@@ -57,12 +57,16 @@
 	// promotedTerm is the term of the last promotion.
 	promotedTerm  uint64
 	fencingTokens []string
+	// ran holds the ids of the statements that a server has begun to run, and workTime is
+	// how long each takes.
+	ran      map[string]bool
+	workTime time.Duration
 }
 
 // NewGroup starts a group of the given size and publishes its servers' entries in
 // the store. The first server is the primary.
 func NewGroup(name string, size int, store *Store) (*Group, error) {
-	g := &Group{Name: name, store: store, changed: make(chan struct{})}
+	g := &Group{Name: name, store: store, changed: make(chan struct{}), ran: map[string]bool{}}
 	for i := range size {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -149,6 +153,29 @@
 	return primary
 }
 
+// SetWorkTime sets how long each read, write and commit takes.
+func (g *Group) SetWorkTime(d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.workTime = d
+}
+
+// Ran reports whether a server has begun to run the statement with an id.
+func (g *Group) Ran(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ran[id]
+}
+
+// beginWork records that a statement runs, and waits for the time that it takes.
+func (g *Group) beginWork(id string) {
+	g.mu.Lock()
+	g.ran[id] = true
+	workTime := g.workTime
+	g.mu.Unlock()
+	time.Sleep(workTime)
+}
+
 // Kill stops a server abruptly and removes its entry. Restart starts it again.
 func (g *Group) Kill(id string) {
 	g.mu.Lock()
--- a/internal/standin/userplatform/session.go
+++ b/internal/standin/userplatform/session.go
@@ -147,6 +147,7 @@
 		c.resetTransaction()
 		return "COMPLETE -\r\n"
 	case "COMMIT":
+		c.server.group.beginWork(id)
 		return c.commit(id)
 	case "EXECUTE":
 		name, arguments, _ := strings.Cut(rest, " ")
@@ -156,6 +157,7 @@
 		}
 		verb, rest = preparedVerb, arguments
 	}
+	c.server.group.beginWork(id)
 	if verb == "READ" {
 		return c.read(id, rest)
 	}
