--- a/internal/caller/drain_test.go
+++ b/internal/caller/drain_test.go
@@ -101,15 +101,16 @@
 }
 
 // A statement still runs when the process cannot wait any longer. Its caller is told so,
-// with a code that promises nothing, instead of finding the connection closed.
+// with a code that promises nothing, instead of finding the connection closed; so is the
+// caller of a statement that was read behind it.
 func TestStatementThatOutlastsADrainIsAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := serveDrained(t, func(h *fakeHome) statement.Runner { return &blockingHome{h, nil} })
-		d.send(write("y"))
+		d.send(write("y"), read("x"))
 		d.drain.EndIdle()
 		d.drain.EndTransactions()
 		synctest.Wait()
 		d.drain.EndStatements()
-		d.expect(t, errcode.Unknown.Name+" I")
+		d.expect(t, errcode.Unknown.Name+" I", errcode.Unknown.Name+" I")
 	})
 }
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -116,10 +116,13 @@
 	select {
 	case next := <-s.statements:
 		return next
-	case <-ctx.Done():
-		return nil
 	case <-end:
 		return s.lastStatement()
+	case <-ctx.Done():
+		if errors.Is(context.Cause(ctx), errStopping) {
+			return s.lastStatement()
+		}
+		return nil
 	}
 }
 
