--- a/internal/succession/elect.go
+++ b/internal/succession/elect.go
@@ -7,7 +7,7 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 )
 
-// A write is known to be in a log in one of two ways. Once the old primary has stepped
+// An acknowledged write is known to be in a log in one of two ways. Once the old primary has stepped
 // down, its log has all writes that it acknowledged, and so does each log that is as long;
 // it does not matter which servers the group has or had. Otherwise, as each acknowledged
 // write is stored on 1 + SyncReplicas members, the final logs of enough members tell.
--- a/internal/succession/membership.go
+++ b/internal/succession/membership.go
@@ -102,8 +102,9 @@
 }
 
 // abandon removes the members that are not listed, and the listed ones that have never
-// responded, once the list has not changed for abandonAfter. Those that were listed as leaving do not return, so they are removed at
-// once if the old primary, whose log is known, has left as well.
+// responded, once the list has not changed for abandonAfter. Those that were listed as
+// leaving do not return, so they are removed at once if the old primary, whose log is known,
+// has left as well.
 func (m Membership) abandon(v View, departedPrimary cluster.ServerID, now time.Time) Membership {
 	expired := now.Sub(m.listedSince) >= abandonAfter
 	left := func(member Member) bool {
