--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -263,10 +263,13 @@
 		return c.writeErr
 	}
 	e := errcode.From(err)
-	s.consistency.RecordFailure(e.Code.Outcome)
-	if errors.Is(context.Cause(ctx), errStopping) {
+	stopping := errors.Is(context.Cause(ctx), errStopping)
+	if stopping {
+		// The statement was given up; nobody has found out whether it ran.
 		e = errcode.Wrap(err, errcode.Unknown, "stop", "")
-	} else if ctx.Err() != nil || c.writeErr != nil || statement.CallerDisconnected(err) {
+	}
+	s.consistency.RecordFailure(e.Code.Outcome)
+	if c.writeErr != nil || !stopping && (ctx.Err() != nil || statement.CallerDisconnected(err)) {
 		return errDisconnected
 	}
 	s.logFailure(c, request, started, e)
--- a/internal/succession/decide_test.go
+++ b/internal/succession/decide_test.go
@@ -299,7 +299,7 @@
 	s.observe("s3", cluster.RoleReplica, 2, 100, 3)
 	s.decide(stepRetryInterval)
 	s.expect(t, PhasePromoting, "s2")
-	s.view.PendingPromotions = map[cluster.ServerID]PendingPromotion{"s2": {Until: s.now.Add(maxPromotionDelay)}}
+	s.view.PendingPromotions = PendingPromotions{"s2": {Until: s.now.Add(maxPromotionDelay)}}
 
 	s.now = s.now.Add(time.Millisecond)
 	s.observe("s1", cluster.RolePrimary, 2, 110, 0)
@@ -382,7 +382,7 @@
 			s.observe("s3", cluster.RoleReplica, 1, 100, 2)
 			s.view.PriorPromotionPossible = tt.priorPossible
 			if tt.pending != "" {
-				s.view.PendingPromotions = map[cluster.ServerID]PendingPromotion{tt.pending: {Until: s.now.Add(maxPromotionDelay)}}
+				s.view.PendingPromotions = PendingPromotions{tt.pending: {Until: s.now.Add(maxPromotionDelay)}}
 			}
 			if got := resumes(s.decide(time.Millisecond)); got != tt.want {
 				t.Errorf("resumed: %v, want %v", got, tt.want)
--- a/internal/succession/elect.go
+++ b/internal/succession/elect.go
@@ -7,11 +7,6 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 )
 
-// An acknowledged write is known to be in a log in one of two ways. Once the old primary has stepped
-// down, its log has all writes that it acknowledged, and so does each log that is as long;
-// it does not matter which servers the group has or had. Otherwise, as each acknowledged
-// write is stored on 1 + SyncReplicas members, the final logs of enough members tell.
-
 // elect returns the server to promote, once no further write can be acknowledged
 // and a server is known to have every acknowledged write. A leaving server, or one
 // that the platform refused to promote, is elected only if no other is eligible. The
@@ -42,6 +37,9 @@
 }
 
 // safeEnd returns a position that is not below any acknowledged write, if one is known.
+// Once the old primary has stepped down, the end of its log is such a position, whichever
+// servers the group has or had. A switchover accepts only that one while it gives the
+// replicas time to receive it. Otherwise the final logs of the members decide.
 func safeEnd(g Group, v View, s State, logs []finalLog, now time.Time) (cluster.Position, bool) {
 	covered := oldLogIsLast(g, v, s, now)
 	if covered && s.awaitsReplicas(now) {
--- a/internal/succession/loop.go
+++ b/internal/succession/loop.go
@@ -56,7 +56,7 @@
 func newGroupLoop(ctx context.Context, c *Controller, g Group, token duty.Token) *groupLoop {
 	l := &groupLoop{
 		controller: c, name: g.Name, token: token, wakeups: make(chan struct{}, 1), recordBusy: make(chan struct{}, 1), state: NewState(time.Now()),
-		view:     View{Servers: map[cluster.ServerID]Observation{}, PendingPromotions: map[cluster.ServerID]PendingPromotion{}},
+		view:     View{Servers: map[cluster.ServerID]Observation{}, PendingPromotions: PendingPromotions{}},
 		monitors: map[cluster.ServerID]*serverMonitor{},
 	}
 	l.ctx, l.cancel = context.WithCancel(ctx)
@@ -122,7 +122,7 @@
 	l.mu.Lock()
 	previous := l.state
 	l.adoptRecord()
-	l.view.endPromotions()
+	l.view.PendingPromotions.removeEnded(l.view.Servers)
 	view := l.view
 	view.Servers, view.PendingPromotions = maps.Clone(l.view.Servers), maps.Clone(l.view.PendingPromotions)
 	view.LeaseRemaining = l.controller.config.Lease.Remaining()
@@ -134,6 +134,7 @@
 	term, allowed := grantableTerm(l.group, view, l.state, now)
 	l.mu.Unlock()
 	l.saveRecord(now)
+	l.logWaits(previous)
 	l.logPhaseChange(previous)
 	l.updateGrants(term, allowed)
 	for _, a := range actions {
@@ -178,10 +179,9 @@
 	calls.Wait()
 }
 
-func (l *groupLoop) logPhaseChange(previous State) {
-	if len(l.state.abandoned) > 0 && len(previous.abandoned) == 0 {
-		eventMembersAbandoned.Log(l.controller.config.Log).Str("group", string(l.name)).Interface("members", l.state.abandoned).Send()
-	}
+// logWaits logs why a leaving primary is not replaced and what an election waits for,
+// whenever that changes.
+func (l *groupLoop) logWaits(previous State) {
 	if blocker := l.state.Blocker; blocker != previous.Blocker && blocker != "" {
 		eventSwitchoverBlocked.Log(l.controller.config.Log).Str("group", string(l.name)).Str("reason", string(blocker)).Send()
 	}
@@ -189,6 +189,12 @@
 		eventElectionWaits.Log(l.controller.config.Log).Str("group", string(l.name)).Str("cause", string(l.state.Cause)).
 			Str("reason", wait.Reason).Str("servers", wait.Servers).Send()
 	}
+}
+
+func (l *groupLoop) logPhaseChange(previous State) {
+	if len(l.state.abandoned) > 0 && len(previous.abandoned) == 0 {
+		eventMembersAbandoned.Log(l.controller.config.Log).Str("group", string(l.name)).Interface("members", l.state.abandoned).Send()
+	}
 	if previous.Phase == l.state.Phase {
 		return
 	}
--- a/internal/succession/membership.go
+++ b/internal/succession/membership.go
@@ -82,10 +82,9 @@
 func (m Membership) update(g Group, v View, now time.Time) Membership {
 	listed := make([]Member, 0, len(g.Servers))
 	for _, s := range g.Servers {
-		listed = append(listed, Member{ID: s.ID, StartTime: s.StartTime})
-	}
-	for _, s := range g.Servers {
-		if member := (Member{ID: s.ID, StartTime: s.StartTime}); s.Leaving && !slices.Contains(m.departing, member) {
+		member := Member{ID: s.ID, StartTime: s.StartTime}
+		listed = append(listed, member)
+		if s.Leaving && !slices.Contains(m.departing, member) {
 			m.departing = unionOfMembers(m.departing, []Member{member})
 		}
 	}
--- a/internal/succession/membership_test.go
+++ b/internal/succession/membership_test.go
@@ -190,7 +190,7 @@
 func TestNoOtherServerIsElectedWhileAPromotionMayTakeEffect(t *testing.T) {
 	s := newFixture("s1", "s2", "s3")
 	s.failPrimary(t)
-	s.view.PendingPromotions = map[cluster.ServerID]PendingPromotion{"s2": {Until: s.now.Add(maxPromotionDelay)}}
+	s.view.PendingPromotions = PendingPromotions{"s2": {Until: s.now.Add(maxPromotionDelay)}}
 	s.observe("s2", cluster.RoleReplica, 1, 90, s.state.AttemptTerm)
 	s.observe("s3", cluster.RoleReplica, 1, 100, s.state.AttemptTerm)
 	s.decide(maxPromotionDelay - time.Millisecond)
@@ -264,7 +264,7 @@
 	s.observe("s2", cluster.RoleReplica, 1, 90, s.state.AttemptTerm)
 	s.observe("s3", cluster.RoleReplica, 1, 90, s.state.AttemptTerm)
 	s.markLeaving("s2")
-	s.view.PendingPromotions = map[cluster.ServerID]PendingPromotion{"s2": {Until: s.now.Add(time.Second)}}
+	s.view.PendingPromotions = PendingPromotions{"s2": {Until: s.now.Add(time.Second)}}
 	s.now = s.now.Add(2 * time.Second)
 	s.observe("s3", cluster.RoleReplica, 1, 90, s.state.AttemptTerm)
 	s.decide(time.Millisecond)
--- a/internal/succession/model_calm_test.go
+++ b/internal/succession/model_calm_test.go
@@ -11,13 +11,14 @@
 	modelCalmSample = 40
 	// modelCalmStep is the time between the calls of a process in that time.
 	modelCalmStep = 100 * time.Millisecond
-	// modelRecoveryTime is the time within which a group must have a primary that stays.
+	// modelRecoveryTime is the time within which a group must have a primary that is not
+	// leaving.
 	modelRecoveryTime = 12 * time.Second
 )
 
 // violationInCalm lets the world go on without faults. A group in which the last primary
-// runs and is listed, and a server that stays and has all acknowledged writes, must soon have a primary
-// that stays, whatever became of the other servers.
+// runs and is listed, and in which a server that is not leaving has all acknowledged
+// writes, must soon have a primary that is not leaving, whatever became of the others.
 func (w *modelWorld) violationInCalm() string {
 	c := w.clone()
 	c.left = modelFaults{}
@@ -37,13 +38,13 @@
 	case c.violation != "":
 		return c.violation + " (later, without further faults)"
 	case !c.recovered():
-		return "no primary that stays without further faults"
+		return "no primary that is not leaving, without further faults"
 	}
 	return ""
 }
 
-// recovered reports whether the group has a primary that stays and, unless it runs alone,
-// acknowledges writes.
+// recovered reports whether the group has a primary that is not leaving and, unless it runs
+// alone, acknowledges writes.
 func (w *modelWorld) recovered() bool {
 	last := w.servers[w.lastPrimary]
 	if !last.alive || !last.primary || last.leaving || len(w.calls) > 0 {
--- a/internal/succession/model_events_test.go
+++ b/internal/succession/model_events_test.go
@@ -236,7 +236,8 @@
 	p.stage = stageNone
 	if p.view.PendingPromotions != nil {
 		id := serverID(p.candidate)
-		p.view.acceptPromotion(id, p.view.beginPromotion(id, w.time()), w.time())
+		earlier := p.view.PendingPromotions.begin(id, maxServerTerm(p.view), w.time())
+		p.view.PendingPromotions.accept(id, earlier, w.time())
 	}
 	token := p.callToken
 	if token < w.highestToken && !p.late {
--- a/internal/succession/model_process_test.go
+++ b/internal/succession/model_process_test.go
@@ -80,7 +80,7 @@
 		return
 	}
 	now := w.time()
-	p.view.endPromotions()
+	p.view.PendingPromotions.removeEnded(p.view.Servers)
 	view := p.view
 	view.LeaseRemaining = p.expiry - w.now
 	view.PriorPromotionPossible = !p.recordRead && !w.disabled.recordFirst
--- a/internal/succession/model_world_test.go
+++ b/internal/succession/model_world_test.go
@@ -216,7 +216,7 @@
 	p.token, p.version, p.expiry = w.leaseToken, w.version, duty.ExpiryOf(w.now)
 	p.state, p.stage, p.promoting, p.recordRead = NewState(w.time()), stageNone, "", false
 	p.commands, p.saved, p.recordVersion = [modelServers]*Action{}, Record{}, 0
-	p.view = View{Servers: map[cluster.ServerID]Observation{}, PendingPromotions: map[cluster.ServerID]PendingPromotion{}}
+	p.view = View{Servers: map[cluster.ServerID]Observation{}, PendingPromotions: PendingPromotions{}}
 	w.refresh(p)
 }
 
--- a/internal/succession/monitor.go
+++ b/internal/succession/monitor.go
@@ -23,8 +23,8 @@
 	primaryPollInterval = 400 * time.Millisecond
 	replicaPollInterval = time.Second
 	// redialInterval is the interval between new connections to an unreachable
-	// server, and attemptPollInterval between status calls outside the watching phase
-	// and to a paused replica.
+	// server. attemptPollInterval is that between status calls outside the watching phase,
+	// while a leaving primary cannot be replaced yet, and to a paused replica.
 	redialInterval      = 150 * time.Millisecond
 	attemptPollInterval = 60 * time.Millisecond
 )
--- a/internal/succession/pending.go
+++ b/internal/succession/pending.go
@@ -20,28 +20,32 @@
 // possible reports whether the promotion may still take effect.
 func (p PendingPromotion) possible(now time.Time) bool { return now.Before(p.Until) }
 
-// beginPromotion records that the platform is about to be asked to promote a server.
-func (v View) beginPromotion(id cluster.ServerID, now time.Time) (earlier PendingPromotion) {
-	earlier = v.PendingPromotions[id]
-	v.PendingPromotions[id] = PendingPromotion{Until: now.Add(maxPromotionDelay), TermBefore: maxServerTerm(v)}
+// PendingPromotions holds the promotions that may still take effect, by server.
+type PendingPromotions map[cluster.ServerID]PendingPromotion
+
+// begin records that the platform is about to be asked to promote a server, and returns
+// what was pending for it before. highest is the highest term of any server.
+func (p PendingPromotions) begin(id cluster.ServerID, highest cluster.Term, now time.Time) (earlier PendingPromotion) {
+	earlier = p[id]
+	p[id] = PendingPromotion{Until: now.Add(maxPromotionDelay), TermBefore: highest}
 	return earlier
 }
 
-// acceptPromotion records that the platform has accepted a call, before which earlier was
-// pending.
-func (v View) acceptPromotion(id cluster.ServerID, earlier PendingPromotion, now time.Time) {
-	p := v.PendingPromotions[id]
-	p.Accepted = !earlier.possible(now)
-	v.PendingPromotions[id] = p
+// accept records that the platform has accepted the call that was begun. An earlier call
+// that may still take effect could promote the server once more.
+func (p PendingPromotions) accept(id cluster.ServerID, earlier PendingPromotion, now time.Time) {
+	call := p[id]
+	call.Accepted = !earlier.possible(now)
+	p[id] = call
 }
 
-// endPromotions removes the promotions that have taken effect. Kept any longer, they would
+// removeEnded removes the promotions that have taken effect. Kept any longer, they would
 // forbid the election of another server.
-func (v View) endPromotions() {
-	for id, p := range v.PendingPromotions {
-		status := v.Servers[id].Status
-		if p.Accepted && status.Role == cluster.RolePrimary && status.Term > p.TermBefore {
-			delete(v.PendingPromotions, id)
+func (p PendingPromotions) removeEnded(servers map[cluster.ServerID]Observation) {
+	for id, call := range p {
+		status := servers[id].Status
+		if call.Accepted && status.Role == cluster.RolePrimary && status.Term > call.TermBefore {
+			delete(p, id)
 		}
 	}
 }
--- a/internal/succession/pending_test.go
+++ b/internal/succession/pending_test.go
@@ -7,19 +7,24 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 )
 
+// begin records a call to promote a server.
+func (s *fixture) begin(id cluster.ServerID) (earlier PendingPromotion) {
+	return s.view.PendingPromotions.begin(id, maxServerTerm(s.view), s.now)
+}
+
 // promote lets the platform accept a call to promote s2, and s2 report that it is the
-// primary of term 2.
+// primary of term 2. The response to the call is lost unless accepted is set.
 func (s *fixture) promote(accepted bool) {
-	s.view.PendingPromotions = map[cluster.ServerID]PendingPromotion{}
-	earlier := s.view.beginPromotion("s2", s.now)
+	s.view.PendingPromotions = PendingPromotions{}
+	earlier := s.begin("s2")
 	if accepted {
-		s.view.acceptPromotion("s2", earlier, s.now)
+		s.view.PendingPromotions.accept("s2", earlier, s.now)
 	}
 	s.now = s.now.Add(time.Second)
 	s.observe("s1", cluster.RoleReplica, 2, 100, 0)
 	s.observe("s2", cluster.RolePrimary, 2, 100, 0)
 	s.observe("s3", cluster.RoleReplica, 2, 100, 0)
-	s.view.endPromotions()
+	s.view.PendingPromotions.removeEnded(s.view.Servers)
 }
 
 // The promoted server leaves at once. A note that its promotion may still take effect would
@@ -45,10 +50,10 @@
 	if !otherPromotionPossible(s.view, "s3", s.now) {
 		t.Error("the call can no longer take effect")
 	}
-	earlier := s.view.beginPromotion("s2", s.now)
-	s.view.acceptPromotion("s2", earlier, s.now)
+	earlier := s.begin("s2")
+	s.view.PendingPromotions.accept("s2", earlier, s.now)
 	s.observe("s2", cluster.RolePrimary, 3, 100, 0)
-	s.view.endPromotions()
+	s.view.PendingPromotions.removeEnded(s.view.Servers)
 	if !otherPromotionPossible(s.view, "s3", s.now) {
 		t.Error("the earlier call can no longer take effect, since a later one was accepted")
 	}
@@ -60,9 +65,9 @@
 // A group's primary is promoted, and reported at the term from before the call.
 func TestPromotionThatHasNotTakenEffectStaysPossible(t *testing.T) {
 	s := newFixture("s1", "s2", "s3")
-	s.view.PendingPromotions = map[cluster.ServerID]PendingPromotion{}
-	s.view.acceptPromotion("s1", s.view.beginPromotion("s1", s.now), s.now)
-	s.view.endPromotions()
+	s.view.PendingPromotions = PendingPromotions{}
+	s.view.PendingPromotions.accept("s1", s.begin("s1"), s.now)
+	s.view.PendingPromotions.removeEnded(s.view.Servers)
 	if !otherPromotionPossible(s.view, "s2", s.now) {
 		t.Error("the promotion of s1 has ended at its old term")
 	}
--- a/internal/succession/promotion.go
+++ b/internal/succession/promotion.go
@@ -33,7 +33,7 @@
 		return
 	}
 	l.mu.Lock()
-	earlier := l.view.beginPromotion(a.Server, time.Now())
+	earlier := l.view.PendingPromotions.begin(a.Server, maxServerTerm(l.view), time.Now())
 	l.mu.Unlock()
 	err := config.Promoter.Promote(ctx, Promotion{
 		Group: l.name, Server: a.Server, Holder: config.Lease.Holder(), Token: l.token,
@@ -41,7 +41,7 @@
 	l.mu.Lock()
 	switch {
 	case err == nil:
-		l.view.acceptPromotion(a.Server, earlier, time.Now())
+		l.view.PendingPromotions.accept(a.Server, earlier, time.Now())
 	case errors.Is(err, ErrNotRunning):
 		l.view.PendingPromotions[a.Server] = earlier // the platform has not accepted this call
 	}
--- a/internal/succession/switchover.go
+++ b/internal/succession/switchover.go
@@ -7,13 +7,13 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 )
 
-// blocker tells why a leaving primary is not replaced yet; empty if nothing speaks
-// against it.
+// blocker is the reason why the replacement of a leaving primary does not begin; empty if
+// there is none.
 type blocker string
 
 const (
-	blockedByNoSuccessor  blocker = "no server that stays is reachable"
-	blockedByReplication  blocker = "no server that stays has received what the primary reported"
+	blockedByNoSuccessor  blocker = "no server that is not leaving is reachable"
+	blockedByReplication  blocker = "no server that is not leaving has received what the primary reported"
 	blockedByPromotion    blocker = "an earlier promotion may still take effect"
 	blockedByPostponement blocker = "the last attempt failed and the next one is not due"
 	blockedByLease        blocker = "the promotion lease expires too soon"
--- a/internal/succession/switchover_test.go
+++ b/internal/succession/switchover_test.go
@@ -130,7 +130,7 @@
 func TestOldPrimarysLogIsNotTheLastAfterAnotherPromotion(t *testing.T) {
 	s := newFixture("s1", "s2", "s3")
 	s.stepDown(t, 100)
-	s.view.PendingPromotions = map[cluster.ServerID]PendingPromotion{"s3": {Until: s.now.Add(-time.Millisecond)}}
+	s.view.PendingPromotions = PendingPromotions{"s3": {Until: s.now.Add(-time.Millisecond)}}
 	s.decide(time.Millisecond)
 	if oldLogIsLast(s.group, s.view, s.state, s.now) {
 		t.Error("the log counts as the last one before s3 was observed after its promotion")
@@ -165,7 +165,7 @@
 			s.markLeaving("s3")
 		}, blockedByNoSuccessor},
 		"a promotion may take effect": {func(s *fixture) {
-			s.view.PendingPromotions = map[cluster.ServerID]PendingPromotion{"s1": {Until: s.now.Add(time.Second)}}
+			s.view.PendingPromotions = PendingPromotions{"s1": {Until: s.now.Add(time.Second)}}
 		}, blockedByPromotion},
 		"the lease runs out":         {func(s *fixture) { s.view.LeaseRemaining = 0 }, blockedByLease},
 		"an attempt has just failed": {func(s *fixture) { s.state.PostponedUntil = s.now.Add(time.Second) }, blockedByPostponement},
--- a/internal/succession/types.go
+++ b/internal/succession/types.go
@@ -130,9 +130,9 @@
 	// PromotionNotSent is set if the last promotion was given up before the platform
 	// was asked.
 	PromotionNotSent bool
-	// PendingPromotions holds the servers that the platform was asked to promote, by this
-	// process or an earlier lease holder.
-	PendingPromotions map[cluster.ServerID]PendingPromotion
+	// PendingPromotions holds the promotions that this process or an earlier lease holder
+	// has requested.
+	PendingPromotions PendingPromotions
 	// PriorPromotionPossible is set while the group's record has not been read: an
 	// earlier lease holder may have requested the promotion of any server.
 	PriorPromotionPossible bool
--- a/internal/succession/wait.go
+++ b/internal/succession/wait.go
@@ -30,7 +30,7 @@
 	if pending := pendingServers(v, now); pending != "" {
 		return Wait{"promotion may still take effect", pending}
 	}
-	return Wait{"no server that stays has the whole log of the old primary", string(s.OldPrimary)}
+	return Wait{"no server that is not leaving has the whole log of the old primary", string(s.OldPrimary)}
 }
 
 // missingLogs returns the members that have no final log.
