Count the half of the stop time for transactions from the SIGTERM

Found by reading: the half was counted from after the release of the promotion lease, which may take its whole time limit while the store is silent, so that a transaction could go on for longer than half of the stop time and be nearer to the deadline. The drain of callers has functions of its own.

--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -19,35 +19,49 @@
 )
 
 // drain shuts the process down gracefully. It releases the promotion lease,
-// announces that it leaves, waits until the platform sends no more callers, ends
-// idle sessions, after half of the stop time open transactions, hands its groups over to
-// other processes, and finally drains requests of peers. Statements that still run at the
-// deadline are ended and answered.
+// announces that it leaves, waits until the platform sends no more callers, drains
+// its callers, hands its groups over to other processes, and finally drains
+// requests of peers.
 func (e *Edge) drain(ctx context.Context) {
-	stopTime := e.settings.Load().StopTime
+	started, stopTime := time.Now(), e.settings.Load().StopTime
 	eventDraining.Log(&e.log).Dur("stop_time", stopTime).Send()
-	deadline := time.Now().Add(stopTime - time.Duration(closeShare*float64(stopTime)))
+	limited, cancel := context.WithDeadline(ctx, started.Add(stopTime-share(stopTime, closeShare)))
+	defer cancel()
 	e.stopping.Store(true)
 	e.lease.Release(ctx)
 	e.members.Leave()
 	e.announce(ctx)
 	delay.Sleep(ctx, min(notReadyDelay, stopTime/2))
-	e.callers.startDrain()
-	limited, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	transactions, cancelTransactions := context.WithDeadline(limited, time.Now().Add(stopTime/2-notReadyDelay))
-	defer cancelTransactions()
-	e.callers.awaitSessions(transactions)
-	e.callers.drain.EndTransactions()
+	e.callers.endIdleAndTransactions(limited, started.Add(stopTime/2))
 	e.home.Close(limited)
-	if left := e.callers.awaitSessions(limited); left > 0 {
-		eventDrainDeadlinePassed.Log(&e.log).Int("sessions", left).Send()
-		e.callers.drain.EndStatements()
-		answers, cancelAnswers := context.WithTimeout(ctx, time.Duration(lastAnswerShare*float64(stopTime)))
-		defer cancelAnswers()
-		e.callers.awaitSessions(answers)
-	}
+	e.callers.endStatements(ctx, limited, share(stopTime, lastAnswerShare))
 	if err := e.peerServer.Drain(limited); err != nil {
 		eventDrainDeadlinePassed.Log(&e.log).Err(err).Send()
 	}
 }
+
+func share(d time.Duration, of float64) time.Duration { return time.Duration(of * float64(d)) }
+
+// endIdleAndTransactions ends idle sessions, and from transactionsEnd on also the sessions
+// with an open transaction.
+func (c *callers) endIdleAndTransactions(ctx context.Context, transactionsEnd time.Time) {
+	c.startDrain()
+	ctx, cancel := context.WithDeadline(ctx, transactionsEnd)
+	defer cancel()
+	c.awaitSessions(ctx)
+	c.drain.EndTransactions()
+}
+
+// endStatements waits for the sessions until limited ends. The statements that still run
+// then are ended, and their answers get the time answers.
+func (c *callers) endStatements(ctx, limited context.Context, answers time.Duration) {
+	left := c.awaitSessions(limited)
+	if left == 0 {
+		return
+	}
+	eventDrainDeadlinePassed.Log(&c.edge.log).Int("sessions", left).Send()
+	c.drain.EndStatements()
+	ctx, cancel := context.WithTimeout(ctx, answers)
+	defer cancel()
+	c.awaitSessions(ctx)
+}
