Tighten the check of cut statements in the soak of planned stops

The check excused each statement that a server had run if it was sent in the first half of the stop time and its connection ended in the last sixth, although the rule excuses only those that a server still worked on then. The stand-in records when the work on a statement ended, and the check asks for it. Names and an index that had to be looked up are plain now.

--- a/internal/integration/stop_soak_test.go
+++ b/internal/integration/stop_soak_test.go
@@ -16,6 +16,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/rattancove/rattancove/internal/standin/userplatform"
 )
 
 const (
@@ -23,13 +25,17 @@
 	stopSeedsEnv = "RATTAN_STOP_SEEDS"
 	stopFirstEnv = "RATTAN_STOP_FIRST"
 
-	stopSeeds     = 2
-	stopProcesses = 3
+	stopSeeds         = 2
+	stopSoakProcesses = 3
 	// stopRounds is the number of times that each process is stopped.
 	stopRounds       = 2
 	callersOfProcess = 8
-	callerDelay      = 3 * time.Millisecond
-	maxWorkTime      = 60 * time.Millisecond
+	// callerDelay is the delay between callers and processes in each direction, maxWorkTime
+	// the maximum time that a server takes for a statement and maxPause that between two
+	// statements of a transaction.
+	callerDelay = 3 * time.Millisecond
+	maxWorkTime = 60 * time.Millisecond
+	maxPause    = 400 * time.Millisecond
 	// lostSlack is the time from the sending of a statement up to which a process may end
 	// its connection unread.
 	lostSlack = 200 * time.Millisecond
@@ -92,7 +98,7 @@
 }
 
 func runStops(t *testing.T, seed uint64, program string) {
-	s := newSoak(t, seed, program, fromEnv(soakProcessesEnv, stopProcesses))
+	s := newSoak(t, seed, program, fromEnv(soakProcessesEnv, stopSoakProcesses))
 	s.plannedOnly = true
 	random := rand.New(rand.NewPCG(seed, 11))
 	ctx, cancel := context.WithCancel(t.Context())
@@ -143,7 +149,8 @@
 		case <-done:
 			return
 		case <-time.After(time.Duration(random.ExpFloat64() * float64(time.Second))):
-			soakFaults[map[int]int{0: 3, 1: 4, 2: 5}[random.IntN(3)]].inject(s, random, program)
+			changes := []func(*soak, *rand.Rand, string) func(){reloadEdge, changeConfiguration, changeConfigurationRapidly}
+			changes[random.IntN(len(changes))](s, random, program)
 		}
 	}
 }
@@ -255,24 +262,32 @@
 		return
 	}
 	ended, stop := time.Now(), c.stops.of(c.edge)
-	ran := false
-	for _, g := range c.soak.groups {
-		ran = ran || g.Ran(s.id)
-	}
+	work, ran := c.workOn(s.id)
 	c.soak.history.increment("statements cut off")
 	if !ran && ended.Sub(s.at) <= lostSlack+2*callerDelay {
 		return
 	}
-	if ran && s.at.Sub(stop) <= transactionGrace && ended.Sub(stop) >= excusedWork {
+	atWork := ran && ended.Sub(stop) >= excusedWork && (work.EndedAt.IsZero() || work.EndedAt.Sub(stop) >= excusedWork)
+	if atWork && s.at.Sub(stop) <= transactionGrace {
 		return
 	}
 	c.soak.history.addViolation("planned stops cut off nothing", "%s %s at %s, sent %v and ended %v after SIGTERM, run %v, in a transaction %v: %v",
 		s.id, s.text, c.edge.name, s.at.Sub(stop), ended.Sub(stop), ran, c.inTransaction, err)
 }
 
+// workOn returns the run of a statement at a server of any group.
+func (c *stopCaller) workOn(id string) (userplatform.Work, bool) {
+	for _, g := range c.soak.groups {
+		if work, ok := g.WorkOn(id); ok {
+			return work, true
+		}
+	}
+	return userplatform.Work{}, false
+}
+
 func (c *stopCaller) item() string { return fmt.Sprintf("stop-%s-%d", c.name, c.random.IntN(3)) }
 
-// think runs a transaction of up to eight seconds with pauses between its statements.
+// think runs a transaction of some seconds with pauses between its statements.
 func (c *stopCaller) think() error {
 	const statements = 20
 	if err := c.query("BEGIN"); err != nil {
@@ -280,7 +295,7 @@
 	}
 	c.inTransaction = true
 	for range 1 + c.random.IntN(statements) {
-		if err := c.pause(time.Duration(c.random.Int64N(int64(400 * time.Millisecond)))); err != nil {
+		if err := c.pause(time.Duration(c.random.Int64N(int64(maxPause)))); err != nil {
 			return err
 		}
 		if err := c.query("READ " + c.item()); err != nil {
@@ -292,7 +307,8 @@
 	return err
 }
 
-// pause waits inside a transaction. The process must not end it before transactionGrace.
+// pause waits inside a transaction. The process must not end it before transactionGrace, or
+// without having been stopped.
 func (c *stopCaller) pause(d time.Duration) error {
 	_ = c.conn.SetReadDeadline(time.Now().Add(d))
 	_, err := c.reader.Peek(1)
--- a/internal/standin/userplatform/group.go
+++ b/internal/standin/userplatform/group.go
@@ -45,6 +45,12 @@
 	advertisedAddress string
 }
 
+// Work is the run of a statement at a server.
+type Work struct {
+	// EndedAt is when the server had run the statement; zero before.
+	EndedAt time.Time
+}
+
 // Group is a simulated database group.
 type Group struct {
 	Name  string
@@ -57,16 +63,16 @@
 	// promotedTerm is the term of the last promotion.
 	promotedTerm  uint64
 	fencingTokens []string
-	// ran holds the ids of the statements that a server has begun to run, and workTime is
-	// how long each takes.
-	ran      map[string]bool
+	// work holds the statements that a server has begun to run, by id, and workTime is how
+	// long each takes.
+	work     map[string]*Work
 	workTime time.Duration
 }
 
 // NewGroup starts a group of the given size and publishes its servers' entries in
 // the store. The first server is the primary.
 func NewGroup(name string, size int, store *Store) (*Group, error) {
-	g := &Group{Name: name, store: store, changed: make(chan struct{}), ran: map[string]bool{}}
+	g := &Group{Name: name, store: store, changed: make(chan struct{}), work: map[string]*Work{}}
 	for i := range size {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -160,20 +166,31 @@
 	g.workTime = d
 }
 
-// Ran reports whether a server has begun to run the statement with an id.
-func (g *Group) Ran(id string) bool {
+// WorkOn returns the run of the statement with an id. The second result is false if no
+// server has begun to run it.
+func (g *Group) WorkOn(id string) (Work, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.ran[id]
+	if work, ok := g.work[id]; ok {
+		return *work, true
+	}
+	return Work{}, false
 }
 
-// beginWork records that a statement runs, and waits for the time that it takes.
-func (g *Group) beginWork(id string) {
+// runWork runs a statement after the time that it takes, and records its beginning and its
+// end.
+func (g *Group) runWork(id string, run func() string) string {
+	work := &Work{}
 	g.mu.Lock()
-	g.ran[id] = true
+	g.work[id] = work
 	workTime := g.workTime
 	g.mu.Unlock()
 	time.Sleep(workTime)
+	response := run()
+	g.mu.Lock()
+	work.EndedAt = time.Now()
+	g.mu.Unlock()
+	return response
 }
 
 // Kill stops a server abruptly and removes its entry. Restart starts it again.
--- a/internal/standin/userplatform/session.go
+++ b/internal/standin/userplatform/session.go
@@ -147,8 +147,7 @@
 		c.resetTransaction()
 		return "COMPLETE -\r\n"
 	case "COMMIT":
-		c.server.group.beginWork(id)
-		return c.commit(id)
+		return c.server.group.runWork(id, func() string { return c.commit(id) })
 	case "EXECUTE":
 		name, arguments, _ := strings.Cut(rest, " ")
 		preparedVerb, _, ok := strings.Cut(c.preparedStatements[name], " ")
@@ -157,11 +156,12 @@
 		}
 		verb, rest = preparedVerb, arguments
 	}
-	c.server.group.beginWork(id)
-	if verb == "READ" {
-		return c.read(id, rest)
-	}
-	return c.write(id, rest)
+	return c.server.group.runWork(id, func() string {
+		if verb == "READ" {
+			return c.read(id, rest)
+		}
+		return c.write(id, rest)
+	})
 }
 
 func (c *session) errorResponse(code string) string {
