Add the types and peer messages of organisations, keys and quotas

The settings give the time in which a withdrawn key must stop working and the bounds of quotas. Nothing uses them yet.

--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -1,8 +1,12 @@
 package catalog
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/statement"
 )
@@ -15,6 +19,41 @@
 	Groups  []Group
 	// TransactionIdle limits how long a transaction may wait for its caller.
 	TransactionIdle time.Duration
+	// KeysRequired is set if callers of routes that are not public need an API key.
+	KeysRequired bool
+	// Organisations holds the organisations whose keys are accepted.
+	Organisations []Organisation
+}
+
+// Organisation is an organisation whose callers share keys, a rank and a limit.
+type Organisation struct {
+	Name string
+	// Keys holds the digests of its API keys.
+	Keys []KeyDigest
+	// Rank orders the work of organisations within the rank of a route.
+	Rank cluster.Rank
+	// Rate is the limit of its operations in operations a second, zero if there is none,
+	// and Burst the number of operations that may exceed it for a moment.
+	Rate, Burst float64
+}
+
+// KeyDigest is the SHA-256 digest of an API key. Keys themselves do not leave the
+// protocol adapters, so that no log or peer can hold one.
+type KeyDigest [sha256.Size]byte
+
+// DigestKey returns the digest of an API key.
+func DigestKey(key []byte) KeyDigest { return sha256.Sum256(key) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (d KeyDigest) MarshalText() ([]byte, error) { return hex.AppendEncode(nil, d[:]), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *KeyDigest) UnmarshalText(text []byte) error {
+	if len(text) != hex.EncodedLen(len(d)) {
+		return eris.Errorf("key digest: expected %d hexadecimal digits, got %d bytes", hex.EncodedLen(len(d)), len(text))
+	}
+	_, err := hex.Decode(d[:], text)
+	return eris.Wrap(err, "key digest")
 }
 
 // Route maps a database to a group.
@@ -27,6 +66,8 @@
 	// Timeout limits one statement; Objective is the latency objective of an
 	// operation.
 	Timeout, Objective time.Duration
+	// Public is set if callers need no API key.
+	Public bool
 }
 
 // Group is a database group as the operator describes it.
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -11,6 +11,7 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/provider"
+	"github.com/rattancove/rattancove/internal/quota"
 	"github.com/rattancove/rattancove/internal/succession"
 )
 
@@ -37,6 +38,12 @@
 	MaxDescriptors int
 	// StopTime is the time between a stop request and the kill of the process.
 	StopTime time.Duration
+	// RevocationTime is the time after the acknowledgement of a configuration within
+	// which a withdrawn API key must stop working in every process, also in those that
+	// cannot reach the store; zero if only the bound of configurations applies.
+	RevocationTime time.Duration
+	// Quota holds the bounds of the quotas of organisations.
+	Quota    quota.Bounds
 	LogLevel string
 }
 
--- a/internal/errcode/errcode.go
+++ b/internal/errcode/errcode.go
@@ -64,6 +64,8 @@
 	WrongServer      = register("wrong_server", "57P03", OutcomeNotRun, "The request was not run: another backend server answers at the address. Send it again.")
 	ServerFailed     = register("server_failed", "58000", OutcomeUnknown, "The backend server ran the statement and failed. A read may be sent again.")
 	ServerTimeout    = register("server_timeout", "57014", OutcomeUnknown, "The backend server stopped the statement at its time limit. A read may be sent again.")
+	Denied           = register("denied", "28000", OutcomeNotRun, "The request was not run: the API key is unknown or was withdrawn.")
+	QuotaExceeded    = register("quota_exceeded", "53400", OutcomeNotRun, "The request was not run: the organisation has reached its limit. Wait for the time in the detail and send it again.")
 	Internal         = register("internal", "XX000", OutcomeUnknown, "Report this with the request id.")
 )
 
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -62,6 +62,7 @@
 	open := &peerpb.Open{
 		Group:         string(r.Group),
 		Customer:      r.Customer,
+		Organisation:  validText(r.Organisation),
 		Session:       r.Session,
 		Rank:          uint32(r.Rank),
 		FreshnessMode: uint32(r.Freshness.Mode),
@@ -79,11 +80,12 @@
 
 func requestFromProto(id string, open *peerpb.Open, batch *peerpb.Batch) *statement.Request {
 	r := &statement.Request{
-		ID:       id,
-		Group:    cluster.GroupName(open.GetGroup()),
-		Customer: open.GetCustomer(),
-		Session:  open.GetSession(),
-		Rank:     rankFromProto(open.GetRank()),
+		ID:           id,
+		Group:        cluster.GroupName(open.GetGroup()),
+		Customer:     open.GetCustomer(),
+		Organisation: open.GetOrganisation(),
+		Session:      open.GetSession(),
+		Rank:         rankFromProto(open.GetRank()),
 		Freshness: statement.Freshness{
 			Mode:   statement.FreshnessMode(open.GetFreshnessMode()),
 			MaxAge: time.Duration(open.GetMaxAgeNanos()),
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -83,6 +83,9 @@
 	ID       string
 	Group    cluster.GroupName
 	Customer string
+	// Organisation is the organisation of the caller's API key; empty if callers have
+	// no keys, or for a caller without a known key on a public route.
+	Organisation string
 	// Session is the name of the caller's session. It is empty if the session is
 	// private to one caller connection.
 	Session   string
