Check the caller's key for each statement that is forwarded

A session asks for the organisation of its caller with each statement, also inside a transaction, so that a withdrawn key stops an open session. A transaction runs on a connection of the organisation with which it began: when the key has moved to another organisation, the statement is refused and the transaction rolled back.

--- a/internal/caller/conversation.go
+++ b/internal/caller/conversation.go
@@ -13,6 +13,8 @@
 // transaction.
 type conversation struct {
 	session *Session
+	// organisation is the organisation for which the request began.
+	organisation string
 	// pending is the statement that awaits an answer; nil between statements.
 	pending *Statement
 	// explicit is set when the caller began a transaction.
@@ -113,6 +115,9 @@
 		c.writeErr = s.conn.Done(s.state)
 		return nil, c.writeErr
 	}
+	if refusal := c.authorize(next); refusal != nil {
+		return nil, c.refuse(next, refusal)
+	}
 	batch, refusal := s.batch(next)
 	if refusal != nil {
 		return nil, c.refuse(next, refusal)
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -42,7 +42,9 @@
 type Config struct {
 	Routes Routes
 	Runner statement.Runner
-	Log    *zerolog.Logger
+	// Authorize is asked for each statement that is forwarded; nil if callers have no keys.
+	Authorize Authorize
+	Log       *zerolog.Logger
 }
 
 // Session serves one caller connection. Serve must be called only once.
@@ -62,6 +64,8 @@
 	// at a server; nil otherwise.
 	pendingBegin *Statement
 	drain        *Drain
+	// refused is set while the caller's key is refused and that has been logged.
+	refused bool
 	// readingEnded is set once no more statements are read because of a drain.
 	readingEnded atomic.Bool
 }
@@ -240,6 +244,11 @@
 // run forwards a statement, and the transaction that it may open, to the home.
 func (s *Session) run(ctx context.Context, first *Statement) error {
 	route, ok := s.config.Routes.Route(s.database)
+	organisation, refusal := s.authorize(route)
+	if refusal != nil {
+		s.logRefusal(first, refusal)
+		return s.fail(first, refusal)
+	}
 	if !ok {
 		return s.fail(first, errcode.New(errcode.UnknownDatabase, "route", s.database))
 	}
@@ -249,11 +258,11 @@
 	}
 	floor := s.consistency.Floor(cluster.Position{})
 	request := &statement.Request{
-		ID: requestID(first.ID), Group: route.Group, Rank: route.Rank, Freshness: route.Freshness,
+		ID: requestID(first.ID), Group: route.Group, Organisation: organisation, Rank: route.Rank, Freshness: route.Freshness,
 		Floor: floor.Position, FloorExact: floor.Exact, Settings: s.settings,
 		Timeout: route.Timeout, Objective: route.Objective, First: *batch,
 	}
-	c := &conversation{session: s, pending: first, explicit: s.pendingBegin != nil}
+	c := &conversation{session: s, organisation: organisation, pending: first, explicit: s.pendingBegin != nil}
 	c.readOnly = c.explicit && s.pendingBegin.Kind == KindBeginReadOnly
 	c.classify(first, batch)
 	request.First.Class = firstBatchClass(s.pendingBegin, batch.Class)
--- a/internal/caller/telemetry.go
+++ b/internal/caller/telemetry.go
@@ -15,6 +15,8 @@
 var (
 	eventFailed = event.New(2200, zerolog.InfoLevel, "statement_failed",
 		"A statement of a caller was refused or failed; the fields give the request, the group, the step, the peer and the outcome.")
+	eventKeyRefused = event.New(2202, zerolog.InfoLevel, "api_key_refused",
+		"A statement was refused because of its caller's API key; the fields give the organisation, and as the cause the configuration that withdrew the key, where this process knows it. Further refusals of the session are not logged.")
 	eventInvalidMessage = event.New(2201, zerolog.WarnLevel, "caller_message_invalid",
 		"A caller sent what is not a message of the protocol; its session ends, since the start of the next message is not known.")
 )
