Refuse unknown API keys, and keys without a recent confirmation

The second field of the start-up message is digested by the adapter and looked up at start-up and for each statement. Where withdrawn keys must stop working in time, keys are refused once the configuration has not been confirmed for 0.9 of the revocation time. Responses of the store's feed, replies of delegates and replies to pings confirm it. The feed of the configuration is then polled for 1 s at a time by the processes that follow the store.

The configuration of a peer of an earlier version is not taken over, because it lacks the organisations and would require no keys.

--- a/internal/catalog/events.go
+++ b/internal/catalog/events.go
@@ -18,5 +18,6 @@
 	eventDelegationEnded      = event.New(2308, zerolog.InfoLevel, "store_delegation_ended", "This process follows the store itself.")
 	eventFeedSilent           = event.New(2310, zerolog.WarnLevel, "store_feed_silent", "Another process knows a change that the store's feed has not delivered to this one; its connection is taken for silent and replaced.")
 	eventReadPanicked         = event.New(2311, zerolog.ErrorLevel, "catalog_read_panicked", "A panic failed one read of the store or of a peer's catalog; the last known state stays and the read is repeated. Report it with the stack.")
+	eventKeysChanged          = event.New(2312, zerolog.InfoLevel, "api_keys_changed", "A configuration has added API keys to an organisation or withdrawn some; the fields give its version and the numbers of keys, never a key.")
 	eventUpstreamFailed       = event.New(2309, zerolog.WarnLevel, "store_upstream_failed", "A process that follows the store for this one did not answer, or cannot reach the store.")
 )
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -29,6 +29,11 @@
 	recoveryPollTime = 100 * time.Millisecond
 	// feedGrace is the time after feedPollTime at which a poll times out.
 	feedGrace = 2 * time.Second
+	// confirmPollTime and confirmGrace replace feedPollTime and feedGrace for the
+	// configuration where its age matters for withdrawn keys: keys are refused 4.5 s
+	// after the last confirmation, and one response may be lost in that time.
+	confirmPollTime = time.Second
+	confirmGrace    = 500 * time.Millisecond
 	// loadTimeout limits one complete read; the slowest store answers in about
 	// half a second.
 	loadTimeout = 2 * time.Second
@@ -87,6 +92,10 @@
 	tracker    *Tracker
 	delegation Delegation
 	log        *zerolog.Logger
+	// clock gives the times of confirmations; nil if there are none. strict reports
+	// whether the configuration has to be confirmed frequently.
+	clock  func() time.Duration
+	strict func() bool
 	// unreachable is set for each topic whose last call failed.
 	unreachable [2]atomic.Bool
 	// expecting is set while a change that another process knows is expected.
@@ -103,6 +112,14 @@
 	return &Follower{source: source, tracker: tracker, delegation: delegation, log: log}
 }
 
+// ConfirmBy makes each response of the store confirm the active configuration. clock is a
+// monotonic clock that also runs while the machine is suspended; strict reports whether
+// keys that are withdrawn must stop working although the store is unreachable. ConfirmBy
+// must be called before Run.
+func (f *Follower) ConfirmBy(clock func() time.Duration, strict func() bool) {
+	f.clock, f.strict = clock, strict
+}
+
 // StoreUnreachable reports whether the last call for any topic failed.
 func (f *Follower) StoreUnreachable() bool {
 	return f.unreachable[TopicConfiguration].Load() || f.unreachable[TopicServers].Load()
@@ -189,8 +206,13 @@
 // a failed read.
 func (f *Follower) readAndApply(ctx context.Context, topic Topic, version uint64) (update Update, complete bool, err error) {
 	err = panics.Recover(func() (err error) {
+		var sent time.Duration
+		if f.clock != nil {
+			sent = f.clock()
+		}
 		if update, complete, err = f.read(ctx, topic, version); err == nil {
 			f.apply(topic, update, complete)
+			f.confirm(topic, sent)
 		}
 		return err
 	})
@@ -198,6 +220,15 @@
 	return update, complete, err
 }
 
+// confirm records that the store had no configuration above the active one when a request
+// was sent whose response has been applied.
+func (f *Follower) confirm(topic Topic, sent time.Duration) {
+	if topic == TopicConfiguration && f.clock != nil {
+		version, _ := f.tracker.Versions()
+		f.tracker.Confirm(version, sent)
+	}
+}
+
 // logPanic logs an error that was a panic with its stack.
 func logPanic(log *zerolog.Logger, err error) {
 	var panicked *panics.Error
@@ -232,11 +263,14 @@
 		update, err = f.source.Load(ctx, topic)
 		return update, true, err
 	}
-	wait := feedPollTime
+	wait, grace := feedPollTime, feedGrace
+	if topic == TopicConfiguration && f.strict != nil && f.strict() {
+		wait, grace = confirmPollTime, confirmGrace
+	}
 	if f.unreachable[topic].Load() {
 		wait = recoveryPollTime
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+feedGrace)
+	ctx, cancel := context.WithTimeout(ctx, wait+grace)
 	defer cancel()
 	f.mu.Lock()
 	f.cancels[topic] = cancel
--- a/internal/catalog/subscriber.go
+++ b/internal/catalog/subscriber.go
@@ -34,8 +34,17 @@
 	// this one, in order of preference; none if it follows the store itself.
 	Upstreams() []string
 	// AwaitUpdate waits up to wait until the catalog of the process at address is
-	// newer than that of the local tracker, and returns it; nil if it is not.
-	AwaitUpdate(ctx context.Context, address string, wait time.Duration) ([]byte, error)
+	// newer than that of the local tracker, and returns it.
+	AwaitUpdate(ctx context.Context, address string, wait time.Duration) (PeerCatalog, error)
+}
+
+// PeerCatalog is the reply of a process that follows the store.
+type PeerCatalog struct {
+	// Data is the result of Export; nil if the catalog is not newer.
+	Data []byte
+	// Confirmation is what the process knows of the age of the configuration, by the
+	// local clock; zero if nothing.
+	Confirmation Confirmation
 }
 
 // Subscriber updates a Tracker from processes that follow the store, so that the
@@ -97,11 +106,11 @@
 func (s *Subscriber) pollUpstream(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, upstreamPollTime+upstreamGrace)
 	defer cancel()
-	data, err := s.peers.AwaitUpdate(ctx, address, upstreamPollTime)
-	if err != nil || len(data) == 0 {
-		return err
+	reply, err := s.peers.AwaitUpdate(ctx, address, upstreamPollTime)
+	if err == nil {
+		err = s.tracker.Merge(reply)
 	}
-	return s.tracker.Import(data)
+	return err
 }
 
 // setUpstream begins or ends the delegation. upstream is the address of the
--- a/internal/catalog/subscriber_test.go
+++ b/internal/catalog/subscriber_test.go
@@ -28,19 +28,20 @@
 	return slices.Clone(p.upstreams)
 }
 
-func (p *fakePeers) AwaitUpdate(ctx context.Context, address string, wait time.Duration) ([]byte, error) {
+func (p *fakePeers) AwaitUpdate(ctx context.Context, address string, wait time.Duration) (PeerCatalog, error) {
 	p.mu.Lock()
 	unresponsive, notFollowing, peer := p.unresponsive[address], p.notFollowing[address], p.trackers[address]
 	p.mu.Unlock()
 	switch {
 	case unresponsive:
 		<-ctx.Done()
-		return nil, ctx.Err()
+		return PeerCatalog{}, ctx.Err()
 	case notFollowing:
-		return nil, ErrNotFollowing
+		return PeerCatalog{}, ErrNotFollowing
 	}
 	configuration, servers := p.local.Versions()
-	return peer.AwaitUpdate(ctx, configuration, servers, wait)
+	data, err := peer.AwaitUpdate(ctx, configuration, servers, wait)
+	return PeerCatalog{Data: data}, err
 }
 
 func (p *fakePeers) set(change func()) {
--- a/internal/catalog/tracker.go
+++ b/internal/catalog/tracker.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"maps"
 	"slices"
 	"sync"
@@ -37,7 +38,15 @@
 	mu            sync.Mutex
 	configuration *Configuration
 	routes        map[string]Route
-	servers       map[cluster.ServerID]Server
+	// organisations holds the organisations by the digests of their keys, withdrawals
+	// the keys that recent configurations have taken away.
+	organisations map[KeyDigest]string
+	withdrawals   map[KeyDigest]Withdrawal
+	// confirmedAt is the last time at which the store had no newer configuration; it is
+	// valid if confirmed is set.
+	confirmedAt time.Duration
+	confirmed   bool
+	servers     map[cluster.ServerID]Server
 	// coverage states how much of the store's history servers reflects.
 	coverage Coverage
 	// missingSince holds the time at which the entry of a server was first missing.
@@ -51,7 +60,7 @@
 func NewTracker(log *zerolog.Logger) *Tracker {
 	return &Tracker{
 		log: log, servers: map[cluster.ServerID]Server{}, missingSince: map[cluster.ServerID]time.Time{},
-		changed: make(chan struct{}),
+		withdrawals: map[KeyDigest]Withdrawal{}, changed: make(chan struct{}),
 	}
 }
 
@@ -89,10 +98,7 @@
 func (t *Tracker) Versions() (configuration, servers uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.configuration != nil {
-		configuration = t.configuration.Version
-	}
-	return configuration, t.coverage.Latest
+	return t.version(), t.coverage.Latest
 }
 
 // Complete reports whether both a configuration and the list of servers are
@@ -118,17 +124,16 @@
 	if c == nil || t.configuration != nil && c.Version <= t.configuration.Version {
 		return
 	}
-	before := uint64(0)
-	if t.configuration != nil {
-		before = t.configuration.Version
-	}
+	before := t.version()
 	t.configuration = c
 	t.routes = make(map[string]Route, len(c.Routes))
 	for _, r := range c.Routes {
 		t.routes[r.Database] = r
 	}
+	t.setOrganisations(c)
 	eventConfigurationInForce.Log(t.log).Uint64("version", c.Version).Uint64("before", before).
-		Str("origin", string(origin)).Int("routes", len(c.Routes)).Send()
+		Str("origin", string(origin)).Int("routes", len(c.Routes)).
+		Bool("keys_required", c.KeysRequired).Int("organisations", len(c.Organisations)).Send()
 	t.notify()
 }
 
@@ -243,6 +248,8 @@
 // exportedState is the state that peers exchange as JSON under the names of its
 // fields.
 type exportedState struct {
+	// Organisations is set by processes that know the organisations of a configuration.
+	Organisations bool
 	Configuration *Configuration
 	Servers       []Server
 	Covered       Coverage
@@ -256,7 +263,7 @@
 	if t.configuration == nil || t.exportCache != nil {
 		return t.exportCache, nil
 	}
-	out := exportedState{Configuration: t.configuration, Covered: t.coverage}
+	out := exportedState{Organisations: true, Configuration: t.configuration, Covered: t.coverage}
 	for id, s := range t.servers {
 		if _, missing := t.missingSince[id]; !missing {
 			out.Servers = append(out.Servers, s)
@@ -271,6 +278,10 @@
 	return data, nil
 }
 
+// ErrNoOrganisations reports the configuration of a peer of an earlier version, which
+// does not pass on the organisations: a process that took it would require no keys.
+var ErrNoOrganisations = errors.New("the peer does not know the organisations of the configuration")
+
 // AwaitUpdate waits up to wait until the state is newer than the given versions
 // and returns the result of Export; nil if it is not.
 func (t *Tracker) AwaitUpdate(ctx context.Context, configuration, servers uint64, wait time.Duration) ([]byte, error) {
@@ -298,12 +309,29 @@
 	return err
 }
 
+// Merge merges a reply of a peer. A configuration that the reply confirms is imported
+// before.
+func (t *Tracker) Merge(reply PeerCatalog) error {
+	if len(reply.Data) > 0 {
+		if err := t.Import(reply.Data); err != nil {
+			return err
+		}
+	}
+	if reply.Confirmation != (Confirmation{}) {
+		t.Confirm(reply.Confirmation.Version, reply.Confirmation.At)
+	}
+	return nil
+}
+
 func (t *Tracker) importState(data []byte) error {
 	var in exportedState
 	if err := json.Unmarshal(data, &in); err != nil {
 		return eris.Wrap(err, "decode catalog of a peer")
 	}
-	t.SetConfiguration(in.Configuration, OriginPeer)
 	t.SetServers(in.Servers, in.Covered, OriginPeer)
+	if !in.Organisations && in.Configuration != nil {
+		return ErrNoOrganisations
+	}
+	t.SetConfiguration(in.Configuration, OriginPeer)
 	return nil
 }
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/rattancove/rattancove/internal/caller"
+	"github.com/rattancove/rattancove/internal/catalog"
 	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/panics"
@@ -81,22 +82,23 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	callerConn := c.edge.adapters.Caller(conn)
-	database, err := callerConn.Startup(time.Now().Add(startupTimeout))
+	database, key, err := callerConn.Startup(time.Now().Add(startupTimeout))
 	if err != nil {
 		sessionsRefused.Inc()
 		return // no valid start-up message to answer
 	}
 	if !c.edge.awaitCatalog(ctx) {
 		sessionsRefused.Inc()
-		eventNoCatalog.Log(&c.edge.log).Str("database", database).Send()
-		return // no answer: whether the database exists is unknown, and the caller may retry
+		eventNoCatalog.Log(&c.edge.log).Send() // the name of the database may be a key
+		return                                 // no answer: whether the database exists is unknown, and the caller may retry
 	}
-	if _, ok := c.edge.tracker.Route(database); !ok {
-		c.refuse(conn, callerConn, database, errcode.New(errcode.UnknownDatabase, "start-up", database))
+	if refusal := c.admit(database, key); refusal != nil {
+		c.refuse(conn, callerConn, database, refusal)
 		return
 	}
 	session := caller.New(caller.Config{
 		Routes: c.edge.tracker, Runner: c.edge.gateway, Log: &c.edge.log,
+		Authorize: func(route catalog.Route) (string, *errcode.Error) { return c.edge.access.authorize(key, route) },
 	}, callerConn, database, c.drain)
 	if err := c.add(conn, session); err != nil {
 		c.refuse(conn, callerConn, database, err)
@@ -109,12 +111,26 @@
 	}
 }
 
+// admit checks a caller's key and database. A caller with an unknown key does not learn
+// whether a database exists.
+func (c *callers) admit(database string, key catalog.KeyDigest) *errcode.Error {
+	route, ok := c.edge.tracker.Route(database)
+	if _, refusal := c.edge.access.authorize(key, route); refusal != nil {
+		return refusal
+	}
+	if !ok {
+		return errcode.New(errcode.UnknownDatabase, "start-up", "")
+	}
+	return nil
+}
+
 // refuse answers a caller's start-up message with an error.
 func (c *callers) refuse(conn net.Conn, callerConn CallerConn, database string, refusal *errcode.Error) {
 	sessionsRefused.Inc()
 	version, _ := c.edge.tracker.Versions()
+	database = c.edge.access.loggableDatabase(database)
 	eventCallerRefused.Log(&c.edge.log).Str("database", database).Uint64("version", version).
-		Str("code", refusal.Code.Name).Send()
+		Str("code", refusal.Code.Name).Str("organisation", refusal.Peer).AnErr("cause", refusal.Cause).Send()
 	if err := callerConn.Refuse(refusal); err != nil {
 		eventAcceptFailed.Log(&c.edge.log).Str("database", database).Err(err).Send()
 		return
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -50,8 +50,9 @@
 // CallerConn is an accepted caller connection.
 type CallerConn interface {
 	caller.Conn
-	// Startup reads the start-up message and returns the requested database.
-	Startup(deadline time.Time) (string, error)
+	// Startup reads the start-up message and returns the requested database and the
+	// digest of the API key.
+	Startup(deadline time.Time) (database string, key catalog.KeyDigest, err error)
 	// Accept and Refuse answer the start-up message.
 	Accept() error
 	Refuse(e *errcode.Error) error
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -41,6 +41,7 @@
 	started  time.Time
 
 	tracker *catalog.Tracker
+	access  *access
 	// subscriber receives the catalog from other processes, follower from the store.
 	subscriber *catalog.Subscriber
 	follower   *catalog.Follower
@@ -77,8 +78,13 @@
 	e := &Edge{config: config, adapters: adapters, log: log, started: time.Now()}
 	e.settings.Store(&config)
 	e.tracker = catalog.NewTracker(&e.log)
+	e.access = &access{
+		tracker: e.tracker, clock: duty.BootTime, log: &e.log,
+		revocation: func() time.Duration { return e.settings.Load().RevocationTime },
+	}
 	e.subscriber = catalog.NewSubscriber(e.tracker, catalogPeers{e}, &e.log)
 	e.follower = catalog.NewFollower(adapters.Source, e.tracker, e.subscriber, &e.log)
+	e.follower.ConfirmBy(func() time.Duration { return e.access.clock() }, e.access.strict)
 	e.placements.unreachableUntil = map[cluster.ProxyID]time.Time{}
 	e.proxyContexts = gateway.NewProxyContexts(member.StateDead, member.StateSuspect)
 	e.statementPeers = peer.NewRegistry(adapters.Dial)
@@ -188,25 +194,26 @@
 	})
 }
 
-// awaitCatalog waits up to catalogTimeout for the first configuration and reports
-// whether one has arrived.
+// awaitCatalog waits up to catalogTimeout for the first configuration, and for its first
+// confirmation where keys need one. It reports whether there is a configuration.
 func (e *Edge) awaitCatalog(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, catalogTimeout)
 	defer cancel()
 	for {
 		changed := e.tracker.Changed()
-		if configuration, _ := e.tracker.Versions(); configuration > 0 {
+		configuration, _ := e.tracker.Versions()
+		if configuration > 0 && !e.access.awaitsFirstConfirmation() {
 			return true
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return false
+			return configuration > 0
 		}
 	}
 }
 
 // ready reports whether this process accepts new callers.
 func (e *Edge) ready() bool {
-	return e.tracker.Complete() && !e.stopping.Load()
+	return e.tracker.Complete() && !e.access.awaitsFirstConfirmation() && !e.stopping.Load()
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -44,12 +44,14 @@
 
 // Ping implements member.Pinger.
 func (p pinger) Ping(ctx context.Context, address string, message member.PingMessage) (member.PingMessage, error) {
+	sent := p.edge.access.clock()
 	reply, err := p.edge.controlPeers.Client(address).Ping(ctx, &peerpb.PingRequest{
 		From: peer.ReportToProto(message.From), Members: peer.ReportsToProto(message.Members), Documents: p.edge.catalogVersions(),
 	})
 	if err != nil {
 		return member.PingMessage{}, err
 	}
+	p.edge.confirmFrom(reply.GetDocuments(), sent)
 	p.edge.fetchIfNewer(address, reply.GetDocuments())
 	return member.PingMessage{From: peer.ReportFromProto(reply.GetFrom()), Members: peer.ReportsFromProto(reply.GetMembers())}, nil
 }
@@ -67,13 +69,13 @@
 // catalogVersions encodes the catalog's versions for a ping; see catalogName. It
 // returns none while there is no configuration.
 func (e *Edge) catalogVersions() []*peerpb.DocumentVersion {
-	configuration, servers := e.tracker.Versions()
-	if configuration == 0 {
+	version := e.confirmedVersion(e.access.clock())
+	if version.GetRevision() == 0 {
 		return nil
 	}
-	return []*peerpb.DocumentVersion{{
-		Environment: catalogName, Revision: configuration, Digest: strconv.FormatUint(servers, 10),
-	}}
+	_, servers := e.tracker.Versions()
+	version.Digest = strconv.FormatUint(servers, 10)
+	return []*peerpb.DocumentVersion{version}
 }
 
 // fetchIfNewer fetches the catalog of a peer that has a newer one. A process that
@@ -112,22 +114,36 @@
 	defer e.fetchingCatalog.Store(false)
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	reply, err := e.controlPeers.Client(address).Document(ctx, &peerpb.DocumentRequest{Environment: catalogName})
-	if err == nil && len(reply.GetDocument()) > 0 {
-		err = e.tracker.Import(reply.GetDocument())
+	reply, err := e.requestCatalog(ctx, address, &peerpb.DocumentRequest{Environment: catalogName})
+	if err == nil {
+		err = e.tracker.Merge(reply)
 	}
 	if err != nil {
 		eventCatalogFetchFailed.Log(&e.log).Str("peer", address).Err(err).Send()
 	}
 }
 
+// requestCatalog requests the catalog of a peer.
+func (e *Edge) requestCatalog(ctx context.Context, address string, request *peerpb.DocumentRequest) (catalog.PeerCatalog, error) {
+	sent := e.access.clock()
+	reply, err := e.controlPeers.Client(address).Document(ctx, request)
+	if err != nil {
+		return catalog.PeerCatalog{}, err
+	}
+	return catalog.PeerCatalog{
+		Data:         reply.GetDocument(),
+		Confirmation: e.confirmationOf(reply.GetVersion(), sent, time.Duration(reply.GetHeldNanos())),
+	}, nil
+}
+
 // handleCatalog returns the catalog. A request with a wait is a long poll for a
 // catalog that is newer than the versions in the request, which are encoded as
 // catalogName describes. It is served only while this process follows the store.
 func (e *Edge) handleCatalog(ctx context.Context, in *peerpb.DocumentRequest) (*peerpb.DocumentReply, error) {
+	arrived := e.access.clock()
 	if in.GetWaitNanos() == 0 {
 		data, err := e.tracker.Export()
-		return &peerpb.DocumentReply{Document: data}, err
+		return e.catalogReply(data, arrived), err
 	}
 	servers, err := strconv.ParseUint(in.GetBaseDigest(), 10, 64)
 	if err != nil {
@@ -140,7 +156,14 @@
 	if err == nil && data == nil && !e.followsStore() {
 		err = catalog.ErrNotFollowing
 	}
-	return &peerpb.DocumentReply{Document: data}, err
+	return e.catalogReply(data, arrived), err
+}
+
+// catalogReply returns a reply with the age of the configuration and the time since the
+// request arrived, both at the same moment.
+func (e *Edge) catalogReply(data []byte, arrived time.Duration) *peerpb.DocumentReply {
+	now := e.access.clock()
+	return &peerpb.DocumentReply{Document: data, Version: e.confirmedVersion(now), HeldNanos: int64(now - arrived)}
 }
 
 // catalogPeers implements catalog.Peers with the delegates of this failure domain,
@@ -168,13 +191,12 @@
 }
 
 // AwaitUpdate implements catalog.Peers.
-func (p catalogPeers) AwaitUpdate(ctx context.Context, address string, wait time.Duration) ([]byte, error) {
+func (p catalogPeers) AwaitUpdate(ctx context.Context, address string, wait time.Duration) (catalog.PeerCatalog, error) {
 	configuration, servers := p.edge.tracker.Versions()
-	reply, err := p.edge.controlPeers.Client(address).Document(ctx, &peerpb.DocumentRequest{
+	return p.edge.requestCatalog(ctx, address, &peerpb.DocumentRequest{
 		Environment: catalogName, AtLeastRevision: configuration, BaseDigest: strconv.FormatUint(servers, 10),
 		WaitNanos: int64(wait),
 	})
-	return reply.GetDocument(), err
 }
 
 // announce pings all other processes immediately with the state of this one.
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -15,6 +15,7 @@
 	inForce := *current
 	inForce.Seeds, inForce.StopTime = next.Seeds, next.StopTime
 	inForce.MaxDescriptors, inForce.MemoryLimit = next.MaxDescriptors, next.MemoryLimit
+	inForce.RevocationTime = next.RevocationTime
 	e.settings.Store(&inForce)
 	e.members.SetSeeds(inForce.Seeds)
 	eventReloaded.Log(&e.log).Strs("applied", applied).Strs("after_restart", afterRestart).Strs("seeds", inForce.Seeds).
@@ -34,6 +35,7 @@
 		{"stop_time", current.StopTime != next.StopTime, &applied},
 		{"memory_limit", current.MemoryLimit != next.MemoryLimit, &applied},
 		{"max_descriptors", current.MaxDescriptors != next.MaxDescriptors, &applied},
+		{"revocation_time", current.RevocationTime != next.RevocationTime, &applied},
 		{"id", current.ID != next.ID, &afterRestart},
 		{"failure_domain", current.FailureDomain != next.FailureDomain, &afterRestart},
 		{"callers", current.CallersListen != next.CallersListen, &afterRestart},
