--- a/internal/caller/session_test.go
+++ b/internal/caller/session_test.go
@@ -74,6 +74,8 @@
 	// failures holds the errors that batches fail with, by the text of the batch.
 	failures map[string]error
 	floor    cluster.Position
+	// organisations holds the organisations of the requests.
+	organisations []string
 }
 
 func (h *fakeHome) record(b *statement.Batch, settings []statement.Setting) error {
@@ -83,6 +85,7 @@
 
 func (h *fakeHome) Run(ctx context.Context, req *statement.Request, conv statement.Conversation) (statement.Result, error) {
 	h.floor = req.Floor
+	h.organisations = append(h.organisations, req.Organisation)
 	settings := req.Settings
 	batch := &req.First
 	inTransaction := batch.Class == statement.ClassBegin || batch.Class == statement.ClassBeginReadOnly
