Confirm the configuration by polls of the feed only

The store may answer a complete read from a copy that is behind, so that a load would have confirmed a configuration from which a newer version had withdrawn a key. The poll after a load and one that is late are short, so that the first confirmation comes within about 100 ms.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -25,7 +25,8 @@
 	// and none of them is urgent within a second.
 	minServersInterval = 300 * time.Millisecond
 	// recoveryPollTime replaces feedPollTime after a failed call, so that the
-	// recovery of the store is detected before the next change.
+	// recovery of the store is detected before the next change. It also replaces
+	// confirmPollTime while a confirmation is late.
 	recoveryPollTime = 100 * time.Millisecond
 	// feedGrace is the time after feedPollTime at which a poll times out.
 	feedGrace = 2 * time.Second
@@ -212,7 +213,7 @@
 		}
 		if update, complete, err = f.read(ctx, topic, version); err == nil {
 			f.apply(topic, update, complete)
-			f.confirm(topic, sent)
+			f.confirm(topic, complete, sent)
 		}
 		return err
 	})
@@ -220,10 +221,12 @@
 	return update, complete, err
 }
 
-// confirm records that the store had no configuration above the active one when a request
-// was sent whose response has been applied.
-func (f *Follower) confirm(topic Topic, sent time.Duration) {
-	if topic == TopicConfiguration && f.clock != nil {
+// confirm records that the store had no configuration above the active one when a poll
+// was sent whose response has been applied. Complete reads confirm nothing, because the
+// store may answer them from a copy that is behind; the poll after them shows what they
+// lack.
+func (f *Follower) confirm(topic Topic, complete bool, sent time.Duration) {
+	if topic == TopicConfiguration && !complete && f.clock != nil {
 		version, _ := f.tracker.Versions()
 		f.tracker.Confirm(version, sent)
 	}
@@ -263,13 +266,7 @@
 		update, err = f.source.Load(ctx, topic)
 		return update, true, err
 	}
-	wait, grace := feedPollTime, feedGrace
-	if topic == TopicConfiguration && f.strict != nil && f.strict() {
-		wait, grace = confirmPollTime, confirmGrace
-	}
-	if f.unreachable[topic].Load() {
-		wait = recoveryPollTime
-	}
+	wait, grace := f.pollTime(topic)
 	ctx, cancel := context.WithTimeout(ctx, wait+grace)
 	defer cancel()
 	f.mu.Lock()
@@ -279,6 +276,22 @@
 	return update, false, err
 }
 
+// pollTime returns the time for which the store may hold a poll open, and the time after
+// that at which the poll times out.
+func (f *Follower) pollTime(topic Topic) (wait, grace time.Duration) {
+	wait, grace = feedPollTime, feedGrace
+	late := false
+	if topic == TopicConfiguration && f.strict != nil && f.strict() {
+		wait, grace = confirmPollTime, confirmGrace
+		age, known := f.tracker.ConfirmedAge(f.clock())
+		late = !known || age > confirmPollTime+confirmGrace
+	}
+	if late || f.unreachable[topic].Load() {
+		wait = recoveryPollTime
+	}
+	return wait, grace
+}
+
 func (f *Follower) apply(topic Topic, update Update, complete bool) {
 	switch {
 	case topic == TopicConfiguration:
