Keep pooled connections apart by organisation

A server learns the organisation of a connection when it is opened, so a connection may serve one organisation only. The pool selects connections by a tag, replaces the least recently used one of another tag at the limit, opens several at once where tags are in use and keeps idle ones. Without tags it works as before.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -132,6 +132,8 @@
 
 // Dialer opens connections to backend servers.
 type Dialer interface {
-	Dial(ctx context.Context, s cluster.Server, group cluster.GroupName, c Claim) (Conn, error)
+	// Dial opens a data connection on which only statements of the organisation may run. It
+	// is empty where callers have no organisation.
+	Dial(ctx context.Context, s cluster.Server, group cluster.GroupName, organisation string, c Claim) (Conn, error)
 	DialControl(ctx context.Context, s cluster.Server, group cluster.GroupName) (Control, error)
 }
--- a/internal/backend/backendtest/conn.go
+++ b/internal/backend/backendtest/conn.go
@@ -25,7 +25,7 @@
 }
 
 // Dial implements backend.Dialer.
-func (d *dialer) Dial(ctx context.Context, s cluster.Server, _ cluster.GroupName, c backend.Claim) (backend.Conn, error) {
+func (d *dialer) Dial(ctx context.Context, s cluster.Server, _ cluster.GroupName, _ string, c backend.Claim) (backend.Conn, error) {
 	conn, err := d.open(ctx, s, c, false)
 	if err != nil {
 		code := errcode.ConnectionLost
--- a/internal/home/attempt.go
+++ b/internal/home/attempt.go
@@ -138,13 +138,13 @@
 }
 
 func (att *attempt) connect(ctx context.Context) error {
-	if att.conn = att.node.pool.TryGet(); att.conn != nil {
+	if att.conn = att.node.pool.TryGet(att.request.Organisation); att.conn != nil {
 		return nil
 	}
 	ctx, cancel := context.WithDeadline(ctx, att.request.deadline)
 	defer cancel()
 	defer context.AfterFunc(att.termCtx, cancel)()
-	conn, err := att.node.pool.Get(ctx)
+	conn, err := att.node.pool.Get(ctx, att.request.Organisation)
 	if err != nil {
 		return errcode.Wrap(err, errcode.ConnectionLost, "connect", string(att.node.server.ID))
 	}
--- a/internal/home/eject.go
+++ b/internal/home/eject.go
@@ -45,7 +45,7 @@
 func (n *node) probeNewConnection() bool {
 	ctx, cancel := context.WithTimeout(n.ctx, callTimeout)
 	defer cancel()
-	conn, err := n.dial(ctx)
+	conn, err := n.dial(ctx, "")
 	if err != nil {
 		return false
 	}
--- a/internal/home/node.go
+++ b/internal/home/node.go
@@ -102,8 +102,9 @@
 	return max(s.Connections-reservedConnections, s.Connections/2, 1)
 }
 
-func (n *node) dial(ctx context.Context) (backend.Conn, error) {
-	conn, err := n.owner.home.dialer.Dial(ctx, n.server, n.owner.name, n.owner.backendClaim())
+// dial opens a connection on which only statements of the organisation may run.
+func (n *node) dial(ctx context.Context, organisation string) (backend.Conn, error) {
+	conn, err := n.owner.home.dialer.Dial(ctx, n.server, n.owner.name, organisation, n.owner.backendClaim())
 	n.reportOutOfStep(err)
 	if err != nil && n.connectionsExhausted(err) {
 		n.owner.home.reclaim(n.owner, n)
--- a/internal/pgwire/back/dialer.go
+++ b/internal/pgwire/back/dialer.go
@@ -25,11 +25,12 @@
 // New returns a Dialer.
 func New(cfg Config) *Dialer { return &Dialer{cfg: cfg.withDefaults()} }
 
-// Dial opens a data connection on behalf of claim. The error is an
+// Dial opens a data connection on behalf of claim. It ignores the organisation, because
+// callers of this protocol have none. The error is an
 // *errcode.Error: superseded if the server has accepted a higher claim,
 // overloaded if it has reached its connection limit, connection lost
 // otherwise. The caller owns the connection.
-func (d *Dialer) Dial(ctx context.Context, s cluster.Server, group cluster.GroupName, claim backend.Claim) (backend.Conn, error) {
+func (d *Dialer) Dial(ctx context.Context, s cluster.Server, group cluster.GroupName, _ string, claim backend.Claim) (backend.Conn, error) {
 	params := map[string]string{}
 	if claim.Epoch > 0 {
 		params[ParamEpoch] = strconv.FormatUint(uint64(claim.Epoch), 10)
--- a/internal/pool/open.go
+++ b/internal/pool/open.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/rattancove/rattancove/internal/delay"
 )
 
@@ -13,12 +11,16 @@
 const drainPollInterval = 10 * time.Millisecond
 
 // startOpening starts openLoop if calls of Get are waiting and the limit allows
-// another connection. Connections are opened one at a time.
+// another connection. Connections are opened one at a time without tags and after a
+// failure, and otherwise at most as many as calls are waiting.
 func (p *Pool) startOpening() {
-	if p.opening || p.closed || len(p.waiters) == 0 || p.size() >= p.config.Limit {
+	if p.openers > 0 && !p.opensConcurrently() {
 		return
 	}
-	p.opening = true
+	if p.openers > p.pending || p.nextToOpen() == nil {
+		return // an opener that has not begun yet takes the next waiter
+	}
+	p.openers++
 	p.workers.Go(p.openLoop)
 }
 
@@ -30,27 +32,29 @@
 // openOne opens one connection and reports whether to check for more to open.
 func (p *Pool) openOne() bool {
 	p.mu.Lock()
-	if p.closed || len(p.waiters) == 0 || p.size() >= p.config.Limit {
-		p.opening = false
+	w := p.nextToOpen()
+	if w == nil || p.openers > 1 && !p.opensConcurrently() {
+		p.openers--
 		p.mu.Unlock()
 		return false
 	}
+	tag := w.tag
+	if p.size() >= p.config.Limit {
+		p.evict()
+	}
 	p.pending++
+	p.pendingOf[tag]++
+	p.startOpening()
 	p.mu.Unlock()
 
 	ctx, cancel := context.WithTimeout(p.ctx, p.config.DialTimeout)
-	conn, err := p.config.Dial(ctx)
+	conn, err := p.config.Dial(ctx, tag)
 	cancel()
 
 	p.mu.Lock()
-	p.pending--
+	p.opened(tag)
 	if err != nil {
-		p.stats.Failures++
-		openFailuresTotal.Inc()
-		p.lastErr = err
-		if len(p.inUse) == 0 {
-			p.failWaiters(eris.Wrap(err, "open connection"))
-		}
+		p.openingFailed(err)
 		pause := p.backoff.NextBackOff()
 		p.mu.Unlock()
 		delay.Sleep(p.ctx, pause)
@@ -60,7 +64,7 @@
 	opensTotal.Inc()
 	p.lastErr = nil
 	p.backoff.Reset()
-	p.makeAvailable(newConn(conn))
+	p.makeAvailable(newConn(conn, tag))
 	p.mu.Unlock()
 	return true
 }
@@ -112,6 +116,10 @@
 func (p *Pool) trim(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if now.Sub(p.taggedAt) < tagRetention {
+		return
+	}
+	p.tagged = false
 	for len(p.idle) > p.config.KeepIdle && now.Sub(p.idle[0].idleSince) >= p.config.IdleTime {
 		oldest := p.idle[0]
 		p.idle = p.idle[1:]
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"embed"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,8 +31,8 @@
 type Config struct {
 	// Limit bounds the number of connections, idle and in use.
 	Limit int
-	// Dial opens one connection.
-	Dial func(ctx context.Context) (backend.Conn, error)
+	// Dial opens one connection for a tag.
+	Dial func(ctx context.Context, tag string) (backend.Conn, error)
 	// OnResetError, if not nil, is called with the error of a failed reset or probe.
 	OnResetError func(err error)
 	// DialTimeout and ResetTimeout bound one call of Dial and one reset.
@@ -42,7 +43,7 @@
 	// IdleTime is how long connections in excess of KeepIdle stay open without
 	// use; zero keeps them open. The connections of a process that dies stay open
 	// at the servers for a while, where they count towards the limit of its
-	// successor.
+	// successor. While connections are requested with tags, all stay open.
 	IdleTime time.Duration
 	KeepIdle int
 	// ProbeAfter is the idle time after which a connection is probed.
@@ -68,8 +69,12 @@
 // Conn is a pooled connection.
 type Conn struct {
 	backend.Conn
-	state     statechart.Machine
+	state statechart.Machine
+	// tag is what the connection was opened for; it never changes.
+	tag       string
 	idleSince time.Time
+	// usedAt is the time at which the connection was last returned after use.
+	usedAt time.Time
 }
 
 // Pool holds the connections to one backend server. It is safe for concurrent use.
@@ -82,17 +87,26 @@
 	mu      sync.Mutex
 	idle    []*Conn
 	inUse   map[*Conn]struct{}
-	pending int
 	waiters []*waiter
-	opening bool
-	backoff *backoff.ExponentialBackOff
-	closed  bool
-	lastErr error
-	stats   Stats
+	// pending counts the connections that are being opened, pendingOf by tag.
+	pending   int
+	pendingOf map[string]int
+	// openers is the number of running calls of openLoop.
+	openers int
+	// tagged is set while connections are requested with tags, taggedAt is the time of
+	// the last request with one.
+	tagged   bool
+	taggedAt time.Time
+	backoff  *backoff.ExponentialBackOff
+	closed   bool
+	lastErr  error
+	stats    Stats
 }
 
 // waiter is a call of Get that waits for a connection.
 type waiter struct {
+	tag    string
+	since  time.Time
 	result chan getResult
 }
 
@@ -116,7 +130,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Pool{
 		config: withDefaults(config), ctx: ctx, cancel: cancel,
-		inUse: make(map[*Conn]struct{}), backoff: newBackoff(),
+		inUse: make(map[*Conn]struct{}), pendingOf: make(map[string]int), backoff: newBackoff(),
 	}
 	p.workers.Go(p.probeLoop)
 	if p.config.IdleTime > 0 {
@@ -149,11 +163,11 @@
 	return b
 }
 
-// Get returns a connection. It waits until ctx ends for one to be returned or
-// opened, and fails immediately if opening fails while no connection is in use
-// that could be returned. The error wraps the failure to open a connection.
-func (p *Pool) Get(ctx context.Context) (*Conn, error) {
-	w := &waiter{result: make(chan getResult, 1)}
+// Get returns a connection that was opened for tag. It waits until ctx ends for one to
+// be returned or opened, and fails immediately if opening fails while no connection is
+// in use that could be returned. The error wraps the failure to open a connection.
+func (p *Pool) Get(ctx context.Context, tag string) (*Conn, error) {
+	w := &waiter{tag: tag, result: make(chan getResult, 1)}
 	c, err := p.takeOrWait(w)
 	if c != nil || err != nil {
 		return c, err
@@ -166,21 +180,25 @@
 	}
 }
 
-// TryGet returns an idle connection, or nil if there is none.
-func (p *Pool) TryGet() *Conn {
+// TryGet returns an idle connection of tag, or nil if there is none.
+func (p *Pool) TryGet(tag string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.popIdle()
+	return p.popIdle(tag)
 }
 
-// popIdle returns the most recently used idle connection, or nil if there is none.
-func (p *Pool) popIdle() *Conn {
-	n := len(p.idle)
-	if n == 0 || p.closed {
+// popIdle returns the most recently used idle connection of tag, or nil if there is none.
+func (p *Pool) popIdle(tag string) *Conn {
+	if p.closed {
+		return nil
+	}
+	p.recordTag(tag)
+	i := p.lastIdle(tag)
+	if i < 0 {
 		return nil
 	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
+	c := p.idle[i]
+	p.idle = slices.Delete(p.idle, i, i+1)
 	p.markInUse(c)
 	return c
 }
@@ -192,9 +210,10 @@
 	if p.closed {
 		return nil, ErrClosed
 	}
-	if c := p.popIdle(); c != nil {
+	if c := p.popIdle(w.tag); c != nil {
 		return c, nil
 	}
+	w.since = time.Now()
 	p.waiters = append(p.waiters, w)
 	p.startOpening()
 	return nil, nil
@@ -236,6 +255,7 @@
 		p.closeConn(c)
 		return
 	}
+	c.usedAt = time.Now()
 	if !dirty {
 		p.makeAvailable(c)
 		return
@@ -283,8 +303,8 @@
 }
 
 // newConn wraps a newly opened connection, which is in use.
-func newConn(c backend.Conn) *Conn {
-	pooled := &Conn{Conn: c}
+func newConn(c backend.Conn, tag string) *Conn {
+	pooled := &Conn{Conn: c, tag: tag, usedAt: time.Now()}
 	pooled.state.Init(chart)
 	return pooled
 }
@@ -297,15 +317,21 @@
 	p.inUse[c] = struct{}{}
 }
 
-// makeAvailable passes c to the first waiter, or adds it to the idle list if there is none.
+// makeAvailable passes c to the first waiter for its tag. If there is none, it adds c to
+// the idle list, from where it may be replaced by a connection for another tag.
 func (p *Pool) makeAvailable(c *Conn) {
 	if p.closed {
 		p.closeConn(c)
 		return
 	}
-	if len(p.waiters) > 0 {
-		w := p.waiters[0]
-		p.waiters = p.waiters[1:]
+	if p.mustYield(c) {
+		p.replace(c)
+		p.startOpening()
+		return
+	}
+	if i := p.firstWaiter(c.tag); i >= 0 {
+		w := p.waiters[i]
+		p.waiters = slices.Delete(p.waiters, i, i+1)
 		p.markInUse(c)
 		w.result <- getResult{conn: c}
 		return
@@ -314,6 +340,7 @@
 	_, _, _ = c.state.Fire(eventReturn)
 	c.idleSince = time.Now()
 	p.idle = append(p.idle, c)
+	p.startOpening()
 }
 
 // failWaiters fails every waiting call of Get with err.
