--- a/internal/catalog/confirmation_test.go
+++ b/internal/catalog/confirmation_test.go
@@ -170,7 +170,7 @@
 	}
 	peer := newTracker()
 	peer.SetConfiguration(keyedConfiguration(9, map[string]string{"k": "red"}), OriginStore)
-	data, err := peer.Export()
+	data, err := peer.Export(Known{})
 	if err != nil || tracker.Import(data) != nil {
 		t.Fatal(err)
 	}
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -158,15 +158,16 @@
 	}
 }
 
-// abandonPoll ends the poll of a topic if its version is below that of another process.
+// abandonPoll ends the poll of a topic in progress if its version is below that of another
+// process.
 func (f *Follower) abandonPoll(topic Topic, version, known uint64) {
 	if version >= known {
 		return
 	}
-	eventFeedSilent.Log(f.log).Uint8("topic", uint8(topic)).Uint64("version", version).Uint64("known_by_peer", known).Send()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if cancel := f.cancels[topic]; cancel != nil {
+		eventFeedSilent.Log(f.log).Uint8("topic", uint8(topic)).Uint64("version", version).Uint64("known_by_peer", known).Send()
 		cancel()
 	}
 }
@@ -269,13 +270,19 @@
 	wait, grace := f.pollTime(topic)
 	ctx, cancel := context.WithTimeout(ctx, wait+grace)
 	defer cancel()
-	f.mu.Lock()
-	f.cancels[topic] = cancel
-	f.mu.Unlock()
+	f.setCancel(topic, cancel)
+	defer f.setCancel(topic, nil)
 	update, err = f.source.Changes(ctx, topic, version, wait)
 	return update, false, err
 }
 
+// setCancel records how to end the poll of a topic; nil if none is in progress.
+func (f *Follower) setCancel(topic Topic, cancel context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancels[topic] = cancel
+}
+
 // pollTime returns the time for which the store may hold a poll open, and the time after
 // that at which the poll times out.
 func (f *Follower) pollTime(topic Topic) (wait, grace time.Duration) {
--- a/internal/catalog/odd_test.go
+++ b/internal/catalog/odd_test.go
@@ -12,7 +12,7 @@
 	tracker := newTracker()
 	tracker.SetConfiguration(configuration(3, "d"), OriginStore)
 	tracker.SetServers([]Server{{ID: "s1", Group: "g"}}, coverageUpTo(10), OriginStore)
-	valid, err := tracker.Export()
+	valid, err := tracker.Export(Known{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/catalog/subscriber_test.go
+++ b/internal/catalog/subscriber_test.go
@@ -40,7 +40,7 @@
 		return PeerCatalog{}, ErrNotFollowing
 	}
 	configuration, servers := p.local.Versions()
-	data, err := peer.AwaitUpdate(ctx, configuration, servers, wait)
+	data, err := peer.AwaitUpdate(ctx, Known{Configuration: configuration, Servers: servers}, wait)
 	return PeerCatalog{Data: data}, err
 }
 
@@ -147,7 +147,7 @@
 	peer := newTracker()
 	peer.SetConfiguration(configuration(1, "x"), OriginStore)
 	peer.SetServers([]Server{{ID: "s0", Group: "g"}, {ID: "s1", Group: "g"}}, Coverage{Complete: 101, Latest: 100}, OriginStore)
-	data, err := peer.Export()
+	data, err := peer.Export(Known{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/catalog/tracker.go
+++ b/internal/catalog/tracker.go
@@ -2,19 +2,13 @@
 
 import (
 	"cmp"
-	"context"
-	"encoding/json"
-	"errors"
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"github.com/rattancove/rattancove/internal/cluster"
-	"github.com/rattancove/rattancove/internal/panics"
 )
 
 // missingGrace is the time for which a server stays in the catalog while its
@@ -52,8 +46,8 @@
 	// missingSince holds the time at which the entry of a server was first missing.
 	missingSince map[cluster.ServerID]time.Time
 	changed      chan struct{}
-	// exportCache is the result of Export; nil after a change.
-	exportCache []byte
+	// exports caches the results of Export; it is empty after a change.
+	exports map[exportKey][]byte
 }
 
 // NewTracker returns an empty Tracker.
@@ -61,6 +55,7 @@
 	return &Tracker{
 		log: log, servers: map[cluster.ServerID]Server{}, missingSince: map[cluster.ServerID]time.Time{},
 		withdrawals: map[KeyDigest]Withdrawal{}, changed: make(chan struct{}),
+		exports: map[exportKey][]byte{},
 	}
 }
 
@@ -242,96 +237,5 @@
 func (t *Tracker) notify() {
 	close(t.changed)
 	t.changed = make(chan struct{})
-	t.exportCache = nil
-}
-
-// exportedState is the state that peers exchange as JSON under the names of its
-// fields.
-type exportedState struct {
-	// Organisations is set by processes that know the organisations of a configuration.
-	Organisations bool
-	Configuration *Configuration
-	Servers       []Server
-	Covered       Coverage
-}
-
-// Export returns the encoded state for a peer; nil while there is no
-// configuration. The result must not be modified.
-func (t *Tracker) Export() ([]byte, error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.configuration == nil || t.exportCache != nil {
-		return t.exportCache, nil
-	}
-	out := exportedState{Organisations: true, Configuration: t.configuration, Covered: t.coverage}
-	for id, s := range t.servers {
-		if _, missing := t.missingSince[id]; !missing {
-			out.Servers = append(out.Servers, s)
-		}
-	}
-	slices.SortFunc(out.Servers, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
-	data, err := json.Marshal(out)
-	if err != nil {
-		return nil, eris.Wrap(err, "encode catalog")
-	}
-	t.exportCache = data
-	return data, nil
-}
-
-// ErrNoOrganisations reports the configuration of a peer of an earlier version, which
-// does not pass on the organisations: a process that took it would require no keys.
-var ErrNoOrganisations = errors.New("the peer does not know the organisations of the configuration")
-
-// AwaitUpdate waits up to wait until the state is newer than the given versions
-// and returns the result of Export; nil if it is not.
-func (t *Tracker) AwaitUpdate(ctx context.Context, configuration, servers uint64, wait time.Duration) ([]byte, error) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		changed := t.Changed()
-		if c, s := t.Versions(); c > configuration || s > servers {
-			return t.Export()
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return nil, nil
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-	}
-}
-
-// Import merges the state that Export returned at a peer.
-func (t *Tracker) Import(data []byte) error {
-	err := panics.Recover(func() error { return t.importState(data) })
-	logPanic(t.log, err)
-	return err
-}
-
-// Merge merges a reply of a peer. A configuration that the reply confirms is imported
-// before.
-func (t *Tracker) Merge(reply PeerCatalog) error {
-	if len(reply.Data) > 0 {
-		if err := t.Import(reply.Data); err != nil {
-			return err
-		}
-	}
-	if reply.Confirmation != (Confirmation{}) {
-		t.Confirm(reply.Confirmation.Version, reply.Confirmation.At)
-	}
-	return nil
-}
-
-func (t *Tracker) importState(data []byte) error {
-	var in exportedState
-	if err := json.Unmarshal(data, &in); err != nil {
-		return eris.Wrap(err, "decode catalog of a peer")
-	}
-	t.SetServers(in.Servers, in.Covered, OriginPeer)
-	if !in.Organisations && in.Configuration != nil {
-		return ErrNoOrganisations
-	}
-	t.SetConfiguration(in.Configuration, OriginPeer)
-	return nil
+	clear(t.exports)
 }
--- a/internal/catalog/tracker_test.go
+++ b/internal/catalog/tracker_test.go
@@ -83,7 +83,7 @@
 	newer.SetConfiguration(configuration(4, "b"), OriginStore)
 	newer.SetServers([]Server{{ID: "s2", Group: "g"}}, coverageUpTo(20), OriginStore)
 	exchange := func(from, to *Tracker) {
-		data, err := from.Export()
+		data, err := from.Export(Known{})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -263,3 +263,36 @@
 		work.Wait()
 	})
 }
+
+// TestExportHoldsWhatThePeerLacks guards against a peer that loses or reverts what it has
+// because the reply to it leaves out the unchanged part, plain or compressed.
+func TestExportHoldsWhatThePeerLacks(t *testing.T) {
+	for _, gzip := range []bool{false, true} {
+		from, to := newTracker(), newTracker()
+		exchange := func(known Known) {
+			known.Gzip = gzip
+			data, err := from.Export(known)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(data) == 0 {
+				return
+			}
+			if err := to.Import(data); err != nil {
+				t.Fatal(err)
+			}
+		}
+		from.SetConfiguration(configuration(1, "a"), OriginStore)
+		from.SetServers([]Server{{ID: "s1", Group: "g"}}, coverageUpTo(10), OriginStore)
+		exchange(Known{})
+		from.SetConfiguration(configuration(2, "a", "b"), OriginStore)
+		exchange(Known{Configuration: 1, Servers: 10})
+		from.ApplyChanges(map[cluster.ServerID]*Server{"s2": {ID: "s2", Group: "g"}}, coverageUpTo(11))
+		exchange(Known{Configuration: 2, Servers: 10})
+		exchange(Known{Configuration: 2, Servers: 11})
+		state := to.State()
+		if len(state.Servers) != 2 || state.Configuration.Version != 2 || to.Expire(time.Now().Add(missingGrace)) != 0 || len(to.State().Servers) != 2 {
+			t.Errorf("compressed %v: the peer has %+v, configuration %+v", gzip, to.State().Servers, state.Configuration)
+		}
+	}
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -78,9 +78,11 @@
 	return []*peerpb.DocumentVersion{version}
 }
 
-// fetchIfNewer fetches the catalog of a peer that has a newer one. A process that
-// follows the store itself gives the store a moment to deliver the change first: its
-// connection may have gone silent without an error.
+// fetchIfNewer fetches the catalog of a peer that has a newer one. A process that hears
+// from the store or from a delegate gives these a moment to deliver the change first:
+// their connections may have gone silent without an error, but mostly the change is on its
+// way, and fetching it from many peers would cost most of the traffic between failure
+// domains.
 func (e *Edge) fetchIfNewer(address string, versions []*peerpb.DocumentVersion) {
 	configuration, servers := e.tracker.Versions()
 	for _, v := range versions {
@@ -92,7 +94,7 @@
 			continue
 		}
 		go func() {
-			if configuration > 0 && e.followsStore() && e.follower.Expect(context.Background(), v.GetRevision(), offered) {
+			if configuration > 0 && e.hearsChanges() && e.follower.Expect(context.Background(), v.GetRevision(), offered) {
 				return
 			}
 			e.fetchCatalog(address)
@@ -101,6 +103,12 @@
 	}
 }
 
+// hearsChanges reports whether changes of the catalog arrive without a request: from the
+// store, or from a process that follows it for this one.
+func (e *Edge) hearsChanges() bool {
+	return e.subscriber.Ended() != nil || !e.follower.StoreUnreachable()
+}
+
 // followsStore reports whether this process follows the store directly and the
 // store answers.
 func (e *Edge) followsStore() bool {
@@ -114,7 +122,7 @@
 	defer e.fetchingCatalog.Store(false)
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	reply, err := e.requestCatalog(ctx, address, &peerpb.DocumentRequest{Environment: catalogName})
+	reply, err := e.requestCatalog(ctx, address, 0)
 	if err == nil {
 		err = e.tracker.Merge(reply)
 	}
@@ -123,8 +131,14 @@
 	}
 }
 
-// requestCatalog requests the catalog of a peer.
-func (e *Edge) requestCatalog(ctx context.Context, address string, request *peerpb.DocumentRequest) (catalog.PeerCatalog, error) {
+// requestCatalog requests the parts of a peer's catalog that are newer than those of this
+// process. A positive wait makes it a long poll.
+func (e *Edge) requestCatalog(ctx context.Context, address string, wait time.Duration) (catalog.PeerCatalog, error) {
+	configuration, servers := e.tracker.Versions()
+	request := &peerpb.DocumentRequest{
+		Environment: catalogName, AtLeastRevision: configuration, BaseDigest: strconv.FormatUint(servers, 10),
+		WaitNanos: int64(wait), AcceptGzip: true,
+	}
 	sent := e.access.clock()
 	reply, err := e.controlPeers.Client(address).Document(ctx, request)
 	if err != nil {
@@ -141,18 +155,20 @@
 // catalogName describes. It is served only while this process follows the store.
 func (e *Edge) handleCatalog(ctx context.Context, in *peerpb.DocumentRequest) (*peerpb.DocumentReply, error) {
 	arrived := e.access.clock()
+	servers, err := strconv.ParseUint(in.GetBaseDigest(), 10, 64)
+	// A process of an earlier version that does not wait has no base and gets all.
+	known := catalog.Known{Configuration: in.GetAtLeastRevision(), Servers: servers, Gzip: in.GetAcceptGzip()}
 	if in.GetWaitNanos() == 0 {
-		data, err := e.tracker.Export()
+		data, err := e.tracker.Export(known)
 		return e.catalogReply(data, arrived), err
 	}
-	servers, err := strconv.ParseUint(in.GetBaseDigest(), 10, 64)
 	if err != nil {
 		return nil, errcode.Wrap(err, errcode.Protocol, "await catalog", in.GetBaseDigest())
 	}
 	if !e.followsStore() {
 		return nil, catalog.ErrNotFollowing
 	}
-	data, err := e.tracker.AwaitUpdate(ctx, in.GetAtLeastRevision(), servers, min(time.Duration(in.GetWaitNanos()), maxCatalogWait))
+	data, err := e.tracker.AwaitUpdate(ctx, known, min(time.Duration(in.GetWaitNanos()), maxCatalogWait))
 	if err == nil && data == nil && !e.followsStore() {
 		err = catalog.ErrNotFollowing
 	}
@@ -192,11 +208,7 @@
 
 // AwaitUpdate implements catalog.Peers.
 func (p catalogPeers) AwaitUpdate(ctx context.Context, address string, wait time.Duration) (catalog.PeerCatalog, error) {
-	configuration, servers := p.edge.tracker.Versions()
-	return p.edge.requestCatalog(ctx, address, &peerpb.DocumentRequest{
-		Environment: catalogName, AtLeastRevision: configuration, BaseDigest: strconv.FormatUint(servers, 10),
-		WaitNanos: int64(wait),
-	})
+	return p.edge.requestCatalog(ctx, address, wait)
 }
 
 // announce pings all other processes immediately with the state of this one.
