Keep quotas with credits: stocks at homes and a dealer

Quotas bound the operations of organisations over all processes. A home takes one credit for each operation; the dealer allocates credits so that those used in the last window and those outstanding never exceed the limit. Homes report cumulative counts, so lost and late messages change nothing. A new dealer allows homes only what they report to have until the window of the earlier one has passed.

--- /dev/null
+++ b/internal/quota/account.go
@@ -0,0 +1,125 @@
+package quota
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// dealerSlices is the number of slices of the window in which a dealer counts uses.
+	// A use counts for up to one slice longer than the window.
+	dealerSlices = 100
+	// targetShare is the share of the credits left that all homes may have together
+	// without an immediate need. The rest is for homes that take over a group.
+	targetShare = 0.7
+	// scarceShare is the share of the credits below which homes are told that few are left.
+	scarceShare = 1. / 3
+	// levelInterval is the time between two computations of the fair level.
+	levelInterval = 100 * time.Millisecond
+)
+
+// account is what a dealer knows of the credits of one home and organisation.
+type account struct {
+	organisation *organisation
+	// used is the count of the last report.
+	used uint64
+	// outstanding counts the credits that the home may hold: those that it last reported
+	// and those allocated since.
+	outstanding uint64
+	wanted      uint64
+	// entitled is the number of credits, used in the last window or outstanding, that a
+	// new dealer allows the home, and uses counts its uses. uses is empty once the dealer
+	// has settled.
+	entitled uint64
+	uses     ring
+}
+
+// organisation is what a dealer knows of one organisation.
+type organisation struct {
+	name  string
+	limit Limit
+	// basis is the number of credits of the fleet, and allowance the rest of what a new
+	// dealer may allocate beyond the entitlements.
+	basis, allowance uint64
+	allowanceOpen    bool
+	// uses counts the reported uses, and outstanding all outstanding credits.
+	uses        ring
+	outstanding uint64
+	accounts    map[*account]struct{}
+	// level is the number of credits to which homes that want more are limited, and
+	// missing the number of credits that homes want and do not have, as of levelAt.
+	level, missing uint64
+	levelAt        time.Duration
+}
+
+// newDealerRing returns a ring that counts each event for at least the window, by any
+// clock that differs by at most the margin.
+func newDealerRing(bounds Bounds) ring {
+	window := bounds.Window + bounds.Window/clockMargin
+	return newRing(window/dealerSlices+1, dealerSlices+1)
+}
+
+// free returns the credits that are left.
+func (o *organisation) free(now time.Duration) uint64 {
+	o.uses.advance(now)
+	if taken := o.uses.total + o.outstanding; taken < o.basis {
+		return o.basis - taken
+	}
+	return 0
+}
+
+// updateLevel computes the max-min fair level: targets are the smaller of what a home
+// wants and the level, and all targets together take targetShare of the credits that are
+// not used.
+func (o *organisation) updateLevel(now time.Duration) {
+	if o.levelAt != 0 && now-o.levelAt < levelInterval {
+		return
+	}
+	o.levelAt = now
+	wants := make([]uint64, 0, len(o.accounts))
+	o.missing = 0
+	for a := range o.accounts {
+		if a.wanted > 0 {
+			wants = append(wants, a.wanted)
+		}
+		o.missing += a.wanted - min(a.wanted, a.outstanding)
+	}
+	slices.Sort(wants)
+	o.uses.advance(now)
+	left := uint64(targetShare * float64(o.basis-min(o.basis, o.uses.total)))
+	o.level = left
+	for i, w := range wants {
+		homes := uint64(len(wants) - i)
+		if w*homes > left {
+			o.level = left / homes
+			return
+		}
+		left -= w
+	}
+}
+
+// setOutstanding records the outstanding credits of an account.
+func (a *account) setOutstanding(credits uint64) {
+	a.organisation.outstanding += credits - a.outstanding // modulo 2^64
+	a.outstanding = credits
+}
+
+// use records uses at a time.
+func (a *account) use(at, now time.Duration, credits uint64) {
+	if credits == 0 {
+		return
+	}
+	a.organisation.uses.add(at, now, credits)
+	if a.uses.counts != nil {
+		a.uses.add(at, now, credits)
+	}
+}
+
+// close counts the outstanding credits as used, since the home may have used them, and
+// removes the account.
+func (a *account) close(now time.Duration) {
+	o := a.organisation
+	o.uses.add(now, now, a.outstanding)
+	a.setOutstanding(0)
+	delete(o.accounts, a)
+}
