Count operations of organisations at homes and allocate credits with the grants

Each operation takes a credit of its organisation before it queues, and gives it back if no server was sent it. The report of credits goes with each call for grants; the holder of the promotion lease answers it. A row in the store tells a new holder whether an earlier one may have allocated credits, and no reply is given once the lease ends before the home gives up the call.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -62,7 +62,15 @@
 	// that it has issued while holding the promotion lease.
 	grants *grant.HeldGrants
 	issuer *grant.Issuer
-	// grantsWanted holds a token while a write waits for a grant.
+	// quotas holds the credits of organisations, and quotaDealer allocates them while
+	// this process holds the promotion lease; nil if quotas are not kept.
+	quotas      *quotas
+	quotaDealer *quotaDealer
+	// quotaConfiguration is the configuration whose limits are in force. It is used by
+	// reconcileHomes only.
+	quotaConfiguration *catalog.Configuration
+	// grantsWanted holds a token while a write waits for a grant, or an operation for a
+	// credit.
 	grantsWanted chan struct{}
 	// settings are the settings in force; config is what the process started with.
 	settings atomic.Pointer[Config]
@@ -87,14 +95,23 @@
 	e.grantsWanted = make(chan struct{}, 1)
 	e.grants, e.issuer = grant.NewHeldGrants(duty.BootTime), grant.NewIssuer(duty.BootTime)
 	e.issuer.AssumeEarlierGrants()
-	e.home = home.New(home.Config{
+	homeConfig := home.Config{
 		ID: config.ID, NoClaims: true, ExactClasses: true, Terms: e.grants, RequestGrants: e.requestGrantsSoon, Log: &e.log,
-	}, adapters.Servers)
+	}
+	if e.quotas = newQuotas(config.Quota, uint64(e.started.UnixNano()), duty.BootTime, e.requestGrantsSoon, &e.log); e.quotas != nil {
+		homeConfig.Quotas = e.quotas
+	}
+	e.home = home.New(homeConfig, adapters.Servers)
 	e.gateway = gateway.New(gateway.Config{Self: config.ID, Local: e.home, HomeLocator: homeLocator{e}, FallbackHome: e.fallbackHome, Log: &e.log})
 	e.callers = newCallers(e)
 	e.lease = duty.New(duty.Config{
 		Holder: string(config.ID), Key: "duty/promotion", Table: adapters.Table, CandidateIndex: e.candidateIndex, Log: &e.log,
 	})
+	if e.quotas != nil {
+		e.quotaDealer = &quotaDealer{
+			bounds: config.Quota, holder: string(config.ID), lease: e.lease, table: adapters.Table, clock: duty.BootTime, log: &e.log,
+		}
+	}
 	e.succession = succession.New(succession.Config{
 		Dialer: adapters.Control, Promoter: adapters.Promoter, Lease: e.lease, Table: adapters.Table, Groups: e.successionGroups,
 		GroupsStale: e.serversStale,
@@ -134,6 +151,9 @@
 	group.Go(func() error { return e.lease.Run(groupCtx) })
 	group.Go(func() error { return e.renewGrants(groupCtx) })
 	group.Go(func() error { return e.succession.Run(groupCtx) })
+	if e.quotaDealer != nil {
+		group.Go(func() error { return e.quotaDealer.run(groupCtx) })
+	}
 	eventStarted.Log(&e.log).Str("callers", e.config.CallersListen).Str("peers", e.config.PeerListen).
 		Str("failure_domain", e.config.FailureDomain).Int64("memory_limit", e.config.MemoryLimit).Send()
 	select {
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -19,5 +19,8 @@
 	eventNoCatalog           = event.New(7110, zerolog.WarnLevel, "no_catalog", "A caller was disconnected because no configuration has been received from the store or a peer yet.")
 	eventCallerPanicked      = event.New(7112, zerolog.ErrorLevel, "caller_panicked", "A panic closed one caller connection; report it with the stack.")
 	eventReloaded            = event.New(7109, zerolog.InfoLevel, "settings_reloaded", "The settings were reloaded; after_restart names the changed settings that take effect at the next start.")
+	eventQuotaRefused        = event.New(7113, zerolog.WarnLevel, "quota_refused", "Operations of an organisation were refused: cause tells whether it has reached its limit or this process got no credits, refused counts those since the last line. Logged at most once a second for each organisation.")
+	eventQuotaDealer         = event.New(7114, zerolog.InfoLevel, "quota_dealer_started", "This process holds the promotion lease and allocates the credits of organisations with a limit.")
+	eventQuotaRowFailed      = event.New(7115, zerolog.WarnLevel, "quota_row_failed", "The row that tells dealers of quotas about each other could not be read or written; until it is, no credits are allocated after a change of the holder of the promotion lease.")
 	eventReloadFailed        = event.New(7111, zerolog.WarnLevel, "settings_unreadable", "The changed settings are invalid or cannot be read; the previous ones stay in force.")
 )
--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -9,7 +9,9 @@
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/grant"
 	"github.com/rattancove/rattancove/internal/member"
+	"github.com/rattancove/rattancove/internal/peer"
 	"github.com/rattancove/rattancove/internal/peer/peerpb"
+	"github.com/rattancove/rattancove/internal/quota"
 )
 
 const (
@@ -18,8 +20,8 @@
 	grantInterval = grant.MaxDuration * 3 / 10
 	// minGrantInterval applies instead while a write needs a grant.
 	minGrantInterval = 50 * time.Millisecond
-	// grantTimeout bounds one request for grants.
-	grantTimeout = grant.MaxDuration / 4
+	// grantTimeout bounds one request for grants. Quotas accept no later reply.
+	grantTimeout = min(grant.MaxDuration/4, quota.CallTime)
 )
 
 // renewGrants periodically asks the holder of the promotion lease for grants of
@@ -27,11 +29,12 @@
 func (e *Edge) renewGrants(ctx context.Context) error {
 	for e.waitForGrantRequest(ctx) {
 		groups := e.servedGroups()
-		if len(groups) == 0 {
+		requestedAt := e.grants.Now()
+		report := e.quotas.report(len(groups) == 0)
+		if len(groups) == 0 && report == nil {
 			continue
 		}
-		requestedAt := e.grants.Now()
-		reply, err := e.requestGrants(ctx, groups)
+		reply, err := e.requestGrants(ctx, groups, report)
 		if err != nil {
 			grantFailures.Inc()
 			e.lease.CheckSoon() // another process may hold the lease now
@@ -40,6 +43,7 @@
 		for _, g := range reply.GetGrants() {
 			e.grants.Add(cluster.GroupName(g.GetGroup()), cluster.Term(g.GetTerm()), requestedAt, time.Duration(g.GetValidNanos()))
 		}
+		e.quotas.accept(report, reply.GetQuota(), requestedAt)
 	}
 	return nil
 }
@@ -68,10 +72,13 @@
 	}
 }
 
-func (e *Edge) requestGrants(ctx context.Context, groups []string) (*peerpb.GrantReply, error) {
+func (e *Edge) requestGrants(ctx context.Context, groups []string, report *quota.Report) (*peerpb.GrantReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
 	request := &peerpb.GrantRequest{Proxy: string(e.config.ID), Groups: groups}
+	if report != nil {
+		request.Quota = peer.QuotaReportToProto(*report)
+	}
 	holder := e.lease.KnownHolder()
 	if holder == string(e.config.ID) {
 		return e.handleGrant(ctx, request)
@@ -100,7 +107,7 @@
 	if leaseRemaining <= 0 {
 		return nil, errcode.New(errcode.NoHome, "grant", string(e.config.ID))
 	}
-	reply := &peerpb.GrantReply{}
+	reply := &peerpb.GrantReply{Quota: e.quotaDealer.handle(in.GetProxy(), in.GetQuota())}
 	for _, group := range in.GetGroups() {
 		term, duration, ok := e.issuer.Issue(cluster.ProxyID(in.GetProxy()), cluster.GroupName(group), leaseRemaining)
 		if ok {
--- a/internal/edge/homes.go
+++ b/internal/edge/homes.go
@@ -125,6 +125,7 @@
 		state := e.tracker.State()
 		document := state.Document()
 		e.markLeavingServers(state, document)
+		e.setQuotaLimits(state.Configuration)
 		e.home.SetDocument(document)
 		for _, g := range document.Groups {
 			e.reconcileGroup(g.Name)
@@ -141,6 +142,17 @@
 	return nil
 }
 
+// setQuotaLimits applies the limits of the organisations of a configuration.
+func (e *Edge) setQuotaLimits(c *catalog.Configuration) {
+	if e.quotas == nil || c == e.quotaConfiguration {
+		return
+	}
+	e.quotaConfiguration = c
+	limits := quotaLimits(c)
+	e.quotas.setLimits(limits)
+	e.quotaDealer.setLimits(limits)
+}
+
 // markLeavingServers passes on to the homes which backend servers are leaving. It runs
 // before the document is set, so that no home uses such a server.
 func (e *Edge) markLeavingServers(state catalog.State, document *environment.Document) {
--- /dev/null
+++ b/internal/edge/quotas_test.go
@@ -0,0 +1,183 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/delay"
+	"github.com/rattancove/rattancove/internal/duty"
+	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/peer"
+	"github.com/rattancove/rattancove/internal/provider"
+	"github.com/rattancove/rattancove/internal/provider/providertest"
+	"github.com/rattancove/rattancove/internal/quota"
+)
+
+var (
+	testQuotaBounds = quota.Bounds{Window: 5 * time.Second, Excess: 0.1, Slack: 20}
+	testLimits      = map[string]quota.Limit{"o": {Rate: 10}}
+)
+
+// fakeLease is the promotion lease of one process.
+type fakeLease struct {
+	token     duty.Token
+	remaining time.Duration
+}
+
+func (l *fakeLease) Held() (duty.Token, bool) { return l.token, l.token != 0 && l.remaining > 0 }
+func (l *fakeLease) Remaining() time.Duration { return l.remaining }
+
+func newTestDealer(table provider.Table, holder string, token duty.Token, clock func() time.Duration) (*quotaDealer, *fakeLease) {
+	log, lease := zerolog.Nop(), &fakeLease{token, time.Second}
+	q := &quotaDealer{bounds: testQuotaBounds, holder: holder, lease: lease, table: table, clock: clock, log: &log}
+	q.setLimits(testLimits)
+	return q, lease
+}
+
+func testClock() func() time.Duration {
+	start := time.Now()
+	return func() time.Duration { return time.Hour + time.Since(start) }
+}
+
+// TestDealerStartsFromTheRow guards against a dealer that allocates as if no other had
+// allocated before: after a token that is new to it, and where the answer to its own
+// write was lost.
+func TestDealerStartsFromTheRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, clock := providertest.NewTable(), testClock()
+		first, lease := newTestDealer(table, "p1", 1, clock)
+		begin := func(q *quotaDealer, want quota.Start) {
+			t.Helper()
+			if err := q.step(t.Context()); err != nil || q.dealer == nil || q.start != want {
+				t.Fatalf("dealer %v, start %v, want %v, error %v", q.dealer, q.start, want, err)
+			}
+		}
+		table.LoseResponses(1)
+		if err := first.step(t.Context()); err == nil || first.dealer != nil {
+			t.Errorf("a dealer started before the row was written: %v", err)
+		}
+		begin(first, quota.StartFirst)
+		second, _ := newTestDealer(table, "p2", 2, clock)
+		if err := first.settle(t.Context(), 1); err != nil {
+			t.Fatal(err)
+		}
+		begin(second, quota.StartSettled)
+		third, _ := newTestDealer(table, "p3", 3, clock)
+		begin(third, quota.StartUnsettled)
+		if err := second.settle(t.Context(), 2); err != nil {
+			t.Fatal(err)
+		}
+		lease.token = 4
+		if first.handle("p1", peer.QuotaReportToProto(quota.Report{Sequence: 1})) != nil {
+			t.Error("the dealer of an earlier token answered")
+		}
+		begin(first, quota.StartUnsettled)
+	})
+}
+
+// TestDealerNeedsTheLease guards against credits that a home accepts after another
+// process may have begun to allocate.
+func TestDealerNeedsTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := providertest.NewTable()
+		q, lease := newTestDealer(table, "p1", 1, testClock())
+		table.BeforeNextWrite(func() { lease.token = 0 })
+		if err := q.step(t.Context()); err != nil || q.dealer != nil {
+			t.Errorf("dealer %v without the lease, error %v", q.dealer, err)
+		}
+		lease.token = 2
+		if err := q.step(t.Context()); err != nil || q.dealer == nil {
+			t.Fatal(err)
+		}
+		for i, tt := range []struct {
+			remaining time.Duration
+			answers   bool
+		}{{time.Second, true}, {quota.CallTime, false}, {0, false}, {quota.CallTime + 1, true}} {
+			lease.remaining = tt.remaining
+			report := peer.QuotaReportToProto(quota.Report{Sequence: uint64(i + 1)})
+			if answered := q.handle("p1", report) != nil; answered != tt.answers {
+				t.Errorf("answered %v with %v of the lease left", answered, tt.remaining)
+			}
+		}
+	})
+}
+
+// TestOperationWaitsForCredits guards against refusals below the limit: the first
+// operation waits for the reply to a call, and one beyond the limit does not.
+func TestOperationWaitsForCredits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock, asked := testClock(), make(chan struct{}, 1)
+		log := zerolog.Nop()
+		ask := func() {
+			select {
+			case asked <- struct{}{}:
+			default:
+			}
+		}
+		home := newQuotas(testQuotaBounds, 1, clock, ask, &log)
+		dealer, _ := newTestDealer(providertest.NewTable(), "p1", 1, clock)
+		if refund, err := home.Admit(t.Context(), "o"); refund != nil || err != nil {
+			t.Errorf("an operation was counted without limits: %v", err)
+		}
+		home.setLimits(testLimits)
+		start := clock()
+		_, err := home.Admit(t.Context(), "o")
+		if waited := clock() - start; !errcode.Is(err, errcode.QuotaExceeded) || waited != quotaWait {
+			t.Errorf("without a dealer: error %v after %v", err, waited)
+		}
+		if err := dealer.step(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go answerCalls(ctx, home, dealer, asked)
+		for i := range 62 {
+			if _, err := home.Admit(t.Context(), "o"); err != nil {
+				t.Fatalf("operation %d: %v", i, err)
+			}
+		}
+		_, _ = home.Admit(t.Context(), "o")
+		start = clock()
+		if _, err = home.Admit(t.Context(), "o"); !errcode.Is(err, errcode.QuotaExceeded) || clock() != start {
+			t.Errorf("beyond the limit: error %v after %v", err, clock()-start)
+		}
+		if after := errcode.From(err).RetryAfter; after < 2*time.Second || after > 8*time.Second {
+			t.Errorf("advised to come back after %v", after)
+		}
+	})
+}
+
+// answerCalls makes a call each time that one is asked for.
+func answerCalls(ctx context.Context, home *quotas, dealer *quotaDealer, asked <-chan struct{}) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-asked:
+		}
+		if !delay.Sleep(ctx, minGrantInterval) {
+			return
+		}
+		sentAt := home.clock()
+		report := home.report(false)
+		home.accept(report, dealer.handle("p1", peer.QuotaReportToProto(*report)), sentAt)
+	}
+}
+
+// TestQuotaRowFailureAllocatesNothing guards against a dealer that cannot know what
+// earlier ones allocated.
+func TestQuotaRowFailureAllocatesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := providertest.NewTable()
+		table.SetDown(true)
+		q, _ := newTestDealer(table, "p1", 1, testClock())
+		if err := q.step(t.Context()); err == nil || errors.Is(err, provider.ErrNotFound) || q.dealer != nil {
+			t.Errorf("dealer %v, error %v", q.dealer, err)
+		}
+	})
+}
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -40,6 +40,7 @@
 		{"ready", current.ReadyListen != next.ReadyListen, &afterRestart},
 		{"peers", current.PeerListen != next.PeerListen, &afterRestart},
 		{"store", current.StoreAddress != next.StoreAddress, &afterRestart},
+		{"quota", current.Quota != next.Quota, &afterRestart},
 		{"promotion", current.PromotionAddr != next.PromotionAddr, &afterRestart},
 	} {
 		if c.differs {
--- a/internal/home/attempt.go
+++ b/internal/home/attempt.go
@@ -195,6 +195,7 @@
 		defer timer.Stop()
 	}
 	begun := time.Now()
+	att.request.sent = true
 	response, err := att.conn.Exchange(runCtx, x, att.request.conv)
 	if err != nil {
 		att.slot.MarkFailed()
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -39,6 +39,8 @@
 	// RequestGrants asks for grants of terms before the next ones are due. It does not
 	// block and may be nil.
 	RequestGrants func()
+	// Quotas admits the operations of organisations; nil if there are no quotas.
+	Quotas Quotas
 	// ExactClasses is set where the protocol itself distinguishes reads from
 	// writes, so that reads need not be run with writes disabled.
 	ExactClasses bool
@@ -52,6 +54,13 @@
 	Valid(group cluster.GroupName, term cluster.Term) bool
 }
 
+// Quotas admits the operations of organisations.
+type Quotas interface {
+	// Admit returns nil when an operation of the organisation may run. It may wait for
+	// a moment. refund is called if the operation was not sent to a server; it may be nil.
+	Admit(ctx context.Context, organisation string) (refund func(), err error)
+}
+
 // Home runs the requests of the groups that this proxy owns. It is safe for
 // concurrent use.
 type Home struct {
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -36,6 +36,8 @@
 	// arrived, so that it shows the state at some time after the arrival. It is
 	// zero if no proof was requested.
 	proofSeq uint64
+	// sent is set once a batch was sent to a server.
+	sent bool
 	// failed names servers on which the request has failed.
 	failed []cluster.ServerID
 	// ack determines when the writes of the request are acknowledged.
@@ -69,11 +71,16 @@
 		return statement.Result{}, err
 	}
 	defer o.requestDone(size)
-	o.retryBudget.Deposit()
 	r := o.newRequest(req, conv)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(o.ctx, cancel)()
+	refund, err := o.admitToQuota(ctx, r)
+	if err != nil {
+		return statement.Result{}, err
+	}
+	defer refund()
+	o.retryBudget.Deposit()
 	if err := o.awaitServing(ctx, r); err != nil {
 		return statement.Result{}, err
 	}
@@ -86,6 +93,22 @@
 	return o.runPrimary(ctx, r)
 }
 
+// admitToQuota takes the operation into the quota of its organisation. The returned
+// function gives it back if no server was sent the operation.
+func (o *owner) admitToQuota(ctx context.Context, r *request) (func(), error) {
+	if o.home.config.Quotas == nil || r.Organisation == "" {
+		return func() {}, nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	refund, err := o.home.config.Quotas.Admit(ctx, r.Organisation)
+	return func() {
+		if !r.sent && refund != nil {
+			refund()
+		}
+	}, err
+}
+
 // awaitServing waits until the owner is established. A read with an exact
 // floor needs no primary and may run once the claim has been accepted.
 func (o *owner) awaitServing(ctx context.Context, r *request) error {
--- a/internal/quota/dealer.go
+++ b/internal/quota/dealer.go
@@ -16,6 +16,11 @@
 	StartFirst
 )
 
+var startNames = [...]string{"after a dealer that had not settled", "after a dealer that had settled", "first dealer"}
+
+// String returns the start as it is written in logs.
+func (s Start) String() string { return startNames[s] }
+
 // forgetInterval is the time between two searches for homes that have to be forgotten.
 const forgetInterval = 100 * time.Millisecond
 
--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -275,11 +275,11 @@
 	switch {
 	case d.OK:
 		if !first {
-			h.stock.Waiting(organisation, false)
+			h.stock.EndWait(organisation)
 		}
 		op.done = true
 		m.begin(h, organisation, d.Ticket)
-	case first && d.Exhausted:
+	case first && (d.Exhausted || !h.stock.Wait(organisation)):
 		op.done = true
 		h.stock.Refused(organisation)
 		m.refused[organisation]++
@@ -310,7 +310,6 @@
 		return
 	}
 	m.waited++
-	h.stock.Waiting(organisation, true)
 	life := h.life
 	m.after(maxWait, func() {
 		h.at(func() {
@@ -318,7 +317,7 @@
 				return
 			}
 			op.done = true
-			h.stock.Waiting(organisation, false)
+			h.stock.EndWait(organisation)
 			h.stock.Refused(organisation)
 			m.refused[organisation]++
 		})
--- a/internal/quota/stock.go
+++ b/internal/quota/stock.go
@@ -18,6 +18,9 @@
 	// exhaustedTime is how long a home relies on a reply that an organisation has reached
 	// its limit or has none. It covers two lost calls.
 	exhaustedTime = time.Second
+	// maxWaiting bounds the operations of one organisation that wait for a credit, each of
+	// which occupies a request of the home.
+	maxWaiting = 250
 	// scarceTime is how long a home keeps no reserve after a reply that few credits are
 	// left.
 	scarceTime = 3 * time.Second
@@ -169,18 +172,24 @@
 	}
 }
 
-// Waiting records that an operation begins, or ends, to wait for a credit.
-func (s *Stock) Waiting(organisation string, begins bool) {
+// Wait records that an operation begins to wait for a credit. It returns false if too
+// many wait already.
+func (s *Stock) Wait(organisation string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := s.holdings[organisation]
-	switch {
-	case h == nil:
-	case begins:
-		h.waiting++
-	default:
-		h.waiting--
+	if h == nil || h.waiting >= maxWaiting {
+		return false
 	}
+	h.waiting++
+	return true
+}
+
+// EndWait records that an operation no longer waits for a credit.
+func (s *Stock) EndWait(organisation string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holdings[organisation].waiting--
 }
 
 // Refund gives back the credit of an operation that no server got. A credit whose use
--- a/internal/quota/stock_report.go
+++ b/internal/quota/stock_report.go
@@ -121,6 +121,27 @@
 	h.rebase(bounds, now)
 }
 
+// Share is what a home has of an organisation's limit.
+type Share struct {
+	Held, Wanted, UsedInWindow uint64
+	// AnswerAge is the time since the last call that a dealer answered was sent.
+	AnswerAge time.Duration
+}
+
+// Share returns what the home has of the limit of an organisation.
+func (s *Stock) Share(organisation string, now time.Duration) Share {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.holdings[organisation]
+	if h == nil {
+		return Share{}
+	}
+	return Share{
+		Held: h.held, Wanted: h.wanted(s.bounds, now), UsedInWindow: h.uses.within(now, stockSlices),
+		AnswerAge: now - (s.expiry - creditTime),
+	}
+}
+
 // Empty reports whether the stock has nothing to tell a dealer.
 func (s *Stock) Empty() bool {
 	s.mu.Lock()
