--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,7 @@
 type Gateway struct {
 	config   Config
 	throttle *throttle
+	quotas   *quotaThrottle
 }
 
 // New returns a Gateway.
@@ -67,7 +68,7 @@
 		nop := zerolog.Nop()
 		config.Log = &nop
 	}
-	return &Gateway{config: config, throttle: newThrottle()}
+	return &Gateway{config: config, throttle: newThrottle(), quotas: newQuotaThrottle()}
 }
 
 // Run implements statement.Runner.
@@ -179,10 +180,15 @@
 	if err := c.gateway.throttle.check(c.req, home); err != nil {
 		return statement.Result{}, err
 	}
+	trial, err := c.gateway.quotas.check(c.req.Organisation, home)
+	if err != nil {
+		return statement.Result{}, err
+	}
 	result, err := c.forward(ctx, home, &attempt)
 	if err != nil {
 		c.gateway.throttle.record(c.req, home, err)
 	}
+	c.gateway.quotas.record(c.req.Organisation, home, trial, err)
 	return result, err
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,6 +14,10 @@
 	// refusedTotal counts the requests that were refused here because their home
 	// had advised a wait, trialRequests those that were sent to it nevertheless
 	// as trial requests.
-	refusedTotal  = rankmetric.New("rattan_gateway_refused_total", metrics.NewCounter)
+	refusedTotal = rankmetric.New("rattan_gateway_refused_total", metrics.NewCounter)
+	// quotaRefused and quotaTrials are the same for homes that refused operations of an
+	// organisation for its quota.
+	quotaRefused  = metrics.NewCounter("rattan_gateway_quota_refused_total")
+	quotaTrials   = metrics.NewCounter("rattan_gateway_quota_probes_total")
 	trialRequests = metrics.NewCounter("rattan_gateway_probes_total")
 )
