--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -21,5 +21,8 @@
 	eventKeysUnconfirmed     = event.New(7113, zerolog.WarnLevel, "api_keys_unconfirmed", "Callers with API keys are refused because this process cannot rule out that their keys were withdrawn: neither the store nor a peer has confirmed the configuration for 0.9 of the revocation time. Public routes are served.")
 	eventKeysServed          = event.New(7114, zerolog.InfoLevel, "api_keys_served", "The configuration is confirmed again, and callers with API keys are served.")
 	eventReloaded            = event.New(7109, zerolog.InfoLevel, "settings_reloaded", "The settings were reloaded; after_restart names the changed settings that take effect at the next start.")
+	eventQuotaRefused        = event.New(7113, zerolog.WarnLevel, "quota_refused", "Operations of an organisation were refused: cause tells whether it has reached its limit or this process got no credits, refused counts those since the last line. Logged at most once a second for each organisation.")
+	eventQuotaDealer         = event.New(7114, zerolog.InfoLevel, "quota_dealer_started", "This process holds the promotion lease and allocates the credits of organisations with a limit.")
+	eventQuotaRowFailed      = event.New(7115, zerolog.WarnLevel, "quota_row_failed", "The row that tells dealers of quotas about each other could not be read or written; until it is, no credits are allocated after a change of the holder of the promotion lease.")
 	eventReloadFailed        = event.New(7111, zerolog.WarnLevel, "settings_unreadable", "The changed settings are invalid or cannot be read; the previous ones stay in force.")
 )
