Prefer servers with an idle connection of the organisation

A read that found no idle connection of its organisation on the first replica opened one there (12 ms of a slot) although another replica, with as many free slots, had one. Requests now state a preference, which decides between replicas with the same number of free slots.

--- a/internal/home/owner.go
+++ b/internal/home/owner.go
@@ -11,6 +11,7 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/environment"
 	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/pool"
 	"github.com/rattancove/rattancove/internal/rank"
 	"github.com/rattancove/rattancove/internal/route"
 	"github.com/rattancove/rattancove/internal/statechart"
@@ -89,6 +90,8 @@
 	pendingAcks, pendingCopies atomic.Int32
 	// pollChannels holds pollNow of every node; the slice is replaced as a whole.
 	pollChannels atomic.Pointer[[]chan struct{}]
+	// pools holds the pool of every node; the map is replaced as a whole.
+	pools atomic.Pointer[map[cluster.ServerID]*pool.Pool]
 	// routing is the state that routing decisions are based on; it is replaced as a whole.
 	routing atomic.Pointer[route.Group]
 
@@ -207,10 +210,13 @@
 	}
 	o.view.size = len(servers)
 	channels := make([]chan struct{}, 0, len(o.nodes))
-	for _, n := range o.nodes {
+	pools := make(map[cluster.ServerID]*pool.Pool, len(o.nodes))
+	for id, n := range o.nodes {
 		channels = append(channels, n.pollNow)
+		pools[id] = n.pool
 	}
 	o.pollChannels.Store(&channels)
+	o.pools.Store(&pools)
 	o.dispatcher.SetServers(servers)
 }
 
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -222,6 +222,7 @@
 			}
 			return eligibility
 		},
+		Prefers: o.prefers(r),
 	})
 	if err == nil {
 		waitSeconds[r.rank].Update(slot.Waited.Seconds())
@@ -233,6 +234,18 @@
 	return nil, nil, required, err
 }
 
+// prefers returns the preference of a request for servers with an idle connection of its
+// organisation; nil without an organisation.
+func (o *owner) prefers(r *request) func(cluster.ServerID) bool {
+	if r.Organisation == "" {
+		return nil
+	}
+	return func(id cluster.ServerID) bool {
+		p, ok := (*o.pools.Load())[id]
+		return ok && p.HasIdle(r.Organisation)
+	}
+}
+
 // evaluate decides whether the query may run on one server with a free slot. The
 // second result is the position that the server's data must have reached.
 func (o *owner) evaluate(q *route.Query, routing *route.Group, id cluster.ServerID, now time.Time) (rank.Eligibility, cluster.Position) {
--- a/internal/rank/schedule.go
+++ b/internal/rank/schedule.go
@@ -216,7 +216,8 @@
 		if w == nil {
 			continue
 		}
-		d.assign(w, s, reason, c.byShare, now)
+		target, reason := d.preferredServer(w, s, reason, c, now)
+		d.assign(w, target, reason, c.byShare, now)
 		return true
 	}
 	return false
@@ -253,7 +254,7 @@
 func (d *Dispatcher) rankOrder(s *server) []candidate {
 	order := make([]candidate, 0, 2*cluster.RankCount)
 	for r := range cluster.Rank(cluster.RankCount) {
-		if credit := s.credit[r]; credit > 0 && credit >= d.initialCharge(r) {
+		if d.coversStatement(s, r) {
 			order = append(order, candidate{rank: r, byShare: true})
 		}
 	}
@@ -263,6 +264,11 @@
 	return order
 }
 
+// coversStatement reports whether the credit of a rank covers a statement.
+func (d *Dispatcher) coversStatement(s *server, r cluster.Rank) bool {
+	return s.credit[r] > 0 && s.credit[r] >= d.initialCharge(r)
+}
+
 // mayTakeSlot reports whether a rank may occupy one more slot without using those
 // that are kept free for more urgent ranks. At least one slot is not kept free.
 func (d *Dispatcher) mayTakeSlot(s *server, r cluster.Rank) bool {
