--- a/internal/pool/tag_test.go
+++ b/internal/pool/tag_test.go
@@ -99,10 +99,10 @@
 func TestWaiterAtTheLimit(t *testing.T) {
 	inBubble(t, 2, func(t *testing.T, s *fakeServer, p *Pool) {
 		first, second := mustGetOf(t, p, "a"), mustGetOf(t, p, "a")
-		time.AfterFunc(100*time.Millisecond, func() { p.Return(first, true) })
+		time.AfterFunc(10*time.Millisecond, func() { p.Return(first, true) })
 		begun := time.Now()
 		p.Return(mustGetOf(t, p, "b"), false)
-		if waited := time.Since(begun); waited > 120*time.Millisecond || s.maxOpen > 2 {
+		if waited := time.Since(begun); waited > 30*time.Millisecond || s.maxOpen > 2 {
 			t.Errorf("waited %v, %d connections at once", waited, s.maxOpen)
 		}
 		p.Return(second, false)
