Serve the waiting requests of a rank by weighted fair queueing over organisations

One organisation could fill the queue of a rank, so that all others waited behind it or were refused. Each organisation now has a share of a queue: the one that has used the least slot time for its weight is next, the wait is estimated from the share's own slots, and a full queue refuses the newest requests of the organisation that takes the most.

--- a/internal/rank/dispatcher.go
+++ b/internal/rank/dispatcher.go
@@ -87,6 +87,8 @@
 type Request struct {
 	Rank cluster.Rank
 	Lane Lane
+	// Organisation is whose share of the slots the request uses; empty if it has none.
+	Organisation string
 	// Bytes is the memory that the request holds while it waits.
 	Bytes int
 	// Objective is the time by which the response should have arrived; zero means no
@@ -113,6 +115,8 @@
 	QueueBytes int64
 	// Proxies is the number of proxies among which PolicyStatic splits connections.
 	Proxies int
+	// Organisations holds the ranks of the organisations, which give their weights.
+	Organisations map[string]cluster.Rank
 }
 
 // Dispatcher assigns the slots of one group's servers to requests. It is safe for concurrent use.
@@ -151,6 +155,11 @@
 	defer d.mu.Unlock()
 	d.updateCredits(time.Now())
 	d.config = withDefaults(config)
+	for r := range d.queues {
+		for lane := range d.queues[r] {
+			d.queues[r][lane].setRanks(config.Organisations)
+		}
+	}
 	d.dispatch(time.Now())
 }
 
@@ -271,8 +280,7 @@
 	}
 	w := d.newWaiter(r, now)
 	if err := d.admit(w, now); err != nil {
-		d.stats.Refused[r.Rank]++
-		refusedTotal[r.Rank].Inc()
+		d.countRefused(r.Rank)
 		return nil, err
 	}
 	d.insert(w)
@@ -283,6 +291,7 @@
 func (d *Dispatcher) newWaiter(r Request, now time.Time) *waiter {
 	d.nextSeq++
 	w := &waiter{request: r, seq: d.nextSeq, arrived: now, done: make(chan struct{})}
+	w.share = d.queues[r.Rank][r.Lane].shareOf(r.Organisation, d.config.Organisations)
 	w.deadline = now.Add(d.maxWait(r.Rank))
 	if !r.Deadline.IsZero() && r.Deadline.Before(w.deadline) {
 		w.deadline = r.Deadline
@@ -311,6 +320,11 @@
 	d.dispatch(now)
 }
 
+func (d *Dispatcher) countRefused(r cluster.Rank) {
+	d.stats.Refused[r]++
+	refusedTotal[r].Inc()
+}
+
 func (d *Dispatcher) countExpired(w *waiter) {
 	d.stats.Expired[w.request.Rank]++
 	expiredTotal[w.request.Rank].Inc()
@@ -323,7 +337,7 @@
 	if w.request.Deadline.IsZero() || w.deadline.Before(w.request.Deadline) {
 		err = errcode.New(errcode.Overloaded, "wait for slot", "")
 	}
-	err.RetryAfter = d.expectedWait(w.request.Rank, w.request.Lane)
+	err.RetryAfter = w.share.wait()
 	return err
 }
 
--- a/internal/rank/queue.go
+++ b/internal/rank/queue.go
@@ -17,6 +17,9 @@
 	deadline time.Time
 	element  *list.Element
 	queue    *queue
+	// backlog holds the waiter, share is what its slot time is charged to.
+	backlog *backlog
+	share   *share
 	// late is set when the response is not expected within the request's objective.
 	late bool
 	done chan struct{}
@@ -34,80 +37,102 @@
 	close(w.done)
 }
 
-// queue holds waiters in order of arrival. Those that can still meet their
-// objectives are served first: when more work arrives than the servers can do, a
-// single queue in order of arrival would make every request late.
+// queue holds waiters by organisation, and those of one in order of arrival. Those that
+// can still meet their objectives are served first: when more work arrives than the
+// servers can do, a single queue in order of arrival would make every request late.
 type queue struct {
-	onTime, late list.List
-	// assignInterval is the average time in seconds between two assignments of slots
-	// while requests wait. It measures how fast the queue drains.
-	assignInterval movingAverage
-	// lastAssigned is the time of the last assignment while requests waited; zero once the
-	// queue is empty.
-	lastAssigned time.Time
-	// onTimeShare is the moving average of the fraction of slots that went to on-time
-	// requests while late requests were waiting.
-	onTimeShare float64
+	onTime, late fairList
+	shares       map[string]*share
+	// withoutOrganisation is the share of all requests without an organisation.
+	withoutOrganisation share
+	// used is the highest share.used at which a request got a slot. An organisation that
+	// becomes active begins there.
+	used float64
 }
 
 func (q *queue) len() int { return q.onTime.Len() + q.late.Len() }
 
-func (q *queue) push(w *waiter) {
+// push adds a waiter to the share s.
+func (q *queue) push(w *waiter, s *share) {
 	w.queue = q
+	s.bytes += int64(w.request.Bytes)
 	if w.late {
-		w.element = q.late.PushBack(w)
+		s.late.share = s
+		q.late.push(&s.late, w)
 		return
 	}
-	w.element = q.onTime.PushBack(w)
+	s.onTime.share = s
+	q.onTime.push(&s.onTime, w)
 }
 
 // demote moves a waiter behind those that can still meet their objectives.
 func (q *queue) demote(w *waiter) {
-	q.onTime.Remove(w.element)
+	q.onTime.remove(w)
 	w.late = true
-	w.element = q.late.PushBack(w)
+	w.backlog.share.late.share = w.backlog.share
+	q.late.push(&w.backlog.share.late, w)
 }
 
 func (q *queue) remove(w *waiter) {
+	s := w.backlog.share
+	s.bytes -= int64(w.request.Bytes)
 	if w.late {
-		q.late.Remove(w.element)
+		q.late.remove(w)
 	} else {
-		q.onTime.Remove(w.element)
+		q.onTime.remove(w)
 	}
-	if q.len() == 0 {
-		q.lastAssigned = time.Time{}
+	if s.waiting() == 0 {
+		s.lastAssigned = time.Time{}
 	}
 }
 
+// drain measures how fast the waiting requests of one share are served.
+type drain struct {
+	// assignInterval is the average time in seconds between two assignments of slots
+	// while requests wait.
+	assignInterval movingAverage
+	// lastAssigned is the time of the last assignment while requests waited; zero once
+	// none waits.
+	lastAssigned time.Time
+	// onTimeShare is the moving average of the fraction of slots that went to on-time
+	// requests while late requests were waiting.
+	onTimeShare float64
+}
+
 // recordAssigned updates the averages after a waiter that has been removed got a slot.
-func (q *queue) recordAssigned(w *waiter, now time.Time) {
-	if !q.lastAssigned.IsZero() {
-		q.assignInterval.add(now.Sub(q.lastAssigned).Seconds())
+func (s *share) recordAssigned(w *waiter, now time.Time) {
+	if !s.lastAssigned.IsZero() {
+		s.assignInterval.add(now.Sub(s.lastAssigned).Seconds())
 	}
-	q.lastAssigned = now
-	if q.len() == 0 {
-		q.lastAssigned = time.Time{}
+	s.lastAssigned = now
+	if s.waiting() == 0 {
+		s.lastAssigned = time.Time{}
 	}
 	switch {
 	case w.late:
-		q.onTimeShare -= onTimeShareWeight * q.onTimeShare
-	case q.late.Len() > 0:
-		q.onTimeShare += onTimeShareWeight * (1 - q.onTimeShare)
+		s.onTimeShare -= onTimeShareWeight * s.onTimeShare
+	case s.late.waiters.Len() > 0:
+		s.onTimeShare += onTimeShareWeight * (1 - s.onTimeShare)
 	default:
-		q.onTimeShare = 0
+		s.onTimeShare = 0
 	}
 }
 
+// wait estimates the wait of a request that joins the share, regardless of its objective.
+func (s *share) wait() time.Duration {
+	return time.Duration(s.waiting()) * s.assignInterval.duration()
+}
+
 // onTimeWait estimates the wait of a request that joins the on-time requests.
-func (q *queue) onTimeWait() time.Duration {
-	return time.Duration(q.onTime.Len()) * q.assignInterval.duration()
+func (s *share) onTimeWait() time.Duration {
+	return time.Duration(s.onTime.waiters.Len()) * s.assignInterval.duration()
 }
 
 // lateWait estimates the wait of a request that joins the late requests, which
 // get the slots that the on-time requests leave.
-func (q *queue) lateWait() time.Duration {
-	lateShare := max(1-q.onTimeShare, minLateShare)
-	return q.onTimeWait() + time.Duration(float64(q.late.Len())*float64(q.assignInterval.duration())/lateShare)
+func (s *share) lateWait() time.Duration {
+	lateShare := max(1-s.onTimeShare, minLateShare)
+	return s.onTimeWait() + time.Duration(float64(s.late.waiters.Len())*float64(s.assignInterval.duration())/lateShare)
 }
 
 // movingAverage is an exponentially weighted moving average.
@@ -138,12 +163,12 @@
 		}
 		return nil
 	}
-	expected := d.expectedWait(r.Rank, r.Lane)
-	if d.missesObjective(w, time.Duration(objectiveWaitFactor*float64(d.queues[r.Rank][r.Lane].onTimeWait())), now) {
+	expected := w.share.wait()
+	if d.missesObjective(w, time.Duration(objectiveWaitFactor*float64(w.share.onTimeWait())), now) {
 		w.late = true
-		expected = d.queues[r.Rank][r.Lane].lateWait()
+		expected = w.share.lateWait()
 	}
-	if d.queued(r.Rank) >= d.queueLimit(r.Rank) || d.queuedBytes+int64(r.Bytes) > d.config.QueueBytes {
+	if !d.makeRoom(w) {
 		return newOverloadedError("queue full", expected)
 	}
 	if d.config.Policy == PolicyStatic {
@@ -152,7 +177,7 @@
 	if now.Add(expected).After(w.deadline) {
 		return newOverloadedError("wait too long", expected-w.deadline.Sub(now)+expected/retryDrainDivisor)
 	}
-	if !r.Deadline.IsZero() && now.Add(d.expectedCost(r.Rank, now)).After(r.Deadline) {
+	if !r.Deadline.IsZero() && now.Add(d.expectedCost(w, now)).After(r.Deadline) {
 		return errcode.New(errcode.DeadlinePassed, "admit", "")
 	}
 	return nil
@@ -179,27 +204,34 @@
 	return n
 }
 
-// expectedWait estimates, from the interval between the queue's assignments, the
-// wait of a request that joins a queue now.
-func (d *Dispatcher) expectedWait(r cluster.Rank, lane Lane) time.Duration {
-	q := &d.queues[r][lane]
-	return time.Duration(q.len()) * q.assignInterval.duration()
-}
-
-// ExpectedWait estimates the wait of a request that arrives now.
+// ExpectedWait estimates, from the interval between assignments, the wait of a request
+// that arrives now, of the organisation whose requests wait the longest.
 func (d *Dispatcher) ExpectedWait(r cluster.Rank, lane Lane) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.expectedWait(r, lane)
+	var longest time.Duration
+	d.queues[r][lane].all(func(s *share) { longest = max(longest, s.wait()) })
+	return longest
 }
 
-// expectedCost returns the average slot time of a rank's statements; zero when
-// none was observed within costValidity.
-func (d *Dispatcher) expectedCost(r cluster.Rank, now time.Time) time.Duration {
-	if now.Sub(d.costAt[r]) > costValidity {
+// expectedCost returns the average slot time of the statements of the request's
+// organisation, or of its rank if there are no organisations; zero when none was observed
+// within costValidity.
+func (d *Dispatcher) expectedCost(w *waiter, now time.Time) time.Duration {
+	cost, at := &d.cost[w.request.Rank], d.costAt[w.request.Rank]
+	if d.hasOrganisations(w) {
+		cost, at = &w.share.cost, w.share.costAt
+	}
+	if now.Sub(at) > costValidity {
 		return 0
 	}
-	return d.cost[r].duration()
+	return cost.duration()
+}
+
+// hasOrganisations reports whether requests have organisations. Only callers of public
+// routes have none then.
+func (d *Dispatcher) hasOrganisations(w *waiter) bool {
+	return w.request.Organisation != "" || len(d.config.Organisations) > 0
 }
 
 // Cost returns the average slot time of a rank's statements.
@@ -217,15 +249,18 @@
 	if objective.IsZero() || d.config.Policy == PolicyStatic {
 		return false
 	}
-	return now.Add(wait + objectiveCostFactor*d.expectedCost(w.request.Rank, now)).After(objective)
+	return now.Add(wait + objectiveCostFactor*d.expectedCost(w, now)).After(objective)
 }
 
 func (d *Dispatcher) insert(w *waiter) {
 	if w.request.Pinned != "" {
-		d.server(w.request.Pinned).pinned.push(w)
+		pinned := &d.server(w.request.Pinned).pinned
+		pinned.push(w, &pinned.withoutOrganisation)
 		return
 	}
-	d.queues[w.request.Rank][w.request.Lane].push(w)
+	q := &d.queues[w.request.Rank][w.request.Lane]
+	q.activate(w.share)
+	q.push(w, w.share)
 	d.queuedBytes += int64(w.request.Bytes)
 }
 
@@ -251,9 +286,11 @@
 }
 
 func appendWaiters(all []*waiter, q *queue) []*waiter {
-	for _, waiters := range []*list.List{&q.onTime, &q.late} {
-		for e := waiters.Front(); e != nil; e = e.Next() {
-			all = append(all, e.Value.(*waiter))
+	for _, waiters := range []*fairList{&q.onTime, &q.late} {
+		for _, b := range waiters.backlogs {
+			for e := b.waiters.Front(); e != nil; e = e.Next() {
+				all = append(all, e.Value.(*waiter))
+			}
 		}
 	}
 	return all
--- a/internal/rank/schedule.go
+++ b/internal/rank/schedule.go
@@ -34,68 +34,6 @@
 
 func (s *server) free() int { return s.slots - s.busy() }
 
-// Slot is a slot of a server, acquired to run one statement.
-type Slot struct {
-	Server cluster.ServerID
-	Reason string
-	// Waited is the time that the request spent in the queue.
-	Waited time.Duration
-
-	dispatcher    *Dispatcher
-	server        *server
-	rank          cluster.Rank
-	lane          Lane
-	started       time.Time
-	initialCharge float64
-	// byShare is set when the rank got the slot by its guaranteed share, not by its
-	// urgency.
-	byShare  bool
-	released bool
-	// failed is set when the statement did not run.
-	failed bool
-}
-
-// MarkFailed records that the statement did not run, so that its slot time does
-// not count as an observation of the cost.
-func (s *Slot) MarkFailed() {
-	s.dispatcher.mu.Lock()
-	defer s.dispatcher.mu.Unlock()
-	s.failed = true
-}
-
-// Release frees the slot and charges the used slot time to the rank. Further calls
-// do nothing.
-func (s *Slot) Release() {
-	d := s.dispatcher
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if s.released {
-		return
-	}
-	s.released = true
-	now := time.Now()
-	d.updateCredits(now)
-	used := now.Sub(s.started).Seconds()
-	if !s.failed {
-		if now.Sub(d.costAt[s.rank]) > costValidity {
-			d.cost[s.rank].initialized = false
-		}
-		d.cost[s.rank].add(used)
-		d.costAt[s.rank] = now
-		d.meanCost.add(used)
-	}
-	if !d.chargeByCount {
-		d.charge(s.server, s.rank, used-s.initialCharge, s.byShare)
-	}
-	s.server.running[s.rank]--
-	if s.lane == LaneRead {
-		s.server.reads--
-	}
-	d.stats.SlotSeconds[s.rank] += used
-	slotSeconds[s.rank].Add(used)
-	d.dispatch(now)
-}
-
 // charge subtracts slot time from a rank's credit. Slots that the rank got by its
 // urgency lower the credit no further than one shareWindow, so that the use of
 // slots that others left idle does not cost the rank its guaranteed share later.
@@ -201,8 +139,8 @@
 	if s.free() <= 0 {
 		return false
 	}
-	if e := s.pinned.onTime.Front(); e != nil {
-		d.assign(e.Value.(*waiter), s, "open transaction", false, now)
+	if w := s.pinned.onTime.Front(); w != nil {
+		d.assign(w, s, "open transaction", false, now)
 		return true
 	}
 	if d.config.Policy == PolicyStatic {
@@ -287,8 +225,12 @@
 
 // firstRunnable finds the first waiting request of a rank that the server may run
 // now. On-time requests come before late ones, and among these LanePrimary comes
-// before LaneRead, because its requests can run nowhere else.
+// before LaneRead, because its requests can run nowhere else. Late requests that firstOwed
+// finds come before all.
 func (d *Dispatcher) firstRunnable(s *server, r cluster.Rank, now time.Time, retryAt *time.Time) (*waiter, string) {
+	if w, reason := d.firstOwed(s, r, now, retryAt); w != nil {
+		return w, reason
+	}
 	for _, late := range []bool{false, true} {
 		for lane := range laneCount {
 			if !d.servesLane(s, lane) {
@@ -302,21 +244,35 @@
 	return nil, ""
 }
 
-// firstRunnableIn finds the first request of one queue that the server may run now.
+// firstRunnableIn finds the request of one queue that the server may run now and that is
+// first by the order of the organisations.
 func (d *Dispatcher) firstRunnableIn(q *queue, late bool, s *server, now time.Time, retryAt *time.Time) (*waiter, string) {
 	waiters := &q.onTime
 	if late {
 		waiters = &q.late
 	}
+	backlogs := waiters.inOrder()
+	limit := scanLimitOf(len(backlogs))
+	for _, b := range backlogs {
+		if w, reason := d.firstRunnableOf(b, limit, late, s, now, retryAt); w != nil {
+			return w, reason
+		}
+	}
+	return nil, ""
+}
+
+// firstRunnableOf finds the first request of one organisation that the server may run now
+// among the first limit requests.
+func (d *Dispatcher) firstRunnableOf(b *backlog, limit int, late bool, s *server, now time.Time, retryAt *time.Time) (*waiter, string) {
 	scanned := 0
-	for e := waiters.Front(); e != nil && scanned < scanLimit; {
+	for e := b.waiters.Front(); e != nil && scanned < limit; {
 		w := e.Value.(*waiter)
 		e = e.Next()
 		if d.dropPastDeadline(w, now) {
 			continue
 		}
 		if !late && d.missesObjective(w, 0, now) {
-			q.demote(w)
+			w.queue.demote(w)
 			continue
 		}
 		scanned++
@@ -344,7 +300,7 @@
 	if d.config.Policy == PolicyStatic || deadline.IsZero() {
 		return false
 	}
-	if !now.Add(d.expectedCost(w.request.Rank, now)).After(deadline) {
+	if !now.Add(d.expectedCost(w, now)).After(deadline) {
 		return false
 	}
 	d.remove(w)
@@ -365,12 +321,14 @@
 func (d *Dispatcher) assign(w *waiter, s *server, reason string, byShare bool, now time.Time) {
 	r := w.request.Rank
 	d.remove(w)
-	w.queue.recordAssigned(w, now)
+	w.backlog.share.recordAssigned(w, now)
 	slot := &Slot{
 		Server: s.id, Reason: reason, Waited: now.Sub(w.arrived),
 		dispatcher: d, server: s, rank: r, lane: w.request.Lane, started: now,
-		initialCharge: d.initialCharge(r), byShare: byShare,
+		initialCharge: d.initialCharge(r), byShare: byShare, share: w.share,
 	}
+	slot.shareCharge = w.share.expectedCost(slot.initialCharge)
+	d.queues[r][w.request.Lane].chargeStart(w.share, slot.shareCharge, w.request.Pinned != "")
 	d.charge(s, r, slot.initialCharge, byShare)
 	s.running[r]++
 	if slot.lane == LaneRead {
