--- a/internal/catalog/document.go
+++ b/internal/catalog/document.go
@@ -53,6 +53,18 @@
 	return servers
 }
 
+// OrganisationRanks returns the ranks of the organisations; nil if there are none.
+func (s State) OrganisationRanks() map[string]cluster.Rank {
+	if s.Configuration == nil || len(s.Configuration.Organisations) == 0 {
+		return nil
+	}
+	ranks := make(map[string]cluster.Rank, len(s.Configuration.Organisations))
+	for _, o := range s.Configuration.Organisations {
+		ranks[o.Name] = o.Rank
+	}
+	return ranks
+}
+
 // Leaving returns the servers that are about to shut down.
 func (s State) Leaving() map[cluster.ServerID]bool {
 	leaving := map[cluster.ServerID]bool{}
--- a/internal/edge/homes.go
+++ b/internal/edge/homes.go
@@ -126,6 +126,7 @@
 		document := state.Document()
 		e.markLeavingServers(state, document)
 		e.home.SetDocument(document)
+		e.home.SetOrganisations(state.OrganisationRanks())
 		for _, g := range document.Groups {
 			e.reconcileGroup(g.Name)
 		}
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -59,13 +60,15 @@
 	dialer backend.Dialer
 	log    *zerolog.Logger
 
-	mu         sync.Mutex
-	groups     map[cluster.GroupName]environment.Group
-	ranks      environment.Ranks
-	limits     environment.Limits
-	owners     map[cluster.GroupName]*owner
-	leaving    map[cluster.ServerID]bool
-	departures map[cluster.GroupName]departures
+	mu     sync.Mutex
+	groups map[cluster.GroupName]environment.Group
+	ranks  environment.Ranks
+	limits environment.Limits
+	// organisations holds the ranks of the organisations; the map is replaced as a whole.
+	organisations map[string]cluster.Rank
+	owners        map[cluster.GroupName]*owner
+	leaving       map[cluster.ServerID]bool
+	departures    map[cluster.GroupName]departures
 	// released holds the groups that this proxy released, by name.
 	released  map[cluster.GroupName]*releasedGroup
 	releasing sync.WaitGroup
@@ -128,6 +131,20 @@
 	}
 }
 
+// SetOrganisations applies the ranks of the organisations, by which the waiting requests
+// of a rank are ordered. It must not be changed afterwards.
+func (h *Home) SetOrganisations(ranks map[string]cluster.Rank) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if maps.Equal(h.organisations, ranks) {
+		return
+	}
+	h.organisations = ranks
+	for _, o := range h.owners {
+		o.setOrganisations(ranks)
+	}
+}
+
 // Own makes this proxy the home of a group. It returns immediately; the claim
 // continues in the background until it succeeds, is superseded or the group is
 // disowned. It has no effect on a group that is already owned, unless its owner
--- a/internal/home/organisation_test.go
+++ b/internal/home/organisation_test.go
@@ -113,3 +113,47 @@
 		}
 	})
 }
+
+// TestOrganisationRanks guards against organisation ranks that do not reach the order of
+// the waiting requests, of a group that is owned before or after they are known.
+func TestOrganisationRanks(t *testing.T) {
+	for _, early := range []bool{true, false} {
+		inBubble(t, nil, func(t *testing.T, b *testBench) {
+			h := New(Config{ID: "p1"}, b.group.Dialer("p1"))
+			ranks := map[string]cluster.Rank{"high": cluster.RankUrgent, "low": cluster.RankBackground}
+			if early {
+				h.SetOrganisations(ranks)
+			}
+			b.own(h)
+			b.mustWrite(h, "", "put k v")
+			h.SetOrganisations(ranks)
+			var mu sync.Mutex
+			var order []string
+			var running sync.WaitGroup
+			for range 60 {
+				for organisation := range ranks {
+					running.Go(func() {
+						r := b.request(statement.ClassPrimaryRead, "work 20ms get k")
+						r.Organisation = organisation
+						if _, _, err := run(h, r); err != nil {
+							t.Error(err)
+						}
+						mu.Lock()
+						defer mu.Unlock()
+						order = append(order, organisation)
+					})
+				}
+			}
+			running.Wait()
+			high := 0
+			for _, organisation := range order[:60] {
+				if organisation == "high" {
+					high++
+				}
+			}
+			if high < 42 {
+				t.Errorf("ranks early %v: %d of the first 60 are of the urgent organisation, want about 48", early, high)
+			}
+		})
+	}
+}
--- a/internal/home/owner.go
+++ b/internal/home/owner.go
@@ -103,8 +103,10 @@
 	spec         environment.Group
 	ranks        environment.Ranks
 	limits       environment.Limits
-	nodes        map[cluster.ServerID]*node
-	view         *view
+	// organisations holds the ranks of the organisations; the map is replaced as a whole.
+	organisations map[string]cluster.Rank
+	nodes         map[cluster.ServerID]*node
+	view          *view
 	// changed is closed and replaced whenever the view or the phase changes.
 	changed chan struct{}
 	phase   *statechart.Machine
@@ -137,7 +139,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &owner{
 		home: h, name: g.Name, started: time.Now(), retryBudget: rank.NewRetryBudget(), ctx: ctx, cancel: cancel,
-		spec: g, ranks: h.ranks, limits: h.limits, lastDeparture: h.departures[g.Name].last(),
+		spec: g, ranks: h.ranks, limits: h.limits, organisations: h.organisations, lastDeparture: h.departures[g.Name].last(),
 		nodes: make(map[cluster.ServerID]*node), view: newView(len(g.Servers)),
 		phase: chart.NewMachine(), changed: make(chan struct{}), sessionFloors: newSessionFloors(sessionLimit),
 		history: route.NewHistory(historyLimit, minHistoryInterval),
@@ -153,7 +155,7 @@
 func (o *owner) dispatcherConfig() rank.Config {
 	return rank.Config{
 		Policy: o.home.config.Policy, Ranks: o.ranks,
-		QueueBytes: o.limits.QueueBytes, Proxies: o.home.config.Proxies,
+		QueueBytes: o.limits.QueueBytes, Proxies: o.home.config.Proxies, Organisations: o.organisations,
 	}
 }
 
@@ -183,6 +185,14 @@
 	o.rebuildRouting()
 }
 
+// setOrganisations applies the ranks of the organisations.
+func (o *owner) setOrganisations(ranks map[string]cluster.Rank) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.organisations = ranks
+	o.dispatcher.Configure(o.dispatcherConfig())
+}
+
 // setServers starts and stops nodes so that they match the document. The caller holds
 // the lock.
 func (o *owner) setServers() {
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -213,7 +213,7 @@
 	var chosen *route.Group
 	var required cluster.Position
 	slot, err := o.dispatcher.Acquire(ctx, rank.Request{
-		Rank: r.rank, Lane: lane, Bytes: len(r.First.Messages), Objective: r.objective, Deadline: r.deadline,
+		Rank: r.rank, Lane: lane, Organisation: r.Organisation, Bytes: len(r.First.Messages), Objective: r.objective, Deadline: r.deadline,
 		Eligible: func(id cluster.ServerID, now time.Time) rank.Eligibility {
 			routing := o.routing.Load()
 			eligibility, position := o.evaluate(&q, routing, id, now)
--- a/internal/home/transaction.go
+++ b/internal/home/transaction.go
@@ -134,7 +134,7 @@
 	defer cancel()
 	deadline, _ := ctx.Deadline()
 	slot, err := att.owner.dispatcher.Acquire(ctx, rank.Request{
-		Rank: att.request.rank, Pinned: att.node.server.ID, Deadline: deadline,
+		Rank: att.request.rank, Organisation: att.request.Organisation, Pinned: att.node.server.ID, Deadline: deadline,
 	})
 	if err != nil && att.termCtx.Err() != nil {
 		return backend.Result{}, errcode.Wrap(err, errcode.ConnectionLost, "transaction", string(att.node.server.ID))
