Log and count refused requests with the state that explains them

The log gave no reason for a refusal. Event 3515, at most one line a cause, group and second, has the queue as the organisation sees it, and for each server its busy slots, why it may not run the request and how far behind it is.

--- a/internal/home/events.go
+++ b/internal/home/events.go
@@ -22,4 +22,5 @@
 	eventOutOfStep       = event.New(3512, zerolog.WarnLevel, "answer_out_of_step", "A backend server sent what cannot be the answer to the statement that was due, as it does if it answers one twice or not at all; the connection is closed.")
 	eventAckWithheld     = event.New(3513, zerolog.InfoLevel, "acknowledgement_withheld", "A server acknowledged a commit while this process had no grant of its term; the answer was held until a grant came or all servers had the commit, or else its outcome was reported as unknown.")
 	eventWriteRefused    = event.New(3514, zerolog.WarnLevel, "write_not_confirmable", "Writes of a group are refused: this process has no grant of the term, and for the given reason not all servers can be expected to receive them. Logged at most once a second.")
+	eventRequestRefused  = event.New(3515, zerolog.InfoLevel, "request_refused", "A request got no slot. The line gives the queue as its organisation sees it, and for each server the busy slots, why it may not run the request and how far behind it is. Logged at most once a second for a group and cause; omitted counts the others since the last line.")
 )
--- a/internal/home/metrics.go
+++ b/internal/home/metrics.go
@@ -23,6 +23,8 @@
 	rollbacksTotal         = metrics.NewCounter("rattan_home_rollbacks_total")
 	acksWithheldTotal      = metrics.NewCounter("rattan_home_acks_withheld_total")
 	writesUnconfirmedTotal = metrics.NewCounter("rattan_home_writes_unconfirmable_total")
+	refusalQueueLength     = metrics.NewHistogram("rattan_home_refusal_queue_length")
+	refusalWaitSeconds     = metrics.NewHistogram("rattan_home_refusal_wait_seconds")
 	waitSeconds            = rankmetric.New("rattan_home_wait_seconds", metrics.NewHistogram)
 	requestSeconds         = rankmetric.New("rattan_home_request_seconds", metrics.NewHistogram)
 )
--- a/internal/home/owner.go
+++ b/internal/home/owner.go
@@ -71,6 +71,7 @@
 	started     time.Time
 	dispatcher  *rank.Dispatcher
 	retryBudget *rank.RetryBudget
+	refusals    refusalLog
 	ctx         context.Context
 	cancel      context.CancelFunc
 	// workers counts the background goroutines of the owner.
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -228,6 +228,7 @@
 		waitSeconds[r.rank].Update(slot.Waited.Seconds())
 		return slot, chosen, required, nil
 	}
+	o.recordRefusal(r, lane, &q, refusalCauseOf(err))
 	if !o.routing.Load().PrimaryReachable() && lane == rank.LanePrimary && !errcode.Is(err, errcode.Draining) {
 		return nil, nil, required, errcode.Wrap(err, errcode.NoPrimary, "wait for primary", string(o.name))
 	}
--- a/internal/home/transaction.go
+++ b/internal/home/transaction.go
@@ -58,6 +58,9 @@
 		if termCtx.Err() != nil {
 			err = errTermChanged
 		}
+		if termCtx.Err() == nil && (errors.Is(err, errTooManyTransactions) || errors.Is(err, context.DeadlineExceeded)) {
+			o.recordRefusal(r, rank.LanePrimary, nil, causeTransactions)
+		}
 		refused := errcode.Wrap(err, errcode.Overloaded, "open transactions", string(n.server.ID))
 		refused.RetryAfter = retryDelay
 		return nil, refused
--- a/internal/rank/fair.go
+++ b/internal/rank/fair.go
@@ -264,7 +264,7 @@
 		refused := largest.newest()
 		d.remove(refused)
 		d.countRefused(refused.request.Rank)
-		refused.fail(newOverloadedError("queue full", largest.wait()))
+		refused.fail(newOverloadedError(StepQueueFull, largest.wait()))
 	}
 	return true
 }
--- a/internal/rank/queue.go
+++ b/internal/rank/queue.go
@@ -8,6 +8,14 @@
 	"github.com/rattancove/rattancove/internal/errcode"
 )
 
+// Steps of the errors of requests that are refused before they wait. A request that
+// StepQueueFull names may also be refused while it waits.
+const (
+	StepQueueFull   = "queue full"
+	StepWaitTooLong = "wait too long"
+	StepAdmit       = "admit"
+)
+
 // waiter is one request in a queue. Its fields are guarded by the
 // dispatcher's lock until done is closed.
 type waiter struct {
@@ -169,16 +177,16 @@
 		expected = w.share.lateWait()
 	}
 	if !d.makeRoom(w) {
-		return newOverloadedError("queue full", expected)
+		return newOverloadedError(StepQueueFull, expected)
 	}
 	if d.config.Policy == PolicyStatic {
 		return nil
 	}
 	if now.Add(expected).After(w.deadline) {
-		return newOverloadedError("wait too long", expected-w.deadline.Sub(now)+expected/retryDrainDivisor)
+		return newOverloadedError(StepWaitTooLong, expected-w.deadline.Sub(now)+expected/retryDrainDivisor)
 	}
 	if !r.Deadline.IsZero() && now.Add(d.expectedCost(w, now)).After(r.Deadline) {
-		return errcode.New(errcode.DeadlinePassed, "admit", "")
+		return errcode.New(errcode.DeadlinePassed, StepAdmit, "")
 	}
 	return nil
 }
