--- a/internal/edge/homes.go
+++ b/internal/edge/homes.go
@@ -127,6 +127,7 @@
 		e.markLeavingServers(state, document)
 		e.setQuotaLimits(state.Configuration)
 		e.home.SetDocument(document)
+		e.home.SetOrganisations(state.OrganisationRanks())
 		for _, g := range document.Groups {
 			e.reconcileGroup(g.Name)
 		}
--- a/internal/home/owner.go
+++ b/internal/home/owner.go
@@ -11,6 +11,7 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/environment"
 	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/pool"
 	"github.com/rattancove/rattancove/internal/rank"
 	"github.com/rattancove/rattancove/internal/route"
 	"github.com/rattancove/rattancove/internal/statechart"
@@ -70,6 +71,7 @@
 	started     time.Time
 	dispatcher  *rank.Dispatcher
 	retryBudget *rank.RetryBudget
+	refusals    refusalLog
 	ctx         context.Context
 	cancel      context.CancelFunc
 	// workers counts the background goroutines of the owner.
@@ -89,6 +91,8 @@
 	pendingAcks, pendingCopies atomic.Int32
 	// pollChannels holds pollNow of every node; the slice is replaced as a whole.
 	pollChannels atomic.Pointer[[]chan struct{}]
+	// pools holds the pool of every node; the map is replaced as a whole.
+	pools atomic.Pointer[map[cluster.ServerID]*pool.Pool]
 	// routing is the state that routing decisions are based on; it is replaced as a whole.
 	routing atomic.Pointer[route.Group]
 
@@ -100,8 +104,10 @@
 	spec         environment.Group
 	ranks        environment.Ranks
 	limits       environment.Limits
-	nodes        map[cluster.ServerID]*node
-	view         *view
+	// organisations holds the ranks of the organisations; the map is replaced as a whole.
+	organisations map[string]cluster.Rank
+	nodes         map[cluster.ServerID]*node
+	view          *view
 	// changed is closed and replaced whenever the view or the phase changes.
 	changed chan struct{}
 	phase   *statechart.Machine
@@ -134,7 +140,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &owner{
 		home: h, name: g.Name, started: time.Now(), retryBudget: rank.NewRetryBudget(), ctx: ctx, cancel: cancel,
-		spec: g, ranks: h.ranks, limits: h.limits, lastDeparture: h.departures[g.Name].last(),
+		spec: g, ranks: h.ranks, limits: h.limits, organisations: h.organisations, lastDeparture: h.departures[g.Name].last(),
 		nodes: make(map[cluster.ServerID]*node), view: newView(len(g.Servers)),
 		phase: chart.NewMachine(), changed: make(chan struct{}), sessionFloors: newSessionFloors(sessionLimit),
 		history: route.NewHistory(historyLimit, minHistoryInterval),
@@ -150,7 +156,7 @@
 func (o *owner) dispatcherConfig() rank.Config {
 	return rank.Config{
 		Policy: o.home.config.Policy, Ranks: o.ranks,
-		QueueBytes: o.limits.QueueBytes, Proxies: o.home.config.Proxies,
+		QueueBytes: o.limits.QueueBytes, Proxies: o.home.config.Proxies, Organisations: o.organisations,
 	}
 }
 
@@ -180,6 +186,14 @@
 	o.rebuildRouting()
 }
 
+// setOrganisations applies the ranks of the organisations.
+func (o *owner) setOrganisations(ranks map[string]cluster.Rank) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.organisations = ranks
+	o.dispatcher.Configure(o.dispatcherConfig())
+}
+
 // setServers starts and stops nodes so that they match the document. The caller holds
 // the lock.
 func (o *owner) setServers() {
@@ -207,10 +221,13 @@
 	}
 	o.view.size = len(servers)
 	channels := make([]chan struct{}, 0, len(o.nodes))
-	for _, n := range o.nodes {
+	pools := make(map[cluster.ServerID]*pool.Pool, len(o.nodes))
+	for id, n := range o.nodes {
 		channels = append(channels, n.pollNow)
+		pools[id] = n.pool
 	}
 	o.pollChannels.Store(&channels)
+	o.pools.Store(&pools)
 	o.dispatcher.SetServers(servers)
 }
 
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -236,7 +236,7 @@
 	var chosen *route.Group
 	var required cluster.Position
 	slot, err := o.dispatcher.Acquire(ctx, rank.Request{
-		Rank: r.rank, Lane: lane, Bytes: len(r.First.Messages), Objective: r.objective, Deadline: r.deadline,
+		Rank: r.rank, Lane: lane, Organisation: r.Organisation, Bytes: len(r.First.Messages), Objective: r.objective, Deadline: r.deadline,
 		Eligible: func(id cluster.ServerID, now time.Time) rank.Eligibility {
 			routing := o.routing.Load()
 			eligibility, position := o.evaluate(&q, routing, id, now)
@@ -245,17 +245,31 @@
 			}
 			return eligibility
 		},
+		Prefers: o.prefers(r),
 	})
 	if err == nil {
 		waitSeconds[r.rank].Update(slot.Waited.Seconds())
 		return slot, chosen, required, nil
 	}
+	o.recordRefusal(r, lane, &q, refusalCauseOf(err))
 	if !o.routing.Load().PrimaryReachable() && lane == rank.LanePrimary && !errcode.Is(err, errcode.Draining) {
 		return nil, nil, required, errcode.Wrap(err, errcode.NoPrimary, "wait for primary", string(o.name))
 	}
 	return nil, nil, required, err
 }
 
+// prefers returns the preference of a request for servers with an idle connection of its
+// organisation; nil without an organisation.
+func (o *owner) prefers(r *request) func(cluster.ServerID) bool {
+	if r.Organisation == "" {
+		return nil
+	}
+	return func(id cluster.ServerID) bool {
+		p, ok := (*o.pools.Load())[id]
+		return ok && p.HasIdle(r.Organisation)
+	}
+}
+
 // evaluate decides whether the query may run on one server with a free slot. The
 // second result is the position that the server's data must have reached.
 func (o *owner) evaluate(q *route.Query, routing *route.Group, id cluster.ServerID, now time.Time) (rank.Eligibility, cluster.Position) {
--- a/internal/home/transaction.go
+++ b/internal/home/transaction.go
@@ -58,6 +58,9 @@
 		if termCtx.Err() != nil {
 			err = errTermChanged
 		}
+		if termCtx.Err() == nil && (errors.Is(err, errTooManyTransactions) || errors.Is(err, context.DeadlineExceeded)) {
+			o.recordRefusal(r, rank.LanePrimary, nil, causeTransactions)
+		}
 		refused := errcode.Wrap(err, errcode.Overloaded, "open transactions", string(n.server.ID))
 		refused.RetryAfter = retryDelay
 		return nil, refused
@@ -134,7 +137,7 @@
 	defer cancel()
 	deadline, _ := ctx.Deadline()
 	slot, err := att.owner.dispatcher.Acquire(ctx, rank.Request{
-		Rank: att.request.rank, Pinned: att.node.server.ID, Deadline: deadline,
+		Rank: att.request.rank, Organisation: att.request.Organisation, Pinned: att.node.server.ID, Deadline: deadline,
 	})
 	if err != nil && att.termCtx.Err() != nil {
 		return backend.Result{}, errcode.Wrap(err, errcode.ConnectionLost, "transaction", string(att.node.server.ID))
