Run a deployment with organisations and look for keys in all that it writes

The stand-in records the organisation of each connection, and the configuration of a test may list organisations.

--- a/cmd/rattan-edge/edge_test.go
+++ b/cmd/rattan-edge/edge_test.go
@@ -37,13 +37,29 @@
 	readyAddresses  []string
 	settingsPaths   []string
 	log             zerolog.Logger
+	// settings holds additional lines of the settings, tenants the organisations of the
+	// configuration; nil if there are none. The route to publicDatabase is public.
+	settings []string
+	tenants  []map[string]any
 	// stop asks the process that was started last to stop.
 	stop func()
 }
 
+// publicDatabase needs no key.
+const publicDatabase = "board"
+
 func deploy(t *testing.T, processes int) *deployment {
 	t.Helper()
-	d := &deployment{t: t, store: userplatform.NewStore(), log: zerolog.Nop()}
+	d := &deployment{t: t, log: zerolog.Nop()}
+	d.deploy(processes, "shop")
+	return d
+}
+
+// deploy starts the stand-ins and the processes.
+func (d *deployment) deploy(processes int, databases ...string) {
+	t := d.t
+	t.Helper()
+	d.store = userplatform.NewStore()
 	var err error
 	if d.group, err = userplatform.NewGroup("orders", 3, d.store); err != nil {
 		t.Fatal(err)
@@ -52,12 +68,11 @@
 	store, cloud := httptest.NewServer(d.store), httptest.NewServer(d.group)
 	t.Cleanup(func() { store.CloseClientConnections(); store.Close(); cloud.Close() })
 	d.storeURL, d.cloudURL = store.Listener.Addr().String(), cloud.Listener.Addr().String()
-	d.configure(1, "shop")
+	d.configure(1, databases...)
 	peers := addresses(t, processes)
 	for i := range processes {
 		d.start(i, peers)
 	}
-	return d
 }
 
 // configure stores a configuration with a route for each of the given databases.
@@ -66,12 +81,17 @@
 	for _, name := range databases {
 		routes = append(routes, map[string]any{
 			"name": name, "host": name, "type": "primary", "timeout_ms": 20000, "goal_ms": 100, "priority": 0, "service": "orders",
+			"public": name == publicDatabase,
 		})
 	}
-	d.store.Put("op", "config", map[string]any{
+	configuration := map[string]any{
 		"version": version, "routes": routes, "limits": map[string]any{"tx_idle_ms": 20000},
 		"services": []map[string]any{{"name": "orders", "max_conns": 32, "sync_replicas": 1}},
-	})
+	}
+	if d.tenants != nil {
+		configuration["tenants"] = d.tenants
+	}
+	d.store.Put("op", "config", configuration)
 }
 
 // addresses returns free loopback addresses.
@@ -101,6 +121,7 @@
 		"limits.ram_mb=512", "limits.max_fds=4096", "heartbeat_ms=1000", "bounds.grace_s=6",
 		"platform.addr=" + d.storeURL, "cloud.addr=" + d.cloudURL,
 	}
+	lines = append(lines, d.settings...)
 	if err := os.WriteFile(path, []byte(strings.Join(lines, "\n")), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
@@ -160,13 +181,17 @@
 }
 
 func (d *deployment) connect(i int, database string) (*caller, error) {
+	return d.connectWith(i, database, "test")
+}
+
+func (d *deployment) connectWith(i int, database, key string) (*caller, error) {
 	conn, err := net.Dial("tcp", d.callerAddresses[i])
 	if err != nil {
 		return nil, err
 	}
 	c := &caller{conn: conn, reader: bufio.NewReader(conn)}
 	_ = conn.SetDeadline(time.Now().Add(waitTimeout))
-	answer, err := c.send("STARTUP " + database + " test")
+	answer, err := c.send("STARTUP " + database + " " + key)
 	if err == nil && !strings.HasPrefix(answer, "READY I") {
 		err = fmt.Errorf("start-up: %s", answer)
 	}
@@ -318,6 +343,13 @@
 	return l.text.Write(p)
 }
 
+// String returns the log.
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
 func (l *logBuffer) contains(text string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/catalog/organisations.go
+++ b/internal/catalog/organisations.go
@@ -44,7 +44,9 @@
 			t.organisations[key] = o.Name
 		}
 	}
-	t.recordKeyChanges(old, c.Version)
+	if old != nil { // the first configuration changes nothing
+		t.recordKeyChanges(old, c.Version)
+	}
 }
 
 // keyChange counts the changes of an organisation's keys. A key that moves to another
--- a/internal/standin/userplatform/group.go
+++ b/internal/standin/userplatform/group.go
@@ -66,12 +66,14 @@
 	workTime        time.Duration
 	extraRows       func(number int) []string
 	connectionCount int
+	// startups counts the connections by the user of their start-up message.
+	startups map[string]int
 }
 
 // NewGroup starts a group of the given size and publishes its servers' entries in
 // the store. The first server is the primary.
 func NewGroup(name string, size int, store *Store) (*Group, error) {
-	g := &Group{Name: name, store: store, changed: make(chan struct{}), promotionDelay: DefaultPromotionDelay, extraRows: func(int) []string { return nil }}
+	g := &Group{Name: name, store: store, changed: make(chan struct{}), promotionDelay: DefaultPromotionDelay, extraRows: func(int) []string { return nil }, startups: map[string]int{}}
 	for range size {
 		if _, err := g.addServer(); err != nil {
 			return nil, err
--- a/internal/standin/userplatform/run.go
+++ b/internal/standin/userplatform/run.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"time"
 )
 
@@ -10,6 +11,8 @@
 // names a position.
 type Run struct {
 	ID, Text, Server string
+	// Organisation is the user of the connection's start-up message.
+	Organisation string
 	// Connection and Number count the connections and the runs of a group.
 	Connection, Number int
 	// Definition is the prepared statement that an EXECUTE has run.
@@ -42,6 +45,20 @@
 	return runs
 }
 
+// recordStartup records the user of a start-up message.
+func (g *Group) recordStartup(organisation string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.startups[organisation]++
+}
+
+// Startups returns the number of connections that were opened for each organisation.
+func (g *Group) Startups() map[string]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return maps.Clone(g.startups)
+}
+
 // RunOf returns the last run of the statement with an id. The second result is false if
 // no server has begun to run it.
 func (g *Group) RunOf(id string) (Run, bool) {
@@ -75,7 +92,7 @@
 func (c *session) startRun(id, text, definition string, takesTime bool) *Run {
 	g := c.server.group
 	g.mu.Lock()
-	r := &Run{ID: id, Text: text, Definition: definition, Server: c.server.ID, Connection: c.number, Number: len(g.runs) + 1, StartedAt: time.Now()}
+	r := &Run{ID: id, Text: text, Definition: definition, Server: c.server.ID, Organisation: c.organisation, Connection: c.number, Number: len(g.runs) + 1, StartedAt: time.Now()}
 	g.runs = append(g.runs, r)
 	workTime := g.workTime
 	g.mu.Unlock()
--- a/internal/standin/userplatform/session.go
+++ b/internal/standin/userplatform/session.go
@@ -12,9 +12,11 @@
 
 // session is a connection to a server.
 type session struct {
-	server            *Server
-	conn              net.Conn
-	number            int
+	server *Server
+	conn   net.Conn
+	number int
+	// organisation is the user of the start-up message.
+	organisation      string
 	started           bool
 	inTransaction     bool
 	readOnly          bool
@@ -106,6 +108,8 @@
 			c.send(answer{code: "MOVED"}.encode(c.server.ID))
 			return false
 		}
+		c.organisation = fields[1]
+		c.server.group.recordStartup(c.organisation)
 		c.send(c.ready())
 	case word == "QUERY" && c.started && isStatement:
 		m := c.server.drawMisanswer()
--- a/internal/standin/userplatform/store.go
+++ b/internal/standin/userplatform/store.go
@@ -106,6 +106,13 @@
 	s.notify()
 }
 
+// Rows returns all rows.
+func (s *Store) Rows() []Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.rows))
+}
+
 func (s *Store) applyRow(r Row) {
 	r.Version = s.version
 	id := rowID{r.Table, r.Partition, r.Key}
