--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -71,7 +71,7 @@
 
 func fullRequest() *statement.Request {
 	return &statement.Request{
-		ID: "r1", Group: "orders_a", Customer: "cotopaxi", Session: "s", Rank: cluster.RankNormal,
+		ID: "r1", Group: "orders_a", Customer: "cotopaxi", Organisation: "red", Session: "s", Rank: cluster.RankNormal,
 		Freshness: statement.Freshness{Mode: statement.FreshnessBounded, MaxAge: time.Second},
 		Floor:     cluster.Position{Term: 2, Offset: 9}, FloorExact: true, OrderID: "o1",
 		Settings: []statement.Setting{{Name: "TimeZone", Value: "UTC"}}, Timeout: time.Second, Hops: 1,
