--- a/internal/edge/reload_test.go
+++ b/internal/edge/reload_test.go
@@ -22,6 +22,7 @@
 	}
 	next := first
 	next.Seeds, next.StopTime, next.MemoryLimit, next.MaxDescriptors = []string{"10.0.0.9:3"}, 9*time.Second, 2<<20, 200
+	next.RevocationTime = 5 * time.Second
 	next.CallersListen = "10.0.0.1:7"
 	want := next
 	want.CallersListen = first.CallersListen
@@ -32,7 +33,7 @@
 		t.Errorf("after broken settings (-want +got):\n%s", diff)
 	}
 	applied, pending := settingsChanges(&first, &next)
-	if diff := cmp.Diff([][]string{{"seeds", "stop_time", "memory_limit", "max_descriptors"}, {"callers"}}, [][]string{applied, pending}); diff != "" {
+	if diff := cmp.Diff([][]string{{"seeds", "stop_time", "memory_limit", "max_descriptors", "revocation_time"}, {"callers"}}, [][]string{applied, pending}); diff != "" {
 		t.Errorf("changes (-want +got):\n%s", diff)
 	}
 }
