Test confirmations over calls between processes

Pings and polls run over the peer protocol with held-up connections and clocks of different origins, and the subscriber takes over what a delegate confirms.

--- a/internal/catalog/subscriber_test.go
+++ b/internal/catalog/subscriber_test.go
@@ -28,6 +28,9 @@
 	return slices.Clone(p.upstreams)
 }
 
+// confirmedAt is the time that the replies of fakePeers confirm.
+const confirmedAt = time.Hour
+
 func (p *fakePeers) AwaitUpdate(ctx context.Context, address string, wait time.Duration) (PeerCatalog, error) {
 	p.mu.Lock()
 	unresponsive, notFollowing, peer := p.unresponsive[address], p.notFollowing[address], p.trackers[address]
@@ -41,7 +44,8 @@
 	}
 	configuration, servers := p.local.Versions()
 	data, err := peer.AwaitUpdate(ctx, configuration, servers, wait)
-	return PeerCatalog{Data: data}, err
+	version, _ := peer.Versions()
+	return PeerCatalog{Data: data, Confirmation: Confirmation{Version: version, At: confirmedAt}}, err
 }
 
 func (p *fakePeers) set(change func()) {
@@ -90,6 +94,9 @@
 		if c, s := p.local.Versions(); c != 5 || s != 20 {
 			t.Errorf("versions %d and %d, want 5 and 20", c, s)
 		}
+		if age, known := p.local.ConfirmedAge(confirmedAt + 1); age != 1 || !known {
+			t.Errorf("the reply with version 5 does not confirm it: %d, %v", age, known)
+		}
 		time.Sleep(time.Minute)
 		if n := source.loadCount(); n != 0 {
 			t.Errorf("the store was read %d times", n)
--- a/internal/edge/access_test.go
+++ b/internal/edge/access_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rattancove/rattancove/internal/catalog"
+	"github.com/rattancove/rattancove/internal/member"
 	"github.com/rattancove/rattancove/internal/peer/peerpb"
 )
 
@@ -69,6 +71,9 @@
 		{"given back to another organisation", func() { a.tracker.SetConfiguration(keyed(4, "blue"), catalog.OriginPeer) }, "for blue", "for blue"},
 	} {
 		step.change()
+		if strict := revocation > 0 && a.tracker.KeysRequired(); a.strict() != strict {
+			t.Errorf("%s: polls are short: %v", step.name, !strict)
+		}
 		if private, public := a.decide(false), a.decide(true); private != step.private || public != step.public {
 			t.Errorf("%s: %q and %q on a public route, want %q and %q", step.name, private, public, step.private, step.public)
 		}
@@ -139,13 +144,20 @@
 }
 
 // TestRepliesConfirmWhatWasTrueWhenTheyWereSent guards against a confirmation that is newer
-// than what the peer knew: from a ping that was held up, a reply that was, or the time for
-// which a delegate has held a poll.
+// than what the peer knew, when a ping or the reply to it is held up, or a poll.
 func TestRepliesConfirmWhatWasTrueWhenTheyWereSent(t *testing.T) {
+	const heldUp, ageAtPeer = 3 * time.Second, time.Second
 	synctest.Test(t, func(t *testing.T) {
-		start := time.Now()
+		start, ctx := time.Now(), t.Context()
+		var other *Edge
 		newEdge := func(origin time.Duration) *Edge {
-			e, err := New(Config{ID: "front", RevocationTime: testRevocation}, Adapters{}, zerolog.Nop())
+			dial := func(context.Context, string) (net.Conn, error) {
+				time.Sleep(heldUp)
+				client, server := net.Pipe()
+				go func() { _ = other.peerServer.ServeConn(ctx, server) }()
+				return client, nil
+			}
+			e, err := New(Config{ID: "front", RevocationTime: testRevocation}, Adapters{Dial: dial}, zerolog.Nop())
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -153,34 +165,49 @@
 			e.tracker.SetConfiguration(keyed(7, "red"), catalog.OriginStore)
 			return e
 		}
-		peer, e := newEdge(500*time.Hour), newEdge(time.Hour)
-		if c := e.confirmationOf(peer.catalogVersions()[0], e.access.clock(), 0); c != (catalog.Confirmation{}) {
-			t.Errorf("a peer without a confirmation confirms %+v", c)
+		ping := func(e *Edge) {
+			if _, err := (pinger{e}).Ping(ctx, "peer", member.PingMessage{}); err != nil {
+				t.Error(err)
+			}
 		}
-		peer.tracker.Confirm(7, peer.access.clock())
-		time.Sleep(2 * time.Second) // the age at the peer
-		if _, err := e.handlePing(t.Context(), &peerpb.PingRequest{Documents: peer.catalogVersions()}); err != nil {
-			t.Fatal(err)
+		poll := func(e *Edge) {
+			reply, err := catalogPeers{e}.AwaitUpdate(ctx, "peer", time.Second)
+			if err != nil || e.tracker.Merge(reply) != nil {
+				t.Error(err)
+			}
 		}
-		if _, known := e.tracker.ConfirmedAge(e.access.clock()); known {
-			t.Error("a received ping confirms the configuration")
+		other = newEdge(500 * time.Hour)
+		for _, tt := range []struct {
+			name string
+			call func(e *Edge)
+			// want is the age afterwards; known is not set if the peer has no confirmation.
+			want  time.Duration
+			known bool
+		}{
+			{"ping to an unconfirmed peer", ping, 0, false},
+			{"ping", ping, heldUp + ageAtPeer + heldUp, true},
+			{"poll", poll, heldUp + ageAtPeer + heldUp + time.Second, true},
+		} {
+			e := newEdge(time.Hour)
+			if tt.known {
+				other.tracker.Confirm(7, other.access.clock())
+				time.Sleep(ageAtPeer)
+			}
+			tt.call(e)
+			if age, known := e.tracker.ConfirmedAge(e.access.clock()); age != tt.want || known != tt.known {
+				t.Errorf("%s: age %s, known %v, want %s, %v", tt.name, age, known, tt.want, tt.known)
+			}
+			e.controlPeers.Close()
 		}
-		sent := e.access.clock()
-		reply, err := peer.handleCatalog(t.Context(), &peerpb.DocumentRequest{AtLeastRevision: 7, BaseDigest: "0", WaitNanos: int64(time.Second)})
-		if err != nil {
+		received := newEdge(time.Hour)
+		if _, err := received.handlePing(ctx, &peerpb.PingRequest{Documents: other.catalogVersions()}); err != nil {
 			t.Fatal(err)
 		}
-		versions := peer.catalogVersions()
-		time.Sleep(3 * time.Second) // the reply is held up
-		e.confirmFrom(versions, sent)
-		if age, _ := e.tracker.ConfirmedAge(e.access.clock()); age != 7*time.Second {
-			t.Errorf("age %s after a ping, want that of the peer, 3 s, and the 4 s since it was sent", age)
-		}
-		c := e.confirmationOf(reply.GetVersion(), sent, time.Duration(reply.GetHeldNanos()))
-		if age := e.access.clock() - c.At; c.Version != 7 || age != 6*time.Second {
-			t.Errorf("age %s after a poll, want that of the peer at its reply, 3 s, and the 3 s since then", age)
+		if _, known := received.tracker.ConfirmedAge(received.access.clock()); known {
+			t.Error("a received ping confirms the configuration")
 		}
-		if c := e.confirmationOf(reply.GetVersion(), sent, time.Hour); e.access.clock()-c.At < 3*time.Second {
+		sent := received.access.clock()
+		if c := received.confirmationOf(other.confirmedVersion(other.access.clock()), sent, time.Hour); c.At >= sent {
 			t.Errorf("a peer held a poll for longer than it took: %+v", c)
 		}
 	})
