--- a/internal/catalog/confirmation_test.go
+++ b/internal/catalog/confirmation_test.go
@@ -42,6 +42,9 @@
 		time.Sleep(wait)
 		return Update{Coverage: coverageUpTo(after)}, nil
 	}
+	if topic == TopicConfiguration {
+		time.Sleep(50 * time.Millisecond)
+	}
 	return Update{Configuration: keyedConfiguration(version, nil), Coverage: coverageUpTo(version)}, nil
 }
 
@@ -87,6 +90,10 @@
 func TestPollConfirmsFromBeforeItsRequest(t *testing.T) {
 	s := &feedStore{version: 1, loaded: 1}
 	runFeed(t, s, true, func(tracker *Tracker, clock func() time.Duration) {
+		time.Sleep(200 * time.Millisecond)
+		if _, known := tracker.ConfirmedAge(clock()); !known {
+			t.Error("the first confirmation is late")
+		}
 		time.Sleep(time.Second)
 		for _, want := range []struct{ low, high time.Duration }{{1900 * time.Millisecond, 2 * time.Second}, {2600 * time.Millisecond, 2900 * time.Millisecond}} {
 			var highest time.Duration
--- a/internal/catalog/subscriber_test.go
+++ b/internal/catalog/subscriber_test.go
@@ -28,7 +28,7 @@
 	return slices.Clone(p.upstreams)
 }
 
-// confirmedAt is the time that the replies of fakePeers confirm.
+// confirmedAt and a nanosecond for each version is the time that replies of fakePeers confirm.
 const confirmedAt = time.Hour
 
 func (p *fakePeers) AwaitUpdate(ctx context.Context, address string, wait time.Duration) (PeerCatalog, error) {
@@ -45,7 +45,7 @@
 	configuration, servers := p.local.Versions()
 	data, err := peer.AwaitUpdate(ctx, configuration, servers, wait)
 	version, _ := peer.Versions()
-	return PeerCatalog{Data: data, Confirmation: Confirmation{Version: version, At: confirmedAt}}, err
+	return PeerCatalog{Data: data, Confirmation: Confirmation{Version: version, At: confirmedAt + time.Duration(version)}}, err
 }
 
 func (p *fakePeers) set(change func()) {
@@ -94,7 +94,7 @@
 		if c, s := p.local.Versions(); c != 5 || s != 20 {
 			t.Errorf("versions %d and %d, want 5 and 20", c, s)
 		}
-		if age, known := p.local.ConfirmedAge(confirmedAt + 1); age != 1 || !known {
+		if age, known := p.local.ConfirmedAge(confirmedAt + 5); age != 0 || !known {
 			t.Errorf("the reply with version 5 does not confirm it: %d, %v", age, known)
 		}
 		time.Sleep(time.Minute)
