Read the busy slots of a server's status

The row of a status has told them all along, and nothing used them. They are evidence of load for the lease holder, at no additional call. A status whose field is not a number counts as before, without them.

--- a/internal/cluster/server.go
+++ b/internal/cluster/server.go
@@ -51,6 +51,9 @@
 	Received Position
 	// Replayed is the last log position that is visible to reads.
 	Replayed Position
+	// Busy is the number of slots at work, of which the call for the status may be one; zero
+	// when the server does not provide it.
+	Busy int
 	// TermStart is the last log position before Term began, as the primary of
 	// Term reports it; unknown when the server does not provide it.
 	TermStart Position
