Switch over from a primary whose replicas replay late

While all replicas replay late, all reads of a group that need newer data go to the slots of its primary, and those of the replicas idle. A replica that has received everything serves it as soon as it is promoted, and the old primary is a replica without a backlog.

The switchover is that of a leaving primary.

--- a/internal/succession/decide.go
+++ b/internal/succession/decide.go
@@ -33,7 +33,7 @@
 	// promotionTimeout is how long the platform may take to promote a server before
 	// the attempt is restarted. A promotion usually takes one second.
 	promotionTimeout = 3 * time.Second
-	// switchoverRetryDelay is the delay before another switchover from a leaving primary.
+	// switchoverRetryDelay is the delay before another attempt of a planned switchover.
 	switchoverRetryDelay = 500 * time.Millisecond
 	// minSwitchoverLease is the remaining lease time required to step down a working
 	// primary: a switchover takes half a second until the platform is asked.
@@ -48,6 +48,7 @@
 	s = s.updateStall(g, v, now)
 	s.Membership = s.update(g, v, now)
 	s = s.updateOldLog(g, v)
+	s.replay = s.replay.update(g, v, s, now)
 	s.Blocker, s.Wait = "", Wait{}
 	for {
 		next, actions := decidePhase(g, v, s, now)
@@ -171,6 +172,11 @@
 	cause, since := diagnose(g, v, s, now)
 	switch cause {
 	case CauseNone:
+		if replaySwitchoverDue(g, v, s, now) {
+			s = s.beginAttempt(g, v, CauseReplay, now)
+			s.rest = s.rest.begin(now)
+			return s.fire(eventReplayLate, now), nil
+		}
 		if p, _, ok := primary(g, v); ok && p.Leaving {
 			s.Blocker = switchoverBlocker(g, v, s, now)
 		}
@@ -305,7 +311,7 @@
 		return s.fire(eventElected, now), nil
 	}
 	s.Wait = waitOf(g, v, s, now)
-	if s.Cause == CauseLeaving && !s.awaitsReplicas(now) && !s.OldLogEnd.Known() {
+	if s.Cause.planned() && !s.awaitsReplicas(now) && !s.OldLogEnd.Known() {
 		s.PostponedUntil = now.Add(switchoverRetryDelay)
 		return s.fire(eventPostponed, now), nil
 	}
--- a/internal/succession/events.go
+++ b/internal/succession/events.go
@@ -18,5 +18,6 @@
 	eventSwitchoverBlocked  = event.New(4409, zerolog.WarnLevel, "switchover_blocked", "A leaving primary is not replaced yet, for the given reason.")
 	eventElectionWaits      = event.New(4410, zerolog.WarnLevel, "election_waits", "A failover or switchover elects no server yet: what it waits for, and which servers.")
 	eventElectedServer      = event.New(4411, zerolog.WarnLevel, "server_elected", "A server was elected in a failover or switchover: the ends of the logs that no longer change, the position that it must have, and the members that may hold acknowledged writes.")
+	eventReplaySwitchover   = event.New(4412, zerolog.WarnLevel, "replay_switchover", "The slots of a primary are at work while all replicas have received its records and replay them late, so that a replica takes over. No action is needed unless it repeats.")
 	eventServerUnreachable  = event.New(4404, zerolog.WarnLevel, "server_unreachable", "A backend server does not respond on a new connection.")
 )
--- a/internal/succession/fence.go
+++ b/internal/succession/fence.go
@@ -7,13 +7,13 @@
 )
 
 // fence returns the actions that prevent further acknowledged writes. A failed primary may
-// not hear that it should step down, so its replicas are paused first. A leaving one steps
-// down first, while its replicas go on receiving: they are paused once one of them has its
-// whole log.
+// not hear that it should step down, so its replicas are paused first. In a planned
+// switchover the primary steps down first, while its replicas go on receiving: they are
+// paused once one of them has its whole log.
 func fence(g Group, v View, s State, now time.Time) []Action {
 	pauses, stepDowns := pauseActions(g, v, s), stepDownActions(g, v, s)
 	switch {
-	case s.Cause != CauseLeaving && len(pauses) > 0:
+	case !s.Cause.planned() && len(pauses) > 0:
 		return pauses
 	case len(stepDowns) > 0:
 		return stepDowns
--- a/internal/succession/loop.go
+++ b/internal/succession/loop.go
@@ -132,6 +132,7 @@
 	view.Servers, view.PendingPromotions = maps.Clone(l.view.Servers), maps.Clone(l.view.PendingPromotions)
 	view.LeaseRemaining = l.controller.config.Lease.Remaining()
 	view.PriorPromotionPossible = !l.recordRead
+	view.RecordUnsaved = !l.wantedRecord().sameAs(l.savedRecord)
 	view.GroupStale = l.controller.config.GroupsStale != nil && l.controller.config.GroupsStale()
 	view.GrantsInForce = l.grantsAllowed || l.controller.config.Grants.Outstanding(l.name)
 	view.GrantsEndedAt = l.grantsEnd.update(view.GrantsInForce, time.Now())
@@ -209,12 +210,30 @@
 		return
 	}
 	current := l.state
+	if previous.Phase == PhaseWatching && current.Phase == PhasePausing && current.Cause == CauseReplay {
+		l.logReplaySwitchover()
+	}
 	eventPhaseChanged.Log(l.controller.config.Log).Str("group", string(l.name)).
 		Str("from", string(previous.Phase)).Str("to", string(current.Phase)).Str("cause", string(current.Cause)).
 		Str("old", string(current.OldPrimary)).Uint64("old_term", uint64(current.OldTerm)).Uint64("paused_at", uint64(current.AttemptTerm)).
 		Str("chosen", string(current.Candidate)).Dur("in_phase", time.Since(previous.Since)).Send()
 }
 
+// logReplaySwitchover counts a switchover because of late replay and logs its evidence.
+func (l *groupLoop) logReplaySwitchover() {
+	l.mu.Lock()
+	servers := maps.Clone(l.view.Servers)
+	l.mu.Unlock()
+	replaySwitchoversTotal.Inc()
+	replayed := make(map[cluster.ServerID]string, len(servers))
+	for id, o := range servers {
+		replayed[id] = o.Status.Replayed.String()
+	}
+	eventReplaySwitchover.Log(l.controller.config.Log).Str("group", string(l.name)).Str("primary", string(l.state.OldPrimary)).
+		Uint64("term", uint64(l.state.OldTerm)).Interface("replayed", replayed).Dur("late_for", l.state.replay.lateFor).
+		Dur("pause", l.state.rest.pause).Send()
+}
+
 // logElection logs what the election of a server was based on.
 func (l *groupLoop) logElection(view View, now time.Time) {
 	logs := finalLogs(l.group, view, l.state, now)
--- a/internal/succession/promotion.go
+++ b/internal/succession/promotion.go
@@ -116,7 +116,7 @@
 // wantedRecord returns the record that the next lease holder should find. The caller
 // holds mu.
 func (l *groupLoop) wantedRecord() Record {
-	r := Record{Promoting: l.promoting}
+	r := Record{Promoting: l.promoting, ReplaySwitchover: l.state.rest.unixMilli()}
 	if l.state.Known {
 		r.Members = l.state.Members
 	}
@@ -186,6 +186,7 @@
 	}
 	l.readRecord, l.recordRead, l.savedRecord = nil, true, *r
 	l.state.Membership = l.state.merge(*r)
+	l.state.rest = l.state.rest.merge(r.ReplaySwitchover, time.Now())
 	if r.Promoting != "" && r.Token != l.token {
 		l.view.PendingPromotions[r.Promoting] = PendingPromotion{Until: time.Now().Add(priorPromotionDelay(*r, l.controller.config.Lease.Predecessor()))}
 		if l.promoting == "" {
--- a/internal/succession/records.go
+++ b/internal/succession/records.go
@@ -36,11 +36,14 @@
 	// request; empty if none can take effect any more.
 	Promoting cluster.ServerID `json:"promoting,omitempty"`
 	Token     duty.Token       `json:"token"`
+	// ReplaySwitchover is the Unix time in milliseconds of the last switchover because of
+	// late replay; zero if there was none.
+	ReplaySwitchover int64 `json:"replay_switchover_ms,omitempty"`
 }
 
 // sameAs reports whether two records state the same, whoever wrote them.
 func (r Record) sameAs(other Record) bool {
-	return r.Promoting == other.Promoting && slices.Equal(r.Members, other.Members)
+	return r.Promoting == other.Promoting && r.ReplaySwitchover == other.ReplaySwitchover && slices.Equal(r.Members, other.Members)
 }
 
 // recordStore reads and writes the records of all groups. Writes that are requested
--- a/internal/succession/switchover.go
+++ b/internal/succession/switchover.go
@@ -19,7 +19,7 @@
 	blockedByLease        blocker = "the promotion lease expires too soon"
 )
 
-// switchoverBlocker returns why a switchover from the leaving primary must not begin. One
+// switchoverBlocker returns why a planned switchover must not begin. One
 // begins only if it can be expected to end with another primary, since the group takes no
 // writes meanwhile.
 func switchoverBlocker(g Group, v View, s State, now time.Time) blocker {
@@ -67,9 +67,9 @@
 }
 
 // awaitsReplicas reports whether a switchover still gives the replicas time to receive the
-// whole log of the leaving primary.
+// whole log of the old primary.
 func (s State) awaitsReplicas(now time.Time) bool {
-	return s.Cause == CauseLeaving && now.Sub(s.AttemptStart) <= switchoverTimeout
+	return s.Cause.planned() && now.Sub(s.AttemptStart) <= switchoverTimeout
 }
 
 // replicaHasOldLog reports whether a server that could take over has the whole log of the
--- a/internal/succession/types.go
+++ b/internal/succession/types.go
@@ -29,14 +29,15 @@
 
 // Events of the state chart.
 const (
-	eventFailing   = "trouble"
-	eventLeaving   = "leaving"
-	eventRecovered = "recovered"
-	eventConfirmed = "confirmed"
-	eventElected   = "elected"
-	eventPostponed = "postponed"
-	eventPromoted  = "promoted"
-	eventFailed    = "failed"
+	eventFailing    = "trouble"
+	eventLeaving    = "leaving"
+	eventReplayLate = "replay_late"
+	eventRecovered  = "recovered"
+	eventConfirmed  = "confirmed"
+	eventElected    = "elected"
+	eventPostponed  = "postponed"
+	eventPromoted   = "promoted"
+	eventFailed     = "failed"
 )
 
 // Cause is the reason for replacing a primary.
@@ -49,8 +50,13 @@
 	CauseNoPrimary   Cause = "no primary"
 	CauseLeaving     Cause = "primary leaving"
 	CauseStalled     Cause = "replication stalled"
+	// CauseReplay means that the primary works, while all replicas replay late.
+	CauseReplay Cause = "replicas replay late"
 )
 
+// planned reports whether the primary that is replaced works: it steps down first.
+func (c Cause) planned() bool { return c == CauseLeaving || c == CauseReplay }
+
 // Server is a server of a group as listed in the catalog.
 type Server struct {
 	cluster.Server
@@ -138,6 +144,8 @@
 	PriorPromotionPossible bool
 	// GroupStale is set while this process does not hear of changes of the group.
 	GroupStale bool
+	// RecordUnsaved is set while the group's record in the table service is not up to date.
+	RecordUnsaved bool
 	// LeaseRemaining is the time for which this process is certain to hold the lease.
 	LeaseRemaining time.Duration
 	// GrantsInForce is set while any process may hold a grant of the current term.
@@ -175,7 +183,7 @@
 	// waits for before a server is elected.
 	Blocker blocker
 	Wait    Wait
-	// PostponedUntil is the earliest time of another switchover from a leaving primary.
+	// PostponedUntil is the earliest time of another planned switchover.
 	PostponedUntil time.Time
 	// NextRetry is the earliest time to repeat the actions of the phase.
 	NextRetry time.Time
@@ -183,6 +191,10 @@
 	// replicas, the most advanced of which has stayed at StalledPosition.
 	StalledSince    time.Time
 	StalledPosition cluster.Position
+	// replay is the evidence that the replicas replay late, and rest tells when that last led
+	// to a switchover.
+	replay replayWatch
+	rest   replayRest
 	// Membership tells which servers may hold acknowledged writes.
 	Membership
 }
