--- a/internal/succession/model_hash_test.go
+++ b/internal/succession/model_hash_test.go
@@ -110,6 +110,7 @@
 func (e *stateEncoder) record(r Record) {
 	e.members(r.Members)
 	e.text(string(r.Promoting))
+	e.bools(r.ReplaySwitchover > 0)
 }
 
 func (e *stateEncoder) process(w *modelWorld, p *modelProcess) {
@@ -159,6 +160,11 @@
 	now := modelStart.Add(e.now)
 	e.bools(now.Before(s.NextRetry), now.Before(s.PostponedUntil), s.Known)
 	e.timeAge(s.StalledSince)
+	e.bools(s.rest.over(now))
+	if !s.replay.lateSince.IsZero() {
+		e.timeAge(s.replay.lateSince)
+		e.ints(int(s.replay.lateFor/modelAgeUnit), int(s.replay.busy))
+	}
 	e.position(s.StalledPosition)
 	e.members(s.Members)
 	e.members(s.listed)
--- a/internal/succession/model_process_test.go
+++ b/internal/succession/model_process_test.go
@@ -93,6 +93,7 @@
 	if view.GrantsEndedAt = p.grantsEnd.update(p.allowed || p.issuer.Outstanding("g"), now); w.disabled.logsAfterGrants {
 		view.GrantsEndedAt = time.Time{}
 	}
+	view.RecordUnsaved = !w.wantedRecord(p).sameAs(p.saved)
 	view.PromotionInFlight = p.stage != stageNone
 	view.ObserverReport = ObserverReport{QueriedAt: now, Unreachable: 2}
 	if w.disabled.pendingCalls {
@@ -167,6 +168,9 @@
 		role = cluster.RolePrimary
 	}
 	status := cluster.ServerStatus{Server: id, Role: role, Term: s.term, PausedAt: s.paused, Received: s.position()}
+	if w.lateReplay {
+		status.Replayed, status.Busy = cluster.Position{Term: 1}, testSlots
+	}
 	startTime := p.group.Servers[listed].StartTime
 	if w.disabled.startTimes {
 		p.view.Servers[id] = Observation{Status: status, RequestedAt: w.time(), StartTime: startTime, MaxReceived: status.Received}
@@ -180,6 +184,7 @@
 func (w *modelWorld) readRecord(p *modelProcess) {
 	p.recordRead, p.saved, p.recordVersion = true, w.record, w.recordVersion
 	p.state.Membership = p.state.merge(w.record)
+	p.state.rest = p.state.rest.merge(w.record.ReplaySwitchover, w.time())
 	if r := w.record; r.Promoting != "" && r.Token != p.token {
 		p.view.PendingPromotions[r.Promoting] = PendingPromotion{Until: w.time().Add(priorPromotionDelay(r, p.predecessor))}
 		if p.promoting == "" {
@@ -190,7 +195,7 @@
 }
 
 func (w *modelWorld) wantedRecord(p *modelProcess) Record {
-	r := Record{Promoting: p.promoting, Token: p.token}
+	r := Record{Promoting: p.promoting, Token: p.token, ReplaySwitchover: p.state.rest.unixMilli()}
 	if w.disabled.recordFirst {
 		r.Promoting = ""
 	}
--- a/internal/succession/model_test.go
+++ b/internal/succession/model_test.go
@@ -37,6 +37,9 @@
 	{"the holder is suspended before or after its check", modelFaults{writes: 1, freezes: 1, ticks: 6}, electedServer},
 	{"a call is in transit when the lease is taken over", modelFaults{writes: 1, ticks: 1}, callOfEarlierHolder},
 	{"a call is in transit when its server leaves", modelFaults{writes: 1, restarts: 1, ticks: 2}, callToLeavingServer},
+	{"replicas replay late", modelFaults{writes: 1, crashes: 1, lapses: 1, leaving: 1, ticks: 3}, lateReplicas},
+	{"replicas replay late, a server joins", modelFaults{writes: 1, joins: 1, returns: 1, ticks: 2}, lateReplicas},
+	{"replicas replay late, the lease is taken over", modelFaults{writes: 1, storeCuts: 1, cuts: 1, ticks: 6}, lateReplicas},
 	{"primary leaves", modelFaults{writes: 1, leaving: 1, crashes: 1, lapses: 1, ticks: 3}, nil},
 	{"the promoted server is cut off from the others", modelFaults{writes: 1, isolations: 1, ticks: 2}, requestedPromotion},
 	{"a server joins while the primary is replaced", modelFaults{writes: 1, leaving: 1, joins: 1, returns: 1, ticks: 1}, nil},
@@ -134,6 +137,26 @@
 	w.calmStep()
 }
 
+// lateReplicas is the state in which p0 has just begun a switchover from s0, since the
+// replicas replay late. p1 has a grant.
+func lateReplicas(w *modelWorld) {
+	w.lateReplay = true
+	p := w.processes[0]
+	for end := w.now + 2*minReplaySettled; w.now < end; w.now += modelCalmStep {
+		w.letTimePass()
+		w.updateHome()
+		for i := range modelInitialServers {
+			w.now += modelStep
+			if w.callServer(p, i); p.state.Phase == PhasePausing && w.now < p.grantExpiry[modelHomeProcess] {
+				w.progress(p)
+				return
+			}
+		}
+		w.progress(p)
+	}
+	panic("no switchover")
+}
+
 // electedServer is the state in which p0 is about to request the promotion of s1, since it
 // cannot reach s0.
 func electedServer(w *modelWorld) {
@@ -309,6 +332,7 @@
 		{"the record names a promotion first", "a call is in transit when the lease is taken over", modelDisabled{recordFirst: true}},
 		{"pending calls bind the choice", "a call is in transit when its server leaves", modelDisabled{pendingCalls: true}},
 		{"grants end before an election", "grants across a promotion", modelDisabled{grantsWait: true}},
+		{"grants end before a planned switchover", "replicas replay late", modelDisabled{grantsWait: true}},
 		{"final logs after the last grant", "a replica restarts while a grant is in force", modelDisabled{logsAfterGrants: true}},
 		{"a restarted holder assumes earlier grants", "the holder restarts while a grant is in force", modelDisabled{earlierGrants: true}},
 		{"acknowledgements need a grant or all copies", "a replica restarts while a call is in transit", modelDisabled{acknowledgeRule: true}},
--- a/internal/succession/model_world_test.go
+++ b/internal/succession/model_world_test.go
@@ -46,6 +46,9 @@
 
 	// lateNews is set if the lease holder hears of changes of the catalog only as time passes.
 	lateNews bool
+	// lateReplay is set while the replicas replay nothing, and the slots of the primary are
+	// at work.
+	lateReplay bool
 
 	// version is the table service's counter.
 	version       uint64
@@ -204,7 +207,7 @@
 	g := Group{Name: "g", SyncReplicas: 1}
 	for i, s := range w.servers {
 		if s.listed {
-			g.Servers = append(g.Servers, Server{Server: cluster.Server{ID: serverID(i)}, StartTime: s.start, Leaving: s.leaving})
+			g.Servers = append(g.Servers, Server{Server: cluster.Server{ID: serverID(i), Slots: testSlots}, StartTime: s.start, Leaving: s.leaving})
 		}
 	}
 	return g
--- a/internal/succession/records_test.go
+++ b/internal/succession/records_test.go
@@ -64,6 +64,8 @@
 	silent   map[cluster.ServerID]bool
 	onCall   func(p Promotion) error
 	promoted []cluster.ServerID
+	// statusCalls counts the calls for a status.
+	statusCalls int
 }
 
 func newFakeServers() *fakeServers {
@@ -81,6 +83,14 @@
 	s.status[id] = status
 }
 
+func (s *fakeServers) highestTerm() cluster.Term {
+	var term cluster.Term
+	for _, status := range s.status {
+		term = max(term, status.Term)
+	}
+	return term
+}
+
 func (s *fakeServers) kill(id cluster.ServerID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -103,7 +113,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.promoted = append(s.promoted, p.Server)
-	s.become(p.Server, 2)
+	s.become(p.Server, s.highestTerm()+1)
 	return nil
 }
 
@@ -151,7 +161,7 @@
 }
 
 func (r *fakeReplication) Status(ctx context.Context) (cluster.ServerStatus, error) {
-	return r.update(ctx, func(*cluster.ServerStatus) {})
+	return r.update(ctx, func(*cluster.ServerStatus) { r.servers.statusCalls++ })
 }
 
 func (r *fakeReplication) Pause(ctx context.Context, term cluster.Term) (cluster.ServerStatus, error) {
@@ -182,7 +192,7 @@
 		f := &controllerFixture{servers: newFakeServers(), table: providertest.NewTable(), lease: &fakeLease{token: 5}}
 		group := Group{Name: "g", SyncReplicas: 1}
 		for _, id := range []cluster.ServerID{"s1", "s2", "s3"} {
-			group.Servers = append(group.Servers, Server{Server: cluster.Server{ID: id}, StartTime: 1})
+			group.Servers = append(group.Servers, Server{Server: cluster.Server{ID: id, Slots: testSlots}, StartTime: 1})
 		}
 		f.controller = New(Config{
 			Dialer: f.servers, Promoter: f.servers, Lease: f.lease, Table: f.table, Log: &log,
--- a/internal/succession/replay_test.go
+++ b/internal/succession/replay_test.go
@@ -39,11 +39,20 @@
 // attempt begins, and returns when that is.
 func runLate(t *testing.T, late, limit time.Duration, disturb func(s *fixture, at time.Duration)) (time.Duration, bool) {
 	t.Helper()
+	return newLateFixture().runLate(t, late, limit, disturb)
+}
+
+func newLateFixture() *fixture {
 	s := newFixture("s1", "s2", "s3")
 	for i := range s.group.Servers {
 		s.group.Servers[i].Slots = testSlots
 	}
 	s.now = s.now.Add(minReplaySettled)
+	return s
+}
+
+func (s *fixture) runLate(t *testing.T, late, limit time.Duration, disturb func(s *fixture, at time.Duration)) (time.Duration, bool) {
+	t.Helper()
 	for at, position := time.Duration(0), uint64(200); at < limit; at, position = at+reportInterval, position+1 {
 		s.report(position, late)
 		disturb(s, at)
@@ -176,6 +185,29 @@
 	}
 }
 
+// The old primary does not step down, and serves on. It must keep its replicas, and not be
+// asked again soon.
+func TestPostponedReplaySwitchoverLeavesThePrimaryItsReplicas(t *testing.T) {
+	undisturbed := func(*fixture, time.Duration) {}
+	s := newLateFixture()
+	if _, began := s.runLate(t, 3*time.Second, 6*time.Second, undisturbed); !began {
+		t.Fatal("no switchover")
+	}
+	for range 20 {
+		s.now = s.now.Add(switchoverTimeout / 15)
+		s.report(1000, 3*time.Second)
+		for _, a := range s.decide(0) {
+			if a.Kind != ActionStepDown {
+				t.Errorf("action %v", a)
+			}
+		}
+	}
+	s.expect(t, PhaseWatching, "")
+	if at, began := s.runLate(t, 3*time.Second, replaySwitchoverPause-2*switchoverTimeout, undisturbed); began {
+		t.Errorf("another switchover began after %v", at)
+	}
+}
+
 // idleEvery makes the primary report idle slots once in n reports.
 func idleEvery(n int) func(s *fixture, at time.Duration) {
 	return func(s *fixture, at time.Duration) {
