Grant transaction permits by organisation

Transactions waited for permits in order of arrival, so that one organisation could hold them all with 500 more waiting, which refused or delayed the transactions of the others. The next permit goes to the organisation that holds the fewest for its weight, and a full queue refuses the newest waiter of the one that has the most.

--- a/internal/home/attempt.go
+++ b/internal/home/attempt.go
@@ -159,7 +159,7 @@
 func (att *attempt) end(openTransaction bool) {
 	att.slot.Release()
 	if att.permits != nil {
-		att.permits.release()
+		att.permits.release(att.request.Organisation)
 	}
 	if att.broken {
 		att.node.pool.Discard(att.conn)
--- a/internal/home/transaction.go
+++ b/internal/home/transaction.go
@@ -23,7 +23,7 @@
 	}
 	att, err := o.beginAttempt(ctx, r, rank.LanePrimary)
 	if err != nil {
-		n.permits.release()
+		n.permits.release(r.Organisation)
 		_ = attempts.Fire(order.EventRefuse)
 		return statement.Result{}, err
 	}
@@ -54,7 +54,7 @@
 		return nil, errcode.Wrap(errTermChanged, errcode.NoPrimary, "open transaction", string(o.name))
 	}
 	defer context.AfterFunc(termCtx, cancel)()
-	if err := n.permits.acquire(ctx, r.rank); err != nil {
+	if err := n.permits.acquire(ctx, r.rank, o.permitHolder(r)); err != nil {
 		if termCtx.Err() != nil {
 			err = errTermChanged
 		}
@@ -68,6 +68,13 @@
 	return n, nil
 }
 
+// permitHolder returns the organisation of a request and its weight.
+func (o *owner) permitHolder(r *request) permitHolder {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return permitHolder{organisation: r.Organisation, weight: rank.Weight(r.Organisation, o.organisations)}
+}
+
 // continueTransaction runs the caller's batches until the transaction ends.
 func (o *owner) continueTransaction(ctx context.Context, att *attempt) (statement.Result, error) {
 	transactionsTotal.Inc()
--- a/internal/home/view_test.go
+++ b/internal/home/view_test.go
@@ -166,7 +166,7 @@
 		if got := permits.inUse < permits.limits[step.rank]; got != step.free {
 			t.Fatalf("rank %s with %d in use: free %v", step.rank, permits.inUse, got)
 		}
-		if step.free && permits.acquire(ctx, step.rank) != nil {
+		if step.free && permits.acquire(ctx, step.rank, permitHolder{weight: 1}) != nil {
 			t.Fatal("a free permit was refused")
 		}
 	}
--- a/internal/rank/fair.go
+++ b/internal/rank/fair.go
@@ -143,7 +143,7 @@
 	}
 	s, ok := q.shares[organisation]
 	if !ok {
-		s = &share{organisation: organisation, weight: weightOf(organisation, ranks)}
+		s = &share{organisation: organisation, weight: Weight(organisation, ranks)}
 		if q.shares == nil {
 			q.shares = make(map[string]*share)
 		}
@@ -152,7 +152,8 @@
 	return s
 }
 
-func weightOf(organisation string, ranks map[string]cluster.Rank) float64 {
+// Weight returns the weight of an organisation by its rank.
+func Weight(organisation string, ranks map[string]cluster.Rank) float64 {
 	r, ok := ranks[organisation]
 	if !ok {
 		r = cluster.RankNormal // the configuration that adds it has not arrived here yet
@@ -168,7 +169,7 @@
 			delete(q.shares, name)
 			continue
 		}
-		s.weight = weightOf(name, ranks)
+		s.weight = Weight(name, ranks)
 	}
 }
 
