--- a/internal/home/permits_test.go
+++ b/internal/home/permits_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -34,17 +35,21 @@
 			t.Errorf("%d of the flood refused, want %d", refused.Load(), 20-6)
 		}
 		begun := time.Now()
+		var waiting sync.WaitGroup
 		for range 3 {
-			if err := permits.acquire(t.Context(), cluster.RankNormal, small); err != nil {
-				t.Fatal(err)
-			}
+			waiting.Go(func() {
+				if err := permits.acquire(t.Context(), cluster.RankNormal, small); err != nil {
+					t.Error(err)
+				}
+			})
 		}
+		waiting.Wait()
 		if waited := time.Since(begun); waited > 100*time.Millisecond {
 			t.Errorf("three permits after %v, the flood holds each for 100ms", waited)
 		}
 		synctest.Wait()
-		if refused.Load() != 20-6+1 {
-			t.Errorf("%d of the flood refused after the queue was full, want one more", refused.Load())
+		if refused.Load() != 20-6+3 {
+			t.Errorf("%d of the flood refused after the queue was full, want three more", refused.Load())
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
 		defer cancel()
--- a/internal/pool/tag_test.go
+++ b/internal/pool/tag_test.go
@@ -188,7 +188,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeServer{}
 		p := New(Config{Limit: 4, Dial: func(ctx context.Context, tag string) (backend.Conn, error) {
-			if s.open == 2 {
+			s.mu.Lock()
+			full := s.open == 2
+			s.mu.Unlock()
+			if full {
 				return nil, errcode.New(errcode.Overloaded, "dial", "s")
 			}
 			return s.dial(ctx, tag)
@@ -220,6 +223,8 @@
 			}
 			users.Wait()
 			time.Sleep(100 * time.Millisecond) // for resets, probes and openings
+			s.mu.Lock()
+			defer s.mu.Unlock()
 			if s.maxOpen > 6 || s.maxDialing > 10 {
 				t.Errorf("seed %d: %d connections, %d opened at once", seed, s.maxOpen, s.maxDialing)
 			}
