--- a/internal/rank/fair.go
+++ b/internal/rank/fair.go
@@ -10,10 +10,6 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 )
 
-// Waiting requests of a queue are served by weighted fair queueing over organisations:
-// next is the organisation that has used the least slot time for its weight. Only the
-// differences between the used times count.
-
 // organisationWeights are the weights of the ranks of organisations.
 var organisationWeights = [cluster.RankCount]float64{4, 2, 1}
 
@@ -33,7 +29,9 @@
 	minScan = 4
 )
 
-// share is the state of one organisation in a queue.
+// share is the state of one organisation in a queue. Waiting requests are served by
+// weighted fair queueing: next is the organisation that has used the least slot time for
+// its weight. Only the differences between the used times count.
 type share struct {
 	drain
 	organisation string
--- a/internal/rank/fair_test.go
+++ b/internal/rank/fair_test.go
@@ -242,3 +242,37 @@
 		}
 	})
 }
+
+// TestFailedStatementsAreCharged guards against an organisation that gets more than its
+// share because its statements fail, so that their cost is not observed.
+func TestFailedStatementsAreCharged(t *testing.T) {
+	withDispatcher(t, environment.Ranks{}, func(t *testing.T, d *Dispatcher) {
+		used := map[string]time.Duration{}
+		var mu sync.Mutex
+		var callers sync.WaitGroup
+		start := time.Now()
+		for name, cost := range map[string]time.Duration{"fails": 100 * time.Millisecond, "works": 10 * time.Millisecond} {
+			r := primaryRequest(cluster.RankNormal)
+			r.Organisation = name
+			for range 20 {
+				callers.Go(func() {
+					for time.Since(start) < 20*time.Second {
+						slot := mustAcquire(t, d, r)
+						time.Sleep(cost)
+						if name == "fails" {
+							slot.MarkFailed()
+						}
+						slot.Release()
+						mu.Lock()
+						used[name] += cost
+						mu.Unlock()
+					}
+				})
+			}
+		}
+		callers.Wait()
+		if ratio := float64(used["fails"]) / float64(used["works"]); ratio > 1.2 {
+			t.Errorf("the one that fails used %.2f times the slot time", ratio)
+		}
+	})
+}
