--- a/internal/rank/fair.go
+++ b/internal/rank/fair.go
@@ -10,10 +10,6 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 )
 
-// Waiting requests of a queue are served by weighted fair queueing over organisations:
-// next is the organisation that has used the least slot time for its weight. Only the
-// differences between the used times count.
-
 // organisationWeights are the weights of the ranks of organisations.
 var organisationWeights = [cluster.RankCount]float64{4, 2, 1}
 
@@ -33,7 +29,9 @@
 	minScan = 4
 )
 
-// share is the state of one organisation in a queue.
+// share is the state of one organisation in a queue. Waiting requests are served by
+// weighted fair queueing: next is the organisation that has used the least slot time for
+// its weight. Only the differences between the used times count.
 type share struct {
 	drain
 	organisation string
@@ -143,7 +141,7 @@
 	}
 	s, ok := q.shares[organisation]
 	if !ok {
-		s = &share{organisation: organisation, weight: weightOf(organisation, ranks)}
+		s = &share{organisation: organisation, weight: Weight(organisation, ranks)}
 		if q.shares == nil {
 			q.shares = make(map[string]*share)
 		}
@@ -152,7 +150,8 @@
 	return s
 }
 
-func weightOf(organisation string, ranks map[string]cluster.Rank) float64 {
+// Weight returns the weight of an organisation by its rank.
+func Weight(organisation string, ranks map[string]cluster.Rank) float64 {
 	r, ok := ranks[organisation]
 	if !ok {
 		r = cluster.RankNormal // the configuration that adds it has not arrived here yet
@@ -168,7 +167,7 @@
 			delete(q.shares, name)
 			continue
 		}
-		s.weight = weightOf(name, ranks)
+		s.weight = Weight(name, ranks)
 	}
 }
 
