--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 include tools/versions.env
 PROGRAMS := rattan-proxy rattan-warden rattanctl rattan-load rattan-standin
 
-.PHONY: build test quick lint fmt demo demo-platform bench slopes soak soak-faults soak-stops model proto tools
+.PHONY: build test quick lint fmt demo demo-platform bench slopes soak soak-faults soak-stops hostile model proto tools
 
 build:
 	mkdir -p bin
@@ -30,6 +30,12 @@
 test: lint build
 	@test -z "$(KNOWN_RED)" || { echo "Known to fail and not run:"; cat KNOWN-RED.txt; }
 	go test -race -count=1 -timeout 30m $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./...
+	$(MAKE) hostile
+
+# Runs crowds of clients that are not controlled against rattan-edge processes, one test at
+# a time and apart from the other tests.
+hostile:
+	RATTAN_HOSTILE=1 go test -count=1 -timeout 10m $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./internal/hostile
 
 proto:
 	go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
