Hold callers' long messages and texts of sessions within the budget

Nothing bounded the memory of messages of up to 1 MiB, whole or incomplete, nor that of prepared statements and settings, nor the connections that had not begun a session. A line that does not fit the read buffer of 2 KiB now takes its memory before it is read, and returns it when the statement is answered; a connection has one long message at a time. A message that gets no memory in 5 s is skipped and refused with BUSY. The rest of a message has 20 s and a write 5 to 10 s. Connections without a session have 4% of the descriptors; a new one displaces the oldest.

--- a/cmd/rattan-edge/main.go
+++ b/cmd/rattan-edge/main.go
@@ -22,6 +22,7 @@
 	"github.com/rattancove/rattancove/internal/backend"
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/edge"
+	"github.com/rattancove/rattancove/internal/memory"
 	"github.com/rattancove/rattancove/internal/program"
 	"github.com/rattancove/rattancove/internal/telemetry"
 	platformcatalog "github.com/rattancove/rattancove/platform/catalog"
@@ -113,9 +114,11 @@
 	config := file.config
 	client := store.New(config.StoreAddress, dialNetwork)
 	servers := back.New(wire.Dial)
+	budget := memory.NewBudget(config.MemoryLimit)
 	process, err := edge.New(*config, edge.Adapters{
 		Listen: wire.Listen, Dial: wire.Dial,
-		Caller:   func(conn net.Conn) edge.CallerConn { return front.NewConn(conn) },
+		Caller:   func(conn net.Conn) edge.CallerConn { return front.NewBoundedConn(conn, budget) },
+		Memory:   budget,
 		Servers:  servers,
 		Control:  replication{servers},
 		Source:   platformcatalog.NewSource(client, &log),
--- a/internal/caller/conversation.go
+++ b/internal/caller/conversation.go
@@ -101,7 +101,7 @@
 			return nil, c.writeErr
 		}
 		return nil, io.EOF
-	case KindMalformed, KindTooLong:
+	case KindMalformed, KindTooLong, KindNoMemory:
 		return nil, c.refuse(next, decodeError(next.Kind))
 	case KindBegin, KindBeginReadOnly:
 		return nil, c.refuse(next, errcode.New(errcode.Malformed, "transaction", ""))
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -13,6 +13,7 @@
 	"github.com/rattancove/rattancove/internal/catalog"
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/memory"
 	"github.com/rattancove/rattancove/internal/session"
 	"github.com/rattancove/rattancove/internal/statement"
 )
@@ -43,6 +44,9 @@
 	Routes Routes
 	Runner statement.Runner
 	Log    *zerolog.Logger
+	// Texts bounds the memory of the prepared statements and settings of all sessions; nil
+	// if it has no bound.
+	Texts *memory.Pool
 }
 
 // Session serves one caller connection. Serve must be called only once.
@@ -55,6 +59,7 @@
 	statements  chan *Statement
 	settings    []statement.Setting
 	prepared    map[string]preparedStatement
+	texts       texts
 	consistency session.Session
 	// state is the transaction state reported to the caller.
 	state State
@@ -71,6 +76,7 @@
 	return &Session{
 		config: config, conn: conn, database: database, drain: drain,
 		statements: make(chan *Statement, readAhead), prepared: map[string]preparedStatement{},
+		texts: texts{pool: config.Texts},
 	}
 }
 
@@ -79,6 +85,7 @@
 func (s *Session) Serve(ctx context.Context) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	defer s.texts.release()
 	defer context.AfterFunc(s.drain.statements, func() { cancel(errStopping) })()
 	go s.read(ctx, cancel)
 	for {
@@ -142,7 +149,7 @@
 // means that the caller cannot be answered.
 func (s *Session) handle(ctx context.Context, next *Statement) error {
 	switch {
-	case next.Kind == KindMalformed || next.Kind == KindTooLong:
+	case next.Kind == KindMalformed || next.Kind == KindTooLong || next.Kind == KindNoMemory:
 		return s.conn.Fail(decodeError(next.Kind), s.state)
 	case s.state == StateFailed:
 		return s.handleFailed(next)
@@ -155,10 +162,14 @@
 
 // decodeError returns the refusal of a statement that was not decoded.
 func decodeError(k Kind) *errcode.Error {
-	if k == KindTooLong {
+	switch k {
+	case KindTooLong:
 		return errcode.New(errcode.LimitExceeded, "decode", "")
+	case KindNoMemory:
+		return noMemory("decode")
+	default:
+		return errcode.New(errcode.Malformed, "decode", "")
 	}
-	return errcode.New(errcode.Malformed, "decode", "")
 }
 
 // handleFailed answers a statement inside a failed transaction.
@@ -216,8 +227,12 @@
 		if len(s.prepared) >= maxPrepared {
 			return errcode.New(errcode.LimitExceeded, "prepare", "")
 		}
+		if err := s.texts.replace(len(s.prepared[next.Name].statement.Text), len(next.Text)); err != nil {
+			return err
+		}
 		s.prepared[next.Name] = newPreparedStatement(next)
 	default:
+		_ = s.texts.replace(len(s.prepared[next.Name].statement.Text), 0) // less memory is never refused
 		delete(s.prepared, next.Name)
 	}
 	return nil
@@ -225,9 +240,17 @@
 
 func (s *Session) updateSetting(setting statement.Setting) *errcode.Error {
 	i := slices.IndexFunc(s.settings, func(existing statement.Setting) bool { return existing.Name == setting.Name })
-	switch {
-	case i < 0 && len(s.settings) >= maxSettings:
+	if i < 0 && len(s.settings) >= maxSettings {
 		return errcode.New(errcode.LimitExceeded, "set", "")
+	}
+	before := 0
+	if i >= 0 {
+		before = len(setting.Name) + len(s.settings[i].Value)
+	}
+	if err := s.texts.replace(before, len(setting.Name)+len(setting.Value)); err != nil {
+		return err
+	}
+	switch {
 	case i < 0:
 		s.settings = append(slices.Clone(s.settings), setting)
 	default:
--- a/internal/caller/statement.go
+++ b/internal/caller/statement.go
@@ -35,6 +35,9 @@
 	// KindTooLong is a statement that exceeds the longest message. It is refused, and
 	// nothing more is read.
 	KindTooLong
+	// KindNoMemory is a long statement that was skipped, since the process holds too many. It
+	// is refused.
+	KindNoMemory
 )
 
 // Statement is a decoded statement of a caller.
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -33,12 +33,14 @@
 	sessionsTotal   = metrics.NewCounter("rattan_caller_sessions_total")
 	grantFailures   = metrics.NewCounter("rattan_edge_grant_failures_total")
 	sessionsRefused = metrics.NewCounter("rattan_caller_sessions_refused_total")
+	startsDisplaced = metrics.NewCounter("rattan_caller_starts_displaced_total")
 )
 
 // callers serves caller connections, each in a goroutine that owns it.
 type callers struct {
-	edge  *Edge
-	drain *caller.Drain
+	edge     *Edge
+	drain    *caller.Drain
+	starting startingConns
 
 	mu           sync.Mutex
 	sessions     map[net.Conn]*caller.Session
@@ -80,7 +82,10 @@
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
+	endStart := c.starting.add(conn, c.edge.descriptors(startingDescriptorShare))
+	defer endStart()
 	callerConn := c.edge.adapters.Caller(conn)
+	defer callerConn.Release()
 	database, err := callerConn.Startup(time.Now().Add(startupTimeout))
 	if err != nil {
 		sessionsRefused.Inc()
@@ -96,13 +101,14 @@
 		return
 	}
 	session := caller.New(caller.Config{
-		Routes: c.edge.tracker, Runner: c.edge.gateway, Log: &c.edge.log,
+		Routes: c.edge.tracker, Runner: c.edge.gateway, Log: &c.edge.log, Texts: c.edge.adapters.Memory.Texts,
 	}, callerConn, database, c.drain)
 	if err := c.add(conn, session); err != nil {
 		c.refuse(conn, callerConn, database, err)
 		return
 	}
 	defer c.remove(conn)
+	endStart()
 	if callerConn.Accept() == nil {
 		session.Serve(ctx)
 		closeAfterAnswer(conn)
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -10,6 +10,7 @@
 	"github.com/rattancove/rattancove/internal/catalog"
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/memory"
 	"github.com/rattancove/rattancove/internal/provider"
 	"github.com/rattancove/rattancove/internal/quota"
 	"github.com/rattancove/rattancove/internal/succession"
@@ -55,6 +56,8 @@
 	// Accept and Refuse answer the start-up message.
 	Accept() error
 	Refuse(e *errcode.Error) error
+	// Release returns the memory that the connection holds.
+	Release()
 }
 
 // Adapters are the protocol implementations through which the process reaches
@@ -68,4 +71,6 @@
 	Source   catalog.Source
 	Table    provider.Table
 	Promoter succession.Promoter
+	// Memory bounds what the process holds for its clients; nil if there is no bound.
+	Memory *memory.Budget
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -19,6 +19,7 @@
 	"github.com/rattancove/rattancove/internal/grant"
 	"github.com/rattancove/rattancove/internal/home"
 	"github.com/rattancove/rattancove/internal/member"
+	"github.com/rattancove/rattancove/internal/memory"
 	"github.com/rattancove/rattancove/internal/peer"
 	"github.com/rattancove/rattancove/internal/succession"
 	"github.com/rattancove/rattancove/internal/telemetry"
@@ -75,6 +76,10 @@
 // New assembles a process without opening any connection.
 func New(config Config, adapters Adapters, log zerolog.Logger) (*Edge, error) {
 	e := &Edge{config: config, adapters: adapters, log: log, started: time.Now()}
+	if e.adapters.Memory == nil {
+		e.adapters.Memory = memory.NewBudget(0)
+	}
+	e.adapters.Memory.LogTo(&e.log)
 	e.settings.Store(&config)
 	e.tracker = catalog.NewTracker(&e.log)
 	e.subscriber = catalog.NewSubscriber(e.tracker, catalogPeers{e}, &e.log)
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -16,6 +16,7 @@
 	inForce.Seeds, inForce.StopTime = next.Seeds, next.StopTime
 	inForce.MaxDescriptors, inForce.MemoryLimit = next.MaxDescriptors, next.MemoryLimit
 	e.settings.Store(&inForce)
+	e.adapters.Memory.SetLimit(inForce.MemoryLimit)
 	e.members.SetSeeds(inForce.Seeds)
 	eventReloaded.Log(&e.log).Strs("applied", applied).Strs("after_restart", afterRestart).Strs("seeds", inForce.Seeds).
 		Dur("stop_time", inForce.StopTime).Int64("memory_limit", inForce.MemoryLimit).Int("max_descriptors", inForce.MaxDescriptors).Send()
