--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -42,6 +42,9 @@
 	// ExactClasses is set where the protocol itself distinguishes reads from
 	// writes, so that reads need not be run with writes disabled.
 	ExactClasses bool
+	// RequestBytes returns the bound of the bytes of waiting requests of a group for which
+	// the document has none; zero means the default. It may be nil.
+	RequestBytes func() int64
 	// Log receives events; the zero value discards them.
 	Log *zerolog.Logger
 }
--- a/internal/home/owner.go
+++ b/internal/home/owner.go
@@ -17,10 +17,11 @@
 )
 
 const (
-	// maxRequests and maxRequestBytes bound the number of requests of a group
-	// that are queued or running, and the memory of their first batches.
-	maxRequests           = 10_000
-	maxRequestBytes int64 = 128 << 20
+	// maxRequests and defaultRequestBytes bound the number of requests of a group
+	// that are queued or running, and the memory of their first batches if neither the
+	// document nor the memory limit of the process does.
+	maxRequests               = 10_000
+	defaultRequestBytes int64 = 128 << 20
 	// drainIdleTimeout is how long a draining owner waits for the next statement of
 	// an open transaction.
 	drainIdleTimeout = time.Second
@@ -150,10 +151,27 @@
 func (o *owner) dispatcherConfig() rank.Config {
 	return rank.Config{
 		Policy: o.home.config.Policy, Ranks: o.ranks,
-		QueueBytes: o.limits.QueueBytes, Proxies: o.home.config.Proxies,
+		QueueBytes: o.queueBytes(), Proxies: o.home.config.Proxies,
 	}
 }
 
+// queueBytes returns the bound of the bytes of waiting requests: that of the document, or a
+// share of the memory limit of the process; zero if there is neither.
+func (o *owner) queueBytes() int64 {
+	if o.limits.QueueBytes > 0 || o.home.config.RequestBytes == nil {
+		return o.limits.QueueBytes
+	}
+	return o.home.config.RequestBytes()
+}
+
+// requestBytesLimit returns the bound of the bytes of requests that wait or run.
+func (o *owner) requestBytesLimit() int64 {
+	if o.limits.QueueBytes > 0 {
+		return 2 * o.limits.QueueBytes
+	}
+	return orDefault(o.queueBytes(), defaultRequestBytes)
+}
+
 // shared reports whether other proxies may use the group's servers as well. No
 // claims are made then.
 func (o *owner) shared() bool {
@@ -294,7 +312,7 @@
 	if err := o.servingError(); err != nil {
 		return err
 	}
-	if o.requestCount >= maxRequests || o.requestBytes+bytes > orDefault(2*o.limits.QueueBytes, maxRequestBytes) {
+	if o.requestCount >= maxRequests || o.requestBytes+bytes > o.requestBytesLimit() {
 		err := errcode.New(errcode.Overloaded, "enter", string(o.name))
 		err.RetryAfter = retryDelay
 		return err
