Bound connections and memory at the peer, readiness and metrics addresses

Nothing bounded the connections to these addresses, nor the memory of incomplete frames of 20 MiB and of headers of 1 MiB. Each address now has a share of the descriptors; a new connection displaces one on which nothing was answered, or else the least recently used. Requests of peers over 8 KiB take memory of the budget before they are read, until the answer is sent, and the rest of a packet has 10 s. Calls that carry callers' requests have 8% of the descriptors for their connections, whose answers take memory of the budget. Connections with large buffers are not kept. Headers have at most 8 KiB.

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -18,9 +18,6 @@
 const (
 	// startupTimeout bounds the wait for a caller's first message.
 	startupTimeout = 2 * time.Second
-	// sessionDescriptorShare is the share of the file descriptors available to
-	// sessions; the rest is for peers, backend servers and the store.
-	sessionDescriptorShare = 0.6
 	// acceptRetryDelay is the pause after a failed accept, which is usually due to
 	// a lack of file descriptors.
 	acceptRetryDelay = 20 * time.Millisecond
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -86,7 +86,9 @@
 	e.follower = catalog.NewFollower(adapters.Source, e.tracker, e.subscriber, &e.log)
 	e.placements.unreachableUntil = map[cluster.ProxyID]time.Time{}
 	e.proxyContexts = gateway.NewProxyContexts(member.StateDead, member.StateSuspect)
-	e.statementPeers = peer.NewRegistry(adapters.Dial)
+	e.statementPeers = peer.NewBoundedRegistry(adapters.Dial, peer.Bounds{
+		Budget: e.adapters.Memory, Connections: func() int { return e.descriptors(forwardDescriptorShare) },
+	})
 	e.controlPeers = peer.NewRegistry(adapters.Dial)
 	e.members = member.New(e.memberConfig())
 	e.grantsWanted = make(chan struct{}, 1)
@@ -94,6 +96,7 @@
 	e.issuer.AssumeEarlierGrants()
 	e.home = home.New(home.Config{
 		ID: config.ID, NoClaims: true, ExactClasses: true, Terms: e.grants, RequestGrants: e.requestGrantsSoon, Log: &e.log,
+		RequestBytes: func() int64 { return memory.RequestBytes(e.settings.Load().MemoryLimit) },
 	}, adapters.Servers)
 	e.gateway = gateway.New(gateway.Config{Self: config.ID, Local: e.home, HomeLocator: homeLocator{e}, FallbackHome: e.fallbackHome, Log: &e.log})
 	e.callers = newCallers(e)
@@ -171,7 +174,9 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
-	group.Go(func() error { return e.peerServer.Serve(ctx, peers) })
+	peers = e.limitConnections(peers, "peers", peerDescriptorShare)
+	ready = e.limitConnections(ready, "ready", httpDescriptorShare)
+	group.Go(func() error { return e.peerServer.ServeWithin(ctx, peers, e.adapters.Memory) })
 	group.Go(func() error { return telemetry.ServeHTTP(ctx, ready, e.readyHandler()) })
 	group.Go(func() error { return e.callers.serve(ctx, front) })
 	if e.config.MetricsListen == "" {
@@ -181,6 +186,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for metrics")
 	}
+	metrics = e.limitConnections(metrics, "metrics", httpDescriptorShare)
 	group.Go(func() error { return telemetry.ServeHTTP(ctx, metrics, telemetry.MetricsHandler()) })
 	return nil
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -25,7 +25,7 @@
 
 // NewClient returns a client of the peer at address.
 func NewClient(address string, dial DialFunc) *Client {
-	return &Client{address: address, pool: newPool(address, dial)}
+	return &Client{address: address, pool: newPool(address, dial, nil)}
 }
 
 // Address returns the peer's address.
@@ -174,7 +174,9 @@
 		}
 		switch {
 		case len(frame.GetAnswer()) > 0:
-			if err := r.conv.SendResponse(ctx, frame.GetAnswer()); err != nil {
+			err := r.conv.SendResponse(ctx, frame.GetAnswer())
+			releaseAnswer(r.conn)
+			if err != nil {
 				return statement.Result{}, err
 			}
 		case frame.GetWantNext():
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -66,18 +66,20 @@
 	dial    DialFunc
 	// slots is a semaphore of maxConnsPerPeer connections in use.
 	slots chan struct{}
+	// bounds is shared by the pools of a registry; nil if there are none.
+	bounds *boundedConns
 
 	mu     sync.Mutex
 	idle   []idleConn
 	closed bool
 }
 
-func newPool(address string, dial DialFunc) *pool {
-	return &pool{address: address, dial: dial, slots: make(chan struct{}, maxConnsPerPeer)}
+func newPool(address string, dial DialFunc, bounds *boundedConns) *pool {
+	return &pool{address: address, dial: dial, bounds: bounds, slots: make(chan struct{}, maxConnsPerPeer)}
 }
 
 // get returns a connection, which the caller owns until put. It fails at once when
-// maxConnsPerPeer connections are in use.
+// maxConnsPerPeer connections are in use, or all that the registry may open.
 func (p *pool) get(ctx context.Context) (*drpcconn.Conn, error) {
 	select {
 	case p.slots <- struct{}{}:
@@ -87,15 +89,20 @@
 	if conn := p.takeIdle(); conn != nil {
 		return conn, nil
 	}
+	if !p.bounds.reserve() {
+		<-p.slots
+		return nil, errcode.New(errcode.Overloaded, "peer connections", p.address)
+	}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	transport, err := p.dial(dialCtx, p.address)
 	if err != nil {
 		<-p.slots
+		p.bounds.free()
 		return nil, errcode.Wrap(err, errcode.NoHome, "dial peer", p.address)
 	}
 	dialsTotal.Inc()
-	return drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: managerOptions()}), nil
+	return drpcconn.NewWithOptions(p.bounds.wrap(transport), drpcconn.Options{Manager: managerOptions()}), nil
 }
 
 func (p *pool) takeIdle() *drpcconn.Conn {
@@ -116,10 +123,11 @@
 // call.
 func (p *pool) put(conn *drpcconn.Conn, healthy bool) {
 	defer func() { <-p.slots }()
+	releaseAnswer(conn)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closeExpired()
-	if !healthy || p.closed || !isOpen(conn) || len(p.idle) >= maxIdlePerPeer {
+	if !healthy || hasGrown(conn) || p.closed || !isOpen(conn) || len(p.idle) >= maxIdlePerPeer {
 		_ = conn.Close()
 		return
 	}
@@ -135,6 +143,19 @@
 	}
 }
 
+// closeIdle closes the connection that has been idle for longest and reports whether there
+// was any.
+func (p *pool) closeIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return false
+	}
+	_ = p.idle[0].conn.Close()
+	p.idle = p.idle[1:]
+	return true
+}
+
 func (p *pool) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/peer/registry.go
+++ b/internal/peer/registry.go
@@ -5,6 +5,7 @@
 // Registry keeps one client for each peer address. It is safe for concurrent use.
 type Registry struct {
 	dial    DialFunc
+	bounds  *boundedConns
 	mu      sync.Mutex
 	clients map[string]*Client
 }
@@ -14,13 +15,32 @@
 	return &Registry{dial: dial, clients: map[string]*Client{}}
 }
 
+// NewBoundedRegistry returns an empty registry with bounds.
+func NewBoundedRegistry(dial DialFunc, bounds Bounds) *Registry {
+	r := NewRegistry(dial)
+	r.bounds = &boundedConns{bounds: bounds, closeIdle: r.closeIdle}
+	return r
+}
+
+// closeIdle closes an idle connection to any peer.
+func (r *Registry) closeIdle() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.clients {
+		if c.pool.closeIdle() {
+			return true
+		}
+	}
+	return false
+}
+
 // Client returns the client of the peer at address.
 func (r *Registry) Client(address string) *Client {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.clients[address]
 	if c == nil {
-		c = NewClient(address, r.dial)
+		c = &Client{address: address, pool: newPool(address, r.dial, r.bounds)}
 		r.clients[address] = c
 	}
 	return c
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/memory"
 	"github.com/rattancove/rattancove/internal/peer/peerpb"
 	"github.com/rattancove/rattancove/internal/statement"
 )
@@ -63,6 +64,11 @@
 	return s, nil
 }
 
+// ServeWithin is Serve with a budget for the requests of peers.
+func (s *Server) ServeWithin(ctx context.Context, l net.Listener, budget *memory.Budget) error {
+	return s.Serve(ctx, meteredListener{l, budget})
+}
+
 // Serve accepts connections until ctx ends or the listener fails.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error { return s.server.Serve(ctx, l) }
 
--- a/internal/telemetry/http.go
+++ b/internal/telemetry/http.go
@@ -13,8 +13,15 @@
 )
 
 const (
-	readHeaderTimeout = 5 * time.Second
-	shutdownTimeout   = 2 * time.Second
+	shutdownTimeout = 2 * time.Second
+	// readTimeout bounds the time in which a request must arrive, and idleTimeout that
+	// between two requests.
+	readTimeout = 5 * time.Second
+	idleTimeout = time.Minute
+	// writeTimeout is longer than the profiles that are taken, which last 30 s by default.
+	writeTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds the memory of a request. The server itself adds 4 KiB.
+	maxHeaderBytes = 8 << 10
 )
 
 // MetricsHandler returns a handler that serves /metrics in the Prometheus text format
@@ -32,7 +39,9 @@
 // ServeHTTP serves handler on a listener until ctx ends. It returns without
 // waiting for running requests.
 func ServeHTTP(ctx context.Context, l net.Listener, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{
+		Handler: handler, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	stop := context.AfterFunc(ctx, func() {
 		shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 		defer cancel()
