Hold answers within the budget until they are passed on

A home kept as many whole answers as its servers gave at a time, and an entry proxy as many as its callers did not read. A data connection now takes memory for an answer over 16 KiB before it keeps more of it, and waits up to 2 s; a read that gets none is refused with BUSY, and a write, which may have been committed, ends with an unknown outcome. A peer that does not read an answer is closed after 15 to 30 s. A connection with over 16 KiB of settings is not kept for other sessions.

--- a/cmd/rattan-edge/main.go
+++ b/cmd/rattan-edge/main.go
@@ -115,6 +115,7 @@
 	client := store.New(config.StoreAddress, dialNetwork)
 	servers := back.New(wire.Dial)
 	budget := memory.NewBudget(config.MemoryLimit)
+	servers.LimitAnswers(budget.Answers)
 	process, err := edge.New(*config, edge.Adapters{
 		Listen: wire.Listen, Dial: wire.Dial,
 		Caller:   func(conn net.Conn) edge.CallerConn { return front.NewBoundedConn(conn, budget) },
--- a/internal/home/read.go
+++ b/internal/home/read.go
@@ -148,10 +148,10 @@
 	}
 }
 
-// isCallersFault reports whether a statement was refused for what it says, which tells
-// nothing about the server.
+// isCallersFault reports whether a statement was refused for what it says, or for the memory
+// that its answer takes here, which tells nothing about the server.
 func isCallersFault(err error) bool {
-	return errcode.Is(err, errcode.Malformed) || errcode.Is(err, errcode.LimitExceeded)
+	return errcode.Is(err, errcode.Malformed) || errcode.Is(err, errcode.LimitExceeded) || errcode.Is(err, errcode.Overloaded)
 }
 
 // resolveReadError turns the error of a failed read into one with the outcome "not run",
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -15,8 +15,9 @@
 	// requestShare bounds the waiting requests at the home of one group, whose bytes are
 	// part of those of the other pools.
 	requestShare = 0.1
-	// minPool is the smallest limit of a pool: one message of 1 MiB, see Copies.
-	minPool = Copies * (1<<20 + 64)
+	// minPool is the smallest limit of a pool: enough for a statement or an answer of 1 MiB
+	// with its copies.
+	minPool = 8 << 20
 )
 
 // Copies is the number of copies of a message that a process holds at a time: as received,
--- a/internal/peer/metered.go
+++ b/internal/peer/metered.go
@@ -31,6 +31,9 @@
 	// packetTimeout bounds the time in which the rest of a packet must arrive. Peers send
 	// packets at once; 20 MiB over 20 Mbit/s take 8 s.
 	packetTimeout = 10 * time.Second
+	// answerTimeout bounds a write of an answer to a peer that does not read. An entry proxy
+	// that waits for memory reads nothing for memoryWait.
+	answerTimeout = 15 * time.Second
 )
 
 // meteredConn takes the memory of what it receives from a pool. Each side of a call sends
@@ -50,6 +53,9 @@
 	taken  int64
 	holder *memory.Holder
 	closed bool
+	// writeTimeout bounds a write, if it is set, and writeDeadline is the one in force.
+	writeTimeout  time.Duration
+	writeDeadline time.Time
 	// grown is set once the buffers of the connection, at either end, have grown above
 	// retainedBytes.
 	grown atomic.Bool
@@ -146,9 +152,22 @@
 	if len(p) > retainedBytes {
 		c.grown.Store(true)
 	}
+	c.extendWriteDeadline()
 	return c.Conn.Write(p)
 }
 
+// extendWriteDeadline leaves a write at least the time of a write. Most writes need no new
+// deadline.
+func (c *meteredConn) extendWriteDeadline() {
+	if c.writeTimeout == 0 {
+		return
+	}
+	if now := time.Now(); c.writeDeadline.Sub(now) < c.writeTimeout {
+		c.writeDeadline = now.Add(2 * c.writeTimeout)
+		_ = c.SetWriteDeadline(c.writeDeadline) // a closed connection fails at the write
+	}
+}
+
 // release returns the memory of what was received.
 func (c *meteredConn) release() {
 	if c.received.Swap(0) <= freeBytes {
@@ -187,5 +206,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newMeteredConn(conn, l.budget, l.budget.Peers), nil
+	c := newMeteredConn(conn, l.budget, l.budget.Peers)
+	c.writeTimeout = answerTimeout
+	return c, nil
 }
