--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -13,6 +13,7 @@
 	"github.com/rattancove/rattancove/internal/catalog"
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/memory"
 	"github.com/rattancove/rattancove/internal/session"
 	"github.com/rattancove/rattancove/internal/statement"
 )
@@ -45,6 +46,9 @@
 	// Authorize is asked for each statement that is forwarded; nil if callers have no keys.
 	Authorize Authorize
 	Log       *zerolog.Logger
+	// Texts bounds the memory of the prepared statements and settings of all sessions; nil
+	// if it has no bound.
+	Texts *memory.Pool
 }
 
 // Session serves one caller connection. Serve must be called only once.
@@ -57,6 +61,7 @@
 	statements  chan *Statement
 	settings    []statement.Setting
 	prepared    map[string]preparedStatement
+	texts       texts
 	consistency session.Session
 	// state is the transaction state reported to the caller.
 	state State
@@ -75,6 +80,7 @@
 	return &Session{
 		config: config, conn: conn, database: database, drain: drain,
 		statements: make(chan *Statement, readAhead), prepared: map[string]preparedStatement{},
+		texts: texts{pool: config.Texts},
 	}
 }
 
@@ -83,6 +89,7 @@
 func (s *Session) Serve(ctx context.Context) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	defer s.texts.release()
 	defer context.AfterFunc(s.drain.statements, func() { cancel(errStopping) })()
 	go s.read(ctx, cancel)
 	for {
@@ -146,7 +153,7 @@
 // means that the caller cannot be answered.
 func (s *Session) handle(ctx context.Context, next *Statement) error {
 	switch {
-	case next.Kind == KindMalformed || next.Kind == KindTooLong:
+	case next.Kind == KindMalformed || next.Kind == KindTooLong || next.Kind == KindNoMemory:
 		return s.conn.Fail(decodeError(next.Kind), s.state)
 	case s.state == StateFailed:
 		return s.handleFailed(next)
@@ -159,10 +166,14 @@
 
 // decodeError returns the refusal of a statement that was not decoded.
 func decodeError(k Kind) *errcode.Error {
-	if k == KindTooLong {
+	switch k {
+	case KindTooLong:
 		return errcode.New(errcode.LimitExceeded, "decode", "")
+	case KindNoMemory:
+		return noMemory("decode")
+	default:
+		return errcode.New(errcode.Malformed, "decode", "")
 	}
-	return errcode.New(errcode.Malformed, "decode", "")
 }
 
 // handleFailed answers a statement inside a failed transaction.
@@ -220,8 +231,12 @@
 		if len(s.prepared) >= maxPrepared {
 			return errcode.New(errcode.LimitExceeded, "prepare", "")
 		}
+		if err := s.texts.replace(len(s.prepared[next.Name].statement.Text), len(next.Text)); err != nil {
+			return err
+		}
 		s.prepared[next.Name] = newPreparedStatement(next)
 	default:
+		_ = s.texts.replace(len(s.prepared[next.Name].statement.Text), 0) // less memory is never refused
 		delete(s.prepared, next.Name)
 	}
 	return nil
@@ -229,9 +244,17 @@
 
 func (s *Session) updateSetting(setting statement.Setting) *errcode.Error {
 	i := slices.IndexFunc(s.settings, func(existing statement.Setting) bool { return existing.Name == setting.Name })
-	switch {
-	case i < 0 && len(s.settings) >= maxSettings:
+	if i < 0 && len(s.settings) >= maxSettings {
 		return errcode.New(errcode.LimitExceeded, "set", "")
+	}
+	before := 0
+	if i >= 0 {
+		before = len(setting.Name) + len(s.settings[i].Value)
+	}
+	if err := s.texts.replace(before, len(setting.Name)+len(setting.Value)); err != nil {
+		return err
+	}
+	switch {
 	case i < 0:
 		s.settings = append(slices.Clone(s.settings), setting)
 	default:
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -19,9 +19,6 @@
 const (
 	// startupTimeout bounds the wait for a caller's first message.
 	startupTimeout = 2 * time.Second
-	// sessionDescriptorShare is the share of the file descriptors available to
-	// sessions; the rest is for peers, backend servers and the store.
-	sessionDescriptorShare = 0.6
 	// acceptRetryDelay is the pause after a failed accept, which is usually due to
 	// a lack of file descriptors.
 	acceptRetryDelay = 20 * time.Millisecond
@@ -34,12 +31,14 @@
 	sessionsTotal   = metrics.NewCounter("rattan_caller_sessions_total")
 	grantFailures   = metrics.NewCounter("rattan_edge_grant_failures_total")
 	sessionsRefused = metrics.NewCounter("rattan_caller_sessions_refused_total")
+	startsDisplaced = metrics.NewCounter("rattan_caller_starts_displaced_total")
 )
 
 // callers serves caller connections, each in a goroutine that owns it.
 type callers struct {
-	edge  *Edge
-	drain *caller.Drain
+	edge     *Edge
+	drain    *caller.Drain
+	starting startingConns
 
 	mu           sync.Mutex
 	sessions     map[net.Conn]*caller.Session
@@ -81,7 +80,10 @@
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
+	endStart := c.starting.add(conn, c.edge.descriptors(startingDescriptorShare))
+	defer endStart()
 	callerConn := c.edge.adapters.Caller(conn)
+	defer callerConn.Release()
 	database, key, err := callerConn.Startup(time.Now().Add(startupTimeout))
 	if err != nil {
 		sessionsRefused.Inc()
@@ -97,7 +99,7 @@
 		return
 	}
 	session := caller.New(caller.Config{
-		Routes: c.edge.tracker, Runner: c.edge.gateway, Log: &c.edge.log,
+		Routes: c.edge.tracker, Runner: c.edge.gateway, Log: &c.edge.log, Texts: c.edge.adapters.Memory.Texts,
 		Authorize: func(route catalog.Route) (string, *errcode.Error) { return c.edge.access.authorize(key, route) },
 	}, callerConn, database, c.drain)
 	if err := c.add(conn, session); err != nil {
@@ -105,6 +107,7 @@
 		return
 	}
 	defer c.remove(conn)
+	endStart()
 	if callerConn.Accept() == nil {
 		session.Serve(ctx)
 		closeAfterAnswer(conn)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -19,6 +19,7 @@
 	"github.com/rattancove/rattancove/internal/grant"
 	"github.com/rattancove/rattancove/internal/home"
 	"github.com/rattancove/rattancove/internal/member"
+	"github.com/rattancove/rattancove/internal/memory"
 	"github.com/rattancove/rattancove/internal/peer"
 	"github.com/rattancove/rattancove/internal/succession"
 	"github.com/rattancove/rattancove/internal/telemetry"
@@ -84,6 +85,10 @@
 // New assembles a process without opening any connection.
 func New(config Config, adapters Adapters, log zerolog.Logger) (*Edge, error) {
 	e := &Edge{config: config, adapters: adapters, log: log, started: time.Now()}
+	if e.adapters.Memory == nil {
+		e.adapters.Memory = memory.NewBudget(0)
+	}
+	e.adapters.Memory.LogTo(&e.log)
 	e.settings.Store(&config)
 	e.tracker = catalog.NewTracker(&e.log)
 	e.access = &access{
@@ -95,7 +100,9 @@
 	e.follower.ConfirmBy(func() time.Duration { return e.access.clock() }, e.access.strict)
 	e.placements.unreachableUntil = map[cluster.ProxyID]time.Time{}
 	e.proxyContexts = gateway.NewProxyContexts(member.StateDead, member.StateSuspect)
-	e.statementPeers = peer.NewRegistry(adapters.Dial)
+	e.statementPeers = peer.NewBoundedRegistry(adapters.Dial, peer.Bounds{
+		Budget: e.adapters.Memory, Connections: func() int { return e.descriptors(forwardDescriptorShare) },
+	})
 	e.controlPeers = peer.NewRegistry(adapters.Dial)
 	e.members = member.New(e.memberConfig())
 	e.grantsWanted = make(chan struct{}, 1)
@@ -103,6 +110,7 @@
 	e.issuer.AssumeEarlierGrants()
 	homeConfig := home.Config{
 		ID: config.ID, NoClaims: true, ExactClasses: true, Terms: e.grants, RequestGrants: e.requestGrantsSoon, Log: &e.log,
+		RequestBytes: func() int64 { return memory.RequestBytes(e.settings.Load().MemoryLimit) },
 	}
 	if e.quotas = newQuotas(config.Quota, uint64(e.started.UnixNano()), duty.BootTime, e.requestGrantsSoon, &e.log); e.quotas != nil {
 		homeConfig.Quotas = e.quotas
@@ -192,7 +200,9 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
-	group.Go(func() error { return e.peerServer.Serve(ctx, peers) })
+	peers = e.limitConnections(peers, "peers", peerDescriptorShare)
+	ready = e.limitConnections(ready, "ready", httpDescriptorShare)
+	group.Go(func() error { return e.peerServer.ServeWithin(ctx, peers, e.adapters.Memory) })
 	group.Go(func() error { return telemetry.ServeHTTP(ctx, ready, e.readyHandler()) })
 	group.Go(func() error { return e.callers.serve(ctx, front) })
 	if e.config.MetricsListen == "" {
@@ -202,6 +212,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for metrics")
 	}
+	metrics = e.limitConnections(metrics, "metrics", httpDescriptorShare)
 	group.Go(func() error { return telemetry.ServeHTTP(ctx, metrics, telemetry.MetricsHandler()) })
 	return nil
 }
