--- a/internal/edge/access.go
+++ b/internal/edge/access.go
@@ -55,7 +55,7 @@
 	}
 	age, known := a.tracker.ConfirmedAge(a.clock())
 	fresh := known && age <= time.Duration(maxConfirmedShare*float64(revocation))
-	if a.refusing.Swap(!fresh) == fresh {
+	if a.refusing.Load() == fresh && a.refusing.Swap(!fresh) == fresh {
 		a.logChange(fresh, age)
 	}
 	return fresh
--- a/internal/edge/access_test.go
+++ b/internal/edge/access_test.go
@@ -69,6 +69,13 @@
 		{"confirmed again", func() { a.tracker.Confirm(3, now) }, "denied", "for "},
 		{"not strict", func() { revocation, now = 0, now+time.Hour }, "denied", "for "},
 		{"given back to another organisation", func() { a.tracker.SetConfiguration(keyed(4, "blue"), catalog.OriginPeer) }, "for blue", "for blue"},
+		{"withdrawn and confirmed after a freeze in the check", func() {
+			revocation, a.clock = testRevocation, func() time.Duration {
+				a.tracker.SetConfiguration(keyed(5, ""), catalog.OriginPeer)
+				a.tracker.Confirm(5, now)
+				return now
+			}
+		}, "denied", "for "},
 	} {
 		step.change()
 		if strict := revocation > 0 && a.tracker.KeysRequired(); a.strict() != strict {
