Keep a slow store's confirmations, and do not give it up at one failed poll

A store that takes more than 500 ms to answer failed each poll of 1 s, so that keys would have been refused although it can be reached, and each such failure made the processes that follow it through a delegate turn to the store themselves. The poll after a failed one now has a grace of 1 s, and two failures in a row are needed.

--- a/internal/catalog/confirmation_test.go
+++ b/internal/catalog/confirmation_test.go
@@ -20,6 +20,8 @@
 	// lost makes the next poll hang without an answer.
 	lost  bool
 	polls map[Topic]int
+	// latency delays each response.
+	latency time.Duration
 }
 
 func (s *feedStore) Load(_ context.Context, _ Topic) (Update, error) {
@@ -31,7 +33,7 @@
 func (s *feedStore) Changes(ctx context.Context, topic Topic, after uint64, wait time.Duration) (Update, error) {
 	s.mu.Lock()
 	s.polls[topic]++
-	lost, version := s.lost, s.version
+	lost, latency, version := s.lost, s.latency, s.version
 	s.lost = false
 	s.mu.Unlock()
 	switch {
@@ -39,7 +41,11 @@
 		<-ctx.Done()
 		return Update{}, ctx.Err()
 	case version == after:
-		time.Sleep(wait)
+		select {
+		case <-time.After(wait + latency):
+		case <-ctx.Done():
+			return Update{}, ctx.Err()
+		}
 		return Update{Coverage: coverageUpTo(after)}, nil
 	}
 	if topic == TopicConfiguration {
@@ -63,8 +69,9 @@
 	return c
 }
 
-// runFeed follows both topics of a store with a fake clock, which starts at zero.
-func runFeed(t *testing.T, s *feedStore, strict bool, test func(tracker *Tracker, clock func() time.Duration)) {
+// runFeed follows both topics of a store with a fake clock, which starts at zero, and
+// reports whether the store was ever taken for unreachable.
+func runFeed(t *testing.T, s *feedStore, strict bool, test func(tracker *Tracker, clock func() time.Duration)) (unreachable bool) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		log, start := zerolog.Nop(), time.Now()
@@ -78,10 +85,17 @@
 		for _, topic := range []Topic{TopicConfiguration, TopicServers} {
 			work.Go(func() { _ = follower.Run(ctx, topic) })
 		}
+		work.Go(func() {
+			for ctx.Err() == nil {
+				unreachable = unreachable || follower.StoreUnreachable()
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
 		test(tracker, clock)
 		cancel()
 		work.Wait()
 	})
+	return unreachable
 }
 
 // A confirmation counts from before the request, not from its response: a version that
@@ -110,6 +124,29 @@
 	})
 }
 
+// A store that answers slowly still confirms the configuration, and must not be taken for
+// unreachable, which would turn all processes to it.
+func TestSlowStoreConfirms(t *testing.T) {
+	for _, latency := range []time.Duration{400 * time.Millisecond, 900 * time.Millisecond} {
+		s := &feedStore{version: 1, loaded: 1, latency: latency}
+		unreachable := runFeed(t, s, true, func(tracker *Tracker, clock func() time.Duration) {
+			time.Sleep(3 * time.Second)
+			var highest time.Duration
+			for range 2000 {
+				time.Sleep(10 * time.Millisecond)
+				age, _ := tracker.ConfirmedAge(clock())
+				highest = max(highest, age)
+			}
+			if highest > 4*time.Second {
+				t.Errorf("latency %s: highest age %s", latency, highest)
+			}
+		})
+		if unreachable {
+			t.Errorf("latency %s: the store was taken for unreachable", latency)
+		}
+	}
+}
+
 // A complete read that the store answers from an old copy must not confirm what it lacks.
 func TestCompleteReadConfirmsNothing(t *testing.T) {
 	s := &feedStore{version: 2, loaded: 1}
@@ -118,7 +155,7 @@
 			synctest.Wait()
 			version, _ := tracker.Versions()
 			if _, known := tracker.ConfirmedAge(clock()); known && version < 2 {
-				t.Fatal("version 1 is confirmed although version 2 is stored")
+				t.Error("version 1 is confirmed although version 2 is stored")
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -35,6 +35,9 @@
 	// after the last confirmation, and one response may be lost in that time.
 	confirmPollTime = time.Second
 	confirmGrace    = 500 * time.Millisecond
+	// confirmRetryGrace replaces confirmGrace after a failed poll: a store that answers
+	// within a second still confirms the configuration in time, by each second poll.
+	confirmRetryGrace = time.Second
 	// loadTimeout limits one complete read; the slowest store answers in about
 	// half a second.
 	loadTimeout = 2 * time.Second
@@ -97,8 +100,11 @@
 	// whether the configuration has to be confirmed frequently.
 	clock  func() time.Duration
 	strict func() bool
-	// unreachable is set for each topic whose last call failed.
+	// unreachable is set for each topic whose last call failed, or its last two calls
+	// where those are frequent polls. failures counts the failed calls since the last
+	// successful one; each is used by one goroutine.
 	unreachable [2]atomic.Bool
+	failures    [2]int
 	// expecting is set while a change that another process knows is expected.
 	expecting atomic.Bool
 
@@ -279,17 +285,24 @@
 // pollTime returns the time for which the store may hold a poll open, and the time after
 // that at which the poll times out.
 func (f *Follower) pollTime(topic Topic) (wait, grace time.Duration) {
-	wait, grace = feedPollTime, feedGrace
-	late := false
-	if topic == TopicConfiguration && f.strict != nil && f.strict() {
-		wait, grace = confirmPollTime, confirmGrace
-		age, known := f.tracker.ConfirmedAge(f.clock())
-		late = !known || age > confirmPollTime+confirmGrace
+	failed := f.failures[topic] > 0
+	switch {
+	case !f.confirmsOften(topic) && failed:
+		return recoveryPollTime, feedGrace
+	case !f.confirmsOften(topic):
+		return feedPollTime, feedGrace
+	case failed:
+		return recoveryPollTime, confirmRetryGrace
 	}
-	if late || f.unreachable[topic].Load() {
-		wait = recoveryPollTime
+	if age, known := f.tracker.ConfirmedAge(f.clock()); !known || age > confirmPollTime+confirmGrace {
+		return recoveryPollTime, confirmGrace
 	}
-	return wait, grace
+	return confirmPollTime, confirmGrace
+}
+
+// confirmsOften reports whether a topic is polled frequently to confirm it.
+func (f *Follower) confirmsOften(topic Topic) bool {
+	return topic == TopicConfiguration && f.strict != nil && f.strict()
 }
 
 func (f *Follower) apply(topic Topic, update Update, complete bool) {
@@ -310,9 +323,17 @@
 }
 
 // recordResult records whether a call failed and logs when the store becomes
-// unreachable and when it has recovered.
+// unreachable and when it has recovered. One frequent poll that fails does not show that
+// the store is unreachable: processes that this one follows it for would turn to the store.
 func (f *Follower) recordResult(ctx context.Context, topic Topic, err error) {
 	failed := err != nil
+	f.failures[topic]++
+	if !failed {
+		f.failures[topic] = 0
+	}
+	if f.failures[topic] == 1 && f.confirmsOften(topic) {
+		return
+	}
 	if ctx.Err() != nil || f.unreachable[topic].Swap(failed) == failed {
 		return
 	}
