--- a/internal/peer/quota.go
+++ b/internal/peer/quota.go
@@ -37,7 +37,7 @@
 	for _, c := range r.Credits {
 		out.Credits = append(out.Credits, &peerpb.QuotaCredit{
 			Organisation: validText(c.Organisation), Credits: c.Credits, Exhausted: c.Exhausted, RetryAfterNanos: int64(c.RetryAfter),
-			Basis: c.Basis, Unlimited: c.Unlimited, Scarce: c.Scarce,
+			Basis: c.Basis, Unlimited: c.Unlimited, Reserve: c.Reserve,
 		})
 	}
 	return out
@@ -49,7 +49,7 @@
 	for _, c := range r.GetCredits() {
 		out.Credits = append(out.Credits, quota.Credit{
 			Organisation: c.GetOrganisation(), Credits: c.GetCredits(), Exhausted: c.GetExhausted(),
-			RetryAfter: time.Duration(c.GetRetryAfterNanos()), Basis: c.GetBasis(), Unlimited: c.GetUnlimited(), Scarce: c.GetScarce(),
+			RetryAfter: time.Duration(c.GetRetryAfterNanos()), Basis: c.GetBasis(), Unlimited: c.GetUnlimited(), Reserve: c.GetReserve(),
 		})
 	}
 	return out
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -12,8 +12,6 @@
 	// targetShare is the share of the credits left that all homes may have together
 	// without an immediate need. The rest is for homes that take over a group.
 	targetShare = 0.7
-	// scarceShare is the share of the credits below which homes are told that few are left.
-	scarceShare = 1. / 3
 	// levelInterval is the time between two computations of the fair level.
 	levelInterval = 100 * time.Millisecond
 )
@@ -98,6 +96,12 @@
 	}
 }
 
+// currentLevel returns the fair level.
+func (o *organisation) currentLevel(now time.Duration) uint64 {
+	o.updateLevel(now)
+	return o.level
+}
+
 // setOutstanding records the outstanding credits of an account.
 func (a *account) setOutstanding(credits uint64) {
 	a.organisation.outstanding += credits - a.outstanding // modulo 2^64
--- a/internal/quota/allocate.go
+++ b/internal/quota/allocate.go
@@ -23,7 +23,7 @@
 		credits = a.entitlement(use.Needed, now)
 	}
 	a.setOutstanding(a.outstanding + credits)
-	c := Credit{Organisation: use.Organisation, Credits: credits, Basis: o.basis, Scarce: o.scarce(now)}
+	c := Credit{Organisation: use.Organisation, Credits: credits, Basis: o.basis, Reserve: o.level}
 	if left := d.left(o, now); credits < use.Needed && left == 0 {
 		c.Exhausted, c.RetryAfter = true, o.retryAfter(now)
 	}
@@ -76,11 +76,6 @@
 	o.allowanceOpen = true
 }
 
-// scarce reports whether few credits are left.
-func (o *organisation) scarce(now time.Duration) bool {
-	return float64(o.free(now)) < scarceShare*float64(o.basis)
-}
-
 // retryAfter returns the time until the credits that homes miss may be available again.
 func (o *organisation) retryAfter(now time.Duration) time.Duration {
 	return o.uses.untilDropped(now, max(o.missing, 1))
--- a/internal/quota/dealer.go
+++ b/internal/quota/dealer.go
@@ -146,7 +146,7 @@
 	for i := range r.Uses {
 		use := &r.Uses[i]
 		mentioned[use.Organisation] = true
-		if c := d.allocate(h, use, now); c.Credits > 0 || c.Unlimited || c.Scarce || use.Needed > 0 {
+		if c := d.allocate(h, use, now); c.Credits > 0 || c.Unlimited || c.Reserve < use.Held || use.Needed > 0 {
 			credits = append(credits, c)
 		}
 	}
@@ -156,9 +156,9 @@
 		case r.Dealer == 0:
 			a.setOutstanding(0) // the home has none, so it did not get the last reply
 			a.wanted = 0
-		case a.outstanding > 0 && o.scarce(now):
+		case a.wanted <= maxReserve && a.outstanding > o.currentLevel(now):
 			// The home gives back what it does not use.
-			credits = append(credits, Credit{Organisation: name, Basis: o.basis, Scarce: true})
+			credits = append(credits, Credit{Organisation: name, Basis: o.basis, Reserve: o.level})
 		}
 	}
 	return credits
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -48,8 +48,8 @@
 	// time until enough of its uses have left the window.
 	Exhausted  bool
 	RetryAfter time.Duration
-	// Scarce is set while few credits are left, so that homes keep none in reserve.
-	Scarce bool
+	// Reserve is the number of credits that a home may keep without a demand.
+	Reserve uint64
 	// Basis is the number of credits that the dealer lets the fleet have.
 	Basis uint64
 	// Unlimited is set if the dealer knows no limit for the organisation.
--- a/internal/quota/stock.go
+++ b/internal/quota/stock.go
@@ -11,19 +11,19 @@
 	stockSlices = 25
 	// demandSlices are the slices from which a home estimates its demand.
 	demandSlices = 10
-	// minWanted is the number of credits that a home wants of an organisation that it
+	// maxReserve is the number of credits that a home wants of an organisation that it
 	// has served within keepTime, so that an occasional operation need not wait.
-	minWanted = 3
-	keepTime  = 30 * time.Second
+	maxReserve = 3
+	keepTime   = 5 * time.Minute
 	// exhaustedTime is how long a home relies on a reply that an organisation has reached
 	// its limit or has none. It covers two lost calls.
 	exhaustedTime = time.Second
 	// maxWaiting bounds the operations of one organisation that wait for a credit, each of
 	// which occupies a request of the home.
 	maxWaiting = 250
-	// scarceTime is how long a home keeps no reserve after a reply that few credits are
-	// left.
-	scarceTime = 3 * time.Second
+	// reportInterval is the shortest time between two reports of an organisation that needs
+	// no credits at once. Calls for others may be more frequent.
+	reportInterval = 250 * time.Millisecond
 	// callInterval is the time for which the credits of a home should last, since
 	// the next regular call and its reply may take as long.
 	callInterval = 350 * time.Millisecond
@@ -90,12 +90,14 @@
 	// those that wait for a credit.
 	refused, waiting uint64
 	exhaustedUntil   time.Duration
-	scarceUntil      time.Duration
-	retryAt          time.Duration
-	unlimitedUntil   time.Duration
+	// reserve is the number of credits that the dealer lets the home keep.
+	reserve        uint64
+	retryAt        time.Duration
+	unlimitedUntil time.Duration
 	// sent is the last report, and settled is set once it was answered. dealt is what
 	// the dealer then knows the home to hold.
 	sent    Use
+	sentAt  time.Duration
 	settled bool
 	dealt   uint64
 	// sentRefunded and sentRefused are the parts of the last report that its reply settles.
@@ -153,7 +155,7 @@
 		return false
 	}
 	span := demandSlices * h.demand.slice
-	return float64(h.held) < float64(h.demand.within(now, demandSlices))*callInterval.Seconds()/span.Seconds()
+	return h.held < h.demand.within(now, demandSlices)*uint64(callInterval/time.Millisecond)/uint64(span/time.Millisecond)
 }
 
 // retryAfter returns the time to come back, spread so that those refused do not all
@@ -238,7 +240,7 @@
 		if limit.Rate > 0 && s.holdings[organisation] == nil {
 			slice := s.bounds.Window / stockSlices
 			s.holdings[organisation] = &holding{
-				limit: limit, basis: s.bounds.basis(limit), lastDemand: math.MinInt64 / 2, settled: true,
+				limit: limit, basis: s.bounds.basis(limit), lastDemand: math.MinInt64 / 2, settled: true, reserve: maxReserve,
 				uses: newRing(slice, stockSlices), demand: newRing(slice, stockSlices),
 			}
 		}
--- a/internal/quota/stock_report.go
+++ b/internal/quota/stock_report.go
@@ -33,8 +33,8 @@
 	use := Use{
 		Organisation: organisation, Used: h.used, Held: h.held + h.refunded, Wanted: wanted, Needed: h.waiting + h.refused,
 	}
-	changed := !h.settled || use.Used != h.sent.Used || use.Held != h.dealt || use.Wanted != h.sent.Wanted || use.Needed > 0 ||
-		use.Held < use.Wanted
+	changed := use.Used != h.sent.Used || use.Held != h.dealt || use.Wanted != h.sent.Wanted || use.Held < use.Wanted
+	changed = !h.settled || use.Needed > 0 || changed && (now-h.sentAt >= reportInterval || h.low(now))
 	if s.dealer == 0 {
 		use.Recent, use.Basis = h.uses.recent(now), h.basis
 		if now < h.recentUntil {
@@ -43,7 +43,7 @@
 		changed = use.Used > 0 || use.Held > 0 || use.Wanted > 0 || use.Needed > 0
 	}
 	if changed {
-		h.sent, h.settled = use, false
+		h.sent, h.sentAt, h.settled = use, now, false
 		h.sentRefunded, h.sentRefused = h.refunded, h.refused
 	}
 	return use, changed
@@ -58,8 +58,8 @@
 	span := demandSlices * h.demand.slice
 	rate := float64(h.demand.within(now, demandSlices)) / span.Seconds()
 	wanted := min(uint64(math.Ceil(rate*bounds.Window.Seconds())), bounds.basis(h.limit))
-	if now-h.lastDemand < keepTime && now >= h.scarceUntil {
-		wanted = max(wanted, minWanted)
+	if now-h.lastDemand < keepTime {
+		wanted = max(wanted, min(maxReserve, h.reserve))
 	}
 	return wanted
 }
@@ -108,9 +108,7 @@
 	if c.Exhausted {
 		h.exhaustedUntil = now + exhaustedTime
 	}
-	if c.Scarce {
-		h.scarceUntil = now + scarceTime
-	}
+	h.reserve = c.Reserve
 	h.retryAt = now + c.RetryAfter
 	if c.Unlimited {
 		h.unlimitedUntil = now + exhaustedTime
