Pass on the holder of the promotion lease with pings

Homes that the platform's store turned away could not read who had taken the lease over. Pings now name the last known holder and its token, which only rises; the holder itself still decides whether its lease is valid.

--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -81,9 +81,10 @@
 	changed chan struct{}
 	// checkNow makes Run read the row at once.
 	checkNow chan struct{}
-	// otherHolder is the process that held the lease when the row was last read, if it
-	// is not this one.
+	// otherHolder is the last known holder, if it is not this process, and otherToken the
+	// highest known token of another holder.
 	otherHolder string
+	otherToken  Token
 
 	// predecessor is the token of the earlier process of this name whose lease this one
 	// took over; zero if there was none.
@@ -152,6 +153,28 @@
 	return l.otherHolder
 }
 
+// Hint returns the last known holder and its token for other processes, some of which may
+// not reach the table service; the holder is empty when none is known.
+func (l *Lease) Hint() (holder string, token Token) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.token != 0 && l.token > l.otherToken {
+		return l.config.Holder, l.token
+	}
+	return l.otherHolder, l.otherToken
+}
+
+// Learn takes over the hint of another process if it is newer than what is known. A higher
+// token is given out only after the lease of the lower one has expired.
+func (l *Lease) Learn(holder string, token Token) {
+	l.mu.Lock()
+	newer := holder != "" && holder != l.config.Holder && token > max(l.token, l.otherToken)
+	l.mu.Unlock()
+	if newer {
+		l.recordNotHeld(holder, token)
+	}
+}
+
 // Changed returns a channel that is closed when this process acquires or loses the
 // lease.
 func (l *Lease) Changed() <-chan struct{} {
@@ -254,11 +277,13 @@
 }
 
 // recordNotHeld records that the given process holds the lease, or none if holder is
-// empty.
-func (l *Lease) recordNotHeld(holder string) {
+// empty. A lower token than a known one is out of date.
+func (l *Lease) recordNotHeld(holder string, token Token) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.otherHolder = holder
+	if holder == "" || token >= l.otherToken {
+		l.otherHolder, l.otherToken = holder, max(token, l.otherToken)
+	}
 	if l.token == 0 {
 		return
 	}
@@ -278,7 +303,7 @@
 func (l *Lease) checkRow(ctx context.Context) error {
 	current, err := l.config.Table.Get(ctx, l.config.Key)
 	if errors.Is(err, provider.ErrNotFound) {
-		l.recordNotHeld("")
+		l.recordNotHeld("", 0)
 		return l.acquire(ctx, 0)
 	}
 	if err != nil {
@@ -291,7 +316,7 @@
 	if value.Holder == l.config.Holder && value.Incarnation == l.incarnation {
 		return l.renewOwn(ctx, value, current.Version)
 	}
-	l.recordNotHeld(value.Holder)
+	l.recordNotHeld(value.Holder, tokenOf(value, current.Version))
 	if value.Holder == l.config.Holder {
 		return l.succeed(ctx, value, current.Version)
 	}
@@ -304,11 +329,8 @@
 // succeed takes over the lease of an earlier process of this name, which has ended, since
 // only one runs on a VM.
 func (l *Lease) succeed(ctx context.Context, value row, version uint64) error {
-	if value.Token == 0 {
-		value.Token = Token(version)
-	}
 	l.mu.Lock()
-	l.predecessor = value.Token
+	l.predecessor = tokenOf(value, version)
 	l.mu.Unlock()
 	return l.acquire(ctx, version)
 }
@@ -316,10 +338,17 @@
 // renewOwn renews the lease after a write of this process whose answer was lost: the
 // time at which that write was sent is not known, and so neither is the expiry.
 func (l *Lease) renewOwn(ctx context.Context, value row, version uint64) error {
+	value.Token = tokenOf(value, version)
+	return l.write(ctx, value, version)
+}
+
+// tokenOf returns the token of the holder that wrote a row with the given version: the
+// write that acquires the lease has none, and its version becomes the token.
+func tokenOf(value row, version uint64) Token {
 	if value.Token == 0 {
-		value.Token = Token(version)
+		return Token(version)
 	}
-	return l.write(ctx, value, version)
+	return value.Token
 }
 
 // acquire tries to acquire the lease. It returns no error when another process was
@@ -339,7 +368,7 @@
 	held, version := l.token != 0, l.version
 	l.released = true
 	l.mu.Unlock()
-	l.recordNotHeld("")
+	l.recordNotHeld("", 0)
 	if !held {
 		return
 	}
--- a/internal/duty/lease_test.go
+++ b/internal/duty/lease_test.go
@@ -197,3 +197,31 @@
 		table.LoseResponses(1)
 	}
 }
+
+// TestHintNamesTheNewestHolder guards against a process that cannot read the row and keeps
+// asking an earlier holder for grants, and against hints that replace newer knowledge.
+func TestHintNamesTheNewestHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := zerolog.Nop()
+		l := New(Config{Holder: "a", Key: "duty", Table: providertest.NewTable(), CandidateIndex: func() int { return 9 }, Log: &log})
+		for _, step := range []struct {
+			holder string
+			token  Token
+			want   string
+		}{{"", 3, ""}, {"b", 4, "b"}, {"c", 3, "b"}, {"a", 6, "b"}, {"c", 5, "c"}, {"b", 5, "c"}} {
+			l.Learn(step.holder, step.token)
+			if got := l.KnownHolder(); got != step.want {
+				t.Errorf("after the hint %s %d: %q, want %q", step.holder, step.token, got, step.want)
+			}
+		}
+		l.recordHeld(7, 7, l.config.Clock()+leaseTTL)
+		l.Learn("b", 6)
+		if holder, token := l.Hint(); holder != "a" || token != 7 {
+			t.Errorf("the hint of a holder is %s %d", holder, token)
+		}
+		l.Learn("b", 8)
+		if _, held := l.Held(); held || l.KnownHolder() != "b" {
+			t.Error("a holder with a lower token than another one considers its lease valid")
+		}
+	})
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/rattancove/rattancove/internal/catalog"
+	"github.com/rattancove/rattancove/internal/duty"
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/member"
 	"github.com/rattancove/rattancove/internal/peer"
@@ -47,10 +48,12 @@
 	sent := p.edge.access.clock()
 	reply, err := p.edge.controlPeers.Client(address).Ping(ctx, &peerpb.PingRequest{
 		From: peer.ReportToProto(message.From), Members: peer.ReportsToProto(message.Members), Documents: p.edge.catalogVersions(),
+		Promotion: p.edge.leaseHint(),
 	})
 	if err != nil {
 		return member.PingMessage{}, err
 	}
+	p.edge.learnLease(reply.GetPromotion())
 	p.edge.confirmFrom(reply.GetDocuments(), sent)
 	p.edge.fetchIfNewer(address, reply.GetDocuments())
 	return member.PingMessage{From: peer.ReportFromProto(reply.GetFrom()), Members: peer.ReportsFromProto(reply.GetMembers())}, nil
@@ -58,14 +61,30 @@
 
 func (e *Edge) handlePing(_ context.Context, in *peerpb.PingRequest) (*peerpb.PingReply, error) {
 	e.fetchIfNewer(in.GetFrom().GetAddress(), in.GetDocuments())
+	e.learnLease(in.GetPromotion())
 	reply := e.members.HandlePing(member.PingMessage{
 		From: peer.ReportFromProto(in.GetFrom()), Members: peer.ReportsFromProto(in.GetMembers()),
 	})
 	return &peerpb.PingReply{
 		From: peer.ReportToProto(reply.From), Members: peer.ReportsToProto(reply.Members), Documents: e.catalogVersions(),
+		Promotion: e.leaseHint(),
 	}, nil
 }
 
+// leaseHint returns the last known holder of the promotion lease. Processes that the store
+// turns away hear of a new one by it, and get grants and credits again.
+func (e *Edge) leaseHint() *peerpb.LeaseHolder {
+	holder, token := e.lease.Hint()
+	if holder == "" {
+		return nil
+	}
+	return &peerpb.LeaseHolder{Holder: holder, Token: uint64(token)}
+}
+
+func (e *Edge) learnLease(hint *peerpb.LeaseHolder) {
+	e.lease.Learn(hint.GetHolder(), duty.Token(hint.GetToken()))
+}
+
 // catalogVersions encodes the catalog's versions for a ping; see catalogName. It
 // returns none while there is no configuration.
 func (e *Edge) catalogVersions() []*peerpb.DocumentVersion {
