--- a/internal/edge/quotas_test.go
+++ b/internal/edge/quotas_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/rattancove/rattancove/internal/catalog"
 	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/duty"
 	"github.com/rattancove/rattancove/internal/errcode"
@@ -130,6 +132,23 @@
 		if waited := clock() - start; !errcode.Is(err, errcode.QuotaExceeded) || waited != quotaWait {
 			t.Errorf("without a dealer: error %v after %v", err, waited)
 		}
+		<-asked
+		time.AfterFunc(quotaWait/2, func() { home.accept(home.report(false), nil, clock()) })
+		_, _ = home.Admit(t.Context(), "o")
+		for i := range 2 {
+			select {
+			case <-asked:
+			default:
+				t.Errorf("not asked again after a reply without credits (%d)", i)
+			}
+			if i == 0 {
+				go func() { _, _ = home.Admit(t.Context(), "o") }()
+				<-asked
+				home.accept(home.report(false), nil, clock())
+				synctest.Wait()
+			}
+		}
+		time.Sleep(quotaWait)
 		if err := dealer.step(t.Context()); err != nil {
 			t.Fatal(err)
 		}
@@ -181,3 +200,38 @@
 		}
 	})
 }
+
+// TestCreditsCome guards against reports or replies that do not reach the other side: a
+// process that holds the promotion lease admits operations of an organisation with a
+// limit, up to the limit.
+func TestCreditsCome(t *testing.T) {
+	e, err := New(Config{ID: "p1", Quota: testQuotaBounds}, Adapters{Table: providertest.NewTable()}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.tracker.SetConfiguration(&catalog.Configuration{
+		Version: 1, Organisations: []catalog.Organisation{{Name: "o", Rate: 10}, {Name: "unlimited"}},
+	}, catalog.OriginStore)
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	for _, run := range []func(context.Context) error{e.reconcileHomes, e.lease.Run, e.quotaDealer.run, e.renewGrants} {
+		running.Go(func() { _ = run(ctx) })
+	}
+	admitted := 0
+	for start := time.Now(); admitted < 62 && time.Since(start) < 10*time.Second; {
+		if _, err := e.quotas.Admit(ctx, "o"); err == nil && e.quotas.active.Load() {
+			admitted++
+		}
+	}
+	if admitted < 62 {
+		t.Errorf("%d operations were admitted", admitted)
+	}
+	if _, err := e.quotas.Admit(ctx, "o"); !errcode.Is(err, errcode.QuotaExceeded) {
+		t.Errorf("error %v beyond the limit", err)
+	}
+	if refund, err := e.quotas.Admit(ctx, "unlimited"); refund != nil || err != nil {
+		t.Errorf("error %v without a limit", err)
+	}
+}
--- a/internal/gateway/quota_throttle.go
+++ b/internal/gateway/quota_throttle.go
@@ -77,7 +77,7 @@
 // record records the result of an operation: a refusal that advises a wait, or a trial
 // that was not refused for the quota.
 func (t *quotaThrottle) record(organisation string, home cluster.ProxyID, trial bool, err error) {
-	if organisation == "" || (err == nil && !trial) {
+	if organisation == "" {
 		return
 	}
 	key := quotaKey{organisation, home}
--- a/internal/gateway/quota_throttle_test.go
+++ b/internal/gateway/quota_throttle_test.go
@@ -99,6 +99,13 @@
 		if _, err := throttle.check("o", "p2"); err != nil {
 			t.Errorf("refused after an admitted trial: %v", err)
 		}
+		throttle.record("o", "p2", false, refusal)
+		time.Sleep(maxQuotaThrottleTime)
+		for range 2 {
+			if trial, err := throttle.check("o", "p2"); trial || err != nil {
+				t.Errorf("after the time of the refusal: trial %v, error %v", trial, err)
+			}
+		}
 		for i := range 2 * maxQuotaEntries {
 			throttle.record("o", cluster.ProxyID(time.Duration(i).String()), false, refusal)
 			time.Sleep(time.Millisecond)
