Share the entitlements of homes under a new dealer

A new dealer allowed each home what that home had, so work that moved found nothing. It now shares the sum, and counts the uses in the window before it began: a use after the earlier dealer ended takes nothing away. Processes that have nothing to tell make no calls.

--- a/internal/edge/quota_dealer.go
+++ b/internal/edge/quota_dealer.go
@@ -86,15 +86,10 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	token, held := q.lease.Held()
-	if !held || q.dealer == nil || q.token != token {
-		return nil
-	}
-	reply := q.dealer.Handle(home, peer.QuotaReportFromProto(report), q.clock())
-	if q.lease.Remaining() <= quota.CallTime {
+	if token, _ := q.lease.Held(); q.dealer == nil || q.token != token || q.lease.Remaining() <= quota.CallTime {
 		return nil
 	}
-	return peer.QuotaReplyToProto(reply)
+	return peer.QuotaReplyToProto(q.dealer.Handle(home, peer.QuotaReportFromProto(report), q.clock()))
 }
 
 // run starts a dealer whenever this process has acquired the lease, until ctx ends.
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -25,21 +25,16 @@
 	// and those allocated since.
 	outstanding uint64
 	wanted      uint64
-	// entitled is the number of credits, used in the last window or outstanding, that a
-	// new dealer allows the home, and uses counts its uses. uses is empty once the dealer
-	// has settled.
-	entitled uint64
-	uses     ring
 }
 
 // organisation is what a dealer knows of one organisation.
 type organisation struct {
-	name  string
-	limit Limit
-	// basis is the number of credits of the fleet, and allowance the rest of what a new
-	// dealer may allocate beyond the entitlements.
-	basis, allowance uint64
-	allowanceOpen    bool
+	dealer *Dealer
+	limit  Limit
+	// basis is the number of credits of the fleet. A new dealer allows as many as homes
+	// reported to have, entitled, and may add what is left of the allowance.
+	basis, entitled, allowance uint64
+	allowanceOpen              bool
 	// uses counts the reported uses, and outstanding all outstanding credits.
 	uses        ring
 	outstanding uint64
@@ -57,13 +52,19 @@
 	return newRing(window/dealerSlices+1, dealerSlices+1)
 }
 
+// allowed returns the number of credits that may be used in a window or outstanding.
+func (o *organisation) allowed() uint64 {
+	if o.dealer.settled {
+		return o.basis
+	}
+	return o.entitled
+}
+
 // free returns the credits that are left.
 func (o *organisation) free(now time.Duration) uint64 {
 	o.uses.advance(now)
-	if taken := o.uses.total + o.outstanding; taken < o.basis {
-		return o.basis - taken
-	}
-	return 0
+	taken := o.uses.total + o.outstanding
+	return o.allowed() - min(taken, o.allowed())
 }
 
 // updateLevel computes the max-min fair level: targets are the smaller of what a home
@@ -84,7 +85,7 @@
 	}
 	slices.Sort(wants)
 	o.uses.advance(now)
-	left := uint64(targetShare * float64(o.basis-min(o.basis, o.uses.total)))
+	left := uint64(targetShare * float64(o.allowed()-min(o.allowed(), o.uses.total)))
 	o.level = left
 	for i, w := range wants {
 		homes := uint64(len(wants) - i)
@@ -114,9 +115,6 @@
 		return
 	}
 	a.organisation.uses.add(at, now, credits)
-	if a.uses.counts != nil {
-		a.uses.add(at, now, credits)
-	}
 }
 
 // close counts the outstanding credits as used, since the home may have used them, and
--- a/internal/quota/allocate.go
+++ b/internal/quota/allocate.go
@@ -15,63 +15,45 @@
 		return Credit{Organisation: use.Organisation, Unlimited: true}
 	}
 	o.updateLevel(now)
-	var credits uint64
-	if d.settled {
-		credits = a.share(use.Needed, now)
-	} else {
-		o.openAllowance(d)
-		credits = a.entitlement(use.Needed, now)
+	credits := a.share(use.Needed, now)
+	if !d.settled && credits < use.Needed {
+		credits += o.extra(use.Needed - credits)
 	}
 	a.setOutstanding(a.outstanding + credits)
 	c := Credit{Organisation: use.Organisation, Credits: credits, Basis: o.basis, Reserve: o.level}
-	if left := d.left(o, now); credits < use.Needed && left == 0 {
+	if credits < use.Needed && o.free(now)+o.allowance == 0 {
 		c.Exhausted, c.RetryAfter = true, o.retryAfter(now)
 	}
 	return c
 }
 
-// left returns the credits that are left for homes that need some at once.
-func (d *Dealer) left(o *organisation, now time.Duration) uint64 {
-	if d.settled {
-		return o.free(now)
-	}
-	return o.allowance
-}
-
 // share returns the credits for a home: up to its fair target, and where it needs more at
 // once a part of what is left, so that other homes find some too.
 func (a *account) share(needed uint64, now time.Duration) uint64 {
 	o := a.organisation
 	free := o.free(now)
 	target := min(a.wanted, o.level)
-	credits := min(target-min(target, a.outstanding), free-min(free, o.basis/3, needReserve))
+	credits := min(target-min(target, a.outstanding), free-min(free, o.allowed()/3, needReserve))
 	if credits < needed {
 		credits += min(needed-credits, (free-credits+1)/2)
 	}
 	return credits
 }
 
-// entitlement returns the credits for a home while the dealer does not know of all uses:
-// the home may have what it was seen to have, and a part of the allowance.
-func (a *account) entitlement(needed uint64, now time.Duration) uint64 {
-	o := a.organisation
-	a.uses.advance(now)
-	target := max(a.wanted, a.outstanding+needed)
-	taken := a.uses.total + a.outstanding
-	credits := min(target-a.outstanding, a.entitled-min(a.entitled, taken))
-	if credits < needed {
-		extra := min(needed-credits, (o.allowance+3)/4)
-		o.allowance -= extra
-		a.entitled += extra
-		credits += extra
-	}
+// extra returns a part of the allowance for a home that needs credits at once, while the
+// dealer does not know of all uses.
+func (o *organisation) extra(needed uint64) uint64 {
+	o.openAllowance()
+	credits := min(needed, (o.allowance+3)/4)
+	o.allowance -= credits
+	o.entitled += credits
 	return credits
 }
 
 // openAllowance sets the allowance once the limit is known.
-func (o *organisation) openAllowance(d *Dealer) {
-	if !o.allowanceOpen && d.start == StartSettled {
-		o.allowance = d.bounds.allowance(o.limit)
+func (o *organisation) openAllowance() {
+	if !o.allowanceOpen && o.dealer.start == StartSettled {
+		o.allowance = o.dealer.bounds.allowance(o.limit)
 	}
 	o.allowanceOpen = true
 }
--- a/internal/quota/dealer.go
+++ b/internal/quota/dealer.go
@@ -32,10 +32,12 @@
 	bounds Bounds
 	id     uint64
 	start  Start
-	// settlesAt is the time at which the dealer knows all uses of the last window, and
-	// settled is set from then on.
-	settlesAt time.Duration
-	settled   bool
+	// began is the time after which no earlier dealer allocates. The dealer settles when
+	// it knows all uses of the last window.
+	began   time.Duration
+	settled bool
+	// heard holds the incarnations of the homes that have reported.
+	heard map[string]uint64
 
 	limits        map[string]Limit
 	organisations map[string]*organisation
@@ -51,13 +53,12 @@
 }
 
 // NewDealer returns a dealer with a unique identity that is not zero. No earlier dealer
-// may allocate credits after now.
-func NewDealer(bounds Bounds, id uint64, start Start, now time.Duration) *Dealer {
-	d := &Dealer{
-		bounds: bounds, id: id, start: start, settlesAt: now + bounds.settleTime(), settled: start == StartFirst,
+// may allocate credits after the time at which it began.
+func NewDealer(bounds Bounds, id uint64, start Start, began time.Duration) *Dealer {
+	return &Dealer{
+		bounds: bounds, id: id, start: start, began: began, settled: start == StartFirst, heard: map[string]uint64{},
 		limits: map[string]Limit{}, organisations: map[string]*organisation{}, homes: map[string]*dealerHome{},
 	}
-	return d
 }
 
 // ID returns the identity of the dealer.
@@ -68,20 +69,18 @@
 	d.limits = limits
 	for name, o := range d.organisations {
 		if o.limit != limits[name] {
-			o.setLimit(d, limits[name])
+			o.setLimit(limits[name])
 		}
 	}
 }
 
 // setLimit sets the limit. Entitlements fall with the limit, but do not rise.
-func (o *organisation) setLimit(d *Dealer, limit Limit) {
+func (o *organisation) setLimit(limit Limit) {
 	basis := uint64(0)
 	if limit.Rate > 0 {
-		basis = d.bounds.basis(limit)
-	}
-	for a := range o.accounts {
-		a.entitled = scale(a.entitled, o.basis, basis)
+		basis = o.dealer.bounds.basis(limit)
 	}
+	o.entitled = scale(o.entitled, o.basis, basis)
 	o.allowance = scale(o.allowance, o.basis, basis)
 	o.limit, o.basis, o.levelAt = limit, basis, 0
 }
@@ -102,14 +101,8 @@
 }
 
 func (d *Dealer) settle(now time.Duration) {
-	if d.settled || now < d.settlesAt {
-		return
-	}
-	d.settled = true
-	for _, o := range d.organisations {
-		for a := range o.accounts {
-			a.uses = ring{}
-		}
+	if now >= d.began+d.bounds.settleTime() {
+		d.settled = true
 	}
 }
 
@@ -133,8 +126,10 @@
 		d.homes[home] = h
 	}
 	h.sequence, h.seen = r.Sequence, now
+	first := d.heard[home] != r.Incarnation
+	d.heard[home] = r.Incarnation
 	for i := range r.Uses {
-		d.record(h, &r.Uses[i], r.Dealer == 0, now)
+		d.record(h, &r.Uses[i], first, now)
 	}
 	return Reply{Dealer: d.id, Credits: d.credits(h, &r, now)}
 }
@@ -185,12 +180,17 @@
 	delete(d.homes, home)
 }
 
-// record takes over the report of one organisation. full is set if the report names all
-// organisations.
-func (d *Dealer) record(h *dealerHome, use *Use, full bool, now time.Duration) {
+// record takes over the report of one organisation. first is set if it is the first
+// report of the process to this dealer.
+func (d *Dealer) record(h *dealerHome, use *Use, first bool, now time.Duration) {
 	a := h.accounts[use.Organisation]
 	if a == nil {
-		a = d.open(h, use, full, now)
+		a = &account{organisation: d.organisation(use.Organisation), used: use.Used}
+		a.organisation.accounts[a] = struct{}{}
+		h.accounts[use.Organisation] = a
+		if first && !d.settled {
+			d.entitle(a, use, now)
+		}
 	}
 	if use.Used > a.used {
 		a.use(now, now, use.Used-a.used)
@@ -199,42 +199,26 @@
 	a.setOutstanding(use.Held)
 }
 
-// open opens an account. The uses before the first report of a home count by their time,
-// at most one slice later than they were.
-func (d *Dealer) open(h *dealerHome, use *Use, full bool, now time.Duration) *account {
-	o := d.organisation(use.Organisation)
-	a := &account{organisation: o}
-	o.accounts[a] = struct{}{}
-	h.accounts[use.Organisation] = a
-	if !full {
-		a.openRing(d)
-		return a
-	}
-	a.used = use.Used
-	if d.settled {
-		return a // all uses are counted already or have left the window
-	}
-	a.openRing(d)
-	a.entitled = use.Held
+// entitle adds what a home had when the dealer began to what the dealer allows: the
+// credits held, and the uses since a window before that time. The report was sent up to
+// CallTime ago. Uses count by their time, at most one slice later than they were.
+func (d *Dealer) entitle(a *account, use *Use, now time.Duration) {
+	entitled := use.Held
 	slice := d.bounds.Window / stockSlices
 	for i, n := range use.Recent {
-		a.entitled += n
+		if time.Duration(i+1)*slice > d.bounds.Window+now-CallTime-d.began {
+			break
+		}
+		entitled += n
 		a.use(max(now-time.Duration(max(i-1, 0))*slice, 0), now, n)
 	}
-	a.entitled = scale(a.entitled, use.Basis, o.basis)
-	return a
-}
-
-func (a *account) openRing(d *Dealer) {
-	if !d.settled {
-		a.uses = newDealerRing(d.bounds)
-	}
+	a.organisation.entitled += scale(entitled, use.Basis, a.organisation.basis)
 }
 
 func (d *Dealer) organisation(name string) *organisation {
 	o := d.organisations[name]
 	if o == nil {
-		o = &organisation{name: name, uses: newDealerRing(d.bounds), accounts: map[*account]struct{}{}}
+		o = &organisation{dealer: d, uses: newDealerRing(d.bounds), accounts: map[*account]struct{}{}}
 		if limit := d.limits[name]; limit.Rate > 0 {
 			o.limit, o.basis = limit, d.bounds.basis(limit)
 		}
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -24,7 +24,8 @@
 	Wanted uint64
 	// Needed counts the operations that wait for a credit or were refused for want of one.
 	Needed uint64
-	// Recent counts the credits used in the last slices of the window, newest first, and
+	// Recent counts the credits used in the last slices of time, of which a window has
+	// stockSlices, newest first, and
 	// Basis is the number of credits of the fleet on which Held and Recent are based.
 	// They are set only in a report to an unknown dealer.
 	Recent []uint64
--- a/internal/quota/stock.go
+++ b/internal/quota/stock.go
@@ -9,6 +9,9 @@
 const (
 	// stockSlices is the number of slices of the window in which a home counts uses.
 	stockSlices = 25
+	// olderSlices are further slices, so that a new dealer hears of the uses in the window
+	// before it began.
+	olderSlices = 10
 	// demandSlices are the slices from which a home estimates its demand.
 	demandSlices = 10
 	// maxReserve is the number of credits that a home wants of an organisation that it
@@ -241,7 +244,7 @@
 			slice := s.bounds.Window / stockSlices
 			s.holdings[organisation] = &holding{
 				limit: limit, basis: s.bounds.basis(limit), lastDemand: math.MinInt64 / 2, settled: true, reserve: maxReserve,
-				uses: newRing(slice, stockSlices), demand: newRing(slice, stockSlices),
+				uses: newRing(slice, stockSlices+olderSlices), demand: newRing(slice, stockSlices),
 			}
 		}
 	}
--- a/internal/quota/stock_report.go
+++ b/internal/quota/stock_report.go
@@ -145,7 +145,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, h := range s.holdings {
-		if h.limit.Rate > 0 && (h.used > 0 || h.held > 0 || h.waiting > 0 || h.refused > 0) {
+		if !h.settled || h.used != h.sent.Used || h.held+h.refunded+h.waiting+h.refused > 0 {
 			return false
 		}
 	}
