Announce a switchover because of late replay in the group's record first

A primary that steps down while the store is unreachable or slow cannot be replaced, since the promotion could not be recorded. The time of the switchover is written before it begins, so that the store is known to work, and the next lease holder keeps the pause also after an attempt that failed. 30 s lie between any two switchovers of a group.

--- a/internal/succession/decide.go
+++ b/internal/succession/decide.go
@@ -172,10 +172,13 @@
 	cause, since := diagnose(g, v, s, now)
 	switch cause {
 	case CauseNone:
-		if replaySwitchoverDue(g, v, s, now) {
-			s = s.beginAttempt(g, v, CauseReplay, now)
-			s.rest = s.rest.begin(now)
-			return s.fire(eventReplayLate, now), nil
+		if replaySwitchoverHelps(g, v, s, now) {
+			if s.rest.mayBegin(v, now) {
+				s = s.beginAttempt(g, v, CauseReplay, now)
+				s.rest.announced = false
+				return s.fire(eventReplayLate, now), nil
+			}
+			s.rest = s.rest.announce(now)
 		}
 		if p, _, ok := primary(g, v); ok && p.Leaving {
 			s.Blocker = switchoverBlocker(g, v, s, now)
--- a/internal/succession/model_hash_test.go
+++ b/internal/succession/model_hash_test.go
@@ -160,7 +160,7 @@
 	now := modelStart.Add(e.now)
 	e.bools(now.Before(s.NextRetry), now.Before(s.PostponedUntil), s.Known)
 	e.timeAge(s.StalledSince)
-	e.bools(s.rest.over(now))
+	e.bools(s.rest.over(now), s.rest.announced)
 	if !s.replay.lateSince.IsZero() {
 		e.timeAge(s.replay.lateSince)
 		e.ints(int(s.replay.lateFor/modelAgeUnit), int(s.replay.busy))
--- a/internal/succession/model_test.go
+++ b/internal/succession/model_test.go
@@ -147,12 +147,11 @@
 		w.updateHome()
 		for i := range modelInitialServers {
 			w.now += modelStep
-			if w.callServer(p, i); p.state.Phase == PhasePausing && w.now < p.grantExpiry[modelHomeProcess] {
-				w.progress(p)
+			w.callServer(p, i)
+			if w.progress(p); p.state.Phase == PhasePausing && w.now < p.grantExpiry[modelHomeProcess] {
 				return
 			}
 		}
-		w.progress(p)
 	}
 	panic("no switchover")
 }
--- a/internal/succession/replay.go
+++ b/internal/succession/replay.go
@@ -28,12 +28,15 @@
 	// minReplaySettled is how long the servers of the group, and their starts, must have been
 	// the same. A server that has just started is slow, and catches up.
 	minReplaySettled = 10 * time.Second
-	// replaySwitchoverPause is the time between two switchovers of a group because of late
-	// replay. Each refuses writes for half a second. The pause doubles, up to
-	// maxReplaySwitchoverPause, if the replicas are late again soon after it: they are
-	// then late whichever server is primary.
-	replaySwitchoverPause    = 30 * time.Second
+	// replaySwitchoverPause is the time between the announcements of two switchovers of a
+	// group because of late replay, so that 30 s lie between any two. Each refuses writes for
+	// half a second. The pause doubles, up to maxReplaySwitchoverPause, if the replicas are
+	// late again soon after it: they are then late whichever server is primary.
+	replaySwitchoverPause    = 30*time.Second + maxAnnouncementAge
 	maxReplaySwitchoverPause = 8 * time.Minute
+	// maxAnnouncementAge is how long after its announcement a switchover may begin. The
+	// record is written meanwhile, and the next report of a replica awaited.
+	maxAnnouncementAge = 2 * time.Second
 	// progressInterval is the least time between two remembered positions of the primary.
 	progressInterval = 300 * time.Millisecond
 	// maxProgressAge is the age up to which positions are remembered.
@@ -63,22 +66,33 @@
 	busy      uint8
 }
 
-// replayRest tells when a group was last switched over because of late replay, and for
-// how long it is left alone after that.
+// replayRest tells when a switchover of a group because of late replay was last announced,
+// and for how long the group is left alone after that.
 type replayRest struct {
 	at    time.Time
 	pause time.Duration
+	// announced is set until the switchover begins. The group's record states the time
+	// before, which shows that the store works: without it, nothing could be promoted.
+	announced bool
 }
 
-// over reports whether another switchover may begin.
+// over reports whether another switchover may be announced.
 func (r replayRest) over(now time.Time) bool { return r.at.IsZero() || now.Sub(r.at) >= r.pause }
 
-// begin returns the rest after a switchover that begins now.
-func (r replayRest) begin(now time.Time) replayRest {
-	if r.at.IsZero() || now.Sub(r.at) >= 2*r.pause {
-		return replayRest{at: now, pause: replaySwitchoverPause}
+// announce returns the rest after a switchover that is announced now, if one may be.
+func (r replayRest) announce(now time.Time) replayRest {
+	switch {
+	case !r.over(now):
+		return r
+	case r.at.IsZero() || now.Sub(r.at) >= 2*r.pause:
+		return replayRest{at: now, pause: replaySwitchoverPause, announced: true}
 	}
-	return replayRest{at: now, pause: min(2*r.pause, maxReplaySwitchoverPause)}
+	return replayRest{at: now, pause: min(2*r.pause, maxReplaySwitchoverPause), announced: true}
+}
+
+// mayBegin reports whether the announced switchover is recorded, and the store was quick.
+func (r replayRest) mayBegin(v View, now time.Time) bool {
+	return r.announced && !v.RecordUnsaved && now.Sub(r.at) <= maxAnnouncementAge
 }
 
 // merge adds the time that the record of an earlier lease holder states. The clock of that
@@ -101,12 +115,12 @@
 	return r.at.UnixMilli()
 }
 
-// replaySwitchoverDue reports whether a replica should replace a primary that works. The
+// replaySwitchoverHelps reports whether a replica should replace a primary that works. The
 // promoted server serves all it has received at once, and the old primary has no backlog as
 // a replica.
-func replaySwitchoverDue(g Group, v View, s State, now time.Time) bool {
+func replaySwitchoverHelps(g Group, v View, s State, now time.Time) bool {
 	return s.replay.lateFor >= minReplayLate && bits.OnesCount8(s.replay.busy) >= minBusyReports &&
-		s.rest.over(now) && switchoverBlocker(g, v, s, now) == ""
+		switchoverBlocker(g, v, s, now) == ""
 }
 
 // update adds the last reports to the evidence, which begins anew with every disturbance of
@@ -140,9 +154,9 @@
 
 // undisturbed reports whether nothing but the replay of the replicas is amiss in a group:
 // each listed server works, reports and follows the one primary, no other server may have
-// acknowledged writes, and the record and the list of the group are up to date.
+// acknowledged writes, and the list of the group is up to date.
 func undisturbed(g Group, v View, s State, now time.Time) bool {
-	if g.SyncReplicas < 1 || v.GroupStale || v.RecordUnsaved || v.PromotionInFlight || otherPromotionPossible(v, "", now) {
+	if g.SyncReplicas < 1 || v.GroupStale || v.PromotionInFlight || otherPromotionPossible(v, "", now) {
 		return false
 	}
 	if !s.settled() || now.Sub(s.listedSince) < minReplaySettled {
--- a/internal/succession/replay_switchover_test.go
+++ b/internal/succession/replay_switchover_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/provider/providertest"
 )
 
 const (
@@ -144,6 +145,34 @@
 	}
 }
 
+// A primary that steps down while the store is unreachable cannot be replaced, since the
+// promotion could not be recorded.
+func TestNoReplaySwitchoverWithoutTheStore(t *testing.T) {
+	late := map[cluster.ServerID]time.Duration{"s2": 6 * time.Second, "s3": 6 * time.Second}
+	for name, disturb := range map[string]func(table *providertest.Table, disturbed bool){
+		"unreachable": func(table *providertest.Table, disturbed bool) { table.SetDown(disturbed) },
+		"slow": func(table *providertest.Table, disturbed bool) {
+			table.SetDelay(map[bool]time.Duration{true: maxAnnouncementAge + time.Second}[disturbed])
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runReplay(t, late, func(w *replayWorld) {
+				w.run(t, minReplaySettled)
+				disturb(w.table, true)
+				w.run(t, 2*minReplaySettled)
+				if w.noPrimary > 0 || len(w.servers.promotions()) > 0 {
+					t.Errorf("%v without a primary, %v promoted", w.noPrimary, w.servers.promotions())
+				}
+				disturb(w.table, false)
+				w.run(t, 2*replaySwitchoverPause)
+				if n := len(w.servers.promotions()); n != 1 {
+					t.Errorf("%d promotions after the store has returned, want 1", n)
+				}
+			})
+		})
+	}
+}
+
 // Every server replays late unless it is primary. The pause between the switchovers doubles,
 // and outlasts a change of the lease holder.
 func TestReplaySwitchoversAreRare(t *testing.T) {
@@ -161,7 +190,7 @@
 				for i := range w.promotedAt[min(1, len(w.promotedAt)):] {
 					pauses = append(pauses, w.promotedAt[i+1].Sub(w.promotedAt[i]))
 				}
-				if len(pauses) < 1 || slices.Min(pauses) < replaySwitchoverPause-time.Second || !holders && len(pauses) != 2 {
+				if len(pauses) < 1 || slices.Min(pauses) < 30*time.Second || !holders && len(pauses) != 2 {
 					t.Errorf("pauses %v", pauses)
 				}
 				t.Logf("pauses %v, %v without a primary", pauses, w.noPrimary)
--- a/internal/succession/replay_test.go
+++ b/internal/succession/replay_test.go
@@ -53,13 +53,15 @@
 
 func (s *fixture) runLate(t *testing.T, late, limit time.Duration, disturb func(s *fixture, at time.Duration)) (time.Duration, bool) {
 	t.Helper()
-	for at, position := time.Duration(0), uint64(200); at < limit; at, position = at+reportInterval, position+1 {
-		s.report(position, late)
-		disturb(s, at)
+	const interval = reportInterval / 2 // decisions are also made between reports
+	for at := time.Duration(0); at < limit; at += interval {
+		if at%reportInterval == 0 {
+			s.report(uint64(200+at/reportInterval), late)
+			disturb(s, at)
+		}
 		actions := s.decide(0)
+		s.now = s.now.Add(interval)
 		if s.state.Phase == PhaseWatching {
-			s.decide(reportInterval / 2) // decisions are also made between reports
-			s.now = s.now.Add(reportInterval / 2)
 			continue
 		}
 		if s.state.Cause != CauseReplay || len(actions) != 1 || actions[0].Kind != ActionStepDown || actions[0].Server != "s1" {
@@ -139,8 +141,11 @@
 			}
 		}), false},
 
-		"the list is stale":            {late, func(s *fixture, _ time.Duration) { s.view.GroupStale = true }, false},
-		"the record is not saved":      {late, func(s *fixture, _ time.Duration) { s.view.RecordUnsaved = true }, false},
+		"the list is stale":       {late, func(s *fixture, _ time.Duration) { s.view.GroupStale = true }, false},
+		"the record is not saved": {late, func(s *fixture, _ time.Duration) { s.view.RecordUnsaved = true }, false},
+		"the record was saved too late": {late, once(0, func(s *fixture) {
+			s.state.rest = replayRest{at: s.now.Add(-maxAnnouncementAge), pause: replaySwitchoverPause, announced: true}
+		}), false},
 		"the record has not been read": {late, func(s *fixture, _ time.Duration) { s.view.PriorPromotionPossible = true }, false},
 		"a promotion is in flight":     {late, func(s *fixture, _ time.Duration) { s.view.PromotionInFlight = true }, false},
 		"a promotion was possible until 2 s": {late, once(0, func(s *fixture) {
@@ -164,7 +169,7 @@
 // Reports count for when they were requested: the evidence spans minReplayLate for each
 // replica, and an old report is none.
 func TestReplayEvidenceSpansTheReportsOfEachReplica(t *testing.T) {
-	for age, want := range map[time.Duration]time.Duration{1700 * time.Millisecond: 7600 * time.Millisecond, 1900 * time.Millisecond: 0} {
+	for age, want := range map[time.Duration]time.Duration{1700 * time.Millisecond: 7800 * time.Millisecond, 1900 * time.Millisecond: 0} {
 		at, began := runLate(t, 5*time.Second, 12*time.Second, func(s *fixture, _ time.Duration) {
 			s.update("s3", func(o *Observation) { o.RequestedAt = o.RequestedAt.Add(-age) })
 		})
@@ -193,6 +198,9 @@
 	if _, began := s.runLate(t, 3*time.Second, 6*time.Second, undisturbed); !began {
 		t.Fatal("no switchover")
 	}
+	if s.state.rest.mayBegin(s.view, s.now) {
+		t.Error("the announcement holds for a second switchover")
+	}
 	for range 20 {
 		s.now = s.now.Add(switchoverTimeout / 15)
 		s.report(1000, 3*time.Second)
@@ -221,19 +229,19 @@
 // between them grows, also if the lease holder changes or its clock is ahead.
 func TestPauseBetweenReplaySwitchovers(t *testing.T) {
 	now := testStart
-	rest := replayRest{}.begin(now)
+	rest := replayRest{}.announce(now)
 	if rest.over(now.Add(replaySwitchoverPause-1)) || !rest.over(now.Add(replaySwitchoverPause)) {
 		t.Errorf("first pause %v", rest.pause)
 	}
-	if again := rest.begin(now.Add(replaySwitchoverPause)); again.pause != 2*replaySwitchoverPause {
+	if again := rest.announce(now.Add(replaySwitchoverPause)); again.pause != 2*replaySwitchoverPause {
 		t.Errorf("pause %v after the second switchover", again.pause)
 	}
-	if later := rest.begin(now.Add(2 * replaySwitchoverPause)); later.pause != replaySwitchoverPause {
+	if later := rest.announce(now.Add(2 * replaySwitchoverPause)); later.pause != replaySwitchoverPause {
 		t.Errorf("pause %v after a calm time", later.pause)
 	}
 	for range 10 {
 		now = now.Add(rest.pause)
-		rest = rest.begin(now)
+		rest = rest.announce(now)
 	}
 	if rest.pause != maxReplaySwitchoverPause {
 		t.Errorf("longest pause %v", rest.pause)
