--- a/internal/succession/doc.go
+++ b/internal/succession/doc.go
@@ -8,7 +8,8 @@
 //
 // A leaving primary is replaced by a switchover: it steps down while its replicas go on
 // receiving, and one that has its whole log is promoted. Nothing else matters then, neither
-// servers that are gone nor ones that have just joined.
+// servers that are gone nor ones that have just joined. A primary that works is replaced in
+// the same way while all replicas replay late; see replayWatch.
 //
 // A failed primary may not respond. A primary acknowledges a write once the required
 // number of replicas, at least one, has received it. Before a promotion the replicas are
--- a/internal/succession/replay.go
+++ b/internal/succession/replay.go
@@ -9,8 +9,8 @@
 
 const (
 	// replayLateAfter is the time after which a replica that has not replayed a position of
-	// the primary is late. It is several times the replication delay of a deployment that
-	// is not disturbed, which is 150 ms at most.
+	// the primary is late. It is several times the 150 ms by which replicas lag in normal
+	// operation.
 	replayLateAfter = time.Second
 	// minReplayLate is the time over which every report of every replica must show it as
 	// late. A replica reports once a second.
