Settle a new dealer of quotas once all homes that may have credits have reported

A new dealer knows all uses as soon as each of them has reported, and the uses of processes that ended have left the window.

--- a/internal/edge/quotas.go
+++ b/internal/edge/quotas.go
@@ -37,6 +37,8 @@
 type quotas struct {
 	stock *quota.Stock
 	clock func() time.Duration
+	// started is the time at which the process started.
+	started time.Duration
 	// ask requests credits before the next regular call.
 	ask func()
 	log *zerolog.Logger
@@ -62,7 +64,7 @@
 		return nil
 	}
 	return &quotas{
-		stock: quota.NewStock(bounds, incarnation, rand.Float64), clock: clock, ask: ask, log: log,
+		stock: quota.NewStock(bounds, incarnation, rand.Float64), clock: clock, started: clock(), ask: ask, log: log,
 		answered: make(chan struct{}), refusals: map[string]*quotaRefusals{},
 	}
 }
@@ -191,7 +193,9 @@
 	if q == nil || !q.active.Load() || (idle && q.stock.Empty()) {
 		return nil
 	}
-	report := q.stock.Report(q.clock())
+	now := q.clock()
+	report := q.stock.Report(now)
+	report.Age = now - q.started
 	return &report
 }
 
--- a/internal/edge/quotas_test.go
+++ b/internal/edge/quotas_test.go
@@ -36,7 +36,7 @@
 
 func newTestDealer(table provider.Table, holder string, token duty.Token, clock func() time.Duration) (*quotaDealer, *fakeLease) {
 	log, lease := zerolog.Nop(), &fakeLease{token, time.Second}
-	q := &quotaDealer{bounds: testQuotaBounds, holder: holder, lease: lease, table: table, clock: clock, log: &log}
+	q := &quotaDealer{bounds: testQuotaBounds, holder: holder, lease: lease, table: table, clock: clock, log: &log, wake: make(chan struct{}, 1)}
 	q.setLimits(testLimits)
 	return q, lease
 }
--- a/internal/peer/quota.go
+++ b/internal/peer/quota.go
@@ -9,7 +9,7 @@
 
 // QuotaReportToProto encodes a report of credits.
 func QuotaReportToProto(r quota.Report) *peerpb.QuotaReport {
-	out := &peerpb.QuotaReport{Sequence: r.Sequence, Incarnation: r.Incarnation, Dealer: r.Dealer}
+	out := &peerpb.QuotaReport{Sequence: r.Sequence, Incarnation: r.Incarnation, Dealer: r.Dealer, AgeNanos: int64(r.Age)}
 	for _, u := range r.Uses {
 		out.Uses = append(out.Uses, &peerpb.QuotaUse{
 			Organisation: validText(u.Organisation), Used: u.Used, Held: u.Held, Wanted: u.Wanted, Needed: u.Needed,
@@ -21,7 +21,7 @@
 
 // QuotaReportFromProto decodes a report of credits.
 func QuotaReportFromProto(r *peerpb.QuotaReport) quota.Report {
-	out := quota.Report{Sequence: r.GetSequence(), Incarnation: r.GetIncarnation(), Dealer: r.GetDealer()}
+	out := quota.Report{Sequence: r.GetSequence(), Incarnation: r.GetIncarnation(), Dealer: r.GetDealer(), Age: time.Duration(r.GetAgeNanos())}
 	for _, u := range r.GetUses() {
 		out.Uses = append(out.Uses, quota.Use{
 			Organisation: u.GetOrganisation(), Used: u.GetUsed(), Held: u.GetHeld(), Wanted: u.GetWanted(), Needed: u.GetNeeded(),
--- a/internal/quota/dealer.go
+++ b/internal/quota/dealer.go
@@ -38,6 +38,11 @@
 	settled bool
 	// heard holds the incarnations of the homes that have reported.
 	heard map[string]uint64
+	// expected holds the homes that may have credits of earlier dealers and have not
+	// reported; nil if these are not known. unseenUntil is the time until which uses that
+	// no report tells of may be within the last window.
+	expected    map[string]bool
+	unseenUntil time.Duration
 
 	limits        map[string]Limit
 	organisations map[string]*organisation
@@ -100,12 +105,34 @@
 	return true
 }
 
+// Expect names the homes that may have credits of earlier dealers, among them all that
+// have. The dealer settles as soon as it knows the uses of each of them.
+func (d *Dealer) Expect(homes []string) {
+	d.expected = make(map[string]bool, len(homes))
+	for _, home := range homes {
+		d.expected[home] = true
+	}
+}
+
 func (d *Dealer) settle(now time.Duration) {
-	if now >= d.began+d.bounds.settleTime() {
+	heardAll := d.expected != nil && len(d.expected) == 0 && now >= d.unseenUntil
+	if heardAll || now >= d.began+d.bounds.SettleTime() {
 		d.settled = true
 	}
 }
 
+// accountFor records the first report of a process. What an earlier process of its name
+// has used is not reported, but that one ended before this one started. The report does
+// not tell of the oldest uses of the window, which are as old as a call may take.
+func (d *Dealer) accountFor(home string, age, now time.Duration) {
+	if !d.expected[home] {
+		return
+	}
+	delete(d.expected, home)
+	slice := d.bounds.Window / stockSlices
+	d.unseenUntil = max(d.unseenUntil, now+CallTime+slice, now-age+d.bounds.Window+d.bounds.Window/clockMargin)
+}
+
 // Handle answers the report of a home.
 func (d *Dealer) Handle(home string, r Report, now time.Duration) Reply {
 	d.settle(now)
@@ -128,6 +155,9 @@
 	h.sequence, h.seen = r.Sequence, now
 	first := d.heard[home] != r.Incarnation
 	d.heard[home] = r.Incarnation
+	if first {
+		d.accountFor(home, r.Age, now)
+	}
 	for i := range r.Uses {
 		d.record(h, &r.Uses[i], first, now)
 	}
--- a/internal/quota/dealer_test.go
+++ b/internal/quota/dealer_test.go
@@ -201,3 +201,41 @@
 		t.Errorf("%+v without a limit", c)
 	}
 }
+
+// TestDealerSettlesOnceAllExpectedHomesAreKnown guards against a dealer that allocates
+// freely while a home that it has not heard of may have credits, or while the uses of a
+// process that ended are within the last window; and against one that waits for the longest
+// time after a restart of all processes.
+func TestDealerSettlesOnceAllExpectedHomesAreKnown(t *testing.T) {
+	slice := testBounds.Window / stockSlices
+	for _, tt := range []struct {
+		name     string
+		expected []string
+		// ages holds the ages of the processes that report when the dealer begins.
+		ages map[string]time.Duration
+		want time.Duration
+	}{
+		{"none", []string{}, nil, 0},
+		{"unknown", nil, map[string]time.Duration{"a": time.Hour}, testBounds.SettleTime()},
+		{"all", []string{"a", "b"}, map[string]time.Duration{"a": time.Hour, "b": time.Hour}, CallTime + slice},
+		{"one is missing", []string{"a", "b"}, map[string]time.Duration{"a": time.Hour}, testBounds.SettleTime()},
+		{"one has restarted", []string{"a", "b"}, map[string]time.Duration{"a": time.Hour, "b": time.Second}, testBounds.Window + testBounds.Window/clockMargin - time.Second},
+		{"another has restarted", []string{"a"}, map[string]time.Duration{"a": time.Hour, "c": time.Second}, CallTime + slice},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			d := NewDealer(testBounds, 7, StartUnsettled, dealerStart)
+			if tt.expected != nil {
+				d.Expect(tt.expected)
+			}
+			for home, age := range tt.ages {
+				d.Handle(home, Report{Sequence: 1, Incarnation: 1, Age: age}, dealerStart)
+			}
+			if tt.want > 0 && d.Settled(dealerStart+tt.want-time.Nanosecond) {
+				t.Errorf("settled before %v", tt.want)
+			}
+			if !d.Settled(dealerStart + tt.want) {
+				t.Errorf("not settled after %v", tt.want)
+			}
+		})
+	}
+}
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -9,7 +9,9 @@
 	// Dealer identifies the dealer that answered the last report. If it is zero, the
 	// report names all organisations with credits or uses, else those with a change.
 	Dealer uint64
-	Uses   []Use
+	// Age is the time since the process started.
+	Age  time.Duration
+	Uses []Use
 }
 
 // Use is a home's use of the credits of one organisation.
--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -44,7 +44,9 @@
 	dealer *Dealer
 	holder *modelHome
 	// start is what the next dealer knows, from the row that dealers write.
-	start  Start
+	start Start
+	// named holds the homes that the row names, which may have credits.
+	named  map[string]bool
 	nextID uint64
 	// lossy is the share of messages that are lost, and late that of messages that arrive
 	// after the call was given up.
@@ -61,8 +63,10 @@
 	name  string
 	stock *Stock
 	// rate and offset relate the clock of the process to the true time.
-	rate      float64
-	offset    time.Duration
+	rate   float64
+	offset time.Duration
+	// bootedAt is the time at which the process started, by its clock.
+	bootedAt  time.Duration
 	life      uint64
 	cut       bool
 	frozen    bool
@@ -80,7 +84,7 @@
 
 func newModel(seed uint64, bounds Bounds, homes int, limits map[string]Limit) *model {
 	m := &model{
-		random: rand.New(rand.NewPCG(seed, 1)), bounds: bounds, limits: limits, start: StartFirst,
+		random: rand.New(rand.NewPCG(seed, 1)), bounds: bounds, limits: limits, start: StartFirst, named: map[string]bool{},
 		ran: map[string][]time.Duration{}, offered: map[string]int{}, refused: map[string]int{},
 	}
 	for i := range homes {
@@ -103,6 +107,7 @@
 // boot starts a process, or a new process of the same name.
 func (m *model) boot(h *modelHome) {
 	h.life++
+	h.bootedAt = m.clock(h)
 	h.stock = NewStock(m.bounds, h.life, m.random.Float64)
 	h.waiting, h.calling, h.resumed, h.frozen = map[string][]*modelOperation{}, false, nil, false
 	h.again = false
@@ -139,6 +144,7 @@
 	m.holder = h
 	m.nextID++
 	m.dealer = NewDealer(m.bounds, m.nextID, m.start, m.clock(h))
+	m.dealer.Expect(slices.Sorted(maps.Keys(m.named)))
 	m.dealer.SetLimits(h.limits)
 	m.start = StartUnsettled
 }
@@ -193,6 +199,7 @@
 	h.calling, h.calledAt = true, m.now
 	sentAt := m.clock(h)
 	report := h.stock.Report(sentAt)
+	report.Age = sentAt - h.bootedAt
 	life := h.life
 	m.messages++
 	m.mentioned += len(report.Uses)
@@ -220,6 +227,7 @@
 	if m.holder == nil || m.holder.frozen || (m.holder != h && (h.cut || m.holder.cut)) {
 		return
 	}
+	m.named[h.name] = true
 	reply := m.dealer.Handle(h.name, report, m.clock(m.holder))
 	m.mentioned += len(reply.Credits)
 	if m.dealer.Settled(m.clock(m.holder)) {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -51,9 +51,9 @@
 	return uint64(math.Floor(b.base(l)*b.Excess/2 + b.Slack/2))
 }
 
-// settleTime is the time after which a new dealer knows all uses of the last window: the
+// SettleTime is the time after which a new dealer knows all uses of the last window: the
 // credits of homes that it has not heard of have expired, and their uses are past.
-func (b Bounds) settleTime() time.Duration { return forgetTime + b.Window + b.Window/clockMargin }
+func (b Bounds) SettleTime() time.Duration { return forgetTime + b.Window + b.Window/clockMargin }
 
 // scale reduces a number of credits that are based on the given basis to another.
 func scale(credits, basis, to uint64) uint64 {
