--- a/internal/hostile/callers_test.go
+++ b/internal/hostile/callers_test.go
@@ -18,7 +18,7 @@
 // read at a time.
 func TestLongMessagesAtOnce(t *testing.T) {
 	d := deploy(t)
-	c := newCrowd(d)
+	c := newCrowd(t)
 	query := longQuery()
 	c.run(longMessageCrowd, func(int) error {
 		s, err := c.session(d.processes[entry])
@@ -33,7 +33,7 @@
 // TestLongMessagesInPieces guards against memory that is held for messages while they arrive.
 func TestLongMessagesInPieces(t *testing.T) {
 	d := deploy(t)
-	c := newCrowd(d)
+	c := newCrowd(t)
 	query := longQuery()
 	c.run(longMessageCrowd, func(int) error {
 		s, err := c.session(d.processes[entry])
@@ -52,7 +52,7 @@
 // for as long as their clients stay connected.
 func TestLongMessagesThatNeverEnd(t *testing.T) {
 	d := deploy(t)
-	c := newCrowd(d)
+	c := newCrowd(t)
 	query := longQuery()
 	c.run(longMessageCrowd, func(int) error {
 		s, err := c.session(d.processes[entry])
@@ -69,7 +69,7 @@
 // beyond the limit of 1 MiB, during start-up and after it.
 func TestMessagesFarOverTheLimit(t *testing.T) {
 	d := deploy(t)
-	c := newCrowd(d)
+	c := newCrowd(t)
 	piece := strings.Repeat("x", 1<<20)
 	c.run(longMessageCrowd, func(i int) error {
 		conn, err := c.dial(d.processes[entry].callers)
@@ -95,7 +95,7 @@
 	d := deploy(t)
 	rows := []string{strings.Repeat("r", 64<<10)}
 	d.group.SetExtraRows(func(int) []string { return rows })
-	c := newCrowd(d)
+	c := newCrowd(t)
 	statements := strings.Repeat("QUERY ahead READ crate\r\n", 2000)
 	c.run(longMessageCrowd, func(int) error {
 		s, err := c.session(d.processes[entry])
@@ -118,7 +118,7 @@
 		rows = append(rows, strings.Repeat("r", 512<<10))
 	}
 	d.group.SetExtraRows(func(int) []string { return rows })
-	c := newCrowd(d)
+	c := newCrowd(t)
 	c.run(longMessageCrowd/3, func(int) error {
 		s, err := c.session(d.processes[entry])
 		if err == nil {
@@ -141,7 +141,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := deploy(t)
-			c := newCrowd(d)
+			c := newCrowd(t)
 			c.run(12, func(int) error {
 				s, err := c.session(d.processes[entry])
 				for n := 0; n < 48 && err == nil; n++ {
@@ -163,7 +163,7 @@
 // then.
 func TestStartUpsThatStopHalfWay(t *testing.T) {
 	d := deploy(t)
-	c := newCrowd(d)
+	c := newCrowd(t)
 	c.run(slowCrowd, func(i int) error {
 		conn, err := c.dial(d.processes[entry].callers)
 		if err != nil || i%2 == 0 {
@@ -178,7 +178,7 @@
 // statements that never end, and against more connections than descriptors.
 func TestSessionsThatSendAByteNowAndThen(t *testing.T) {
 	d := deploy(t)
-	c := newCrowd(d)
+	c := newCrowd(t)
 	c.run(slowCrowd, func(int) error {
 		s, err := c.session(d.processes[entry])
 		if err == nil {
--- a/internal/hostile/crowd_test.go
+++ b/internal/hostile/crowd_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 )
 
@@ -21,16 +22,15 @@
 // crowd is a set of connections of clients that are not controlled. They are closed at the
 // end of the test, unless closed before.
 type crowd struct {
-	d       *deployment
 	members sync.WaitGroup
 
 	mu    sync.Mutex
 	conns []net.Conn
 }
 
-func newCrowd(d *deployment) *crowd {
-	c := &crowd{d: d}
-	d.t.Cleanup(c.close)
+func newCrowd(t *testing.T) *crowd {
+	c := &crowd{}
+	t.Cleanup(c.close)
 	return c
 }
 
--- a/internal/hostile/deployment_test.go
+++ b/internal/hostile/deployment_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -86,15 +87,26 @@
 	return d
 }
 
-// freeAddress returns a loopback address with a port that was free.
+// Ports from firstPort to lastPort are below the ephemeral range, so that no outgoing
+// connection takes a port between its choice and the start of the process.
+const (
+	firstPort = 20100
+	lastPort  = 32000
+)
+
+var nextPort atomic.Int32
+
+// freeAddress returns a loopback address with a free port.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for {
+		port := firstPort + (os.Getpid()%64*128+int(nextPort.Add(1)))%(lastPort-firstPort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			defer func() { _ = l.Close() }()
+			return l.Addr().String()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 // process is a running rattan-edge.
--- a/internal/hostile/others_test.go
+++ b/internal/hostile/others_test.go
@@ -13,19 +13,24 @@
 // clients of the peer address.
 func TestPeerFramesThatNeverEnd(t *testing.T) {
 	d := deploy(t)
-	c := newCrowd(d)
+	c := newCrowd(t)
+	c.sendFramesWithoutEnd(d.processes[home].peers)
+	time.Sleep(settleTime)
+	d.check()
+}
+
+// sendFramesWithoutEnd sends 16 frames of 16 MiB to a peer address, without their last byte.
+func (c *crowd) sendFramesWithoutEnd(address string) {
 	frame := drpcwire.AppendFrame(nil, drpcwire.Frame{
 		Data: make([]byte, 16<<20), ID: drpcwire.ID{Stream: 1, Message: 1}, Kind: drpcwire.KindInvoke, Done: true,
 	})
 	c.run(16, func(int) error {
-		conn, err := c.dial(d.processes[home].peers)
+		conn, err := c.dial(address)
 		if err == nil {
 			_, err = conn.Write(frame[:len(frame)-1])
 		}
 		return err
 	})
-	time.Sleep(settleTime)
-	d.check()
 }
 
 // TestMoreConnectionsThanDescriptors guards against clients that take all descriptors of a
@@ -42,7 +47,7 @@
 	} {
 		t.Run(address.name, func(t *testing.T) {
 			d := deploy(t)
-			c := newCrowd(d)
+			c := newCrowd(t)
 			c.run(slowCrowd, func(i int) error {
 				conn, err := c.dial(address.of(d.processes[home]))
 				if err == nil && i%2 == 0 {
@@ -65,7 +70,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := deploy(t)
-			c := newCrowd(d)
+			c := newCrowd(t)
 			headers := "GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("A: "+strings.Repeat("x", 8<<10)+"\r\n", 120)
 			c.run(longMessageCrowd, func(int) error {
 				conn, err := c.dial(address(d.processes[home]))
