Wait for displaced connections to end before the next accept

A closed connection keeps its descriptor until the goroutine that reads from it has run, so a crowd could open connections faster than the displaced ones ended. The accept now waits for up to 100 ms while a quarter of the limit is displaced and not ended. A wait for memory ends with its peer connection.

--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -23,12 +24,20 @@
 	clock atomic.Uint64
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
+	// open counts the connections that their owners have not closed, with those displaced.
+	open int
+	// ended receives a token when a connection has been closed by its owner.
+	ended chan struct{}
 }
 
+// endWait bounds the wait for the owners of displaced connections to close them. A
+// descriptor stays open until the goroutine that reads from it has run.
+const endWait = 100 * time.Millisecond
+
 // New returns a Listener with a limit that may change. name is the label in the metrics.
 func New(l net.Listener, name string, limit func() int) *Listener {
 	return &Listener{
-		Listener: l, limit: limit, conns: map[*Conn]struct{}{},
+		Listener: l, limit: limit, conns: map[*Conn]struct{}{}, ended: make(chan struct{}, 1),
 		displaced: metrics.GetOrCreateCounter(`rattan_connections_displaced_total{listener="` + name + `"}`),
 	}
 }
@@ -45,9 +54,33 @@
 		l.displaced.Inc()
 		_ = displaced.Conn.Close()
 	}
+	l.awaitDisplaced()
 	return c, nil
 }
 
+// awaitDisplaced waits until few displaced connections are still open.
+func (l *Listener) awaitDisplaced() {
+	if !l.hasDisplaced() {
+		return
+	}
+	timeout := time.NewTimer(endWait)
+	defer timeout.Stop()
+	for l.hasDisplaced() {
+		select {
+		case <-l.ended:
+		case <-timeout.C:
+			return
+		}
+	}
+}
+
+// hasDisplaced reports whether more connections are open than the limit and a quarter.
+func (l *Listener) hasDisplaced() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open > len(l.conns)+l.limit()/4
+}
+
 // admit adds a connection and removes and returns those over the limit.
 func (l *Listener) admit(c *Conn) []*Conn {
 	l.mu.Lock()
@@ -64,6 +97,7 @@
 		displaced = append(displaced, first)
 	}
 	l.conns[c] = struct{}{}
+	l.open++
 	return displaced
 }
 
@@ -71,6 +105,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.conns, c)
+	l.open--
+	select {
+	case l.ended <- struct{}{}:
+	default:
+	}
 }
 
 // Conn is a connection of a Listener.
@@ -81,6 +120,7 @@
 	// accept.
 	used     atomic.Uint64
 	answered atomic.Bool
+	closed   sync.Once
 }
 
 // before reports whether c is closed before other.
@@ -109,6 +149,7 @@
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
-	c.listener.remove(c)
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	c.closed.Do(func() { c.listener.remove(c) })
+	return err
 }
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -37,7 +37,7 @@
 type callers struct {
 	edge     *Edge
 	drain    *caller.Drain
-	starting startingConns
+	starting *startingConns
 
 	mu           sync.Mutex
 	sessions     map[net.Conn]*caller.Session
@@ -45,7 +45,7 @@
 }
 
 func newCallers(e *Edge) *callers {
-	return &callers{edge: e, drain: caller.NewDrain(), sessions: map[net.Conn]*caller.Session{}}
+	return &callers{edge: e, drain: caller.NewDrain(), starting: newStartingConns(), sessions: map[net.Conn]*caller.Session{}}
 }
 
 // serve accepts callers until ctx ends.
@@ -62,25 +62,27 @@
 			delay.Sleep(ctx, acceptRetryDelay)
 			continue
 		}
-		go c.confine(ctx, conn)
+		endStart := c.starting.add(conn, c.edge.descriptors(startingDescriptorShare))
+		go c.confine(ctx, conn, endStart)
 	}
 }
 
 // confine serves a connection so that a panic ends it alone.
-func (c *callers) confine(ctx context.Context, conn net.Conn) {
-	err := panics.Recover(func() error { c.serveConn(ctx, conn); return nil })
+func (c *callers) confine(ctx context.Context, conn net.Conn, endStart func()) {
+	err := panics.Recover(func() error { c.serveConn(ctx, conn, endStart); return nil })
 	var panicked *panics.Error
 	if errors.As(err, &panicked) {
 		eventCallerPanicked.Log(&c.edge.log).Interface("reason", panicked.Reason).Bytes("stack", panicked.Stack).Send()
 	}
 }
 
-func (c *callers) serveConn(ctx context.Context, conn net.Conn) {
+// serveConn serves a connection and closes it. It calls endStart once the connection is a
+// session, and at the end.
+func (c *callers) serveConn(ctx context.Context, conn net.Conn, endStart func()) {
+	defer endStart()
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	endStart := c.starting.add(conn, c.edge.descriptors(startingDescriptorShare))
-	defer endStart()
 	callerConn := c.edge.adapters.Caller(conn)
 	defer callerConn.Release()
 	database, err := callerConn.Startup(time.Now().Add(startupTimeout))
--- a/internal/edge/starting_test.go
+++ b/internal/edge/starting_test.go
@@ -5,13 +5,14 @@
 	"net"
 	"os"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
 // TestOldestStartIsDisplaced guards against connections that begin no session and keep
 // others from it.
 func TestOldestStartIsDisplaced(t *testing.T) {
-	var s startingConns
+	s := newStartingConns()
 	var clients []net.Conn
 	var removes []func()
 	for range 4 {
@@ -32,7 +33,39 @@
 	for _, remove := range removes {
 		remove()
 	}
-	if s.conns.Len() != 0 {
-		t.Errorf("%d connections are left", s.conns.Len())
+	for _, remove := range removes {
+		remove()
+	}
+	if s.conns.Len() != 0 || s.displaced != 0 {
+		t.Errorf("%d connections and %d displaced ones are left", s.conns.Len(), s.displaced)
 	}
 }
+
+// TestStartsWaitForDisplacedOnes guards against descriptors of displaced connections that add
+// up, and against a wait without an end.
+func TestStartsWaitForDisplacedOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStartingConns()
+		var removes []func()
+		for range 9 {
+			_, server := net.Pipe()
+			removes = append(removes, s.add(server, 8)) // the limit, and one displaced
+		}
+		add := func() time.Duration {
+			_, server := net.Pipe()
+			started := time.Now()
+			removes = append(removes, s.add(server, 8))
+			return time.Since(started)
+		}
+		if waited := add(); waited != 0 {
+			t.Errorf("waited for %v with two displaced", waited)
+		}
+		time.AfterFunc(time.Millisecond, removes[0])
+		if waited := add(); waited != time.Millisecond {
+			t.Errorf("waited for %v with three displaced, of which one ends", waited)
+		}
+		if waited := add(); waited != displacedWait {
+			t.Errorf("waited for %v with three displaced, of which none ends", waited)
+		}
+	})
+}
--- a/internal/memory/pool.go
+++ b/internal/memory/pool.go
@@ -83,11 +83,14 @@
 
 // Acquire takes n bytes and waits for them for up to the given time. While it waits,
 // connections that hold bytes of the pool and are slow are closed.
-func (p *Pool) Acquire(n int64, wait time.Duration) bool {
+func (p *Pool) Acquire(n int64, wait time.Duration) bool { return p.AcquireUntil(n, wait, nil) }
+
+// AcquireUntil is Acquire whose wait ends when done is closed.
+func (p *Pool) AcquireUntil(n int64, wait time.Duration, done <-chan struct{}) bool {
 	if p.TryAcquire(n) {
 		return true
 	}
-	if limit := p.limit.Load(); (limit == 0 || n <= limit) && p.await(n, wait) {
+	if limit := p.limit.Load(); (limit == 0 || n <= limit) && p.await(n, wait, done) {
 		return true
 	}
 	p.refusals.Inc()
@@ -95,7 +98,7 @@
 	return false
 }
 
-func (p *Pool) await(n int64, wait time.Duration) bool {
+func (p *Pool) await(n int64, wait time.Duration, done <-chan struct{}) bool {
 	root := p.root()
 	root.waiters.Add(1)
 	defer root.waiters.Add(-1)
@@ -116,6 +119,8 @@
 		case <-reclaim.C:
 		case <-deadline.C:
 			return false
+		case <-done:
+			return false
 		}
 	}
 }
--- a/internal/peer/metered.go
+++ b/internal/peer/metered.go
@@ -53,6 +53,8 @@
 	taken  int64
 	holder *memory.Holder
 	closed bool
+	// done is closed with the connection.
+	done chan struct{}
 	// writeTimeout bounds a write, if it is set, and writeDeadline is the one in force.
 	writeTimeout  time.Duration
 	writeDeadline time.Time
@@ -62,7 +64,7 @@
 }
 
 func newMeteredConn(conn net.Conn, budget *memory.Budget, pool *memory.Pool) *meteredConn {
-	return &meteredConn{Conn: conn, budget: budget, pool: pool}
+	return &meteredConn{Conn: conn, budget: budget, pool: pool, done: make(chan struct{})}
 }
 
 // Read implements net.Conn.
@@ -106,7 +108,7 @@
 		if enough || closed {
 			return !closed
 		}
-		if !c.pool.Acquire(copies*stepBytes, memoryWait) {
+		if !c.pool.AcquireUntil(copies*stepBytes, memoryWait, c.done) {
 			return false
 		}
 		c.armed = false // the time of the wait is not the peer's
@@ -188,7 +190,10 @@
 // Close implements net.Conn.
 func (c *meteredConn) Close() error {
 	c.mu.Lock()
-	c.closed = true
+	if !c.closed {
+		c.closed = true
+		close(c.done)
+	}
 	c.releaseLocked()
 	c.mu.Unlock()
 	return c.Conn.Close()
