Bound connections and peers' requests of rattan-proxy and rattan-warden

The peer, administration and metrics addresses took any number of connections. Administration has 128 and metrics 64 now; the peer address has 256 on which no whole call was received, while others are not bounded, since each waiting request has one. Requests of peers over 8 KiB take memory of a budget that follows GOMEMLIMIT; without it nothing is bounded, as before. At all peer addresses a connection with a whole request is displaced after those without.

--- a/internal/admin/open.go
+++ b/internal/admin/open.go
@@ -6,10 +6,15 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/rattancove/rattancove/internal/connlimit"
 	"github.com/rattancove/rattancove/internal/settings"
 	"github.com/rattancove/rattancove/internal/tlskeys"
 )
 
+// maxConns bounds the connections: those of the requests that are served at a time, and as
+// many that are idle.
+const maxConns = 2 * maxConcurrentRequests
+
 // Open opens the listener configured in the settings and returns a function that
 // serves the API of config on it until its context ends. It sets config.Keys from
 // the key file. Invalid files cause an error here, before anything is served. If the
@@ -32,6 +37,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen for administration API on %s", s.Listen)
 	}
+	listener = connlimit.New(listener, "administration", func() int { return maxConns })
 	server := New(config)
 	return func(ctx context.Context) error { return server.Serve(ctx, listener, certificates) }, nil
 }
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -13,20 +13,23 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// Listener closes connections over a limit. First are those on which nothing was answered,
-// the oldest first, then the least recently used.
+// Listener closes connections over a limit. First are the unproven ones, on which no whole
+// request was received and nothing was answered, the oldest first, then the least recently
+// used.
 type Listener struct {
 	net.Listener
-	limit     func() int
-	displaced *metrics.Counter
+	limit func() int
+	// unprovenOnly is set if proven connections do not count towards the limit.
+	unprovenOnly bool
+	displaced    *metrics.Counter
 
 	// clock counts the uses of all connections.
 	clock atomic.Uint64
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
-	// open counts the connections that their owners have not closed, with those displaced.
-	open int
-	// ended receives a token when a connection has been closed by its owner.
+	// ending counts the displaced connections that their owners have not closed.
+	ending int
+	// ended receives a token when one of them has been closed.
 	ended chan struct{}
 }
 
@@ -42,6 +45,13 @@
 	}
 }
 
+// NewUnproven returns a Listener whose limit is one of unproven connections only.
+func NewUnproven(l net.Listener, name string, limit int) *Listener {
+	u := New(l, name, func() int { return limit })
+	u.unprovenOnly = true
+	return u
+}
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
@@ -74,11 +84,12 @@
 	}
 }
 
-// hasDisplaced reports whether more connections are open than the limit and a quarter.
+// hasDisplaced reports whether more displaced connections are open than a quarter of the
+// limit.
 func (l *Listener) hasDisplaced() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.open > len(l.conns)+l.limit()/4
+	return l.ending > l.limit()/4
 }
 
 // admit adds a connection and removes and returns those over the limit.
@@ -94,10 +105,11 @@
 			}
 		}
 		delete(l.conns, first)
+		first.displaced = true
+		l.ending++
 		displaced = append(displaced, first)
 	}
 	l.conns[c] = struct{}{}
-	l.open++
 	return displaced
 }
 
@@ -105,7 +117,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.conns, c)
-	l.open--
+	if !c.displaced {
+		return
+	}
+	l.ending--
 	select {
 	case l.ended <- struct{}{}:
 	default:
@@ -118,23 +133,35 @@
 	listener *Listener
 	// used is the listener's clock at the last read or write; until the first write, at the
 	// accept.
-	used     atomic.Uint64
-	answered atomic.Bool
-	closed   sync.Once
+	used   atomic.Uint64
+	proven atomic.Bool
+	closed sync.Once
+	// displaced is guarded by the mutex of the listener.
+	displaced bool
 }
 
 // before reports whether c is closed before other.
 func (c *Conn) before(other *Conn) bool {
-	if c.answered.Load() != other.answered.Load() {
-		return !c.answered.Load()
+	if c.proven.Load() != other.proven.Load() {
+		return !c.proven.Load()
 	}
 	return cmp.Less(c.used.Load(), other.used.Load())
 }
 
+// Prove records that a whole request was received on the connection.
+func (c *Conn) Prove() {
+	if c.proven.Swap(true) || !c.listener.unprovenOnly {
+		return
+	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	delete(c.listener.conns, c)
+}
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if c.answered.Load() {
+	if c.proven.Load() {
 		c.used.Store(c.listener.clock.Add(1))
 	}
 	return n, err
@@ -142,7 +169,7 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	c.answered.Store(true)
+	c.Prove()
 	c.used.Store(c.listener.clock.Add(1))
 	return c.Conn.Write(p)
 }
--- a/internal/connlimit/listener_test.go
+++ b/internal/connlimit/listener_test.go
@@ -59,3 +59,26 @@
 		t.Errorf("%d connections are left", len(l.conns))
 	}
 }
+
+// TestProvenConnectionsMayHaveNoLimit guards against requests that wait and are displaced by
+// new connections, where only unproven ones are limited.
+func TestProvenConnectionsMayHaveNoLimit(t *testing.T) {
+	l := NewUnproven(pipes{}, "test", 2)
+	var conns []*Conn
+	for i := range 9 {
+		c, _ := l.Accept()
+		conns = append(conns, c.(*Conn))
+		if i < 5 {
+			conns[i].Prove()
+		}
+	}
+	for i, c := range conns {
+		if c.displaced != (i == 5 || i == 6) {
+			t.Errorf("connection %d: displaced is %v", i, c.displaced)
+		}
+		_ = c.Close()
+	}
+	if len(l.conns) != 0 || l.ending != 0 {
+		t.Errorf("%d connections and %d displaced ones are left", len(l.conns), l.ending)
+	}
+}
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -1,6 +1,11 @@
 package memory
 
-import "github.com/rs/zerolog"
+import (
+	"math"
+	"runtime/debug"
+
+	"github.com/rs/zerolog"
+)
 
 // Shares of the memory limit of the process. The sum of the pools may exceed totalShare,
 // which bounds all of them and leaves room below the 0.6 at which the Go runtime collects
@@ -56,6 +61,20 @@
 	return b
 }
 
+// runtimeShare is the share of a process's memory that operators are advised to give the Go
+// runtime as its limit, GOMEMLIMIT.
+const runtimeShare = 0.6
+
+// NewRuntimeBudget returns the budget of a process whose memory limit follows from that of
+// the Go runtime. There is no limit if the runtime has none.
+func NewRuntimeBudget() *Budget {
+	limit := debug.SetMemoryLimit(-1)
+	if limit == math.MaxInt64 {
+		return NewBudget(0)
+	}
+	return NewBudget(int64(float64(limit) / runtimeShare))
+}
+
 // LogTo sets the log for refusals and closed connections. It must be called before the
 // budget is used.
 func (b *Budget) LogTo(log *zerolog.Logger) { b.report.log = log }
--- a/internal/memory/pool_test.go
+++ b/internal/memory/pool_test.go
@@ -1,7 +1,9 @@
 package memory
 
 import (
+	"math"
 	"math/rand/v2"
+	"runtime/debug"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -105,3 +107,16 @@
 		}
 	}
 }
+
+// TestBudgetOfTheRuntime guards against limits where the runtime has none, and against ones
+// that ignore it.
+func TestBudgetOfTheRuntime(t *testing.T) {
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(math.MaxInt64))
+	if limit := NewRuntimeBudget().Answers.Limit(); limit != 0 {
+		t.Errorf("limit %d without one of the runtime", limit)
+	}
+	debug.SetMemoryLimit(60 << 20)
+	if limit := NewRuntimeBudget().Answers.Limit(); limit != 30<<20 {
+		t.Errorf("limit %d of answers, want 30 MiB", limit)
+	}
+}
--- a/internal/peer/metered.go
+++ b/internal/peer/metered.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"crypto/tls"
 	"errors"
 	"net"
 	"os"
@@ -8,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rattancove/rattancove/internal/connlimit"
 	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/memory"
 )
@@ -46,6 +48,8 @@
 	// packets, armed and closed belong to the goroutine that reads.
 	packets packetScanner
 	armed   bool
+	// prove is called when the first packet is complete; nil afterwards.
+	prove func()
 	// received counts the bytes since the last write or release.
 	received atomic.Int64
 
@@ -90,6 +94,10 @@
 		c.armed = false
 		_ = c.SetReadDeadline(time.Time{})
 	}
+	if c.prove != nil && n > 0 && !c.packets.partial() {
+		c.prove()
+		c.prove = nil
+	}
 	if c.received.Add(int64(n)) > freeBytes {
 		c.progress(n)
 	}
@@ -213,5 +221,18 @@
 	}
 	c := newMeteredConn(conn, l.budget, l.budget.Peers)
 	c.writeTimeout = answerTimeout
+	c.prove = proof(conn)
 	return c, nil
 }
+
+// proof returns the function that tells the listener of a connection that a whole packet was
+// received; nil if there is none.
+func proof(conn net.Conn) func() {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
+	if c, ok := conn.(*connlimit.Conn); ok {
+		return c.Prove
+	}
+	return nil
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -13,8 +13,10 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/rattancove/rattancove/internal/connlimit"
 	"github.com/rattancove/rattancove/internal/document"
 	"github.com/rattancove/rattancove/internal/member"
+	"github.com/rattancove/rattancove/internal/memory"
 	"github.com/rattancove/rattancove/internal/peer"
 	"github.com/rattancove/rattancove/internal/provider/providerclient"
 	"github.com/rattancove/rattancove/internal/rollout"
@@ -26,6 +28,14 @@
 // flushTimeout bounds the export of the remaining spans at a stop.
 const flushTimeout = 2 * time.Second
 
+const (
+	// maxMetricsConns bounds the connections to the metrics listener.
+	maxMetricsConns = 64
+	// maxStartingPeers bounds the connections on which no peer has sent a whole call. Peers
+	// do so with the first bytes.
+	maxStartingPeers = 256
+)
+
 // Process is the common part of a proxy or warden. Close releases its resources.
 type Process struct {
 	Settings  settings.Common
@@ -39,6 +49,8 @@
 	// neither waits for connections of the other.
 	StatementPeers *peer.Registry
 	ControlPeers   *peer.Registry
+	// Memory bounds what the process holds for the requests of peers.
+	Memory *memory.Budget
 
 	role        member.Role
 	peerKeys    *tlskeys.Keys
@@ -57,7 +69,8 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{Settings: s, Log: log, role: role}
+	p := &Process{Settings: s, Log: log, role: role, Memory: memory.NewRuntimeBudget()}
+	p.Memory.LogTo(&p.Log)
 	if p.stopTracing, err = telemetry.StartTracing(ctx, telemetry.TraceConfig{
 		Exporter: s.Trace.Exporter, Endpoint: s.Trace.Endpoint, Path: s.Trace.Path, Ratio: s.Trace.Ratio,
 		Process: name, ID: string(s.ID),
@@ -135,7 +148,7 @@
 		return err
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return server.Serve(ctx, listener) })
+	group.Go(func() error { return server.ServeWithin(ctx, listener, p.Memory) })
 	group.Go(func() error { return p.Members.Run(ctx) })
 	group.Go(func() error { return p.Documents.Run(ctx) })
 	group.Go(func() error { return p.announceDocuments(ctx) })
@@ -145,6 +158,7 @@
 		if err != nil {
 			return eris.Wrapf(err, "listen for metrics on %s", address)
 		}
+		l = connlimit.New(l, "metrics", func() int { return maxMetricsConns })
 		group.Go(func() error { return telemetry.ServeHTTP(ctx, l, telemetry.MetricsHandler()) })
 	}
 	return group.Wait()
@@ -164,6 +178,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen for peers on %s", p.Settings.Peer.Listen)
 	}
+	l = connlimit.NewUnproven(l, "peers", maxStartingPeers)
 	if p.peerKeys != nil {
 		l = tls.NewListener(l, p.peerKeys.Server(true))
 	}
