Let the buffers of rattan-proxy follow the memory limit of the process

Messages of callers, prepared statements and the waiting requests of a group had bounds that did not depend on the memory of the VM. With GOMEMLIMIT they are at most a share of it; without it nothing changes.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -96,7 +96,7 @@
 	e.issuer.AssumeEarlierGrants()
 	e.home = home.New(home.Config{
 		ID: config.ID, NoClaims: true, ExactClasses: true, Terms: e.grants, RequestGrants: e.requestGrantsSoon, Log: &e.log,
-		RequestBytes: func() int64 { return memory.RequestBytes(e.settings.Load().MemoryLimit) },
+		RequestBytes: e.adapters.Memory.RequestBytes,
 	}, adapters.Servers)
 	e.gateway = gateway.New(gateway.Config{Self: config.ID, Local: e.home, HomeLocator: homeLocator{e}, FallbackHome: e.fallbackHome, Log: &e.log})
 	e.callers = newCallers(e)
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -42,8 +42,8 @@
 	// ExactClasses is set where the protocol itself distinguishes reads from
 	// writes, so that reads need not be run with writes disabled.
 	ExactClasses bool
-	// RequestBytes returns the bound of the bytes of waiting requests of a group for which
-	// the document has none; zero means the default. It may be nil.
+	// RequestBytes returns the bound of the bytes of waiting requests of a group that follows
+	// from the memory limit of the process; zero if there is none. It may be nil.
 	RequestBytes func() int64
 	// Log receives events; the zero value discards them.
 	Log *zerolog.Logger
--- a/internal/home/owner.go
+++ b/internal/home/owner.go
@@ -19,7 +19,7 @@
 const (
 	// maxRequests and defaultRequestBytes bound the number of requests of a group
 	// that are queued or running, and the memory of their first batches if neither the
-	// document nor the memory limit of the process does.
+	// document nor the memory limit of the process does so.
 	maxRequests               = 10_000
 	defaultRequestBytes int64 = 128 << 20
 	// drainIdleTimeout is how long a draining owner waits for the next statement of
@@ -155,21 +155,30 @@
 	}
 }
 
-// queueBytes returns the bound of the bytes of waiting requests: that of the document, or a
-// share of the memory limit of the process; zero if there is neither.
-func (o *owner) queueBytes() int64 {
-	if o.limits.QueueBytes > 0 || o.home.config.RequestBytes == nil {
-		return o.limits.QueueBytes
+// queueBytes returns the bound of the bytes of waiting requests: the smaller one of the
+// document's and a share of the memory limit of the process; zero if there is neither.
+func (o *owner) queueBytes() int64 { return smallerBound(o.limits.QueueBytes, o.memoryBound()) }
+
+// requestBytesLimit returns the bound of the bytes of requests that wait or run.
+func (o *owner) requestBytesLimit() int64 {
+	return orDefault(smallerBound(2*o.limits.QueueBytes, o.memoryBound()), defaultRequestBytes)
+}
+
+// memoryBound returns the bound that follows from the memory limit of the process; zero if
+// there is none.
+func (o *owner) memoryBound() int64 {
+	if o.home.config.RequestBytes == nil {
+		return 0
 	}
 	return o.home.config.RequestBytes()
 }
 
-// requestBytesLimit returns the bound of the bytes of requests that wait or run.
-func (o *owner) requestBytesLimit() int64 {
-	if o.limits.QueueBytes > 0 {
-		return 2 * o.limits.QueueBytes
+// smallerBound returns the smaller one of two bounds, of which zero is none.
+func smallerBound(a, b int64) int64 {
+	if a == 0 || b == 0 {
+		return max(a, b)
 	}
-	return orDefault(o.queueBytes(), defaultRequestBytes)
+	return min(a, b)
 }
 
 // shared reports whether other proxies may use the group's servers as well. No
--- a/internal/home/request_bytes_test.go
+++ b/internal/home/request_bytes_test.go
@@ -15,7 +15,9 @@
 		{"neither", 0, 0, Config{RequestBytes: func() int64 { return share }}, 0, defaultRequestBytes},
 		{"no function", 0, 0, Config{}, 0, defaultRequestBytes},
 		{"memory limit", 0, 1000, Config{RequestBytes: func() int64 { return share }}, 1000, 1000},
-		{"document", 300, 1000, Config{RequestBytes: func() int64 { return share }}, 300, 600},
+		{"document", 300, 0, Config{RequestBytes: func() int64 { return share }}, 300, 600},
+		{"document below the limit", 300, 1000, Config{RequestBytes: func() int64 { return share }}, 300, 600},
+		{"document above the limit", 3000, 1000, Config{RequestBytes: func() int64 { return share }}, 1000, 1000},
 	} {
 		share = tt.share
 		o := &owner{home: &Home{config: tt.config}}
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"runtime/debug"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 )
@@ -43,6 +44,7 @@
 	// Answers is for the answers of servers and of other processes, until they are passed on.
 	Answers *Pool
 
+	limit  atomic.Int64
 	report *Reporter
 }
 
@@ -81,6 +83,7 @@
 
 // SetLimit applies a memory limit in bytes.
 func (b *Budget) SetLimit(memoryLimit int64) {
+	b.limit.Store(memoryLimit)
 	for pool, share := range map[*Pool]float64{
 		b.total: totalShare, b.Messages: messageShare, b.Long: longShare, b.Texts: textShare,
 		b.Peers: peerShare, b.Answers: answerShare,
@@ -91,7 +94,21 @@
 
 // RequestBytes returns the bound of the waiting requests at the home of one group; zero if
 // there is none.
-func RequestBytes(memoryLimit int64) int64 { return shareOf(memoryLimit, requestShare) }
+func (b *Budget) RequestBytes() int64 { return shareOf(b.limit.Load(), requestShare) }
+
+// BufferBytes and PreparedBytes return the bounds of the messages and of the prepared
+// statements at the PostgreSQL interface, which are at most the given ones.
+func (b *Budget) BufferBytes(most int64) int64 { return b.atMost(most, answerShare) }
+
+// PreparedBytes is described at BufferBytes.
+func (b *Budget) PreparedBytes(most int64) int64 { return b.atMost(most, textShare) }
+
+func (b *Budget) atMost(most int64, share float64) int64 {
+	if bound := shareOf(b.limit.Load(), share); bound > 0 {
+		return min(most, bound)
+	}
+	return most
+}
 
 func shareOf(memoryLimit int64, share float64) int64 {
 	if memoryLimit <= 0 {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -113,7 +113,7 @@
 }
 
 func (p *Proxy) homeConfig() home.Config {
-	config := home.Config{ID: p.settings.ID, Log: &p.process.Log, Handoff: p.requestRelease}
+	config := home.Config{ID: p.settings.ID, Log: &p.process.Log, Handoff: p.requestRelease, RequestBytes: p.process.Memory.RequestBytes}
 	if p.settings.Policy.Sharing == settings.SharingStatic {
 		config.Policy = rank.PolicyStatic
 		config.Proxies = staticProxies
@@ -125,7 +125,8 @@
 	config := front.Config{
 		Proxy: p.settings.ID, RequireTLS: p.settings.Callers.RequireTLS,
 		StartupTimeout: p.settings.Callers.StartupTimeout, Logger: p.process.Log, ForwardCancel: p.forwardCancel,
-		Admit: p.admit,
+		Admit: p.admit, MaxBufferBytes: p.process.Memory.BufferBytes(front.DefaultMaxBufferBytes),
+		MaxPreparedBytes: p.process.Memory.PreparedBytes(front.DefaultMaxPreparedBytes),
 	}
 	if !p.settings.Callers.TLS.Enabled() {
 		return config, nil
