--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -110,7 +110,7 @@
 	e.issuer.AssumeEarlierGrants()
 	homeConfig := home.Config{
 		ID: config.ID, NoClaims: true, ExactClasses: true, Terms: e.grants, RequestGrants: e.requestGrantsSoon, Log: &e.log,
-		RequestBytes: func() int64 { return memory.RequestBytes(e.settings.Load().MemoryLimit) },
+		RequestBytes: e.adapters.Memory.RequestBytes,
 	}
 	if e.quotas = newQuotas(config.Quota, uint64(e.started.UnixNano()), duty.BootTime, e.requestGrantsSoon, &e.log); e.quotas != nil {
 		homeConfig.Quotas = e.quotas
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -1,6 +1,12 @@
 package memory
 
-import "github.com/rs/zerolog"
+import (
+	"math"
+	"runtime/debug"
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+)
 
 // Shares of the memory limit of the process. The sum of the pools may exceed totalShare,
 // which bounds all of them and leaves room below the 0.6 at which the Go runtime collects
@@ -38,6 +44,7 @@
 	// Answers is for the answers of servers and of other processes, until they are passed on.
 	Answers *Pool
 
+	limit  atomic.Int64
 	report *Reporter
 }
 
@@ -56,12 +63,27 @@
 	return b
 }
 
+// runtimeShare is the share of a process's memory that operators are advised to give the Go
+// runtime as its limit, GOMEMLIMIT.
+const runtimeShare = 0.6
+
+// NewRuntimeBudget returns the budget of a process whose memory limit follows from that of
+// the Go runtime. There is no limit if the runtime has none.
+func NewRuntimeBudget() *Budget {
+	limit := debug.SetMemoryLimit(-1)
+	if limit == math.MaxInt64 {
+		return NewBudget(0)
+	}
+	return NewBudget(int64(float64(limit) / runtimeShare))
+}
+
 // LogTo sets the log for refusals and closed connections. It must be called before the
 // budget is used.
 func (b *Budget) LogTo(log *zerolog.Logger) { b.report.log = log }
 
 // SetLimit applies a memory limit in bytes.
 func (b *Budget) SetLimit(memoryLimit int64) {
+	b.limit.Store(memoryLimit)
 	for pool, share := range map[*Pool]float64{
 		b.total: totalShare, b.Messages: messageShare, b.Long: longShare, b.Texts: textShare,
 		b.Peers: peerShare, b.Answers: answerShare,
@@ -72,7 +94,21 @@
 
 // RequestBytes returns the bound of the waiting requests at the home of one group; zero if
 // there is none.
-func RequestBytes(memoryLimit int64) int64 { return shareOf(memoryLimit, requestShare) }
+func (b *Budget) RequestBytes() int64 { return shareOf(b.limit.Load(), requestShare) }
+
+// BufferBytes and PreparedBytes return the bounds of the messages and of the prepared
+// statements at the PostgreSQL interface, which are at most the given ones.
+func (b *Budget) BufferBytes(most int64) int64 { return b.atMost(most, answerShare) }
+
+// PreparedBytes is described at BufferBytes.
+func (b *Budget) PreparedBytes(most int64) int64 { return b.atMost(most, textShare) }
+
+func (b *Budget) atMost(most int64, share float64) int64 {
+	if bound := shareOf(b.limit.Load(), share); bound > 0 {
+		return min(most, bound)
+	}
+	return most
+}
 
 func shareOf(memoryLimit int64, share float64) int64 {
 	if memoryLimit <= 0 {
