Record in the soaks how the machine holds up the test's own process

The stand-ins run in the process of the test. Each soak now logs how late its timers were and the least available memory.

--- a/internal/integration/soak_fleet_test.go
+++ b/internal/integration/soak_fleet_test.go
@@ -56,6 +56,7 @@
 	groups      []*userplatform.Group
 	edges       []*soakEdge
 	history     *callerHistory
+	delays      *hostDelays
 	exchanges   *exchangeLog
 	plannedOnly bool
 	// stopping is set while the run stops its processes.
@@ -72,9 +73,10 @@
 func newSoak(t *testing.T, seed uint64, program string, edges int) *soak {
 	s := &soak{
 		t: t, seed: seed, dir: t.TempDir(), started: time.Now(), store: userplatform.NewStore(),
-		exchanges: newExchangeLog(),
+		exchanges: newExchangeLog(), delays: &hostDelays{},
 	}
 	s.history = newCallerHistory(s)
+	go s.delays.watch(s.started, t.Context().Done())
 	for i := range soakGroups {
 		group, err := userplatform.NewGroup(fmt.Sprintf("group%d", i), soakServers, s.store)
 		if err != nil {
--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -256,5 +256,6 @@
 		counts = append(counts, fmt.Sprintf("%s %d", what, n))
 	}
 	slices.Sort(counts)
+	s.t.Logf("seed %d: %v", s.seed, s.delays)
 	s.t.Logf("seed %d: %d violations; %s", s.seed, len(s.history.violations), strings.Join(counts, ", "))
 }
