Know a primary that has stepped down, also for an earlier lease holder

The trace: the lease holder front-1 stepped group0-0 down (its log ends at 1/143) and asked for its promotion, which took effect late; then front-3 held the lease. It had seen no primary, so that its election went by the members: two runs of group0-2, which had gone, counted as missing (event 4410, "no final log"), although group0-0 was there with the whole log. The model found the same where a step-down command is carried out after its attempt was given up.

The group's record names a primary that has stepped down, with its term and the end of its log; a holder also knows one that it has seen as primary and now sees as replica of the same term. No acknowledged write lies beyond the end of that log, so the members do not matter: the rule of a switchover applies. The server must be there, at that term, with its log; the entry ends with a later term, and is left out of the record as soon as the promotion of another server is to be requested, so that a term that the holder has not seen is not taken for none.

--- a/internal/succession/decide.go
+++ b/internal/succession/decide.go
@@ -48,6 +48,7 @@
 	s = s.updateStall(g, v, now)
 	s.Membership = s.update(g, v, now)
 	s = s.updateOldLog(g, v)
+	s = s.updateSteppedDown(g, v, now)
 	s.Blocker, s.Wait = "", Wait{}
 	for {
 		next, actions := decidePhase(g, v, s, now)
@@ -283,19 +284,14 @@
 	s.AttemptTerm = max(maxTerm(v), s.AttemptTerm) + 1
 	s.Candidate, s.OldPrimary, s.OldTerm, s.OldLogEnd = "", "", 0, cluster.Position{}
 	s.MaxTermAtStart = maxServerTerm(v)
-	if p, o, ok := primary(g, v); ok {
-		s.OldPrimary, s.OldTerm = p.ID, o.Status.Term
-	}
-	return s
+	return s.findOldPrimary(g, v)
 }
 
 func decidePausing(g Group, v View, s State, now time.Time) (State, []Action) {
 	if newerPrimaryElected(g, v, s) {
 		return s.fire(eventRecovered, now), nil
 	}
-	if p, o, ok := primary(g, v); ok && s.OldPrimary == "" {
-		s.OldPrimary, s.OldTerm = p.ID, o.Status.Term // not known when the attempt began
-	}
+	s = s.findOldPrimary(g, v)
 	if (s.Cause == CauseUnreachable || s.Cause == CauseNoPrimary) && oldPrimaryRecovered(g, v, s) {
 		return s.fire(eventRecovered, now), nil
 	}
--- a/internal/succession/model_hash_test.go
+++ b/internal/succession/model_hash_test.go
@@ -113,6 +113,13 @@
 func (e *stateEncoder) record(r Record) {
 	e.members(r.Members)
 	e.text(string(r.Promoting))
+	e.steppedDown(r.SteppedDown)
+}
+
+func (e *stateEncoder) steppedDown(d SteppedDown) {
+	e.text(string(d.Server))
+	e.ints(int(d.Term))
+	e.position(d.End)
 }
 
 func (e *stateEncoder) process(w *modelWorld, p *modelProcess) {
@@ -163,6 +170,10 @@
 	e.text(string(p.promoting))
 	e.ints(int(s.AttemptTerm), int(s.OldTerm), int(s.MaxTermAtStart), int(s.Step))
 	e.position(s.OldLogEnd)
+	e.steppedDown(s.SteppedDown)
+	e.members([]Member{s.seen.member})
+	e.ints(int(s.seen.term))
+	e.position(s.seen.received)
 	if s.Phase != PhaseWatching {
 		e.timeAge(s.FailureSince)
 		e.timeAge(s.AttemptStart)
--- a/internal/succession/model_process_test.go
+++ b/internal/succession/model_process_test.go
@@ -188,7 +188,7 @@
 // readRecord and writeRecord are syncRecord in two steps.
 func (w *modelWorld) readRecord(p *modelProcess) {
 	p.recordRead, p.saved, p.recordVersion = true, w.record, w.recordVersion
-	p.state.Membership = p.state.merge(w.record)
+	p.state = p.state.adopt(w.record)
 	if r := w.record; r.Promoting != "" && r.Token != p.token {
 		p.view.PendingPromotions[r.Promoting] = PendingPromotion{Until: w.time().Add(priorPromotionDelay(r, p.predecessor))}
 		if p.promoting == "" {
@@ -199,13 +199,12 @@
 }
 
 func (w *modelWorld) wantedRecord(p *modelProcess) Record {
-	r := Record{Promoting: p.promoting, Token: p.token}
+	promoting := p.promoting
 	if w.disabled.recordFirst {
-		r.Promoting = ""
-	}
-	if p.state.Known {
-		r.Members = p.state.Members
+		promoting = ""
 	}
+	r := p.state.record(promoting)
+	r.Token = p.token
 	return r
 }
 
--- a/internal/succession/model_test.go
+++ b/internal/succession/model_test.go
@@ -44,6 +44,7 @@
 	{"the promoted server is cut off from the others", modelFaults{writes: 1, isolations: 1, ticks: 2}, requestedPromotion},
 	{"a server joins while the primary is replaced", modelFaults{writes: 1, leaving: 1, joins: 1, returns: 1, ticks: 1}, nil},
 	{"replicas leave before the primary", modelFaults{leaving: 1, lapses: 1, ticks: 1}, departingReplicas},
+	{"the lease is taken over after the primary has stepped down", modelFaults{writes: 1, restarts: 1, ticks: 4}, steppedDownPrimary},
 	{"a primary leaves soon after its promotion", modelFaults{writes: 1, leaving: 1, ticks: 1}, recentPromotion},
 	{"an entry names no server", modelFaults{writes: 1, leaving: 1, oddEntries: 1, ticks: 1}, nil},
 	{"a replica crashes while the primary is replaced", modelFaults{writes: 1, leaving: 1, crashes: 1, ticks: 1}, nil},
@@ -127,6 +128,22 @@
 		modelEvent{eventCall, 0, 3}, modelEvent{eventLeave, 1, 0}, modelEvent{eventCrash, 1, 0})
 }
 
+// steppedDownPrimary is the state in which p1 has taken the lease after p0 has stepped s0 down,
+// which is leaving. s3 had joined; s1 and s3 have ended since, before their departure was
+// settled.
+func steppedDownPrimary(w *modelWorld) {
+	w.left.joins, w.left.returns, w.left.leaving = 1, 1, 1
+	w.must(modelEvent{eventJoin, 3, 0}, modelEvent{eventReturn, 3, 0}, modelEvent{eventReplicate, 0, 3},
+		modelEvent{eventCall, 0, 3}, modelEvent{eventLeave, 0, 0}, modelEvent{eventCall, 0, 0}, modelEvent{eventCall, 0, 0})
+	if w.servers[0].primary {
+		panic("s0 has not stepped down")
+	}
+	w.left.crashes, w.left.lapses, w.left.storeCuts = 2, 2, 1
+	w.must(modelEvent{eventCrash, 1, 0}, modelEvent{eventCrash, 3, 0}, modelEvent{eventLapse, 1, 0}, modelEvent{eventLapse, 3, 0},
+		modelEvent{eventCutStore, 0, 0})
+	w.handOver()
+}
+
 // recentPromotion is the state after s0 has left and another server was promoted.
 func recentPromotion(w *modelWorld) {
 	w.left.leaving++
--- a/internal/succession/promotion.go
+++ b/internal/succession/promotion.go
@@ -116,11 +116,7 @@
 // wantedRecord returns the record that the next lease holder should find. The caller
 // holds mu.
 func (l *groupLoop) wantedRecord() Record {
-	r := Record{Promoting: l.promoting}
-	if l.state.Known {
-		r.Members = l.state.Members
-	}
-	return r
+	return l.state.record(l.promoting)
 }
 
 // recordSaved reports whether the group's record is up to date in the table service.
@@ -185,7 +181,7 @@
 		return
 	}
 	l.readRecord, l.recordRead, l.savedRecord = nil, true, *r
-	l.state.Membership = l.state.merge(*r)
+	l.state = l.state.adopt(*r)
 	if r.Promoting != "" && r.Token != l.token {
 		l.view.PendingPromotions[r.Promoting] = PendingPromotion{Until: time.Now().Add(priorPromotionDelay(*r, l.controller.config.Lease.Predecessor()))}
 		if l.promoting == "" {
--- a/internal/succession/records.go
+++ b/internal/succession/records.go
@@ -36,11 +36,13 @@
 	// request; empty if none can take effect any more.
 	Promoting cluster.ServerID `json:"promoting,omitempty"`
 	Token     duty.Token       `json:"token"`
+	// SteppedDown is the last primary that has stepped down, until there may be another.
+	SteppedDown SteppedDown `json:"stepped_down,omitzero"`
 }
 
 // sameAs reports whether two records state the same, whoever wrote them.
 func (r Record) sameAs(other Record) bool {
-	return r.Promoting == other.Promoting && slices.Equal(r.Members, other.Members)
+	return r.Promoting == other.Promoting && r.SteppedDown == other.SteppedDown && slices.Equal(r.Members, other.Members)
 }
 
 // recordStore reads and writes the records of all groups. Writes that are requested
--- a/internal/succession/types.go
+++ b/internal/succession/types.go
@@ -190,6 +190,9 @@
 	// replicas, the most advanced of which has stayed at StalledPosition.
 	StalledSince    time.Time
 	StalledPosition cluster.Position
+	// SteppedDown is the last primary that has stepped down, until there may be another.
+	SteppedDown SteppedDown
+	seen        seenPrimary
 	// Membership tells which servers may hold acknowledged writes.
 	Membership
 }
