Bound how often connections are opened in place of those whose answers were out of step

A connection ends when an answer on it cannot be the one that is due.

A pool replaces as many connections as its limit at once, and then one in 100 ms. Only those that end with an answer out of step count: what ends after a refusal, or breaks, is replaced as before, since a working server and a restarted one cause that as well.

--- a/internal/home/attempt.go
+++ b/internal/home/attempt.go
@@ -53,8 +53,9 @@
 	permits *transactionPermits
 	// termProven is set once a response was forwarded after a proof of the term.
 	termProven bool
-	// broken is set when the connection must not be reused.
-	broken bool
+	// broken is set when the connection must not be reused, and brokenBy if an error is why.
+	broken   bool
+	brokenBy error
 	// wrote is set once the transaction may have written.
 	wrote bool
 	// transactionOpen is set while the connection is in a transaction.
@@ -162,7 +163,7 @@
 		att.permits.release()
 	}
 	if att.broken {
-		att.node.pool.Discard(att.conn)
+		att.node.pool.Discard(att.conn, att.brokenBy)
 		return
 	}
 	dirty := openTransaction || att.transactionOpen
@@ -198,7 +199,7 @@
 	response, err := att.conn.Exchange(runCtx, x, att.request.conv)
 	if err != nil {
 		att.slot.MarkFailed()
-		att.broken = true
+		att.broken, att.brokenBy = true, err
 		att.node.reportOutOfStep(err)
 		return response, att.annotateError(err, context.Cause(runCtx))
 	}
--- a/internal/pool/open.go
+++ b/internal/pool/open.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/rattancove/rattancove/internal/backend"
 	"github.com/rattancove/rattancove/internal/delay"
 )
 
@@ -22,6 +24,24 @@
 	p.workers.Go(p.openLoop)
 }
 
+// countMismatch counts a connection that is closed because an answer was out of step.
+func (p *Pool) countMismatch(err error, now time.Time) {
+	var mismatch *backend.OutOfStepError
+	if !errors.As(err, &mismatch) {
+		return
+	}
+	if p.mismatchesPaid.Before(now) {
+		p.mismatchesPaid = now
+	}
+	p.mismatchesPaid = p.mismatchesPaid.Add(mismatchInterval)
+}
+
+// mismatchPause returns the time until another connection may be opened. All connections of
+// the pool may be replaced at once, and then one in each mismatchInterval.
+func (p *Pool) mismatchPause(now time.Time) time.Duration {
+	return max(p.mismatchesPaid.Sub(now), 0) - time.Duration(p.config.Limit)*mismatchInterval
+}
+
 func (p *Pool) openLoop() {
 	for p.openOne() {
 	}
@@ -35,6 +55,11 @@
 		p.mu.Unlock()
 		return false
 	}
+	if pause := p.mismatchPause(time.Now()); pause > 0 {
+		p.mu.Unlock()
+		delay.Sleep(p.ctx, pause)
+		return true
+	}
 	p.pending++
 	p.mu.Unlock()
 
@@ -74,8 +99,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
-		p.closeConn(c)
-		p.startOpening()
+		p.discard(c, err)
 		return
 	}
 	p.makeAvailable(c)
@@ -143,8 +167,7 @@
 	defer p.mu.Unlock()
 	if err != nil {
 		probeFailuresTotal.Inc()
-		p.closeConn(c)
-		p.startOpening()
+		p.discard(c, err)
 		return
 	}
 	p.makeAvailable(c)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -24,6 +24,11 @@
 	defaultProbeAfter   = 15 * time.Second
 	initialBackoff      = 20 * time.Millisecond
 	maxBackoff          = 500 * time.Millisecond
+	// mismatchInterval is the mean time between the opening of connections in place of those
+	// whose answers were out of step, beyond the first Limit of them. Opening one takes
+	// about 12 ms of a slot: a server that answers many statements twice spends at most an
+	// eighth of a slot on it.
+	mismatchInterval = 100 * time.Millisecond
 )
 
 // Config describes a Pool.
@@ -88,7 +93,10 @@
 	backoff *backoff.ExponentialBackOff
 	closed  bool
 	lastErr error
-	stats   Stats
+	// mismatchesPaid is the time at which the last of the connections whose answers were out
+	// of step would be replaced if there were no burst.
+	mismatchesPaid time.Time
+	stats          Stats
 }
 
 // waiter is a call of Get that waits for a connection.
@@ -244,13 +252,18 @@
 	p.workers.Go(func() { p.reset(c) })
 }
 
-// Discard closes a connection that must not be reused.
-func (p *Pool) Discard(c *Conn) {
+// Discard closes a connection that must not be reused, because of err if it is not nil.
+func (p *Pool) Discard(c *Conn, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !c.state.In(stateInUse) {
 		return
 	}
+	p.discard(c, err)
+}
+
+func (p *Pool) discard(c *Conn, err error) {
+	p.countMismatch(err, time.Now())
 	p.closeConn(c)
 	p.startOpening()
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -137,8 +138,8 @@
 		if again != c || s.resets != 1 {
 			t.Errorf("reset %d times", s.resets)
 		}
-		p.Discard(again)
-		p.Discard(again)
+		p.Discard(again, nil)
+		p.Discard(again, nil)
 		if fresh := mustGet(t, p); fresh == c {
 			t.Error("a discarded connection was reused")
 		} else {
@@ -201,3 +202,33 @@
 		}
 	})
 }
+
+// TestMismatchesBoundHowOftenConnectionsAreOpened guards against a server that answers
+// statements twice so often that nearly all of its time goes into connections. Nothing else
+// is bounded: neither the first replacements nor those of connections that broke.
+func TestMismatchesBoundHowOftenConnectionsAreOpened(t *testing.T) {
+	const limit, period = 4, 4 * time.Second
+	mismatch := fmt.Errorf("exchange: %w", backend.NewOutOfStepError("a row", "READY"))
+	for _, tt := range []struct {
+		name        string
+		err         error
+		least, most int
+	}{
+		{"out of step", mismatch, int(period/mismatchInterval) - 1, limit + int(period/mismatchInterval) + 1},
+		{"broken", errors.New("connection reset"), 300, 400},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, limit, func(t *testing.T, s *fakeServer, p *Pool) {
+				for end := time.Now().Add(period); time.Now().Before(end); {
+					p.Discard(mustGet(t, p), tt.err)
+				}
+				if n := len(s.dials); n < tt.least || n > tt.most {
+					t.Errorf("%d connections opened, want %d to %d", n, tt.least, tt.most)
+				}
+				if burst := s.dials[limit-1].Sub(s.dials[0]); burst > limit*12*time.Millisecond {
+					t.Errorf("the first %d connections were opened in %v", limit, burst)
+				}
+			})
+		})
+	}
+}
