--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -152,8 +153,8 @@
 		if again != c || s.resets != 1 {
 			t.Errorf("reset %d times", s.resets)
 		}
-		p.Discard(again)
-		p.Discard(again)
+		p.Discard(again, nil)
+		p.Discard(again, nil)
 		if fresh := mustGet(t, p); fresh == c {
 			t.Error("a discarded connection was reused")
 		} else {
@@ -216,3 +217,65 @@
 		}
 	})
 }
+
+// TestMismatchesBoundHowOftenConnectionsAreOpened guards against a server that answers
+// statements twice so often that nearly all of its time goes into connections. Nothing else
+// is bounded: neither the first replacements nor those of connections that broke.
+func TestMismatchesBoundHowOftenConnectionsAreOpened(t *testing.T) {
+	const limit, period = 4, 4 * time.Second
+	mismatch := fmt.Errorf("exchange: %w", backend.NewOutOfStepError("a row", "READY"))
+	for _, tt := range []struct {
+		name        string
+		err         error
+		least, most int
+	}{
+		{"out of step", mismatch, int(period/mismatchInterval) - 1, limit + int(period/mismatchInterval) + 1},
+		{"broken", errors.New("connection reset"), 300, 400},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, limit, func(t *testing.T, s *fakeServer, p *Pool) {
+				for end := time.Now().Add(period); time.Now().Before(end); {
+					p.Discard(mustGet(t, p), tt.err)
+				}
+				if n := len(s.dials); n < tt.least || n > tt.most {
+					t.Errorf("%d connections opened, want %d to %d", n, tt.least, tt.most)
+				}
+				if burst := s.dials[limit-1].Sub(s.dials[0]); burst > limit*12*time.Millisecond {
+					t.Errorf("the first %d connections were opened in %v", limit, burst)
+				}
+			})
+		})
+	}
+}
+
+// TestMismatchesAreReplacedOneByOneWithTags guards against all waiting calls opening
+// connections at the end of each pause, since with tags several may be opened at once.
+func TestMismatchesAreReplacedOneByOneWithTags(t *testing.T) {
+	const limit, period = 4, 4 * time.Second
+	mismatch := fmt.Errorf("exchange: %w", backend.NewOutOfStepError("a row", "READY"))
+	inBubble(t, limit, func(t *testing.T, s *fakeServer, p *Pool) {
+		end := time.Now().Add(period)
+		var users sync.WaitGroup
+		for user := range limit {
+			users.Go(func() {
+				for time.Now().Before(end) {
+					p.Discard(mustGetOf(t, p, fmt.Sprint(user)), mismatch)
+				}
+			})
+		}
+		users.Wait()
+		if s.maxDialing < 2 {
+			t.Error("the first connections were not opened at once")
+		}
+		// The limit counts for the burst, for the connections whose answers are still
+		// awaited, and for the calls that wait at the end.
+		if n, least := len(s.dials), int(period/mismatchInterval); n < least || n > least+3*limit {
+			t.Errorf("%d connections opened, want %d to %d", n, least, least+3*limit)
+		}
+		for i := 2*limit + 1; i < len(s.dials); i++ {
+			if s.dials[i].Sub(s.dials[i-1]) < 12*time.Millisecond {
+				t.Errorf("connections %d and %d of %d were opened at once", i, i+1, len(s.dials))
+			}
+		}
+	})
+}
--- a/internal/pool/tag.go
+++ b/internal/pool/tag.go
@@ -52,8 +52,11 @@
 	return slices.IndexFunc(p.waiters, func(w *waiter) bool { return w.tag == tag })
 }
 
-// opensConcurrently reports whether several connections may be opened at once.
-func (p *Pool) opensConcurrently() bool { return p.tagged && p.lastErr == nil }
+// opensConcurrently reports whether several connections may be opened at once: not after a
+// failure, and not if mismatchInterval leaves room for one only.
+func (p *Pool) opensConcurrently() bool {
+	return p.tagged && p.lastErr == nil && p.mismatchPause(time.Now()) <= -mismatchInterval
+}
 
 // nextToOpen returns the first waiter that needs a new connection: one for which none is
 // being opened, while the limit allows another one or an idle one can be replaced. It
--- a/internal/pool/tag_test.go
+++ b/internal/pool/tag_test.go
@@ -257,7 +257,7 @@
 	time.Sleep(time.Duration(random.IntN(8)) * time.Millisecond)
 	switch random.IntN(14) {
 	case 0, 1:
-		p.Discard(c)
+		p.Discard(c, nil)
 	case 2:
 		p.ProbeAll()
 		p.Return(c, false)
--- a/internal/succession/model_hash_test.go
+++ b/internal/succession/model_hash_test.go
@@ -30,6 +30,9 @@
 		e.bools(s.alive, s.primary, s.leaving, s.listed, s.isolated)
 		e.ints(int(s.term), int(s.paused), int(s.start))
 		e.log(s.log)
+		if s.unlisted() {
+			e.age(s.joinedAt)
+		}
 	}
 	e.log(w.acknowledged)
 	e.home(w)
@@ -111,6 +114,13 @@
 	e.members(r.Members)
 	e.text(string(r.Promoting))
 	e.bools(r.ReplaySwitchover > 0)
+	e.steppedDown(r.SteppedDown)
+}
+
+func (e *stateEncoder) steppedDown(d SteppedDown) {
+	e.text(string(d.Server))
+	e.ints(int(d.Term))
+	e.position(d.End)
 }
 
 func (e *stateEncoder) process(w *modelWorld, p *modelProcess) {
@@ -127,8 +137,17 @@
 	if e.now < p.restartedAt+grant.MaxDuration {
 		e.age(p.restartedAt)
 	}
-	for _, expiry := range p.grantExpiry {
-		e.age(max(expiry, e.now))
+	e.position(p.acknowledged)
+	if p.token != 0 {
+		for _, expiry := range p.grantExpiry {
+			e.age(max(expiry, e.now-grant.ListingTime))
+		}
+		e.position(p.told)
+	}
+	if now := modelStart.Add(e.now); p.token != 0 && p.grantsEnd.unlisted {
+		e.bools(p.grantsEnd.earlierHolderRecent(now))
+		e.timeAge(p.grantsEnd.at)
+		e.timeAge(p.grantsEnd.startedAt)
 	}
 	if e.now < p.heldUntil {
 		e.ints(int(p.heldTerm))
@@ -152,6 +171,10 @@
 	e.text(string(p.promoting))
 	e.ints(int(s.AttemptTerm), int(s.OldTerm), int(s.MaxTermAtStart), int(s.Step))
 	e.position(s.OldLogEnd)
+	e.steppedDown(s.SteppedDown)
+	e.members([]Member{s.seen.member})
+	e.ints(int(s.seen.term))
+	e.position(s.seen.received)
 	if s.Phase != PhaseWatching {
 		e.timeAge(s.FailureSince)
 		e.timeAge(s.AttemptStart)
--- a/internal/succession/model_process_test.go
+++ b/internal/succession/model_process_test.go
@@ -68,9 +68,12 @@
 	// the token predecessor.
 	restartedAt time.Duration
 	predecessor duty.Token
-	heldTerm    cluster.Term
-	heldUntil   time.Duration
-	revokedAt   time.Duration
+	// told mirrors what processes have told the issuer, and acknowledged what this one has
+	// acknowledged under its grants.
+	told, acknowledged cluster.Position
+	heldTerm           cluster.Term
+	heldUntil          time.Duration
+	revokedAt          time.Duration
 }
 
 // decide runs the decisions of the process as groupLoop.decide does.
@@ -94,6 +97,12 @@
 		view.GrantsEndedAt = time.Time{}
 	}
 	view.RecordUnsaved = !w.wantedRecord(p).sameAs(p.saved)
+	view.UnlistedPossible = p.grantsEnd.unlistedPossible(false, now) && !w.disabled.unlistedWait
+	view.Acknowledged, view.AcknowledgedUnknown = p.issuer.Acknowledged("g")
+	view.AcknowledgedUnknown = view.AcknowledgedUnknown || p.grantsEnd.earlierHolderRecent(now)
+	if w.disabled.acknowledgedTold {
+		view.Acknowledged = cluster.Position{}
+	}
 	view.PromotionInFlight = p.stage != stageNone
 	view.ObserverReport = ObserverReport{QueriedAt: now, Unreachable: 2}
 	if w.disabled.pendingCalls {
@@ -183,8 +192,7 @@
 // readRecord and writeRecord are syncRecord in two steps.
 func (w *modelWorld) readRecord(p *modelProcess) {
 	p.recordRead, p.saved, p.recordVersion = true, w.record, w.recordVersion
-	p.state.Membership = p.state.merge(w.record)
-	p.state.rest = p.state.rest.merge(w.record.ReplaySwitchover, w.time())
+	p.state = p.state.adopt(w.record, w.time())
 	if r := w.record; r.Promoting != "" && r.Token != p.token {
 		p.view.PendingPromotions[r.Promoting] = PendingPromotion{Until: w.time().Add(priorPromotionDelay(r, p.predecessor))}
 		if p.promoting == "" {
@@ -195,13 +203,12 @@
 }
 
 func (w *modelWorld) wantedRecord(p *modelProcess) Record {
-	r := Record{Promoting: p.promoting, Token: p.token, ReplaySwitchover: p.state.rest.unixMilli()}
+	promoting := p.promoting
 	if w.disabled.recordFirst {
-		r.Promoting = ""
-	}
-	if p.state.Known {
-		r.Members = p.state.Members
+		promoting = ""
 	}
+	r := p.state.record(promoting)
+	r.Token = p.token
 	return r
 }
 
--- a/internal/succession/types.go
+++ b/internal/succession/types.go
@@ -154,6 +154,13 @@
 	// known to have had one. Until then, writes may have been acknowledged that a server
 	// which has restarted since it was paused has received.
 	GrantsEndedAt time.Time
+	// UnlistedPossible is set while a server that is not listed yet may have received
+	// writes that were acknowledged under a grant.
+	UnlistedPossible bool
+	// Acknowledged is the highest position that processes are known to have acknowledged
+	// under grants, and AcknowledgedUnknown is set if one may have acknowledged others.
+	Acknowledged        cluster.Position
+	AcknowledgedUnknown bool
 }
 
 // State is the controller's state of a group between decisions.
@@ -195,6 +202,9 @@
 	// to a switchover.
 	replay replayWatch
 	rest   replayRest
+	// SteppedDown is the last primary that has stepped down, until there may be another.
+	SteppedDown SteppedDown
+	seen        seenPrimary
 	// Membership tells which servers may hold acknowledged writes.
 	Membership
 }
