--- a/internal/succession/model_test.go
+++ b/internal/succession/model_test.go
@@ -43,6 +43,7 @@
 	{"replicas replay late", modelFaults{writes: 1, crashes: 1, lapses: 1, leaving: 1, ticks: 3}, lateReplicas},
 	{"replicas replay late, a server joins", modelFaults{writes: 1, joins: 1, returns: 1, ticks: 2}, lateReplicas},
 	{"replicas replay late, the lease is taken over", modelFaults{writes: 1, storeCuts: 1, cuts: 1, ticks: 6}, lateReplicas},
+	{"replicas replay late, the lease is taken over after the step-down", modelFaults{writes: 1, crashes: 1, restarts: 1, ticks: 4}, lateSteppedDownPrimary},
 	{"primary leaves", modelFaults{writes: 1, leaving: 1, crashes: 1, lapses: 1, ticks: 3}, nil},
 	{"the promoted server is cut off from the others", modelFaults{writes: 1, isolations: 1, ticks: 2}, requestedPromotion},
 	{"a server joins while the primary is replaced", modelFaults{writes: 1, leaving: 1, joins: 1, returns: 1, ticks: 1}, nil},
@@ -177,6 +178,19 @@
 	panic("no switchover")
 }
 
+// lateSteppedDownPrimary is the state in which p1 has taken the lease after p0 has stepped s0
+// down, since the replicas replay late.
+func lateSteppedDownPrimary(w *modelWorld) {
+	lateReplicas(w)
+	w.must(modelEvent{eventCall, 0, 0})
+	if w.servers[0].primary {
+		panic("s0 has not stepped down")
+	}
+	w.left.storeCuts = 1
+	w.must(modelEvent{eventCutStore, 0, 0})
+	w.handOver()
+}
+
 // electedServer is the state in which p0 is about to request the promotion of s1, since it
 // cannot reach s0.
 func electedServer(w *modelWorld) {
