--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -56,6 +56,9 @@
 // primary of a later term can have acknowledged a write.
 type TermChecker interface {
 	Valid(group cluster.GroupName, term cluster.Term) bool
+	// Acknowledge is Valid for a commit whose acknowledgement is passed on if it returns
+	// true.
+	Acknowledge(group cluster.GroupName, term cluster.Term, position cluster.Position) bool
 }
 
 // Quotas admits the operations of organisations.
--- a/internal/succession/records.go
+++ b/internal/succession/records.go
@@ -39,11 +39,14 @@
 	// ReplaySwitchover is the Unix time in milliseconds of the last switchover because of
 	// late replay; zero if there was none.
 	ReplaySwitchover int64 `json:"replay_switchover_ms,omitempty"`
+	// SteppedDown is the last primary that has stepped down, until there may be another.
+	SteppedDown SteppedDown `json:"stepped_down,omitzero"`
 }
 
 // sameAs reports whether two records state the same, whoever wrote them.
 func (r Record) sameAs(other Record) bool {
-	return r.Promoting == other.Promoting && r.ReplaySwitchover == other.ReplaySwitchover && slices.Equal(r.Members, other.Members)
+	return r.Promoting == other.Promoting && r.ReplaySwitchover == other.ReplaySwitchover &&
+		r.SteppedDown == other.SteppedDown && slices.Equal(r.Members, other.Members)
 }
 
 // recordStore reads and writes the records of all groups. Writes that are requested
