--- a/internal/succession/stepped_down_test.go
+++ b/internal/succession/stepped_down_test.go
@@ -73,7 +73,7 @@
 func TestRecordKeepsSwitchoverAndSteppedDownPrimary(t *testing.T) {
 	now := time.Unix(1000, 0)
 	s := NewState(now)
-	s.rest = s.rest.begin(now)
+	s.rest = s.rest.announce(now)
 	s.SteppedDown = SteppedDown{Server: "s1", Term: 1, End: cluster.Position{Term: 1, Offset: 143}}
 	kept := s.record("")
 	next := NewState(now).adopt(kept, now.Add(time.Second))
