--- a/internal/edge/quota_dealer.go
+++ b/internal/edge/quota_dealer.go
@@ -89,9 +89,9 @@
 	}
 }
 
-// handle answers a report, or returns nil if this process may not allocate. The lease
-// must last until the home has given up the call: another dealer would not know of credits
-// that the home accepts later.
+// handle answers a report, or returns nil if this process may not allocate or the row does
+// not name the home yet. The lease must last until the home has given up the call: another
+// dealer would not know of credits that the home accepts later.
 func (q *quotaDealer) handle(home string, report *peerpb.QuotaReport) *peerpb.QuotaReply {
 	if q == nil || report == nil {
 		return nil
@@ -101,7 +101,14 @@
 	if token, _ := q.lease.Held(); q.dealer == nil || q.token != token || q.lease.Remaining() <= quota.CallTime {
 		return nil
 	}
-	return peer.QuotaReplyToProto(q.dealer.Handle(home, peer.QuotaReportFromProto(report), q.clock()))
+	now := q.clock()
+	if _, named := q.homes[home]; !named {
+		q.unnamed[home] = true
+		q.wakeRun()
+		return nil
+	}
+	q.homes[home] = now
+	return peer.QuotaReplyToProto(q.dealer.Handle(home, peer.QuotaReportFromProto(report), now))
 }
 
 // wakeRun makes run write the row soon.
--- a/internal/edge/quotas_test.go
+++ b/internal/edge/quotas_test.go
@@ -41,6 +41,17 @@
 	return q, lease
 }
 
+// nameHome makes the row name a home, which gets no answer before.
+func (q *quotaDealer) nameHome(t *testing.T, home string) {
+	t.Helper()
+	if q.handle(home, peer.QuotaReportToProto(quota.Report{Sequence: 1})) != nil {
+		t.Errorf("%s was answered before the row named it", home)
+	}
+	if err := q.step(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func testClock() func() time.Duration {
 	start := time.Now()
 	return func() time.Duration { return time.Hour + time.Since(start) }
@@ -96,6 +107,7 @@
 		if err := q.step(t.Context()); err != nil || q.dealer == nil {
 			t.Fatal(err)
 		}
+		q.nameHome(t, "p1")
 		for i, tt := range []struct {
 			remaining time.Duration
 			answers   bool
@@ -152,6 +164,7 @@
 		if err := dealer.step(t.Context()); err != nil {
 			t.Fatal(err)
 		}
+		dealer.nameHome(t, "p1")
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go answerCalls(ctx, home, dealer, asked)
@@ -238,3 +251,52 @@
 		t.Errorf("error %v without a limit", err)
 	}
 }
+
+// TestRowNamesHomesBeforeTheyGetCredits guards against a new dealer that takes itself to
+// know all uses while a home has credits that it does not know of, also where the answer to
+// the write of the row was lost, and against names that stay forever.
+func TestRowNamesHomesBeforeTheyGetCredits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, clock := providertest.NewTable(), testClock()
+		first, _ := newTestDealer(table, "p1", 1, clock)
+		if err := first.step(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		first.nameHome(t, "a")
+		table.LoseResponses(1)
+		report := peer.QuotaReportToProto(quota.Report{Sequence: 2})
+		if first.handle("b", report) != nil || first.step(t.Context()) == nil || first.handle("b", report) != nil {
+			t.Error("b was answered although it is not known whether the row names it")
+		}
+		if err := first.step(t.Context()); err != nil || first.handle("a", report) == nil || first.handle("b", report) == nil {
+			t.Errorf("a named home was not answered: %v", err)
+		}
+		second, _ := newTestDealer(table, "p2", 2, clock)
+		if err := second.step(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		old := peer.QuotaReportToProto(quota.Report{Sequence: 3, Incarnation: 1, Age: time.Hour})
+		if second.handle("a", old) == nil {
+			t.Error("the next dealer does not know a home that the row names")
+		}
+		time.Sleep(time.Second)
+		if second.dealer.Settled(clock()) {
+			t.Error("the next dealer does not wait for b")
+		}
+		second.handle("b", old)
+		time.Sleep(time.Second)
+		if !second.dealer.Settled(clock()) {
+			t.Error("the next dealer has heard of all homes and has not settled")
+		}
+		time.Sleep(testQuotaBounds.SettleTime())
+		second.handle("b", peer.QuotaReportToProto(quota.Report{Sequence: 4, Incarnation: 1}))
+		for range 2 { // settles, and drops a
+			if err := second.step(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if names := second.nextNames(); len(names) != 1 || names[0] != "b" {
+			t.Errorf("the row names %v, want b only", names)
+		}
+	})
+}
