--- a/internal/rank/fair.go
+++ b/internal/rank/fair.go
@@ -218,6 +218,42 @@
 	}
 }
 
+// recordTotal records that a waiter, which has been removed, got a slot.
+func (q *queue) recordTotal(now time.Time) {
+	q.total.recordInterval(now)
+	if q.len() == 0 {
+		q.total.lastAssigned = time.Time{}
+	}
+}
+
+// fairWait estimates the wait of a request that joins the share, or its on-time requests,
+// from what the order serves before it: those of its own organisation, and of each other
+// one as many as its weight allows meanwhile. The interval between the organisation's own
+// slots alone says nothing about one that has waited for nothing yet. The result is zero for
+// requests without an organisation.
+func (q *queue) fairWait(s *share, onTime bool) time.Duration {
+	if s == &q.withoutOrganisation {
+		return 0
+	}
+	own := s.onTime.waiters.Len()
+	if !onTime {
+		own = s.waiting()
+	}
+	ahead, turn := float64(own), float64(own+1)/s.weight
+	lists := []*fairList{&q.onTime, &q.late}
+	if onTime {
+		lists = lists[:1]
+	}
+	for _, l := range lists {
+		for _, b := range l.backlogs {
+			if b.share != s {
+				ahead += min(float64(b.waiters.Len()), turn*b.share.weight)
+			}
+		}
+	}
+	return time.Duration(ahead * q.total.assignInterval.value * float64(time.Second))
+}
+
 // firstOwed finds a late request of an organisation that is so far behind its share that
 // it comes before the on-time requests of others, which never end during a flood.
 func (d *Dispatcher) firstOwed(s *server, r cluster.Rank, now time.Time, retryAt *time.Time) (*waiter, string) {
--- a/internal/rank/queue.go
+++ b/internal/rank/queue.go
@@ -56,6 +56,8 @@
 	// used is the highest share.used at which a request got a slot. An organisation that
 	// becomes active begins there.
 	used float64
+	// total measures how fast the waiting requests of all organisations are served.
+	total drain
 }
 
 func (q *queue) len() int { return q.onTime.Len() + q.late.Len() }
@@ -92,9 +94,12 @@
 	if s.waiting() == 0 {
 		s.lastAssigned = time.Time{}
 	}
+	if q.len() == 0 {
+		q.total.lastAssigned = time.Time{}
+	}
 }
 
-// drain measures how fast the waiting requests of one share are served.
+// drain measures how fast the waiting requests of one share, or of all, are served.
 type drain struct {
 	// assignInterval is the average time in seconds between two assignments of slots
 	// while requests wait.
@@ -107,12 +112,17 @@
 	onTimeShare float64
 }
 
+// recordInterval records that a waiter got a slot.
+func (d *drain) recordInterval(now time.Time) {
+	if !d.lastAssigned.IsZero() {
+		d.assignInterval.add(now.Sub(d.lastAssigned).Seconds())
+	}
+	d.lastAssigned = now
+}
+
 // recordAssigned updates the averages after a waiter that has been removed got a slot.
 func (s *share) recordAssigned(w *waiter, now time.Time) {
-	if !s.lastAssigned.IsZero() {
-		s.assignInterval.add(now.Sub(s.lastAssigned).Seconds())
-	}
-	s.lastAssigned = now
+	s.recordInterval(now)
 	if s.waiting() == 0 {
 		s.lastAssigned = time.Time{}
 	}
@@ -171,10 +181,12 @@
 		}
 		return nil
 	}
-	expected := w.share.wait()
-	if d.missesObjective(w, time.Duration(objectiveWaitFactor*float64(w.share.onTimeWait())), now) {
+	q := &d.queues[r.Rank][r.Lane]
+	expected := max(w.share.wait(), q.fairWait(w.share, false))
+	onTime := max(w.share.onTimeWait(), q.fairWait(w.share, true))
+	if d.missesObjective(w, time.Duration(objectiveWaitFactor*float64(onTime)), now) {
 		w.late = true
-		expected = w.share.lateWait()
+		expected = max(w.share.lateWait(), expected)
 	}
 	if !d.makeRoom(w) {
 		return newOverloadedError(StepQueueFull, expected)
