--- a/internal/peer/metered.go
+++ b/internal/peer/metered.go
@@ -172,8 +172,8 @@
 	if c.writeTimeout == 0 {
 		return
 	}
-	if now := time.Now(); c.writeDeadline.Sub(now) < c.writeTimeout {
-		c.writeDeadline = now.Add(2 * c.writeTimeout)
+	if time.Until(c.writeDeadline) < c.writeTimeout {
+		c.writeDeadline = time.Now().Add(2 * c.writeTimeout)
 		_ = c.SetWriteDeadline(c.writeDeadline) // a closed connection fails at the write
 	}
 }
