Let a new dealer settle once the recorded homes have reported

A dealer gives credits only to processes that the row in the store names. The next dealer knows everything once all of them have reported, and need not wait for a window.

--- a/internal/edge/quota_dealer.go
+++ b/internal/edge/quota_dealer.go
@@ -22,8 +22,10 @@
 	// quotaRowKey is the key of the row in which each dealer records that it allocates,
 	// and whether it has settled. The row is never deleted.
 	quotaRowKey = "quota/dealer"
-	// quotaRowInterval is the time between two attempts to read or write the row.
-	quotaRowInterval = 300 * time.Millisecond
+	// dealerInterval is the time between two looks at whether the row has to be written.
+	dealerInterval = 50 * time.Millisecond
+	// rowRetryInterval is the time after a failed access to the row.
+	rowRetryInterval = 300 * time.Millisecond
 	// quotaRowTimeout bounds one access to the row.
 	quotaRowTimeout = time.Second
 )
@@ -35,6 +37,8 @@
 	Token  duty.Token `json:"token"`
 	// Settled is set once the dealer has no more credits outstanding than allowed.
 	Settled bool `json:"settled"`
+	// Homes are the processes that may have credits.
+	Homes []quota.Process `json:"homes"`
 }
 
 // promotionLease is the part of duty.Lease that a quotaDealer uses.
@@ -53,11 +57,13 @@
 	clock  func() time.Duration
 	log    *zerolog.Logger
 
-	// version and settled are those of the row; starting is the token with which the row
-	// was first written, and start what the row said before. They are used by run only.
+	// version is that of the row; starting is the token of the lease, began the time at
+	// which it was first seen, and start what the row said then. settled is set once the
+	// row says so. They are used by run only.
 	version  uint64
 	settled  bool
 	starting duty.Token
+	began    time.Duration
 	start    quota.Start
 
 	mu     sync.Mutex
@@ -94,47 +100,63 @@
 
 // run starts a dealer whenever this process has acquired the lease, until ctx ends.
 func (q *quotaDealer) run(ctx context.Context) error {
-	for delay.Sleep(ctx, quotaRowInterval) {
+	for delay.Sleep(ctx, dealerInterval) {
 		if err := q.step(ctx); err != nil && ctx.Err() == nil {
 			eventQuotaRowFailed.Log(q.log).Err(err).Send()
+			delay.Sleep(ctx, rowRetryInterval)
 		}
 	}
 	return nil
 }
 
-// step starts a dealer, or records that it has settled, if that is due.
+// step starts a dealer, or writes the row if that is due.
 func (q *quotaDealer) step(ctx context.Context) error {
 	token, held := q.lease.Held()
+	if !held {
+		return nil
+	}
+	if q.starting != token {
+		q.starting, q.began, q.start, q.settled = token, q.clock(), startUnknown, false
+	}
 	q.mu.Lock()
-	limited := len(q.limits) > 0
-	running := q.dealer != nil && q.token == token
-	settles := running && !q.settled && q.dealer.Settled(q.clock())
+	limited, dealer := len(q.limits) > 0, q.dealer
+	running := dealer != nil && q.token == token
+	due := running && (dealer.Unrecorded() || !q.settled && dealer.Settled(q.clock()))
 	q.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, quotaRowTimeout)
 	defer cancel()
 	switch {
-	case !held:
-		return nil
 	case !running && limited:
 		return q.begin(ctx, token)
-	case settles:
-		return q.settle(ctx, token)
+	case due:
+		return q.update(ctx, token)
 	}
 	return nil
 }
 
-// settle records in the row that the dealer of a token has settled, unless a later
-// dealer has replaced the row.
-func (q *quotaDealer) settle(ctx context.Context, token duty.Token) error {
+// update writes the processes with credits, and whether the dealer has settled, unless a
+// later dealer has replaced the row.
+func (q *quotaDealer) update(ctx context.Context, token duty.Token) error {
 	value, err := q.read(ctx)
 	if err != nil {
 		return err
 	}
-	if value.Holder != q.holder || value.Token != token || value.Settled {
-		q.settled = true
-		return nil
+	if value.Holder != q.holder || value.Token != token {
+		return eris.Errorf("the row of the dealer of quotas is that of %s", value.Holder)
 	}
-	return q.write(ctx, token, true)
+	q.mu.Lock()
+	now := q.clock()
+	value.Homes = q.dealer.Processes(now)
+	value.Settled = value.Settled || q.dealer.Settled(now)
+	q.mu.Unlock()
+	if err := q.write(ctx, value); err != nil {
+		return err
+	}
+	q.settled = value.Settled
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.dealer.Record(value.Homes)
+	return nil
 }
 
 // begin starts a dealer for a token, once the row says so.
@@ -144,24 +166,27 @@
 		return err
 	}
 	// An own write for the same token whose answer was lost tells nothing new.
-	if value.Holder != q.holder || value.Token != token || q.starting != token {
-		q.starting, q.start = token, startAfter(q.version, value)
+	if value.Holder != q.holder || value.Token != token || q.start == startUnknown {
+		q.start = startAfter(q.version, value)
 	}
-	if err := q.write(ctx, token, false); err != nil {
+	if err := q.write(ctx, quotaRow{Holder: q.holder, Token: token, Homes: value.Homes}); err != nil {
 		return err
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	// The lease was held after the row was written, so no other dealer allocates any more.
 	if current, held := q.lease.Held(); !held || current != token {
 		return nil
 	}
-	q.dealer, q.token = quota.NewDealer(q.bounds, q.version, q.start, q.clock()), token
+	// The lease has been held since before the row was read, so no other dealer allocates.
+	q.dealer, q.token = quota.NewDealer(q.bounds, q.version, q.start, q.began, value.Homes), token
 	q.dealer.SetLimits(q.limits)
-	eventQuotaDealer.Log(q.log).Uint64("token", uint64(token)).Str("start", q.start.String()).Send()
+	eventQuotaDealer.Log(q.log).Uint64("token", uint64(token)).Str("start", q.start.String()).Int("earlier_homes", len(value.Homes)).Send()
 	return nil
 }
 
+// startUnknown is the start before the row was read.
+const startUnknown quota.Start = 255
+
 // startAfter returns what a dealer knows that found the row with a version and value.
 func startAfter(version uint64, value quotaRow) quota.Start {
 	switch {
@@ -189,9 +214,9 @@
 	return value, eris.Wrap(json.Unmarshal(row.Value, &value), "decode the row of the dealer of quotas")
 }
 
-// write writes the row in place of the version that was last read or written.
-func (q *quotaDealer) write(ctx context.Context, token duty.Token, settled bool) error {
-	data, err := json.Marshal(quotaRow{Holder: q.holder, Token: token, Settled: settled})
+// write writes the row in place of the version that was last read.
+func (q *quotaDealer) write(ctx context.Context, value quotaRow) error {
+	data, err := json.Marshal(value)
 	if err != nil {
 		return eris.Wrap(err, "encode the row of the dealer of quotas")
 	}
@@ -199,6 +224,6 @@
 	if err != nil {
 		return eris.Wrap(err, "write the row of the dealer of quotas")
 	}
-	q.version, q.settled = versions[0], settled
+	q.version = versions[0]
 	return nil
 }
--- a/internal/edge/quotas_test.go
+++ b/internal/edge/quotas_test.go
@@ -65,14 +65,18 @@
 		}
 		begin(first, quota.StartFirst)
 		second, _ := newTestDealer(table, "p2", 2, clock)
-		if err := first.settle(t.Context(), 1); err != nil {
+		first.handle("p7", peer.QuotaReportToProto(quota.Report{Sequence: 1, Incarnation: 5}))
+		if err := first.step(t.Context()); err != nil || first.dealer.Unrecorded() {
 			t.Fatal(err)
 		}
 		begin(second, quota.StartSettled)
 		third, _ := newTestDealer(table, "p3", 3, clock)
 		begin(third, quota.StartUnsettled)
-		if err := second.settle(t.Context(), 2); err != nil {
-			t.Fatal(err)
+		if third.dealer.Settled(clock()) {
+			t.Error("settled although a process with credits has not reported")
+		}
+		if err := second.update(t.Context(), 2); err == nil {
+			t.Error("an earlier dealer replaced the row")
 		}
 		lease.token = 4
 		if first.handle("p1", peer.QuotaReportToProto(quota.Report{Sequence: 1})) != nil {
@@ -184,7 +188,11 @@
 		}
 		sentAt := home.clock()
 		report := home.report(false)
-		home.accept(report, dealer.handle("p1", peer.QuotaReportToProto(*report)), sentAt)
+		reply := dealer.handle("p1", peer.QuotaReportToProto(*report))
+		if err := dealer.step(ctx); err != nil {
+			panic(err)
+		}
+		home.accept(report, reply, sentAt)
 	}
 }
 
--- a/internal/quota/bench_test.go
+++ b/internal/quota/bench_test.go
@@ -18,7 +18,7 @@
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	d := NewDealer(testBounds, 1, StartFirst, 0)
+	d := NewDealer(testBounds, 1, StartFirst, 0, nil)
 	d.SetLimits(limits)
 	for home := range homes {
 		r := Report{Sequence: 1, Incarnation: 1}
@@ -27,6 +27,7 @@
 		}
 		d.Handle(fmt.Sprint("p", home), r, time.Second)
 	}
+	d.Record(d.Processes(time.Second))
 	runtime.GC()
 	runtime.ReadMemStats(&after)
 	n := uint64(1)
--- a/internal/quota/dealer.go
+++ b/internal/quota/dealer.go
@@ -36,6 +36,12 @@
 	// it knows all uses of the last window.
 	began   time.Duration
 	settled bool
+	// earlier holds the processes with credits of earlier dealers that have not reported;
+	// closed those that are not homes any more, since a time; recorded those that the next
+	// dealer will know of.
+	earlier  map[Process]bool
+	closed   map[Process]time.Duration
+	recorded map[Process]bool
 	// heard holds the incarnations of the homes that have reported.
 	heard map[string]uint64
 
@@ -53,12 +59,18 @@
 }
 
 // NewDealer returns a dealer with a unique identity that is not zero. No earlier dealer
-// may allocate credits after the time at which it began.
-func NewDealer(bounds Bounds, id uint64, start Start, began time.Duration) *Dealer {
-	return &Dealer{
-		bounds: bounds, id: id, start: start, began: began, settled: start == StartFirst, heard: map[string]uint64{},
-		limits: map[string]Limit{}, organisations: map[string]*organisation{}, homes: map[string]*dealerHome{},
-	}
+// may allocate credits after the time at which it began. earlier are the processes that
+// earlier dealers recorded, which remain recorded.
+func NewDealer(bounds Bounds, id uint64, start Start, began time.Duration, earlier []Process) *Dealer {
+	d := &Dealer{
+		bounds: bounds, id: id, start: start, began: began, earlier: map[Process]bool{}, closed: map[Process]time.Duration{},
+		heard: map[string]uint64{}, limits: map[string]Limit{}, organisations: map[string]*organisation{}, homes: map[string]*dealerHome{},
+	}
+	d.Record(earlier)
+	for _, p := range earlier {
+		d.earlier[p] = true
+	}
+	return d
 }
 
 // ID returns the identity of the dealer.
@@ -100,12 +112,6 @@
 	return true
 }
 
-func (d *Dealer) settle(now time.Duration) {
-	if now >= d.began+d.bounds.settleTime() {
-		d.settled = true
-	}
-}
-
 // Handle answers the report of a home.
 func (d *Dealer) Handle(home string, r Report, now time.Duration) Reply {
 	d.settle(now)
@@ -131,11 +137,16 @@
 	for i := range r.Uses {
 		d.record(h, &r.Uses[i], first, now)
 	}
-	return Reply{Dealer: d.id, Credits: d.credits(h, &r, now)}
+	d.hear(Process{home, r.Incarnation}, now)
+	return Reply{Dealer: d.id, Credits: d.credits(home, &r, now)}
 }
 
 // credits returns the credits for a home that has reported.
-func (d *Dealer) credits(h *dealerHome, r *Report, now time.Duration) []Credit {
+func (d *Dealer) credits(home string, r *Report, now time.Duration) []Credit {
+	h := d.homes[home]
+	if !d.recorded[Process{home, r.Incarnation}] {
+		return nil
+	}
 	var credits []Credit
 	mentioned := make(map[string]bool, len(r.Uses))
 	for i := range r.Uses {
@@ -177,6 +188,7 @@
 	for _, a := range d.homes[home].accounts {
 		a.close(now)
 	}
+	d.closed[Process{home, d.homes[home].incarnation}] = now
 	delete(d.homes, home)
 }
 
@@ -205,12 +217,14 @@
 func (d *Dealer) entitle(a *account, use *Use, now time.Duration) {
 	entitled := use.Held
 	slice := d.bounds.Window / stockSlices
+	for i, n := range use.Recent {
+		a.use(max(now-time.Duration(max(i-1, 0))*slice, 0), now, n)
+	}
 	for i, n := range use.Recent {
 		if time.Duration(i+1)*slice > d.bounds.Window+now-CallTime-d.began {
 			break
 		}
 		entitled += n
-		a.use(max(now-time.Duration(max(i-1, 0))*slice, 0), now, n)
 	}
 	a.organisation.entitled += scale(entitled, use.Basis, a.organisation.basis)
 }
--- a/internal/quota/dealer_test.go
+++ b/internal/quota/dealer_test.go
@@ -9,7 +9,11 @@
 const dealerStart = time.Hour
 
 func newTestDealer(start Start) *Dealer {
-	d := NewDealer(testBounds, 7, start, dealerStart)
+	earlier := []Process{{"lost", 1}, {"a", 2}, {"b", 2}, {"c", 2}, {"d", 2}, {"a", 3}, {"b", 1}}
+	d := NewDealer(testBounds, 7, start, dealerStart, earlier)
+	if start == StartFirst {
+		d.earlier = nil
+	}
 	d.SetLimits(map[string]Limit{"o": hundred})
 	return d
 }
--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -44,8 +44,11 @@
 	dealer *Dealer
 	holder *modelHome
 	// start is what the next dealer knows, from the row that dealers write.
-	start  Start
-	nextID uint64
+	start Start
+	// recorded are the processes of that row.
+	recorded  []Process
+	recording bool
+	nextID    uint64
 	// lossy is the share of messages that are lost, and late that of messages that arrive
 	// after the call was given up.
 	lossy, late float64
@@ -138,11 +141,27 @@
 func (m *model) elect(h *modelHome) {
 	m.holder = h
 	m.nextID++
-	m.dealer = NewDealer(m.bounds, m.nextID, m.start, m.clock(h))
+	m.dealer = NewDealer(m.bounds, m.nextID, m.start, m.clock(h), m.recorded)
 	m.dealer.SetLimits(h.limits)
 	m.start = StartUnsettled
 }
 
+// record writes the processes that need it to the row, which takes a while.
+func (m *model) record() {
+	dealer := m.dealer
+	if m.recording || !dealer.Unrecorded() {
+		return
+	}
+	m.recording = true
+	m.after(time.Duration(m.random.Int64N(int64(200*time.Millisecond))), func() {
+		m.recording = false
+		if m.dealer == dealer && !m.holder.frozen {
+			m.recorded = dealer.Processes(m.clock(m.holder))
+			dealer.Record(m.recorded)
+		}
+	})
+}
+
 // fail ends the lease of the holder; another process takes over after a while.
 func (m *model) fail(takeover time.Duration, next *modelHome) {
 	m.holder, m.dealer = nil, nil
@@ -221,6 +240,7 @@
 		return
 	}
 	reply := m.dealer.Handle(h.name, report, m.clock(m.holder))
+	m.record()
 	m.mentioned += len(reply.Credits)
 	if m.dealer.Settled(m.clock(m.holder)) {
 		m.start = StartSettled
--- /dev/null
+++ b/internal/quota/processes.go
@@ -0,0 +1,69 @@
+package quota
+
+import "time"
+
+// Process is a home's process.
+type Process struct {
+	Home        string
+	Incarnation uint64
+}
+
+// A dealer gives credits only to processes that it has recorded where the next dealer finds
+// them. Once all of them have reported to it, the next dealer knows everything and need not
+// wait until the credits of unknown homes have expired.
+
+// Unrecorded reports whether a process waits to be recorded.
+func (d *Dealer) Unrecorded() bool {
+	for name, h := range d.homes {
+		if !d.recorded[Process{name, h.incarnation}] {
+			return true
+		}
+	}
+	return false
+}
+
+// Processes returns the processes that have to be recorded: those that may have credits,
+// or may have used some within the window.
+func (d *Dealer) Processes(now time.Duration) []Process {
+	var processes []Process
+	for name, h := range d.homes {
+		processes = append(processes, Process{name, h.incarnation})
+	}
+	for p, closedAt := range d.closed {
+		if now-closedAt > d.bounds.settleTime() {
+			delete(d.closed, p)
+			continue
+		}
+		processes = append(processes, p)
+	}
+	d.settle(now)
+	for p := range d.earlier {
+		processes = append(processes, p)
+	}
+	return processes
+}
+
+// Record tells the dealer that the processes are recorded.
+func (d *Dealer) Record(processes []Process) {
+	d.recorded = map[Process]bool{}
+	for _, p := range processes {
+		d.recorded[p] = true
+	}
+}
+
+// hear notes that a process of an earlier dealer has reported.
+func (d *Dealer) hear(p Process, now time.Duration) {
+	delete(d.closed, p)
+	delete(d.earlier, p)
+	d.settle(now)
+}
+
+// settle notes when the dealer knows all uses of the last window.
+func (d *Dealer) settle(now time.Duration) {
+	if now >= d.began+d.bounds.settleTime() {
+		d.earlier = nil
+	}
+	if len(d.earlier) == 0 {
+		d.settled = true
+	}
+}
