--- a/internal/edge/quota_dealer.go
+++ b/internal/edge/quota_dealer.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -23,10 +22,10 @@
 	// quotaRowKey is the key of the row in which each dealer records that it allocates,
 	// and whether it has settled. The row is never deleted.
 	quotaRowKey = "quota/dealer"
-	// quotaRowInterval is the time between two attempts to read or write the row, and
-	// minQuotaRowInterval that after a call of a home that the row does not name.
-	quotaRowInterval    = 300 * time.Millisecond
-	minQuotaRowInterval = 50 * time.Millisecond
+	// dealerInterval is the time between two looks at whether the row has to be written.
+	dealerInterval = 50 * time.Millisecond
+	// rowRetryInterval is the time after a failed access to the row.
+	rowRetryInterval = 300 * time.Millisecond
 	// quotaRowTimeout bounds one access to the row.
 	quotaRowTimeout = time.Second
 )
@@ -38,8 +37,8 @@
 	Token  duty.Token `json:"token"`
 	// Settled is set once the dealer has no more credits outstanding than allowed.
 	Settled bool `json:"settled"`
-	// Homes names the homes that may have credits. A home gets none before it is named.
-	Homes []string `json:"homes,omitempty"`
+	// Homes are the processes that may have credits.
+	Homes []quota.Process `json:"homes"`
 }
 
 // promotionLease is the part of duty.Lease that a quotaDealer uses.
@@ -58,22 +57,17 @@
 	clock  func() time.Duration
 	log    *zerolog.Logger
 
-	// version and settled are those of the row; starting is the token with which the row
-	// was first written, and start what the row said before. They are used by run only.
+	// version is that of the row; starting is the token of the lease, began the time at
+	// which it was first seen, and start what the row said then. settled is set once the
+	// row says so. They are used by run only.
 	version  uint64
 	settled  bool
 	starting duty.Token
+	began    time.Duration
 	start    quota.Start
 
-	// wake makes run write the row soon.
-	wake chan struct{}
-
 	mu     sync.Mutex
 	limits map[string]quota.Limit
-	// homes holds the homes that the row names, and the time of the last call of each;
-	// unnamed those that have called and are not named yet.
-	homes   map[string]time.Duration
-	unnamed map[string]bool
 	// dealer allocates while the token is held; nil if there is none.
 	dealer *quota.Dealer
 	token  duty.Token
@@ -89,9 +83,9 @@
 	}
 }
 
-// handle answers a report, or returns nil if this process may not allocate or the row does
-// not name the home yet. The lease must last until the home has given up the call: another
-// dealer would not know of credits that the home accepts later.
+// handle answers a report, or returns nil if this process may not allocate. The lease
+// must last until the home has given up the call: another dealer would not know of credits
+// that the home accepts later.
 func (q *quotaDealer) handle(home string, report *peerpb.QuotaReport) *peerpb.QuotaReply {
 	if q == nil || report == nil {
 		return nil
@@ -101,130 +95,68 @@
 	if token, _ := q.lease.Held(); q.dealer == nil || q.token != token || q.lease.Remaining() <= quota.CallTime {
 		return nil
 	}
-	now := q.clock()
-	if _, named := q.homes[home]; !named {
-		q.unnamed[home] = true
-		q.wakeRun()
-		return nil
-	}
-	q.homes[home] = now
-	return peer.QuotaReplyToProto(q.dealer.Handle(home, peer.QuotaReportFromProto(report), now))
-}
-
-// wakeRun makes run write the row soon.
-func (q *quotaDealer) wakeRun() {
-	select {
-	case q.wake <- struct{}{}:
-	default:
-	}
+	return peer.QuotaReplyToProto(q.dealer.Handle(home, peer.QuotaReportFromProto(report), q.clock()))
 }
 
 // run starts a dealer whenever this process has acquired the lease, until ctx ends.
 func (q *quotaDealer) run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		delay.Sleep(ctx, minQuotaRowInterval) // homes that call at the same time are named together
-		timer := time.NewTimer(quotaRowInterval - minQuotaRowInterval)
-		select {
-		case <-q.wake:
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
+	for delay.Sleep(ctx, dealerInterval) {
 		if err := q.step(ctx); err != nil && ctx.Err() == nil {
 			eventQuotaRowFailed.Log(q.log).Err(err).Send()
+			delay.Sleep(ctx, rowRetryInterval)
 		}
 	}
 	return nil
 }
 
-// step starts a dealer, or records that it has settled or which homes may have credits,
-// if that is due.
+// step starts a dealer, or writes the row if that is due.
 func (q *quotaDealer) step(ctx context.Context) error {
 	token, held := q.lease.Held()
+	if !held {
+		return nil
+	}
+	if q.starting != token {
+		q.starting, q.began, q.start, q.settled = token, q.clock(), startUnknown, false
+	}
 	q.mu.Lock()
-	limited := len(q.limits) > 0
-	running := q.dealer != nil && q.token == token
-	settles := running && !q.settled && q.dealer.Settled(q.clock())
-	names := running && (len(q.unnamed) > 0 || len(q.namesToKeep()) < len(q.homes))
+	limited, dealer := len(q.limits) > 0, q.dealer
+	running := dealer != nil && q.token == token
+	due := running && (dealer.Unrecorded() || !q.settled && dealer.Settled(q.clock()))
 	q.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, quotaRowTimeout)
 	defer cancel()
 	switch {
-	case !held:
-		return nil
 	case !running && limited:
 		return q.begin(ctx, token)
-	case settles:
-		return q.settle(ctx, token)
-	case names:
-		return q.nameHomes(ctx, token)
+	case due:
+		return q.update(ctx, token)
 	}
 	return nil
 }
 
-// nameHomes writes the homes that may have credits, unless a later dealer has replaced the
-// row.
-func (q *quotaDealer) nameHomes(ctx context.Context, token duty.Token) error {
-	value, err := q.read(ctx) // an own write whose answer was lost has changed the version
-	if err != nil || value.Holder != q.holder || value.Token != token {
+// update writes the processes with credits, and whether the dealer has settled, unless a
+// later dealer has replaced the row.
+func (q *quotaDealer) update(ctx context.Context, token duty.Token) error {
+	value, err := q.read(ctx)
+	if err != nil {
 		return err
 	}
-	return q.write(ctx, token, value.Settled)
-}
-
-// namesToKeep returns the homes that may have credits, or uses within the last window. The
-// caller holds the lock.
-func (q *quotaDealer) namesToKeep() []string {
-	now := q.clock()
-	var names []string
-	for home, seen := range q.homes {
-		if now-seen < q.bounds.SettleTime() {
-			names = append(names, home)
-		}
+	if value.Holder != q.holder || value.Token != token {
+		return eris.Errorf("the row of the dealer of quotas is that of %s", value.Holder)
 	}
-	return names
-}
-
-// nextNames returns the homes that the next row names.
-func (q *quotaDealer) nextNames() []string {
 	q.mu.Lock()
-	defer q.mu.Unlock()
-	names := q.namesToKeep()
-	for home := range q.unnamed {
-		names = append(names, home)
+	now := q.clock()
+	value.Homes = q.dealer.Processes(now)
+	value.Settled = value.Settled || q.dealer.Settled(now)
+	q.mu.Unlock()
+	if err := q.write(ctx, value); err != nil {
+		return err
 	}
-	slices.Sort(names)
-	return names
-}
-
-// setNames records the homes that the row names.
-func (q *quotaDealer) setNames(names []string) {
+	q.settled = value.Settled
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	named := make(map[string]time.Duration, len(names))
-	for _, home := range names {
-		seen, known := q.homes[home]
-		if !known {
-			seen = q.clock()
-		}
-		named[home] = seen
-		delete(q.unnamed, home)
-	}
-	q.homes = named
-}
-
-// settle records in the row that the dealer of a token has settled, unless a later
-// dealer has replaced the row.
-func (q *quotaDealer) settle(ctx context.Context, token duty.Token) error {
-	value, err := q.read(ctx)
-	if err != nil {
-		return err
-	}
-	if value.Holder != q.holder || value.Token != token || value.Settled {
-		q.settled = true
-		return nil
-	}
-	return q.write(ctx, token, true)
+	q.dealer.Record(value.Homes)
+	return nil
 }
 
 // begin starts a dealer for a token, once the row says so.
@@ -234,29 +166,27 @@
 		return err
 	}
 	// An own write for the same token whose answer was lost tells nothing new.
-	if value.Holder != q.holder || value.Token != token || q.starting != token {
-		q.starting, q.start = token, startAfter(q.version, value)
+	if value.Holder != q.holder || value.Token != token || q.start == startUnknown {
+		q.start = startAfter(q.version, value)
 	}
-	q.mu.Lock()
-	q.homes, q.unnamed = map[string]time.Duration{}, map[string]bool{}
-	q.mu.Unlock()
-	q.setNames(value.Homes)
-	if err := q.write(ctx, token, false); err != nil {
+	if err := q.write(ctx, quotaRow{Holder: q.holder, Token: token, Homes: value.Homes}); err != nil {
 		return err
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	// The lease was held after the row was written, so no other dealer allocates any more.
 	if current, held := q.lease.Held(); !held || current != token {
 		return nil
 	}
-	q.dealer, q.token = quota.NewDealer(q.bounds, q.version, q.start, q.clock()), token
-	q.dealer.Expect(value.Homes)
+	// The lease has been held since before the row was read, so no other dealer allocates.
+	q.dealer, q.token = quota.NewDealer(q.bounds, q.version, q.start, q.began, value.Homes), token
 	q.dealer.SetLimits(q.limits)
-	eventQuotaDealer.Log(q.log).Uint64("token", uint64(token)).Str("start", q.start.String()).Send()
+	eventQuotaDealer.Log(q.log).Uint64("token", uint64(token)).Str("start", q.start.String()).Int("earlier_homes", len(value.Homes)).Send()
 	return nil
 }
 
+// startUnknown is the start before the row was read.
+const startUnknown quota.Start = 255
+
 // startAfter returns what a dealer knows that found the row with a version and value.
 func startAfter(version uint64, value quotaRow) quota.Start {
 	switch {
@@ -284,10 +214,9 @@
 	return value, eris.Wrap(json.Unmarshal(row.Value, &value), "decode the row of the dealer of quotas")
 }
 
-// write writes the row in place of the version that was last read or written.
-func (q *quotaDealer) write(ctx context.Context, token duty.Token, settled bool) error {
-	names := q.nextNames()
-	data, err := json.Marshal(quotaRow{Holder: q.holder, Token: token, Settled: settled, Homes: names})
+// write writes the row in place of the version that was last read.
+func (q *quotaDealer) write(ctx context.Context, value quotaRow) error {
+	data, err := json.Marshal(value)
 	if err != nil {
 		return eris.Wrap(err, "encode the row of the dealer of quotas")
 	}
@@ -295,7 +224,6 @@
 	if err != nil {
 		return eris.Wrap(err, "write the row of the dealer of quotas")
 	}
-	q.version, q.settled = versions[0], settled
-	q.setNames(names)
+	q.version = versions[0]
 	return nil
 }
--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -6,7 +6,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"sort"
 	"time"
 )
 
@@ -45,9 +44,10 @@
 	holder *modelHome
 	// start is what the next dealer knows, from the row that dealers write.
 	start Start
-	// named holds the homes that the row names, which may have credits.
-	named  map[string]bool
-	nextID uint64
+	// recorded are the processes of that row.
+	recorded  []Process
+	recording bool
+	nextID    uint64
 	// lossy is the share of messages that are lost, and late that of messages that arrive
 	// after the call was given up.
 	lossy, late float64
@@ -63,10 +63,8 @@
 	name  string
 	stock *Stock
 	// rate and offset relate the clock of the process to the true time.
-	rate   float64
-	offset time.Duration
-	// bootedAt is the time at which the process started, by its clock.
-	bootedAt  time.Duration
+	rate      float64
+	offset    time.Duration
 	life      uint64
 	cut       bool
 	frozen    bool
@@ -84,7 +82,7 @@
 
 func newModel(seed uint64, bounds Bounds, homes int, limits map[string]Limit) *model {
 	m := &model{
-		random: rand.New(rand.NewPCG(seed, 1)), bounds: bounds, limits: limits, start: StartFirst, named: map[string]bool{},
+		random: rand.New(rand.NewPCG(seed, 1)), bounds: bounds, limits: limits, start: StartFirst,
 		ran: map[string][]time.Duration{}, offered: map[string]int{}, refused: map[string]int{},
 	}
 	for i := range homes {
@@ -107,7 +105,6 @@
 // boot starts a process, or a new process of the same name.
 func (m *model) boot(h *modelHome) {
 	h.life++
-	h.bootedAt = m.clock(h)
 	h.stock = NewStock(m.bounds, h.life, m.random.Float64)
 	h.waiting, h.calling, h.resumed, h.frozen = map[string][]*modelOperation{}, false, nil, false
 	h.again = false
@@ -143,12 +140,27 @@
 func (m *model) elect(h *modelHome) {
 	m.holder = h
 	m.nextID++
-	m.dealer = NewDealer(m.bounds, m.nextID, m.start, m.clock(h))
-	m.dealer.Expect(slices.Sorted(maps.Keys(m.named)))
+	m.dealer = NewDealer(m.bounds, m.nextID, m.start, m.clock(h), m.recorded)
 	m.dealer.SetLimits(h.limits)
 	m.start = StartUnsettled
 }
 
+// record writes the processes that need it to the row, which takes a while.
+func (m *model) record() {
+	dealer := m.dealer
+	if m.recording || !dealer.Unrecorded() {
+		return
+	}
+	m.recording = true
+	m.after(time.Duration(m.random.Int64N(int64(200*time.Millisecond))), func() {
+		m.recording = false
+		if m.dealer == dealer && !m.holder.frozen {
+			m.recorded = dealer.Processes(m.clock(m.holder))
+			dealer.Record(m.recorded)
+		}
+	})
+}
+
 // fail ends the lease of the holder; another process takes over after a while.
 func (m *model) fail(takeover time.Duration, next *modelHome) {
 	m.holder, m.dealer = nil, nil
@@ -199,7 +211,6 @@
 	h.calling, h.calledAt = true, m.now
 	sentAt := m.clock(h)
 	report := h.stock.Report(sentAt)
-	report.Age = sentAt - h.bootedAt
 	life := h.life
 	m.messages++
 	m.mentioned += len(report.Uses)
@@ -227,8 +238,8 @@
 	if m.holder == nil || m.holder.frozen || (m.holder != h && (h.cut || m.holder.cut)) {
 		return
 	}
-	m.named[h.name] = true
 	reply := m.dealer.Handle(h.name, report, m.clock(m.holder))
+	m.record()
 	m.mentioned += len(reply.Credits)
 	if m.dealer.Settled(m.clock(m.holder)) {
 		m.start = StartSettled
@@ -372,75 +383,3 @@
 		m.dealer.SetLimits(limits)
 	}
 }
-
-// most returns the largest number of operations of an organisation that ran in any
-// window that begins within a time.
-func (m *model) most(organisation string, from, to time.Duration) int {
-	times := slices.Clone(m.ran[organisation])
-	slices.Sort(times)
-	most, last := 0, 0
-	for first, at := range times {
-		for last < len(times) && times[last] < at+m.bounds.Window {
-			last++
-		}
-		if at >= from && at < to {
-			most = max(most, last-first)
-		}
-	}
-	return most
-}
-
-// count returns the operations of an organisation that ran within a time.
-func (m *model) count(organisation string, from, to time.Duration) int {
-	count := 0
-	for _, at := range m.ran[organisation] {
-		if at >= from && at < to {
-			count++
-		}
-	}
-	return count
-}
-
-// allowed is the number of operations that may run in one window.
-func allowed(b Bounds, l Limit) int {
-	return int((l.Rate*b.Window.Seconds()+l.Burst)*(1+b.Excess) + b.Slack)
-}
-
-// load offers operations of an organisation at a rate, at homes of the given weights.
-func (m *model) load(organisation string, rate float64, weights []float64, until time.Duration) {
-	m.after(time.Duration(m.random.ExpFloat64()/rate*float64(time.Second)), func() {
-		if m.now < until {
-			m.offer(m.homes[m.pick(weights)], organisation)
-			m.load(organisation, rate, weights, until)
-		}
-	})
-}
-
-// pace offers operations of an organisation at an even rate, so that no window has more
-// than the rate allows.
-func (m *model) pace(organisation string, rate float64, weights []float64, until time.Duration) {
-	m.after(time.Duration(float64(time.Second)/rate), func() {
-		if m.now < until {
-			m.offer(m.homes[m.pick(weights)], organisation)
-			m.pace(organisation, rate, weights, until)
-		}
-	})
-}
-
-func (m *model) pick(weights []float64) int {
-	x := m.random.Float64() * weights[len(weights)-1]
-	i := sort.Search(len(weights), func(i int) bool { return weights[i] > x })
-	return min(i, len(weights)-1)
-}
-
-// skewed returns cumulative weights of homes, of which each has share times the weight of
-// the one before.
-func skewed(homes int, share float64) []float64 {
-	weights, sum, w := make([]float64, homes), 0.0, 1.0
-	for i := range weights {
-		sum += w
-		weights[i] = sum
-		w *= share
-	}
-	return weights
-}
