--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -7,7 +7,7 @@
 // outstanding when another process takes the lease; a holder that restarts takes it at once
 // and assumes that they are. Before it replaces a primary
 // it blocks further grants for the group and waits until each process with a grant
-// has revoked it or the grant has expired. A process that revokes its grants tells the
+// has revoked it or the grant has expired. A process that revokes its grants reports the
 // highest position that it acknowledged under them, so that the promoted server must have
 // it; what one acknowledged whose grant has expired is unknown. A process counts the duration of a
 // grant from the time before it sent the request, on a clock that also runs while
@@ -65,9 +65,9 @@
 	// issued counts the grants.
 	issued uint64
 	// outstanding holds the last grant of each process, and for ListingTime and MaxListAge
-	// after its expiry, unless the process has told what it acknowledged under it.
+	// after its expiry, unless the process has reported what it acknowledged under it.
 	outstanding map[cluster.GroupName]map[Holder]issuedGrant
-	// acknowledged holds the highest position that processes have told.
+	// acknowledged holds the highest position that processes have reported.
 	acknowledged map[cluster.GroupName]cluster.Position
 	// terms holds the terms that may be granted; a group without one is blocked.
 	terms map[cluster.GroupName]cluster.Term
@@ -106,7 +106,7 @@
 }
 
 // Block stops further grants for a group and returns the processes that have outstanding
-// ones or have not told what they acknowledged under them, and the number of the last grant.
+// ones or have not reported what they acknowledged under them, and the number of the last grant.
 func (i *Issuer) Block(group cluster.GroupName) ([]cluster.ProxyID, uint64) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/internal/grant/grant_test.go
+++ b/internal/grant/grant_test.go
@@ -124,9 +124,9 @@
 	}
 }
 
-// TestRevocationTellsWhatWasAcknowledged guards against an election that does not know of a
+// TestRevocationReportsWhatWasAcknowledged guards against an election that does not know of a
 // write which a process has acknowledged under a grant.
-func TestRevocationTellsWhatWasAcknowledged(t *testing.T) {
+func TestRevocationReportsWhatWasAcknowledged(t *testing.T) {
 	clock := &fakeClock{now: time.Hour}
 	issuer, held := NewIssuer(clock.read), NewHeldGrants("p1", clock.read)
 	issuer.Allow("g", 3)
--- a/internal/home/acknowledge_test.go
+++ b/internal/home/acknowledge_test.go
@@ -56,7 +56,7 @@
 }
 
 // The next election must learn which writes were acknowledged under a grant.
-func TestRevocationTellsTheAcknowledgedWrite(t *testing.T) {
+func TestRevocationReportsTheAcknowledgedWrite(t *testing.T) {
 	inBubble(t, func(d *environment.Document) { d.Ranks.Normal.Ack = environment.AckServer }, func(t *testing.T, b *testBench) {
 		start := time.Now()
 		terms := grant.NewHeldGrants("p1", func() time.Duration { return time.Since(start) })
@@ -64,8 +64,8 @@
 		h := New(Config{ID: "p1", NoClaims: true, ExactClasses: true, Terms: terms}, b.group.Dialer("p1"))
 		b.own(h)
 		b.mustWrite(h, "s", "put k v1")
-		if told := terms.Revoke("orders").Acknowledged; !told.Known() || told.String() != b.highWater(h) {
-			t.Errorf("acknowledged %v, told %v", b.highWater(h), told)
+		if reported := terms.Revoke("orders").Acknowledged; !reported.Known() || reported.String() != b.highWater(h) {
+			t.Errorf("acknowledged %v, reported %v", b.highWater(h), reported)
 		}
 	})
 }
--- a/internal/succession/elect.go
+++ b/internal/succession/elect.go
@@ -37,7 +37,7 @@
 }
 
 // requiredEnd returns the position that the promoted server must have, if one is known. The
-// members do not tell it while a server that is not listed yet may have received
+// members do not determine it while a server that is not listed yet may have received
 // acknowledged writes: then it is not below what the processes acknowledged that had grants.
 // Nothing that was acknowledged lies beyond the whole log of the old primary.
 func requiredEnd(g Group, v View, s State, logs []finalLog, now time.Time) (cluster.Position, bool) {
--- a/internal/succession/model_events_test.go
+++ b/internal/succession/model_events_test.go
@@ -240,7 +240,7 @@
 		other.revokedAt = w.now
 		_, last := p.issuer.Block("g")
 		p.issuer.RecordRevoked(revocation, "g", last)
-		p.told = cluster.MaxPosition(p.told, revocation.Acknowledged)
+		p.reported = cluster.MaxPosition(p.reported, revocation.Acknowledged)
 		p.grantExpiry[e.b], other.heldUntil = 0, 0
 		w.decide(p)
 	}
--- a/internal/succession/model_hash_test.go
+++ b/internal/succession/model_hash_test.go
@@ -141,7 +141,7 @@
 		for _, expiry := range p.grantExpiry {
 			e.age(max(expiry, e.now-grant.ListingTime))
 		}
-		e.position(p.told)
+		e.position(p.reported)
 	}
 	if now := modelStart.Add(e.now); p.token != 0 && p.grantsEnd.unlistedPossible(grant.ListingTime, now) {
 		e.bools(p.grantsEnd.earlierHolderRecent(grant.ListingTime, now))
--- a/internal/succession/model_process_test.go
+++ b/internal/succession/model_process_test.go
@@ -68,12 +68,12 @@
 	// the token predecessor.
 	restartedAt time.Duration
 	predecessor duty.Token
-	// told mirrors what processes have told the issuer, and acknowledged what this one has
+	// reported mirrors what processes have reported to the issuer, and acknowledged what this one has
 	// acknowledged under its grants.
-	told, acknowledged cluster.Position
-	heldTerm           cluster.Term
-	heldUntil          time.Duration
-	revokedAt          time.Duration
+	reported, acknowledged cluster.Position
+	heldTerm               cluster.Term
+	heldUntil              time.Duration
+	revokedAt              time.Duration
 }
 
 // decide runs the decisions of the process as groupLoop.decide does.
@@ -100,7 +100,7 @@
 	view.UnlistedPossible = p.grantsEnd.unlistedPossible(window, now) && !w.disabled.unlistedWait
 	view.Acknowledged, view.AcknowledgedUnknown = p.issuer.Acknowledged("g", window)
 	view.AcknowledgedUnknown = view.AcknowledgedUnknown || p.grantsEnd.earlierHolderRecent(window, now)
-	if w.disabled.acknowledgedTold {
+	if w.disabled.acknowledgedReported {
 		view.Acknowledged = cluster.Position{}
 	}
 	view.PromotionInFlight = p.stage != stageNone
--- a/internal/succession/model_test.go
+++ b/internal/succession/model_test.go
@@ -333,7 +333,7 @@
 		{"final logs after the last grant", "a replica restarts while a grant is in force", modelDisabled{logsAfterGrants: true, unlistedWait: true}},
 		{"a restarted holder assumes earlier grants", "the holder restarts while a grant is in force", modelDisabled{earlierGrants: true, unlistedWait: true}},
 		{"servers that are not listed yet are waited for", "a server joins between the pauses", modelDisabled{unlistedWait: true}},
-		{"revocations tell what was acknowledged", "a server joins between the pauses", modelDisabled{acknowledgedTold: true}},
+		{"revocations report what was acknowledged", "a server joins between the pauses", modelDisabled{acknowledgedReported: true}},
 		{"acknowledgements need a grant or all copies", "a replica restarts while a call is in transit", modelDisabled{acknowledgeRule: true}},
 		{"acknowledgements need a grant or all copies", "a server joins after the replicas were paused", modelDisabled{acknowledgeRule: true}},
 	} {
--- a/internal/succession/model_world_test.go
+++ b/internal/succession/model_world_test.go
@@ -32,7 +32,7 @@
 
 // modelDisabled names a mechanism that the model leaves out.
 type modelDisabled struct {
-	members, startTimes, grantsWait, leaseCheck, pendingCalls, recordFirst, acknowledgeRule, logsAfterGrants, earlierGrants, unlistedWait, acknowledgedTold bool
+	members, startTimes, grantsWait, leaseCheck, pendingCalls, recordFirst, acknowledgeRule, logsAfterGrants, earlierGrants, unlistedWait, acknowledgedReported bool
 }
 
 // modelWorld is a group of servers, the processes that may hold the promotion lease,
@@ -189,7 +189,7 @@
 			w.now = now
 		}
 	}
-	p.issuer.RecordRevoked(grant.Revocation{Acknowledged: p.told}, "g", 0)
+	p.issuer.RecordRevoked(grant.Revocation{Acknowledged: p.reported}, "g", 0)
 	if p.issuer.Block("g"); p.allowed {
 		p.issuer.Allow("g", p.allowedTerm)
 	}
--- a/internal/succession/unlisted_test.go
+++ b/internal/succession/unlisted_test.go
@@ -10,7 +10,7 @@
 
 // TestWriteAtAServerThatIsNotListedYetIsWaitedFor guards against the loss of a write that
 // only the failed primary and a server that has just started have. The processes may or may
-// not tell that they acknowledged it.
+// not report that they acknowledged it.
 func TestWriteAtAServerThatIsNotListedYetIsWaitedFor(t *testing.T) {
 	for _, tt := range []struct {
 		name         string
@@ -44,7 +44,7 @@
 	}
 }
 
-// TestUnlistedServersArePossible tells when a server that has received writes under a grant
+// TestUnlistedServersArePossible checks when a server that has received writes under a grant
 // may not be listed: until the listing time has passed since the last grant ended, and while
 // changes of the list are not heard of, for grant.MaxListAge at most.
 func TestUnlistedServersArePossible(t *testing.T) {
