--- a/internal/grant/grant_test.go
+++ b/internal/grant/grant_test.go
@@ -124,9 +124,9 @@
 	}
 }
 
-// TestRevocationTellsWhatWasAcknowledged guards against an election that does not know of a
+// TestRevocationReportsWhatWasAcknowledged guards against an election that does not know of a
 // write which a process has acknowledged under a grant.
-func TestRevocationTellsWhatWasAcknowledged(t *testing.T) {
+func TestRevocationReportsWhatWasAcknowledged(t *testing.T) {
 	clock := &fakeClock{now: time.Hour}
 	issuer, held := NewIssuer(clock.read), NewHeldGrants("p1", clock.read)
 	issuer.Allow("g", 3)
@@ -138,11 +138,11 @@
 	}
 	clock.now += MaxDuration + ListingTime/2 // it has expired, and the process is asked all the same
 	holders, last := issuer.Block("g")
-	if _, other := issuer.Acknowledged("g"); len(holders) != 1 || !other {
+	if _, other := issuer.Acknowledged("g", ListingTime); len(holders) != 1 || !other {
 		t.Fatalf("holders %v, unknown %v before the revocation", holders, other)
 	}
 	issuer.RecordRevoked(held.Revoke("g"), "g", last)
-	if highest, other := issuer.Acknowledged("g"); highest != written || other {
+	if highest, other := issuer.Acknowledged("g", ListingTime); highest != written || other {
 		t.Errorf("acknowledged %v, unknown %v", highest, other)
 	}
 }
@@ -189,6 +189,6 @@
 }
 
 func unknown(i *Issuer) bool {
-	_, other := i.Acknowledged("g")
+	_, other := i.Acknowledged("g", ListingTime)
 	return other
 }
