--- a/internal/rank/fair_test.go
+++ b/internal/rank/fair_test.go
@@ -276,3 +276,36 @@
 		}
 	})
 }
+
+// TestFairWaitCountsTheTurnsOfOthers guards against a request of an organisation that has
+// waited for nothing yet, is taken to be served at once and waits until its deadline behind
+// the turns of the other organisations; and against one that is taken to wait for the whole
+// queue of an organisation that floods.
+func TestFairWaitCountsTheTurnsOfOthers(t *testing.T) {
+	q := &queue{total: drain{assignInterval: movingAverage{value: 0.01, initialized: true}}}
+	waiting := map[string]int{"flood": 100, "own": 1, "high": 4}
+	for i := range 20 {
+		waiting[fmt.Sprint("small", i)] = 1
+	}
+	ranks := map[string]cluster.Rank{"high": cluster.RankUrgent, "new": cluster.RankNormal}
+	for organisation, n := range waiting {
+		for range n {
+			s := q.shareOf(organisation, ranks)
+			q.push(&waiter{share: s, late: organisation == "flood"}, s)
+		}
+	}
+	for _, tt := range []struct {
+		organisation string
+		onTime       bool
+		want         time.Duration
+	}{
+		{"new", false, 240 * time.Millisecond}, // one of each organisation, and two of the one with twice the weight
+		{"new", true, 230 * time.Millisecond},
+		{"own", false, 270 * time.Millisecond},
+		{"", false, 0},
+	} {
+		if got := q.fairWait(q.shareOf(tt.organisation, ranks), tt.onTime).Round(time.Millisecond); got != tt.want {
+			t.Errorf("%q, on time %v: %v, want %v", tt.organisation, tt.onTime, got, tt.want)
+		}
+	}
+}
--- a/internal/rank/schedule.go
+++ b/internal/rank/schedule.go
@@ -322,6 +322,7 @@
 	r := w.request.Rank
 	d.remove(w)
 	w.backlog.share.recordAssigned(w, now)
+	w.queue.recordTotal(now)
 	slot := &Slot{
 		Server: s.id, Reason: reason, Waited: now.Sub(w.arrived),
 		dispatcher: d, server: s, rank: r, lane: w.request.Lane, started: now,
