--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -7,7 +7,7 @@
 // outstanding when another process takes the lease; a holder that restarts takes it at once
 // and assumes that they are. Before it replaces a primary
 // it blocks further grants for the group and waits until each process with a grant
-// has revoked it or the grant has expired. A process that revokes its grants tells the
+// has revoked it or the grant has expired. A process that revokes its grants reports the
 // highest position that it acknowledged under them, so that the promoted server must have
 // it; what one acknowledged whose grant has expired is unknown. A process counts the duration of a
 // grant from the time before it sent the request, on a clock that also runs while
@@ -38,6 +38,10 @@
 // received a write that was acknowledged under it.
 const ListingTime = 2 * time.Second
 
+// MaxListAge bounds the time for which a lease holder that hears of no changes of the list
+// waits for them. What was acknowledged under a grant that ended longer ago is not asked for.
+const MaxListAge = 30 * time.Second
+
 // Holder is one run of a process that has grants. Incarnation is zero if it is not known.
 type Holder struct {
 	Proxy       cluster.ProxyID
@@ -60,10 +64,10 @@
 	mu sync.Mutex
 	// issued counts the grants.
 	issued uint64
-	// outstanding holds the last grant of each process, and for ListingTime after its expiry,
-	// unless the process has told what it acknowledged under it.
+	// outstanding holds the last grant of each process, and for ListingTime and MaxListAge
+	// after its expiry, unless the process has reported what it acknowledged under it.
 	outstanding map[cluster.GroupName]map[Holder]issuedGrant
-	// acknowledged holds the highest position that processes have told.
+	// acknowledged holds the highest position that processes have reported.
 	acknowledged map[cluster.GroupName]cluster.Position
 	// terms holds the terms that may be granted; a group without one is blocked.
 	terms map[cluster.GroupName]cluster.Term
@@ -102,7 +106,7 @@
 }
 
 // Block stops further grants for a group and returns the processes that have outstanding
-// ones or have not told what they acknowledged under them, and the number of the last grant.
+// ones or have not reported what they acknowledged under them, and the number of the last grant.
 func (i *Issuer) Block(group cluster.GroupName) ([]cluster.ProxyID, uint64) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -132,7 +136,7 @@
 		i.outstanding[group] = map[Holder]issuedGrant{}
 	}
 	now := i.clock()
-	maps.DeleteFunc(i.outstanding[group], func(_ Holder, g issuedGrant) bool { return now >= g.expiry+ListingTime })
+	maps.DeleteFunc(i.outstanding[group], func(_ Holder, g issuedGrant) bool { return now >= g.expiry+ListingTime+MaxListAge })
 	i.issued++
 	i.outstanding[group][h] = issuedGrant{number: i.issued, expiry: max(i.outstanding[group][h].expiry, now+duration)}
 	return term, duration, true
@@ -160,14 +164,14 @@
 
 // Acknowledged returns the highest position of a group that processes are known to have
 // acknowledged under grants which they have revoked. It is complete unless other is set:
-// then a process may have acknowledged others within the last ListingTime.
-func (i *Issuer) Acknowledged(group cluster.GroupName) (highest cluster.Position, other bool) {
+// then a process whose grant ended within the given time may have acknowledged others.
+func (i *Issuer) Acknowledged(group cluster.GroupName, within time.Duration) (highest cluster.Position, other bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := i.clock()
-	other = now < i.earlierExpiry+ListingTime
+	other = now < i.earlierExpiry+within
 	for _, g := range i.outstanding[group] {
-		other = other || now < g.expiry+ListingTime
+		other = other || now < g.expiry+within
 	}
 	return i.acknowledged[group], other
 }
--- a/internal/quota/dealer.go
+++ b/internal/quota/dealer.go
@@ -36,13 +36,14 @@
 	// it knows all uses of the last window.
 	began   time.Duration
 	settled bool
+	// earlier holds the processes with credits of earlier dealers that have not reported;
+	// closed those that are not homes any more, since a time; recorded those that the next
+	// dealer will know of.
+	earlier  map[Process]bool
+	closed   map[Process]time.Duration
+	recorded map[Process]bool
 	// heard holds the incarnations of the homes that have reported.
 	heard map[string]uint64
-	// expected holds the homes that may have credits of earlier dealers and have not
-	// reported; nil if these are not known. unseenUntil is the time until which uses that
-	// no report tells of may be within the last window.
-	expected    map[string]bool
-	unseenUntil time.Duration
 
 	limits        map[string]Limit
 	organisations map[string]*organisation
@@ -58,12 +59,18 @@
 }
 
 // NewDealer returns a dealer with a unique identity that is not zero. No earlier dealer
-// may allocate credits after the time at which it began.
-func NewDealer(bounds Bounds, id uint64, start Start, began time.Duration) *Dealer {
-	return &Dealer{
-		bounds: bounds, id: id, start: start, began: began, settled: start == StartFirst, heard: map[string]uint64{},
-		limits: map[string]Limit{}, organisations: map[string]*organisation{}, homes: map[string]*dealerHome{},
+// may allocate credits after the time at which it began. earlier are the processes that
+// earlier dealers recorded, which remain recorded.
+func NewDealer(bounds Bounds, id uint64, start Start, began time.Duration, earlier []Process) *Dealer {
+	d := &Dealer{
+		bounds: bounds, id: id, start: start, began: began, earlier: map[Process]bool{}, closed: map[Process]time.Duration{},
+		heard: map[string]uint64{}, limits: map[string]Limit{}, organisations: map[string]*organisation{}, homes: map[string]*dealerHome{},
 	}
+	d.Record(earlier)
+	for _, p := range earlier {
+		d.earlier[p] = true
+	}
+	return d
 }
 
 // ID returns the identity of the dealer.
@@ -105,34 +112,6 @@
 	return true
 }
 
-// Expect names the homes that may have credits of earlier dealers, among them all that
-// have. The dealer settles as soon as it knows the uses of each of them.
-func (d *Dealer) Expect(homes []string) {
-	d.expected = make(map[string]bool, len(homes))
-	for _, home := range homes {
-		d.expected[home] = true
-	}
-}
-
-func (d *Dealer) settle(now time.Duration) {
-	heardAll := d.expected != nil && len(d.expected) == 0 && now >= d.unseenUntil
-	if heardAll || now >= d.began+d.bounds.SettleTime() {
-		d.settled = true
-	}
-}
-
-// accountFor records the first report of a process. What an earlier process of its name
-// has used is not reported, but that one ended before this one started. The report does
-// not tell of the oldest uses of the window, which are as old as a call may take.
-func (d *Dealer) accountFor(home string, age, now time.Duration) {
-	if !d.expected[home] {
-		return
-	}
-	delete(d.expected, home)
-	slice := d.bounds.Window / stockSlices
-	d.unseenUntil = max(d.unseenUntil, now+CallTime+slice, now-age+d.bounds.Window+d.bounds.Window/clockMargin)
-}
-
 // Handle answers the report of a home.
 func (d *Dealer) Handle(home string, r Report, now time.Duration) Reply {
 	d.settle(now)
@@ -155,17 +134,19 @@
 	h.sequence, h.seen = r.Sequence, now
 	first := d.heard[home] != r.Incarnation
 	d.heard[home] = r.Incarnation
-	if first {
-		d.accountFor(home, r.Age, now)
-	}
 	for i := range r.Uses {
 		d.record(h, &r.Uses[i], first, now)
 	}
-	return Reply{Dealer: d.id, Credits: d.credits(h, &r, now)}
+	d.hear(Process{home, r.Incarnation}, now)
+	return Reply{Dealer: d.id, Credits: d.credits(home, &r, now)}
 }
 
 // credits returns the credits for a home that has reported.
-func (d *Dealer) credits(h *dealerHome, r *Report, now time.Duration) []Credit {
+func (d *Dealer) credits(home string, r *Report, now time.Duration) []Credit {
+	h := d.homes[home]
+	if !d.recorded[Process{home, r.Incarnation}] {
+		return nil
+	}
 	var credits []Credit
 	mentioned := make(map[string]bool, len(r.Uses))
 	for i := range r.Uses {
@@ -207,6 +188,7 @@
 	for _, a := range d.homes[home].accounts {
 		a.close(now)
 	}
+	d.closed[Process{home, d.homes[home].incarnation}] = now
 	delete(d.homes, home)
 }
 
@@ -235,12 +217,14 @@
 func (d *Dealer) entitle(a *account, use *Use, now time.Duration) {
 	entitled := use.Held
 	slice := d.bounds.Window / stockSlices
+	for i, n := range use.Recent {
+		a.use(max(now-time.Duration(max(i-1, 0))*slice, 0), now, n)
+	}
 	for i, n := range use.Recent {
 		if time.Duration(i+1)*slice > d.bounds.Window+now-CallTime-d.began {
 			break
 		}
 		entitled += n
-		a.use(max(now-time.Duration(max(i-1, 0))*slice, 0), now, n)
 	}
 	a.organisation.entitled += scale(entitled, use.Basis, a.organisation.basis)
 }
