Let a dealer of quotas learn from the members which processes have ended

A later process of the same VM proves that the recorded one has ended; its uses leave the window within 5 s.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -124,6 +124,7 @@
 	if e.quotas != nil {
 		e.quotaDealer = &quotaDealer{
 			bounds: config.Quota, holder: string(config.ID), lease: e.lease, table: adapters.Table, clock: duty.BootTime, log: &e.log,
+			ended: e.processEnded,
 		}
 	}
 	e.succession = succession.New(succession.Config{
--- a/internal/edge/quota_dealer.go
+++ b/internal/edge/quota_dealer.go
@@ -12,6 +12,7 @@
 
 	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/duty"
+	"github.com/rattancove/rattancove/internal/member"
 	"github.com/rattancove/rattancove/internal/peer"
 	"github.com/rattancove/rattancove/internal/peer/peerpb"
 	"github.com/rattancove/rattancove/internal/provider"
@@ -56,6 +57,9 @@
 	table  provider.Table
 	clock  func() time.Duration
 	log    *zerolog.Logger
+	// ended reports whether a process has ended because another one of its VM runs; nil if
+	// that is never known.
+	ended func(quota.Process) bool
 
 	// version is that of the row; starting is the token of the lease, began the time at
 	// which it was first seen, and start what the row said then. settled is set once the
@@ -109,6 +113,16 @@
 	return nil
 }
 
+// endProcesses tells the dealer which processes of earlier dealers have ended. The caller
+// holds the lock.
+func (q *quotaDealer) endProcesses(dealer *quota.Dealer) {
+	for _, p := range dealer.Earlier() {
+		if q.ended(p) {
+			dealer.End(p, q.clock())
+		}
+	}
+}
+
 // step starts a dealer, or writes the row if that is due.
 func (q *quotaDealer) step(ctx context.Context) error {
 	token, held := q.lease.Held()
@@ -121,6 +135,9 @@
 	q.mu.Lock()
 	limited, dealer := len(q.limits) > 0, q.dealer
 	running := dealer != nil && q.token == token
+	if running && q.ended != nil {
+		q.endProcesses(dealer)
+	}
 	due := running && (dealer.Unrecorded() || !q.settled && dealer.Settled(q.clock()))
 	q.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, quotaRowTimeout)
@@ -227,3 +244,10 @@
 	q.version = versions[0]
 	return nil
 }
+
+// processEnded reports whether a process has ended: only one runs on a VM, and a later one
+// of the VM is alive.
+func (e *Edge) processEnded(p quota.Process) bool {
+	entry, ok := e.members.Snapshot().Find(member.Key{Role: member.RoleProxy, ID: p.Home})
+	return ok && entry.State == member.StateAlive && entry.Member.Incarnation > p.Incarnation
+}
--- a/internal/quota/dealer.go
+++ b/internal/quota/dealer.go
@@ -42,6 +42,9 @@
 	earlier  map[Process]bool
 	closed   map[Process]time.Duration
 	recorded map[Process]bool
+	// unseenUntil is the time until which uses of processes that have ended may be within
+	// the last window.
+	unseenUntil time.Duration
 	// heard holds the incarnations of the homes that have reported.
 	heard map[string]uint64
 
--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -114,6 +114,20 @@
 	m.after(time.Duration(m.random.Int64N(int64(300*time.Millisecond))), func() { m.regular(h, life) })
 }
 
+// endProcesses tells the dealer which processes of earlier dealers have ended.
+func (m *model) endProcesses() {
+	if m.dealer == nil || m.holder.frozen {
+		return
+	}
+	for _, p := range m.dealer.Earlier() {
+		for _, h := range m.homes {
+			if h.name == p.Home && h.life > p.Incarnation && h.life > 1 {
+				m.dealer.End(p, m.clock(m.holder))
+			}
+		}
+	}
+}
+
 func (m *model) after(d time.Duration, run func()) { heap.Push(&m.queue, step{m.now + d, run}) }
 
 // run runs the model until a time.
@@ -238,6 +252,7 @@
 	if m.holder == nil || m.holder.frozen || (m.holder != h && (h.cut || m.holder.cut)) {
 		return
 	}
+	m.endProcesses()
 	reply := m.dealer.Handle(h.name, report, m.clock(m.holder))
 	m.record()
 	m.mentioned += len(reply.Credits)
--- a/internal/quota/processes.go
+++ b/internal/quota/processes.go
@@ -1,6 +1,10 @@
 package quota
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Process is a home's process.
 type Process struct {
@@ -61,9 +65,23 @@
 // settle notes when the dealer knows all uses of the last window.
 func (d *Dealer) settle(now time.Duration) {
 	if now >= d.began+d.bounds.settleTime() {
-		d.earlier = nil
+		d.earlier, d.unseenUntil = nil, 0
 	}
-	if len(d.earlier) == 0 {
+	if len(d.earlier) == 0 && now >= d.unseenUntil {
 		d.settled = true
 	}
 }
+
+// Earlier returns the processes with credits of earlier dealers that are not known to have
+// ended and have not reported.
+func (d *Dealer) Earlier() []Process { return slices.Collect(maps.Keys(d.earlier)) }
+
+// End records that a process with credits of earlier dealers has ended. Its credits are gone,
+// but no report tells what it has used, which leaves the window by and by.
+func (d *Dealer) End(p Process, now time.Duration) {
+	if !d.earlier[p] {
+		return
+	}
+	delete(d.earlier, p)
+	d.unseenUntil = max(d.unseenUntil, now+d.bounds.Window+d.bounds.Window/clockMargin)
+}
--- a/internal/quota/processes_test.go
+++ b/internal/quota/processes_test.go
@@ -114,3 +114,23 @@
 		t.Errorf("%+v for one operation", c)
 	}
 }
+
+// TestDealerSettlesWhenProcessesHaveEnded guards against a dealer that waits for processes
+// that have ended until their credits would have expired, and against one that forgets
+// what they used within the last window.
+func TestDealerSettlesWhenProcessesHaveEnded(t *testing.T) {
+	d := newBareDealer(StartUnsettled, Process{"a", 2}, Process{"b", 2}, Process{"c", 2})
+	handle(d, "a", 0, 1, 0, Use{})
+	d.End(Process{"b", 2}, dealerStart)
+	d.End(Process{"b", 3}, dealerStart+time.Second) // had no credits
+	if d.Settled(dealerStart + testBounds.Window + time.Second) {
+		t.Error("settled although c may have credits")
+	}
+	d = newBareDealer(StartUnsettled, Process{"b", 2}, Process{"c", 2})
+	d.End(Process{"b", 2}, dealerStart)
+	handle(d, "c", 0, 1, 0, Use{})
+	gone := dealerStart + testBounds.Window + testBounds.Window/clockMargin
+	if d.Settled(gone-1) || !d.Settled(gone) || len(d.Earlier()) > 0 {
+		t.Errorf("not settled just when the uses of b have left the window; still to come: %v", d.Earlier())
+	}
+}
