--- a/internal/quota/processes.go
+++ b/internal/quota/processes.go
@@ -77,7 +77,7 @@
 func (d *Dealer) Earlier() []Process { return slices.Collect(maps.Keys(d.earlier)) }
 
 // End records that a process with credits of earlier dealers has ended. Its credits are gone,
-// but no report tells what it has used, which leaves the window by and by.
+// but no report tells what it has used; that has left the window one window later.
 func (d *Dealer) End(p Process, now time.Duration) {
 	if !d.earlier[p] {
 		return
--- a/internal/succession/replay.go
+++ b/internal/succession/replay.go
@@ -152,7 +152,7 @@
 	return w
 }
 
-// undisturbed reports whether nothing but the replay of the replicas is amiss in a group:
+// undisturbed reports whether a group has no fault other than the late replay of its replicas:
 // each listed server works, reports and follows the one primary, no other server may have
 // acknowledged writes, and the list of the group is up to date.
 func undisturbed(g Group, v View, s State, now time.Time) bool {
