Fix a check of the pool's tests that depended on timing

The fake server recorded that connections carry tags when the first one of a tag was opened. The request is recorded now; before it two openings at once fail the test as before.

--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -21,11 +21,13 @@
 	dialing int
 	// maxDialing is the highest number of connections that were opened at once.
 	maxDialing int
-	tagged     bool
-	dials      []time.Time
-	refuse     bool
-	silent     bool
-	resets     int
+	// tagged records that a connection with a tag was requested. Only then may several be
+	// opened at once.
+	tagged bool
+	dials  []time.Time
+	refuse bool
+	silent bool
+	resets int
 }
 
 type fakeConn struct {
@@ -34,6 +36,13 @@
 	closed bool
 }
 
+// recordRequest records that a connection of tag is about to be requested.
+func (s *fakeServer) recordRequest(tag string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tagged = s.tagged || tag != ""
+}
+
 func (s *fakeServer) dial(ctx context.Context, tag string) (backend.Conn, error) {
 	s.mu.Lock()
 	s.dialing++
--- a/internal/pool/tag_test.go
+++ b/internal/pool/tag_test.go
@@ -244,6 +244,7 @@
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
 	defer cancel()
+	s.recordRequest(tag)
 	c, err := p.Get(ctx, tag)
 	if err != nil {
 		if limit == 2*time.Second && errors.Is(err, context.DeadlineExceeded) {
