Write at most 50 records of groups in one transaction

The store takes 100 entries in a transaction and counts a precondition and a put each, but up to 64 records were written at once. A change of more than 50 groups at the same time, as when a failure domain is lost in a large fleet, was refused with all its records, and written again in the same way. Found by reading, after the store of a 300 VM fleet had refused a transaction for its size; whether it was this one is not shown.

The stand-in refuses such transactions now, and so does the fake table.

--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -12,6 +12,10 @@
 // ErrNotFound reports a missing row or object.
 var ErrNotFound = errors.New("not found")
 
+// MaxWrites is the highest number of writes in one Commit. The store of the users' platform
+// takes 100 entries in a transaction, and each write is two: a precondition and a change.
+const MaxWrites = 50
+
 // Row is a versioned row of the table service.
 type Row struct {
 	Key string
@@ -50,7 +54,7 @@
 	Get(ctx context.Context, key string) (Row, error)
 	// List returns the rows whose keys start with prefix, ordered by key.
 	List(ctx context.Context, prefix string) ([]Row, error)
-	// Commit applies all writes atomically, or returns ErrConflict and applies
+	// Commit applies up to MaxWrites writes atomically, or returns ErrConflict and applies
 	// none. It returns the new versions of the rows, in the order of the writes.
 	Commit(ctx context.Context, writes ...Write) ([]uint64, error)
 }
--- a/internal/provider/providertest/table.go
+++ b/internal/provider/providertest/table.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -66,6 +67,9 @@
 
 // Commit implements provider.Table.
 func (t *Table) Commit(ctx context.Context, writes ...provider.Write) ([]uint64, error) {
+	if len(writes) > provider.MaxWrites {
+		return nil, fmt.Errorf("%d writes in one commit", len(writes))
+	}
 	if err := t.beginCall(ctx, "commit"); err != nil {
 		return nil, err
 	}
--- a/internal/standin/userplatform/store.go
+++ b/internal/standin/userplatform/store.go
@@ -242,12 +242,22 @@
 	Deletes      []Row `json:"deletes"`
 }
 
+// Limits of a transaction. Preconditions, puts and deletes are entries.
+const (
+	maxTransactionEntries = 100
+	maxTransactionBytes   = 1e6
+)
+
 func (s *Store) handleTransaction(w http.ResponseWriter, r *http.Request, faults Faults) {
 	var tx transaction
-	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxTransactionBytes)).Decode(&tx); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if len(tx.Precondition)+len(tx.Puts)+len(tx.Deletes) > maxTransactionEntries {
+		http.Error(w, "too many entries", http.StatusBadRequest)
+		return
+	}
 	if rand.Float64() < faults.LostResponseFraction {
 		s.commitWithoutResponse(tx, faults.LostResponseCommitDelay)
 	}
--- a/internal/succession/records.go
+++ b/internal/succession/records.go
@@ -20,9 +20,8 @@
 const (
 	// recordKeyPrefix is the prefix of the keys of all records.
 	recordKeyPrefix = "group/"
-	// maxRecordBatch is the maximum number of records that are written in one
-	// transaction, below the platform's limit of 100 rows.
-	maxRecordBatch = 64
+	// maxRecordBatch is the maximum number of records that are written in one transaction.
+	maxRecordBatch = provider.MaxWrites
 	// recordTimeout limits one call to the table service.
 	recordTimeout = time.Second
 )
