Serve transactions that are under way when idle sessions end

If a BEGIN was read just then, it was accepted, but what followed was not read, and the connection was closed in the middle of the transaction.

An idle session now reads on for up to 100 ms when a drain begins, once. A BEGIN that is read after the end of reading is refused, and leaves a failed transaction, so that what was read behind it does not run outside of it.

TestTransactionUnderWayAtADrain, TestBeginAtTheEndOfReading and TestBeginReadAheadAtTheEndOfTransactions fail without these.

--- a/internal/caller/drain.go
+++ b/internal/caller/drain.go
@@ -30,13 +30,23 @@
 }
 
 // EndIdle ends the sessions that have no open transaction, each once its statement is
-// answered.
+// answered. An idle session first waits drainGrace for a statement that is under way.
 func (d *Drain) EndIdle() { d.endIdle.Do(func() { close(d.idle) }) }
 
 // EndTransactions ends all sessions, each once its statement is answered. Open transactions
 // are rolled back.
 func (d *Drain) EndTransactions() { d.endTransactions.Do(func() { close(d.transactions) }) }
 
+// endsTransactions reports whether EndTransactions has been called.
+func (d *Drain) endsTransactions() bool {
+	select {
+	case <-d.transactions:
+		return true
+	default:
+		return false
+	}
+}
+
 // EndStatements ends the statements that still run. Their callers are told that the outcome
 // is unknown.
 func (d *Drain) EndStatements() { d.endStatements(errStopping) }
--- a/internal/caller/drain_test.go
+++ b/internal/caller/drain_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
@@ -70,6 +71,71 @@
 	}
 }
 
+// TestTransactionUnderWayAtADrain: a BEGIN that was read as the last statement of an idle
+// session was accepted, but nothing more was read. The connection was closed in the middle of
+// the transaction.
+func TestTransactionUnderWayAtADrain(t *testing.T) {
+	transaction := []*Statement{transactionStatement(KindBegin), write("y"), transactionStatement(KindCommit)}
+	synctest.Test(t, func(t *testing.T) {
+		d := serveDrained(t, func(h *fakeHome) statement.Runner { return h })
+		synctest.Wait()
+		d.drain.EndIdle()
+		synctest.Wait()
+		begun := time.Now()
+		d.send(transaction...)
+		d.expect(t, "done T", "y T", "COMMIT I")
+		if waited := time.Since(begun); waited > 0 {
+			t.Errorf("the session ended %v after its transaction", waited)
+		}
+	})
+}
+
+// lateConn reads a last statement while reading is being ended.
+type lateConn struct {
+	*scriptedConn
+	last *Statement
+}
+
+func (c *lateConn) EndReading() {
+	c.statements <- c.last
+	c.scriptedConn.EndReading()
+}
+
+// TestBeginAtTheEndOfReading guards against accepting a transaction whose statements are not
+// read any more.
+func TestBeginAtTheEndOfReading(t *testing.T) {
+	for name, end := range map[string]func(*Drain){
+		"idle sessions end": (*Drain).EndIdle, "transactions end": (*Drain).EndTransactions,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log, drain := zerolog.Nop(), NewDrain()
+				conn := &lateConn{newScriptedConn(), transactionStatement(KindBegin)}
+				end(drain)
+				drain.EndIdle()
+				New(Config{Routes: singleRoute{}, Runner: &fakeHome{}, Log: &log}, conn, "db", drain).Serve(t.Context())
+				if diff := cmp.Diff([]string{errcode.Draining.Name + " E"}, conn.answers); diff != "" {
+					t.Errorf("answers (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
+// TestBeginReadAheadAtTheEndOfTransactions guards against a transaction that begins when all
+// have to end, and against running what was read behind it outside of it.
+func TestBeginReadAheadAtTheEndOfTransactions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		d := serveDrained(t, func(h *fakeHome) statement.Runner { return &blockingHome{h, release} })
+		d.send(read("x"), transactionStatement(KindBegin), write("y"))
+		d.drain.EndIdle()
+		d.drain.EndTransactions()
+		close(release)
+		d.expect(t, "x I", errcode.Draining.Name+" E", errcode.Malformed.Name+" E")
+	})
+}
+
 // blockingHome runs a statement until it is released or its context ends.
 type blockingHome struct {
 	*fakeHome
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -25,6 +25,10 @@
 	// maxPrepared and maxSettings bound the memory of one session.
 	maxPrepared = 200
 	maxSettings = 100
+	// drainGrace is how long a session that is idle when a drain begins can still receive a
+	// statement. A statement that was sent before may be read later, since a VM with a fifth
+	// of a core can be stalled by its quota for 80 ms.
+	drainGrace = 100 * time.Millisecond
 	// maxRequestIDBytes bounds the request id that is logged.
 	maxRequestIDBytes = 128
 )
@@ -71,6 +75,8 @@
 	drain        *Drain
 	// refused is set while the caller's key is refused and that has been logged.
 	refused bool
+	// graceUsed is set once a drain has waited for a statement that was under way.
+	graceUsed bool
 	// readingEnded is set once no more statements are read because of a drain.
 	readingEnded atomic.Bool
 }
@@ -131,6 +137,9 @@
 	case next := <-s.statements:
 		return next
 	case <-end:
+		if next := s.statementUnderWay(ctx); next != nil {
+			return next
+		}
 		return s.lastStatement()
 	case <-ctx.Done():
 		if errors.Is(context.Cause(ctx), errStopping) {
@@ -140,6 +149,25 @@
 	}
 }
 
+// statementUnderWay waits up to drainGrace for a statement when a drain first finds the
+// session without one. Reading goes on, so that the statement may begin a transaction.
+func (s *Session) statementUnderWay(ctx context.Context) *Statement {
+	if s.graceUsed || s.state != StateIdle {
+		return nil
+	}
+	s.graceUsed = true
+	timer := time.NewTimer(drainGrace)
+	defer timer.Stop()
+	select {
+	case next := <-s.statements:
+		return next
+	case <-timer.C:
+	case <-s.drain.transactions:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
 // lastStatement ends reading and returns a statement that has been read before, which must
 // still be answered, or nil.
 func (s *Session) lastStatement() *Statement {
@@ -209,6 +237,12 @@
 		if s.pendingBegin != nil {
 			return s.conn.Fail(errcode.New(errcode.Malformed, "begin", ""), s.state)
 		}
+		if s.readingEnded.Load() || s.drain.endsTransactions() {
+			// What follows in the transaction would not be read. A failed one keeps what has
+			// been read from running outside of it.
+			s.state = StateFailed
+			return s.conn.Fail(errcode.New(errcode.Draining, "begin", ""), s.state)
+		}
 		s.pendingBegin, s.state = next, StateOpen
 	case KindRollback:
 		s.pendingBegin, s.state = nil, StateIdle
