Add a loss of power of all VMs to the model of quotas

After all VMs have lost power, the next dealer treats all credits as used until a window has passed, and refuses most operations within the limit. The model had no such event, so the loss was known from a deployment only.

--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -68,6 +68,7 @@
 	life      uint64
 	cut       bool
 	frozen    bool
+	down      bool
 	resumed   []func()
 	calledAt  time.Duration
 	callSoon  bool
@@ -105,6 +106,7 @@
 // boot starts a process, or a new process of the same name.
 func (m *model) boot(h *modelHome) {
 	h.life++
+	h.down = false
 	h.stock = NewStock(m.bounds, h.life, m.random.Float64)
 	h.waiting, h.calling, h.resumed, h.frozen = map[string][]*modelOperation{}, false, nil, false
 	h.again = false
@@ -121,7 +123,7 @@
 	}
 	for _, p := range m.dealer.Earlier() {
 		for _, h := range m.homes {
-			if h.name == p.Home && h.life > p.Incarnation && h.life > 1 {
+			if h.name == p.Home && h.life > p.Incarnation && h.life > 1 && !h.down {
 				m.dealer.End(p, m.clock(m.holder))
 			}
 		}
@@ -179,7 +181,7 @@
 func (m *model) fail(takeover time.Duration, next *modelHome) {
 	m.holder, m.dealer = nil, nil
 	m.after(takeover, func() {
-		if m.holder == nil {
+		if m.holder == nil && !next.down {
 			m.elect(next)
 		}
 	})
@@ -288,6 +290,9 @@
 
 // offer makes an operation arrive at a home.
 func (m *model) offer(h *modelHome, organisation string) {
+	if h.down {
+		return // the caller finds no home
+	}
 	h.at(func() {
 		m.offered[organisation]++
 		m.take(h, organisation, &modelOperation{}, true)
--- a/internal/quota/properties_test.go
+++ b/internal/quota/properties_test.go
@@ -20,7 +20,7 @@
 }
 
 // TestNoWindowExceedsTheLimit floods organisations through processes that are cut off,
-// frozen, restarted and replaced as holder, with lost and late messages, and counts the
+// frozen, restarted, replaced as holder and all ended at once, with lost and late messages, and counts the
 // operations that ran in all windows.
 func TestNoWindowExceedsTheLimit(t *testing.T) {
 	for seed := range seeds() {
@@ -79,6 +79,10 @@
 			}
 		case 3:
 			m.fail(time.Duration(random.Int64N(int64(4*time.Second))), h)
+		case 4:
+			if random.IntN(3) == 0 {
+				m.losePower(time.Duration(random.Int64N(int64(3 * time.Second))))
+			}
 		}
 		m.disturb(random, until)
 	})
