Keep ended processes in the row of dealers until their uses have left the window

A dealer that learned that a process of an earlier dealer had ended waited a window, but left the process out of the row at once. If the lease changed hands within that window, the next dealer knew all processes of the row, settled and allocated all credits beside the uses of the ended processes. TestEndedProcessesRemainRecorded fails without it.

Found by reading: a process that was left out of a row whose answer was lost still counted as recorded, and got credits if it came back. Processes that are not in the row to be written are no longer taken as recorded; TestProcessesLeftOutOfTheRecordGetNoCredits fails without it.

--- a/internal/quota/processes.go
+++ b/internal/quota/processes.go
@@ -44,6 +44,10 @@
 	for p := range d.earlier {
 		processes = append(processes, p)
 	}
+	// The record may replace the last one without the dealer getting the answer. Those that
+	// are not in it may return.
+	recorded := d.recorded
+	d.Record(slices.DeleteFunc(slices.Clone(processes), func(p Process) bool { return !recorded[p] }))
 	return processes
 }
 
@@ -83,5 +87,8 @@
 		return
 	}
 	delete(d.earlier, p)
+	// It remains recorded until then: its credits are gone like those of a home that was
+	// closed forgetTime ago. The next dealer would otherwise settle at once.
+	d.closed[p] = now - forgetTime
 	d.unseenUntil = max(d.unseenUntil, now+d.bounds.Window+d.bounds.Window/clockMargin)
 }
--- a/internal/quota/processes_test.go
+++ b/internal/quota/processes_test.go
@@ -134,3 +134,33 @@
 		t.Errorf("not settled just when the uses of b have left the window; still to come: %v", d.Earlier())
 	}
 }
+
+// TestEndedProcessesRemainRecorded guards against a next dealer that settles at once although
+// uses of processes that ended before are within the last window.
+func TestEndedProcessesRemainRecorded(t *testing.T) {
+	d := newBareDealer(StartUnsettled, Process{"b", 2})
+	d.End(Process{"b", 2}, dealerStart)
+	gone := dealerStart + testBounds.Window + testBounds.Window/clockMargin
+	for _, at := range []time.Duration{dealerStart, gone} {
+		if p := d.Processes(at); !slices.Contains(p, Process{"b", 2}) {
+			t.Errorf("b is missing among %v", p)
+		}
+	}
+	if p := d.Processes(gone + 1); len(p) > 0 {
+		t.Errorf("%v are recorded for good", p)
+	}
+}
+
+// TestProcessesLeftOutOfTheRecordGetNoCredits guards against credits of a process that
+// returns after a record without it was written, the answer to which was lost.
+func TestProcessesLeftOutOfTheRecordGetNoCredits(t *testing.T) {
+	d := newBareDealer(StartFirst)
+	handle(d, "a", 0, 1, 0, Use{Wanted: 50})
+	d.Record(d.Processes(dealerStart))
+	d.forget(dealerStart + 7*time.Second)
+	after := 8*time.Second + testBounds.settleTime()
+	d.Processes(dealerStart + after)
+	if c := handle(d, "a", after, 2, 0, Use{Wanted: 50}); c.Credits > 0 || !d.Unrecorded() {
+		t.Errorf("%+v for a process that may not be recorded", c)
+	}
+}
