Keep the ceilings of organisations in the row of the dealer of quotas

The row quota/dealer has the ceilings of a settled dealer, at most 256 KiB of them: 1,000 organisations with names of 20 bytes need 144 kB by the bound, 80 need 12 kB. A row of an earlier version has none, and the next dealer starts as before. The row that a new dealer writes has none either, because it allocates beside what the earlier ceilings left.

--- a/internal/edge/quota_dealer.go
+++ b/internal/edge/quota_dealer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -27,6 +28,11 @@
 	dealerInterval = 50 * time.Millisecond
 	// rowRetryInterval is the time after a failed access to the row.
 	rowRetryInterval = 300 * time.Millisecond
+	// maxCeilingsSize bounds the bytes of the ceilings in the row, of which each takes up to
+	// ceilingSize besides the name. The store takes 1 MB in a transaction, of which the homes
+	// of 1,900 processes need 100 kB.
+	maxCeilingsSize = 256 << 10
+	ceilingSize     = 24
 	// quotaRowTimeout bounds one access to the row.
 	quotaRowTimeout = time.Second
 )
@@ -40,6 +46,9 @@
 	Settled bool `json:"settled"`
 	// Homes are the processes that may have credits.
 	Homes []quota.Process `json:"homes"`
+	// Ceilings restrict the credits of organisations. An organisation without one, as in a
+	// row of an earlier version, may have all credits that its limit allows.
+	Ceilings map[string]uint64 `json:"ceilings,omitempty"`
 }
 
 // promotionLease is the part of duty.Lease that a quotaDealer uses.
@@ -62,13 +71,14 @@
 	ended func(quota.Process) bool
 
 	// version is that of the row; starting is the token of the lease, began the time at
-	// which it was first seen, and start what the row said then. settled is set once the
-	// row says so. They are used by run only.
+	// which it was first seen, and start and ceilings what the row said then. settled is
+	// set once the row says so. They are used by run only.
 	version  uint64
 	settled  bool
 	starting duty.Token
 	began    time.Duration
 	start    quota.Start
+	ceilings map[string]uint64
 
 	mu     sync.Mutex
 	limits map[string]quota.Limit
@@ -138,7 +148,7 @@
 	if running && q.ended != nil {
 		q.endProcesses(dealer)
 	}
-	due := running && (dealer.Unrecorded() || !q.settled && dealer.Settled(q.clock()))
+	due := running && (dealer.Unrecorded() || !q.settled && dealer.Settled(q.clock()) || dealer.CeilingsDue(q.clock()))
 	q.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, quotaRowTimeout)
 	defer cancel()
@@ -151,8 +161,8 @@
 	return nil
 }
 
-// update writes the processes with credits, and whether the dealer has settled, unless a
-// later dealer has replaced the row.
+// update writes the processes with credits, the ceilings, and whether the dealer has settled,
+// unless a later dealer has replaced the row.
 func (q *quotaDealer) update(ctx context.Context, token duty.Token) error {
 	value, err := q.read(ctx)
 	if err != nil {
@@ -165,6 +175,7 @@
 	now := q.clock()
 	value.Homes = q.dealer.Processes(now)
 	value.Settled = value.Settled || q.dealer.Settled(now)
+	value.Ceilings = boundCeilings(q.dealer.Ceilings(now))
 	q.mu.Unlock()
 	if err := q.write(ctx, value); err != nil {
 		return err
@@ -173,6 +184,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.dealer.Record(value.Homes)
+	q.dealer.RecordCeilings(value.Ceilings)
 	return nil
 }
 
@@ -184,8 +196,9 @@
 	}
 	// An own write for the same token whose answer was lost tells nothing new.
 	if value.Holder != q.holder || value.Token != token || q.start == startUnknown {
-		q.start = startAfter(q.version, value)
+		q.start, q.ceilings = startAfter(q.version, value), value.Ceilings
 	}
+	// The row has no ceilings until this dealer knows what was used beside them.
 	if err := q.write(ctx, quotaRow{Holder: q.holder, Token: token, Homes: value.Homes}); err != nil {
 		return err
 	}
@@ -196,11 +209,24 @@
 	}
 	// The lease has been held since before the row was read, so no other dealer allocates.
 	q.dealer, q.token = quota.NewDealer(q.bounds, q.version, q.start, q.began, value.Homes), token
+	q.dealer.SetEarlierCeilings(q.ceilings)
 	q.dealer.SetLimits(q.limits)
-	eventQuotaDealer.Log(q.log).Uint64("token", uint64(token)).Str("start", q.start.String()).Int("earlier_homes", len(value.Homes)).Send()
+	eventQuotaDealer.Log(q.log).Uint64("token", uint64(token)).Str("start", q.start.String()).Int("earlier_homes", len(value.Homes)).
+		Int("earlier_ceilings", len(q.ceilings)).Send()
 	return nil
 }
 
+// boundCeilings leaves out ceilings that would make the row too large. An organisation
+// without one may have all that its limit allows.
+func boundCeilings(ceilings map[string]uint64) map[string]uint64 {
+	size := 0
+	maps.DeleteFunc(ceilings, func(organisation string, _ uint64) bool {
+		size += 6*len(organisation) + ceilingSize // each byte may be escaped
+		return size > maxCeilingsSize
+	})
+	return ceilings
+}
+
 // startUnknown is the start before the row was read.
 const startUnknown quota.Start = 255
 
