--- a/internal/quota/ceiling_test.go
+++ b/internal/quota/ceiling_test.go
@@ -170,7 +170,8 @@
 
 // TestCeilingsHoldInEveryWindow guards against a new dealer that allocates more than an
 // earlier one left: floods follow calm times in which ceilings are recorded, and all
-// processes end, or the holder changes, while ceilings are lowered or removed.
+// processes end, or the holder changes, while ceilings are lowered or removed and limits
+// change.
 func TestCeilingsHoldInEveryWindow(t *testing.T) {
 	ceilings, limit := 0, Limit{Rate: 60, Burst: 30}
 	for seed := range seeds() {
@@ -187,6 +188,11 @@
 			ceilings += len(m.ceilings)
 			flood := m.now + between(8, 16)
 			m.load("o", 8*limit.Rate, skewed(6, 0.9), flood)
+			if random.IntN(3) == 0 {
+				lower := Limit{Rate: limit.Rate * (0.4 + 0.6*random.Float64()), Burst: limit.Burst}
+				m.configure(map[string]Limit{"o": lower}, time.Second)
+				m.after(between(2, 8), func() { m.configure(map[string]Limit{"o": limit}, time.Second) })
+			}
 			for range 1 + random.IntN(2) {
 				m.run(m.now + between(0, 2.5))
 				if random.IntN(3) > 0 {
