Choose among servers by own load, age of reports and response time

A home gave the first of several equally free servers the next read, so that at low load the busier replica had 1.51 times the mean of both. Reads waited up to 60 ms for full replicas while the primary had free slots (58% of the time with the replicas at 90%, 85% above their capacity; p50 60 ms), a slow replica got as many statements as its free slots allowed (p99 64 to 76 ms), and a server whose slots another home used looked free (7,574 retries of 18,000 statements, 143 refused).

Package balance orders the servers by the home's own statements, which are exact, and by reports that lose weight with their age: slowness and refusals. The dispatcher uses it with EvenLoad; without that nothing changes.

--- a/internal/rank/dispatcher.go
+++ b/internal/rank/dispatcher.go
@@ -81,6 +81,9 @@
 	// RetryAt is the time at which the server may become eligible without any
 	// other event; zero if there is none.
 	RetryAt time.Time
+	// Spare is set for the primary if it is not OK yet only because another server may run
+	// the request as well. It may then take a slot that the primary spares.
+	Spare bool
 }
 
 // Request is a request for a slot.
@@ -117,6 +120,9 @@
 	Proxies int
 	// Organisations holds the ranks of the organisations, which give their weights.
 	Organisations map[string]cluster.Rank
+	// EvenLoad spreads the requests over the servers by package balance. Without it, free
+	// slots are assigned in the order of the servers with the most of them, the primary's last.
+	EvenLoad bool
 }
 
 // Dispatcher assigns the slots of one group's servers to requests. It is safe for concurrent use.
@@ -136,6 +142,10 @@
 	timer            *time.Timer
 	closed           bool
 	stats            Stats
+	// readCost is the average slot time of the reads of a rank over all servers, observed
+	// last at readCostAt.
+	readCost   [cluster.RankCount]movingAverage
+	readCostAt [cluster.RankCount]time.Time
 	// meanCost is the average slot time over all ranks.
 	meanCost movingAverage
 	// chargeByCount charges the same cost for every request. Experiments set it.
--- a/internal/rank/prefer.go
+++ b/internal/rank/prefer.go
@@ -24,6 +24,9 @@
 // mayReplace reports whether a read of a rank may run on other instead of s without a
 // disadvantage to other requests.
 func (d *Dispatcher) mayReplace(other, s *server, c candidate) bool {
+	if d.evenLoad() && other.expected > s.expected {
+		return false
+	}
 	if other.id == d.primary || other.free() != s.free() || other.pinned.len() > 0 || !d.mayTakeSlot(other, c.rank) {
 		return false
 	}
--- a/internal/rank/schedule.go
+++ b/internal/rank/schedule.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/rattancove/rattancove/internal/balance"
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/errcode"
 )
@@ -22,6 +23,10 @@
 	credit [cluster.RankCount]float64
 	// creditTime is the time of the last update of credit.
 	creditTime time.Time
+	// load is what is known of the load of the server besides running, and expected its
+	// expected response time when the servers were last ordered.
+	load     balance.Server
+	expected float64
 }
 
 func (s *server) busy() int {
@@ -111,13 +116,21 @@
 	var retryAt time.Time
 	for assigned := true; assigned; {
 		assigned = false
-		for _, s := range d.serversByFreeSlots() {
+		for _, s := range d.serverOrder(now) {
 			assigned = d.assignOne(s, now, &retryAt) || assigned
 		}
 	}
 	d.scheduleReevaluation(now, retryAt)
 }
 
+// serverOrder returns the order in which the servers are offered waiting requests.
+func (d *Dispatcher) serverOrder(now time.Time) []*server {
+	if d.evenLoad() {
+		return d.serversByExpectedTime(now)
+	}
+	return d.serversByFreeSlots()
+}
+
 // serversByFreeSlots returns the servers by falling number of free slots, the primary
 // last so that reads prefer replicas.
 func (d *Dispatcher) serversByFreeSlots() []*server {
@@ -146,6 +159,9 @@
 	if d.config.Policy == PolicyStatic {
 		return d.assignOldest(s, now, retryAt)
 	}
+	if !d.hasFreeSlot(s, now, retryAt) {
+		return false
+	}
 	for _, c := range d.rankOrder(s) {
 		if !d.mayTakeSlot(s, c.rank) {
 			continue
@@ -277,7 +293,7 @@
 		}
 		scanned++
 		eligibility := w.request.Eligible(s.id, now)
-		if eligibility.OK {
+		if eligibility.OK || eligibility.Spare && d.evenLoad() && d.candidate(s).Spares() {
 			return w, eligibility.Reason
 		}
 		setEarliest(retryAt, eligibility.RetryAt)
@@ -332,6 +348,7 @@
 	d.queues[r][w.request.Lane].chargeStart(w.share, slot.shareCharge, w.request.Pinned != "")
 	d.charge(s, r, slot.initialCharge, byShare)
 	s.running[r]++
+	s.load.Given(w.seq)
 	if slot.lane == LaneRead {
 		s.reads++
 	}
--- a/internal/rank/slot.go
+++ b/internal/rank/slot.go
@@ -58,6 +58,7 @@
 		d.costAt[s.rank] = now
 		d.meanCost.add(used)
 		s.share.observeCost(used, now)
+		d.observeTime(s, used, now)
 	}
 	if !d.chargeByCount {
 		d.charge(s.server, s.rank, used-s.initialCharge, s.byShare)
