Use even load at homes where the configuration lists organisations

A read takes a spare slot of the primary only over an idle connection and while the term needs no proof.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -109,7 +109,7 @@
 	e.grants, e.issuer = grant.NewHeldGrants(config.ID, duty.BootTime), grant.NewIssuer(duty.BootTime)
 	e.issuer.AssumeEarlierGrants()
 	homeConfig := home.Config{
-		ID: config.ID, NoClaims: true, ExactClasses: true, Terms: e.grants, RequestGrants: e.requestGrantsSoon, Log: &e.log,
+		ID: config.ID, NoClaims: true, ExactClasses: true, EvenLoad: true, Terms: e.grants, RequestGrants: e.requestGrantsSoon, Log: &e.log,
 		RequestBytes: e.adapters.Memory.RequestBytes,
 	}
 	if e.quotas = newQuotas(config.Quota, uint64(e.started.UnixNano()), duty.BootTime, e.requestGrantsSoon, &e.log); e.quotas != nil {
--- a/internal/home/attempt.go
+++ b/internal/home/attempt.go
@@ -98,6 +98,9 @@
 	if err := att.connect(ctx); err != nil {
 		slot.MarkFailed()
 		slot.Release()
+		if ctx.Err() == nil {
+			slot.MarkRefused()
+		}
 		return nil, err
 	}
 	att.result = statement.Result{
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -42,6 +42,9 @@
 	RequestGrants func()
 	// Quotas admits the operations of organisations; nil if there are no quotas.
 	Quotas Quotas
+	// EvenLoad spreads the requests of a group over its servers by package balance, where
+	// the configuration lists organisations.
+	EvenLoad bool
 	// ExactClasses is set where the protocol itself distinguishes reads from
 	// writes, so that reads need not be run with writes disabled.
 	ExactClasses bool
--- a/internal/home/owner.go
+++ b/internal/home/owner.go
@@ -92,6 +92,8 @@
 	pendingAcks, pendingCopies atomic.Int32
 	// pollChannels holds pollNow of every node; the slice is replaced as a whole.
 	pollChannels atomic.Pointer[[]chan struct{}]
+	// replayPolls holds pollNow of every node; the map is replaced as a whole.
+	replayPolls atomic.Pointer[map[cluster.ServerID]chan struct{}]
 	// pools holds the pool of every node; the map is replaced as a whole.
 	pools atomic.Pointer[map[cluster.ServerID]*pool.Pool]
 	// routing is the state that routing decisions are based on; it is replaced as a whole.
@@ -157,7 +159,7 @@
 func (o *owner) dispatcherConfig() rank.Config {
 	return rank.Config{
 		Policy: o.home.config.Policy, Ranks: o.ranks,
-		QueueBytes: o.queueBytes(), Proxies: o.home.config.Proxies, Organisations: o.organisations,
+		QueueBytes: o.queueBytes(), Proxies: o.home.config.Proxies, Organisations: o.organisations, EvenLoad: o.evenLoad(),
 	}
 }
 
@@ -240,10 +242,13 @@
 	o.view.size = len(servers)
 	channels := make([]chan struct{}, 0, len(o.nodes))
 	pools := make(map[cluster.ServerID]*pool.Pool, len(o.nodes))
+	replayPolls := make(map[cluster.ServerID]chan struct{}, len(o.nodes))
 	for id, n := range o.nodes {
 		channels = append(channels, n.pollNow)
+		replayPolls[id] = n.pollNow
 		pools[id] = n.pool
 	}
+	o.replayPolls.Store(&replayPolls)
 	o.pollChannels.Store(&channels)
 	o.pools.Store(&pools)
 	o.dispatcher.SetServers(servers)
--- a/internal/home/primary.go
+++ b/internal/home/primary.go
@@ -118,6 +118,9 @@
 	if err != nil {
 		err = att.resolveError(&batch, err)
 		att.end(false)
+		if errcode.Is(err, errcode.ServerBusy) {
+			att.slot.MarkRefused()
+		}
 		switch {
 		case refusedByServer(err):
 			o.requestStatus()
--- a/internal/home/read.go
+++ b/internal/home/read.go
@@ -131,6 +131,9 @@
 	if !att.onPrimary() {
 		r.failed = append(r.failed, att.node.server.ID)
 	}
+	if !refusedByServer(err) || errcode.Is(err, errcode.ServerBusy) {
+		att.slot.MarkRefused()
+	}
 	if refusedByServer(err) {
 		o.requestStatus() // the last status of the server is out of date
 		return
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -235,17 +235,19 @@
 func (o *owner) acquire(ctx context.Context, r *request, lane rank.Lane, q route.Query) (*rank.Slot, *route.Group, cluster.Position, error) {
 	var chosen *route.Group
 	var required cluster.Position
+	even := o.spreadsLoad()
 	slot, err := o.dispatcher.Acquire(ctx, rank.Request{
 		Rank: r.rank, Lane: lane, Organisation: r.Organisation, Bytes: len(r.First.Messages), Objective: r.objective, Deadline: r.deadline,
 		Eligible: func(id cluster.ServerID, now time.Time) rank.Eligibility {
 			routing := o.routing.Load()
-			eligibility, position := o.evaluate(&q, routing, id, now)
-			if eligibility.OK {
+			eligibility, position := o.evaluate(&q, routing, id, even, now)
+			eligibility.Spare = eligibility.Spare && o.hasIdle(id, r.Organisation)
+			if eligibility.OK || eligibility.Spare {
 				chosen, required = routing, position
 			}
 			return eligibility
 		},
-		Prefers: o.prefers(r),
+		Prefers: o.prefers(r, even),
 	})
 	if err == nil {
 		waitSeconds[r.rank].Update(slot.Waited.Seconds())
@@ -259,29 +261,33 @@
 }
 
 // prefers returns the preference of a request for servers with an idle connection of its
-// organisation; nil without an organisation.
-func (o *owner) prefers(r *request) func(cluster.ServerID) bool {
-	if r.Organisation == "" {
+// organisation; nil without an organisation, unless requests take turns at the servers.
+func (o *owner) prefers(r *request, even bool) func(cluster.ServerID) bool {
+	if r.Organisation == "" && !even {
 		return nil
 	}
-	return func(id cluster.ServerID) bool {
-		p, ok := (*o.pools.Load())[id]
-		return ok && p.HasIdle(r.Organisation)
-	}
+	return func(id cluster.ServerID) bool { return o.hasIdle(id, r.Organisation) }
+}
+
+// hasIdle reports whether a server has an idle connection of an organisation.
+func (o *owner) hasIdle(id cluster.ServerID, organisation string) bool {
+	p, ok := (*o.pools.Load())[id]
+	return ok && p.HasIdle(organisation)
 }
 
 // evaluate decides whether the query may run on one server with a free slot. The
 // second result is the position that the server's data must have reached.
-func (o *owner) evaluate(q *route.Query, routing *route.Group, id cluster.ServerID, now time.Time) (rank.Eligibility, cluster.Position) {
+func (o *owner) evaluate(q *route.Query, routing *route.Group, id cluster.ServerID, even bool, now time.Time) (rank.Eligibility, cluster.Position) {
 	option, ok := route.DecideServer(q, routing, id, now)
 	if !ok {
 		return rank.Eligibility{}, cluster.Position{}
 	}
 	if option.ReplayOverdue {
-		o.requestStatus()
+		o.requestReplay(id, even)
 	}
 	if option.NotBefore.After(now) {
-		return rank.Eligibility{RetryAt: option.NotBefore}, cluster.Position{}
+		spare := even && option.Reason == route.ReasonBusy && o.termIsCurrent() && routing.HasFreshReplica(q, now)
+		return rank.Eligibility{RetryAt: option.NotBefore, Reason: string(option.Reason), Spare: spare}, cluster.Position{}
 	}
 	return rank.Eligibility{OK: true, Reason: string(option.Reason)}, option.RequiredPosition
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -163,6 +163,16 @@
 	return false
 }
 
+// HasFreshReplica reports whether a replica may run the request now, if it has a free slot.
+func (g *Group) HasFreshReplica(q *Query, now time.Time) bool {
+	for i := range g.Servers {
+		if o, ok := replicaOption(*q, g, g.Servers[i], now); ok && o.Reason == ReasonFresh {
+			return true
+		}
+	}
+	return false
+}
+
 // Decide returns the servers that may run q at now or soon afterwards.
 func Decide(q Query, g *Group, now time.Time) Decision {
 	if !replicaAllowed(q.Class) || q.PrimaryOnly || !q.FloorKnown {
