Add metrics of the load of each server of a group

Operators could not see which server of a group was loaded, waited for or refused statements, or how uneven that was. rattan-edge writes them for the groups that it is home of; they end with the home.

--- a/internal/home/owner.go
+++ b/internal/home/owner.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/rattancove/rattancove/internal/backend"
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/environment"
@@ -96,6 +98,8 @@
 	replayPolls atomic.Pointer[map[cluster.ServerID]chan struct{}]
 	// pools holds the pool of every node; the map is replaced as a whole.
 	pools atomic.Pointer[map[cluster.ServerID]*pool.Pool]
+	// metrics holds the metrics of the group and its servers; nil without EvenLoad.
+	metrics *metrics.Set
 	// routing is the state that routing decisions are based on; it is replaced as a whole.
 	routing atomic.Pointer[route.Group]
 
@@ -190,6 +194,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.setServers()
+	o.registerMetrics()
 	o.workers.Go(o.establish)
 }
 
@@ -359,6 +364,7 @@
 // concurrently with a later owner of the same proxy, and none of its requests
 // has run.
 func (o *owner) close(ctx context.Context) {
+	o.unregisterMetrics()
 	o.mu.Lock()
 	_, _, _ = o.phase.Fire(transitionDrain) // a superseded owner stays superseded
 	o.startDrain()
--- a/internal/rank/dispatcher.go
+++ b/internal/rank/dispatcher.go
@@ -197,7 +197,7 @@
 	for _, s := range servers {
 		entry := d.server(s.ID)
 		if entry == nil {
-			entry = &server{id: s.ID, creditTime: now}
+			entry = &server{id: s.ID, creditTime: now, useTime: now}
 		}
 		entry.slots = s.Slots
 		if d.config.Policy == PolicyStatic {
--- a/internal/rank/even_test.go
+++ b/internal/rank/even_test.go
@@ -1,6 +1,7 @@
 package rank
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -367,3 +368,34 @@
 		d.Close()
 	}
 }
+
+// TestBusiestToMean guards against a ratio that does not show a server that is loaded alone, and
+// against one of an idle group.
+func TestBusiestToMean(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(Config{})
+		defer d.Close()
+		d.SetServers([]cluster.Server{{ID: "s1", Slots: 4}, {ID: "s2", Slots: 4}, {ID: "s3", Slots: 4}})
+		only := func(id cluster.ServerID) func(cluster.ServerID, time.Time) Eligibility {
+			return func(s cluster.ServerID, _ time.Time) Eligibility { return Eligibility{OK: s == id} }
+		}
+		for i, want := range []float64{3, 1.5, 1} {
+			slot, err := d.Acquire(t.Context(), Request{Lane: LaneRead, Eligible: only(cluster.ServerID([]string{"s1", "s2", "s3"}[i]))})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer slot.Release()
+			time.Sleep(10 * time.Second)
+			if got := d.BusiestToMean(); math.Abs(got-want) > 0.01 {
+				t.Errorf("%d servers at work: %v, want %v", i+1, got, want)
+			}
+			slot.MarkRefused()
+			if l := d.Load(slot.Server); l.Running != 1 || l.Given != 1 || l.Refused != 1 {
+				t.Errorf("%+v", l)
+			}
+		}
+	})
+	if got := New(Config{}).BusiestToMean(); got != 0 {
+		t.Errorf("%v without servers", got)
+	}
+}
--- a/internal/rank/schedule.go
+++ b/internal/rank/schedule.go
@@ -27,6 +27,11 @@
 	// expected response time when the servers were last ordered.
 	load     balance.Server
 	expected float64
+	// use is the average use of the slots at useTime.
+	use     float64
+	useTime time.Time
+	// given and refused count statements, see ServerLoad.
+	given, refused uint64
 }
 
 func (s *server) busy() int {
@@ -347,7 +352,9 @@
 	slot.shareCharge = w.share.expectedCost(slot.initialCharge)
 	d.queues[r][w.request.Lane].chargeStart(w.share, slot.shareCharge, w.request.Pinned != "")
 	d.charge(s, r, slot.initialCharge, byShare)
+	s.updateUse(now)
 	s.running[r]++
+	s.given++
 	s.load.Given(w.seq)
 	if slot.lane == LaneRead {
 		s.reads++
--- a/internal/rank/slot.go
+++ b/internal/rank/slot.go
@@ -64,6 +64,7 @@
 		d.charge(s.server, s.rank, used-s.initialCharge, s.byShare)
 	}
 	s.share.chargeEnd(s.shareCharge, used)
+	s.server.updateUse(now)
 	s.server.running[s.rank]--
 	if s.lane == LaneRead {
 		s.server.reads--
