Test even load against each removed condition

The dispatcher no longer checks for even load before it takes a spare slot, since only homes with even load offer one.

--- a/internal/home/even_test.go
+++ b/internal/home/even_test.go
@@ -1,14 +1,17 @@
 package home
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/rattancove/rattancove/internal/backend"
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/environment"
+	"github.com/rattancove/rattancove/internal/errcode"
 	"github.com/rattancove/rattancove/internal/statement"
 )
 
@@ -135,12 +138,13 @@
 }
 
 // TestNoEvenLoadWithoutOrganisations guards against other choices than before where the
-// configuration lists no organisations.
+// configuration lists no organisations, and in programs that do not ask for even load.
 func TestNoEvenLoadWithoutOrganisations(t *testing.T) {
 	w := evenWorkload{5 * time.Millisecond, 100, false}
-	before, after := w.run(t, Config{}, nil), w.run(t, Config{EvenLoad: true}, nil)
-	if after.byServer["s2"] < 2*after.byServer["s3"] || after.byServer["s1"] != before.byServer["s1"] {
-		t.Errorf("reads by server %v, %v before", after.byServer, before.byServer)
+	for _, after := range []evenResult{w.run(t, Config{EvenLoad: true}, nil), w.run(t, Config{}, map[string]cluster.Rank{"a": cluster.RankNormal})} {
+		if after.byServer["s2"] < 2*after.byServer["s3"] || after.byServer["s1"] > 0 {
+			t.Errorf("reads by server %v", after.byServer)
+		}
 	}
 }
 
@@ -166,9 +170,10 @@
 func TestReadTakesSpareSlotOfPrimary(t *testing.T) {
 	for name, tt := range map[string]struct {
 		even, idle, current bool
-		busy                bool
+		busy, behind        bool
 		want                bool
 	}{
+		"replicas catch up":         {even: true, idle: true, current: true, behind: true},
 		"spare slot":                {even: true, idle: true, current: true, want: true},
 		"no connection":             {even: true, current: true},
 		"term needs a proof":        {even: true, idle: true},
@@ -190,8 +195,18 @@
 				}
 			}
 			time.Sleep(300 * time.Millisecond)
-			wait := b.fullGroup(h, organisation)
-			defer wait()
+			read := b.readOf(organisation, "get k")
+			if tt.behind {
+				w := b.request(statement.ClassWrite, "put k v3")
+				w.Organisation = "a"
+				_, result, err := run(h, w)
+				if err != nil {
+					t.Fatal(err)
+				}
+				read.Floor = result.Position
+			} else {
+				defer b.fullGroup(h, organisation)()
+			}
 			if tt.busy {
 				go func() { _, _, _ = run(h, b.request(statement.ClassWrite, "work 40ms put k v3")) }()
 				time.Sleep(time.Millisecond)
@@ -200,7 +215,7 @@
 				terms.uses.Store(0)
 			}
 			begun := time.Now()
-			_, result, err := run(h, b.readOf(organisation, "get k"))
+			_, result, err := run(h, read)
 			took := time.Since(begun)
 			if atOnce := result.Primary && took < 30*time.Millisecond; err != nil || atOnce != tt.want {
 				t.Errorf("%s: %+v after %v, %v", name, result, took, err)
@@ -208,3 +223,81 @@
 		})
 	}
 }
+
+// errorDialer opens connections to one server that refuse every statement with an error,
+// or none at all where the code is empty.
+type errorDialer struct {
+	backend.Dialer
+	server cluster.ServerID
+	code   errcode.Code
+}
+
+type errorConn struct {
+	backend.Conn
+	err error
+}
+
+func (d *errorDialer) Dial(ctx context.Context, s cluster.Server, g cluster.GroupName, organisation string, c backend.Claim) (backend.Conn, error) {
+	if s.ID == d.server && d.code.Name == "" {
+		return nil, errcode.New(errcode.ConnectionLost, "connect", string(s.ID))
+	}
+	conn, err := d.Dialer.Dial(ctx, s, g, organisation, c)
+	if s.ID != d.server || err != nil {
+		return conn, err
+	}
+	return &errorConn{conn, errcode.New(d.code, "execute", string(s.ID))}, nil
+}
+
+func (c *errorConn) Exchange(context.Context, *backend.Exchange, statement.Conversation) (backend.Result, error) {
+	return backend.Result{}, c.err
+}
+
+// TestRefusalsOfServersAreRecorded guards against a server that looks free because it refuses
+// or fails its statements at once, and against one that counts as full because it is behind.
+func TestRefusalsOfServersAreRecorded(t *testing.T) {
+	for name, tt := range map[string]struct {
+		code   errcode.Code
+		server cluster.ServerID
+		class  statement.Class
+		marked bool
+	}{
+		"busy replica":         {errcode.ServerBusy, "s2", statement.ClassRead, true},
+		"busy primary":         {errcode.ServerBusy, "s1", statement.ClassWrite, true},
+		"failing replica":      {errcode.ServerFailed, "s2", statement.ClassRead, true},
+		"no connection":        {errcode.Code{}, "s2", statement.ClassRead, true},
+		"replica behind":       {errcode.ReplicaBehind, "s2", statement.ClassRead, false},
+		"primary that was one": {errcode.NotPrimary, "s1", statement.ClassWrite, false},
+	} {
+		inBubble(t, nil, func(t *testing.T, b *testBench) {
+			d := &errorDialer{b.group.Dialer("p1"), tt.server, tt.code}
+			h := New(Config{ID: "p1", EvenLoad: true}, d)
+			h.SetOrganisations(map[string]cluster.Rank{"a": cluster.RankNormal})
+			b.own(h)
+			time.Sleep(time.Second)
+			r := b.request(tt.class, "get k")
+			r.FloorExact, r.Timeout = true, time.Second
+			_, _, _ = run(h, r)
+			if refused := h.owners["orders"].dispatcher.Load(tt.server).Refused; refused > 0 != tt.marked {
+				t.Errorf("%s: %d refusals recorded", name, refused)
+			}
+		})
+	}
+}
+
+// TestTurnsOpenNoConnections guards against reads without an organisation that open a connection
+// to each replica in turn while one of them has an idle one.
+func TestTurnsOpenNoConnections(t *testing.T) {
+	withGrants(t, func(t *testing.T, b *testBench, h *Home, _ *testTerms) {
+		h.config.EvenLoad = true
+		h.SetOrganisations(map[string]cluster.Rank{"a": cluster.RankNormal})
+		time.Sleep(time.Second)
+		for range 6 {
+			if _, _, err := run(h, b.readOf("", "get k")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if opens := b.group.Usage("s2").Opens + b.group.Usage("s3").Opens; opens != 1 {
+			t.Errorf("%d connections opened to replicas", opens)
+		}
+	})
+}
--- a/internal/rank/even_test.go
+++ b/internal/rank/even_test.go
@@ -348,8 +348,11 @@
 // TestOrderWithoutEvenLoad guards against a change of the order of the servers where even load
 // is not asked for: the first one with the most free slots, the primary last.
 func TestOrderWithoutEvenLoad(t *testing.T) {
-	for _, config := range []Config{{}, {EvenLoad: true, Policy: PolicyStatic}, {EvenLoad: true}} {
-		d := New(config)
+	for _, tt := range []struct {
+		config  Config
+		inTurns bool
+	}{{Config{}, false}, {Config{EvenLoad: true, Policy: PolicyStatic}, false}, {Config{EvenLoad: true}, true}} {
+		d := New(tt.config)
 		d.SetServers([]cluster.Server{{ID: "s1", Slots: 2, Connections: 2}, {ID: "s2", Slots: 2, Connections: 2}, {ID: "s3", Slots: 2, Connections: 2}})
 		d.SetPrimary("s1", 2)
 		given := map[cluster.ServerID]int{}
@@ -362,8 +365,8 @@
 			slot.MarkRefused()
 			slot.Release()
 		}
-		if inTurn := given["s2"] < 6; inTurn != d.evenLoad() {
-			t.Errorf("%+v: reads by server %v", config, given)
+		if inTurns := given["s2"] < 6; inTurns != tt.inTurns {
+			t.Errorf("%+v: reads by server %v", tt.config, given)
 		}
 		d.Close()
 	}
@@ -399,3 +402,70 @@
 		t.Errorf("%v without servers", got)
 	}
 }
+
+// evenDispatcher returns a dispatcher of three servers with four slots, s1 the primary.
+func evenDispatcher() *Dispatcher {
+	d := New(Config{EvenLoad: true})
+	d.SetServers([]cluster.Server{{ID: "s1", Slots: 4}, {ID: "s2", Slots: 4}, {ID: "s3", Slots: 4}})
+	d.SetPrimary("s1", 4)
+	return d
+}
+
+// TestLimitAfterRefusalEnds guards against a request that waits, after a refusal, until another
+// statement ends although the server has free slots.
+func TestLimitAfterRefusalEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := evenDispatcher()
+		defer d.Close()
+		onlyS2 := Request{Lane: LaneRead, Eligible: func(s cluster.ServerID, _ time.Time) Eligibility { return Eligibility{OK: s == "s2"} }}
+		refused := mustAcquire(t, d, onlyS2)
+		refused.MarkRefused()
+		refused.Release()
+		defer mustAcquire(t, d, onlyS2).Release()
+		begun := time.Now()
+		defer mustAcquire(t, d, onlyS2).Release()
+		if took := time.Since(begun); took < 5*time.Millisecond || took > 40*time.Millisecond {
+			t.Errorf("a second statement got a slot after %v", took)
+		}
+	})
+}
+
+// TestWritesSayNothingOfTheSpeed guards against a primary that counts as slow because writes
+// take longer than reads.
+func TestWritesSayNothingOfTheSpeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := evenDispatcher()
+		defer d.Close()
+		for range 100 {
+			for lane, cost := range []time.Duration{50 * time.Millisecond, time.Millisecond} {
+				slot := mustAcquire(t, d, Request{Lane: Lane(lane), Eligible: anyServerEligible})
+				time.Sleep(cost)
+				slot.Release()
+			}
+		}
+		if slowness := d.server("s1").load.Slowness(time.Now()); slowness > 1.1 {
+			t.Errorf("slowness of the primary %v", slowness)
+		}
+	})
+}
+
+// TestPreferenceDoesNotOutweighLoad guards against a read that goes to a server that refuses
+// statements because it has a connection of the read's organisation.
+func TestPreferenceDoesNotOutweighLoad(t *testing.T) {
+	d := evenDispatcher()
+	defer d.Close()
+	prefersS2 := Request{Lane: LaneRead, Eligible: anyServerEligible, Prefers: func(s cluster.ServerID) bool { return s == "s2" }}
+	for range 2 {
+		slot := mustAcquire(t, d, prefersS2)
+		if slot.Server != "s2" {
+			t.Errorf("the read got %s", slot.Server)
+		}
+		slot.Release()
+	}
+	slot := mustAcquire(t, d, prefersS2)
+	slot.MarkRefused()
+	slot.Release()
+	if slot := mustAcquire(t, d, prefersS2); slot.Server == "s2" {
+		t.Error("the read got the server that had just refused one")
+	}
+}
--- a/internal/rank/schedule.go
+++ b/internal/rank/schedule.go
@@ -298,7 +298,7 @@
 		}
 		scanned++
 		eligibility := w.request.Eligible(s.id, now)
-		if eligibility.OK || eligibility.Spare && d.evenLoad() && d.candidate(s).Spares() {
+		if eligibility.OK || eligibility.Spare && d.candidate(s).Spares() {
 			return w, eligibility.Reason
 		}
 		setEarliest(retryAt, eligibility.RetryAt)
