--- a/internal/home/owner.go
+++ b/internal/home/owner.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/rattancove/rattancove/internal/backend"
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/environment"
@@ -92,8 +94,12 @@
 	pendingAcks, pendingCopies atomic.Int32
 	// pollChannels holds pollNow of every node; the slice is replaced as a whole.
 	pollChannels atomic.Pointer[[]chan struct{}]
+	// replayPolls holds pollNow of every node; the map is replaced as a whole.
+	replayPolls atomic.Pointer[map[cluster.ServerID]chan struct{}]
 	// pools holds the pool of every node; the map is replaced as a whole.
 	pools atomic.Pointer[map[cluster.ServerID]*pool.Pool]
+	// metrics holds the metrics of the group and its servers; nil without EvenLoad.
+	metrics *metrics.Set
 	// routing is the state that routing decisions are based on; it is replaced as a whole.
 	routing atomic.Pointer[route.Group]
 
@@ -157,7 +163,7 @@
 func (o *owner) dispatcherConfig() rank.Config {
 	return rank.Config{
 		Policy: o.home.config.Policy, Ranks: o.ranks,
-		QueueBytes: o.queueBytes(), Proxies: o.home.config.Proxies, Organisations: o.organisations,
+		QueueBytes: o.queueBytes(), Proxies: o.home.config.Proxies, Organisations: o.organisations, EvenLoad: o.evenLoad(),
 	}
 }
 
@@ -188,6 +194,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.setServers()
+	o.registerMetrics()
 	o.workers.Go(o.establish)
 }
 
@@ -240,10 +247,13 @@
 	o.view.size = len(servers)
 	channels := make([]chan struct{}, 0, len(o.nodes))
 	pools := make(map[cluster.ServerID]*pool.Pool, len(o.nodes))
+	replayPolls := make(map[cluster.ServerID]chan struct{}, len(o.nodes))
 	for id, n := range o.nodes {
 		channels = append(channels, n.pollNow)
+		replayPolls[id] = n.pollNow
 		pools[id] = n.pool
 	}
+	o.replayPolls.Store(&replayPolls)
 	o.pollChannels.Store(&channels)
 	o.pools.Store(&pools)
 	o.dispatcher.SetServers(servers)
@@ -354,6 +364,7 @@
 // concurrently with a later owner of the same proxy, and none of its requests
 // has run.
 func (o *owner) close(ctx context.Context) {
+	o.unregisterMetrics()
 	o.mu.Lock()
 	_, _, _ = o.phase.Fire(transitionDrain) // a superseded owner stays superseded
 	o.startDrain()
--- a/internal/rank/slot.go
+++ b/internal/rank/slot.go
@@ -58,11 +58,13 @@
 		d.costAt[s.rank] = now
 		d.meanCost.add(used)
 		s.share.observeCost(used, now)
+		d.observeTime(s, used, now)
 	}
 	if !d.chargeByCount {
 		d.charge(s.server, s.rank, used-s.initialCharge, s.byShare)
 	}
 	s.share.chargeEnd(s.shareCharge, used)
+	s.server.updateUse(now)
 	s.server.running[s.rank]--
 	if s.lane == LaneRead {
 		s.server.reads--
