Let reads prefer servers in the failure domain of their home

A read that can choose among replicas with equally many free slots, and alike in idle connections of its organisation, went to any of them, also to another failure domain, which is 0.5 to 3.5 ms away. A preference is a number now: an idle connection of the organisation counts 2, as it saves an opening of 12 ms, a server of the home's failure domain 1. Without Config.FailureDomain, which nothing sets yet, the choice is as before.

TestReadsPreferTheirFailureDomain and TestHighestPreferenceWins fail without each part.

--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -23,6 +23,9 @@
 // Config describes a Home.
 type Config struct {
 	ID cluster.ProxyID
+	// FailureDomain is the failure domain whose servers reads prefer among equal ones;
+	// empty for none.
+	FailureDomain string
 	// Policy selects how slots are granted; empty means rank.PolicyRanked.
 	Policy rank.Policy
 	// Proxies is the number of proxies that share each server under rank.PolicyStatic.
--- a/internal/home/owner.go
+++ b/internal/home/owner.go
@@ -92,8 +92,8 @@
 	pendingAcks, pendingCopies atomic.Int32
 	// pollChannels holds pollNow of every node; the slice is replaced as a whole.
 	pollChannels atomic.Pointer[[]chan struct{}]
-	// pools holds the pool of every node; the map is replaced as a whole.
-	pools atomic.Pointer[map[cluster.ServerID]*pool.Pool]
+	// readTargets holds what reads prefer a server for; the map is replaced as a whole.
+	readTargets atomic.Pointer[map[cluster.ServerID]readTarget]
 	// routing is the state that routing decisions are based on; it is replaced as a whole.
 	routing atomic.Pointer[route.Group]
 
@@ -212,6 +212,13 @@
 	o.dispatcher.Configure(o.dispatcherConfig())
 }
 
+// readTarget is what a read may prefer a server for.
+type readTarget struct {
+	pool *pool.Pool
+	// near is set for a server in the failure domain of this process.
+	near bool
+}
+
 // setServers starts and stops nodes so that they match the document. The caller holds
 // the lock.
 func (o *owner) setServers() {
@@ -239,13 +246,13 @@
 	}
 	o.view.size = len(servers)
 	channels := make([]chan struct{}, 0, len(o.nodes))
-	pools := make(map[cluster.ServerID]*pool.Pool, len(o.nodes))
+	targets := make(map[cluster.ServerID]readTarget, len(o.nodes))
 	for id, n := range o.nodes {
 		channels = append(channels, n.pollNow)
-		pools[id] = n.pool
+		targets[id] = readTarget{pool: n.pool, near: n.server.FailureDomain == o.home.config.FailureDomain}
 	}
 	o.pollChannels.Store(&channels)
-	o.pools.Store(&pools)
+	o.readTargets.Store(&targets)
 	o.dispatcher.SetServers(servers)
 }
 
--- a/internal/rank/dispatcher.go
+++ b/internal/rank/dispatcher.go
@@ -103,9 +103,9 @@
 	// It is called with the dispatcher locked; it must neither block nor call the
 	// dispatcher.
 	Eligible func(server cluster.ServerID, now time.Time) Eligibility
-	// Prefers, if not nil, reports whether a read had better run on a server than on
-	// others with as many free slots. The rules for Eligible apply.
-	Prefers func(server cluster.ServerID) bool
+	// Prefers, if not nil, returns the preference of a read for a server among those with as
+	// many free slots; the highest one wins. The rules for Eligible apply.
+	Prefers func(server cluster.ServerID) int
 }
 
 // Config configures a Dispatcher.
