Place homes and delegates by the weight of their VM

Homes were placed among all VMs equally: with 6 VMs of 0.8 cores and 73 of 0.192 nearly all of 8 homes were on small ones. A member now has a weight, derived from processor share, link and memory of its VM, in its row and in the peer protocol; where it is unknown, it counts as the lower median of the others. Members of equal weight form a class. The classes get homes such that the highest number of homes relative to weight is minimal, and place them as before, so that equal weights give the placement of before exactly (property test against it). A weight is learned once for an incarnation and never replaced, so that reports with and without it do not move homes back and forth.

--- a/internal/member/lease_test.go
+++ b/internal/member/lease_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,3 +80,24 @@
 		}
 	})
 }
+
+// TestLeaseHoldsTheWeight guards against a row without the weight, and against a row that
+// differs from that of earlier versions although the weight is unknown.
+func TestLeaseHoldsTheWeight(t *testing.T) {
+	table := providertest.NewTable()
+	weighted := proxyNamed("b", 1)
+	weighted.Weight = 64
+	for _, m := range []Member{proxyNamed("a", 1), weighted} {
+		if err := (&lease{table: table, self: m}).renew(t.Context(), StateAlive); err != nil {
+			t.Fatal(err)
+		}
+	}
+	row, err := table.Get(t.Context(), "member/proxy/a")
+	if err != nil || strings.Contains(string(row.Value), "Weight") {
+		t.Errorf("%s, %v", row.Value, err)
+	}
+	leases, err := (&leaseReader{table: table}).list(t.Context(), time.Minute)
+	if err != nil || len(leases) != 2 || leases[0].Member.Weight+leases[1].Member.Weight != 64 {
+		t.Errorf("%+v, %v", leases, err)
+	}
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -53,6 +53,9 @@
 	FailureDomain string
 	// Incarnation increases with each start of the process.
 	Incarnation uint64
+	// Weight is the capacity of the VM for homes, as Capacity.Weight derives it; zero if
+	// it is unknown. It does not change within an incarnation.
+	Weight uint32 `json:",omitempty"`
 }
 
 // Key identifies a process in the view.
--- a/internal/member/snapshot.go
+++ b/internal/member/snapshot.go
@@ -19,9 +19,13 @@
 	joining bool
 	// homes caches HomeOf by group.
 	homes sync.Map
-	// candidates caches placementCandidates.
+	// candidates and weights cache placementCandidates.
 	candidatesOnce sync.Once
 	candidates     []Member
+	weights        []uint32
+	// median caches medianWeight.
+	medianOnce sync.Once
+	median     uint32
 }
 
 // NewSnapshot returns a view of the given entries.
--- a/internal/member/sources.go
+++ b/internal/member/sources.go
@@ -104,8 +104,8 @@
 	}
 }
 
-// discover adds members that have a lease and are not in the view. Pings then
-// detect whether they are alive.
+// discover adds members that have a lease and are not in the view, and weights that are not
+// known. Pings then detect whether the members are alive.
 func (m *Membership) discover(values []leaseValue) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -113,6 +113,7 @@
 	changed := false
 	for _, v := range values {
 		if m.knowsIncarnation(v.Member) {
+			changed = m.table.learnWeight(v.Member) || changed
 			continue
 		}
 		changed = m.table.observe(Report{Member: v.Member, State: v.State}, now) || changed
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -61,9 +61,24 @@
 		return false
 	}
 	changed := t.merge(r, now)
+	changed = t.learnWeight(r.Member) || changed
 	return t.mergeStable(r, now) || changed
 }
 
+// learnWeight records the weight of a member that was known without it, since a process
+// of an earlier version has passed on its report. It returns whether the view changed. A
+// known weight is not replaced before the next incarnation: reports with and without the
+// weight, in any order, would move homes back and forth.
+func (t *table) learnWeight(m Member) bool {
+	e, ok := t.entries[m.Key()]
+	if !ok || m.Weight == 0 || e.Member.Weight != 0 || e.Member.Incarnation != m.Incarnation {
+		return false
+	}
+	e.Member.Weight = m.Weight
+	e.sendsLeft = max(e.sendsLeft, t.sendCount())
+	return true
+}
+
 // mergeStable records that another process reports a member as stable. It
 // returns whether the view changed.
 func (t *table) mergeStable(r Report, now time.Time) bool {
--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -12,7 +12,7 @@
 	return &peerpb.Member{
 		Id: r.Member.ID, Address: r.Member.Address, FailureDomain: r.Member.FailureDomain, Role: string(r.Member.Role),
 		Incarnation: r.Member.Incarnation, State: string(r.State), AgeMillis: r.Age.Milliseconds(),
-		Stable: r.Stable,
+		Stable: r.Stable, Weight: r.Member.Weight,
 	}
 }
 
@@ -21,7 +21,7 @@
 	return member.Report{
 		Member: member.Member{
 			ID: m.GetId(), Role: member.Role(m.GetRole()), Address: m.GetAddress(),
-			FailureDomain: m.GetFailureDomain(), Incarnation: m.GetIncarnation(),
+			FailureDomain: m.GetFailureDomain(), Incarnation: m.GetIncarnation(), Weight: m.GetWeight(),
 		},
 		State:  member.State(m.GetState()),
 		Age:    time.Duration(m.GetAgeMillis()) * time.Millisecond,
