Take the capacity of a VM from the settings and log why a home starts

limits.cpu_share and limits.link_mbps, both optional, give the weight of the process together with limits.ram_mb. Where neither is stated, the weight is unknown, all VMs are equal, and reads prefer no failure domain. A change takes effect after a restart (event 7109). Event 7119 (home_started) gives the reason for a placement; rattan_edge_weight and rattan_edge_homes are new.

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -30,6 +30,8 @@
 	sessionsOpen    = metrics.NewCounter("rattan_caller_sessions_open")
 	sessionsTotal   = metrics.NewCounter("rattan_caller_sessions_total")
 	grantFailures   = metrics.NewCounter("rattan_edge_grant_failures_total")
+	placementWeight = metrics.NewCounter("rattan_edge_weight")
+	homesOwned      = metrics.NewCounter("rattan_edge_homes")
 	sessionsRefused = metrics.NewCounter("rattan_caller_sessions_refused_total")
 	startsDisplaced = metrics.NewCounter("rattan_caller_starts_displaced_total")
 )
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -10,6 +10,7 @@
 	"github.com/rattancove/rattancove/internal/catalog"
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/errcode"
+	"github.com/rattancove/rattancove/internal/member"
 	"github.com/rattancove/rattancove/internal/memory"
 	"github.com/rattancove/rattancove/internal/provider"
 	"github.com/rattancove/rattancove/internal/quota"
@@ -37,6 +38,10 @@
 	MemoryLimit int64
 	// MaxDescriptors is the limit on open files and sockets of the process.
 	MaxDescriptors int
+	// CPUShare is the processor share of the VM, of a core, and LinkMbps the speed of its
+	// network link; zero if they are not known.
+	CPUShare float64
+	LinkMbps float64
 	// StopTime is the time between a stop request and the kill of the process.
 	StopTime time.Duration
 	// RevocationTime is the time after the acknowledgement of a configuration within
@@ -48,6 +53,11 @@
 	LogLevel string
 }
 
+// capacity returns the limits of the VM, which give its weight for the assignment of homes.
+func (c *Config) capacity() member.Capacity {
+	return member.Capacity{CPUShare: c.CPUShare, LinkMbps: c.LinkMbps, RAMBytes: c.MemoryLimit}
+}
+
 // CallerConn is an accepted caller connection.
 type CallerConn interface {
 	caller.Conn
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -58,6 +58,9 @@
 	lease          *duty.Lease
 	succession     *succession.Controller
 	placements     placementCache
+	// homesStarted holds the groups whose home this process is. It is used by
+	// reconcileHomes only.
+	homesStarted map[cluster.GroupName]struct{}
 	// proxyContexts ends requests sent to processes that no longer answer pings.
 	proxyContexts *gateway.ProxyContexts
 	// grants holds the term grants that this process has received, issuer those
@@ -98,6 +101,7 @@
 	e.subscriber = catalog.NewSubscriber(e.tracker, catalogPeers{e}, &e.log)
 	e.follower = catalog.NewFollower(adapters.Source, e.tracker, e.subscriber, &e.log)
 	e.follower.ConfirmBy(func() time.Duration { return e.access.clock() }, e.access.strict)
+	e.homesStarted = map[cluster.GroupName]struct{}{}
 	e.placements.unreachableUntil = map[cluster.ProxyID]time.Time{}
 	e.proxyContexts = gateway.NewProxyContexts(member.StateDead, member.StateSuspect)
 	e.statementPeers = peer.NewBoundedRegistry(adapters.Dial, peer.Bounds{
@@ -108,14 +112,10 @@
 	e.grantsWanted = make(chan struct{}, 1)
 	e.grants, e.issuer = grant.NewHeldGrants(config.ID, duty.BootTime), grant.NewIssuer(duty.BootTime)
 	e.issuer.AssumeEarlierGrants()
-	homeConfig := home.Config{
-		ID: config.ID, NoClaims: true, ExactClasses: true, Terms: e.grants, RequestGrants: e.requestGrantsSoon, Log: &e.log,
-		RequestBytes: e.adapters.Memory.RequestBytes,
-	}
-	if e.quotas = newQuotas(config.Quota, uint64(e.started.UnixNano()), duty.BootTime, e.requestGrantsSoon, &e.log); e.quotas != nil {
-		homeConfig.Quotas = e.quotas
-	}
-	e.home = home.New(homeConfig, adapters.Servers)
+	weight, _ := config.capacity().Weight()
+	placementWeight.Set(uint64(weight))
+	e.quotas = newQuotas(config.Quota, uint64(e.started.UnixNano()), duty.BootTime, e.requestGrantsSoon, &e.log)
+	e.home = home.New(e.homeConfig(), adapters.Servers)
 	e.gateway = gateway.New(gateway.Config{Self: config.ID, Local: e.home, HomeLocator: homeLocator{e}, FallbackHome: e.fallbackHome, Log: &e.log})
 	e.callers = newCallers(e)
 	e.lease = duty.New(duty.Config{
@@ -137,11 +137,26 @@
 	return e, err
 }
 
+func (e *Edge) homeConfig() home.Config {
+	c := home.Config{
+		ID: e.config.ID, NoClaims: true, ExactClasses: true, Terms: e.grants, RequestGrants: e.requestGrantsSoon, Log: &e.log,
+		RequestBytes: e.adapters.Memory.RequestBytes,
+	}
+	if weight, _ := e.config.capacity().Weight(); weight > 0 {
+		c.FailureDomain = e.config.FailureDomain
+	}
+	if e.quotas != nil {
+		c.Quotas = e.quotas
+	}
+	return c
+}
+
 func (e *Edge) memberConfig() member.Config {
+	weight, _ := e.config.capacity().Weight()
 	return member.Config{
 		Self: member.Member{
 			ID: string(e.config.ID), Role: member.RoleProxy, Address: cmp.Or(e.config.PeerAdvertise, e.config.PeerListen),
-			FailureDomain: e.config.FailureDomain, Incarnation: uint64(e.started.UnixNano()),
+			FailureDomain: e.config.FailureDomain, Incarnation: uint64(e.started.UnixNano()), Weight: weight,
 		},
 		Seeds: e.config.Seeds, Pinger: pinger{e}, JoinInterval: joinInterval, Table: e.adapters.Table,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: e.log,
@@ -169,8 +184,10 @@
 	if e.quotaDealer != nil {
 		group.Go(func() error { return e.quotaDealer.run(groupCtx) })
 	}
+	weight, limit := e.config.capacity().Weight()
 	eventStarted.Log(&e.log).Str("callers", e.config.CallersListen).Str("peers", e.config.PeerListen).
-		Str("failure_domain", e.config.FailureDomain).Int64("memory_limit", e.config.MemoryLimit).Send()
+		Str("failure_domain", e.config.FailureDomain).Int64("memory_limit", e.config.MemoryLimit).
+		Uint32("weight", weight).Str("weight_limit", limit).Send()
 	select {
 	case <-ctx.Done():
 		e.drain(runCtx)
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -24,5 +24,6 @@
 	eventQuotaRefused        = event.New(7116, zerolog.WarnLevel, "quota_refused", "Operations of an organisation were refused: cause tells whether it has reached its limit or this process got no credits, refused counts those since the last line. Logged at most once a second for each organisation.")
 	eventQuotaDealer         = event.New(7117, zerolog.InfoLevel, "quota_dealer_started", "This process holds the promotion lease and allocates the credits of organisations with a limit.")
 	eventQuotaRowFailed      = event.New(7118, zerolog.WarnLevel, "quota_row_failed", "The row that tells dealers of quotas about each other could not be read or written; until it is, no credits are allocated after a change of the holder of the promotion lease.")
+	eventHomeStarted         = event.New(7119, zerolog.InfoLevel, "home_started", "This process became the home of a group. The line gives the weight of its VM, where weight_known is false the median of the others, its groups, and its rank in the rendezvous order of the group among the members of equal weight; members before it have their share of groups.")
 	eventReloadFailed        = event.New(7111, zerolog.WarnLevel, "settings_unreadable", "The changed settings are invalid or cannot be read; the previous ones stay in force.")
 )
--- a/internal/edge/homes.go
+++ b/internal/edge/homes.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -131,6 +133,7 @@
 		for _, g := range document.Groups {
 			e.reconcileGroup(g.Name)
 		}
+		e.forgetHomes(document)
 		timer := time.NewTimer(expiry)
 		select {
 		case <-ctx.Done():
@@ -171,10 +174,38 @@
 	if e.homeOf(group) != e.config.ID {
 		if e.home.Idle(group) >= disownIdleTime {
 			e.home.Disown(group)
+			delete(e.homesStarted, group)
 		}
 		return
 	}
 	if err := e.home.Own(group); err != nil {
 		eventOwnFailed.Log(&e.log).Str("group", string(group)).Err(err).Send()
+		return
+	}
+	if _, ok := e.homesStarted[group]; !ok {
+		e.homesStarted[group] = struct{}{}
+		e.logPlacement(group)
+	}
+}
+
+// forgetHomes forgets the groups that are no longer in the document, and counts the others.
+func (e *Edge) forgetHomes(document *environment.Document) {
+	maps.DeleteFunc(e.homesStarted, func(group cluster.GroupName, _ struct{}) bool {
+		return !slices.ContainsFunc(document.Groups, func(g environment.Group) bool { return g.Name == group })
+	})
+	homesOwned.Set(uint64(len(e.homesStarted)))
+}
+
+// logPlacement logs why this process is the home of a group.
+func (e *Edge) logPlacement(group cluster.GroupName) {
+	e.placements.mu.Lock()
+	snapshot, placed := e.placements.snapshot, e.placements.byGroup
+	e.placements.mu.Unlock()
+	homes := placed[group]
+	if len(homes) == 0 || homes[0].ID != string(e.config.ID) {
+		return // moved again meanwhile
 	}
+	reason := snapshot.Reason(group, homes[0], placed)
+	eventHomeStarted.Log(&e.log).Str("group", string(group)).Uint32("weight", reason.Weight).Bool("weight_known", reason.Known).
+		Int("homes", reason.Homes).Int("rank", reason.Rank).Int("of_equal_weight", reason.Members).Send()
 }
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -42,6 +42,8 @@
 		{"callers", current.CallersListen != next.CallersListen, &afterRestart},
 		{"ready", current.ReadyListen != next.ReadyListen, &afterRestart},
 		{"peers", current.PeerListen != next.PeerListen, &afterRestart},
+		{"cpu_share", current.CPUShare != next.CPUShare, &afterRestart},
+		{"link_mbps", current.LinkMbps != next.LinkMbps, &afterRestart},
 		{"store", current.StoreAddress != next.StoreAddress, &afterRestart},
 		{"quota", current.Quota != next.Quota, &afterRestart},
 		{"promotion", current.PromotionAddr != next.PromotionAddr, &afterRestart},
--- a/internal/edge/reload_test.go
+++ b/internal/edge/reload_test.go
@@ -24,8 +24,9 @@
 	next.Seeds, next.StopTime, next.MemoryLimit, next.MaxDescriptors = []string{"10.0.0.9:3"}, 9*time.Second, 2<<20, 200
 	next.RevocationTime = 5 * time.Second
 	next.CallersListen = "10.0.0.1:7"
+	next.CPUShare, next.LinkMbps = 0.8, 200
 	want := next
-	want.CallersListen = first.CallersListen
+	want.CallersListen, want.CPUShare, want.LinkMbps = first.CallersListen, 0, 0
 	if diff := cmp.Diff(&want, e.Reload(&next, nil)); diff != "" {
 		t.Errorf("settings in force (-want +got):\n%s", diff)
 	}
@@ -33,7 +34,7 @@
 		t.Errorf("after broken settings (-want +got):\n%s", diff)
 	}
 	applied, pending := settingsChanges(&first, &next)
-	if diff := cmp.Diff([][]string{{"seeds", "stop_time", "memory_limit", "max_descriptors", "revocation_time"}, {"callers"}}, [][]string{applied, pending}); diff != "" {
+	if diff := cmp.Diff([][]string{{"seeds", "stop_time", "memory_limit", "max_descriptors", "revocation_time"}, {"callers", "cpu_share", "link_mbps"}}, [][]string{applied, pending}); diff != "" {
 		t.Errorf("changes (-want +got):\n%s", diff)
 	}
 }
