--- a/internal/home/owner.go
+++ b/internal/home/owner.go
@@ -11,7 +11,6 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/environment"
 	"github.com/rattancove/rattancove/internal/errcode"
-	"github.com/rattancove/rattancove/internal/pool"
 	"github.com/rattancove/rattancove/internal/rank"
 	"github.com/rattancove/rattancove/internal/route"
 	"github.com/rattancove/rattancove/internal/statechart"
@@ -212,13 +211,6 @@
 	o.dispatcher.Configure(o.dispatcherConfig())
 }
 
-// readTarget is what a read may prefer a server for.
-type readTarget struct {
-	pool *pool.Pool
-	// near is set for a server in the failure domain of this process.
-	near bool
-}
-
 // setServers starts and stops nodes so that they match the document. The caller holds
 // the lock.
 func (o *owner) setServers() {
