--- a/internal/home/even.go
+++ b/internal/home/even.go
@@ -5,7 +5,7 @@
 // evenLoad reports whether package balance chooses among the servers of the group. The caller
 // holds the lock or has just created the owner.
 func (o *owner) evenLoad() bool {
-	return o.home.config.EvenLoad && len(o.organisations) > 0
+	return o.home.config.EvenLoad && (len(o.organisations) > 0 || o.home.unequalVMs.Load())
 }
 
 // spreadsLoad is evenLoad for callers that do not hold the lock.
@@ -25,7 +25,7 @@
 		o.requestStatus()
 		return
 	}
-	if pollNow, ok := (*o.replayPolls.Load())[id]; ok {
-		requestPoll(pollNow)
+	if target, ok := (*o.readTargets.Load())[id]; ok {
+		requestPoll(target.pollNow)
 	}
 }
--- a/internal/home/even_test.go
+++ b/internal/home/even_test.go
@@ -148,6 +148,34 @@
 	}
 }
 
+// TestEvenLoadWithUnequalVMs guards against owners that keep the choice that they began with
+// when the VMs turn out to be of unequal capacity, or no longer to be.
+func TestEvenLoadWithUnequalVMs(t *testing.T) {
+	inBubble(t, nil, func(t *testing.T, b *testBench) {
+		h := New(Config{ID: "p1", EvenLoad: true}, b.group.Dialer("p1"))
+		b.own(h)
+		spread := func() bool {
+			b.fullGroup(h, "")() // for idle connections to both replicas
+			reads := map[cluster.ServerID]int{}
+			for range 20 {
+				_, result, err := run(h, b.request(statement.ClassRead, "get k"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				reads[result.Server]++
+			}
+			return reads["s2"] > 5 && reads["s3"] > 5
+		}
+		for _, unequal := range []bool{false, true, false} {
+			h.SetUnequalVMs(unequal)
+			time.Sleep(time.Second)
+			if got := spread(); got != unequal {
+				t.Errorf("unequal VMs %v: reads are spread: %v", unequal, got)
+			}
+		}
+	})
+}
+
 // fullGroup occupies all slots of the replicas with reads and returns what ends them.
 func (b *testBench) fullGroup(h *Home, organisation string) func() {
 	var running sync.WaitGroup
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -23,6 +24,9 @@
 // Config describes a Home.
 type Config struct {
 	ID cluster.ProxyID
+	// FailureDomain is the failure domain whose servers reads prefer among equal ones where
+	// the VMs are of unequal capacity; empty for none.
+	FailureDomain string
 	// Policy selects how slots are granted; empty means rank.PolicyRanked.
 	Policy rank.Policy
 	// Proxies is the number of proxies that share each server under rank.PolicyStatic.
@@ -43,7 +47,7 @@
 	// Quotas admits the operations of organisations; nil if there are no quotas.
 	Quotas Quotas
 	// EvenLoad spreads the requests of a group over its servers by package balance, where
-	// the configuration lists organisations.
+	// the configuration lists organisations or the VMs are of unequal capacity.
 	EvenLoad bool
 	// ExactClasses is set where the protocol itself distinguishes reads from
 	// writes, so that reads need not be run with writes disabled.
@@ -77,6 +81,8 @@
 	config Config
 	dialer backend.Dialer
 	log    *zerolog.Logger
+	// unequalVMs is set where the VMs of the deployment are of unequal capacity.
+	unequalVMs atomic.Bool
 
 	mu     sync.Mutex
 	groups map[cluster.GroupName]environment.Group
@@ -163,6 +169,18 @@
 	}
 }
 
+// SetUnequalVMs applies whether the VMs of the deployment are of unequal capacity.
+func (h *Home) SetUnequalVMs(unequal bool) {
+	if h.unequalVMs.Swap(unequal) == unequal {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, o := range h.owners {
+		o.reconfigure()
+	}
+}
+
 // Own makes this proxy the home of a group. It returns immediately; the claim
 // continues in the background until it succeeds, is superseded or the group is
 // disowned. It has no effect on a group that is already owned, unless its owner
--- a/internal/home/owner.go
+++ b/internal/home/owner.go
@@ -13,7 +13,6 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/environment"
 	"github.com/rattancove/rattancove/internal/errcode"
-	"github.com/rattancove/rattancove/internal/pool"
 	"github.com/rattancove/rattancove/internal/rank"
 	"github.com/rattancove/rattancove/internal/route"
 	"github.com/rattancove/rattancove/internal/statechart"
@@ -94,10 +93,8 @@
 	pendingAcks, pendingCopies atomic.Int32
 	// pollChannels holds pollNow of every node; the slice is replaced as a whole.
 	pollChannels atomic.Pointer[[]chan struct{}]
-	// replayPolls holds pollNow of every node; the map is replaced as a whole.
-	replayPolls atomic.Pointer[map[cluster.ServerID]chan struct{}]
-	// pools holds the pool of every node; the map is replaced as a whole.
-	pools atomic.Pointer[map[cluster.ServerID]*pool.Pool]
+	// readTargets holds what reads choose a server by; the map is replaced as a whole.
+	readTargets atomic.Pointer[map[cluster.ServerID]readTarget]
 	// metrics holds the metrics of the group and its servers; nil without EvenLoad.
 	metrics *metrics.Set
 	// routing is the state that routing decisions are based on; it is replaced as a whole.
@@ -219,6 +216,13 @@
 	o.dispatcher.Configure(o.dispatcherConfig())
 }
 
+// reconfigure applies a change of the settings of all groups.
+func (o *owner) reconfigure() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.dispatcher.Configure(o.dispatcherConfig())
+}
+
 // setServers starts and stops nodes so that they match the document. The caller holds
 // the lock.
 func (o *owner) setServers() {
@@ -246,16 +250,13 @@
 	}
 	o.view.size = len(servers)
 	channels := make([]chan struct{}, 0, len(o.nodes))
-	pools := make(map[cluster.ServerID]*pool.Pool, len(o.nodes))
-	replayPolls := make(map[cluster.ServerID]chan struct{}, len(o.nodes))
+	targets := make(map[cluster.ServerID]readTarget, len(o.nodes))
 	for id, n := range o.nodes {
 		channels = append(channels, n.pollNow)
-		replayPolls[id] = n.pollNow
-		pools[id] = n.pool
+		targets[id] = readTarget{pool: n.pool, pollNow: n.pollNow, near: n.server.FailureDomain == o.home.config.FailureDomain}
 	}
-	o.replayPolls.Store(&replayPolls)
 	o.pollChannels.Store(&channels)
-	o.pools.Store(&pools)
+	o.readTargets.Store(&targets)
 	o.dispatcher.SetServers(servers)
 }
 
--- a/internal/home/request.go
+++ b/internal/home/request.go
@@ -260,21 +260,6 @@
 	return nil, nil, required, err
 }
 
-// prefers returns the preference of a request for servers with an idle connection of its
-// organisation; nil without an organisation, unless requests take turns at the servers.
-func (o *owner) prefers(r *request, even bool) func(cluster.ServerID) bool {
-	if r.Organisation == "" && !even {
-		return nil
-	}
-	return func(id cluster.ServerID) bool { return o.hasIdle(id, r.Organisation) }
-}
-
-// hasIdle reports whether a server has an idle connection of an organisation.
-func (o *owner) hasIdle(id cluster.ServerID, organisation string) bool {
-	p, ok := (*o.pools.Load())[id]
-	return ok && p.HasIdle(organisation)
-}
-
 // evaluate decides whether the query may run on one server with a free slot. The
 // second result is the position that the server's data must have reached.
 func (o *owner) evaluate(q *route.Query, routing *route.Group, id cluster.ServerID, even bool, now time.Time) (rank.Eligibility, cluster.Position) {
--- a/internal/rank/even_test.go
+++ b/internal/rank/even_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -454,7 +455,7 @@
 func TestPreferenceDoesNotOutweighLoad(t *testing.T) {
 	d := evenDispatcher()
 	defer d.Close()
-	prefersS2 := Request{Lane: LaneRead, Eligible: anyServerEligible, Prefers: func(s cluster.ServerID) bool { return s == "s2" }}
+	prefersS2 := Request{Lane: LaneRead, Eligible: anyServerEligible, Prefers: func(s cluster.ServerID) int { return strings.Count(string(s), "2") }}
 	for range 2 {
 		slot := mustAcquire(t, d, prefersS2)
 		if slot.Server != "s2" {
