Check the sizes of the largest transactions

The store of the users' platform refuses transactions of over 1 MB. Only records of groups are written several at a time; all other rows of the platform are written alone.

--- a/internal/edge/quotas_test.go
+++ b/internal/edge/quotas_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
+	"math"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -246,3 +249,27 @@
 		t.Errorf("error %v without a limit", err)
 	}
 }
+
+// TestRowOfDealerFitsTheStore guards against a row that the store refuses: it takes no
+// transaction over 1 MB, in which values are base64. Each of 1,900 processes has a long name
+// and has restarted once within the time for which the row keeps it.
+func TestRowOfDealerFitsTheStore(t *testing.T) {
+	const processes, maxBytes = 1900, 1e6
+	row := quotaRow{Holder: "p1", Token: math.MaxUint64}
+	for i := range processes {
+		home := fmt.Sprintf("%064d", i)
+		row.Homes = append(row.Homes, quota.Process{Home: home, Incarnation: math.MaxUint64 - 1}, quota.Process{Home: home, Incarnation: math.MaxUint64})
+	}
+	value, err := json.Marshal(row)
+	if err != nil {
+		t.Fatal(err)
+	}
+	transaction, err := json.Marshal(provider.Write{Key: quotaRowKey, Value: value})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d bytes", len(transaction))
+	if len(transaction) > maxBytes {
+		t.Errorf("a transaction of %d bytes, want at most %g", len(transaction), maxBytes)
+	}
+}
--- a/internal/succession/records_test.go
+++ b/internal/succession/records_test.go
@@ -451,3 +451,31 @@
 		}
 	})
 }
+
+// TestRecordsFitTheStore guards against a transaction of records that the store refuses: it
+// takes none over 1 MB, in which values are base64. Each group has eight members with long
+// names.
+func TestRecordsFitTheStore(t *testing.T) {
+	const maxBytes = 1e6
+	var writes []provider.Write
+	for i := range maxRecordBatch {
+		name := func(j int) cluster.ServerID { return cluster.ServerID(fmt.Sprintf("%0128d", 10*i+j)) }
+		r := Record{Promoting: name(8), Token: 1 << 62, ReplaySwitchover: 1 << 62, SteppedDown: SteppedDown{Server: name(9), Term: 1 << 62}}
+		for j := range 8 {
+			r.Members = append(r.Members, Member{ID: name(j), StartTime: 1 << 62})
+		}
+		value, err := json.Marshal(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		writes = append(writes, provider.Write{Key: recordKeyPrefix + string(name(0)), Value: value})
+	}
+	transaction, err := json.Marshal(writes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d bytes", len(transaction))
+	if len(transaction) > maxBytes {
+		t.Errorf("a transaction of %d bytes, want at most %g", len(transaction), maxBytes)
+	}
+}
