Bound the connections of peers that a process serves and keeps

It accepted connections faster than the goroutines of those that it had displaced could end, and later only connections that the kernel had queued for longer than a ping's timeout. It now serves at most a quarter more connections than its limit before it accepts others, and the kernel queues 128.

Idle connections are closed once they are 30 s old, and not only at the next call to the same peer: a process kept one to each member. A call that the peer answers with an error keeps its connection; homes that ask for grants while none holds the lease opened one for each request. A call without an answer still ends its connection. Each connection's write buffer is 1 KiB instead of 4; an idle one takes 42,250 bytes, both ends with stacks (test of internal/peer).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -201,9 +201,14 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
+	if err := boundBacklog(peers, peerBacklog); err != nil {
+		return eris.Wrap(err, "listen for peers")
+	}
 	peers = e.limitConnections(peers, "peers", peerDescriptorShare)
 	ready = e.limitConnections(ready, "ready", httpDescriptorShare)
-	group.Go(func() error { return e.peerServer.ServeWithin(ctx, peers, e.adapters.Memory) })
+	group.Go(func() error {
+		return e.peerServer.ServeWithin(ctx, peers, e.adapters.Memory, func() int { return e.descriptors(peerDescriptorShare) })
+	})
 	group.Go(func() error { return telemetry.ServeHTTP(ctx, ready, e.readyHandler()) })
 	group.Go(func() error { return e.callers.serve(ctx, front) })
 	if e.config.MetricsListen == "" {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -59,7 +59,10 @@
 	return member.PingMessage{From: peer.ReportFromProto(reply.GetFrom()), Members: peer.ReportsFromProto(reply.GetMembers())}, nil
 }
 
-func (e *Edge) handlePing(_ context.Context, in *peerpb.PingRequest) (*peerpb.PingReply, error) {
+func (e *Edge) handlePing(ctx context.Context, in *peerpb.PingRequest) (*peerpb.PingReply, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err // the sender has given up, as many do while a large fleet starts
+	}
 	e.fetchIfNewer(in.GetFrom().GetAddress(), in.GetDocuments())
 	e.learnLease(in.GetPromotion())
 	reply := e.members.HandlePing(member.PingMessage{
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -102,7 +102,9 @@
 		return nil, err
 	}
 	out, err := method(peerpb.NewDRPCPeerClient(conn), ctx, in)
-	c.pool.put(conn, err == nil)
+	// The error of a peer that has answered leaves the connection usable; the end of ctx
+	// may be due to a path that no longer carries anything.
+	c.pool.put(conn, err == nil || ctx.Err() == nil)
 	if err != nil {
 		return nil, errcode.Wrap(err, errcode.ConnectionLost, step, c.address)
 	}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -25,6 +25,10 @@
 	// within a round trip, which takes 100 ms between distant regions. If the peer
 	// cannot be reached, the request must still have time to go to another one.
 	dialTimeout = 250 * time.Millisecond
+	// writerBufferBytes is the size of the buffer in which each connection collects frames
+	// before it sends them. Messages are sent as soon as they are complete, and most of
+	// those between idle processes are shorter.
+	writerBufferBytes = 1 << 10
 	// softCancelGrace bounds the wait for a running send when a call is canceled.
 	softCancelGrace = 5 * time.Millisecond
 	// idleConnLifetime bounds how long an idle connection is kept.
@@ -49,9 +53,10 @@
 
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{
-		Reader:          drpcwire.ReaderOptions{MaximumBufferSize: maxFrameBytes},
-		SoftCancel:      true,
-		SoftCancelGrace: softCancelGrace,
+		WriterBufferSize: writerBufferBytes,
+		Reader:           drpcwire.ReaderOptions{MaximumBufferSize: maxFrameBytes},
+		SoftCancel:       true,
+		SoftCancelGrace:  softCancelGrace,
 	}
 }
 
@@ -72,6 +77,10 @@
 	mu     sync.Mutex
 	idle   []idleConn
 	closed bool
+	// expiry closes expired connections; nil while none is idle. In a large fleet most peers
+	// are called less often than idleConnLifetime, and connections to all of them would
+	// stay open.
+	expiry *time.Timer
 }
 
 func newPool(address string, dial DialFunc, bounds *boundedConns) *pool {
@@ -132,6 +141,22 @@
 		return
 	}
 	p.idle = append(p.idle, idleConn{conn: conn, idleSince: time.Now()})
+	p.scheduleExpiry()
+}
+
+// scheduleExpiry makes the connection that has been idle for longest expire. The caller
+// holds the lock.
+func (p *pool) scheduleExpiry() {
+	if p.expiry != nil || len(p.idle) == 0 {
+		return
+	}
+	p.expiry = time.AfterFunc(idleConnLifetime-time.Since(p.idle[0].idleSince), func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.expiry = nil
+		p.closeExpired()
+		p.scheduleExpiry()
+	})
 }
 
 // closeExpired closes the connections that were idle for too long. They are the
@@ -160,6 +185,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	if p.expiry != nil {
+		p.expiry.Stop()
+	}
 	for _, c := range p.idle {
 		_ = c.conn.Close()
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -47,7 +47,9 @@
 	handlers Handlers
 	server   *drpcserver.Server
 	requests requestTracker
-	log      *zerolog.Logger
+	// serving bounds the connections that are served; nil if there is no bound.
+	serving *serving
+	log     *zerolog.Logger
 }
 
 // NewServer returns a server that serves handlers.
@@ -64,13 +66,27 @@
 	return s, nil
 }
 
-// ServeWithin is Serve with a budget for the requests of peers.
-func (s *Server) ServeWithin(ctx context.Context, l net.Listener, budget *memory.Budget) error {
+// ServeWithin is Serve with a budget for the requests of peers. The listener closes
+// connections over a limit; while many of those are still being served, no other is accepted.
+// A nil limit means that there is none.
+func (s *Server) ServeWithin(ctx context.Context, l net.Listener, budget *memory.Budget, limit func() int) error {
+	if limit != nil {
+		s.serving = newServing(limit)
+	}
 	return s.Serve(ctx, meteredListener{l, budget})
 }
 
 // Serve accepts connections until ctx ends or the listener fails.
-func (s *Server) Serve(ctx context.Context, l net.Listener) error { return s.server.Serve(ctx, l) }
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	if s.serving == nil {
+		return s.server.Serve(ctx, l)
+	}
+	return s.serving.serve(ctx, l, func(ctx context.Context, conn net.Conn) {
+		if err := s.ServeConn(ctx, conn); err != nil {
+			eventPeerCallFailed.Log(s.log).Err(err).Send()
+		}
+	})
+}
 
 // ServeConn serves one connection until it closes or ctx ends.
 func (s *Server) ServeConn(ctx context.Context, conn net.Conn) error {
--- /dev/null
+++ b/internal/peer/serving_test.go
@@ -0,0 +1,185 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/peer/peerpb"
+)
+
+// newPingClient returns a client of a server that answers pings with ping over net.Pipe.
+func newPingClient(t *testing.T, dials *atomic.Int32, ping func(context.Context) error) *Client {
+	t.Helper()
+	log := zerolog.Nop()
+	server, err := NewServer(Handlers{Ping: func(ctx context.Context, _ *peerpb.PingRequest) (*peerpb.PingReply, error) {
+		return &peerpb.PingReply{}, ping(ctx)
+	}}, &log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := NewClient("peer", func(context.Context, string) (net.Conn, error) {
+		dials.Add(1)
+		near, far := net.Pipe()
+		go func() { _ = server.ServeConn(t.Context(), far) }()
+		return near, nil
+	})
+	t.Cleanup(client.Close)
+	return client
+}
+
+// TestIdleConnectionsExpire guards against connections to every peer of a large fleet, of
+// which each is called less often than an idle connection is kept.
+func TestIdleConnectionsExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var dials atomic.Int32
+		client := newPingClient(t, &dials, func(context.Context) error { return nil })
+		before := runtime.NumGoroutine()
+		if _, err := client.Ping(t.Context(), &peerpb.PingRequest{}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(idleConnLifetime - time.Second)
+		if n := len(client.pool.idle); n != 1 {
+			t.Errorf("%d idle connections before the end of their lifetime", n)
+		}
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		if n := len(client.pool.idle); n != 0 {
+			t.Errorf("%d idle connections after their lifetime", n)
+		}
+		if n := runtime.NumGoroutine() - before; n > 0 {
+			t.Errorf("%d goroutines of closed connections", n)
+		}
+	})
+}
+
+// TestErrorOfPeerKeepsConnection guards against a new connection for each call that a peer
+// refuses, as all homes do that ask for grants while no process holds the lease. A call
+// without an answer does end its connection, whose path may be broken.
+func TestErrorOfPeerKeepsConnection(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		ping  func(context.Context) error
+		dials int32
+	}{
+		{"refusal", func(context.Context) error { return errors.New("refused") }, 1},
+		{"no answer", func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }, 3},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var dials atomic.Int32
+				client := newPingClient(t, &dials, tt.ping)
+				for range 3 {
+					ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+					if _, err := client.Ping(ctx, &peerpb.PingRequest{}); err == nil {
+						t.Error("the ping succeeded")
+					}
+					cancel()
+				}
+				if dials.Load() != tt.dials {
+					t.Errorf("%d connections for 3 calls, want %d", dials.Load(), tt.dials)
+				}
+			})
+		})
+	}
+}
+
+// pipeListener accepts connections without end and counts them.
+type pipeListener struct{ accepted atomic.Int32 }
+
+// Accept implements net.Listener.
+func (l *pipeListener) Accept() (net.Conn, error) {
+	l.accepted.Add(1)
+	conn, _ := net.Pipe()
+	return conn, nil
+}
+
+// Close implements net.Listener.
+func (l *pipeListener) Close() error { return nil }
+
+// Addr implements net.Listener.
+func (l *pipeListener) Addr() net.Addr { return nil }
+
+// TestServingWaitsForClosedConnections guards against a process that accepts connections
+// faster than it ends those that it has closed, and so holds ever more of them.
+func TestServingWaitsForClosedConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 8
+		l, s := &pipeListener{}, newServing(func() int { return limit })
+		ctx, cancel := context.WithCancel(t.Context())
+		end := make(chan struct{})
+		done := make(chan error, 1)
+		go func() {
+			done <- s.serve(ctx, l, func(ctx context.Context, _ net.Conn) {
+				select {
+				case <-end:
+				case <-ctx.Done():
+				}
+			})
+		}()
+		time.Sleep(endingWait / 2)
+		if n := l.accepted.Load(); n != limit+limit/4 {
+			t.Errorf("%d connections accepted while none has ended, want %d", n, limit+limit/4)
+		}
+		end <- struct{}{}
+		synctest.Wait()
+		if n := l.accepted.Load(); n != limit+limit/4+1 {
+			t.Errorf("%d connections accepted after one has ended, want %d", n, limit+limit/4+1)
+		}
+		time.Sleep(time.Second)
+		if n := l.accepted.Load(); n < limit+limit/4+5 || n > limit+limit/4+15 {
+			t.Errorf("%d connections accepted within a second in which none ended", n)
+		}
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// TestBytesOfIdleConnection bounds the memory of an idle connection between processes, both
+// ends together: a process of a large fleet has hundreds.
+func TestBytesOfIdleConnection(t *testing.T) {
+	const conns, maxBytes = 200, 44 << 10
+	release := make(chan struct{})
+	var waiting, dials atomic.Int32
+	client := newPingClient(t, &dials, func(context.Context) error { waiting.Add(1); <-release; return nil })
+	before := memoryInUse()
+	done := make(chan error, conns)
+	for range conns {
+		go func() {
+			_, err := client.Ping(t.Context(), &peerpb.PingRequest{})
+			done <- err
+		}()
+	}
+	for waiting.Load() < conns {
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	for range conns {
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	}
+	bytes := (memoryInUse() - before) / conns
+	t.Logf("%d bytes for an idle connection, both ends", bytes)
+	if bytes > maxBytes {
+		t.Errorf("%d bytes for an idle connection, want at most %d", bytes, maxBytes)
+	}
+}
+
+// memoryInUse returns the bytes of the heap after a collection, and of stacks.
+func memoryInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -148,7 +148,7 @@
 		return err
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return server.ServeWithin(ctx, listener, p.Memory) })
+	group.Go(func() error { return server.ServeWithin(ctx, listener, p.Memory, nil) })
 	group.Go(func() error { return p.Members.Run(ctx) })
 	group.Go(func() error { return p.Documents.Run(ctx) })
 	group.Go(func() error { return p.announceDocuments(ctx) })
