--- a/internal/edge/backlog_test.go
+++ b/internal/edge/backlog_test.go
@@ -1,9 +1,15 @@
 package edge
 
 import (
+	"context"
 	"net"
 	"testing"
 	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rattancove/rattancove/internal/peer/peerpb"
+	"github.com/rattancove/rattancove/internal/provider/providertest"
 )
 
 // TestBacklogIsBounded guards against a queue of connections that are accepted only after
@@ -39,3 +45,21 @@
 		t.Errorf("%d of %d connections opened that no one accepts, want at most %d", n, dials, 2*backlog)
 	}
 }
+
+// TestAbandonedPingIsNotHandled guards against work for pings whose senders have given up,
+// which leaves no time for others while a large fleet starts.
+func TestAbandonedPingIsNotHandled(t *testing.T) {
+	e, err := New(Config{ID: "p1"}, Adapters{Table: providertest.NewTable()}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ping := &peerpb.PingRequest{From: &peerpb.Member{Id: "p2", Role: "proxy", State: "alive", Incarnation: 1}}
+	cancel()
+	if _, err := e.handlePing(ctx, ping); err == nil || len(e.members.Snapshot().Entries()) != 1 {
+		t.Errorf("an abandoned ping was handled: %v", err)
+	}
+	if _, err := e.handlePing(t.Context(), ping); err != nil || len(e.members.Snapshot().Entries()) != 2 {
+		t.Errorf("a ping was not handled: %v", err)
+	}
+}
--- a/internal/member/seeds_test.go
+++ b/internal/member/seeds_test.go
@@ -1,7 +1,9 @@
 package member
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"runtime"
@@ -10,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
 	"github.com/rattancove/rattancove/internal/errcode"
@@ -115,12 +118,35 @@
 		m.HandlePing(PingMessage{From: report})
 	}
 	runtime.ReadMemStats(&after)
-	bytes := (after.TotalAlloc - before.TotalAlloc) / fleetSize
-	t.Logf("%d bytes for each process that joins", bytes)
-	if limit := uint64(40 << 10); bytes > limit {
-		t.Errorf("%d bytes for each process that joins, want at most %d", bytes, limit)
+	allocated := (after.TotalAlloc - before.TotalAlloc) / fleetSize
+	t.Logf("%d bytes for each process that joins", allocated)
+	if limit := uint64(40 << 10); allocated > limit {
+		t.Errorf("%d bytes for each process that joins, want at most %d", allocated, limit)
 	}
 	if s := m.Snapshot(); s != m.Snapshot() || len(s.entries) < 2 {
 		t.Error("the view is not kept, or lacks members")
 	}
 }
+
+// TestChangesAreLoggedOnce guards against changes of states that are not logged, or logged
+// again with each later change.
+func TestChangesAreLoggedOnce(t *testing.T) {
+	var out bytes.Buffer
+	m := New(Config{Self: fleetMember(0), Rand: rand.New(rand.NewPCG(1, 1)), Log: zerolog.New(&out)})
+	m.HandlePing(PingMessage{From: Report{Member: fleetMember(1), State: StateAlive}})
+	m.HandlePing(PingMessage{From: Report{Member: fleetMember(2), State: StateAlive}})
+	m.HandlePing(PingMessage{From: Report{Member: fleetMember(1), State: StateLeaving}})
+	m.Leave()
+	var got []string
+	for line := range bytes.Lines(out.Bytes()) {
+		var entry struct{ Member, From, To string }
+		if err := json.Unmarshal(line, &entry); err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, entry.Member+" "+entry.From+">"+entry.To)
+	}
+	want := []string{"proxy/front-1 >alive", "proxy/front-2 >alive", "proxy/front-1 alive>leaving", "proxy/front-0 alive>leaving"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/peer/serving_test.go
+++ b/internal/peer/serving_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/rattancove/rattancove/internal/memory"
 	"github.com/rattancove/rattancove/internal/peer/peerpb"
 )
 
@@ -40,7 +41,11 @@
 func TestIdleConnectionsExpire(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var dials atomic.Int32
-		client := newPingClient(t, &dials, func(context.Context) error { return nil })
+		var calls atomic.Int32
+		client := newPingClient(t, &dials, func(context.Context) error {
+			time.Sleep(time.Duration(calls.Add(1)) * time.Second) // the calls end one after the other
+			return nil
+		})
 		before := runtime.NumGoroutine()
 		if _, err := client.Ping(t.Context(), &peerpb.PingRequest{}); err != nil {
 			t.Fatal(err)
@@ -54,6 +59,23 @@
 		if n := len(client.pool.idle); n != 0 {
 			t.Errorf("%d idle connections after their lifetime", n)
 		}
+		pings := make(chan error, 2)
+		for range 2 {
+			go func() {
+				_, err := client.Ping(t.Context(), &peerpb.PingRequest{})
+				pings <- err
+			}()
+		}
+		for range 2 {
+			if err := <-pings; err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(2 * idleConnLifetime)
+		synctest.Wait()
+		if n := len(client.pool.idle); dials.Load() != 3 || n != 0 {
+			t.Errorf("%d idle connections of %d opened after their lifetime", n, dials.Load())
+		}
 		if n := runtime.NumGoroutine() - before; n > 0 {
 			t.Errorf("%d goroutines of closed connections", n)
 		}
@@ -91,12 +113,18 @@
 	}
 }
 
-// pipeListener accepts connections without end and counts them.
-type pipeListener struct{ accepted atomic.Int32 }
+// pipeListener accepts connections at once and counts them.
+type pipeListener struct {
+	accepted atomic.Int32
+	// most is the number of connections after which the listener fails; zero if there is none.
+	most int32
+}
 
 // Accept implements net.Listener.
 func (l *pipeListener) Accept() (net.Conn, error) {
-	l.accepted.Add(1)
+	if l.accepted.Add(1) == l.most {
+		return nil, net.ErrClosed
+	}
 	conn, _ := net.Pipe()
 	return conn, nil
 }
@@ -144,6 +172,30 @@
 	})
 }
 
+// TestServeWithinBoundsConnections guards against a server that does not apply its bound, or
+// applies one where there is none.
+func TestServeWithinBoundsConnections(t *testing.T) {
+	for _, limit := range []func() int{func() int { return 8 }, nil} {
+		synctest.Test(t, func(t *testing.T) {
+			log := zerolog.Nop()
+			server, err := NewServer(Handlers{}, &log)
+			if err != nil {
+				t.Fatal(err)
+			}
+			l := &pipeListener{most: 100}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error, 1)
+			go func() { done <- server.ServeWithin(ctx, l, memory.NewBudget(0), limit) }()
+			time.Sleep(endingWait / 2)
+			if n := l.accepted.Load(); (limit != nil) != (n == 10) {
+				t.Errorf("%d connections accepted", n)
+			}
+			cancel()
+			<-done
+		})
+	}
+}
+
 // TestBytesOfIdleConnection bounds the memory of an idle connection between processes, both
 // ends together: a process of a large fleet has hundreds.
 func TestBytesOfIdleConnection(t *testing.T) {
