--- a/internal/peer/serving_test.go
+++ b/internal/peer/serving_test.go
@@ -140,7 +140,7 @@
 func TestServingWaitsForClosedConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const limit = 8
-		l, s := &pipeListener{}, newServing(func() int { return limit })
+		l, s := &pipeListener{most: 1000}, newServing(func() int { return limit })
 		ctx, cancel := context.WithCancel(t.Context())
 		end := make(chan struct{})
 		done := make(chan error, 1)
