Back off from silent seeds only while a process joins

After the first 2 s a process that knows no other member pinged a silent seed again after up to 2.9 s instead of about one.

--- a/internal/member/ping.go
+++ b/internal/member/ping.go
@@ -50,9 +50,9 @@
 const (
 	// seedFanout is the number of seeds pinged per round.
 	seedFanout = 4
-	// maxSeedBackoff is the longest time for which a seed that does not answer in time is
-	// not pinged again. One that refuses connections is pinged in the next round, since it
-	// has not started yet.
+	// maxSeedBackoff is the longest time for which a process that is joining does not ping a
+	// seed again that did not answer in time. One that refuses connections is pinged in the
+	// next round, since it has not started yet.
 	maxSeedBackoff = pingInterval
 )
 
@@ -185,7 +185,7 @@
 	for _, i := range m.cfg.Rand.Perm(len(m.seeds)) {
 		address := m.seeds[i]
 		p := m.seedPings[address]
-		if address == m.cfg.Self.Address || p.running || now.Before(p.notBefore) || len(targets) == seedFanout {
+		if address == m.cfg.Self.Address || p.running || m.table.joining && now.Before(p.notBefore) || len(targets) == seedFanout {
 			continue
 		}
 		p.running = true
