--- a/internal/peer/serving_test.go
+++ b/internal/peer/serving_test.go
@@ -193,7 +193,9 @@
 				t.Errorf("%d connections accepted", n)
 			}
 			cancel()
-			<-done
+			if err := <-done; err != nil && !errors.Is(err, net.ErrClosed) {
+				t.Error(err)
+			}
 		})
 	}
 }
