--- a/cmd/rattan-edge/fleet_test.go
+++ b/cmd/rattan-edge/fleet_test.go
@@ -1,3 +1,5 @@
+//go:build linux
+
 package main
 
 import (
@@ -250,6 +252,8 @@
 		child.Env = append(child.Env, "GOMAXPROCS=1")
 	}
 	child.Stdout, child.Stderr = os.Stdout, os.Stderr
+	// A child that is stopped by throttle would outlive a test that is killed.
+	child.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := child.Start(); err != nil {
 		t.Fatal(err)
 	}
