Count reports of late replay three seconds after a change of the lease holder

The servers and their starts now have to be unchanged for 3 s before reports count; the reports themselves span 4 s more. The tests' times follow from the lag of their replicas, not from this constant; the disturbed store is watched for 20 s as before.

--- a/internal/succession/model_test.go
+++ b/internal/succession/model_test.go
@@ -163,7 +163,7 @@
 func lateReplicas(w *modelWorld) {
 	w.lateReplay = true
 	p := w.processes[0]
-	for end := w.now + 2*minReplaySettled; w.now < end; w.now += modelCalmStep {
+	for end := w.now + 20*time.Second; w.now < end; w.now += modelCalmStep {
 		w.letTimePass()
 		w.updateHome()
 		for i := range modelInitialServers {
--- a/internal/succession/replay.go
+++ b/internal/succession/replay.go
@@ -25,9 +25,11 @@
 	// maxReplayReportAge is the age above which a report is no evidence. Between two reports
 	// of a replica are its poll interval and one call.
 	maxReplayReportAge = 2 * time.Second
-	// minReplaySettled is how long the servers of the group, and their starts, must have been
-	// the same. A server that has just started is slow, and catches up.
-	minReplaySettled = 10 * time.Second
+	// minReplaySettled is how long this lease holder must have seen the servers of the group,
+	// and their starts, unchanged before their reports count. A server that has just started
+	// is slow at first. The time counts anew for each holder: with 10 s, no switchover came
+	// on a day on which the lease changed hands twice within 20 s.
+	minReplaySettled = 3 * time.Second
 	// replaySwitchoverPause is the time between the announcements of two switchovers of a
 	// group because of late replay, so that 30 s lie between any two. Each refuses writes for
 	// half a second. The pause doubles, up to maxReplaySwitchoverPause, if the replicas are
--- a/internal/succession/replay_switchover_test.go
+++ b/internal/succession/replay_switchover_test.go
@@ -94,14 +94,16 @@
 // seconds late, idled. The evidence must not take a status call more.
 func TestReplicaThatReplaysLateIsPromoted(t *testing.T) {
 	const (
-		evidence = minReplaySettled + replayLateAfter + 2*minReplayLate
+		// Replicas replay nothing until lateLag has passed, which is longer than minReplaySettled.
+		lateLag  = 6 * time.Second
+		evidence = lateLag + replayLateAfter + 2*minReplayLate
 		// A replica whose first report comes before that of the primary is asked sooner again.
 		// At these times none is asked.
 		start            = 5 * replicaPollInterval / 2
-		beforeSwitchover = minReplaySettled + minReplayLate + replicaPollInterval/2
+		beforeSwitchover = lateLag + minReplayLate - replicaPollInterval/2
 	)
 	calls := map[time.Duration]int{}
-	for _, lag := range []time.Duration{usualLag, 6 * time.Second} {
+	for _, lag := range []time.Duration{usualLag, lateLag} {
 		runReplay(t, map[cluster.ServerID]time.Duration{"s1": usualLag, "s2": lag, "s3": lag}, func(w *replayWorld) {
 			w.run(t, start)
 			calls[lag] = -w.statusCalls()
@@ -159,7 +161,7 @@
 			runReplay(t, late, func(w *replayWorld) {
 				w.run(t, minReplaySettled)
 				disturb(w.table, true)
-				w.run(t, 2*minReplaySettled)
+				w.run(t, 20*time.Second)
 				if w.noPrimary > 0 || len(w.servers.promotions()) > 0 {
 					t.Errorf("%v without a primary, %v promoted", w.noPrimary, w.servers.promotions())
 				}
