Run the fault soak with organisations from seed 10,000 on

The soak had no organisations, so that nothing checked keys, connections by organisation and limits beside cuts, restarts, freezes and outages of the store. From seed 10,000 on callers send keys that are withdrawn, restored and moved; one organisation sends many times its rate; and after the other faults the store is down for 8 s while a process is paused, since shorter faults do not show a process that serves a withdrawn key.

--- a/internal/integration/framing_test.go
+++ b/internal/integration/framing_test.go
@@ -27,7 +27,7 @@
 	if out, err := exec.Command("go", "build", "-o", program, "../../cmd/rattan-edge").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	s := newSoak(t, 0, program, processes)
+	s := newSoak(t, 0, program, processes, false)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	for _, e := range s.edges {
--- a/internal/integration/soak_callers_test.go
+++ b/internal/integration/soak_callers_test.go
@@ -29,12 +29,13 @@
 
 // refusalCodes are the error codes that guarantee that no write of the attempt was
 // committed.
-var refusalCodes = []string{"BUSY", "ABORTED", "LAGGING", "READONLY", "MOVED", "MAXCONN"}
+var refusalCodes = []string{"BUSY", "ABORTED", "LAGGING", "READONLY", "MOVED", "MAXCONN", "DENIED"}
 
 // soakCaller is a session of a caller that reconnects when its connection ends.
 type soakCaller struct {
 	soak     *soak
 	name     string
+	key      string // empty without organisations
 	kind     string // orders, stock or browse
 	group    string
 	random   *rand.Rand
@@ -47,8 +48,10 @@
 	// transactions.
 	single, first *item
 	itemSets      int
-	// inTransaction is set while a transaction is open.
+	// inTransaction is set while a transaction is open, and began is when its first
+	// statement or the last statement outside of a transaction was sent.
 	inTransaction bool
+	began         time.Time
 	// ownWrites holds the number of the last write of each item that was acknowledged
 	// on this connection.
 	ownWrites map[string]int
@@ -96,7 +99,13 @@
 	c.first.pair = h.newItem(c.group, fmt.Sprintf("%s-%d-second", c.name, c.itemSets))
 }
 
-func (c *soakCaller) connect() bool { return c.connectTo(c.soak.randomEdgeInRotation(c.random)) }
+// connect connects to a process in rotation. Some callers with keys ignore the rotation.
+func (c *soakCaller) connect() bool {
+	if c.key != "" && !c.soak.plannedOnly && c.random.IntN(4) == 0 {
+		return c.connectTo(c.soak.randomEdge(c.random))
+	}
+	return c.connectTo(c.soak.randomEdgeInRotation(c.random))
+}
 
 func (c *soakCaller) connectTo(e *soakEdge) bool {
 	c.edge = e
@@ -106,7 +115,7 @@
 	}
 	c.conn, c.reader, c.ownWrites, c.prepared = conn, bufio.NewReader(conn), map[string]int{}, map[string]string{}
 	c.tag = ""
-	_, err = c.roundTrip(fmt.Sprintf("STARTUP %s-%s %s", c.group, c.kind, c.name))
+	_, err = c.roundTrip(fmt.Sprintf("STARTUP %s-%s %s", c.group, c.kind, cmp.Or(c.key, c.name)))
 	if err == nil && c.random.IntN(2) == 0 {
 		c.tag = dataOf(c.name, c.random.IntN(1_000_000))
 		_, _, err = c.query("SET tag " + c.tag)
@@ -154,6 +163,12 @@
 	c.requests++
 	id := fmt.Sprintf("%s.%d", c.name, c.requests)
 	sent := time.Now()
+	if !c.inTransaction {
+		c.began = sent
+	}
+	if c.soak.organisations != nil {
+		c.soak.organisations.addSent(id, c.keyed(sent))
+	}
 	c.soak.exchanges.addSent(id, text, c.prepared)
 	a, err := c.roundTrip("QUERY " + id + " " + text)
 	if err == nil {
@@ -176,7 +191,8 @@
 
 // roundTrip sends a line and reads the response up to READY.
 func (c *soakCaller) roundTrip(line string) (callerAnswer, error) {
-	_ = c.conn.SetDeadline(time.Now().Add(responseTimeout))
+	sent := time.Now()
+	_ = c.conn.SetDeadline(sent.Add(responseTimeout))
 	if _, err := io.WriteString(c.conn, line+"\r\n"); err != nil {
 		return callerAnswer{}, errCallerClosed // an idle session may be closed
 	}
@@ -184,12 +200,24 @@
 		return callerAnswer{}, errCallerClosed
 	}
 	a, err := readAnswer(c.reader)
+	if c.soak.organisations != nil && (err == nil || a.code != "") {
+		c.soak.organisations.checkAnswer(c.keyed(sent), a.code, line)
+	}
 	if a.code != "" && strings.HasPrefix(line, "STARTUP") {
 		return a, errCallerClosed
 	}
 	return a, err
 }
 
+// keyed returns a statement of the caller that is sent at the given time.
+func (c *soakCaller) keyed(sent time.Time) keyedStatement {
+	began := sent
+	if c.inTransaction {
+		began = c.began
+	}
+	return keyedStatement{key: c.key, public: c.soak.isPublic(c.group, c.kind), began: began, sent: sent}
+}
+
 // closedWhileIdle reports whether a process out of rotation closed the idle session
 // while the line was in transit, so that it has not read the line.
 func (c *soakCaller) closedWhileIdle(line string, err error) bool {
@@ -197,6 +225,9 @@
 }
 
 func (c *soakCaller) runOperation() error {
+	if c.key != "" && !c.soak.plannedOnly && c.random.IntN(longTransactionInterval) == 0 {
+		return c.runLongTransaction()
+	}
 	switch n := c.random.IntN(20); {
 	case n < 2:
 		return c.checkSetting()
--- a/internal/integration/soak_edge_test.go
+++ b/internal/integration/soak_edge_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,7 +25,9 @@
 	name string
 	// callers, ready and peers are the addresses that the process listens on.
 	callers, ready, peers string
-	settings              string
+	// metrics is the address of the metrics listener.
+	metrics  string
+	settings string
 	// peerRelay is in front of the process; storeRelay and promotionRelay are between
 	// it and the platform.
 	peerRelay, storeRelay, promotionRelay *relay
@@ -95,7 +98,8 @@
 }
 
 func (e *soakEdge) writeSettings() {
-	_, port, _ := net.SplitHostPort(freeAddress(e.soak.t))
+	e.metrics = freeAddress(e.soak.t)
+	_, port, _ := net.SplitHostPort(e.metrics)
 	lines := []string{
 		"node=" + e.name, "zone=z1", "ip=127.0.0.1", "listen.front=" + e.callers, "listen.ready=" + e.ready,
 		"listen.control=" + e.peers, "port_range=" + port + "," + port, "seeds=" + e.soak.seedAddresses(),
@@ -103,6 +107,9 @@
 		fmt.Sprintf("bounds.grace_s=%d", int(stopTimeout.Seconds())),
 		"platform.addr=" + e.storeRelay.address(), "cloud.addr=" + e.promotionRelay.address(),
 	}
+	if e.soak.organisations != nil {
+		lines = append(lines, organisationSettings(slices.Index(e.soak.edges, e))...)
+	}
 	e.settings = filepath.Join(e.soak.dir, e.name+".conf")
 	if err := os.WriteFile(e.settings, []byte(strings.Join(lines, "\n")), 0o600); err != nil {
 		e.soak.t.Fatal(err)
--- a/internal/integration/soak_fleet_test.go
+++ b/internal/integration/soak_fleet_test.go
@@ -48,17 +48,19 @@
 // soak is one seeded run: processes of entry VMs behind relays, stand-ins for the
 // store and the backend servers, and callers.
 type soak struct {
-	t           *testing.T
-	seed        uint64
-	dir         string
-	started     time.Time
-	store       *userplatform.Store
-	groups      []*userplatform.Group
-	edges       []*soakEdge
-	history     *callerHistory
-	delays      *hostDelays
-	exchanges   *exchangeLog
-	plannedOnly bool
+	t         *testing.T
+	seed      uint64
+	dir       string
+	started   time.Time
+	store     *userplatform.Store
+	groups    []*userplatform.Group
+	edges     []*soakEdge
+	history   *callerHistory
+	delays    *hostDelays
+	exchanges *exchangeLog
+	// organisations is nil if callers need no keys.
+	organisations *organisationHistory
+	plannedOnly   bool
 	// stopping is set while the run stops its processes.
 	stopping atomic.Bool
 
@@ -70,12 +72,16 @@
 	storeDisturbedAt time.Time
 }
 
-func newSoak(t *testing.T, seed uint64, program string, edges int) *soak {
+// newSoak starts a run. With organisations, callers need keys.
+func newSoak(t *testing.T, seed uint64, program string, edges int, organisations bool) *soak {
 	s := &soak{
 		t: t, seed: seed, dir: t.TempDir(), started: time.Now(), store: userplatform.NewStore(),
 		exchanges: newExchangeLog(), delays: &hostDelays{},
 	}
 	s.history = newCallerHistory(s)
+	if organisations {
+		s.organisations = newOrganisationHistory(s)
+	}
 	go s.delays.watch(s.started, t.Context().Done())
 	for i := range soakGroups {
 		group, err := userplatform.NewGroup(fmt.Sprintf("group%d", i), soakServers, s.store)
@@ -171,6 +177,9 @@
 			"name": host, "host": host, "service": service, "type": kind, "priority": priority,
 			"timeout_ms": 1000, "goal_ms": 200, "max_staleness_ms": staleness,
 		})
+		if s.isPublic(service, strings.TrimPrefix(host, service+"-")) {
+			routes[len(routes)-1]["public"] = true
+		}
 	}
 	var services []map[string]any
 	for _, g := range s.groups {
@@ -181,9 +190,13 @@
 	}
 	route(versionDatabase(s.version-1), s.groups[0].Name, "primary", 0, 0)
 	route(versionDatabase(s.version), s.groups[0].Name, "primary", 0, 0)
-	s.store.Put("op", "config", map[string]any{
+	configuration := map[string]any{
 		"version": s.version, "routes": routes, "services": services, "limits": map[string]any{"tx_idle_ms": 3000},
-	})
+	}
+	if s.organisations != nil {
+		configuration["tenants"] = s.organisations.tenants()
+	}
+	s.store.Put("op", "config", configuration)
 	s.configuredAt = time.Now()
 	return s.version
 }
--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -65,6 +65,10 @@
 	{337, "a new holder of the promotion lease resumed replicas while a promotion call of the previous holder was in transit"},
 }
 
+// organisationSeeds are seeds with organisations, of which the second one has planned faults
+// only.
+var organisationSeeds = []uint64{firstOrganisationSeed, firstOrganisationSeed + 1}
+
 // TestFaultSoak runs several rattan-edge processes, injects faults from outside and
 // checks the guarantees against the answers to callers and the logs of the servers.
 func TestFaultSoak(t *testing.T) {
@@ -80,6 +84,7 @@
 	for _, c := range regressionSeeds {
 		seeds = append(seeds, c.seed)
 	}
+	seeds = append(seeds, organisationSeeds...)
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { runSoak(t, seed, program) })
 	}
@@ -94,7 +99,7 @@
 
 // runSoak runs one seed. Every third seed injects planned faults only.
 func runSoak(t *testing.T, seed uint64, program string) {
-	s := newSoak(t, seed, program, fromEnv(soakProcessesEnv, soakProcesses))
+	s := newSoak(t, seed, program, fromEnv(soakProcessesEnv, soakProcesses), seed >= firstOrganisationSeed)
 	s.plannedOnly = seed%3 == 2
 	random := rand.New(rand.NewPCG(seed, 5))
 	ctx, cancel := context.WithCancel(t.Context())
@@ -107,7 +112,15 @@
 	for _, e := range s.edges {
 		work.Go(func() { e.checkVersions(ctx) })
 	}
+	if o := s.organisations; o != nil {
+		for _, run := range []func(context.Context){o.changeKeys, o.probeKeys, o.watchOutputs} {
+			work.Go(func() { run(ctx) })
+		}
+	}
 	s.injectFaults(random, program)
+	if s.organisations != nil {
+		s.organisations.causeLongFaults()
+	}
 	s.awaitService("after the faults")
 	cancel()
 	work.Wait()
@@ -117,7 +130,7 @@
 // newCaller returns caller i, whose kind and group depend on i.
 func (s *soak) newCaller(name string, i int) *soakCaller {
 	return &soakCaller{
-		soak: s, name: name, kind: []string{"orders", "stock", "browse"}[i%3],
+		soak: s, name: name, key: s.callerKey(i), kind: []string{"orders", "stock", "browse"}[i%3],
 		group: s.groups[i/3%soakGroups].Name, random: rand.New(rand.NewPCG(s.seed, uint64(100+i))),
 	}
 }
@@ -166,7 +179,7 @@
 		for _, g := range s.groups {
 			waiting.Go(func() {
 				c := &soakCaller{
-					soak: s, name: fmt.Sprintf("after-%d-%s-%s", started.UnixNano(), e.name, g.Name), kind: "orders", group: g.Name,
+					soak: s, name: fmt.Sprintf("after-%d-%s-%s", started.UnixNano(), e.name, g.Name), key: s.probeKey(), kind: "orders", group: g.Name,
 					random: rand.New(rand.NewPCG(s.seed, 9)),
 				}
 				c.replaceItems()
@@ -187,7 +200,7 @@
 // writeAt writes once through a process on a new connection and reports whether the
 // write was acknowledged.
 func (c *soakCaller) writeAt(e *soakEdge) bool {
-	conn := &soakCaller{soak: c.soak, name: c.name, kind: c.kind, group: c.group, random: c.random, single: c.single, first: c.first, itemSets: c.itemSets, requests: c.requests}
+	conn := &soakCaller{soak: c.soak, name: c.name, key: c.key, kind: c.kind, group: c.group, random: c.random, single: c.single, first: c.first, itemSets: c.itemSets, requests: c.requests}
 	defer func() {
 		c.single, c.first, c.itemSets, c.requests = conn.single, conn.first, conn.itemSets, conn.requests
 		conn.close()
@@ -221,6 +234,9 @@
 		s.history.checkPromotions(g.Name, promotions)
 	}
 	s.checkExchanges()
+	if s.organisations != nil {
+		s.organisations.check()
+	}
 	s.report()
 }
 
--- a/internal/integration/soak_versions_test.go
+++ b/internal/integration/soak_versions_test.go
@@ -59,7 +59,7 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
-	if _, err := io.WriteString(conn, "STARTUP "+database+" probe\r\n"); err != nil {
+	if _, err := io.WriteString(conn, "STARTUP "+database+" "+cmp.Or(e.soak.probeKey(), "probe")+"\r\n"); err != nil {
 		return false, false
 	}
 	answer, err := bufio.NewReader(conn).ReadString('\n')
--- a/internal/integration/stop_soak_test.go
+++ b/internal/integration/stop_soak_test.go
@@ -97,7 +97,7 @@
 }
 
 func runStops(t *testing.T, seed uint64, program string) {
-	s := newSoak(t, seed, program, fromEnv(soakProcessesEnv, stopSoakProcesses))
+	s := newSoak(t, seed, program, fromEnv(soakProcessesEnv, stopSoakProcesses), false)
 	s.plannedOnly = true
 	random := rand.New(rand.NewPCG(seed, 11))
 	ctx, cancel := context.WithCancel(t.Context())
