--- a/internal/integration/soak_organisations_test.go
+++ b/internal/integration/soak_organisations_test.go
@@ -146,11 +146,15 @@
 	return list
 }
 
-// changeKeys withdraws, restores and moves keys until ctx is done.
-func (h *organisationHistory) changeKeys(ctx context.Context) {
+// changeKeys withdraws, restores and moves keys until stop is closed.
+func (h *organisationHistory) changeKeys(stop <-chan struct{}) {
 	r := rand.New(rand.NewPCG(h.soak.seed, 11))
-	for ctx.Err() == nil {
-		sleep(ctx, time.Duration(r.Int64N(int64(maxKeyChangeInterval))))
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(r.Int64N(int64(maxKeyChangeInterval)))):
+		}
 		h.changeKey(soakKey(1+r.IntN(soakKeys-1)), r)
 	}
 }
@@ -252,19 +256,24 @@
 	}
 }
 
-// causeLongFaults takes the store away from all processes and pauses one of them, for
-// longer than revocationTime, while keys are changed. With planned faults only it waits
-// until the last changes must have taken effect.
+// causeLongFaults takes the store away from all processes, pauses one of them and changes
+// keys. It returns when the changes must have taken effect for some time. With planned
+// faults only it does no more than change keys.
 func (h *organisationHistory) causeLongFaults() {
 	s, r := h.soak, rand.New(rand.NewPCG(h.soak.seed, 13))
+	e, pause := s.randomEdge(r), time.Duration(r.Int64N(int64(maxLongPause)))
+	if !s.plannedOnly {
+		s.trace("long faults")
+		s.store.SetFaults(userplatform.Faults{Down: true})
+		e.signal(syscall.SIGSTOP)
+	}
+	for i := 1; i < soakKeys; i++ {
+		h.changeKey(soakKey(i), r)
+	}
 	if s.plannedOnly {
-		time.Sleep(revocationTime + time.Second)
+		time.Sleep(longOutage)
 		return
 	}
-	s.trace("long faults")
-	e, pause := s.randomEdge(r), time.Duration(r.Int64N(int64(maxLongPause)))
-	s.store.SetFaults(userplatform.Faults{Down: true})
-	e.signal(syscall.SIGSTOP)
 	begun, resumed := time.Now(), false
 	for time.Since(begun) < max(longOutage, pause) {
 		time.Sleep(pollInterval)
@@ -353,7 +362,7 @@
 	if !slices.ContainsFunc(owners, isOrganisation) {
 		guarantee = "withdrawn keys run nothing"
 	}
-	h.soak.history.addViolation(guarantee, "%s of %s, sent at %.3f s, ran for %q on %s at %.3f s, its key may belong to %q",
+	h.soak.history.addViolation(guarantee, "%q of %s, sent at %.3f s, ran for %q on %s at %.3f s, its key may belong to %q",
 		run.Text, run.ID, st.sent.Sub(h.soak.started).Seconds(), run.Organisation, run.Server, run.StartedAt.Sub(h.soak.started).Seconds(), owners)
 }
 
--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -112,12 +112,14 @@
 	for _, e := range s.edges {
 		work.Go(func() { e.checkVersions(ctx) })
 	}
+	stopChanges := make(chan struct{})
 	if o := s.organisations; o != nil {
-		for _, run := range []func(context.Context){o.changeKeys, o.probeKeys, o.watchOutputs} {
-			work.Go(func() { run(ctx) })
-		}
+		work.Go(func() { o.changeKeys(stopChanges) })
+		work.Go(func() { o.probeKeys(ctx) })
+		work.Go(func() { o.watchOutputs(ctx) })
 	}
 	s.injectFaults(random, program)
+	close(stopChanges)
 	if s.organisations != nil {
 		s.organisations.causeLongFaults()
 	}
