Count whole transactions in the window check of the soak with organisations

A server records the BEGIN of the product without the id of the caller's statement, so that transactions were not counted at all. An operation is now identified by its caller and the time at which its first statement was sent.

--- a/internal/integration/soak_callers_test.go
+++ b/internal/integration/soak_callers_test.go
@@ -215,7 +215,7 @@
 	if c.inTransaction {
 		began = c.began
 	}
-	return keyedStatement{key: c.key, public: c.soak.isPublic(c.group, c.kind), began: began, sent: sent}
+	return keyedStatement{operation: operation{c.name, began}, key: c.key, public: c.soak.isPublic(c.group, c.kind), sent: sent}
 }
 
 // closedWhileIdle reports whether a process out of rotation closed the idle session
--- a/internal/integration/soak_organisations_test.go
+++ b/internal/integration/soak_organisations_test.go
@@ -31,11 +31,10 @@
 	quotaExcess, quotaSlack = 0.1, 20
 	// maxKeyChangeInterval is the maximum time between two changes of keys.
 	maxKeyChangeInterval = 1200 * time.Millisecond
-	// maxLongPause is the maximum time for which a process is paused after the other
-	// faults, and longOutage the time for which the store is down meanwhile. Both let a
-	// process miss the withdrawal of a key for longer than revocationTime.
-	maxLongPause = 9 * time.Second
-	longOutage   = 8 * time.Second
+	// longOutage is the time for which the store is down after the other faults, and the
+	// maximum time for which a process is paused meanwhile. Both let processes miss the
+	// withdrawal of a key for longer than revocationTime.
+	longOutage = 8 * time.Second
 	// openingTime is the time for transactions to be opened before their keys are changed.
 	openingTime = 300 * time.Millisecond
 	// keyMark is part of each key and of nothing else.
@@ -73,12 +72,19 @@
 	begun, acknowledged time.Time
 }
 
+// operation is a statement outside of a transaction, or a whole transaction. began is when
+// its first statement was sent.
+type operation struct {
+	caller string
+	began  time.Time
+}
+
 // keyedStatement is a statement of a caller with a key.
 type keyedStatement struct {
+	operation
 	key    string
 	public bool
-	// began is when the first statement of its transaction was sent.
-	began, sent time.Time
+	sent   time.Time
 }
 
 // organisationHistory records the changes of keys and the statements sent with them.
@@ -254,12 +260,12 @@
 	}
 }
 
-// causeLongFaults opens transactions, takes the store away from all processes, pauses one of them and changes
-// keys. It returns when the changes must have taken effect for some time. With planned
-// faults only it does no more than change keys.
+// causeLongFaults opens transactions, takes the store away from all processes, pauses one of
+// them and changes all keys but the first. It returns when the changes must have been in
+// force for some time. With planned faults only there is no outage and no pause.
 func (h *organisationHistory) causeLongFaults() {
 	s, r := h.soak, rand.New(rand.NewPCG(h.soak.seed, 13))
-	e, pause := s.randomEdge(r), time.Duration(r.Int64N(int64(maxLongPause)))
+	e, pause := s.randomEdge(r), time.Duration(r.Int64N(int64(longOutage)))
 	var transactions sync.WaitGroup
 	defer transactions.Wait()
 	for i := 1; i < soakKeys; i++ {
@@ -279,17 +285,9 @@
 		time.Sleep(longOutage)
 		return
 	}
-	begun, resumed := time.Now(), false
-	for time.Since(begun) < max(longOutage, pause) {
-		time.Sleep(pollInterval)
+	defer time.AfterFunc(pause, func() { e.signal(syscall.SIGCONT) }).Stop()
+	for begun := time.Now(); time.Since(begun) < longOutage; time.Sleep(pollInterval) {
 		s.markStoreDisturbed()
-		if time.Since(begun) > longOutage {
-			s.store.SetFaults(userplatform.Faults{})
-		}
-		if !resumed && time.Since(begun) > pause {
-			e.signal(syscall.SIGCONT)
-			resumed = true
-		}
 	}
 	e.signal(syscall.SIGCONT)
 	s.store.SetFaults(userplatform.Faults{})
@@ -372,17 +370,17 @@
 		run.Text, run.ID, st.sent.Sub(h.soak.started).Seconds(), run.Organisation, run.Server, run.StartedAt.Sub(h.soak.started).Seconds(), owners)
 }
 
-// checkQuota checks the operations of an organisation in each sliding window. A
-// transaction is one operation, and so is a statement that was run again.
+// checkQuota checks the operations of an organisation in each sliding window. An operation
+// that was run again counts once, when a server first began to run a statement of it.
 func (h *organisationHistory) checkQuota(o soakOrganisation, runs []userplatform.Run) {
 	if o.rate == 0 {
 		return
 	}
-	first := map[string]time.Time{}
+	first := map[operation]time.Time{}
 	for _, run := range runs {
-		st := h.statements[run.ID]
-		if at, ran := first[run.ID]; run.Organisation == o.name && st.sent.Equal(st.began) && (!ran || run.StartedAt.Before(at)) {
-			first[run.ID] = run.StartedAt
+		op := h.statements[run.ID].operation
+		if at, ran := first[op]; run.Organisation == o.name && (!ran || run.StartedAt.Before(at)) {
+			first[op] = run.StartedAt
 		}
 	}
 	var times []time.Time
