End sessions that become idle late in a drain at once

Idle sessions wait for statements that are under way only in the first 100 ms after EndIdle. TestSessionEndsAfterATransactionInADrain fails on the code before.

--- a/internal/caller/drain.go
+++ b/internal/caller/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 )
 
 // errStopping reports that the process stops and cannot wait for a statement any longer.
@@ -20,6 +21,9 @@
 	endStatements      context.CancelCauseFunc
 
 	endIdle, endTransactions sync.Once
+	// graceEnd is the time up to which idle sessions wait for statements that are under way.
+	// It is set before idle is closed.
+	graceEnd time.Time
 }
 
 // NewDrain returns a Drain that has not begun.
@@ -30,8 +34,17 @@
 }
 
 // EndIdle ends the sessions that have no open transaction, each once its statement is
-// answered. An idle session first waits drainGrace for a statement that is under way.
-func (d *Drain) EndIdle() { d.endIdle.Do(func() { close(d.idle) }) }
+// answered. For drainGrace idle sessions wait for statements that are under way.
+func (d *Drain) EndIdle() {
+	d.endIdle.Do(func() {
+		d.graceEnd = time.Now().Add(drainGrace)
+		close(d.idle)
+	})
+}
+
+// grace returns how long an idle session still waits for a statement. It must be called after
+// idle was closed.
+func (d *Drain) grace() time.Duration { return time.Until(d.graceEnd) }
 
 // EndTransactions ends all sessions, each once its statement is answered. Open transactions
 // are rolled back.
--- a/internal/caller/drain_test.go
+++ b/internal/caller/drain_test.go
@@ -81,8 +81,26 @@
 		synctest.Wait()
 		d.drain.EndIdle()
 		synctest.Wait()
-		begun := time.Now()
 		d.send(transaction...)
+		begun := time.Now()
+		d.expect(t, "done T", "y T", "COMMIT I")
+		if waited := time.Since(begun); waited > drainGrace {
+			t.Errorf("the session ended %v after its transaction", waited)
+		}
+	})
+}
+
+// TestSessionEndsAfterATransactionInADrain: a session whose transaction ended late in a drain
+// waited for another statement, and accepted a BEGIN shortly before all transactions had to
+// end. The connection was closed in the middle of the new one.
+func TestSessionEndsAfterATransactionInADrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := serveDrained(t, func(h *fakeHome) statement.Runner { return h })
+		d.send(transactionStatement(KindBegin), write("y"))
+		d.drain.EndIdle()
+		time.Sleep(2 * drainGrace)
+		begun := time.Now()
+		d.send(transactionStatement(KindCommit))
 		d.expect(t, "done T", "y T", "COMMIT I")
 		if waited := time.Since(begun); waited > 0 {
 			t.Errorf("the session ended %v after its transaction", waited)
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -25,9 +25,9 @@
 	// maxPrepared and maxSettings bound the memory of one session.
 	maxPrepared = 200
 	maxSettings = 100
-	// drainGrace is how long a session that is idle when a drain begins can still receive a
-	// statement. A statement that was sent before may be read later, since a VM with a fifth
-	// of a core can be stalled by its quota for 80 ms.
+	// drainGrace is how long idle sessions can still receive statements after EndIdle. A
+	// statement that was sent before may be read later, since a VM with a fifth of a core can
+	// be stalled by its quota for 80 ms.
 	drainGrace = 100 * time.Millisecond
 	// maxRequestIDBytes bounds the request id that is logged.
 	maxRequestIDBytes = 128
@@ -75,8 +75,6 @@
 	drain        *Drain
 	// refused is set while the caller's key is refused and that has been logged.
 	refused bool
-	// graceUsed is set once a drain has waited for a statement that was under way.
-	graceUsed bool
 	// readingEnded is set once no more statements are read because of a drain.
 	readingEnded atomic.Bool
 }
@@ -149,14 +147,15 @@
 	}
 }
 
-// statementUnderWay waits up to drainGrace for a statement when a drain first finds the
-// session without one. Reading goes on, so that the statement may begin a transaction.
+// statementUnderWay waits for a statement until the grace of a drain is over. Reading goes on,
+// so that the statement may begin a transaction. Later a transaction would begin too shortly
+// before EndTransactions.
 func (s *Session) statementUnderWay(ctx context.Context) *Statement {
-	if s.graceUsed || s.state != StateIdle {
+	grace := s.drain.grace()
+	if grace <= 0 || s.state != StateIdle {
 		return nil
 	}
-	s.graceUsed = true
-	timer := time.NewTimer(drainGrace)
+	timer := time.NewTimer(grace)
 	defer timer.Stop()
 	select {
 	case next := <-s.statements:
