--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -68,14 +68,14 @@
 	return c, nil
 }
 
-// awaitDisplaced waits until few displaced connections are still open.
+// awaitDisplaced waits for up to endWait while too many displaced connections are still open.
 func (l *Listener) awaitDisplaced() {
-	if !l.hasDisplaced() {
+	if !l.tooManyDisplaced() {
 		return
 	}
 	timeout := time.NewTimer(endWait)
 	defer timeout.Stop()
-	for l.hasDisplaced() {
+	for l.tooManyDisplaced() {
 		select {
 		case <-l.ended:
 		case <-timeout.C:
@@ -84,9 +84,9 @@
 	}
 }
 
-// hasDisplaced reports whether more displaced connections are open than a quarter of the
-// limit.
-func (l *Listener) hasDisplaced() bool {
+// tooManyDisplaced reports whether more displaced connections than a quarter of the limit are
+// still open.
+func (l *Listener) tooManyDisplaced() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.ending > l.limit()/4
--- a/internal/home/owner.go
+++ b/internal/home/owner.go
@@ -93,7 +93,7 @@
 	pendingAcks, pendingCopies atomic.Int32
 	// pollChannels holds pollNow of every node; the slice is replaced as a whole.
 	pollChannels atomic.Pointer[[]chan struct{}]
-	// readTargets holds what reads choose a server by; the map is replaced as a whole.
+	// readTargets holds the read target of every node; the map is replaced as a whole.
 	readTargets atomic.Pointer[map[cluster.ServerID]readTarget]
 	// metrics holds the metrics of the group and its servers; nil without EvenLoad.
 	metrics *metrics.Set
--- a/internal/home/prefer.go
+++ b/internal/home/prefer.go
@@ -5,7 +5,7 @@
 	"github.com/rattancove/rattancove/internal/pool"
 )
 
-// readTarget is what a read chooses a server by.
+// readTarget holds what the choice of a server for a read is based on.
 type readTarget struct {
 	pool    *pool.Pool
 	pollNow chan struct{}
@@ -25,8 +25,8 @@
 // capacity; nil if it has none. Requests that take turns at the servers prefer idle
 // connections also without an organisation.
 func (o *owner) prefers(r *request, even bool) func(cluster.ServerID) int {
-	domain := o.home.config.FailureDomain != "" && o.home.unequalVMs.Load()
-	if r.Organisation == "" && !even && !domain {
+	preferOwnDomain := o.home.config.FailureDomain != "" && o.home.unequalVMs.Load()
+	if r.Organisation == "" && !even && !preferOwnDomain {
 		return nil
 	}
 	return func(id cluster.ServerID) int {
@@ -34,7 +34,7 @@
 		if (r.Organisation != "" || even) && o.hasIdle(id, r.Organisation) {
 			preference += preferIdleConnection
 		}
-		if domain && (*o.readTargets.Load())[id].near {
+		if preferOwnDomain && (*o.readTargets.Load())[id].near {
 			preference += preferNear
 		}
 		return preference
--- a/internal/member/weight.go
+++ b/internal/member/weight.go
@@ -2,12 +2,11 @@
 
 import "slices"
 
-// What a VM needs for one unit of its capacity for homes. A process of 100 members was
-// measured at 0.06 of a core and 6.6 Mbit/s, one of 30 members at 0.1 of a core and
-// 2 Mbit/s (CAPACITY.md): the link for a share of a core lies between these two, as on
-// the smallest VMs in use (0.192 of a core, 10 Mbit/s). Memory grows with the members more
-// than with the homes, and the same processes used 28 and 67 MB of 184 MB, so that it counts
-// only where it is half as large for the processor share as on the smallest VMs.
+// What a VM needs for one unit of its capacity for homes. The ratio of processor to link is
+// that of the smallest VMs in use (0.192 of a core, 10 Mbit/s): in small fleets their processor
+// is the scarcer of the two, in large ones their link (CAPACITY.md). Memory depends on the
+// members more than on the homes. It counts only where a VM has less than half as much for its
+// processor share as the smallest ones (184 MB).
 const (
 	cpuSharePerUnit = 0.01
 	linkMbpsPerUnit = 0.5
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -58,7 +58,7 @@
 // allowed returns the number of credits that may be used in a window or outstanding.
 func (o *organisation) allowed() uint64 {
 	if o.dealer.settled {
-		return min(o.basis, o.ceiling.observed)
+		return min(o.basis, o.ceiling.enforced)
 	}
 	return o.entitled + o.basis - min(o.basis, o.earlierCeiling)
 }
--- a/internal/quota/allocate.go
+++ b/internal/quota/allocate.go
@@ -22,7 +22,7 @@
 	a.setOutstanding(a.outstanding + credits)
 	o.ceiling.short = o.ceiling.short || credits < use.Needed
 	c := Credit{Organisation: use.Organisation, Credits: credits, Basis: o.basis, Reserve: o.level}
-	if credits < use.Needed && o.free(now)+o.allowance == 0 && (!d.settled || o.basis <= o.ceiling.observed) {
+	if credits < use.Needed && o.free(now)+o.allowance == 0 && (!d.settled || o.basis <= o.ceiling.enforced) {
 		c.Exhausted, c.RetryAfter = true, o.retryAfter(now)
 	}
 	return c
--- a/internal/quota/ceiling.go
+++ b/internal/quota/ceiling.go
@@ -7,9 +7,9 @@
 
 // A ceiling restricts the credits of an organisation, used in the last window or
 // outstanding, to less than its basis. It is recorded where the next dealer finds it, which
-// may then allocate the rest of the basis at once, whatever the homes that it does not hear
-// of have used. What a dealer observes is never above the recorded ceiling: it observes a
-// lower one before it is recorded, and a higher one after that.
+// may then allocate the rest of the basis at once, since homes that do not report to it have
+// used no more than the ceiling. The ceiling that a dealer enforces is never above the
+// recorded one: a lower one is enforced before it is recorded, a higher one after that.
 
 const (
 	// noCeiling stands for an organisation without a ceiling.
@@ -20,20 +20,21 @@
 	headroomDivisor = 4
 	// calmTime is the time for which a ceiling must have been too high before it is lowered.
 	calmTime = 10 * time.Second
-	// ceilingInterval is the shortest time between two records of changed ceilings, and
-	// sampleInterval that between two looks at the uses.
+	// ceilingInterval is the shortest time between two writes of changed ceilings, and
+	// sampleInterval that between two samples of the uses.
 	ceilingInterval = 2 * time.Second
 	sampleInterval  = 100 * time.Millisecond
 )
 
 // ceiling is the ceiling of one organisation.
 type ceiling struct {
-	// observed is what the dealer observes, and recorded the lowest that may be recorded.
-	observed, recorded uint64
+	// enforced is the bound of the allocations, and recorded the lowest value that the record
+	// may hold.
+	enforced, recorded uint64
 	// removal is set while the ceiling has to be removed from the record.
 	removal bool
-	// peak is the highest number of uses in a window since a time, zero before the first
-	// sample, and earlierPeak that in the calmTime before it.
+	// peak is the highest number of uses in a window since the time since, which is zero
+	// before the first sample, and earlierPeak the highest in the calmTime before it.
 	peak, earlierPeak uint64
 	since             time.Duration
 	// short is set when a home got fewer credits than it needed.
@@ -42,7 +43,7 @@
 
 // newCeiling returns the state without a ceiling.
 func newCeiling() ceiling {
-	return ceiling{observed: noCeiling, recorded: noCeiling, earlierPeak: noCeiling}
+	return ceiling{enforced: noCeiling, recorded: noCeiling, earlierPeak: noCeiling}
 }
 
 // headroom returns the credits that a ceiling leaves above the uses of a window, at least
@@ -51,7 +52,7 @@
 	return max(o.basis/headroomDivisor, 2*maxReserve*uint64(len(o.accounts)))
 }
 
-// sampleCeiling lowers the ceiling that the dealer observes, or asks for its removal.
+// sampleCeiling lowers the enforced ceiling, or asks for the removal of the recorded one.
 func (o *organisation) sampleCeiling(now time.Duration) {
 	c := &o.ceiling
 	o.uses.advance(now)
@@ -64,10 +65,10 @@
 	}
 	// Half of the headroom is left when the removal is asked for, so that it is recorded
 	// before the credits are needed.
-	exceeded := c.observed != noCeiling && (c.short || used+o.headroom()/2 > c.observed)
+	exceeded := c.enforced != noCeiling && (c.short || used+o.headroom()/2 > c.enforced)
 	c.short = false
 	if exceeded || o.limit.Rate == 0 {
-		c.observed, c.removal = c.recorded, c.recorded != noCeiling
+		c.enforced, c.removal = c.recorded, c.recorded != noCeiling
 		c.peak, c.earlierPeak, c.since = used, noCeiling, now
 		return
 	}
@@ -76,8 +77,8 @@
 		return
 	}
 	// A difference of half of the headroom is worth a write.
-	if lower := peak + o.headroom(); lower+o.headroom()/2 <= min(c.observed, o.basis) {
-		c.observed, c.removal = lower, false
+	if lower := peak + o.headroom(); lower+o.headroom()/2 <= min(c.enforced, o.basis) {
+		c.enforced, c.removal = lower, false
 	}
 }
 
@@ -88,11 +89,11 @@
 	return 2*float64(o.dealer.bounds.allowance(o.limit)) < o.dealer.bounds.base(o.limit)
 }
 
-// lowered reports whether the ceiling that the dealer observes holds, and may be recorded in
-// place of a higher one.
+// lowered reports whether the enforced ceiling holds, and may be recorded in place of a higher
+// one.
 func (o *organisation) lowered(now time.Duration) bool {
 	o.uses.advance(now)
-	return o.ceiling.observed < o.ceiling.recorded && o.uses.total+o.outstanding <= o.ceiling.observed
+	return o.ceiling.enforced < o.ceiling.recorded && o.uses.total+o.outstanding <= o.ceiling.enforced
 }
 
 // SetEarlierCeilings sets the ceilings that were recorded when this dealer replaced the
@@ -130,7 +131,7 @@
 	for name, o := range d.organisations {
 		c := &o.ceiling
 		if o.lowered(now) {
-			c.recorded = c.observed
+			c.recorded = c.enforced
 		}
 		if c.recorded != noCeiling && !c.removal {
 			ceilings[name] = c.recorded
