--- a/internal/quota/sizes_test.go
+++ b/internal/quota/sizes_test.go
@@ -34,7 +34,7 @@
 type fleet struct{ processes, homes, load, least int }
 
 // TestSizes measures messages, refusals and excess; with RATTAN_EXPERIMENTS also for
-// large fleets. docs/design/organisations-and-load.md has the table.
+// large fleets. docs/design/quotas.md has the table.
 func TestSizes(t *testing.T) {
 	fleets := []fleet{{7, 7, 150, 7}}
 	if os.Getenv("RATTAN_EXPERIMENTS") != "" {
