--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -97,14 +97,26 @@
 	}
 }
 
-// freeAddress returns a loopback address with a free port.
+// Ports from firstPort to lastPort are below the ephemeral range, so that no outgoing
+// connection takes a port between its choice and the start of the process.
+const (
+	firstPort = 20100
+	lastPort  = 32000
+)
+
+var nextPort = os.Getpid() * 61
+
+// freeAddress returns a loopback address with a free port. It is not safe for concurrent use.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range lastPort - firstPort {
+		nextPort++
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort%(lastPort-firstPort)))
+		if err == nil {
+			defer func() { _ = l.Close() }()
+			return l.Addr().String(), nil
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", fmt.Errorf("no free port from %d to %d", firstPort, lastPort)
 }
 
 // machine is an entry VM. Like the platform, it kills its process above the memory of the
