review: a read runs as another client's write

The case of the prepared statements now plays a write of the other client: each read of the ordinary client runs as that write and replaces an acknowledged row.

--- a/review/standin-2/prepared.go
+++ b/review/standin-2/prepared.go
@@ -19,69 +19,92 @@
 	rounds = 20
 )
 
-// preparedCase plays two clients that prepare one statement each, of different shapes, and
-// run it by turns. The shape of the second one has the hash of the first one's.
+// preparedCase plays two clients that prepare one statement each, the ordinary one a read and
+// the other one a write of another shape, and run it by turns. The definition of the second
+// one has the hash of the first one's.
 func preparedCase(d *deployment) (bool, error) {
 	if err := d.start(2); err != nil {
 		return false, err
 	}
-	other := "q2c-of-another-client-00"
+	definitions := map[string]string{"ordinary": "READ " + victimShape, "other": "WRITE q2c-of-another-client-00"}
 	if trouble() {
-		var err error
-		if other, err = collidingShape(victimShape); err != nil {
+		shape, err := collidingShape(xxhash.Sum64String("r:" + victimShape))
+		if err != nil {
 			return false, err
 		}
+		definitions["other"] = "WRITE " + shape
 	}
-	shapes := map[string]string{"ordinary": victimShape, "other": other}
-	d.record.writef("the ordinary client prepares %q, the other one %q", victimShape, other)
 	sessions := map[string]*client{}
-	for _, user := range []string{"other", "ordinary"} {
+	for _, user := range users {
 		c, err := d.machines[0].connect(user)
 		if err != nil {
 			return false, err
 		}
 		defer c.close()
-		answer, err := c.ask("1"+strings.Repeat("0", 15), "PARSE s1 READ "+shapes[user])
-		if err != nil {
+		sessions[user] = c
+		if err := d.succeed(user, c, "cccccccc00000000", "PARSE s1 "+definitions[user]); err != nil {
 			return false, err
 		}
-		d.record.writef("%s: PARSE s1 READ %s -> %q", user, shapes[user], answer)
-		if !strings.HasPrefix(answer[0], "COMPLETE") {
-			return false, fmt.Errorf("the statement is not prepared: %q", answer)
-		}
-		sessions[user] = c
+	}
+	if err := d.succeed("ordinary", sessions["ordinary"], "cccccccc00000001", "WRITE 1a4 roll-17"); err != nil {
+		return false, err
 	}
 	for n := range rounds {
-		for _, user := range []string{"other", "ordinary"} {
-			id := fmt.Sprintf("%s%08x", map[string]string{"other": "aaaaaaaa", "ordinary": "bbbbbbbb"}[user], n)
-			answer, err := sessions[user].ask(id, "EXECUTE s1 1a4")
+		for _, user := range users {
+			text := map[string]string{"other": "EXECUTE s1 7c2 own-data", "ordinary": "EXECUTE s1 1a4"}[user]
+			id := fmt.Sprintf("%s%08x", idPrefix[user], n)
+			answer, err := sessions[user].ask(id, text)
 			if err != nil {
 				return false, err
 			}
-			d.record.writef("%s: %s EXECUTE s1 1a4 -> %q", user, id, answer)
+			d.record.writef("%s: %s %s -> %q", user, id, text, answer)
 		}
 	}
-	return d.judgePrepared(shapes)
+	if err := d.succeed("ordinary", sessions["ordinary"], "cccccccc00000002", "READ 1a4"); err != nil {
+		return false, err
+	}
+	return d.judgePrepared(definitions)
 }
 
-// judgePrepared compares the shape that each statement has run with the one that its client
-// has prepared.
-func (d *deployment) judgePrepared(shapes map[string]string) (bool, error) {
+// users are the two clients in the order of their turns, and idPrefix the beginnings of the
+// ids of the statements that they run by turns.
+var (
+	users    = []string{"other", "ordinary"}
+	idPrefix = map[string]string{"other": "aaaaaaaa", "ordinary": "bbbbbbbb"}
+)
+
+// succeed sends a statement and returns an error unless it succeeds.
+func (d *deployment) succeed(user string, c *client, id, text string) error {
+	answer, err := c.ask(id, text)
+	if err != nil {
+		return err
+	}
+	d.record.writef("%s: %s %s -> %q", user, id, text, answer)
+	if len(answer) < 2 || !strings.HasPrefix(answer[len(answer)-2], "COMPLETE") {
+		return fmt.Errorf("%s: %s is answered %q", user, text, answer)
+	}
+	return nil
+}
+
+// judgePrepared compares the definition that each statement has run with the one that its
+// client has prepared.
+func (d *deployment) judgePrepared(definitions map[string]string) (bool, error) {
 	wrong, all := 0, 0
 	for _, run := range d.group.Runs() {
-		user := map[string]string{"aaaaaaaa": "other", "bbbbbbbb": "ordinary"}[run.ID[:min(8, len(run.ID))]]
-		if user == "" {
-			continue
-		}
-		all++
-		verdict := "its own shape"
-		if run.Definition != "READ "+shapes[user] {
-			verdict = "ANOTHER SHAPE than its client has prepared"
-			wrong++
+		for _, user := range users {
+			if !strings.HasPrefix(run.ID, idPrefix[user]) {
+				continue
+			}
+			all++
+			verdict := "what its client has prepared"
+			if run.Definition != definitions[user] {
+				verdict = "NOT what its client has prepared"
+				wrong++
+			}
+			d.record.writef("%s ran %s %q of the %s client as %q: %s; it committed %q", run.Server, run.ID, run.Text, user, run.Definition, verdict, run.Writes)
 		}
-		d.record.writef("%s ran %s %q as %q for the %s client: %s", run.Server, run.ID, run.Text, run.Definition, user, verdict)
 	}
-	d.record.writef("%d of %d statements ran another shape than their client has prepared", wrong, all)
+	d.record.writef("%d of %d statements ran another definition than their client has prepared", wrong, all)
 	if all == 0 {
 		return false, errors.New("no statement has run")
 	}
@@ -97,14 +120,14 @@
 	prime5 uint64 = 2870177450012600261
 )
 
-// collidingShape returns another shape of printable characters such that "r:" and the shape
-// have the same 64-bit hash. The hash is not a cryptographic one: its steps are invertible, so
-// that the last eight bytes follow from the others.
-func collidingShape(shape string) (string, error) {
+// collidingShape returns a shape of printable characters such that "w:" and the shape have the
+// given 64-bit hash. The hash is not a cryptographic one: its steps are invertible, so that the
+// last eight bytes follow from the others.
+func collidingShape(hash uint64) (string, error) {
 	const length = 24
-	target := unmix(xxhash.Sum64String("r:" + shape))
+	target := unmix(hash)
 	for n := range 1_000_000 {
-		head := fmt.Sprintf("r:q%013x", n)
+		head := fmt.Sprintf("w:q%013x", n)
 		h := prime5 + length
 		for i := 0; i < len(head); i += 8 {
 			h ^= round(binary.LittleEndian.Uint64([]byte(head[i:])))
@@ -114,8 +137,8 @@
 		var tail [8]byte
 		binary.LittleEndian.PutUint64(tail[:], unround(before^h))
 		candidate := head + string(tail[:])
-		if printable(tail[:]) && xxhash.Sum64String(candidate) == xxhash.Sum64String("r:"+shape) {
-			return strings.TrimPrefix(candidate, "r:"), nil
+		if printable(tail[:]) && xxhash.Sum64String(candidate) == hash {
+			return strings.TrimPrefix(candidate, "w:"), nil
 		}
 	}
 	return "", errors.New("no colliding shape was found")
