review: a crowd that rests in transactions keeps out all other clients

Cause: a transaction that no server has opened yet has no limit of its idle time, and sessions over the share of the descriptors are refused whoever holds them. Shown by review/10/run.sh: no ordinary read is answered within 40 s.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,6 +22,7 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(d *deployment) (bool, error){
+	"crowd":    crowdCase,
 	"memory":   memoryCase,
 	"prepared": preparedCase,
 }
@@ -31,7 +32,7 @@
 
 func main() {
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin-2 memory|prepared")
+		fmt.Fprintln(os.Stderr, "usage: standin-2 crowd|memory|prepared")
 		os.Exit(2)
 	}
 	os.Exit(run(cases[os.Args[1]]))
