Keep the time of an earlier lease holder's promotion call

Cause: for each server one time was kept until which a promotion may take effect. The present holder's own call for the server, possible for 5 s, replaced the time of an inherited one, possible for 10 s. A holder that had rewritten the group's record and restarted took an inherited call for its own as well.

What could happen: a holder is suspended before its call to promote a server. The next one promotes that server itself, and replaces it as it leaves. The first call arrives last and promotes the server again: acknowledged writes are lost.

Change: a call joins the ones before it and the latest time counts. The record tells whether a call of an earlier holder is among them, and names the server under the present holder's token. The record is derived from the pending promotions instead of a server that is kept beside them.

--- a/internal/succession/controller.go
+++ b/internal/succession/controller.go
@@ -25,15 +25,6 @@
 	maxPriorPromotionDelay = 2 * maxPromotionDelay
 )
 
-// priorPromotionDelay returns how long after the record was read its promotion may still
-// take effect. A holder that has ended made its call before.
-func priorPromotionDelay(r Record, ended duty.Token) time.Duration {
-	if r.Token == ended {
-		return maxPromotionDelay
-	}
-	return maxPriorPromotionDelay
-}
-
 // pollInterval is the interval between checks of the groups and the lease.
 const pollInterval = 500 * time.Millisecond
 
--- a/internal/succession/loop.go
+++ b/internal/succession/loop.go
@@ -41,9 +41,8 @@
 	state State
 	// readRecord is the group's record, just read, which the next decision adopts.
 	readRecord *Record
-	// promoting is the server whose promotion may still take effect, by a call of this
-	// process or an earlier lease holder.
-	promoting cluster.ServerID
+	// announced is the promotion by this process that is in progress, nil if there is none.
+	announced *announcedPromotion
 	// recordRead is set while savedRecord is known to be the group's record in the
 	// table service, and recordSyncing while it is read or written in the background.
 	recordRead, recordSyncing bool
@@ -140,7 +139,7 @@
 	now := time.Now()
 	term, allowed := grantableTerm(l.group, view, l.state, now)
 	l.mu.Unlock()
-	l.saveRecord(now)
+	l.saveRecord()
 	l.logWaits(previous)
 	l.logPhaseChange(previous)
 	if previous.Phase != PhasePromoting && state.Phase == PhasePromoting {
--- a/internal/succession/model_events_test.go
+++ b/internal/succession/model_events_test.go
@@ -177,7 +177,7 @@
 func (p *modelProcess) refused(c modelCall) {
 	if p.token == c.token {
 		p.view.PromotionRefused = serverID(c.server)
-		delete(p.view.PendingPromotions, serverID(c.server))
+		p.view.PendingPromotions.withdraw(serverID(c.server), c.earlier)
 	}
 }
 
@@ -254,17 +254,17 @@
 		return false
 	}
 	p.stage = stageNone
+	p.announced = nil
+	var earlier PendingPromotion
 	if p.view.PendingPromotions != nil {
-		id := serverID(p.candidate)
-		earlier := p.view.PendingPromotions.begin(id, maxServerTerm(p.view), w.time())
-		p.view.PendingPromotions.accept(id, earlier, w.time())
+		earlier = w.beginPromotion(p, serverID(p.candidate))
 	}
 	token := p.callToken
 	if token < w.highestToken && !p.late {
 		w.fail("token %d is sent after token %d", token, w.highestToken)
 	}
 	w.highestToken = max(w.highestToken, token)
-	w.calls = append(slices.Clip(w.calls), modelCall{server: p.candidate, token: token, sentAt: w.now, sender: p.index})
+	w.calls = append(slices.Clip(w.calls), modelCall{server: p.candidate, token: token, sentAt: w.now, sender: p.index, earlier: earlier})
 	if !w.servers[p.candidate].alive {
 		w.refuseCalls(p.candidate)
 	}
@@ -272,6 +272,19 @@
 	return true
 }
 
+// beginPromotion notes a call that is sent.
+func (w *modelWorld) beginPromotion(p *modelProcess, id cluster.ServerID) (earlier PendingPromotion) {
+	pending := p.view.PendingPromotions
+	earlier = pending.begin(id, maxServerTerm(p.view), w.time())
+	call := pending[id]
+	if w.disabled.inheritedTime {
+		call.Until = w.time().Add(maxPromotionDelay)
+	}
+	pending[id] = call
+	pending.accept(id, earlier, w.time())
+	return earlier
+}
+
 func processID(p *modelProcess) cluster.ProxyID { return cluster.ProxyID(fmt.Sprintf("p%d", p.index)) }
 
 func holderOf(p *modelProcess) grant.Holder { return p.grants.Holder() }
--- a/internal/succession/model_hash_test.go
+++ b/internal/succession/model_hash_test.go
@@ -112,11 +112,16 @@
 
 func (e *stateEncoder) record(r Record) {
 	e.members(r.Members)
-	e.text(string(r.Promoting))
+	e.promotion(r.Promoting, r.Call)
 	e.bools(r.ReplaySwitchover > 0)
 	e.steppedDown(r.SteppedDown)
 }
 
+func (e *stateEncoder) promotion(server cluster.ServerID, call PromotionCall) {
+	e.text(string(server))
+	e.bools(call.Inherited)
+}
+
 func (e *stateEncoder) steppedDown(d SteppedDown) {
 	e.text(string(d.Server))
 	e.ints(int(d.Term))
@@ -168,7 +173,8 @@
 	e.text(string(s.Cause))
 	e.text(string(s.OldPrimary))
 	e.text(string(s.Candidate))
-	e.text(string(p.promoting))
+	promoting, call := p.view.PendingPromotions.recorded(p.announced, modelStart.Add(e.now))
+	e.promotion(promoting, call)
 	e.ints(int(s.AttemptTerm), int(s.OldTerm), int(s.MaxTermAtStart), int(s.Step))
 	e.position(s.OldLogEnd)
 	e.steppedDown(s.SteppedDown)
@@ -219,7 +225,7 @@
 	}
 	if p, ok := v.PendingPromotions[id]; ok {
 		e.timeAge(p.Until)
-		e.bools(p.Accepted)
+		e.bools(p.Accepted, p.Inherited)
 		e.ints(int(p.TermBefore))
 	}
 }
--- a/internal/succession/model_process_test.go
+++ b/internal/succession/model_process_test.go
@@ -15,6 +15,8 @@
 	token  duty.Token
 	sentAt time.Duration
 	sender int
+	// earlier is what was pending for the server at the sender before the call.
+	earlier PendingPromotion
 }
 
 // promotionStage is the progress of a promotion at a process.
@@ -50,7 +52,7 @@
 	// was suspended after its last check of the lease.
 	callToken duty.Token
 	late      bool
-	promoting cluster.ServerID
+	announced *announcedPromotion
 
 	recordRead    bool
 	saved         Record
@@ -123,9 +125,6 @@
 	} else {
 		p.issuer.Block("g")
 	}
-	if p.stage == stageNone && !p.view.PendingPromotions[p.promoting].possible(now) {
-		p.promoting = ""
-	}
 	for _, a := range actions {
 		w.execute(p, a)
 	}
@@ -135,8 +134,9 @@
 	switch a.Kind {
 	case ActionQueryObservers:
 	case ActionPromote:
-		p.candidate, p.promoting, p.callToken, p.late = serverIndex(a.Server), a.Server, p.token, false
+		p.candidate, p.callToken, p.late = serverIndex(a.Server), p.token, false
 		p.stage, p.view.PromotionNotSent, p.view.PromotionRefused = stageRecord, false, ""
+		p.announced = &announcedPromotion{a.Server, p.view.PendingPromotions.next(a.Server, maxServerTerm(p.view), w.time())}
 		if w.disabled.recordFirst {
 			p.stage = stageCheck
 		}
@@ -190,26 +190,33 @@
 	w.decide(p)
 }
 
-// readRecord and writeRecord are syncRecord in two steps.
+// readRecord and writeRecord are syncRecord in two steps. A promotion whose announcement meets
+// another writer's record is given up.
 func (w *modelWorld) readRecord(p *modelProcess) {
+	if p.stage == stageRecord {
+		p.stage, p.announced, p.view.PromotionNotSent = stageNone, nil, true
+	}
 	p.recordRead, p.saved, p.recordVersion = true, w.record, w.recordVersion
 	p.state = p.state.adopt(w.record, w.time())
 	if r := w.record; r.Promoting != "" && r.Token != p.token {
-		p.view.PendingPromotions[r.Promoting] = PendingPromotion{Until: w.time().Add(priorPromotionDelay(r, p.predecessor))}
-		if p.promoting == "" {
-			p.promoting = r.Promoting
-		}
+		w.disableRecorded(&r.Call)
+		p.view.PendingPromotions.inherit(r, p.predecessor, w.time())
 	}
 	w.decide(p)
 }
 
+// disableRecorded leaves out of a record what mechanisms that are disabled need.
+func (w *modelWorld) disableRecorded(call *PromotionCall) {
+	call.Inherited = call.Inherited && !w.disabled.inheritedCall
+}
+
 func (w *modelWorld) wantedRecord(p *modelProcess) Record {
-	promoting := p.promoting
+	promoting, call := p.view.PendingPromotions.recorded(p.announced, w.time())
 	if w.disabled.recordFirst {
-		promoting = ""
+		promoting, call = "", PromotionCall{}
 	}
 	r := p.state.record(promoting)
-	r.Token = p.token
+	r.Call, r.Token = call, p.token
 	return r
 }
 
--- a/internal/succession/model_test.go
+++ b/internal/succession/model_test.go
@@ -50,6 +50,8 @@
 	{"replicas leave before the primary", modelFaults{leaving: 1, lapses: 1, ticks: 1}, departingReplicas},
 	{"the lease is taken over after the primary has stepped down", modelFaults{writes: 1, restarts: 1, ticks: 4}, steppedDownPrimary},
 	{"a primary leaves soon after its promotion", modelFaults{writes: 1, leaving: 1, ticks: 1}, recentPromotion},
+	{"a call arrives after the next switchover", modelFaults{writes: 1, holderRestarts: 1}, suspendedCall},
+	{"a call arrives after the next switchover, the holder has restarted", modelFaults{writes: 1}, suspendedCallBeforeRestart},
 	{"an entry names no server", modelFaults{writes: 1, leaving: 1, oddEntries: 1, ticks: 1}, nil},
 	{"a replica crashes while the primary is replaced", modelFaults{writes: 1, leaving: 1, crashes: 1, ticks: 1}, nil},
 	{"grants across a promotion", modelFaults{writes: 1, ticks: 5}, grantInForce},
@@ -190,6 +192,61 @@
 	w.handOver()
 }
 
+// requestedSwitchover is the state in which p0 has replaced s0, which is leaving, and has
+// requested the promotion of s1 or is about to.
+func requestedSwitchover(w *modelWorld) {
+	w.left.leaving++
+	w.must(modelEvent{eventLeave, 0, 0})
+	p := w.processes[0]
+	for i := 0; len(w.calls) == 0 && p.stage == stageNone; i++ {
+		if i > 20 {
+			panic("no promotion")
+		}
+		w.must(modelEvent{eventCall, 0, uint8(i % modelInitialServers)})
+		w.revokeGrants(p)
+	}
+}
+
+// suspendedCall is the state in which p0 is suspended just before its call to promote s1,
+// which may take effect for a moment yet. p1, which has taken the lease, has promoted s1
+// meanwhile. s1 is leaving and has been replaced if p1 allows it.
+func suspendedCall(w *modelWorld) {
+	suspendBeforeCall(w)
+	replacePrimaryTwice(w, w.now)
+}
+
+// suspendedCallBeforeRestart is the same state where p1 has restarted before it promoted s1.
+func suspendedCallBeforeRestart(w *modelWorld) {
+	suspendBeforeCall(w)
+	read := w.now
+	w.calmStep()
+	w.left.holderRestarts++
+	w.must(modelEvent{eventRestartHolder, 1, 0})
+	replacePrimaryTwice(w, read)
+}
+
+// suspendBeforeCall suspends p0 just before its call to promote s1, until p1 has taken the
+// lease.
+func suspendBeforeCall(w *modelWorld) {
+	w.left.freezes = 1
+	requestedSwitchover(w)
+	w.must(modelEvent{eventCheckLease, 0, 0}, modelEvent{eventFreeze, 0, 0})
+	w.handOver()
+}
+
+// replacePrimaryTwice lets p1, which has read the record of p0 at a time, promote a server
+// that then leaves, and lets time pass until the call of p0 must have arrived.
+func replacePrimaryTwice(w *modelWorld, read time.Duration) {
+	for w.lastPrimary == 0 {
+		w.calmStep()
+	}
+	w.left.leaving++
+	w.must(modelEvent{eventLeave, uint8(w.lastPrimary), 0})
+	for w.now < read+maxPriorPromotionDelay-modelTick {
+		w.calmStep()
+	}
+}
+
 // electedServer is the state in which p0 is about to request the promotion of s1, since it
 // cannot reach s0.
 func electedServer(w *modelWorld) {
@@ -365,6 +422,8 @@
 		{"the lease is checked before the call", "the holder is suspended before or after its check", modelDisabled{leaseCheck: true}},
 		{"the record names a promotion first", "a call is in transit when the lease is taken over", modelDisabled{recordFirst: true}},
 		{"pending calls bind the choice", "a call is in transit when its server leaves", modelDisabled{pendingCalls: true}},
+		{"an own call does not shorten the time of an inherited one", "a call arrives after the next switchover", modelDisabled{inheritedTime: true}},
+		{"an inherited call outlives a restart of the holder", "a call arrives after the next switchover, the holder has restarted", modelDisabled{inheritedCall: true}},
 		{"grants end before an election", "grants across a promotion", modelDisabled{grantsWait: true, unlistedWait: true}},
 		{"grants end before a planned switchover", "replicas replay late", modelDisabled{grantsWait: true}},
 		{"final logs after the last grant", "a replica restarts while a grant is in force", modelDisabled{logsAfterGrants: true, unlistedWait: true}},
--- a/internal/succession/model_world_test.go
+++ b/internal/succession/model_world_test.go
@@ -33,6 +33,7 @@
 // modelDisabled names a mechanism that the model leaves out.
 type modelDisabled struct {
 	members, startTimes, grantsWait, leaseCheck, pendingCalls, recordFirst, acknowledgeRule, logsAfterGrants, earlierGrants, unlistedWait, acknowledgedReported bool
+	inheritedTime, inheritedCall                                                                                                                                bool
 }
 
 // modelWorld is a group of servers, the processes that may hold the promotion lease,
@@ -142,7 +143,7 @@
 func (w *modelWorld) checkLease(p *modelProcess) {
 	p.stage = stageSend
 	if (p.token != p.callToken || !w.leaseHeld(p)) && !w.disabled.leaseCheck {
-		p.stage, p.view.PromotionNotSent = stageNone, true
+		p.stage, p.announced, p.view.PromotionNotSent = stageNone, nil, true
 	}
 }
 
@@ -241,7 +242,7 @@
 	w.version++
 	w.leaseHolder, w.leaseVersion, w.leaseToken = p.index, w.version, duty.Token(w.version)
 	p.token, p.version, p.expiry = w.leaseToken, w.version, duty.ExpiryOf(w.now)
-	p.state, p.stage, p.promoting, p.recordRead = NewState(w.time()), stageNone, "", false
+	p.state, p.stage, p.announced, p.recordRead = NewState(w.time()), stageNone, nil, false
 	p.commands, p.saved, p.recordVersion = [modelServers]*Action{}, Record{}, 0
 	p.grantsEnd = grantsEnd{startedAt: w.time()}
 	p.view = View{Servers: map[cluster.ServerID]Observation{}, PendingPromotions: PendingPromotions{}}
--- a/internal/succession/pending.go
+++ b/internal/succession/pending.go
@@ -4,17 +4,21 @@
 	"time"
 
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/duty"
 )
 
-// PendingPromotion is a promotion that may still take effect.
+// PendingPromotion is a promotion of a server that may still take effect. It may have been
+// requested by more than one call.
 type PendingPromotion struct {
-	// Until is the time until which it may take effect.
+	// Until is the time until which a call may take effect.
 	Until time.Time
 	// Accepted is set if the platform has accepted the only call that may still promote the
 	// server. The promotion has then taken effect once the server is primary above
 	// TermBefore, the highest term when the call was made.
 	Accepted   bool
 	TermBefore cluster.Term
+	// Inherited is set if an earlier lease holder has made, or may still make, one of the calls.
+	Inherited bool
 }
 
 // possible reports whether the promotion may still take effect.
@@ -23,11 +27,30 @@
 // PendingPromotions holds the promotions that may still take effect, by server.
 type PendingPromotions map[cluster.ServerID]PendingPromotion
 
+// after returns the calls of p, the last of which follow earlier ones.
+func (p PendingPromotion) after(earlier PendingPromotion, now time.Time) PendingPromotion {
+	if !earlier.possible(now) {
+		return p
+	}
+	p.Inherited = p.Inherited || earlier.Inherited
+	if earlier.Until.After(p.Until) {
+		p.Until = earlier.Until
+	}
+	return p
+}
+
+// next returns what is pending for a server after one more call that is made now. highest is
+// the highest term of any server.
+func (p PendingPromotions) next(id cluster.ServerID, highest cluster.Term, now time.Time) PendingPromotion {
+	call := PendingPromotion{Until: now.Add(maxPromotionDelay), TermBefore: highest}
+	return call.after(p[id], now)
+}
+
 // begin records that the platform is about to be asked to promote a server, and returns
-// what was pending for it before. highest is the highest term of any server.
+// what was pending for it before.
 func (p PendingPromotions) begin(id cluster.ServerID, highest cluster.Term, now time.Time) (earlier PendingPromotion) {
 	earlier = p[id]
-	p[id] = PendingPromotion{Until: now.Add(maxPromotionDelay), TermBefore: highest}
+	p[id] = p.next(id, highest, now)
 	return earlier
 }
 
@@ -39,6 +62,23 @@
 	p[id] = call
 }
 
+// withdraw takes back the last call, which the platform has refused. earlier is what was
+// pending before it.
+func (p PendingPromotions) withdraw(id cluster.ServerID, earlier PendingPromotion) {
+	if earlier == (PendingPromotion{}) {
+		delete(p, id)
+		return
+	}
+	p[id] = earlier
+}
+
+// inherit adds the promotion that the record of an earlier lease holder announces. ended is
+// the token of a holder that is known to have ended; zero if there is none.
+func (p PendingPromotions) inherit(r Record, ended duty.Token, now time.Time) {
+	call := PendingPromotion{Until: now.Add(r.remaining(ended)), Inherited: true}
+	p[r.Promoting] = call.after(p[r.Promoting], now)
+}
+
 // removeEnded removes the promotions that have taken effect. Kept any longer, they would
 // forbid the election of another server.
 func (p PendingPromotions) removeEnded(servers map[cluster.ServerID]Observation) {
--- a/internal/succession/promotion.go
+++ b/internal/succession/promotion.go
@@ -26,16 +26,14 @@
 	config := l.controller.config
 	ctx, cancel := context.WithTimeout(l.ctx, min(promotionTimeout, config.Lease.Remaining()))
 	defer cancel()
-	if err := l.announcePromotion(ctx, a.Server); err != nil {
+	earlier, err := l.announcePromotion(ctx, a.Server)
+	if err != nil {
 		eventPromotionSkipped.Log(config.Log).Str("group", string(l.name)).Str("server", string(a.Server)).AnErr("error", err).Send()
 		delay.Sleep(l.ctx, recordRetryDelay)
 		l.finishPromotion(a.Server, false, err)
 		return
 	}
-	l.mu.Lock()
-	earlier := l.view.PendingPromotions.begin(a.Server, maxServerTerm(l.view), time.Now())
-	l.mu.Unlock()
-	err := config.Promoter.Promote(ctx, Promotion{
+	err = config.Promoter.Promote(ctx, Promotion{
 		Group: l.name, Server: a.Server, Holder: config.Lease.Holder(), Token: l.token,
 	})
 	l.mu.Lock()
@@ -43,7 +41,7 @@
 	case err == nil:
 		l.view.PendingPromotions.accept(a.Server, earlier, time.Now())
 	case errors.Is(err, ErrNotRunning):
-		l.view.PendingPromotions[a.Server] = earlier // the platform has not accepted this call
+		l.view.PendingPromotions.withdraw(a.Server, earlier)
 	}
 	l.mu.Unlock()
 	l.finishPromotion(a.Server, true, err)
@@ -51,19 +49,25 @@
 		Uint64("token", uint64(l.token)).AnErr("error", err).Send()
 }
 
-// announcePromotion names the server in the group's record, and checks the lease.
-func (l *groupLoop) announcePromotion(ctx context.Context, id cluster.ServerID) error {
-	l.setPromoting(id)
-	err := l.syncRecord(ctx)
+// announcePromotion names the server in the group's record, checks the lease, and notes the
+// call that follows. It returns what was pending for the server before.
+func (l *groupLoop) announcePromotion(ctx context.Context, id cluster.ServerID) (earlier PendingPromotion, err error) {
+	l.mu.Lock()
+	highest := maxServerTerm(l.view)
+	l.announced = &announcedPromotion{id, l.view.PendingPromotions.next(id, highest, time.Now())}
+	l.mu.Unlock()
+	if err := l.syncRecord(ctx); err != nil {
+		return PendingPromotion{}, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	switch {
-	case err != nil:
-		return err
-	case !l.recordSaved():
-		return errRecordChanged
+	case !l.recordRead || !l.wantedRecord().sameAs(l.savedRecord):
+		return PendingPromotion{}, errRecordChanged
 	case !l.leaseHeld():
-		return errLeaseLost
+		return PendingPromotion{}, errLeaseLost
 	}
-	return nil
+	return l.view.PendingPromotions.begin(id, highest, time.Now()), nil
 }
 
 // leaseHeld reports whether this process still holds the lease of this loop.
@@ -72,16 +76,11 @@
 	return held && token == l.token
 }
 
-func (l *groupLoop) setPromoting(id cluster.ServerID) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.promoting = id
-}
-
 // finishPromotion records the outcome of a promotion.
 func (l *groupLoop) finishPromotion(id cluster.ServerID, sent bool, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.announced = nil
 	l.view.PromotionInFlight, l.view.PromotionNotSent, l.view.PromotionRefused = false, !sent, ""
 	if errors.Is(err, ErrNotRunning) {
 		l.view.PromotionRefused = id
@@ -90,12 +89,9 @@
 }
 
 // saveRecord writes the group's record in the background if it has changed.
-func (l *groupLoop) saveRecord(now time.Time) {
+func (l *groupLoop) saveRecord() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.view.PromotionInFlight && !l.view.PendingPromotions[l.promoting].possible(now) {
-		l.promoting = ""
-	}
 	if l.recordSyncing || l.recordRead && l.wantedRecord().sameAs(l.savedRecord) {
 		return
 	}
@@ -116,14 +112,10 @@
 // wantedRecord returns the record that the next lease holder should find. The caller
 // holds mu.
 func (l *groupLoop) wantedRecord() Record {
-	return l.state.record(l.promoting)
-}
-
-// recordSaved reports whether the group's record is up to date in the table service.
-func (l *groupLoop) recordSaved() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.recordRead && l.wantedRecord().sameAs(l.savedRecord)
+	promoting, call := l.view.PendingPromotions.recorded(l.announced, time.Now())
+	r := l.state.record(promoting)
+	r.Call, r.Token = call, l.token
+	return r
 }
 
 // syncRecord reads the group's record if it is not known, and otherwise writes it if it
@@ -148,7 +140,6 @@
 	if !l.leaseHeld() {
 		return eris.Wrap(errLeaseLost, "write record of group")
 	}
-	wanted.Token = l.token
 	err := l.controller.records.save(ctx, l.name, wanted)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -181,11 +172,9 @@
 		return
 	}
 	l.readRecord, l.recordRead, l.savedRecord = nil, true, *r
-	l.state = l.state.adopt(*r, time.Now())
+	now := time.Now()
+	l.state = l.state.adopt(*r, now)
 	if r.Promoting != "" && r.Token != l.token {
-		l.view.PendingPromotions[r.Promoting] = PendingPromotion{Until: time.Now().Add(priorPromotionDelay(*r, l.controller.config.Lease.Predecessor()))}
-		if l.promoting == "" {
-			l.promoting = r.Promoting
-		}
+		l.view.PendingPromotions.inherit(*r, l.controller.config.Lease.Predecessor(), now)
 	}
 }
--- /dev/null
+++ b/internal/succession/promotion_record.go
@@ -0,0 +1,48 @@
+package succession
+
+import (
+	"time"
+
+	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/duty"
+)
+
+// PromotionCall is what a record states of the calls for the server that it names.
+type PromotionCall struct {
+	// Inherited is that of the PendingPromotion.
+	Inherited bool `json:"inherited,omitempty"`
+}
+
+// announcedPromotion is a promotion that is in progress: the record names its server before the
+// platform is called. calls is what will be pending then.
+type announcedPromotion struct {
+	server cluster.ServerID
+	calls  PendingPromotion
+}
+
+// recorded returns the server that the group's record must name, empty if there is none, and
+// what it states of the calls. announced is the promotion that is in progress, if any.
+func (p PendingPromotions) recorded(announced *announcedPromotion, now time.Time) (cluster.ServerID, PromotionCall) {
+	if announced != nil {
+		return announced.server, PromotionCall{Inherited: announced.calls.Inherited}
+	}
+	var last cluster.ServerID
+	for id, pending := range p {
+		if pending.possible(now) && (last == "" || pending.Until.After(p[last].Until)) {
+			last = id
+		}
+	}
+	if last == "" {
+		return "", PromotionCall{}
+	}
+	return last, PromotionCall{Inherited: p[last].Inherited}
+}
+
+// remaining returns how long after the record was read its promotion may still take effect.
+// ended is the token of a holder that has ended, so that it has made its own call before.
+func (r Record) remaining(ended duty.Token) time.Duration {
+	if r.Token == ended && !r.Call.Inherited {
+		return maxPromotionDelay
+	}
+	return maxPriorPromotionDelay
+}
--- a/internal/succession/records.go
+++ b/internal/succession/records.go
@@ -35,6 +35,8 @@
 	// request; empty if none can take effect any more.
 	Promoting cluster.ServerID `json:"promoting,omitempty"`
 	Token     duty.Token       `json:"token"`
+	// Call tells what is known of the calls to promote that server.
+	Call PromotionCall `json:"call,omitzero"`
 	// ReplaySwitchover is the Unix time in milliseconds of the last switchover because of
 	// late replay; zero if there was none.
 	ReplaySwitchover int64 `json:"replay_switchover_ms,omitempty"`
@@ -42,9 +44,13 @@
 	SteppedDown SteppedDown `json:"stepped_down,omitzero"`
 }
 
-// sameAs reports whether two records state the same, whoever wrote them.
+// sameAs reports whether two records state the same. Whoever wrote them matters only while
+// they name a server to promote.
 func (r Record) sameAs(other Record) bool {
-	return r.Promoting == other.Promoting && r.ReplaySwitchover == other.ReplaySwitchover &&
+	if r.Promoting != "" && r.Token != other.Token {
+		return false
+	}
+	return r.Promoting == other.Promoting && r.Call == other.Call && r.ReplaySwitchover == other.ReplaySwitchover &&
 		r.SteppedDown == other.SteppedDown && slices.Equal(r.Members, other.Members)
 }
 
