End a promotion of an earlier lease holder once its server leads

Cause: the next holder read in the group's record that the server was about to be promoted, and took that for possible for 10 s, whatever the server reported: only the process whose call had been answered ended a promotion by evidence. Event 4409 names the wait from 9.5 s on, 2.4 s after the same process had seen the server lead.

Change: the record states the highest term from before the call and whether the call is the only one for the server that may still come. With both, any holder knows that a server which leads above that term has used the call up. Of two calls one may be left, so that the time decides as before. Switchovers, elections, grants and resumed replicas read the same promotions. Event 4413 tells what was inherited.

TestPromotionWithoutAResponseStaysPossible demanded that a call without an answer stays possible after its server leads. That was wrong: the platform carries out a call once. TestSecondPromotionCallStaysPossible keeps its other demands and adds that a call stays possible while its server is a replica. The fake servers of the tests follow the promoted one.

Evidence: TestPrimaryThatLeavesAfterTheLeaseWasTakenOverIsReplaced fails on the parent ("promoted [s2], want another server after the leaving one").

--- a/internal/succession/decide.go
+++ b/internal/succession/decide.go
@@ -106,6 +106,11 @@
 	return term
 }
 
+// highestTerm returns the highest term of any server since the attempt began.
+func (s State) highestTerm(v View) cluster.Term {
+	return max(maxServerTerm(v), s.MaxTermAtStart, s.seen.term)
+}
+
 // diagnose returns why the group needs a new primary, or CauseNone, and since when.
 func diagnose(g Group, v View, s State, now time.Time) (Cause, time.Time) {
 	p, o, ok := primary(g, v)
--- a/internal/succession/events.go
+++ b/internal/succession/events.go
@@ -19,5 +19,6 @@
 	eventElectionWaits      = event.New(4410, zerolog.WarnLevel, "election_waits", "A failover or switchover elects no server yet: what it waits for, and which servers.")
 	eventElectedServer      = event.New(4411, zerolog.WarnLevel, "server_elected", "A server was elected in a failover or switchover: the ends of the logs that no longer change, the position that it must have, and the members that may hold acknowledged writes.")
 	eventReplaySwitchover   = event.New(4412, zerolog.WarnLevel, "replay_switchover", "The slots of a primary are at work while all replicas have received its records and replay them late, so that a replica takes over. No action is needed unless it repeats.")
+	eventPromotionInherited = event.New(4413, zerolog.InfoLevel, "promotion_inherited", "The record of a group names a server that an earlier lease holder was about to have promoted: for how long that may still take effect, and whether it ends as soon as the server is primary above the given term.")
 	eventServerUnreachable  = event.New(4404, zerolog.WarnLevel, "server_unreachable", "A backend server does not respond on a new connection.")
 )
--- a/internal/succession/inherited_test.go
+++ b/internal/succession/inherited_test.go
@@ -7,6 +7,58 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 )
 
+// TestPrimaryThatLeavesAfterTheLeaseWasTakenOverIsReplaced guards against a leaving primary that
+// stays the primary until it ends: the lease holder that had it promoted lost the lease at
+// once, and the next one took the promotion for possible for 10 s although the server led.
+func TestPrimaryThatLeavesAfterTheLeaseWasTakenOverIsReplaced(t *testing.T) {
+	runController(t, func(f *controllerFixture) {
+		time.Sleep(3 * time.Second)
+		f.servers.onCall = func(Promotion) error { f.lease.set(0); return nil }
+		f.servers.kill("s1")
+		time.Sleep(3 * time.Second)
+		promoted := f.servers.promotions()
+		if len(promoted) != 1 {
+			t.Fatalf("promoted %v, want one server", promoted)
+		}
+		f.servers.start("s1")
+		f.lease.set(6)
+		time.Sleep(2 * time.Second)
+		f.leave(promoted[0])
+		time.Sleep(2 * time.Second)
+		if promoted := f.servers.promotions(); len(promoted) != 2 || promoted[1] == promoted[0] {
+			t.Errorf("promoted %v, want another server after the leaving one", promoted)
+		}
+	})
+}
+
+// TestInheritedPromotionEnds guards against a promotion of an earlier lease holder that is
+// taken for ended while a call may still come, or for possible when none can.
+func TestInheritedPromotionEnds(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		call  PromotionCall
+		role  cluster.Role
+		term  cluster.Term
+		ended bool
+	}{
+		{"the server leads", PromotionCall{TermBefore: 1, Sole: true}, cluster.RolePrimary, 2, true},
+		{"it leads at an earlier term", PromotionCall{TermBefore: 2, Sole: true}, cluster.RolePrimary, 2, false},
+		{"it follows another one", PromotionCall{TermBefore: 1, Sole: true}, cluster.RoleReplica, 2, false},
+		{"there is another call", PromotionCall{TermBefore: 1}, cluster.RolePrimary, 2, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newFixture("s1", "s2", "s3")
+			s.view.PendingPromotions = PendingPromotions{}
+			s.view.PendingPromotions.inherit(Record{Promoting: "s2", Token: 4, Call: tt.call}, 0, s.now)
+			s.observe("s2", tt.role, tt.term, 100, 0)
+			s.view.PendingPromotions.removeEnded(s.view.Servers)
+			if ended := !otherPromotionPossible(s.view, "s3", s.now); ended != tt.ended {
+				t.Errorf("ended: %v", ended)
+			}
+		})
+	}
+}
+
 // TestOwnCallDoesNotShortenAnInheritedOne guards against a server that is promoted a second
 // time, after another one has replaced it: a call of this process for the same server ended
 // the wait for that of a suspended earlier holder, which came last.
@@ -45,6 +97,31 @@
 	}
 }
 
+// TestRecordStatesTheCallsOfAPromotion guards against a next lease holder that takes a second
+// call for the only one.
+func TestRecordStatesTheCallsOfAPromotion(t *testing.T) {
+	s := newFixture("s1", "s2", "s3")
+	pending := PendingPromotions{}
+	expect := func(announced *announcedPromotion, server cluster.ServerID, want PromotionCall) {
+		t.Helper()
+		if id, call := pending.recorded(announced, s.now); id != server || call != want {
+			t.Errorf("the record names %q, %+v, want %q, %+v", id, call, server, want)
+		}
+	}
+	expect(nil, "", PromotionCall{})
+	announce := func() *announcedPromotion { return &announcedPromotion{"s2", pending.next("s2", 1, s.now)} }
+	expect(announce(), "s2", PromotionCall{TermBefore: 1, Sole: true})
+	pending.begin("s2", 1, s.now)
+	s.now = s.now.Add(1500 * time.Millisecond)
+	expect(nil, "s2", PromotionCall{TermBefore: 1, Sole: true})
+	expect(announce(), "s2", PromotionCall{TermBefore: 1})
+	earlier := pending.begin("s2", 1, s.now)
+	pending.withdraw("s2", earlier)
+	expect(nil, "s2", PromotionCall{TermBefore: 1, Sole: true})
+	s.now = s.now.Add(maxPromotionDelay)
+	expect(nil, "", PromotionCall{})
+}
+
 // TestAnnouncementOfAnotherHolderIsNotTakenForAnOwn guards against a call without a record of
 // its own: a suspended earlier holder has written the same.
 func TestAnnouncementOfAnotherHolderIsNotTakenForAnOwn(t *testing.T) {
--- a/internal/succession/model_calm_test.go
+++ b/internal/succession/model_calm_test.go
@@ -14,6 +14,8 @@
 	// modelRecoveryTime is the time within which a group must have a primary that is not
 	// leaving.
 	modelRecoveryTime = 12 * time.Second
+	// modelDrainTime is the time for which a server that is leaving works.
+	modelDrainTime = 7 * time.Second
 )
 
 // violationInCalm lets the world go on without faults. A group in which the last primary
@@ -31,7 +33,7 @@
 	if last := c.servers[c.lastPrimary]; !last.alive || !last.listed || !slices.ContainsFunc(c.servers[:], c.mayStayPrimary) {
 		return ""
 	}
-	for end := c.now + modelRecoveryTime; c.now < end && c.violation == "" && !c.recovered(); {
+	for end := c.now + c.recoveryTime; c.now < end && c.violation == "" && !c.recovered(); {
 		c.calmStep()
 	}
 	switch {
--- a/internal/succession/model_events_test.go
+++ b/internal/succession/model_events_test.go
@@ -275,13 +275,13 @@
 // beginPromotion notes a call that is sent.
 func (w *modelWorld) beginPromotion(p *modelProcess, id cluster.ServerID) (earlier PendingPromotion) {
 	pending := p.view.PendingPromotions
-	earlier = pending.begin(id, maxServerTerm(p.view), w.time())
+	earlier = pending.begin(id, p.state.highestTerm(p.view), w.time())
 	call := pending[id]
+	call.Sole = call.Sole || w.disabled.soleCall
 	if w.disabled.inheritedTime {
 		call.Until = w.time().Add(maxPromotionDelay)
 	}
 	pending[id] = call
-	pending.accept(id, earlier, w.time())
 	return earlier
 }
 
--- a/internal/succession/model_hash_test.go
+++ b/internal/succession/model_hash_test.go
@@ -119,7 +119,8 @@
 
 func (e *stateEncoder) promotion(server cluster.ServerID, call PromotionCall) {
 	e.text(string(server))
-	e.bools(call.Inherited)
+	e.bools(call.Sole, call.Inherited)
+	e.ints(int(call.TermBefore))
 }
 
 func (e *stateEncoder) steppedDown(d SteppedDown) {
@@ -225,7 +226,7 @@
 	}
 	if p, ok := v.PendingPromotions[id]; ok {
 		e.timeAge(p.Until)
-		e.bools(p.Accepted, p.Inherited)
+		e.bools(p.Sole, p.Inherited)
 		e.ints(int(p.TermBefore))
 	}
 }
--- a/internal/succession/model_process_test.go
+++ b/internal/succession/model_process_test.go
@@ -136,7 +136,7 @@
 	case ActionPromote:
 		p.candidate, p.callToken, p.late = serverIndex(a.Server), p.token, false
 		p.stage, p.view.PromotionNotSent, p.view.PromotionRefused = stageRecord, false, ""
-		p.announced = &announcedPromotion{a.Server, p.view.PendingPromotions.next(a.Server, maxServerTerm(p.view), w.time())}
+		p.announced = &announcedPromotion{a.Server, p.view.PendingPromotions.next(a.Server, p.state.highestTerm(p.view), w.time())}
 		if w.disabled.recordFirst {
 			p.stage = stageCheck
 		}
@@ -207,6 +207,7 @@
 
 // disableRecorded leaves out of a record what mechanisms that are disabled need.
 func (w *modelWorld) disableRecorded(call *PromotionCall) {
+	call.Sole = (call.Sole || w.disabled.soleCall) && !w.disabled.promotionEnds
 	call.Inherited = call.Inherited && !w.disabled.inheritedCall
 }
 
--- a/internal/succession/model_test.go
+++ b/internal/succession/model_test.go
@@ -50,6 +50,7 @@
 	{"replicas leave before the primary", modelFaults{leaving: 1, lapses: 1, ticks: 1}, departingReplicas},
 	{"the lease is taken over after the primary has stepped down", modelFaults{writes: 1, restarts: 1, ticks: 4}, steppedDownPrimary},
 	{"a primary leaves soon after its promotion", modelFaults{writes: 1, leaving: 1, ticks: 1}, recentPromotion},
+	{"a primary leaves after the lease was taken over", modelFaults{writes: 1, leaving: 1, holderRestarts: 1, ticks: 2}, promotionOfEarlierHolder},
 	{"a call arrives after the next switchover", modelFaults{writes: 1, holderRestarts: 1}, suspendedCall},
 	{"a call arrives after the next switchover, the holder has restarted", modelFaults{writes: 1}, suspendedCallBeforeRestart},
 	{"an entry names no server", modelFaults{writes: 1, leaving: 1, oddEntries: 1, ticks: 1}, nil},
@@ -207,6 +208,16 @@
 	}
 }
 
+// promotionOfEarlierHolder is the state in which p1 has taken the lease after p0 has replaced
+// s0 by s1, before p0 saw it. A primary that leaves must be replaced while it still works.
+func promotionOfEarlierHolder(w *modelWorld) {
+	requestedSwitchover(w)
+	w.left.storeCuts = 1
+	w.must(modelEvent{eventCutStore, 0, 0}, modelEvent{eventPromote, 1, 0})
+	w.handOver()
+	w.recoveryTime = modelDrainTime
+}
+
 // suspendedCall is the state in which p0 is suspended just before its call to promote s1,
 // which may take effect for a moment yet. p1, which has taken the lease, has promoted s1
 // meanwhile. s1 is leaving and has been replaced if p1 allows it.
@@ -422,6 +433,8 @@
 		{"the lease is checked before the call", "the holder is suspended before or after its check", modelDisabled{leaseCheck: true}},
 		{"the record names a promotion first", "a call is in transit when the lease is taken over", modelDisabled{recordFirst: true}},
 		{"pending calls bind the choice", "a call is in transit when its server leaves", modelDisabled{pendingCalls: true}},
+		{"a promotion ends once its server leads", "a primary leaves after the lease was taken over", modelDisabled{promotionEnds: true}},
+		{"only a sole call ends once its server leads", "a call arrives after the next switchover", modelDisabled{soleCall: true}},
 		{"an own call does not shorten the time of an inherited one", "a call arrives after the next switchover", modelDisabled{inheritedTime: true}},
 		{"an inherited call outlives a restart of the holder", "a call arrives after the next switchover, the holder has restarted", modelDisabled{inheritedCall: true}},
 		{"grants end before an election", "grants across a promotion", modelDisabled{grantsWait: true, unlistedWait: true}},
--- a/internal/succession/model_world_test.go
+++ b/internal/succession/model_world_test.go
@@ -33,7 +33,7 @@
 // modelDisabled names a mechanism that the model leaves out.
 type modelDisabled struct {
 	members, startTimes, grantsWait, leaseCheck, pendingCalls, recordFirst, acknowledgeRule, logsAfterGrants, earlierGrants, unlistedWait, acknowledgedReported bool
-	inheritedTime, inheritedCall                                                                                                                                bool
+	promotionEnds, soleCall, inheritedTime, inheritedCall                                                                                                       bool
 }
 
 // modelWorld is a group of servers, the processes that may hold the promotion lease,
@@ -45,6 +45,9 @@
 	servers   [modelServers]modelServer
 	processes [modelProcesses]*modelProcess
 
+	// recoveryTime is the time within which a group must have a primary again without
+	// further faults.
+	recoveryTime time.Duration
 	// lateNews is set if the lease holder hears of changes of the catalog only as time passes.
 	lateNews bool
 	// lateReplay is set while the replicas replay nothing, and the slots of the primary are
@@ -82,7 +85,7 @@
 // newModelWorld returns a group of which s0 is the primary, and in which process 0
 // holds the lease and knows the status of all servers.
 func newModelWorld(left modelFaults, disabled modelDisabled) *modelWorld {
-	w := &modelWorld{left: left, disabled: disabled, version: 1, now: time.Minute}
+	w := &modelWorld{left: left, disabled: disabled, version: 1, now: time.Minute, recoveryTime: modelRecoveryTime}
 	for i := range modelInitialServers {
 		w.servers[i] = modelServer{alive: true, primary: i == 0, term: 1, start: 1, listed: true, log: []logEntry{{1, 1}}}
 	}
--- a/internal/succession/pending.go
+++ b/internal/succession/pending.go
@@ -12,11 +12,12 @@
 type PendingPromotion struct {
 	// Until is the time until which a call may take effect.
 	Until time.Time
-	// Accepted is set if the platform has accepted the only call that may still promote the
-	// server. The promotion has then taken effect once the server is primary above
-	// TermBefore, the highest term when the call was made.
-	Accepted   bool
+	// TermBefore is the highest known term when the last call was announced.
 	TermBefore cluster.Term
+	// Sole is set if there is only one call. It has taken effect once the server is primary
+	// above TermBefore. Of two calls, the other one could promote the server once more, after
+	// a third server has replaced it.
+	Sole bool
 	// Inherited is set if an earlier lease holder has made, or may still make, one of the calls.
 	Inherited bool
 }
@@ -32,7 +33,8 @@
 	if !earlier.possible(now) {
 		return p
 	}
-	p.Inherited = p.Inherited || earlier.Inherited
+	p.Sole, p.Inherited = false, p.Inherited || earlier.Inherited
+	p.TermBefore = max(p.TermBefore, earlier.TermBefore)
 	if earlier.Until.After(p.Until) {
 		p.Until = earlier.Until
 	}
@@ -42,7 +44,7 @@
 // next returns what is pending for a server after one more call that is made now. highest is
 // the highest term of any server.
 func (p PendingPromotions) next(id cluster.ServerID, highest cluster.Term, now time.Time) PendingPromotion {
-	call := PendingPromotion{Until: now.Add(maxPromotionDelay), TermBefore: highest}
+	call := PendingPromotion{Until: now.Add(maxPromotionDelay), TermBefore: highest, Sole: true}
 	return call.after(p[id], now)
 }
 
@@ -54,14 +56,6 @@
 	return earlier
 }
 
-// accept records that the platform has accepted the call that was begun. An earlier call
-// that may still take effect could promote the server once more.
-func (p PendingPromotions) accept(id cluster.ServerID, earlier PendingPromotion, now time.Time) {
-	call := p[id]
-	call.Accepted = !earlier.possible(now)
-	p[id] = call
-}
-
 // withdraw takes back the last call, which the platform has refused. earlier is what was
 // pending before it.
 func (p PendingPromotions) withdraw(id cluster.ServerID, earlier PendingPromotion) {
@@ -75,7 +69,7 @@
 // inherit adds the promotion that the record of an earlier lease holder announces. ended is
 // the token of a holder that is known to have ended; zero if there is none.
 func (p PendingPromotions) inherit(r Record, ended duty.Token, now time.Time) {
-	call := PendingPromotion{Until: now.Add(r.remaining(ended)), Inherited: true}
+	call := PendingPromotion{Until: now.Add(r.remaining(ended)), TermBefore: r.Call.TermBefore, Sole: r.Call.Sole, Inherited: true}
 	p[r.Promoting] = call.after(p[r.Promoting], now)
 }
 
@@ -84,7 +78,7 @@
 func (p PendingPromotions) removeEnded(servers map[cluster.ServerID]Observation) {
 	for id, call := range p {
 		status := servers[id].Status
-		if call.Accepted && status.Role == cluster.RolePrimary && status.Term > call.TermBefore {
+		if call.Sole && status.Role == cluster.RolePrimary && status.Term > call.TermBefore {
 			delete(p, id)
 		}
 	}
--- a/internal/succession/pending_test.go
+++ b/internal/succession/pending_test.go
@@ -12,14 +12,11 @@
 	return s.view.PendingPromotions.begin(id, maxServerTerm(s.view), s.now)
 }
 
-// promote lets the platform accept a call to promote s2, and s2 report that it is the
-// primary of term 2. The response to the call is lost unless accepted is set.
-func (s *fixture) promote(accepted bool) {
+// promote calls the platform to promote s2, and lets s2 report that it is the primary of
+// term 2.
+func (s *fixture) promote() {
 	s.view.PendingPromotions = PendingPromotions{}
-	earlier := s.begin("s2")
-	if accepted {
-		s.view.PendingPromotions.accept("s2", earlier, s.now)
-	}
+	s.begin("s2")
 	s.now = s.now.Add(time.Second)
 	s.observe("s1", cluster.RoleReplica, 2, 100, 0)
 	s.observe("s2", cluster.RolePrimary, 2, 100, 0)
@@ -31,7 +28,7 @@
 // allow no other server: the leaving one would be promoted again and again.
 func TestPrimaryThatLeavesSoonAfterItsPromotionIsReplaced(t *testing.T) {
 	s := newFixture("s1", "s2", "s3")
-	s.promote(true)
+	s.promote()
 	s.markLeaving("s2")
 	if actions := s.decide(time.Millisecond); len(actions) != 1 || actions[0].Kind != ActionStepDown {
 		t.Fatalf("actions %v, blocked by %q, want s2 to step down", actions, s.state.Blocker)
@@ -43,19 +40,20 @@
 	s.expect(t, PhasePromoting, "s3")
 }
 
-// A call without a response may promote the server later, also if an earlier one has.
-func TestPromotionWithoutAResponseStaysPossible(t *testing.T) {
+// Of two calls for a server one may promote it later, after the other one has.
+func TestSecondPromotionCallStaysPossible(t *testing.T) {
 	s := newFixture("s1", "s2", "s3")
-	s.promote(false)
+	s.view.PendingPromotions = PendingPromotions{}
+	s.begin("s2")
+	s.view.PendingPromotions.removeEnded(s.view.Servers)
 	if !otherPromotionPossible(s.view, "s3", s.now) {
-		t.Error("the call can no longer take effect")
+		t.Error("the call can no longer take effect, although its server is a replica")
 	}
-	earlier := s.begin("s2")
-	s.view.PendingPromotions.accept("s2", earlier, s.now)
+	s.begin("s2")
 	s.observe("s2", cluster.RolePrimary, 3, 100, 0)
 	s.view.PendingPromotions.removeEnded(s.view.Servers)
 	if !otherPromotionPossible(s.view, "s3", s.now) {
-		t.Error("the earlier call can no longer take effect, since a later one was accepted")
+		t.Error("the other call can no longer take effect, since one has")
 	}
 	if otherPromotionPossible(s.view, "s3", s.now.Add(maxPromotionDelay)) {
 		t.Error("the calls can take effect for ever")
@@ -66,7 +64,7 @@
 func TestPromotionThatHasNotTakenEffectStaysPossible(t *testing.T) {
 	s := newFixture("s1", "s2", "s3")
 	s.view.PendingPromotions = PendingPromotions{}
-	s.view.PendingPromotions.accept("s1", s.begin("s1"), s.now)
+	s.begin("s1")
 	s.view.PendingPromotions.removeEnded(s.view.Servers)
 	if !otherPromotionPossible(s.view, "s2", s.now) {
 		t.Error("the promotion of s1 has ended at its old term")
--- a/internal/succession/promotion.go
+++ b/internal/succession/promotion.go
@@ -36,14 +36,11 @@
 	err = config.Promoter.Promote(ctx, Promotion{
 		Group: l.name, Server: a.Server, Holder: config.Lease.Holder(), Token: l.token,
 	})
-	l.mu.Lock()
-	switch {
-	case err == nil:
-		l.view.PendingPromotions.accept(a.Server, earlier, time.Now())
-	case errors.Is(err, ErrNotRunning):
+	if errors.Is(err, ErrNotRunning) {
+		l.mu.Lock()
 		l.view.PendingPromotions.withdraw(a.Server, earlier)
+		l.mu.Unlock()
 	}
-	l.mu.Unlock()
 	l.finishPromotion(a.Server, true, err)
 	eventPromotionRequested.Log(config.Log).Str("group", string(l.name)).Str("server", string(a.Server)).
 		Uint64("token", uint64(l.token)).AnErr("error", err).Send()
@@ -53,7 +50,7 @@
 // call that follows. It returns what was pending for the server before.
 func (l *groupLoop) announcePromotion(ctx context.Context, id cluster.ServerID) (earlier PendingPromotion, err error) {
 	l.mu.Lock()
-	highest := maxServerTerm(l.view)
+	highest := l.state.highestTerm(l.view)
 	l.announced = &announcedPromotion{id, l.view.PendingPromotions.next(id, highest, time.Now())}
 	l.mu.Unlock()
 	if err := l.syncRecord(ctx); err != nil {
@@ -174,7 +171,11 @@
 	l.readRecord, l.recordRead, l.savedRecord = nil, true, *r
 	now := time.Now()
 	l.state = l.state.adopt(*r, now)
-	if r.Promoting != "" && r.Token != l.token {
-		l.view.PendingPromotions.inherit(*r, l.controller.config.Lease.Predecessor(), now)
+	if r.Promoting == "" || r.Token == l.token {
+		return
 	}
+	l.view.PendingPromotions.inherit(*r, l.controller.config.Lease.Predecessor(), now)
+	eventPromotionInherited.Log(l.controller.config.Log).Str("group", string(l.name)).Str("server", string(r.Promoting)).
+		Uint64("token", uint64(r.Token)).Uint64("term_before", uint64(r.Call.TermBefore)).Bool("sole", r.Call.Sole).
+		Dur("for", l.view.PendingPromotions[r.Promoting].Until.Sub(now)).Send()
 }
--- a/internal/succession/promotion_record.go
+++ b/internal/succession/promotion_record.go
@@ -9,8 +9,10 @@
 
 // PromotionCall is what a record states of the calls for the server that it names.
 type PromotionCall struct {
-	// Inherited is that of the PendingPromotion.
-	Inherited bool `json:"inherited,omitempty"`
+	// TermBefore, Sole and Inherited are those of the PendingPromotion.
+	TermBefore cluster.Term `json:"term_before,omitempty"`
+	Sole       bool         `json:"sole,omitempty"`
+	Inherited  bool         `json:"inherited,omitempty"`
 }
 
 // announcedPromotion is a promotion that is in progress: the record names its server before the
@@ -24,7 +26,7 @@
 // what it states of the calls. announced is the promotion that is in progress, if any.
 func (p PendingPromotions) recorded(announced *announcedPromotion, now time.Time) (cluster.ServerID, PromotionCall) {
 	if announced != nil {
-		return announced.server, PromotionCall{Inherited: announced.calls.Inherited}
+		return announced.server, announced.calls.recorded()
 	}
 	var last cluster.ServerID
 	for id, pending := range p {
@@ -35,7 +37,11 @@
 	if last == "" {
 		return "", PromotionCall{}
 	}
-	return last, PromotionCall{Inherited: p[last].Inherited}
+	return last, p[last].recorded()
+}
+
+func (p PendingPromotion) recorded() PromotionCall {
+	return PromotionCall{TermBefore: p.TermBefore, Sole: p.Sole, Inherited: p.Inherited}
 }
 
 // remaining returns how long after the record was read its promotion may still take effect.
--- a/internal/succession/records_test.go
+++ b/internal/succession/records_test.go
@@ -97,6 +97,15 @@
 	s.down[id] = true
 }
 
+// start starts a server that is down as a replica of the primary.
+func (s *fakeServers) start(id cluster.ServerID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	status := s.status[id]
+	status.Role, status.Term = cluster.RoleReplica, s.highestTerm()
+	s.down[id], s.status[id] = false, status
+}
+
 // promotions returns the servers that were promoted, in order.
 func (s *fakeServers) promotions() []cluster.ServerID {
 	s.mu.Lock()
@@ -113,7 +122,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.promoted = append(s.promoted, p.Server)
-	s.become(p.Server, s.highestTerm()+1)
+	term := s.highestTerm() + 1
+	s.become(p.Server, term)
+	for id, status := range s.status {
+		if id != p.Server && !s.down[id] {
+			status.Role, status.Term = cluster.RoleReplica, term
+			s.status[id] = status
+		}
+	}
 	return nil
 }
 
@@ -184,19 +200,38 @@
 	table      *providertest.Table
 	lease      *fakeLease
 	controller *Controller
+
+	mu    sync.Mutex
+	group Group
+}
+
+func (f *controllerFixture) groups() []Group {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return []Group{{Name: f.group.Name, SyncReplicas: f.group.SyncReplicas, Servers: slices.Clone(f.group.Servers)}}
+}
+
+// leave lists a server as leaving.
+func (f *controllerFixture) leave(id cluster.ServerID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.group.Servers {
+		if f.group.Servers[i].ID == id {
+			f.group.Servers[i].Leaving = true
+		}
+	}
 }
 
 func runController(t *testing.T, test func(f *controllerFixture)) {
 	synctest.Test(t, func(t *testing.T) {
 		log := zerolog.Nop()
-		f := &controllerFixture{servers: newFakeServers(), table: providertest.NewTable(), lease: &fakeLease{token: 5}}
-		group := Group{Name: "g", SyncReplicas: 1}
+		f := &controllerFixture{servers: newFakeServers(), table: providertest.NewTable(), lease: &fakeLease{token: 5}, group: Group{Name: "g", SyncReplicas: 1}}
 		for _, id := range []cluster.ServerID{"s1", "s2", "s3"} {
-			group.Servers = append(group.Servers, Server{Server: cluster.Server{ID: id, Slots: testSlots}, StartTime: 1})
+			f.group.Servers = append(f.group.Servers, Server{Server: cluster.Server{ID: id, Slots: testSlots}, StartTime: 1})
 		}
 		f.controller = New(Config{
 			Dialer: f.servers, Promoter: f.servers, Lease: f.lease, Table: f.table, Log: &log,
-			Groups:  func() []Group { return []Group{group} },
+			Groups:  f.groups,
 			Changed: func() <-chan struct{} { return nil },
 			Grants:  grant.NewIssuer(duty.BootTime),
 			QueryObservers: func(context.Context, cluster.GroupName, cluster.Server) ObserverReport {
