Hand on the time for which a promotion may take effect

Cause: the time was counted by each process from its own reading of the group's record, and anew when it read the record again after a failed write.

Change: the record states what is left of the time, and is written again after each half second of it. It is at most as long when it is read, so no clocks are compared. After a call its holder states 5 s. A record that is read again unchanged does not begin the time anew.

The search of the model checks the initial state as well for a recovery without further faults: the new case has few other states.

--- a/internal/succession/controller.go
+++ b/internal/succession/controller.go
@@ -20,7 +20,7 @@
 	// promote the server.
 	maxPromotionDelay = 5 * time.Second
 	// maxPriorPromotionDelay is how long after the record of an earlier lease holder's
-	// promotion was read the promotion may still take effect. The earlier holder may
+	// promotion was first read the promotion may still take effect. The earlier holder may
 	// have been suspended before it made the call.
 	maxPriorPromotionDelay = 2 * maxPromotionDelay
 )
--- a/internal/succession/inherited_test.go
+++ b/internal/succession/inherited_test.go
@@ -1,10 +1,12 @@
 package succession
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/provider"
 )
 
 // TestPrimaryThatLeavesAfterTheLeaseWasTakenOverIsReplaced guards against a leaving primary that
@@ -31,6 +33,30 @@
 	})
 }
 
+// TestTimeOfAPromotionIsHandedOn guards against a group that waits anew for the call of an
+// earlier lease holder whenever the lease moves on.
+func TestTimeOfAPromotionIsHandedOn(t *testing.T) {
+	runController(t, func(f *controllerFixture) {
+		data, _ := json.Marshal(Record{Members: allMembers, Promoting: "s3", Token: 4})
+		if _, err := f.table.Commit(t.Context(), provider.Write{Key: recordKeyPrefix + "g", Value: data}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(maxPriorPromotionDelay / 2)
+		f.lease.set(6)
+		time.Sleep(maxPriorPromotionDelay / 4)
+		f.lease.set(7)
+		time.Sleep(maxPriorPromotionDelay/4 - time.Second)
+		if r := f.record(t); r.Promoting != "s3" {
+			t.Errorf("the promotion has ended early: %+v", r)
+		}
+		const late = remainingStep + pollInterval + idleDecideInterval // for each change of the lease
+		time.Sleep(time.Second + 2*late + idleDecideInterval)
+		if r := f.record(t); r.Promoting != "" {
+			t.Errorf("the promotion is still possible: %+v", r)
+		}
+	})
+}
+
 // TestInheritedPromotionEnds guards against a promotion of an earlier lease holder that is
 // taken for ended while a call may still come, or for possible when none can.
 func TestInheritedPromotionEnds(t *testing.T) {
@@ -79,6 +105,22 @@
 	}
 }
 
+// TestRecordThatIsReadAgainDoesNotProlongAPromotion guards against a wait that begins anew
+// each time a write of the record fails.
+func TestRecordThatIsReadAgainDoesNotProlongAPromotion(t *testing.T) {
+	s, r := newFixture("s1", "s2", "s3"), Record{Promoting: "s2", Token: 4}
+	pending := PendingPromotions{}
+	pending.inherit(r, 0, s.now)
+	pending.inherit(r, 0, s.now.Add(time.Second))
+	if until := pending["s2"].Until; !until.Equal(s.now.Add(maxPriorPromotionDelay)) {
+		t.Errorf("possible for %v", until.Sub(s.now))
+	}
+	pending.inherit(Record{Promoting: "s2", Token: 5}, 0, s.now.Add(time.Second))
+	if until := pending["s2"].Until; !until.Equal(s.now.Add(time.Second + maxPriorPromotionDelay)) {
+		t.Errorf("possible for %v after the record of another holder", until.Sub(s.now))
+	}
+}
+
 // TestRemainingTimeOfARecord guards against a call that comes after the time that its record
 // allows. A holder that has ended has made its own calls, but not those of holders before it.
 func TestRemainingTimeOfARecord(t *testing.T) {
@@ -89,7 +131,10 @@
 	}{
 		{"unknown", Record{Token: 4}, maxPriorPromotionDelay},
 		{"its writer has ended", Record{Token: 7}, maxPromotionDelay},
+		{"its writer has ended after the call", Record{Token: 7, Call: PromotionCall{RemainingMillis: 2000}}, 2 * time.Second},
 		{"a holder before its writer may call", Record{Token: 7, Call: PromotionCall{Inherited: true}}, maxPriorPromotionDelay},
+		{"stated", Record{Token: 4, Call: PromotionCall{RemainingMillis: 3000}}, 3 * time.Second},
+		{"more than possible", Record{Token: 4, Call: PromotionCall{RemainingMillis: 1 << 60}}, maxPriorPromotionDelay},
 	} {
 		if got := tt.record.remaining(7); got != tt.want {
 			t.Errorf("%s: %v, want %v", tt.name, got, tt.want)
@@ -98,7 +143,7 @@
 }
 
 // TestRecordStatesTheCallsOfAPromotion guards against a next lease holder that takes a second
-// call for the only one.
+// call for the only one, or a time for shorter than it is.
 func TestRecordStatesTheCallsOfAPromotion(t *testing.T) {
 	s := newFixture("s1", "s2", "s3")
 	pending := PendingPromotions{}
@@ -110,14 +155,14 @@
 	}
 	expect(nil, "", PromotionCall{})
 	announce := func() *announcedPromotion { return &announcedPromotion{"s2", pending.next("s2", 1, s.now)} }
-	expect(announce(), "s2", PromotionCall{TermBefore: 1, Sole: true})
+	expect(announce(), "s2", PromotionCall{TermBefore: 1, Sole: true, RemainingMillis: 10000})
 	pending.begin("s2", 1, s.now)
 	s.now = s.now.Add(1500 * time.Millisecond)
-	expect(nil, "s2", PromotionCall{TermBefore: 1, Sole: true})
-	expect(announce(), "s2", PromotionCall{TermBefore: 1})
+	expect(nil, "s2", PromotionCall{TermBefore: 1, Sole: true, RemainingMillis: 3500})
+	expect(announce(), "s2", PromotionCall{TermBefore: 1, RemainingMillis: 10000})
 	earlier := pending.begin("s2", 1, s.now)
 	pending.withdraw("s2", earlier)
-	expect(nil, "s2", PromotionCall{TermBefore: 1, Sole: true})
+	expect(nil, "s2", PromotionCall{TermBefore: 1, Sole: true, RemainingMillis: 3500})
 	s.now = s.now.Add(maxPromotionDelay)
 	expect(nil, "", PromotionCall{})
 }
--- a/internal/succession/model_hash_test.go
+++ b/internal/succession/model_hash_test.go
@@ -120,7 +120,7 @@
 func (e *stateEncoder) promotion(server cluster.ServerID, call PromotionCall) {
 	e.text(string(server))
 	e.bools(call.Sole, call.Inherited)
-	e.ints(int(call.TermBefore))
+	e.ints(int(call.TermBefore), int(call.RemainingMillis))
 }
 
 func (e *stateEncoder) steppedDown(d SteppedDown) {
--- a/internal/succession/model_process_test.go
+++ b/internal/succession/model_process_test.go
@@ -209,6 +209,9 @@
 func (w *modelWorld) disableRecorded(call *PromotionCall) {
 	call.Sole = (call.Sole || w.disabled.soleCall) && !w.disabled.promotionEnds
 	call.Inherited = call.Inherited && !w.disabled.inheritedCall
+	if w.disabled.remainingTime {
+		call.RemainingMillis = 0
+	}
 }
 
 func (w *modelWorld) wantedRecord(p *modelProcess) Record {
--- a/internal/succession/model_test.go
+++ b/internal/succession/model_test.go
@@ -51,6 +51,7 @@
 	{"the lease is taken over after the primary has stepped down", modelFaults{writes: 1, restarts: 1, ticks: 4}, steppedDownPrimary},
 	{"a primary leaves soon after its promotion", modelFaults{writes: 1, leaving: 1, ticks: 1}, recentPromotion},
 	{"a primary leaves after the lease was taken over", modelFaults{writes: 1, leaving: 1, holderRestarts: 1, ticks: 2}, promotionOfEarlierHolder},
+	{"the lease is taken over twice while a promotion is possible", modelFaults{writes: 1, ticks: 1}, promotionThatNeverComes},
 	{"a call arrives after the next switchover", modelFaults{writes: 1, holderRestarts: 1}, suspendedCall},
 	{"a call arrives after the next switchover, the holder has restarted", modelFaults{writes: 1}, suspendedCallBeforeRestart},
 	{"an entry names no server", modelFaults{writes: 1, leaving: 1, oddEntries: 1, ticks: 1}, nil},
@@ -218,6 +219,25 @@
 	w.recoveryTime = modelDrainTime
 }
 
+// promotionThatNeverComes is the state in which p0 has taken the lease back from p1. Before, it
+// had stepped down s0, which is leaving, and requested the promotion of s1, which is gone. The
+// time for which that promotion may take effect does not begin anew with each lease holder.
+func promotionThatNeverComes(w *modelWorld) {
+	requestedSwitchover(w)
+	w.left.storeCuts, w.left.crashes, w.left.lapses = 2, 1, 1
+	w.must(modelEvent{eventCutStore, 0, 0}, modelEvent{eventCrash, 1, 0}, modelEvent{eventLapse, 1, 0})
+	w.handOver()
+	read := w.now
+	w.calmStep()
+	w.must(modelEvent{eventCutStore, 1, 0})
+	w.processes[0].storeCut = false
+	w.passTime(4)
+	if w.processes[0].token == 0 || w.record.Promoting != serverID(1) {
+		panic("p0 does not hold the lease and know of the promotion")
+	}
+	w.recoveryTime = modelRecoveryTime - (w.now - read)
+}
+
 // suspendedCall is the state in which p0 is suspended just before its call to promote s1,
 // which may take effect for a moment yet. p1, which has taken the lease, has promoted s1
 // meanwhile. s1 is leaving and has been replaced if p1 allows it.
@@ -355,6 +375,9 @@
 		c.prepare(first)
 	}
 	m.nodes, m.seen = []modelNode{{parent: -1, world: first}}, map[uint64]struct{}{first.hash(): {}}
+	if violation := first.violationInCalm(); violation != "" {
+		return nil, violation
+	}
 	for n := 0; n < len(m.nodes) && int(m.nodes[n].depth) < depth && len(m.nodes) < maxStates; n++ {
 		from := m.nodes[n].world
 		m.nodes[n].world = nil
@@ -433,10 +456,11 @@
 		{"the lease is checked before the call", "the holder is suspended before or after its check", modelDisabled{leaseCheck: true}},
 		{"the record names a promotion first", "a call is in transit when the lease is taken over", modelDisabled{recordFirst: true}},
 		{"pending calls bind the choice", "a call is in transit when its server leaves", modelDisabled{pendingCalls: true}},
-		{"a promotion ends once its server leads", "a primary leaves after the lease was taken over", modelDisabled{promotionEnds: true}},
+		{"a promotion ends once its server leads", "a primary leaves after the lease was taken over", modelDisabled{promotionEnds: true, remainingTime: true}},
 		{"only a sole call ends once its server leads", "a call arrives after the next switchover", modelDisabled{soleCall: true}},
 		{"an own call does not shorten the time of an inherited one", "a call arrives after the next switchover", modelDisabled{inheritedTime: true}},
 		{"an inherited call outlives a restart of the holder", "a call arrives after the next switchover, the holder has restarted", modelDisabled{inheritedCall: true}},
+		{"the time of a call is handed on", "the lease is taken over twice while a promotion is possible", modelDisabled{remainingTime: true}},
 		{"grants end before an election", "grants across a promotion", modelDisabled{grantsWait: true, unlistedWait: true}},
 		{"grants end before a planned switchover", "replicas replay late", modelDisabled{grantsWait: true}},
 		{"final logs after the last grant", "a replica restarts while a grant is in force", modelDisabled{logsAfterGrants: true, unlistedWait: true}},
--- a/internal/succession/model_world_test.go
+++ b/internal/succession/model_world_test.go
@@ -33,7 +33,7 @@
 // modelDisabled names a mechanism that the model leaves out.
 type modelDisabled struct {
 	members, startTimes, grantsWait, leaseCheck, pendingCalls, recordFirst, acknowledgeRule, logsAfterGrants, earlierGrants, unlistedWait, acknowledgedReported bool
-	promotionEnds, soleCall, inheritedTime, inheritedCall                                                                                                       bool
+	promotionEnds, soleCall, inheritedTime, inheritedCall, remainingTime                                                                                        bool
 }
 
 // modelWorld is a group of servers, the processes that may hold the promotion lease,
--- a/internal/succession/pending.go
+++ b/internal/succession/pending.go
@@ -20,6 +20,15 @@
 	Sole bool
 	// Inherited is set if an earlier lease holder has made, or may still make, one of the calls.
 	Inherited bool
+	// source is the record that the promotion was inherited from, until this process makes a
+	// call itself.
+	source recordedCall
+}
+
+// recordedCall tells a promotion in the record of a lease holder from others.
+type recordedCall struct {
+	token duty.Token
+	call  PromotionCall
 }
 
 // possible reports whether the promotion may still take effect.
@@ -67,10 +76,18 @@
 }
 
 // inherit adds the promotion that the record of an earlier lease holder announces. ended is
-// the token of a holder that is known to have ended; zero if there is none.
+// the token of a holder that is known to have ended; zero if there is none. A record that is
+// read again does not prolong the time.
 func (p PendingPromotions) inherit(r Record, ended duty.Token, now time.Time) {
-	call := PendingPromotion{Until: now.Add(r.remaining(ended)), TermBefore: r.Call.TermBefore, Sole: r.Call.Sole, Inherited: true}
-	p[r.Promoting] = call.after(p[r.Promoting], now)
+	known, ok := p[r.Promoting]
+	source := recordedCall{r.Token, r.Call}
+	if ok && known.source == source {
+		return
+	}
+	call := PendingPromotion{
+		Until: now.Add(r.remaining(ended)), TermBefore: r.Call.TermBefore, Sole: r.Call.Sole, Inherited: true, source: source,
+	}
+	p[r.Promoting] = call.after(known, now)
 }
 
 // removeEnded removes the promotions that have taken effect. Kept any longer, they would
--- a/internal/succession/promotion_record.go
+++ b/internal/succession/promotion_record.go
@@ -7,12 +7,19 @@
 	"github.com/rattancove/rattancove/internal/duty"
 )
 
+// remainingStep is the step to which a record rounds up the time for which a promotion may
+// still take effect: the record is written again after each step.
+const remainingStep = 500 * time.Millisecond
+
 // PromotionCall is what a record states of the calls for the server that it names.
 type PromotionCall struct {
 	// TermBefore, Sole and Inherited are those of the PendingPromotion.
 	TermBefore cluster.Term `json:"term_before,omitempty"`
 	Sole       bool         `json:"sole,omitempty"`
 	Inherited  bool         `json:"inherited,omitempty"`
+	// RemainingMillis is the time in milliseconds for which the calls may still take effect
+	// after the record was written, and so at most after it is read; zero if unknown.
+	RemainingMillis int64 `json:"remaining_ms,omitempty"`
 }
 
 // announcedPromotion is a promotion that is in progress: the record names its server before the
@@ -26,7 +33,7 @@
 // what it states of the calls. announced is the promotion that is in progress, if any.
 func (p PendingPromotions) recorded(announced *announcedPromotion, now time.Time) (cluster.ServerID, PromotionCall) {
 	if announced != nil {
-		return announced.server, announced.calls.recorded()
+		return announced.server, announced.calls.recorded(maxPriorPromotionDelay)
 	}
 	var last cluster.ServerID
 	for id, pending := range p {
@@ -37,18 +44,25 @@
 	if last == "" {
 		return "", PromotionCall{}
 	}
-	return last, p[last].recorded()
+	return last, p[last].recorded(p[last].Until.Sub(now))
 }
 
-func (p PendingPromotion) recorded() PromotionCall {
-	return PromotionCall{TermBefore: p.TermBefore, Sole: p.Sole, Inherited: p.Inherited}
+func (p PendingPromotion) recorded(remaining time.Duration) PromotionCall {
+	return PromotionCall{
+		TermBefore: p.TermBefore, Sole: p.Sole, Inherited: p.Inherited,
+		RemainingMillis: ((remaining + remainingStep - 1) / remainingStep * remainingStep).Milliseconds(),
+	}
 }
 
 // remaining returns how long after the record was read its promotion may still take effect.
 // ended is the token of a holder that has ended, so that it has made its own call before.
 func (r Record) remaining(ended duty.Token) time.Duration {
+	remaining := maxPriorPromotionDelay
+	if stated := r.Call.RemainingMillis; stated > 0 && stated < remaining.Milliseconds() {
+		remaining = time.Duration(stated) * time.Millisecond
+	}
 	if r.Token == ended && !r.Call.Inherited {
-		return maxPromotionDelay
+		remaining = min(remaining, maxPromotionDelay)
 	}
-	return maxPriorPromotionDelay
+	return remaining
 }
