--- a/internal/succession/pending.go
+++ b/internal/succession/pending.go
@@ -37,7 +37,7 @@
 // PendingPromotions holds the promotions that may still take effect, by server.
 type PendingPromotions map[cluster.ServerID]PendingPromotion
 
-// after returns the calls of p, the last of which follow earlier ones.
+// after returns what is pending for a server after the calls of earlier and then those of p.
 func (p PendingPromotion) after(earlier PendingPromotion, now time.Time) PendingPromotion {
 	if !earlier.possible(now) {
 		return p
--- a/internal/succession/records_test.go
+++ b/internal/succession/records_test.go
@@ -495,7 +495,10 @@
 	var writes []provider.Write
 	for i := range maxRecordBatch {
 		name := func(j int) cluster.ServerID { return cluster.ServerID(fmt.Sprintf("%0128d", 10*i+j)) }
-		r := Record{Promoting: name(8), Token: 1 << 62, ReplaySwitchover: 1 << 62, SteppedDown: SteppedDown{Server: name(9), Term: 1 << 62}}
+		r := Record{
+			Promoting: name(8), Token: 1 << 62, ReplaySwitchover: 1 << 62, SteppedDown: SteppedDown{Server: name(9), Term: 1 << 62},
+			Call: PromotionCall{TermBefore: 1 << 62, Sole: true, Inherited: true, RemainingMillis: maxPriorPromotionDelay.Milliseconds()},
+		}
 		for j := range 8 {
 			r.Members = append(r.Members, Member{ID: name(j), StartTime: 1 << 62})
 		}
