Let the entries of ended servers lapse in the calm part of the model

Since the model mirrors what a holder knows after a refused call (the earlier call for the server stays possible, as in the program), the search of 150,000 states of "a replica restarts while a grant is in force" found a group whose home acknowledges nothing for 12 s: s2 ends after two calls to promote it, the first of which is still possible, and the model kept its entry listed for ever. While it is listed it may have been promoted unseen, and no grant is given.

Traced: s0 leads again after 0.1 s, and grants are blocked by nothing but the entry of s2. The case is allowed: the platform removes the entry of a silent server after three heartbeats. The calm part now does so, after 3.6 s, for servers that have ended after their promotion was requested, and for no others; the bound of 12 s stays.

--- a/internal/succession/model_calm_test.go
+++ b/internal/succession/model_calm_test.go
@@ -14,6 +14,9 @@
 	// modelRecoveryTime is the time within which a group must have a primary that is not
 	// leaving.
 	modelRecoveryTime = 12 * time.Second
+	// modelLapseTime is the time after which the entry of a server that has ended lapses: three
+	// heartbeats.
+	modelLapseTime = 3600 * time.Millisecond
 	// modelDrainTime is the time for which a server that is leaving works.
 	modelDrainTime = 7 * time.Second
 )
@@ -33,7 +36,11 @@
 	if last := c.servers[c.lastPrimary]; !last.alive || !last.listed || !slices.ContainsFunc(c.servers[:], c.mayStayPrimary) {
 		return ""
 	}
-	for end := c.now + c.recoveryTime; c.now < end && c.violation == "" && !c.recovered(); {
+	start := c.now
+	for c.now < start+c.recoveryTime && c.violation == "" && !c.recovered() {
+		if c.now >= start+modelLapseTime {
+			c.lapseRequested()
+		}
 		c.calmStep()
 	}
 	switch {
@@ -45,6 +52,18 @@
 	return ""
 }
 
+// lapseRequested lets the entries of servers lapse that have ended after their promotion was
+// requested. As long as they are listed, they may have been promoted unseen, and no grants are
+// given.
+func (w *modelWorld) lapseRequested() {
+	for i := range w.servers {
+		requested := func(p *modelProcess) bool { _, ok := p.view.PendingPromotions[serverID(i)]; return ok }
+		if s := &w.servers[i]; !s.alive && slices.ContainsFunc(w.processes[:], requested) {
+			s.listed = false
+		}
+	}
+}
+
 // recovered reports whether the group has a primary that is not leaving and, unless it runs
 // alone, acknowledges writes.
 func (w *modelWorld) recovered() bool {
