Count any run of a read in TestServersThatAnswerTwice

Hypotheses: the proxy passed on the answer to another statement; or the read ran twice, as a read may after an answer that is out of step, and the test compared the answer with the last run although that of the other connection was answered.

Traced: the last part of a signature is the hash of the id and text of its statement.

The check was wrong for reads. A read's answer must now have the signature of one of the runs of its id and text; for all other statements the last run counts as before.

--- a/cmd/rattan-edge/repeated_answers_test.go
+++ b/cmd/rattan-edge/repeated_answers_test.go
@@ -10,6 +10,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/rattancove/rattancove/internal/standin/userplatform"
 )
 
 // repeatingRelay relays connections to a server and sends some of its answers again, at
@@ -185,9 +187,22 @@
 		return false
 	}
 	r.succeeded++
-	run, ran := r.d.group.RunOf(id)
-	if text != "BEGIN" && (!ran || !strings.Contains(answer, "COMPLETE "+run.Signature+"|")) {
+	if text != "BEGIN" && !r.isAnswerTo(id, text, answer) {
 		r.d.t.Errorf("%s %s got %s", id, text, answer)
 	}
 	return true
 }
+
+// isAnswerTo reports whether an answer has the signature of the last run of a statement. A read
+// that is repeated on another connection may run there first, so that any of its runs counts.
+func (r *repeatedRun) isAnswerTo(id, text, answer string) bool {
+	signed := func(run userplatform.Run) bool {
+		return run.Signature != "" && strings.Contains(answer, "COMPLETE "+run.Signature+"|")
+	}
+	if run, ran := r.d.group.RunOf(id); ran && signed(run) {
+		return true
+	}
+	return strings.HasPrefix(text, "READ ") && slices.ContainsFunc(r.d.group.Runs(), func(run userplatform.Run) bool {
+		return run.ID == id && run.Text == text && signed(run)
+	})
+}
