--- a/internal/succession/decide.go
+++ b/internal/succession/decide.go
@@ -106,7 +106,8 @@
 	return term
 }
 
-// highestTerm returns the highest term of any server since the attempt began.
+// highestTerm returns the highest known term of any server, including those that have left the
+// list since the attempt began.
 func (s State) highestTerm(v View) cluster.Term {
 	return max(maxServerTerm(v), s.MaxTermAtStart, s.seen.term)
 }
--- a/internal/succession/model_test.go
+++ b/internal/succession/model_test.go
@@ -266,7 +266,7 @@
 }
 
 // replacePrimaryTwice lets p1, which has read the record of p0 at a time, promote a server
-// that then leaves, and lets time pass until the call of p0 must have arrived.
+// that then leaves, and lets time pass until shortly before the call of p0 can no longer take effect.
 func replacePrimaryTwice(w *modelWorld, read time.Duration) {
 	for w.lastPrimary == 0 {
 		w.calmStep()
--- a/internal/succession/model_world_test.go
+++ b/internal/succession/model_world_test.go
@@ -32,8 +32,10 @@
 
 // modelDisabled names a mechanism that the model leaves out.
 type modelDisabled struct {
-	members, startTimes, grantsWait, leaseCheck, pendingCalls, recordFirst, acknowledgeRule, logsAfterGrants, earlierGrants, unlistedWait, acknowledgedReported bool
-	promotionEnds, soleCall, inheritedTime, inheritedCall, remainingTime                                                                                        bool
+	members, startTimes, grantsWait, leaseCheck, pendingCalls, recordFirst bool
+	acknowledgeRule, logsAfterGrants, earlierGrants, unlistedWait          bool
+	acknowledgedReported, promotionEnds, soleCall                          bool
+	inheritedTime, inheritedCall, remainingTime                            bool
 }
 
 // modelWorld is a group of servers, the processes that may hold the promotion lease,
--- a/internal/succession/pending.go
+++ b/internal/succession/pending.go
@@ -20,12 +20,12 @@
 	Sole bool
 	// Inherited is set if an earlier lease holder has made, or may still make, one of the calls.
 	Inherited bool
-	// source is the record that the promotion was inherited from, until this process makes a
-	// call itself.
+	// source is the record that the promotion was inherited from. It is unset once this process
+	// has made a call of its own.
 	source recordedCall
 }
 
-// recordedCall tells a promotion in the record of a lease holder from others.
+// recordedCall identifies a promotion in a record by the writer's token and what it states.
 type recordedCall struct {
 	token duty.Token
 	call  PromotionCall
--- a/internal/succession/promotion.go
+++ b/internal/succession/promotion.go
@@ -19,9 +19,9 @@
 	errRecordChanged = errors.New("the group's record was changed by another process")
 )
 
-// promote requests a promotion from the platform and records the outcome. The group's record names the server
-// first, so that the next lease holder knows of a call that may still take effect. The
-// lease is checked immediately before the call, which ends with the lease.
+// promote requests a promotion from the platform and records the outcome. The group's record
+// names the server first, so that the next lease holder knows of a call that may still take
+// effect. The lease is checked immediately before the call, which ends with the lease.
 func (l *groupLoop) promote(a Action) {
 	config := l.controller.config
 	ctx, cancel := context.WithTimeout(l.ctx, min(promotionTimeout, config.Lease.Remaining()))
--- a/internal/succession/promotion_record.go
+++ b/internal/succession/promotion_record.go
@@ -22,8 +22,8 @@
 	RemainingMillis int64 `json:"remaining_ms,omitempty"`
 }
 
-// announcedPromotion is a promotion that is in progress: the record names its server before the
-// platform is called. calls is what will be pending then.
+// announcedPromotion is a promotion by this process that is in progress, from before the record
+// names its server until the platform's response. calls is what is pending with its call.
 type announcedPromotion struct {
 	server cluster.ServerID
 	calls  PendingPromotion
@@ -47,6 +47,7 @@
 	return last, p[last].recorded(p[last].Until.Sub(now))
 }
 
+// recorded returns what a record states of the calls if they may take effect for a time.
 func (p PendingPromotion) recorded(remaining time.Duration) PromotionCall {
 	return PromotionCall{
 		TermBefore: p.TermBefore, Sole: p.Sole, Inherited: p.Inherited,
