--- /dev/null
+++ b/review/standin-3/main.go
@@ -0,0 +1,86 @@
+//go:build review
+
+// Command review-3 runs a case of the third review: it starts a small deployment of
+// rattan-edge processes with stand-ins of the platform, brings about the disruption of the
+// case, and checks one rule.
+package main
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// Exit statuses.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+var (
+	recordMu    sync.Mutex
+	recordFile  *os.File
+	recordStart = time.Now()
+)
+
+// record writes a line with the time since the start to the record of the case.
+func record(format string, args ...any) {
+	recordMu.Lock()
+	defer recordMu.Unlock()
+	_, _ = fmt.Fprintf(recordFile, "%8.3f %s\n", time.Since(recordStart).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// scenarios holds the cases. Each returns the violations of its rule.
+var scenarios = map[string]func(f *fleet, trouble bool) (violations []string, err error){
+	"drain":     runDrain,
+	"token":     runToken,
+	"collision": runCollision,
+}
+
+func main() {
+	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: review-3 CASE RECORD")
+		os.Exit(exitNotRun)
+	}
+	var err error
+	if recordFile, err = os.Create(os.Args[2]); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitNotRun)
+	}
+	os.Exit(run(os.Args[1]))
+}
+
+func run(name string) int {
+	dir, err := os.MkdirTemp("", "review-3-")
+	if err != nil {
+		record("not run: %v", err)
+		return exitNotRun
+	}
+	if os.Getenv("REVIEW_KEEP") == "" {
+		defer func() { _ = os.RemoveAll(dir) }()
+	}
+	f, err := startFleet(dir)
+	if f != nil {
+		defer f.stop()
+	}
+	if err != nil {
+		record("not run: %v", err)
+		return exitNotRun
+	}
+	record("all processes are ready")
+	violations, err := scenarios[name](f, os.Getenv("TROUBLE") != "0")
+	if err != nil {
+		record("not run: %v", err)
+		return exitNotRun
+	}
+	for _, v := range violations {
+		record("BROKEN: %s", v)
+	}
+	if len(violations) > 0 {
+		return exitBroken
+	}
+	record("the rule held")
+	return exitHeld
+}
