review: prepared statements with long ids run a process out of memory

A session keeps the id of the message that prepared a statement, but takes memory from the budget for the text only.

The runs of the other cases now reserve their addresses, as two at a time could share them.

--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -4,7 +4,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -50,6 +52,7 @@
 // fleet is a deployment on loopback addresses.
 type fleet struct {
 	dir       string
+	reserved  net.Listener
 	store     *store
 	group     *userplatform.Group
 	processes []*process
@@ -76,7 +79,11 @@
 	if err != nil {
 		return nil, err
 	}
-	f.describe(storeAddress, promotionAddress)
+	block, err := f.reserveBlock()
+	if err != nil {
+		return nil, err
+	}
+	f.describe(block, storeAddress, promotionAddress)
 	for _, p := range f.processes {
 		if err := p.start(); err != nil {
 			return f, err
@@ -126,10 +133,23 @@
 	f.store.set("op", "config", value)
 }
 
+// reserveBlock returns a block of loopback addresses that no other run uses. A listener holds
+// it until this process ends.
+func (f *fleet) reserveBlock() (int, error) {
+	for range 50 {
+		block := 16 + rand.IntN(200)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:8784", block, processCount+1))
+		if err == nil {
+			f.reserved = l
+			return block, nil
+		}
+	}
+	return 0, errors.New("no free block of addresses")
+}
+
 // describe chooses the addresses of the processes and writes their settings. Each has a
 // loopback address of its own, since all use the same metrics port.
-func (f *fleet) describe(storeAddress, promotionAddress string) {
-	block := 16 + os.Getpid()%200
+func (f *fleet) describe(block int, storeAddress, promotionAddress string) {
 	var seeds []string
 	address := func(i, port int) string { return fmt.Sprintf("127.%d.%d.1:%d", block, i+1, port) }
 	for i := range 3 {
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -37,6 +37,7 @@
 	"drain":     runDrain,
 	"token":     runToken,
 	"collision": runCollision,
+	"memory":    runMemory,
 }
 
 func main() {
