review: half of a transaction is committed after BUSY

A statement that is refused for lack of memory leaves a transaction open that no server has seen yet.

--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -64,11 +64,33 @@
 }
 
 func (c *client) exchange(message string, timeout time.Duration) (answer, error) {
-	var a answer
 	_ = c.conn.SetDeadline(time.Now().Add(timeout))
 	if _, err := c.conn.Write([]byte(message + "\r\n")); err != nil {
-		return a, errEnded
+		return answer{}, errEnded
+	}
+	if strings.HasPrefix(message, "STARTUP") {
+		return c.receiveStartup()
+	}
+	return c.receive()
+}
+
+// receiveStartup reads the answer to the start-up message, in which no READY follows an error.
+func (c *client) receiveStartup() (answer, error) {
+	line, err := userplatform.ReadMessage(c.reader)
+	word, rest, _ := strings.Cut(line, " ")
+	switch {
+	case err != nil:
+		return answer{}, errEnded
+	case word == "ERROR":
+		code, _, _ := strings.Cut(rest, " ")
+		return answer{code: code}, nil
 	}
+	return answer{}, nil
+}
+
+// receive reads the answer to a statement.
+func (c *client) receive() (answer, error) {
+	var a answer
 	for {
 		line, err := userplatform.ReadMessage(c.reader)
 		if err != nil {
@@ -82,9 +104,6 @@
 			a.signature = rest
 		case "ERROR":
 			a.code, _, _ = strings.Cut(rest, " ")
-			if strings.HasPrefix(message, "STARTUP") {
-				return a, nil
-			}
 		case "READY":
 			a.state, _, _ = strings.Cut(rest, " ")
 			return a, nil
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -38,6 +38,7 @@
 	"token":     runToken,
 	"collision": runCollision,
 	"memory":    runMemory,
+	"refused":   runRefused,
 }
 
 func main() {
