review: acknowledged commits are lost after a restore of the store

A server that joins in the seconds after the store has come back from an older copy is never listed by any process, and so does not count as a member of its group. When the other replica receives nothing and the primary crashes, that replica is promoted.

--- a/review/standin-3/load.go
+++ b/review/standin-3/load.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,10 +25,18 @@
 	mu sync.Mutex
 	// outcomes counts the outcomes of statements by what was sent.
 	outcomes map[string]int
+	// acknowledged holds the writes that had success.
+	acknowledged []acknowledgedWrite
 	// unanswered holds the data of the writes that have got neither success nor a promise.
 	unanswered []string
 }
 
+// acknowledgedWrite is the data of a write and the time at which its success was received.
+type acknowledgedWrite struct {
+	data string
+	at   time.Time
+}
+
 func startLoad(f *fleet) *load {
 	l := &load{outcomes: map[string]int{}}
 	for i, p := range f.processes {
@@ -91,6 +100,9 @@
 	l.outcomes[statement[:4]+" "+outcome]++
 	record("client at %s: %s %q sent %.3f s ago: %s %q", p.name, id, statement, time.Since(sent).Seconds(), outcome, a.rows)
 	if outcome == "success" {
+		if fields := strings.Fields(statement); fields[0] == "WRITE" {
+			l.acknowledged = append(l.acknowledged, acknowledgedWrite{fields[2], time.Now()})
+		}
 		return
 	}
 	if statement[:4] == "WRIT" && !promises[outcome] {
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -34,7 +34,7 @@
 
 // scenarios holds the cases. Each returns the violations of its rule.
 var scenarios = map[string]func(f *fleet, trouble bool) (violations []string, err error){
-	"drain":     runDrain,
+	"lost":      runLost,
 	"token":     runToken,
 	"collision": runCollision,
 	"memory":    runMemory,
