--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -2,7 +2,7 @@
 # Runs the case; see claim.txt. Needs the build of the deploy file and review/build-3.sh.
 set -u
 cd "$(dirname "$0")/../.."
-timeout --kill-after=5 115 target/review-3 memory review/14/record.txt
+timeout --kill-after=5 115 target/review-3 drain review/14/record.txt
 status=$?
 case $status in
 0 | 1) exit $status ;;
