--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -40,6 +40,20 @@
 	"drain":   runDrain,
 }
 
+// recordRuns records the statements of clients that the servers have run.
+func (f *fleet) recordRuns() {
+	for _, r := range f.group.Runs() {
+		if r.ID == "-" {
+			continue
+		}
+		outcome := r.Code
+		if outcome == "" {
+			outcome = "ok"
+		}
+		record("server %s: ran %s %.40q at %.3f: %s", r.Server, r.ID, r.Text, r.StartedAt.Sub(recordStart).Seconds(), outcome)
+	}
+}
+
 func main() {
 	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-3 CASE RECORD")
@@ -72,6 +86,7 @@
 	}
 	record("all processes are ready")
 	violations, err := scenarios[name](f, os.Getenv("TROUBLE") != "0")
+	f.recordRuns()
 	if err != nil {
 		record("not run: %v", err)
 		return exitNotRun
