--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -55,8 +55,8 @@
 }
 
 func main() {
-	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review-3 CASE RECORD")
+	if len(os.Args) != 4 || scenarios[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: review-3 CASE RECORD TROUBLE, where TROUBLE is 0 to leave the disruption out")
 		os.Exit(exitNotRun)
 	}
 	var err error
@@ -64,10 +64,11 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
-	os.Exit(run(os.Args[1]))
+	os.Exit(run(os.Args[1], os.Args[3] != "0"))
 }
 
-func run(name string) int {
+func run(name string, trouble bool) int {
+	record("case %s, with the disruption: %v", name, trouble)
 	dir, err := os.MkdirTemp("", "review-3-")
 	if err != nil {
 		record("not run: %v", err)
@@ -85,7 +86,7 @@
 		return exitNotRun
 	}
 	record("all processes are ready")
-	violations, err := scenarios[name](f, os.Getenv("TROUBLE") != "0")
+	violations, err := scenarios[name](f, trouble)
 	f.recordRuns()
 	if err != nil {
 		record("not run: %v", err)
