Follow the list of servers after the store has come back from a copy

Cause: versions were compared as if the store's history never restarted. The tracker ignores what covers a lower version than the present list (Tracker.extendCoverage), and the feed goes on from the version of what was ignored, so that the changes in between are lost.

Change: a version holds the era that the store names in each response, in its high bits (provider.JoinVersion), so that a later era is newer whatever its numbers. Processes of earlier versions see what they saw before.

--- a/cmd/rattan-edge/main.go
+++ b/cmd/rattan-edge/main.go
@@ -112,7 +112,7 @@
 
 func serve(ctx context.Context, file settingsFile, log zerolog.Logger) error {
 	config := file.config
-	client := store.New(config.StoreAddress, dialNetwork)
+	client := store.New(config.StoreAddress, dialNetwork, &log)
 	servers := back.New(wire.Dial)
 	budget := memory.NewBudget(config.MemoryLimit)
 	servers.LimitAnswers(budget.Answers)
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/rattancove/rattancove/internal/panics"
+	"github.com/rattancove/rattancove/internal/provider"
 )
 
 // maxImportBytes bounds the catalog of a peer once it is decompressed: several times that
@@ -30,7 +31,10 @@
 	Organisations bool
 	Configuration *Configuration
 	Servers       []Server
-	Covered       Coverage
+	// Covered holds the numbers of the versions, and Era their era. Processes of earlier
+	// versions set no era.
+	Covered Coverage
+	Era     uint64
 }
 
 // Known holds the versions that a peer has, and the encodings that it accepts.
@@ -74,7 +78,8 @@
 	if !key.servers {
 		return out
 	}
-	out.Covered = t.coverage
+	out.Era, out.Covered.Complete = provider.SplitVersion(t.coverage.Complete)
+	_, out.Covered.Latest = provider.SplitVersion(t.coverage.Latest)
 	for id, s := range t.servers {
 		if _, missing := t.missingSince[id]; !missing {
 			out.Servers = append(out.Servers, s)
@@ -165,7 +170,10 @@
 	if err != nil {
 		return err
 	}
-	t.SetServers(in.Servers, in.Covered, OriginPeer)
+	if complete, usable := t.PeerVersion(in.Era, in.Covered.Complete); usable {
+		latest, _ := t.PeerVersion(in.Era, in.Covered.Latest)
+		t.SetServers(in.Servers, Coverage{Complete: complete, Latest: latest}, OriginPeer)
+	}
 	if !in.Organisations && in.Configuration != nil {
 		return ErrNoOrganisations
 	}
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -13,6 +13,7 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/delay"
 	"github.com/rattancove/rattancove/internal/panics"
+	"github.com/rattancove/rattancove/internal/provider"
 )
 
 const (
@@ -192,7 +193,8 @@
 		update, complete, err := f.readAndApply(ctx, topic, version)
 		if err != nil {
 			if errors.Is(err, ErrHistoryExpired) {
-				eventHistoryExpired.Log(f.log).Uint64("after", version).Send()
+				era, number := provider.SplitVersion(version)
+				eventHistoryExpired.Log(f.log).Uint64("after", number).Uint64("era", era).Send()
 				version = 0
 				continue
 			}
--- a/internal/catalog/tracker.go
+++ b/internal/catalog/tracker.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rattancove/rattancove/internal/cluster"
+	"github.com/rattancove/rattancove/internal/provider"
 )
 
 // missingGrace is the time for which a server stays in the catalog while its
@@ -43,6 +44,8 @@
 	servers     map[cluster.ServerID]Server
 	// coverage states how much of the store's history servers reflects.
 	coverage Coverage
+	// restored is set once the store has come back from a copy since its era was first known.
+	restored bool
 	// missingSince holds the time at which the entry of a server was first missing.
 	missingSince map[cluster.ServerID]time.Time
 	changed      chan struct{}
@@ -89,7 +92,7 @@
 }
 
 // Versions returns the version of the configuration and the store's version of
-// the newest known change of the servers. Each is zero while unknown.
+// the newest known change of the servers (provider.JoinVersion). Each is zero while unknown.
 func (t *Tracker) Versions() (configuration, servers uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -175,9 +178,10 @@
 // extendCoverage extends the coverage by that of an update. It returns false if
 // the update is older than the current state and must be ignored. Latest is
 // recorded even then, because the current state contains that change: Latest may
-// be the version of a removal, which leaves no entry in the current state. The
-// caller holds the lock.
+// be the version of a removal, which leaves no entry in the current state. An update
+// of a later era of the store is newer in any case. The caller holds the lock.
 func (t *Tracker) extendCoverage(coverage Coverage) bool {
+	t.noteEra(coverage)
 	t.coverage.Latest = max(t.coverage.Latest, coverage.Latest)
 	if coverage.Complete < t.coverage.Complete {
 		return false
@@ -186,6 +190,38 @@
 	return true
 }
 
+// noteEra logs that the store has come back from a copy. The caller holds the lock.
+func (t *Tracker) noteEra(coverage Coverage) {
+	eraBefore, before := provider.SplitVersion(t.coverage.Complete)
+	era, now := provider.SplitVersion(coverage.Complete)
+	if eraBefore == 0 || era <= eraBefore {
+		return
+	}
+	t.restored = true
+	storeRestores.Inc()
+	eventStoreRestored.Log(t.log).Uint64("era_before", eraBefore).Uint64("era", era).
+		Uint64("store_version_before", before).Uint64("store_version", now).
+		Uint64("configuration_kept", t.version()).Int("servers_known", len(t.servers)).Send()
+}
+
+// PeerVersion returns the version of the servers that a peer has named by its era and
+// number. Processes of earlier versions name no era, and are taken to be in the present
+// one. After a restore of the store what they have cannot be placed: usable is false.
+func (t *Tracker) PeerVersion(era, number uint64) (version uint64, usable bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.peerVersion(era, number)
+}
+
+// peerVersion is PeerVersion for callers that hold the lock.
+func (t *Tracker) peerVersion(era, number uint64) (version uint64, usable bool) {
+	if era == 0 {
+		era, _ = provider.SplitVersion(t.coverage.Complete)
+		return provider.JoinVersion(era, number), !t.restored
+	}
+	return provider.JoinVersion(era, number), true
+}
+
 // Expire removes the servers whose entries have been missing for missingGrace and
 // returns the time until the next removal; zero when no entry is missing.
 func (t *Tracker) Expire(now time.Time) time.Duration {
@@ -216,7 +252,14 @@
 	t.servers[s.ID] = s
 	eventServerEntry.Log(t.log).Str("server", string(s.ID)).Str("group", string(s.Group)).Str("address", s.Address).
 		Bool("draining", s.Draining).Bool("primary", s.Primary).Int64("started", s.Started).
-		Uint64("store_version", t.coverage.Complete).Str("origin", string(origin)).Send()
+		Uint64("store_version", t.storeNumber()).Str("origin", string(origin)).Send()
+}
+
+// storeNumber returns the version that servers reflect as the store numbers it. The caller
+// holds the lock.
+func (t *Tracker) storeNumber() uint64 {
+	_, number := provider.SplitVersion(t.coverage.Complete)
+	return number
 }
 
 // markMissing records that the entry of a server is missing. The caller holds
@@ -229,7 +272,7 @@
 		return
 	}
 	t.missingSince[id] = time.Now()
-	eventServerMissing.Log(t.log).Str("server", string(id)).Uint64("store_version", t.coverage.Complete).
+	eventServerMissing.Log(t.log).Str("server", string(id)).Uint64("store_version", t.storeNumber()).
 		Str("origin", string(origin)).Send()
 }
 
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -114,8 +114,9 @@
 	return 0
 }
 
-// Coverage states how much of the store's history a list of servers reflects. Peers
-// exchange it as JSON under its Go names.
+// Coverage states how much of the store's history a list of servers reflects, by versions
+// as provider.JoinVersion returns them. Peers exchange their numbers as JSON under its Go
+// names.
 type Coverage struct {
 	// Complete is the store's version up to which the list contains every change.
 	Complete uint64
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -13,14 +13,15 @@
 	"github.com/rattancove/rattancove/internal/member"
 	"github.com/rattancove/rattancove/internal/peer"
 	"github.com/rattancove/rattancove/internal/peer/peerpb"
+	"github.com/rattancove/rattancove/internal/provider"
 	"github.com/rattancove/rattancove/internal/warden"
 )
 
 const (
 	// catalogName identifies the catalog among the documents that peers exchange. In
 	// a document version of the catalog, the revision is the version of the
-	// configuration, and the digest is the store's version of the newest known change
-	// of the servers, in decimal.
+	// configuration, and the digest is the number of the store's version of the newest
+	// known change of the servers, in decimal, in the era of the document version.
 	catalogName = "catalog"
 	// announceTimeout bounds one announcement to a peer.
 	announceTimeout = 500 * time.Millisecond
@@ -96,7 +97,8 @@
 		return nil
 	}
 	_, servers := e.tracker.Versions()
-	version.Digest = strconv.FormatUint(servers, 10)
+	era, number := provider.SplitVersion(servers)
+	version.Digest, version.Era = strconv.FormatUint(number, 10), era
 	return []*peerpb.DocumentVersion{version}
 }
 
@@ -108,10 +110,14 @@
 func (e *Edge) fetchIfNewer(address string, versions []*peerpb.DocumentVersion) {
 	configuration, servers := e.tracker.Versions()
 	for _, v := range versions {
-		offered, err := strconv.ParseUint(v.GetDigest(), 10, 64)
+		number, err := strconv.ParseUint(v.GetDigest(), 10, 64)
 		if err != nil || v.GetEnvironment() != catalogName {
 			continue
 		}
+		offered, usable := e.tracker.PeerVersion(v.GetEra(), number)
+		if !usable {
+			offered = 0
+		}
 		if v.GetRevision() <= configuration && offered <= servers {
 			continue
 		}
@@ -157,8 +163,9 @@
 // process. A positive wait makes it a long poll.
 func (e *Edge) requestCatalog(ctx context.Context, address string, wait time.Duration) (catalog.PeerCatalog, error) {
 	configuration, servers := e.tracker.Versions()
+	era, number := provider.SplitVersion(servers)
 	request := &peerpb.DocumentRequest{
-		Environment: catalogName, AtLeastRevision: configuration, BaseDigest: strconv.FormatUint(servers, 10),
+		Environment: catalogName, AtLeastRevision: configuration, BaseDigest: strconv.FormatUint(number, 10), BaseEra: era,
 		WaitNanos: int64(wait), AcceptGzip: true,
 	}
 	sent := e.access.clock()
@@ -177,7 +184,8 @@
 // catalogName describes. It is served only while this process follows the store.
 func (e *Edge) handleCatalog(ctx context.Context, in *peerpb.DocumentRequest) (*peerpb.DocumentReply, error) {
 	arrived := e.access.clock()
-	servers, err := strconv.ParseUint(in.GetBaseDigest(), 10, 64)
+	number, err := strconv.ParseUint(in.GetBaseDigest(), 10, 64)
+	servers, _ := e.tracker.PeerVersion(in.GetBaseEra(), number)
 	// A process of an earlier version that does not wait has no base and gets all.
 	known := catalog.Known{Configuration: in.GetAtLeastRevision(), Servers: servers, Gzip: in.GetAcceptGzip()}
 	if in.GetWaitNanos() == 0 {
--- a/internal/standin/userplatform/store.go
+++ b/internal/standin/userplatform/store.go
@@ -33,6 +33,8 @@
 	changed   chan struct{}
 	faults    Faults
 	startedAt time.Time
+	// era is one, and rises when the store comes back from a copy.
+	era uint64
 	// staleRows and staleVersion are returned by full reads while Faults.Stale is
 	// set.
 	staleRows    map[rowID]Row
@@ -57,7 +59,55 @@
 
 // NewStore returns an empty Store.
 func NewStore() *Store {
-	return &Store{rows: map[rowID]Row{}, changed: make(chan struct{}), startedAt: time.Now()}
+	return &Store{rows: map[rowID]Row{}, changed: make(chan struct{}), startedAt: time.Now(), era: 1}
+}
+
+// Copy is the state of a Store at a time.
+type Copy struct {
+	rows    map[rowID]Row
+	history []Row
+	version uint64
+}
+
+// Copy returns a copy of the present state.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{rows: maps.Clone(s.rows), history: slices.Clone(s.history), version: s.version}
+}
+
+// Restore brings the store back from a copy in a new era. What was written since is lost, and
+// its versions are given out again. The operator and the backend servers write their rows
+// again, and remove those that they have removed since, in an arbitrary order.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.rows
+	s.rows, s.history, s.version = maps.Clone(c.rows), slices.Clone(c.history), c.version
+	s.era++
+	for id := range c.rows {
+		if _, ok := before[id]; !ok && writtenByOthers(id) {
+			s.version++
+			s.applyRow(Row{Table: id.table, Partition: id.partition, Key: id.key, Removed: true})
+		}
+	}
+	for id, row := range before {
+		if writtenByOthers(id) {
+			s.version++
+			s.applyRow(row)
+		}
+	}
+	s.notify()
+}
+
+// writtenByOthers reports whether the operator or the backend servers write a row.
+func writtenByOthers(id rowID) bool { return id.table == "op" || id.table == "servers" }
+
+// Version returns the number of the last transaction.
+func (s *Store) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
 }
 
 // SetDown replaces the faults: if down, every call fails with status 503.
@@ -136,6 +186,9 @@
 	s.mu.Unlock()
 	time.Sleep(faults.ResponseDelay)
 	if faults.Down {
+		s.mu.Lock()
+		s.setEra(w)
+		s.mu.Unlock()
 		http.Error(w, `{"error":"try later"}`, http.StatusServiceUnavailable)
 		return
 	}
@@ -162,12 +215,18 @@
 	panic(http.ErrAbortHandler)
 }
 
+// setEra sets the header that every response has. The caller holds mu.
+func (s *Store) setEra(w http.ResponseWriter) {
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+}
+
 func (s *Store) writeRows(w http.ResponseWriter, status int, rows []Row) {
 	s.writeRowsAt(w, status, rows, s.version)
 }
 
 func (s *Store) writeRowsAt(w http.ResponseWriter, status int, rows []Row, version uint64) {
 	w.Header().Set("Content-Type", "application/json")
+	s.setEra(w)
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(map[string]any{
 		"rows": rows, "ver": version, "more_pages": false, "now_ms": time.Since(s.startedAt).Milliseconds(),
@@ -231,7 +290,7 @@
 			latest[rowID{row.Table, row.Partition, row.Key}] = row
 		}
 	}
-	truncated := after < s.version && (len(s.history) == 0 || s.history[0].Version > after+1)
+	truncated := after > s.version || after < s.version && (len(s.history) == 0 || s.history[0].Version > after+1)
 	return slices.Collect(maps.Values(latest)), truncated
 }
 
--- a/internal/succession/model_events_test.go
+++ b/internal/succession/model_events_test.go
@@ -35,6 +35,7 @@
 	eventCutHome
 	eventRestartHolder
 	eventRevoke
+	eventRestoreStore
 	eventTick
 	modelEventCount
 )
@@ -44,7 +45,8 @@
 	"s%[1]d restarts with its log", "s%[1]d restarts without data", "the entry of s%[1]d lapses", "the entry of s%[1]d returns",
 	"p%[1]d is cut off from s%[2]d", "p%[1]d is cut off from the table service", "p%[1]d is suspended", "p%[1]d wakes",
 	"s%[1]d is leaving", "s%[1]d is cut off from the other servers", "s%[1]d starts", "an entry of s%[1]d, which does not exist, is listed", "p%[1]d checks its lease", "p%[1]d sends the promotion call", "the platform promotes s%[1]d",
-	"the home is cut off from the lease holder", "p%[1]d, the lease holder, restarts", "p%[1]d revokes the grant of p%[2]d", "time passes",
+	"the home is cut off from the lease holder", "p%[1]d, the lease holder, restarts", "p%[1]d revokes the grant of p%[2]d",
+	"the store comes back from a copy", "time passes",
 }
 
 func (e modelEvent) String() string {
@@ -72,6 +74,7 @@
 	add(eventCut, modelProcesses, modelServers)
 	add(eventRevoke, modelProcesses, modelProcesses)
 	add(eventCutHome, 1, 1)
+	add(eventRestoreStore, 1, 1)
 	add(eventTick, 1, 1)
 	return all
 }()
@@ -118,6 +121,8 @@
 		return w.processes[e.a].stage != stageNone
 	case eventCutHome:
 		return l.homeCuts > 0
+	case eventRestoreStore:
+		return l.storeRestores > 0
 	case eventRestartHolder:
 		return l.holderRestarts > 0 && w.processes[e.a].token != 0
 	case eventCall:
@@ -140,9 +145,14 @@
 // apply executes an event and reports whether it is possible in this state.
 func (w *modelWorld) apply(e modelEvent) bool {
 	possible := false
+	listed := w.catalog().Servers
 	switch e.kind {
 	case eventTick:
 		possible = w.tick()
+	case eventRestoreStore:
+		if possible = spend(&w.left.storeRestores, true); possible {
+			w.restoreStore()
+		}
 	case eventCutHome:
 		possible = spend(&w.left.homeCuts, !w.home.cut)
 		w.home.cut = true
@@ -157,6 +167,9 @@
 		p := w.processes[e.a]
 		possible = !p.frozen && w.applyToProcess(e, p)
 	}
+	if !slices.Equal(listed, w.catalog().Servers) {
+		w.listNumber++
+	}
 	for _, p := range w.processes {
 		w.progress(p)
 	}
@@ -319,7 +332,7 @@
 
 // hearNews passes changes of the catalog on to a lease holder.
 func (w *modelWorld) hearNews(p *modelProcess) {
-	if p.token != 0 && !slices.Equal(p.group.Servers, w.catalog().Servers) {
+	if p.token != 0 && w.hasNews(p) {
 		w.refresh(p)
 	}
 }
--- a/internal/succession/model_hash_test.go
+++ b/internal/succession/model_hash_test.go
@@ -25,7 +25,7 @@
 func (w *modelWorld) hash() uint64 {
 	e := &stateEncoder{now: w.now}
 	l := w.left
-	e.ints(l.writes, l.crashes, l.restarts, l.rebirths, l.lapses, l.returns, l.cuts, l.storeCuts, l.freezes, l.leaving, l.isolations, l.joins, l.oddEntries, l.homeCuts, l.holderRestarts, l.ticks)
+	e.ints(l.writes, l.crashes, l.restarts, l.rebirths, l.lapses, l.returns, l.cuts, l.storeCuts, l.freezes, l.leaving, l.isolations, l.joins, l.oddEntries, l.homeCuts, l.holderRestarts, l.storeRestores, l.ticks)
 	for _, s := range w.servers {
 		e.bools(s.alive, s.primary, s.leaving, s.listed, s.isolated)
 		e.ints(int(s.term), int(s.paused), int(s.start))
@@ -35,6 +35,7 @@
 		}
 	}
 	e.log(w.acknowledged)
+	e.list(w)
 	e.home(w)
 	e.ints(int(w.promotedTerm), w.lastPrimary, w.leaseHolder, len(w.calls))
 	e.record(w.record)
@@ -88,6 +89,13 @@
 	}
 }
 
+// list encodes how far the store's list of servers is behind those that processes know.
+func (e *stateEncoder) list(w *modelWorld) {
+	for _, p := range w.processes {
+		e.ints(int(max(p.listVersion, w.listVersion()) - w.listVersion()))
+	}
+}
+
 func (e *stateEncoder) age(t time.Duration) {
 	e.ints(int(min(max(e.now-t, -12*time.Second), 12*time.Second) / modelAgeUnit))
 }
--- a/internal/succession/model_process_test.go
+++ b/internal/succession/model_process_test.go
@@ -42,7 +42,10 @@
 	// storeCut is set while the process cannot reach the table service.
 	storeCut bool
 
-	group     Group
+	group Group
+	// listVersion is the version of the catalog that group reflects.
+	listVersion uint64
+
 	view      View
 	state     State
 	commands  [modelServers]*Action
--- a/internal/succession/model_test.go
+++ b/internal/succession/model_test.go
@@ -64,6 +64,7 @@
 	{"a replica restarts while a grant is in force", modelFaults{writes: 1, crashes: 1, restarts: 1, ticks: 5}, grantInForceLateNews},
 	{"the holder restarts while a call is in transit", modelFaults{writes: 2, joins: 1, returns: 1, holderRestarts: 1, ticks: 2}, requestedPromotion},
 	{"the holder restarts while a grant is in force", modelFaults{writes: 1, crashes: 1, restarts: 1, ticks: 4}, restartedHolder},
+	{"a server joins after a restore of the store", modelFaults{writes: 1, restarts: 1, ticks: 4}, joinAfterRestore},
 	{"the home is cut off from the holder", modelFaults{writes: 2, homeCuts: 1, crashes: 1, restarts: 1, ticks: 3}, nil},
 }
 
@@ -136,6 +137,16 @@
 		modelEvent{eventCall, 0, 3}, modelEvent{eventLeave, 1, 0}, modelEvent{eventCrash, 1, 0})
 }
 
+// joinAfterRestore is the state after the store has come back from a copy and s3 has joined.
+// s0 has crashed after a write that only s3 has received, and its failover has begun.
+func joinAfterRestore(w *modelWorld) {
+	w.left.storeRestores, w.left.joins, w.left.returns, w.left.crashes = 1, 1, 1, 1
+	w.left.writes++
+	w.must(modelEvent{eventRestoreStore, 0, 0}, modelEvent{eventJoin, 3, 0}, modelEvent{eventReturn, 3, 0},
+		modelEvent{eventWrite, 0, 0}, modelEvent{eventReplicate, 0, 3}, modelEvent{eventCrash, 0, 0})
+	w.beginFailover()
+}
+
 // steppedDownPrimary is the state in which p1 has taken the lease after p0 has stepped s0 down,
 // which is leaving. s3 had joined; s1 and s3 have ended since, before their departure was
 // settled.
@@ -467,6 +478,7 @@
 		{"a restarted holder assumes earlier grants", "the holder restarts while a grant is in force", modelDisabled{earlierGrants: true, unlistedWait: true}},
 		{"servers that are not listed yet are waited for", "a server joins between the pauses", modelDisabled{unlistedWait: true}},
 		{"revocations report what was acknowledged", "a server joins between the pauses", modelDisabled{acknowledgedReported: true}},
+		{"versions of different eras do not compare", "a server joins after a restore of the store", modelDisabled{eras: true}},
 		{"acknowledgements need a grant or all copies", "a replica restarts while a call is in transit", modelDisabled{acknowledgeRule: true}},
 		{"acknowledgements need a grant or all copies", "a server joins after the replicas were paused", modelDisabled{acknowledgeRule: true}},
 	} {
--- a/internal/succession/model_world_test.go
+++ b/internal/succession/model_world_test.go
@@ -10,6 +10,7 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/duty"
 	"github.com/rattancove/rattancove/internal/grant"
+	"github.com/rattancove/rattancove/internal/provider"
 )
 
 const (
@@ -20,6 +21,9 @@
 	// modelTick is the time that a tick event takes, modelStep that of any other event.
 	modelTick = 900 * time.Millisecond
 	modelStep = time.Millisecond
+	// modelListNumber is the number of changes of the catalog before the first state, which
+	// a restore of the store takes back.
+	modelListNumber = 20
 	// modelMaxCallDelay is the longest time from the sending of a promotion call until it
 	// takes effect.
 	modelMaxCallDelay = maxPromotionDelay
@@ -27,7 +31,7 @@
 
 // modelFaults is a budget of the events that do not repeat freely.
 type modelFaults struct {
-	writes, crashes, restarts, rebirths, lapses, returns, cuts, storeCuts, freezes, leaving, isolations, joins, oddEntries, homeCuts, holderRestarts, ticks int
+	writes, crashes, restarts, rebirths, lapses, returns, cuts, storeCuts, freezes, leaving, isolations, joins, oddEntries, homeCuts, holderRestarts, storeRestores, ticks int
 }
 
 // modelDisabled names a mechanism that the model leaves out.
@@ -36,6 +40,7 @@
 	acknowledgeRule, logsAfterGrants, earlierGrants, unlistedWait          bool
 	acknowledgedReported, promotionEnds, soleCall                          bool
 	inheritedTime, inheritedCall, remainingTime                            bool
+	eras                                                                   bool
 }
 
 // modelWorld is a group of servers, the processes that may hold the promotion lease,
@@ -56,6 +61,9 @@
 	// at work.
 	lateReplay bool
 
+	// era rises when the store comes back from a copy. listNumber counts the changes of the
+	// catalog.
+	era, listNumber uint64
 	// version is the table service's counter.
 	version       uint64
 	leaseHolder   int
@@ -87,7 +95,10 @@
 // newModelWorld returns a group of which s0 is the primary, and in which process 0
 // holds the lease and knows the status of all servers.
 func newModelWorld(left modelFaults, disabled modelDisabled) *modelWorld {
-	w := &modelWorld{left: left, disabled: disabled, version: 1, now: time.Minute, recoveryTime: modelRecoveryTime}
+	w := &modelWorld{
+		left: left, disabled: disabled, era: 1, listNumber: modelListNumber, version: 1, now: time.Minute,
+		recoveryTime: modelRecoveryTime,
+	}
 	for i := range modelInitialServers {
 		w.servers[i] = modelServer{alive: true, primary: i == 0, term: 1, start: 1, listed: true, log: []logEntry{{1, 1}}}
 	}
@@ -116,7 +127,7 @@
 // progress takes the steps of a process that wait for nothing but the table service.
 func (w *modelWorld) progress(p *modelProcess) {
 	for p.token != 0 && !p.frozen {
-		switch changed := !slices.Equal(p.group.Servers, w.catalog().Servers); {
+		switch changed := w.hasNews(p); {
 		case changed && !w.lateNews:
 			w.refresh(p)
 		case !p.recordRead && !p.storeCut:
@@ -229,9 +240,31 @@
 	return g
 }
 
+// listVersion is the version of the catalog in the store.
+func (w *modelWorld) listVersion() uint64 {
+	if w.disabled.eras {
+		return w.listNumber
+	}
+	return provider.JoinVersion(w.era, w.listNumber)
+}
+
+// hasNews reports whether the catalog has changed since a process has heard of it. One of a
+// lower version than that which it knows is ignored, as by catalog.Tracker.
+func (w *modelWorld) hasNews(p *modelProcess) bool {
+	return w.listVersion() >= p.listVersion && !slices.Equal(p.group.Servers, w.catalog().Servers)
+}
+
+// restoreStore brings the store back from a copy. The servers have written their entries again.
+func (w *modelWorld) restoreStore() {
+	w.era++
+	w.listNumber = 1
+}
+
 // refresh passes the catalog on to a process.
 func (w *modelWorld) refresh(p *modelProcess) {
-	p.group = w.catalog()
+	if w.listVersion() >= p.listVersion {
+		p.group, p.listVersion = w.catalog(), w.listVersion()
+	}
 	for id := range p.view.Servers {
 		if !slices.ContainsFunc(p.group.Servers, func(s Server) bool { return s.ID == id }) {
 			delete(p.view.Servers, id)
