Let fencing tokens rise across restores of the store

Cause: the token is the version of the lease's row at the acquisition, and versions fall with the store.

Change: the table adapter joins the era to the versions of rows, as the catalog's does. A condition on a version of an earlier era does not hold. A transaction that took effect in another era than that of its conditions, by chance of an equal number, returns an error, after which the row is read again. A missing row has a version, too: number zero in the era in which it was missing.

--- a/internal/duty/doc.go
+++ b/internal/duty/doc.go
@@ -8,5 +8,6 @@
 // write that renewed the lease, on a clock that also runs while the machine is
 // suspended, so that its lease always expires before another process can acquire
 // it. The version of the row at the acquisition is the fencing token: it stays the
-// same for all renewals and is greater than the token of every earlier holder.
+// same for all renewals and is greater than the token of every earlier holder, also if
+// the table service comes back from an older copy (provider.JoinVersion).
 package duty
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -19,7 +19,8 @@
 // Row is a versioned row of the table service.
 type Row struct {
 	Key string
-	// Version is never zero and increases with each write of the row.
+	// Version is never zero and increases with each write of the row, also if the service
+	// comes back from a copy in between; see JoinVersion.
 	Version uint64
 	Value   []byte
 }
@@ -27,8 +28,8 @@
 // Write is a conditional write of one row.
 type Write struct {
 	Key string
-	// IfVersion is the version that the row must have; zero requires that the
-	// row does not exist.
+	// IfVersion is the version that the row must have; zero, or the version that Get has
+	// returned with ErrNotFound, requires that the row does not exist.
 	IfVersion uint64
 	Value     []byte
 	// Delete removes the row instead of writing Value.
@@ -50,7 +51,8 @@
 
 // Table is the transactional table service.
 type Table interface {
-	// Get returns one row, or ErrNotFound.
+	// Get returns one row, or ErrNotFound. The version that it returns with ErrNotFound has
+	// the number zero in the era in which the row was missing.
 	Get(ctx context.Context, key string) (Row, error)
 	// List returns the rows whose keys start with prefix, ordered by key.
 	List(ctx context.Context, prefix string) ([]Row, error)
--- a/internal/succession/model_process_test.go
+++ b/internal/succession/model_process_test.go
@@ -231,9 +231,9 @@
 	if w.recordVersion != p.recordVersion {
 		p.recordRead = false
 	} else if wanted := w.wantedRecord(p); !wanted.sameAs(p.saved) {
-		w.version++
-		w.record, w.recordVersion = wanted, w.version
-		p.saved, p.recordVersion = wanted, w.version
+		version := w.nextVersion()
+		w.record, w.recordVersion = wanted, version
+		p.saved, p.recordVersion = wanted, version
 	}
 	if p.stage == stageRecord && p.recordRead {
 		p.stage = stageCheck
--- a/internal/succession/model_test.go
+++ b/internal/succession/model_test.go
@@ -65,6 +65,7 @@
 	{"the holder restarts while a call is in transit", modelFaults{writes: 2, joins: 1, returns: 1, holderRestarts: 1, ticks: 2}, requestedPromotion},
 	{"the holder restarts while a grant is in force", modelFaults{writes: 1, crashes: 1, restarts: 1, ticks: 4}, restartedHolder},
 	{"a server joins after a restore of the store", modelFaults{writes: 1, restarts: 1, ticks: 4}, joinAfterRestore},
+	{"the lease is taken over after a restore of the store", modelFaults{writes: 1, leaving: 1, ticks: 1}, takeoverAfterRestore},
 	{"the home is cut off from the holder", modelFaults{writes: 2, homeCuts: 1, crashes: 1, restarts: 1, ticks: 3}, nil},
 }
 
@@ -147,6 +148,15 @@
 	w.beginFailover()
 }
 
+// takeoverAfterRestore is the state in which p1 has taken the lease from p0, which has replaced
+// a primary, and the store has come back from a copy before.
+func takeoverAfterRestore(w *modelWorld) {
+	recentPromotion(w)
+	w.left.storeRestores, w.left.storeCuts = 1, 1
+	w.must(modelEvent{eventRestoreStore, 0, 0}, modelEvent{eventCutStore, 0, 0})
+	w.handOver()
+}
+
 // steppedDownPrimary is the state in which p1 has taken the lease after p0 has stepped s0 down,
 // which is leaving. s3 had joined; s1 and s3 have ended since, before their departure was
 // settled.
@@ -479,6 +489,7 @@
 		{"servers that are not listed yet are waited for", "a server joins between the pauses", modelDisabled{unlistedWait: true}},
 		{"revocations report what was acknowledged", "a server joins between the pauses", modelDisabled{acknowledgedReported: true}},
 		{"versions of different eras do not compare", "a server joins after a restore of the store", modelDisabled{eras: true}},
+		{"tokens of a later era are higher", "the lease is taken over after a restore of the store", modelDisabled{eras: true}},
 		{"acknowledgements need a grant or all copies", "a replica restarts while a call is in transit", modelDisabled{acknowledgeRule: true}},
 		{"acknowledgements need a grant or all copies", "a server joins after the replicas were paused", modelDisabled{acknowledgeRule: true}},
 	} {
--- a/internal/succession/model_world_test.go
+++ b/internal/succession/model_world_test.go
@@ -21,9 +21,9 @@
 	// modelTick is the time that a tick event takes, modelStep that of any other event.
 	modelTick = 900 * time.Millisecond
 	modelStep = time.Millisecond
-	// modelListNumber is the number of changes of the catalog before the first state, which
-	// a restore of the store takes back.
-	modelListNumber = 20
+	// modelStoreNumber is the number of changes of the catalog and of writes to the table
+	// service before the first state, which a restore of the store takes back.
+	modelStoreNumber = 20
 	// modelMaxCallDelay is the longest time from the sending of a promotion call until it
 	// takes effect.
 	modelMaxCallDelay = maxPromotionDelay
@@ -96,7 +96,7 @@
 // holds the lease and knows the status of all servers.
 func newModelWorld(left modelFaults, disabled modelDisabled) *modelWorld {
 	w := &modelWorld{
-		left: left, disabled: disabled, era: 1, listNumber: modelListNumber, version: 1, now: time.Minute,
+		left: left, disabled: disabled, era: 1, listNumber: modelStoreNumber, version: modelStoreNumber, now: time.Minute,
 		recoveryTime: modelRecoveryTime,
 	}
 	for i := range modelInitialServers {
@@ -169,9 +169,8 @@
 	switch {
 	case p.frozen || p.storeCut:
 	case p.token != 0 && w.leaseVersion == p.version:
-		w.version++
-		w.leaseVersion = w.version
-		p.version, p.expiry = w.version, duty.ExpiryOf(w.now)
+		w.leaseVersion = w.nextVersion()
+		p.version, p.expiry = w.leaseVersion, duty.ExpiryOf(w.now)
 	case p.token == 0 && p.watch.Expired(w.leaseVersion, w.now):
 		w.acquire(p)
 	}
@@ -254,10 +253,19 @@
 	return w.listVersion() >= p.listVersion && !slices.Equal(p.group.Servers, w.catalog().Servers)
 }
 
+// nextVersion returns the version of a write to the table service.
+func (w *modelWorld) nextVersion() uint64 {
+	w.version++
+	if w.disabled.eras {
+		return w.version
+	}
+	return provider.JoinVersion(w.era, w.version)
+}
+
 // restoreStore brings the store back from a copy. The servers have written their entries again.
 func (w *modelWorld) restoreStore() {
 	w.era++
-	w.listNumber = 1
+	w.listNumber, w.version = 1, 1
 }
 
 // refresh passes the catalog on to a process.
@@ -277,9 +285,9 @@
 
 // acquire gives a process the lease and starts its decisions anew.
 func (w *modelWorld) acquire(p *modelProcess) {
-	w.version++
-	w.leaseHolder, w.leaseVersion, w.leaseToken = p.index, w.version, duty.Token(w.version)
-	p.token, p.version, p.expiry = w.leaseToken, w.version, duty.ExpiryOf(w.now)
+	version := w.nextVersion()
+	w.leaseHolder, w.leaseVersion, w.leaseToken = p.index, version, duty.Token(version)
+	p.token, p.version, p.expiry = w.leaseToken, version, duty.ExpiryOf(w.now)
 	p.state, p.stage, p.announced, p.recordRead = NewState(w.time()), stageNone, nil, false
 	p.commands, p.saved, p.recordVersion = [modelServers]*Action{}, Record{}, 0
 	p.grantsEnd = grantsEnd{startedAt: w.time()}
