Do not take the record of a group in a copy for the newest one

A promotion that an earlier one had requested in the lost seconds could take effect beside another one.

Cause: the record was believed to be the last one that a lease holder had written.

Change: a record states the era up to which it is complete. A holder writes it again in each era and takes over nothing from an outdated one. Event 4414 tells of an outdated record.

--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -149,6 +149,15 @@
 	return l.predecessor
 }
 
+// Era returns the era of the table service in which this process has last renewed or acquired
+// the lease; zero if it has none.
+func (l *Lease) Era() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	era, _ := provider.SplitVersion(l.version)
+	return era
+}
+
 // KnownHolder returns the last known holder; empty when none is known.
 func (l *Lease) KnownHolder() string {
 	l.mu.Lock()
--- a/internal/succession/controller.go
+++ b/internal/succession/controller.go
@@ -58,6 +58,8 @@
 	// Predecessor returns the token of an earlier holder that is known to have ended; zero
 	// if there is none.
 	Predecessor() duty.Token
+	// Era returns the era of the table service in which the lease was last renewed.
+	Era() uint64
 	Holder() string
 	Changed() <-chan struct{}
 }
--- a/internal/succession/events.go
+++ b/internal/succession/events.go
@@ -20,5 +20,6 @@
 	eventElectedServer      = event.New(4411, zerolog.WarnLevel, "server_elected", "A server was elected in a failover or switchover: the ends of the logs that no longer change, the position that it must have, and the members that may hold acknowledged writes.")
 	eventReplaySwitchover   = event.New(4412, zerolog.WarnLevel, "replay_switchover", "The slots of a primary are at work while all replicas have received its records and replay them late, so that a replica takes over. No action is needed unless it repeats.")
 	eventPromotionInherited = event.New(4413, zerolog.InfoLevel, "promotion_inherited", "The record of a group names a server that an earlier lease holder was about to have promoted: for how long that may still take effect, and whether it ends as soon as the server is primary above the given term.")
+	eventRecordOutdated     = event.New(4414, zerolog.WarnLevel, "group_record_outdated", "The table service has come back from a copy since the record of a group was written. If it is kept, this process has managed the group since before and writes what it knows; otherwise a promotion may have been requested that the record does not state, and none is requested until it can no longer take effect.")
 	eventServerUnreachable  = event.New(4404, zerolog.WarnLevel, "server_unreachable", "A backend server does not respond on a new connection.")
 )
--- a/internal/succession/loop.go
+++ b/internal/succession/loop.go
@@ -39,8 +39,13 @@
 
 	// state is written only by the loop's own goroutine, under mu.
 	state State
-	// readRecord is the group's record, just read, which the next decision adopts.
-	readRecord *Record
+	// readRecord is the group's record, just read, which the next decision adopts. adopted is
+	// set once one was.
+	readRecord *readRecord
+	adopted    bool
+	// promotionsLostUntil is the time until which a promotion may take effect whose record was
+	// lost; zero if there is none.
+	promotionsLostUntil time.Time
 	// announced is the promotion by this process that is in progress, nil if there is none.
 	announced *announcedPromotion
 	// recordRead is set while savedRecord is known to be the group's record in the
@@ -130,7 +135,7 @@
 	view := l.view
 	view.Servers, view.PendingPromotions = maps.Clone(l.view.Servers), maps.Clone(l.view.PendingPromotions)
 	view.LeaseRemaining = l.controller.config.Lease.Remaining()
-	view.PriorPromotionPossible = !l.recordRead
+	view.PriorPromotionPossible = !l.recordRead || time.Now().Before(l.promotionsLostUntil)
 	view.RecordUnsaved = !l.wantedRecord().sameAs(l.savedRecord)
 	view.GroupStale = l.controller.config.GroupsStale != nil && l.controller.config.GroupsStale()
 	l.viewGrants(&view, time.Now())
--- a/internal/succession/model_hash_test.go
+++ b/internal/succession/model_hash_test.go
@@ -39,7 +39,7 @@
 	e.home(w)
 	e.ints(int(w.promotedTerm), w.lastPrimary, w.lease.holder, len(w.calls))
 	e.record(w.record)
-	tokens := []uint64{uint64(w.highestToken), uint64(w.record.Token), w.recordVersion}
+	tokens := []uint64{uint64(w.highestToken), uint64(w.record.Token), w.versionOf(w.recordNumber)}
 	for _, p := range w.processes {
 		tokens = append(tokens, uint64(p.token), p.recordVersion)
 	}
@@ -138,7 +138,9 @@
 }
 
 func (e *stateEncoder) process(w *modelWorld, p *modelProcess) {
-	e.bools(p.frozen, p.storeCut, p.token != 0, p.version == w.versionOf(w.lease.number), p.recordRead, p.recordVersion == w.recordVersion)
+	e.bools(p.frozen, p.storeCut, p.token != 0, p.version == w.versionOf(w.lease.number), p.recordRead, p.adopted, p.recordVersion == w.versionOf(w.recordNumber))
+	e.bools(w.record.outdated(w.versionOf(w.recordNumber)), w.now < p.promotionsLostUntil)
+	e.age(p.promotionsLostUntil)
 	e.bools(p.cut[:]...)
 	if p.token == 0 {
 		e.watch(w, p)
--- a/internal/succession/model_process_test.go
+++ b/internal/succession/model_process_test.go
@@ -7,6 +7,7 @@
 	"github.com/rattancove/rattancove/internal/cluster"
 	"github.com/rattancove/rattancove/internal/duty"
 	"github.com/rattancove/rattancove/internal/grant"
+	"github.com/rattancove/rattancove/internal/provider"
 )
 
 // modelCall is a promotion call that the platform has not carried out yet.
@@ -59,9 +60,11 @@
 	late      bool
 	announced *announcedPromotion
 
-	recordRead    bool
-	saved         Record
-	recordVersion uint64
+	recordRead, adopted bool
+	saved               Record
+	recordVersion       uint64
+	// promotionsLostUntil is that of a groupLoop.
+	promotionsLostUntil time.Duration
 
 	issuer  *grant.Issuer
 	allowed bool
@@ -96,7 +99,7 @@
 	p.view.PendingPromotions.removeEnded(p.view.Servers)
 	view := p.view
 	view.LeaseRemaining = p.expiry - w.now
-	view.PriorPromotionPossible = !p.recordRead && !w.disabled.recordFirst
+	view.PriorPromotionPossible = (!p.recordRead || w.now < p.promotionsLostUntil) && !w.disabled.recordFirst
 	view.GrantsInForce = (p.allowed || p.issuer.Outstanding("g")) && !w.disabled.grantsWait
 	if view.GrantsEndedAt = p.grantsEnd.update(p.allowed || p.issuer.Outstanding("g"), now); w.disabled.logsAfterGrants {
 		view.GrantsEndedAt = time.Time{}
@@ -199,8 +202,18 @@
 	if p.stage == stageRecord {
 		p.stage, p.announced, p.view.PromotionNotSent = stageNone, nil, true
 	}
-	p.recordRead, p.saved, p.recordVersion = true, w.record, w.recordVersion
-	p.state = p.state.adopt(w.record, w.time())
+	p.recordRead, p.saved, p.recordVersion = true, w.record, w.versionOf(w.recordNumber)
+	switch outdated := w.record.outdated(p.recordVersion) && !w.disabled.recordEras; {
+	case !outdated:
+		p.state = p.state.adopt(w.record, w.time())
+	case p.adopted:
+		w.decide(p)
+		return
+	default:
+		p.state = p.state.adoptOutdated(w.record, w.time())
+		p.promotionsLostUntil = w.now + maxPriorPromotionDelay
+	}
+	p.adopted = true
 	if r := w.record; r.Promoting != "" && r.Token != p.token {
 		w.disableRecorded(&r.Call)
 		p.view.PendingPromotions.inherit(r, p.predecessor, w.time())
@@ -224,16 +237,19 @@
 	}
 	r := p.state.record(promoting)
 	r.Call, r.Token = call, p.token
+	if r.Era, _ = provider.SplitVersion(p.version); w.now < p.promotionsLostUntil {
+		r.Era = p.saved.Era
+	}
 	return r
 }
 
 func (w *modelWorld) writeRecord(p *modelProcess) {
-	if w.recordVersion != p.recordVersion {
+	if w.versionOf(w.recordNumber) != p.recordVersion {
 		p.recordRead = false
 	} else if wanted := w.wantedRecord(p); !wanted.sameAs(p.saved) {
 		w.version++
-		w.record, w.recordVersion = wanted, w.versionOf(w.version)
-		p.saved, p.recordVersion = wanted, w.recordVersion
+		w.record, w.recordNumber = wanted, w.version
+		p.saved, p.recordVersion = wanted, w.versionOf(w.version)
 	}
 	if p.stage == stageRecord && p.recordRead {
 		p.stage = stageCheck
--- a/internal/succession/model_test.go
+++ b/internal/succession/model_test.go
@@ -67,6 +67,7 @@
 	{"a server joins after a restore of the store", modelFaults{writes: 1, restarts: 1, ticks: 4}, joinAfterRestore},
 	{"the lease is taken over after a restore of the store", modelFaults{writes: 1, leaving: 1, ticks: 1}, takeoverAfterRestore},
 	{"the lease is that of an earlier holder after a restore of the store", modelFaults{writes: 1, leaving: 1, ticks: 2}, earlierHolderAfterRestore},
+	{"a call is in transit whose record was lost in a restore of the store", modelFaults{writes: 1, ticks: 1}, lostRecord},
 	{"the home is cut off from the holder", modelFaults{writes: 2, homeCuts: 1, crashes: 1, restarts: 1, ticks: 3}, nil},
 }
 
@@ -171,6 +172,16 @@
 	w.processes[0].storeCut = false
 }
 
+// lostRecord is the state in which p1 has taken the lease from p0, whose call to promote s1 is
+// in transit. The store has come back from a copy that does not know of it.
+func lostRecord(w *modelWorld) {
+	requestedPromotion(w)
+	w.left.storeRestores, w.left.storeCuts = 1, 1
+	w.must(modelEvent{eventCutStore, 0, 0}, modelEvent{eventRestoreStore, 0, 0})
+	w.passTime(1)
+	w.handOver()
+}
+
 // steppedDownPrimary is the state in which p1 has taken the lease after p0 has stepped s0 down,
 // which is leaving. s3 had joined; s1 and s3 have ended since, before their departure was
 // settled.
@@ -505,6 +516,7 @@
 		{"versions of different eras do not compare", "a server joins after a restore of the store", modelDisabled{eras: true}},
 		{"tokens of a later era are higher", "the lease is taken over after a restore of the store", modelDisabled{eras: true}},
 		{"a lease in a copy is not renewed", "the lease is that of an earlier holder after a restore of the store", modelDisabled{leaseEras: true}},
+		{"promotions whose record was lost are waited for", "a call is in transit whose record was lost in a restore of the store", modelDisabled{recordEras: true}},
 		{"acknowledgements need a grant or all copies", "a replica restarts while a call is in transit", modelDisabled{acknowledgeRule: true}},
 		{"acknowledgements need a grant or all copies", "a server joins after the replicas were paused", modelDisabled{acknowledgeRule: true}},
 	} {
--- a/internal/succession/model_world_test.go
+++ b/internal/succession/model_world_test.go
@@ -40,7 +40,7 @@
 	acknowledgeRule, logsAfterGrants, earlierGrants, unlistedWait          bool
 	acknowledgedReported, promotionEnds, soleCall                          bool
 	inheritedTime, inheritedCall, remainingTime                            bool
-	eras, leaseEras                                                        bool
+	eras, leaseEras, recordEras                                            bool
 }
 
 // modelWorld is a group of servers, the processes that may hold the promotion lease,
@@ -65,10 +65,10 @@
 	// catalog.
 	era, listNumber uint64
 	// version is the table service's counter.
-	version       uint64
-	lease         modelLease
-	record        Record
-	recordVersion uint64
+	version      uint64
+	lease        modelLease
+	record       Record
+	recordNumber uint64
 	// copied is what the store comes back with.
 	copied modelCopy
 
@@ -99,6 +99,8 @@
 type modelCopy struct {
 	version, listNumber uint64
 	lease               modelLease
+	record              Record
+	recordNumber        uint64
 }
 
 var modelStart = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
@@ -125,7 +127,7 @@
 	p := w.processes[0]
 	w.acquire(p)
 	p.grantsEnd.startedAt = time.Time{} // it has held the lease for long
-	w.copied = modelCopy{version: 1, listNumber: 1, lease: w.lease}
+	lease := w.lease
 	w.progress(p)
 	for range 2 {
 		for i := range w.servers {
@@ -134,6 +136,7 @@
 		}
 	}
 	w.progress(p)
+	w.copied = modelCopy{version: 1, listNumber: 1, lease: lease, record: w.record, recordNumber: w.recordNumber}
 	w.pollLease(w.processes[1])
 	w.followServers()
 	w.renewGrant()
@@ -308,6 +311,7 @@
 func (w *modelWorld) restoreStore() {
 	w.era++
 	w.listNumber, w.version, w.lease = w.copied.listNumber, w.copied.version, w.copied.lease
+	w.record, w.recordNumber = w.copied.record, w.copied.recordNumber
 }
 
 // refresh passes the catalog on to a process.
@@ -331,7 +335,8 @@
 // hold gives a process the lease with a token, and starts its decisions anew.
 func (w *modelWorld) hold(p *modelProcess, token duty.Token) {
 	w.writeLease(p, token)
-	p.state, p.stage, p.announced, p.recordRead = NewState(w.time()), stageNone, nil, false
+	p.state, p.stage, p.announced = NewState(w.time()), stageNone, nil
+	p.recordRead, p.adopted, p.promotionsLostUntil = false, false, 0
 	p.commands, p.saved, p.recordVersion = [modelServers]*Action{}, Record{}, 0
 	p.grantsEnd = grantsEnd{startedAt: w.time()}
 	p.view = View{Servers: map[cluster.ServerID]Observation{}, PendingPromotions: PendingPromotions{}}
--- a/internal/succession/promotion.go
+++ b/internal/succession/promotion.go
@@ -111,7 +111,10 @@
 func (l *groupLoop) wantedRecord() Record {
 	promoting, call := l.view.PendingPromotions.recorded(l.announced, time.Now())
 	r := l.state.record(promoting)
-	r.Call, r.Token = call, l.token
+	r.Call, r.Token, r.Era = call, l.token, l.controller.config.Lease.Era()
+	if time.Now().Before(l.promotionsLostUntil) {
+		r.Era = l.savedRecord.Era // the next lease holder has to wait as well
+	}
 	return r
 }
 
@@ -168,14 +171,34 @@
 	if r == nil {
 		return
 	}
-	l.readRecord, l.recordRead, l.savedRecord = nil, true, *r
+	l.readRecord, l.recordRead, l.savedRecord = nil, true, r.Record
 	now := time.Now()
-	l.state = l.state.adopt(*r, now)
+	if r.outdated && !l.adoptOutdated(r.Record, now) {
+		return
+	}
+	if !r.outdated {
+		l.state = l.state.adopt(r.Record, now)
+	}
+	l.adopted = true
 	if r.Promoting == "" || r.Token == l.token {
 		return
 	}
-	l.view.PendingPromotions.inherit(*r, l.controller.config.Lease.Predecessor(), now)
+	l.view.PendingPromotions.inherit(r.Record, l.controller.config.Lease.Predecessor(), now)
 	eventPromotionInherited.Log(l.controller.config.Log).Str("group", string(l.name)).Str("server", string(r.Promoting)).
 		Uint64("token", uint64(r.Token)).Uint64("term_before", uint64(r.Call.TermBefore)).Bool("sole", r.Call.Sole).
 		Dur("for", l.view.PendingPromotions[r.Promoting].Until.Sub(now)).Send()
 }
+
+// adoptOutdated merges a record after which others may have been lost, and reports whether it
+// was of use. A loop that has run before the loss knows more than the record, which it writes
+// again. For any other one, each server may have been promoted unseen.
+func (l *groupLoop) adoptOutdated(r Record, now time.Time) bool {
+	eventRecordOutdated.Log(l.controller.config.Log).Str("group", string(l.name)).Uint64("era", r.Era).
+		Uint64("token", uint64(r.Token)).Bool("kept", l.adopted).Send()
+	if l.adopted {
+		return false
+	}
+	l.state = l.state.adoptOutdated(r, now)
+	l.promotionsLostUntil = now.Add(maxPriorPromotionDelay)
+	return true
+}
--- a/internal/succession/records.go
+++ b/internal/succession/records.go
@@ -42,6 +42,16 @@
 	ReplaySwitchover int64 `json:"replay_switchover_ms,omitempty"`
 	// SteppedDown is the last primary that has stepped down, until there may be another.
 	SteppedDown SteppedDown `json:"stepped_down,omitzero"`
+	// Era is the era of the table service up to which the record is complete. It is zero in
+	// records of earlier versions.
+	Era uint64 `json:"era,omitempty"`
+}
+
+// outdated reports whether later records may have been lost: the table service has come
+// back from a copy since the record, which was read with a version, was written.
+func (r Record) outdated(version uint64) bool {
+	era, _ := provider.SplitVersion(version)
+	return r.Era != 0 && r.Era != era
 }
 
 // sameAs reports whether two records state the same. Whoever wrote them matters only while
@@ -50,7 +60,7 @@
 	if r.Promoting != "" && r.Token != other.Token {
 		return false
 	}
-	return r.Promoting == other.Promoting && r.Call == other.Call && r.ReplaySwitchover == other.ReplaySwitchover &&
+	return r.Era == other.Era && r.Promoting == other.Promoting && r.Call == other.Call && r.ReplaySwitchover == other.ReplaySwitchover &&
 		r.SteppedDown == other.SteppedDown && slices.Equal(r.Members, other.Members)
 }
 
@@ -90,26 +100,34 @@
 	s.listed, s.versions = nil, map[cluster.GroupName]uint64{}
 }
 
+// readRecord is a record as it was read.
+type readRecord struct {
+	Record
+	// outdated is set if later records may have been lost.
+	outdated bool
+}
+
 // read returns the record of a group, which is empty if there is none.
-func (s *recordStore) read(ctx context.Context, group cluster.GroupName) (Record, error) {
+func (s *recordStore) read(ctx context.Context, group cluster.GroupName) (readRecord, error) {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	row, err := s.readRow(ctx, group)
 	if err != nil {
-		return Record{}, err
+		return readRecord{}, err
 	}
 	s.mu.Lock()
 	s.versions[group] = row.Version
 	s.mu.Unlock()
-	var r Record
+	var r readRecord
 	if row.Version == 0 {
 		return r, nil
 	}
-	if err := json.Unmarshal(row.Value, &r); err != nil {
+	if err := json.Unmarshal(row.Value, &r.Record); err != nil {
 		eventRecordUnreadable.Log(s.log).Str("group", string(group)).Uint64("version", row.Version).Err(err).Send()
-		return Record{}, nil
+		return readRecord{}, nil
 	}
 	slices.SortFunc(r.Members, compareMembers)
+	r.outdated = r.Record.outdated(row.Version)
 	return r, nil
 }
 
--- a/internal/succession/records_test.go
+++ b/internal/succession/records_test.go
@@ -28,6 +28,7 @@
 type fakeLease struct {
 	mu    sync.Mutex
 	token duty.Token
+	era   uint64
 }
 
 func (l *fakeLease) set(token duty.Token) {
@@ -44,6 +45,18 @@
 
 func (*fakeLease) Predecessor() duty.Token { return 0 }
 
+func (l *fakeLease) Era() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.era
+}
+
+func (l *fakeLease) setEra(era uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.era = era
+}
+
 func (l *fakeLease) Remaining() time.Duration {
 	if _, held := l.Held(); held {
 		return time.Minute
@@ -225,7 +238,7 @@
 func runController(t *testing.T, test func(f *controllerFixture)) {
 	synctest.Test(t, func(t *testing.T) {
 		log := zerolog.Nop()
-		f := &controllerFixture{servers: newFakeServers(), table: providertest.NewTable(), lease: &fakeLease{token: 5}, group: Group{Name: "g", SyncReplicas: 1}}
+		f := &controllerFixture{servers: newFakeServers(), table: providertest.NewRestorableTable(), lease: &fakeLease{token: 5}, group: Group{Name: "g", SyncReplicas: 1}}
 		for _, id := range []cluster.ServerID{"s1", "s2", "s3"} {
 			f.group.Servers = append(f.group.Servers, Server{Server: cluster.Server{ID: id, Slots: testSlots}, StartTime: 1})
 		}
--- a/internal/succession/stepped_down.go
+++ b/internal/succession/stepped_down.go
@@ -101,3 +101,13 @@
 	}
 	return s
 }
+
+// adoptOutdated adds what holds of a record although later ones may have been lost: its members
+// may hold acknowledged writes, but others may, too, and there may have been another primary.
+func (s State) adoptOutdated(r Record, now time.Time) State {
+	known := s.Known
+	s.Membership = s.merge(r)
+	s.Known = known
+	s.rest = s.rest.merge(r.ReplaySwitchover, now)
+	return s
+}
