Do not believe a row of the dealer of quotas from a copy of the store

A new dealer that finds an earlier one's settled row allocates what another has allocated already.

Cause: the row was believed to be the last one that a dealer had written.

Change: tokens tell earlier dealers from later ones; the row states its era and is written once in each. A dealer that starts after an outdated row starts as after one that had not settled, and waits as for a process that never reports.

--- a/internal/edge/quota_dealer.go
+++ b/internal/edge/quota_dealer.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,12 +50,26 @@
 	// Ceilings restrict the credits of organisations. An organisation without one, as in a
 	// row of an earlier version, may have all credits that its limit allows.
 	Ceilings map[string]uint64 `json:"ceilings,omitempty"`
+	// Era is the era of the store in which the row was written. It is zero in rows of an
+	// earlier version.
+	Era uint64 `json:"era,omitempty"`
+}
+
+// unrecordedProcess stands for processes that may have credits and are not in the row. It
+// never reports.
+var unrecordedProcess = quota.Process{Home: "?"}
+
+// withoutRecord returns what is known if later rows than this one may have been lost, since
+// the store has come back from a copy.
+func (r quotaRow) withoutRecord() quotaRow {
+	return quotaRow{Holder: r.Holder, Token: r.Token, Homes: append(slices.Clone(r.Homes), unrecordedProcess)}
 }
 
 // promotionLease is the part of duty.Lease that a quotaDealer uses.
 type promotionLease interface {
 	Held() (duty.Token, bool)
 	Remaining() time.Duration
+	Era() uint64
 }
 
 // quotaDealer allocates credits while this process holds the promotion lease. A new
@@ -148,7 +163,8 @@
 	if running && q.ended != nil {
 		q.endProcesses(dealer)
 	}
-	due := running && (dealer.Unrecorded() || !q.settled && dealer.Settled(q.clock()) || dealer.CeilingsDue(q.clock()))
+	restored := eraOf(q.version) < q.lease.Era()
+	due := running && (restored || dealer.Unrecorded() || !q.settled && dealer.Settled(q.clock()) || dealer.CeilingsDue(q.clock()))
 	q.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, quotaRowTimeout)
 	defer cancel()
@@ -168,9 +184,12 @@
 	if err != nil {
 		return err
 	}
-	if value.Holder != q.holder || value.Token != token {
+	if value.Token > token {
 		return eris.Errorf("the row of the dealer of quotas is that of %s", value.Holder)
 	}
+	if value.Token < token { // the row of an earlier dealer, from a copy of the store
+		value = quotaRow{Holder: q.holder, Token: token, Settled: q.settled}
+	}
 	q.mu.Lock()
 	now := q.clock()
 	value.Homes = q.dealer.Processes(now)
@@ -195,6 +214,9 @@
 		return err
 	}
 	// An own write for the same token whose answer was lost tells nothing new.
+	if value.Era != 0 && value.Era != eraOf(q.version) {
+		value = value.withoutRecord()
+	}
 	if value.Holder != q.holder || value.Token != token || q.start == startUnknown {
 		q.start, q.ceilings = startAfter(q.version, value), value.Ceilings
 	}
@@ -233,7 +255,7 @@
 // startAfter returns what a dealer knows that found the row with a version and value.
 func startAfter(version uint64, value quotaRow) quota.Start {
 	switch {
-	case version == 0:
+	case rowMissing(version):
 		return quota.StartFirst
 	case value.Settled:
 		return quota.StartSettled
@@ -242,12 +264,23 @@
 	}
 }
 
-// read reads the row; its version is zero if it does not exist.
+func eraOf(version uint64) uint64 {
+	era, _ := provider.SplitVersion(version)
+	return era
+}
+
+// rowMissing reports whether a version is that of a row that does not exist.
+func rowMissing(version uint64) bool {
+	_, number := provider.SplitVersion(version)
+	return number == 0
+}
+
+// read reads the row, which is empty if it does not exist.
 func (q *quotaDealer) read(ctx context.Context) (quotaRow, error) {
 	var value quotaRow
 	row, err := q.table.Get(ctx, quotaRowKey)
 	if errors.Is(err, provider.ErrNotFound) {
-		q.version = 0
+		q.version = row.Version
 		return value, nil
 	}
 	if err != nil {
@@ -259,6 +292,7 @@
 
 // write writes the row in place of the version that was last read.
 func (q *quotaDealer) write(ctx context.Context, value quotaRow) error {
+	value.Era = eraOf(q.version)
 	data, err := json.Marshal(value)
 	if err != nil {
 		return eris.Wrap(err, "encode the row of the dealer of quotas")
--- a/internal/edge/quotas_test.go
+++ b/internal/edge/quotas_test.go
@@ -32,13 +32,15 @@
 type fakeLease struct {
 	token     duty.Token
 	remaining time.Duration
+	era       uint64
 }
 
 func (l *fakeLease) Held() (duty.Token, bool) { return l.token, l.token != 0 && l.remaining > 0 }
 func (l *fakeLease) Remaining() time.Duration { return l.remaining }
+func (l *fakeLease) Era() uint64              { return l.era }
 
 func newTestDealer(table provider.Table, holder string, token duty.Token, clock func() time.Duration) (*quotaDealer, *fakeLease) {
-	log, lease := zerolog.Nop(), &fakeLease{token, time.Second}
+	log, lease := zerolog.Nop(), &fakeLease{token: token, remaining: time.Second}
 	q := &quotaDealer{bounds: testQuotaBounds, holder: holder, lease: lease, table: table, clock: clock, log: &log}
 	q.setLimits(testLimits)
 	return q, lease
@@ -89,6 +91,47 @@
 	})
 }
 
+// TestDealersAfterARestore guards against a dealer that believes the row of a copy of the
+// store: it would allocate what a later dealer has allocated already, or not know its homes. The
+// later dealer, which still holds the lease, goes on and writes its row again.
+func TestDealersAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, clock := providertest.NewRestorableTable(), testClock()
+		start := func(holder string, token duty.Token, era uint64) (*quotaDealer, *fakeLease) {
+			q, lease := newTestDealer(table, holder, token, clock)
+			if lease.era = era; q.step(t.Context()) != nil || q.dealer == nil {
+				t.Fatalf("%s does not allocate", holder)
+			}
+			return q, lease
+		}
+		first, _ := start("p1", 1, 1)
+		for range 2 { // the second step records that it has settled
+			if err := first.step(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		copied := table.Copy()
+		second, lease := start("p2", 2, 1)
+		if second.start != quota.StartSettled {
+			t.Fatalf("start %v after a settled dealer", second.start)
+		}
+		second.handle("p7", peer.QuotaReportToProto(quota.Report{Sequence: 1, Incarnation: 5}))
+		table.Restore(copied)
+		lease.era = 2
+		if err := second.step(t.Context()); err != nil {
+			t.Errorf("the dealer does not write its row again: %v", err)
+		}
+		if row, err := second.read(t.Context()); err != nil || row.Holder != "p2" || len(row.Homes) != 1 {
+			t.Errorf("row %+v, error %v", row, err)
+		}
+		table.Restore(copied)
+		third, _ := start("p3", 3, 3)
+		if third.start != quota.StartUnsettled || third.dealer.Settled(clock()) {
+			t.Errorf("start %v after rows were lost, settled %v", third.start, third.dealer.Settled(clock()))
+		}
+	})
+}
+
 // TestDealerNeedsTheLease guards against credits that a home accepts after another
 // process may have begun to allocate.
 func TestDealerNeedsTheLease(t *testing.T) {
