--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -85,6 +85,7 @@
 		seeds = append(seeds, c.seed)
 	}
 	seeds = append(seeds, organisationSeeds...)
+	seeds = append(seeds, restoreSeeds...)
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { runSoak(t, seed, program) })
 	}
@@ -99,7 +100,7 @@
 
 // runSoak runs one seed. Every third seed injects planned faults only.
 func runSoak(t *testing.T, seed uint64, program string) {
-	s := newSoak(t, seed, program, fromEnv(soakProcessesEnv, soakProcesses), seed >= firstOrganisationSeed)
+	s := newSoak(t, seed, program, fromEnv(soakProcessesEnv, soakProcesses), hasOrganisations(seed))
 	s.plannedOnly = seed%3 == 2
 	random := rand.New(rand.NewPCG(seed, 5))
 	ctx, cancel := context.WithCancel(t.Context())
@@ -118,6 +119,9 @@
 		work.Go(func() { o.probeKeys(ctx) })
 		work.Go(func() { o.watchOutputs(ctx) })
 	}
+	if seed >= firstRestoreSeed {
+		work.Go(func() { s.restoreStore(stopChanges) })
+	}
 	s.injectFaults(random, program)
 	close(stopChanges)
 	if s.organisations != nil {
--- a/internal/standin/userplatform/store.go
+++ b/internal/standin/userplatform/store.go
@@ -33,8 +33,9 @@
 	changed   chan struct{}
 	faults    Faults
 	startedAt time.Time
-	// era is one, and rises when the store comes back from a copy.
-	era uint64
+	// era is one, and rises when the store comes back from a copy. away is set before.
+	era  uint64
+	away bool
 	// staleRows and staleVersion are returned by full reads while Faults.Stale is
 	// set.
 	staleRows    map[rowID]Row
@@ -76,6 +77,14 @@
 	return Copy{rows: maps.Clone(s.rows), history: slices.Clone(s.history), version: s.version}
 }
 
+// TakeAway makes every call fail with status 503 until Restore.
+func (s *Store) TakeAway() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	s.notify()
+}
+
 // Restore brings the store back from a copy in a new era. What was written since is lost, and
 // its versions are given out again. The operator and the backend servers write their rows
 // again, and remove those that they have removed since, in an arbitrary order.
@@ -83,6 +92,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.rows
+	s.away = false
 	s.rows, s.history, s.version = maps.Clone(c.rows), slices.Clone(c.history), c.version
 	s.era++
 	for id := range c.rows {
@@ -97,6 +107,9 @@
 			s.applyRow(row)
 		}
 	}
+	if s.faults.Stale {
+		s.staleRows, s.staleVersion = maps.Clone(s.rows), s.version
+	}
 	s.notify()
 }
 
@@ -183,6 +196,7 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	faults := s.faults
+	faults.Down = faults.Down || s.away
 	s.mu.Unlock()
 	time.Sleep(faults.ResponseDelay)
 	if faults.Down {
@@ -261,8 +275,9 @@
 		s.mu.Lock()
 		changed := s.changed
 		rows, truncated := s.changesSince(q.Get("table"), after)
-		if truncated || len(rows) > 0 || s.faults.Down {
-			status := map[bool]int{true: http.StatusGone, false: http.StatusOK}[truncated || s.faults.Down]
+		down := s.faults.Down || s.away
+		if truncated || len(rows) > 0 || down {
+			status := map[bool]int{true: http.StatusGone, false: http.StatusOK}[truncated || down]
 			s.writeRows(w, status, rows)
 			s.mu.Unlock()
 			return
