--- a/internal/integration/soak_restores_test.go
+++ b/internal/integration/soak_restores_test.go
@@ -19,6 +19,9 @@
 	minRestoreInterval = 500 * time.Millisecond
 	maxRestoreInterval = 4500 * time.Millisecond
 	maxStoreAway       = 800 * time.Millisecond
+	// otherWrites is the number of writes of other users of the store between two copies, by
+	// which its version falls in a restore.
+	otherWrites = 20
 )
 
 // restoreSeeds are seeds in which the store comes back from copies. The first one has planned
@@ -46,6 +49,9 @@
 		case <-time.After(storeCopyInterval):
 		}
 		copies = append(copies, s.store.Copy())
+		for range otherWrites {
+			s.store.Put("other", "row", len(copies))
+		}
 		copies = copies[max(0, len(copies)-int(maxCopyAge/storeCopyInterval)):]
 		if time.Now().Before(next) {
 			continue
