--- a/internal/catalog/tracker.go
+++ b/internal/catalog/tracker.go
@@ -190,7 +190,8 @@
 	return true
 }
 
-// noteEra logs that the store has come back from a copy. The caller holds the lock.
+// noteEra records that the store has come back from a copy, if an update shows it. The caller
+// holds the lock.
 func (t *Tracker) noteEra(coverage Coverage) {
 	eraBefore, before := provider.SplitVersion(t.coverage.Complete)
 	era, now := provider.SplitVersion(coverage.Complete)
@@ -210,14 +211,8 @@
 func (t *Tracker) PeerVersion(era, number uint64) (version uint64, usable bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.peerVersion(era, number)
-}
-
-// peerVersion is PeerVersion for callers that hold the lock.
-func (t *Tracker) peerVersion(era, number uint64) (version uint64, usable bool) {
 	if era == 0 {
-		era, _ = provider.SplitVersion(t.coverage.Complete)
-		return provider.JoinVersion(era, number), !t.restored
+		return provider.JoinVersion(provider.EraOf(t.coverage.Complete), number), !t.restored
 	}
 	return provider.JoinVersion(era, number), true
 }
--- a/internal/duty/expiry.go
+++ b/internal/duty/expiry.go
@@ -60,7 +60,7 @@
 // acquire the lease, since another one would have had to wait until it had expired, and
 // goes on.
 func (w *Watch) Next(r Reading, held bool, now time.Duration) Decision {
-	if era, _ := provider.SplitVersion(r.Version); era != w.era {
+	if era := provider.EraOf(r.Version); era != w.era {
 		w.era, w.eraSince = era, now
 	}
 	settled := w.era == 0 || now-w.eraSince >= settleTime
--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -154,8 +154,7 @@
 func (l *Lease) Era() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	era, _ := provider.SplitVersion(l.version)
-	return era
+	return provider.EraOf(l.version)
 }
 
 // KnownHolder returns the last known holder; empty when none is known.
@@ -263,7 +262,7 @@
 
 // write renews or acquires the lease.
 func (l *Lease) write(ctx context.Context, value row, version uint64) error {
-	value.Era, _ = provider.SplitVersion(version)
+	value.Era = provider.EraOf(version)
 	data, err := json.Marshal(value)
 	if err != nil {
 		return eris.Wrap(err, "encode lease")
@@ -350,17 +349,16 @@
 }
 
 func (l *Lease) reading(value row, version uint64, missing bool) Reading {
-	era, _ := provider.SplitVersion(version)
 	named := !missing && value.Holder == l.config.Holder
 	return Reading{
-		Version: version, Current: !missing && value.Era == era, Missing: missing, Released: !missing && value.Holder == "",
+		Version: version, Current: !missing && value.Era == provider.EraOf(version), Missing: missing, Released: !missing && value.Holder == "",
 		Own: named && value.Incarnation == l.incarnation, Predecessor: named && value.Incarnation != l.incarnation,
 	}
 }
 
-// renewRow renews the lease after a write of this process whose answer was lost (the time at
-// which that write was sent is not known, and so neither is the expiry), or in place of a row
-// that is not current, while this process holds the lease with a token.
+// renewRow renews the lease over a row that this process has written without an answer, whose
+// time of sending and so the expiry are not known; or over one that is not current, while this
+// process holds the lease with a token.
 func (l *Lease) renewRow(ctx context.Context, reading Reading, value row, token Token) error {
 	if reading.Own && reading.Current {
 		token = tokenOf(value, reading.Version)
@@ -421,8 +419,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	era, _ := provider.SplitVersion(version)
-	data, err := json.Marshal(row{Token: token, Era: era})
+	data, err := json.Marshal(row{Token: token, Era: provider.EraOf(version)})
 	if err == nil {
 		_, err = l.config.Table.Commit(ctx, provider.Write{Key: l.config.Key, IfVersion: version, Value: data})
 	}
--- a/internal/edge/quota_dealer.go
+++ b/internal/edge/quota_dealer.go
@@ -163,7 +163,7 @@
 	if running && q.ended != nil {
 		q.endProcesses(dealer)
 	}
-	restored := eraOf(q.version) < q.lease.Era()
+	restored := provider.EraOf(q.version) < q.lease.Era()
 	due := running && (restored || dealer.Unrecorded() || !q.settled && dealer.Settled(q.clock()) || dealer.CeilingsDue(q.clock()))
 	q.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, quotaRowTimeout)
@@ -214,7 +214,7 @@
 		return err
 	}
 	// An own write for the same token whose answer was lost tells nothing new.
-	if value.Era != 0 && value.Era != eraOf(q.version) {
+	if value.Era != 0 && value.Era != provider.EraOf(q.version) {
 		value = value.withoutRecord()
 	}
 	if value.Holder != q.holder || value.Token != token || q.start == startUnknown {
@@ -264,11 +264,6 @@
 	}
 }
 
-func eraOf(version uint64) uint64 {
-	era, _ := provider.SplitVersion(version)
-	return era
-}
-
 // rowMissing reports whether a version is that of a row that does not exist.
 func rowMissing(version uint64) bool {
 	_, number := provider.SplitVersion(version)
@@ -292,7 +287,7 @@
 
 // write writes the row in place of the version that was last read.
 func (q *quotaDealer) write(ctx context.Context, value quotaRow) error {
-	value.Era = eraOf(q.version)
+	value.Era = provider.EraOf(q.version)
 	data, err := json.Marshal(value)
 	if err != nil {
 		return eris.Wrap(err, "encode the row of the dealer of quotas")
--- a/internal/provider/version.go
+++ b/internal/provider/version.go
@@ -19,7 +19,10 @@
 	return era<<numberBits | min(number, MaxNumber)
 }
 
+// EraOf returns the era of a version.
+func EraOf(version uint64) uint64 { return version >> numberBits }
+
 // SplitVersion returns the parts of a version.
 func SplitVersion(version uint64) (era, number uint64) {
-	return version >> numberBits, version & MaxNumber
+	return EraOf(version), version & MaxNumber
 }
--- a/internal/succession/model_process_test.go
+++ b/internal/succession/model_process_test.go
@@ -237,7 +237,8 @@
 	}
 	r := p.state.record(promoting)
 	r.Call, r.Token = call, p.token
-	if r.Era, _ = provider.SplitVersion(p.version); w.now < p.promotionsLostUntil {
+	r.Era = provider.EraOf(p.version)
+	if w.now < p.promotionsLostUntil {
 		r.Era = p.saved.Era
 	}
 	return r
--- a/internal/succession/records.go
+++ b/internal/succession/records.go
@@ -50,8 +50,7 @@
 // outdated reports whether later records may have been lost: the table service has come
 // back from a copy since the record, which was read with a version, was written.
 func (r Record) outdated(version uint64) bool {
-	era, _ := provider.SplitVersion(version)
-	return r.Era != 0 && r.Era != era
+	return r.Era != 0 && r.Era != provider.EraOf(version)
 }
 
 // sameAs reports whether two records state the same. Whoever wrote them matters only while
