--- a/internal/duty/lease.go
+++ b/internal/duty/lease.go
@@ -57,20 +57,6 @@
 	Log   *zerolog.Logger
 }
 
-// row is the value that is stored in the lease's row.
-type row struct {
-	// Holder is empty once the lease was released.
-	Holder string `json:"holder"`
-	// Incarnation distinguishes the holder's process from an earlier one of the same
-	// name.
-	Incarnation int64 `json:"life"`
-	// Token is zero in the write that acquires the lease, which is given a token above Above.
-	Token Token `json:"token"`
-	Above Token `json:"above,omitempty"`
-	// Era is the era of the table service that the writer knew.
-	Era uint64 `json:"era,omitempty"`
-}
-
 // Lease is one process's view of the lease. It is safe for concurrent use.
 type Lease struct {
 	config      Config
@@ -348,14 +334,6 @@
 	return l.acquire(ctx, current.Version)
 }
 
-func (l *Lease) reading(value row, version uint64, missing bool) Reading {
-	named := !missing && value.Holder == l.config.Holder
-	return Reading{
-		Version: version, Current: !missing && value.Era == provider.EraOf(version), Missing: missing, Released: !missing && value.Holder == "",
-		Own: named && value.Incarnation == l.incarnation, Predecessor: named && value.Incarnation != l.incarnation,
-	}
-}
-
 // renewRow renews the lease over a row that this process has written without an answer, whose
 // time of sending and so the expiry are not known; or over one that is not current, while this
 // process holds the lease with a token.
@@ -384,15 +362,6 @@
 	l.lose("")
 }
 
-// tokenOf returns the token of the holder that wrote a row with the given version: the
-// write that acquires the lease has none, and its version becomes the token.
-func tokenOf(value row, version uint64) Token {
-	if value.Token == 0 {
-		return max(Token(version), value.Above+1)
-	}
-	return value.Token
-}
-
 // acquire tries to acquire the lease. It returns no error when another process was
 // faster.
 func (l *Lease) acquire(ctx context.Context, version uint64) error {
--- a/internal/edge/quota_dealer.go
+++ b/internal/edge/quota_dealer.go
@@ -59,9 +59,9 @@
 // never reports.
 var unrecordedProcess = quota.Process{Home: "?"}
 
-// withoutRecord returns what is known if later rows than this one may have been lost, since
-// the store has come back from a copy.
-func (r quotaRow) withoutRecord() quotaRow {
+// asOutdated returns what is known if later rows than this one may have been lost, since the
+// store has come back from a copy.
+func (r quotaRow) asOutdated() quotaRow {
 	return quotaRow{Holder: r.Holder, Token: r.Token, Homes: append(slices.Clone(r.Homes), unrecordedProcess)}
 }
 
@@ -215,7 +215,7 @@
 	}
 	// An own write for the same token whose answer was lost tells nothing new.
 	if value.Era != 0 && value.Era != provider.EraOf(q.version) {
-		value = value.withoutRecord()
+		value = value.asOutdated()
 	}
 	if value.Holder != q.holder || value.Token != token || q.start == startUnknown {
 		q.start, q.ceilings = startAfter(q.version, value), value.Ceilings
